--- /dev/null
+++ b/src/decide/engine/event.rs
@@ -0,0 +1,34 @@
+//! What can happen to an engine as its owner sees it.
+
+use super::Waiting;
+use crate::names::AdapterRef;
+use crate::names::RequestId;
+
+/// An event for an [`super::EngineCore`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineInput {
+    /// A request arrived.
+    Arrived(Waiting),
+    /// A request's caller went away before its dispatch.
+    Withdrawn(RequestId),
+    /// A dispatched request ended, in whatever way.
+    Ended(RequestId),
+    /// A load order ended.
+    LoadEnded {
+        /// Adapter of the order.
+        adapter: AdapterRef,
+        /// Whether the adapter is loaded now.
+        loaded: bool,
+    },
+    /// An unload order ended.
+    UnloadEnded {
+        /// Adapter of the order.
+        adapter: AdapterRef,
+        /// Whether the adapter is unloaded now.
+        unloaded: bool,
+    },
+    /// The engine restarted: every slot is empty.
+    Restarted,
+    /// Time passed.
+    Tick,
+}
--- /dev/null
+++ b/src/decide/engine/mod.rs
@@ -0,0 +1,16 @@
+//! What the owner of an engine decides: queues, slots, loads and dispatches.
+//!
+//! Only the owner dispatches to an engine, so it knows exactly what runs on
+//! each adapter and never evicts one that has work.
+
+mod action;
+mod core;
+mod event;
+mod slot;
+mod waiting;
+
+pub use action::EngineAction;
+pub use core::EngineCore;
+pub use event::EngineInput;
+pub use slot::SlotState;
+pub use waiting::Waiting;
--- /dev/null
+++ b/src/decide/engine/slot.rs
@@ -0,0 +1,17 @@
+//! One adapter slot of an engine.
+
+use crate::names::Timestamp;
+
+/// State of a slot that isn't free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotState {
+    /// The engine is loading the adapter.
+    Loading,
+    /// The adapter is loaded.
+    Ready {
+        /// When it last began or ended a request.
+        used: Timestamp,
+    },
+    /// The engine is unloading the adapter.
+    Unloading,
+}
--- /dev/null
+++ b/src/decide/mod.rs
@@ -0,0 +1,16 @@
+//! Every decision, as state machines without I/O.
+//!
+//! The present time is an argument, the same events give the same actions, and
+//! no clock, socket, thread or unseeded randomness is used in here. Fuzzing and
+//! experiments drive these types directly; [`crate::daemon`] drives them from
+//! the network.
+
+pub mod backends;
+pub mod config;
+pub mod dispatch_end;
+pub mod engine;
+pub mod membership;
+pub mod ownership;
+pub mod rendezvous;
+pub mod routing;
+pub mod submissions;
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/error/answer.rs
@@ -0,0 +1,64 @@
+//! The answer that a caller gets for an error kind.
+
+use std::time::Duration;
+
+use super::ErrorKind;
+
+/// What callers are told for one kind of error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Short title of the problem document.
+    pub title: &'static str,
+    /// Whether the request is proven not to have run on a backend server.
+    pub not_run: bool,
+    /// When to come back, if trying again makes sense.
+    pub retry_after: Option<Duration>,
+}
+
+/// Time to come back after a refusal for want of capacity.
+const CAPACITY_RETRY: Duration = Duration::from_secs(1);
+/// Time to come back after a failure of a part that recovers by itself.
+const RECOVERY_RETRY: Duration = Duration::from_secs(3);
+/// Time for which a quarantined request stays refused.
+const QUARANTINE_RETRY: Duration = Duration::from_secs(600);
+
+impl ErrorKind {
+    /// The table from kind to answer.
+    pub fn answer(self) -> Answer {
+        let row =
+            |status, title, not_run, retry_after| Answer { status, title, not_run, retry_after };
+        let soon = Some(CAPACITY_RETRY);
+        let later = Some(RECOVERY_RETRY);
+        match self {
+            Self::Malformed => row(400, "malformed request", true, None),
+            Self::Unauthenticated => row(401, "not authenticated", true, None),
+            Self::Forbidden => row(403, "not permitted", true, None),
+            Self::NotFound => row(404, "not found", true, None),
+            Self::UnknownAdapter => row(404, "unknown adapter", true, None),
+            Self::UnknownVersion => row(404, "unknown version", true, None),
+            Self::TooLarge => row(413, "request too large", true, None),
+            Self::SlowSender => row(408, "request body took too long", true, None),
+            Self::TicketRequired => row(428, "ticket required", true, None),
+            Self::TicketInvalid => row(403, "ticket invalid", true, None),
+            Self::TicketExpired => row(410, "ticket expired", true, None),
+            Self::TicketReused => row(409, "ticket used for another submission", true, None),
+            Self::Overloaded => row(503, "overloaded", true, soon),
+            Self::DeadlineTooShort => row(503, "deadline cannot be met", true, soon),
+            Self::LoadFailed => row(503, "adapter could not be loaded", true, later),
+            Self::NoBackend => row(503, "no backend server available", true, later),
+            Self::NotOwner => row(503, "instance does not own the engine", true, soon),
+            Self::Draining => row(503, "instance is shutting down", true, soon),
+            Self::NotReady => row(503, "no configuration yet", true, later),
+            Self::Quarantined => row(422, "request crashed engines", true, Some(QUARANTINE_RETRY)),
+            Self::WrongAnswer => row(502, "answer withheld: wrong adapter", false, soon),
+            Self::BackendFailed => row(502, "backend server failed", false, later),
+            Self::OutcomeUnknown => row(504, "outcome unknown", false, later),
+            Self::DeadlineExceeded => row(504, "deadline exceeded", false, soon),
+            Self::PeerUnreachable => row(503, "instance unreachable", true, soon),
+            Self::ConfigRefused => row(409, "configuration refused", true, None),
+            Self::Internal => row(500, "internal error", false, None),
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,19 @@
+//! Serving layer for very many LoRA adapters on shared model engines.
+//!
+//! The library does the work; `tamarackleadd` (one entry instance) and
+//! `tamaracklead` (the command-line tool) are thin programs over it. Each layer
+//! knows only the layers listed before it:
+//!
+//! 1. [`names`] and [`error`]: identifiers, the error kinds and their answers;
+//! 2. [`decide`]: every decision as a state machine without I/O;
+//! 3. [`wire`]: the messages between processes;
+//! 4. [`edge`]: clients of engines, desks, the platform and peers;
+//! 5. [`daemon`]: shards of state that carry events in and actions out.
+
+pub mod daemon;
+pub mod decide;
+pub mod edge;
+pub mod error;
+pub mod names;
+pub mod settings;
+pub mod wire;
--- /dev/null
+++ b/src/names/mod.rs
@@ -0,0 +1,28 @@
+//! Identifiers shared by every layer.
+//!
+//! Names are immutable shared strings, so a clone costs one reference count.
+//! Numbers that mean different things have types of their own.
+
+mod adapter_ref;
+mod fencing;
+mod generation;
+mod incarnation;
+mod request_id;
+mod shared_name;
+mod timestamp;
+mod version;
+
+pub use adapter_ref::AdapterRef;
+pub use fencing::Fencing;
+pub use generation::Generation;
+pub use incarnation::Incarnation;
+pub use request_id::RequestId;
+pub use shared_name::AdapterName;
+pub use shared_name::BackendName;
+pub use shared_name::DataCentre;
+pub use shared_name::InstanceName;
+pub use shared_name::ModelName;
+pub use shared_name::PageName;
+pub use shared_name::PresetName;
+pub use timestamp::Timestamp;
+pub use version::Version;
--- /dev/null
+++ b/src/wire/caller.rs
@@ -0,0 +1,116 @@
+//! Messages to and from callers.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::names::AdapterName;
+use crate::names::RequestId;
+use crate::names::Version;
+
+/// Body of `POST /v1/completions`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CompletionRequest {
+    /// Adapter that must answer.
+    pub adapter: AdapterName,
+    /// Version that must answer; the newest if absent.
+    #[serde(default)]
+    pub version: VersionChoice,
+    /// Text to continue.
+    pub prompt: String,
+    /// Most tokens to generate.
+    #[serde(default = "CompletionRequest::default_max_tokens")]
+    pub max_tokens: u32,
+    /// Priority, 0 (low) to 9 (high).
+    #[serde(default)]
+    pub priority: Option<u8>,
+    /// Time within which the first token must arrive, in milliseconds.
+    #[serde(default)]
+    pub deadline_ms: Option<u64>,
+    /// Whether the answer is streamed as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+impl CompletionRequest {
+    fn default_max_tokens() -> u32 {
+        256
+    }
+}
+
+/// Version that a caller asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum VersionChoice {
+    /// This version and no other.
+    Exact(Version),
+    /// The newest version of the generation in force.
+    #[default]
+    #[serde(with = "newest")]
+    Newest,
+}
+
+mod newest {
+    use serde::Deserialize;
+    use serde::Deserializer;
+    use serde::Serializer;
+    use serde::de::Error;
+
+    pub fn serialize<S: Serializer>(serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str("newest")
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<(), D::Error> {
+        match String::deserialize(deserializer)?.as_str() {
+            "newest" => Ok(()),
+            other => Err(D::Error::custom(format!("version {other:?} is not \"newest\""))),
+        }
+    }
+}
+
+/// Whole answer, and last event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Completion {
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// Adapter that answered.
+    pub adapter: AdapterName,
+    /// Version that answered.
+    pub version: Version,
+    /// Generated text; empty at the end of a stream.
+    pub text: String,
+    /// How many tokens were generated.
+    pub tokens: u32,
+}
+
+/// One token of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CompletionChunk {
+    /// Identifier of the request.
+    pub id: RequestId,
+    /// Text of the token.
+    pub text: String,
+}
+
+/// Answer of `POST /v1/tickets`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TicketReply {
+    /// The ticket, to be sent with the submission.
+    pub ticket: String,
+    /// Seconds until it expires.
+    pub expires_in_s: u64,
+}
+
+/// Body of `POST /v1/submissions`; the ticket goes into the `Ticket` header.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SubmissionRequest(pub serde_json::Value);
+
+/// Answer to a submission that ran.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmissionReply {
+    /// Identifier of the submission.
+    pub id: RequestId,
+    /// Receipt number that the desk gave.
+    pub receipt: String,
+}
--- /dev/null
+++ b/src/wire/peer.rs
@@ -0,0 +1,86 @@
+//! Messages between entry instances.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::names::AdapterRef;
+use crate::names::BackendName;
+use crate::names::Generation;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+use crate::names::RequestId;
+
+/// Body of `POST /peer/v1/dispatch`: a request for the owner of an engine.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// Identifier of the request.
+    pub request_id: RequestId,
+    /// Engine that the entry instance chose.
+    pub engine: BackendName,
+    /// Adapter and version, resolved once.
+    pub adapter: AdapterRef,
+    /// Generation that the version was resolved from.
+    pub generation: Generation,
+    /// Text to continue.
+    pub prompt: String,
+    /// Most tokens to generate.
+    pub max_tokens: u32,
+    /// Priority, 0 (low) to 9 (high).
+    pub priority: u8,
+    /// Time left until the deadline, in milliseconds.
+    pub deadline_ms: u64,
+    /// Trace context, as in the `traceparent` header.
+    pub traceparent: Option<String>,
+}
+
+/// One frame of the answer to a [`Dispatch`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DispatchEvent {
+    /// The engine has begun.
+    Started {
+        /// Adapter that the engine says it runs.
+        adapter: AdapterRef,
+    },
+    /// One generated token.
+    Token {
+        /// Text of the token.
+        text: String,
+    },
+    /// End of a whole answer.
+    Done {
+        /// Adapter that the engine says it ran.
+        adapter: AdapterRef,
+        /// How many tokens were generated.
+        tokens: u32,
+    },
+    /// End of an answer that failed.
+    Failed {
+        /// Why it failed.
+        error: Error,
+    },
+}
+
+/// Body of `POST /peer/v1/submit`: a submission for the instance that issued its ticket.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ForwardedSubmission {
+    /// The ticket as the caller sent it.
+    pub ticket: String,
+    /// The caller's JSON body, as bytes.
+    pub body: Vec<u8>,
+    /// Trace context, as in the `traceparent` header.
+    pub traceparent: Option<String>,
+}
+
+/// Body of `POST /peer/v1/hello` and its answer: what an instance knows of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// Name of the sender.
+    pub name: InstanceName,
+    /// Incarnation of the sender.
+    pub incarnation: Incarnation,
+    /// Generation in effect at the sender.
+    pub generation: Option<Generation>,
+    /// Whether the sender is shutting down.
+    pub draining: bool,
+}
