Add the safety guard of an engine's queue and slots

Ownership needs to pause an engine, to keep an adapter whose work it doesn't know, and to run a suspect alone; the policy of queues and victims is unchanged.

--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -5,6 +5,8 @@
 
 use super::EngineAction;
 use super::EngineInput;
+use super::Guard;
+use super::GuardInput;
 use super::SlotState;
 use super::Waiting;
 use crate::error::Error;
@@ -24,6 +26,7 @@
     slots: BTreeMap<AdapterRef, SlotState>,
     waiting: Vec<Waiting>,
     running: BTreeMap<RequestId, AdapterRef>,
+    guard: Guard,
 }
 
 impl EngineCore {
@@ -35,6 +38,7 @@
             slots: BTreeMap::new(),
             waiting: Vec::new(),
             running: BTreeMap::new(),
+            guard: Guard::default(),
         }
     }
 
@@ -74,7 +78,8 @@
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
             EngineInput::Restarted => self.slots.clear(),
-            EngineInput::Tick => {}
+            EngineInput::Guard(input) => self.on_guard(now, input),
+            EngineInput::Tick => self.forget_lone(),
         }
         self.refuse_late(now, &mut actions);
         self.dispatch_ready(now, &mut actions);
@@ -82,7 +87,47 @@
         actions
     }
 
+    /// Adapters held by what ownership knows of them.
+    pub fn held(&self) -> impl Iterator<Item = &AdapterRef> {
+        self.guard.held.iter()
+    }
+
+    fn on_guard(&mut self, now: Timestamp, input: GuardInput) {
+        match input {
+            GuardInput::Pause => self.guard.paused = true,
+            GuardInput::Resume => self.guard.paused = false,
+            GuardInput::Found(loaded) => {
+                let ready = |adapter| (adapter, SlotState::Ready { used: now });
+                self.slots = loaded.into_iter().map(ready).collect();
+            }
+            GuardInput::Hold(adapter) => {
+                self.guard.held.insert(adapter);
+            }
+            GuardInput::Release(adapter) => {
+                self.guard.held.remove(&adapter);
+            }
+            GuardInput::NotLoaded(adapter) => {
+                if matches!(self.slots.get(&adapter), Some(SlotState::Ready { .. })) {
+                    self.slots.remove(&adapter);
+                }
+            }
+            GuardInput::Alone(id) => {
+                self.guard.alone.insert(id);
+            }
+        }
+    }
+
+    /// Forgets lone requests that went away without being dispatched.
+    fn forget_lone(&mut self) {
+        let waiting = &self.waiting;
+        let running = &self.running;
+        self.guard.alone.retain(|id| {
+            running.contains_key(id) || waiting.iter().any(|waiting| &waiting.request_id == id)
+        });
+    }
+
     fn on_ended(&mut self, now: Timestamp, id: RequestId) {
+        self.guard.alone.remove(&id);
         let Some(adapter) = self.running.remove(&id) else { return };
         if let Some(SlotState::Ready { used }) = self.slots.get_mut(&adapter) {
             *used = now;
@@ -113,12 +158,19 @@
     }
 
     fn dispatch_ready(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        if self.guard.paused {
+            return;
+        }
         self.waiting.sort_by_key(|w| (std::cmp::Reverse(w.priority), w.arrived));
         let mut rest = Vec::with_capacity(self.waiting.len());
+        let mut draining = false;
         for waiting in self.waiting.drain(..) {
+            let admitted = self.guard.admits(&waiting.request_id, &self.running);
             let slot = self.slots.get_mut(&waiting.adapter);
+            let ready = matches!(slot, Some(SlotState::Ready { .. }));
+            draining |= ready && !admitted;
             match slot {
-                Some(SlotState::Ready { used }) if self.running.len() < self.batch => {
+                Some(SlotState::Ready { used }) if self.running.len() < self.batch && !draining => {
                     *used = now;
                     self.running.insert(waiting.request_id, waiting.adapter);
                     actions.push(EngineAction::Dispatch(waiting.request_id));
@@ -130,6 +182,9 @@
     }
 
     fn request_loads(&mut self, actions: &mut Vec<EngineAction>) {
+        if self.guard.paused {
+            return;
+        }
         let wanted: Vec<AdapterRef> = self.waiting.iter().map(|w| w.adapter.clone()).collect();
         let mut unloading =
             self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
@@ -165,7 +220,8 @@
     }
 
     fn in_use(&self, adapter: &AdapterRef) -> bool {
-        self.running.values().any(|running| running == adapter)
+        self.guard.held.contains(adapter)
+            || self.running.values().any(|running| running == adapter)
             || self.waiting.iter().any(|waiting| &waiting.adapter == adapter)
     }
 }
--- a/src/decide/engine/event.rs
+++ b/src/decide/engine/event.rs
@@ -1,5 +1,6 @@
 //! What can happen to an engine as its owner sees it.
 
+use super::GuardInput;
 use super::Waiting;
 use crate::names::AdapterRef;
 use crate::names::RequestId;
@@ -29,6 +30,8 @@
     },
     /// The engine restarted: every slot is empty.
     Restarted,
+    /// What the owner may do changed.
+    Guard(GuardInput),
     /// Time passed.
     Tick,
 }
--- a/src/decide/engine/mod.rs
+++ b/src/decide/engine/mod.rs
@@ -6,11 +6,14 @@
 mod action;
 mod core;
 mod event;
+mod guard;
 mod slot;
 mod waiting;
 
 pub use action::EngineAction;
 pub use core::EngineCore;
 pub use event::EngineInput;
+pub use guard::Guard;
+pub use guard::GuardInput;
 pub use slot::SlotState;
 pub use waiting::Waiting;
--- a/src/wire/listing.rs
+++ b/src/wire/listing.rs
@@ -78,7 +78,7 @@
 }
 
 /// What an engine does with an order that carries an old fencing number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FencingMode {
     /// Refuses the order.
