--- /dev/null
+++ b/lab/src/fleet/mod.rs
@@ -0,0 +1,58 @@
+//! A fleet of real processes on loopback: stand-ins and daemons.
+
+mod client;
+mod plan;
+mod process;
+mod running;
+
+use std::path::Path;
+use std::time::Duration;
+
+pub use client::LabClient;
+pub use plan::FleetPlan;
+pub use process::Process;
+pub use running::Fleet;
+
+/// Starts a fleet, prints how to use it, and leaves it running for `span`.
+///
+/// # Errors
+///
+/// A sentence that says what failed.
+pub fn up(bin_dir: &Path, span: Duration) -> Result<(), String> {
+    let runtime = runtime()?;
+    let fleet = runtime.block_on(Fleet::start(bin_dir, FleetPlan::nakhla()))?;
+    println!("The fleet runs for {} s; Ctrl-C ends it.", span.as_secs());
+    for entry in &fleet.entries {
+        println!(
+            "  {}: callers http://{}, operators http://{}",
+            entry.name, entry.addr, entry.operator
+        );
+    }
+    println!("Try:");
+    let addr = fleet.entries[0].addr;
+    println!(
+        "  curl -N http://{addr}/v1/completions -d '{{\"adapter\":\"adapter-0001\",\"prompt\":\"Hello\",\"stream\":true}}'"
+    );
+    println!("  curl -X POST http://{addr}/v1/tickets");
+    println!("  curl http://{addr}/v1/submissions -H \"Ticket: TICKET\" -d '{{\"proposal\":7}}'");
+    runtime.block_on(async {
+        tokio::select! {
+            () = tokio::time::sleep(span) => {}
+            _ = tokio::signal::ctrl_c() => {}
+        }
+    });
+    Ok(())
+}
+
+/// The runtime of the lab's own calls.
+///
+/// # Errors
+///
+/// A sentence that says why there's none.
+pub fn runtime() -> Result<tokio::runtime::Runtime, String> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/lab/src/fleet/running.rs
@@ -0,0 +1,332 @@
+//! A running fleet.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use tamaracklead::decide::config::Snapshot;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::Generation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::PageName;
+use tamaracklead::names::PresetName;
+use tamaracklead::wire::listing::BackendRole;
+use tamaracklead::wire::listing::ListedBackend;
+use tamaracklead::wire::listing::ListedEntry;
+use tamaracklead::wire::listing::ListedState;
+use tamaracklead::wire::listing::Listing;
+use tamaracklead::wire::operator::Status;
+use tamaracklead::wire::published::PageRef;
+use tamaracklead::wire::published::Root;
+
+use super::FleetPlan;
+use super::LabClient;
+use super::Process;
+use super::process::free_addr;
+
+/// Time within which a fleet must be ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often readiness is asked for.
+const POLL: Duration = Duration::from_millis(50);
+/// Key that operators of the lab's fleets use.
+pub const OPERATOR_KEY: &str = "lab-operator-key-0123456789";
+
+/// One daemon of the fleet.
+#[derive(Debug)]
+pub struct Entry {
+    /// Name of the instance.
+    pub name: String,
+    /// Address for callers.
+    pub addr: SocketAddr,
+    /// Address for peers.
+    pub peer: SocketAddr,
+    /// Address for operators.
+    pub operator: SocketAddr,
+    /// Its process.
+    pub process: Process,
+}
+
+/// One stand-in of the fleet.
+#[derive(Debug)]
+pub struct StandInProcess {
+    /// Address that it serves on.
+    pub addr: SocketAddr,
+    /// Its process.
+    pub process: Process,
+}
+
+/// A running fleet; everything is ended when it's dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// What it consists of.
+    pub plan: FleetPlan,
+    /// Daemons.
+    pub entries: Vec<Entry>,
+    /// Configuration service.
+    pub config: StandInProcess,
+    /// Instance list.
+    pub instances: StandInProcess,
+    /// Weight store.
+    pub store: StandInProcess,
+    /// Engines, each as listed.
+    pub engines: Vec<StandInProcess>,
+    /// Desks, each as listed.
+    pub desks: Vec<StandInProcess>,
+    /// Client for every call.
+    pub client: LabClient,
+    /// What the instance list answers.
+    pub listing: Listing,
+    dir: PathBuf,
+}
+
+impl Fleet {
+    /// Starts every process, publishes generation 1 and waits until every daemon is ready.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that says what failed.
+    pub async fn start(bin_dir: &Path, plan: FleetPlan) -> Result<Self, String> {
+        let lab = bin_dir.join("lab");
+        let config = stand_in(&lab, "config", "config", &[])?;
+        let instances = stand_in(&lab, "instances", "instances", &[])?;
+        let store = stand_in(&lab, "store", "store", &[("rate", plan.store_rate.to_string())])?;
+        let mut engines = Vec::new();
+        for number in 1..=plan.engines {
+            engines.push(start_engine(&lab, &plan, number, store.addr)?);
+        }
+        let mut desks = Vec::new();
+        for number in 1..=plan.desks {
+            let delay = [("delay-ms", plan.desk_delay_ms.to_string())];
+            desks.push(stand_in(&lab, "desk", &format!("desk-{number}"), &delay)?);
+        }
+        let dir =
+            std::env::temp_dir().join(format!("lab-{}-{}", std::process::id(), config.addr.port()));
+        fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
+        let mut fleet = Self {
+            plan,
+            entries: Vec::new(),
+            config,
+            instances,
+            store,
+            engines,
+            desks,
+            client: LabClient::default(),
+            listing: Listing::default(),
+            dir,
+        };
+        for number in 1..=fleet.plan.entries {
+            let entry = fleet.start_entry(bin_dir, number)?;
+            fleet.entries.push(entry);
+        }
+        fleet.wait_for_stand_ins().await?;
+        fleet.listing = fleet.full_listing();
+        fleet.publish_listing().await?;
+        fleet.publish(Generation(1), "ordinary").await?;
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Publishes a generation with this preset in force.
+    ///
+    /// # Errors
+    ///
+    /// A sentence if the stand-in can't be reached.
+    pub async fn publish(&self, generation: Generation, preset: &str) -> Result<(), String> {
+        let page = serde_json::to_vec(&self.plan.page()).map_err(|e| e.to_string())?;
+        let root = Root {
+            generation,
+            preset: PresetName::new(preset),
+            presets: self.plan.presets(),
+            pages: vec![PageRef { name: PageName::new("all"), hash: Snapshot::hash(&page) }],
+        };
+        self.client.put(self.config.addr, "/lab/pages/all", Bytes::from(page)).await?;
+        self.client.put_json(self.config.addr, "/lab/root", &root).await
+    }
+
+    /// Publishes [`Self::listing`].
+    ///
+    /// # Errors
+    ///
+    /// A sentence if the stand-in can't be reached.
+    pub async fn publish_listing(&self) -> Result<(), String> {
+        self.client.put_json(self.instances.addr, "/lab/instances", &self.listing).await
+    }
+
+    /// What one daemon says of itself.
+    ///
+    /// # Errors
+    ///
+    /// A sentence if it can't be reached.
+    pub async fn status(&self, entry: usize) -> Result<Status, String> {
+        let call =
+            tamaracklead::edge::HttpCall::get(self.entries[entry].operator, "/operator/v1/status")
+                .header("authorization", format!("Bearer {OPERATOR_KEY}"));
+        let reply = self.client.send(call).await?;
+        let body = reply.whole().await.map_err(|failure| failure.detail)?;
+        serde_json::from_slice(&body).map_err(|e| e.to_string())
+    }
+
+    /// Waits until every running daemon has this generation in effect.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that says who is behind.
+    pub async fn wait_for_generation(&mut self, generation: Generation) -> Result<(), String> {
+        let until = Instant::now() + READY_TIMEOUT;
+        for entry in 0..self.entries.len() {
+            if self.entries[entry].process.has_ended() {
+                continue;
+            }
+            while self.status(entry).await.ok().and_then(|s| s.generation) < Some(generation) {
+                if Instant::now() > until {
+                    return Err(format!("{} is behind {generation}", self.entries[entry].name));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn wait_for_stand_ins(&self) -> Result<(), String> {
+        let addrs = [self.config.addr, self.instances.addr];
+        for addr in addrs {
+            let until = Instant::now() + READY_TIMEOUT;
+            while self.client.send(tamaracklead::edge::HttpCall::get(addr, "/lab/x")).await.is_err()
+            {
+                if Instant::now() > until {
+                    return Err(format!("stand-in at {addr} does not answer"));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every daemon is ready and knows its peers.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that says who isn't.
+    pub async fn wait_until_ready(&self) -> Result<(), String> {
+        let until = Instant::now() + READY_TIMEOUT;
+        let peers = self.entries.len() - 1;
+        for entry in 0..self.entries.len() {
+            loop {
+                let status = self.status(entry).await;
+                let ready = status
+                    .as_ref()
+                    .is_ok_and(|s| s.generation.is_some() && s.live_peers.len() >= peers);
+                if ready {
+                    break;
+                }
+                if Instant::now() > until {
+                    return Err(format!("{} is not ready: {status:?}", self.entries[entry].name));
+                }
+                tokio::time::sleep(POLL).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn start_entry(&self, bin_dir: &Path, number: usize) -> Result<Entry, String> {
+        let name = format!("entry-{number}");
+        let addr = free_addr()?;
+        let peer = free_addr()?;
+        let operator = free_addr()?;
+        let settings = serde_json::json!({
+            "instance": name,
+            "data_centre": self.plan.data_centre(number - 1),
+            "listen": { "caller": addr, "peer": peer, "operator": operator },
+            "platform": { "configuration": self.config.addr, "instances": self.instances.addr },
+            "keys": {
+                "peers": { "value": "lab-peer-key-0123456789abcdef" },
+                "tickets": { "value": "lab-ticket-key-0123456789abcdef" },
+                "operators": { "value": OPERATOR_KEY },
+            },
+        });
+        let path = self.dir.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string()).map_err(|e| e.to_string())?;
+        let args = vec![path.to_string_lossy().into_owned()];
+        let process = Process::start(&name, &bin_dir.join("tamarackleadd"), args)?;
+        Ok(Entry { name, addr, peer, operator, process })
+    }
+
+    fn full_listing(&self) -> Listing {
+        let entries = self.entries.iter().enumerate().map(|(number, entry)| ListedEntry {
+            name: InstanceName::new(&entry.name),
+            peer_addr: entry.peer,
+            data_centre: self.plan.data_centre(number),
+            state: ListedState::Live,
+        });
+        let engine_role = BackendRole::Engine {
+            model: self.plan.model.clone(),
+            slots: self.plan.slots,
+            batch: self.plan.batch,
+            fencing: self.plan.fencing,
+        };
+        let engines = self.listed(&self.engines, &engine_role);
+        let desks = self.listed(&self.desks, &BackendRole::Desk);
+        Listing { entries: entries.collect(), backends: engines.chain(desks).collect() }
+    }
+
+    fn listed<'a>(
+        &'a self,
+        stand_ins: &'a [StandInProcess],
+        role: &'a BackendRole,
+    ) -> impl Iterator<Item = ListedBackend> + 'a {
+        stand_ins.iter().enumerate().map(move |(number, stand_in)| ListedBackend {
+            name: BackendName::new(&stand_in.process.name),
+            addr: stand_in.addr,
+            data_centre: self.plan.data_centre(number),
+            state: ListedState::Live,
+            role: role.clone(),
+        })
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // Settings left behind in the temporary directory do no harm.
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn start_engine(
+    lab: &Path,
+    plan: &FleetPlan,
+    number: usize,
+    store: SocketAddr,
+) -> Result<StandInProcess, String> {
+    let mut args = vec![
+        ("store", store.to_string()),
+        ("slots", plan.slots.to_string()),
+        ("batch", plan.batch.to_string()),
+        ("token-ms", plan.token_ms.to_string()),
+    ];
+    if plan.fencing == tamaracklead::wire::listing::FencingMode::Ignore {
+        args.push(("ignore-fencing", String::new()));
+    }
+    stand_in(lab, "engine", &format!("engine-{number}"), &args)
+}
+
+fn stand_in(
+    lab: &Path,
+    kind: &str,
+    name: &str,
+    options: &[(&str, String)],
+) -> Result<StandInProcess, String> {
+    let addr = free_addr()?;
+    let mut args = vec!["stand-in".to_owned(), kind.to_owned()];
+    args.extend(["--listen".to_owned(), addr.to_string()]);
+    for (option, value) in options {
+        args.push(format!("--{option}"));
+        if !value.is_empty() {
+            args.push(value.clone());
+        }
+    }
+    Ok(StandInProcess { addr, process: Process::start(name, lab, args)? })
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,2 +1,37 @@
-//! x
-fn main() {}
+//! Stand-ins, load driver and experiments for tamaracklead; never shipped.
+
+mod clap_app;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use lab::demo;
+use lab::fleet;
+use lab::standin;
+
+fn main() -> ExitCode {
+    let matches = clap_app::build_app().get_matches();
+    let ended = match matches.subcommand() {
+        Some(("stand-in", args)) => standin::run(args),
+        Some(("demo", _)) => bin_dir().and_then(|dir| demo::run(&dir)),
+        Some(("up", args)) => {
+            let seconds = args.get_one::<u64>("seconds").copied().unwrap_or_default();
+            bin_dir().and_then(|dir| fleet::up(&dir, Duration::from_secs(seconds)))
+        }
+        _ => Err("no such command".to_owned()),
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("lab: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The directory that holds the programs.
+fn bin_dir() -> Result<PathBuf, String> {
+    let exe = std::env::current_exe().map_err(|e| e.to_string())?;
+    exe.parent().map(PathBuf::from).ok_or_else(|| "this program has no directory".to_owned())
+}
--- /dev/null
+++ b/lab/src/standin/config_service.rs
@@ -0,0 +1,101 @@
+//! Stand-in for the configuration service: values that can be read and watched.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use tamaracklead::edge::Reply;
+use tamaracklead::edge::Request;
+use tamaracklead::error::Error;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::wire::published::Root;
+use tokio::sync::Notify;
+
+use super::server::StandIn;
+use super::server::no_such_path;
+
+/// The service; tests publish by `PUT /lab/root` and `PUT /lab/pages/NAME`.
+#[derive(Default)]
+pub struct ConfigService {
+    values: Mutex<Values>,
+    changed: Notify,
+}
+
+#[derive(Default)]
+struct Values {
+    root: Option<Bytes>,
+    pages: BTreeMap<String, Bytes>,
+    calls: u64,
+}
+
+impl ConfigService {
+    fn count_call(&self) {
+        self.values.lock().unwrap().calls += 1;
+    }
+
+    fn generation(root: &Bytes) -> u64 {
+        serde_json::from_slice::<Root>(root).map_or(0, |root| root.generation.0)
+    }
+
+    async fn root(&self, req: &Request) -> Reply {
+        self.count_call();
+        let after: Option<u64> = req.param("after").and_then(|text| text.parse().ok());
+        let wait_ms = req.param("wait_ms").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        loop {
+            let changed = self.changed.notified();
+            let root = self.values.lock().unwrap().root.clone();
+            match (root, after) {
+                (None, None) => return absent("root"),
+                (Some(root), None) => return Reply::raw(root),
+                (Some(root), Some(after)) if Self::generation(&root) > after => {
+                    return Reply::raw(root);
+                }
+                (_, Some(_)) => {}
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                return Reply::raw(Bytes::new());
+            }
+        }
+    }
+
+    fn page(&self, name: &str) -> Reply {
+        self.count_call();
+        let page = self.values.lock().unwrap().pages.get(name).cloned();
+        page.map_or_else(|| absent(name), Reply::raw)
+    }
+}
+
+impl StandIn for ConfigService {
+    async fn answer(self: Arc<Self>, req: Request) -> Reply {
+        match (req.method.as_str(), req.path.as_str()) {
+            ("GET", "/v1/root") => self.root(&req).await,
+            ("PUT", "/lab/root") => {
+                self.values.lock().unwrap().root = Some(req.body);
+                self.changed.notify_waiters();
+                Reply::json(200, &())
+            }
+            ("GET", "/lab/calls") => Reply::json(200, &self.values.lock().unwrap().calls),
+            (method, path) => {
+                if let Some(name) = path.strip_prefix("/v1/pages/") {
+                    return self.page(name);
+                }
+                match (method, path.strip_prefix("/lab/pages/")) {
+                    ("PUT", Some(name)) => {
+                        self.values.lock().unwrap().pages.insert(name.to_owned(), req.body);
+                        Reply::json(200, &())
+                    }
+                    _ => no_such_path(&req),
+                }
+            }
+        }
+    }
+}
+
+fn absent(name: &str) -> Reply {
+    Reply::error(&Error::new(ErrorKind::NotFound, format!("nothing published as {name:?}")))
+}
--- /dev/null
+++ b/lab/src/standin/server.rs
@@ -0,0 +1,59 @@
+//! What every stand-in has in common: one listener and one handler.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tamaracklead::edge::HttpHandler;
+use tamaracklead::edge::HttpLimits;
+use tamaracklead::edge::HttpServer;
+use tamaracklead::edge::Reply;
+use tamaracklead::edge::Request;
+use tamaracklead::error::Error;
+use tamaracklead::error::ErrorKind;
+
+/// Limits wide enough for everything that tests send.
+const LIMITS: HttpLimits = HttpLimits {
+    body_bytes: 16 * 1024 * 1024,
+    head_timeout: Duration::from_secs(10),
+    body_timeout: Duration::from_secs(10),
+};
+
+/// What a stand-in answers.
+pub trait StandIn: Send + Sync + 'static {
+    /// Answers one request.
+    fn answer(self: Arc<Self>, req: Request) -> impl Future<Output = Reply> + Send;
+}
+
+/// Serves until the process is ended.
+///
+/// # Errors
+///
+/// A sentence that says why it can't start.
+pub fn run<S: StandIn>(addr: SocketAddr, stand_in: S) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|e| e.to_string())?;
+    let listener = TcpListener::bind(addr).map_err(|e| format!("{addr}: {e}"))?;
+    let stand_in = Arc::new(stand_in);
+    let handler: HttpHandler = Arc::new(move |req| Box::pin(Arc::clone(&stand_in).answer(req)));
+    let server =
+        HttpServer { handler, runtime: runtime.handle().clone(), limits: LIMITS, threads: 1 };
+    let _stop = server.start(listener).map_err(|e| e.to_string())?;
+    runtime.block_on(std::future::pending::<()>());
+    Ok(())
+}
+
+/// The answer to a path that the stand-in doesn't have.
+pub fn no_such_path(req: &Request) -> Reply {
+    let detail = format!("no {} {}", req.method, req.path);
+    Reply::error(&Error::new(ErrorKind::NotFound, detail))
+}
+
+/// The answer to a body that can't be read.
+pub fn malformed(error: &serde_json::Error) -> Reply {
+    Reply::error(&Error::new(ErrorKind::Malformed, error.to_string()))
+}
--- /dev/null
+++ b/src/daemon/completions.rs
@@ -0,0 +1,264 @@
+//! The entry's part of a draft: resolve, route, check the echo, answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+
+use super::Node;
+use super::dispatches;
+use super::in_flight::InFlightGuard;
+use crate::decide::routing;
+use crate::edge::Reply;
+use crate::edge::Request;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Problem;
+use crate::error::Result;
+use crate::names::AdapterRef;
+use crate::names::InstanceName;
+use crate::names::RequestId;
+use crate::names::Timestamp;
+use crate::wire::caller::Completion;
+use crate::wire::caller::CompletionChunk;
+use crate::wire::caller::CompletionRequest;
+use crate::wire::listing::ListedBackend;
+use crate::wire::peer::Dispatch;
+use crate::wire::peer::DispatchEvent;
+use crate::wire::sse;
+
+/// Engines that one request is tried on.
+const MAX_ATTEMPTS: usize = 3;
+/// Priority when neither caller nor preset names one.
+const DEFAULT_PRIORITY: u8 = 5;
+/// Pieces of one answer that may be in memory at once.
+const PIECE_QUEUE: usize = 64;
+
+struct Draft {
+    id: RequestId,
+    adapter: AdapterRef,
+    deadline: Timestamp,
+    message: Dispatch,
+    homes: Vec<ListedBackend>,
+}
+
+struct Running {
+    id: RequestId,
+    adapter: AdapterRef,
+    rx: mpsc::Receiver<DispatchEvent>,
+}
+
+/// Answers `POST /v1/completions`.
+///
+/// # Errors
+///
+/// Every error kind that a draft can end with before its first byte.
+pub async fn complete(node: Arc<Node>, req: Request) -> Result<Reply> {
+    node.check_accepting()?;
+    let guard = node.in_flight.begin();
+    let wanted: CompletionRequest = serde_json::from_slice(&req.body)
+        .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
+    let stream = wanted.stream;
+    let draft = prepare(&node, wanted, req.header("traceparent"))?;
+    let id = draft.id;
+    let running = start(&node, draft).await?;
+    let reply = if stream { stream_answer(running, guard) } else { whole_answer(running).await? };
+    Ok(reply.header("x-request-id", id.to_string()))
+}
+
+fn prepare(node: &Node, wanted: CompletionRequest, traceparent: Option<&str>) -> Result<Draft> {
+    let now = node.now();
+    let snapshot = node.snapshot()?;
+    if !snapshot.preset().accepting {
+        let preset = snapshot.root().preset.as_str();
+        let detail = format!("preset {preset:?} accepts no drafts");
+        return Err(Error::new(ErrorKind::Overloaded, detail));
+    }
+    let id = node.new_request_id()?;
+    let adapter = snapshot.resolve(&wanted.adapter, wanted.version)?;
+    let model = snapshot.model_of(&adapter.adapter).cloned().ok_or_else(|| {
+        Error::new(ErrorKind::UnknownAdapter, format!("adapter {adapter} has no base model"))
+    })?;
+    let engines = node.backends(|known| known.live_engines(&model).into_iter().cloned().collect());
+    let homes = routing::homes(&adapter.adapter, engines);
+    let Some(first) = homes.first() else {
+        let detail = format!("no live engine runs base model {:?}", model.as_str());
+        return Err(Error::new(ErrorKind::NoBackend, detail));
+    };
+    let default_wait = node.settings.limits.default_deadline;
+    let wait = wanted.deadline_ms.map_or(default_wait, Duration::from_millis);
+    let preset_priority = snapshot.preset().priorities.get(&adapter.adapter).copied();
+    let message = Dispatch {
+        request_id: id,
+        engine: first.name.clone(),
+        adapter: adapter.clone(),
+        generation: snapshot.generation(),
+        prompt: wanted.prompt,
+        max_tokens: wanted.max_tokens,
+        priority: wanted.priority.or(preset_priority).unwrap_or(DEFAULT_PRIORITY),
+        deadline_ms: wait.as_millis() as u64,
+        traceparent: traceparent.map(str::to_owned),
+    };
+    node.note(id, format!("resolved to {adapter} of generation {}", snapshot.generation()));
+    Ok(Draft { id, adapter, deadline: now + wait, message, homes })
+}
+
+/// Tries the homes in their order until an engine has begun.
+async fn start(node: &Arc<Node>, draft: Draft) -> Result<Running> {
+    let mut last = Error::new(ErrorKind::NoBackend, "no engine could be tried");
+    for engine in draft.homes.iter().take(MAX_ATTEMPTS) {
+        let now = node.now();
+        if now >= draft.deadline {
+            break;
+        }
+        let mut message = draft.message.clone();
+        message.engine = engine.name.clone();
+        message.deadline_ms = draft.deadline.since(now).as_millis() as u64;
+        match attempt(node, engine, message).await {
+            Ok(rx) => return Ok(Running { id: draft.id, adapter: draft.adapter, rx }),
+            Err(error) if may_try_next(&error) => {
+                node.note(draft.id, format!("engine {}: {error}", engine.name));
+                last = error;
+            }
+            Err(error) => {
+                node.note(draft.id, format!("engine {}: {error}; final", engine.name));
+                return Err(error);
+            }
+        }
+    }
+    Err(last)
+}
+
+fn may_try_next(error: &Error) -> bool {
+    let kind = error.kind;
+    let passing = matches!(
+        kind,
+        ErrorKind::NoBackend
+            | ErrorKind::NotOwner
+            | ErrorKind::Draining
+            | ErrorKind::PeerUnreachable
+            | ErrorKind::LoadFailed
+            | ErrorKind::Overloaded
+    );
+    passing && kind.answer().not_run
+}
+
+/// Sends a draft to the owner of one engine and waits until the engine has begun.
+async fn attempt(
+    node: &Arc<Node>,
+    engine: &ListedBackend,
+    message: Dispatch,
+) -> Result<mpsc::Receiver<DispatchEvent>> {
+    let id = message.request_id;
+    let expected = message.adapter.clone();
+    let owner = node.owner_of(engine).ok_or_else(|| {
+        let detail = format!("engine {:?} has no owner", engine.name.as_str());
+        Error::new(ErrorKind::NoBackend, detail)
+    })?;
+    node.note(id, format!("routed to engine {} owned by {owner}", engine.name));
+    let mut rx = if owner == node.settings.instance {
+        dispatches::dispatch(node, message)
+    } else {
+        remote(node, &owner, message).await?
+    };
+    match rx.recv().await {
+        Some(DispatchEvent::Started { adapter }) if adapter == expected => Ok(rx),
+        Some(DispatchEvent::Failed { error }) => Err(error),
+        Some(_) => Err(wrong_answer(&expected)),
+        None => Err(Error::new(ErrorKind::BackendFailed, "the answer broke off")),
+    }
+}
+
+async fn remote(
+    node: &Node,
+    owner: &InstanceName,
+    message: Dispatch,
+) -> Result<mpsc::Receiver<DispatchEvent>> {
+    let addr = node
+        .membership(|membership| membership.get(owner).map(|member| member.peer_addr))
+        .ok_or_else(|| {
+        let detail = format!("instance {:?} is not known", owner.as_str());
+        Error::new(ErrorKind::PeerUnreachable, detail)
+    })?;
+    match node.clients.peer.dispatch(addr, &message).await {
+        Ok(answer) => answer,
+        Err(failure) if failure.end.proves_not_run() => {
+            Err(failure.into_error(ErrorKind::PeerUnreachable))
+        }
+        Err(failure) => {
+            let kind = failure.end.draft_kind();
+            Err(failure.into_error(kind))
+        }
+    }
+}
+
+fn wrong_answer(expected: &AdapterRef) -> Error {
+    Error::new(ErrorKind::WrongAnswer, format!("the engine did not answer as {expected}"))
+}
+
+async fn whole_answer(mut running: Running) -> Result<Reply> {
+    let mut text = String::new();
+    while let Some(event) = running.rx.recv().await {
+        match event {
+            DispatchEvent::Token { text: token } => text.push_str(&token),
+            DispatchEvent::Done { adapter, tokens } if adapter == running.adapter => {
+                return Ok(Reply::json(200, &completion(&running, text, tokens)));
+            }
+            DispatchEvent::Failed { error } => return Err(error),
+            DispatchEvent::Started { .. } | DispatchEvent::Done { .. } => {
+                return Err(wrong_answer(&running.adapter));
+            }
+        }
+    }
+    Err(Error::new(ErrorKind::BackendFailed, "the answer broke off"))
+}
+
+fn stream_answer(running: Running, guard: InFlightGuard) -> Reply {
+    let (tx, rx) = mpsc::channel(PIECE_QUEUE);
+    tokio::spawn(async move {
+        let _guard = guard;
+        pump(running, tx).await;
+    });
+    Reply::events(rx)
+}
+
+async fn pump(mut running: Running, tx: mpsc::Sender<Bytes>) {
+    while let Some(event) = running.rx.recv().await {
+        let (piece, last) = match event {
+            DispatchEvent::Token { text } => {
+                (sse::encode_event(None, &CompletionChunk { id: running.id, text }), false)
+            }
+            DispatchEvent::Done { adapter, tokens } if adapter == running.adapter => {
+                let done = completion(&running, String::new(), tokens);
+                (sse::encode_event(Some("done"), &done), true)
+            }
+            DispatchEvent::Failed { error } => (error_event(&error), true),
+            DispatchEvent::Started { .. } | DispatchEvent::Done { .. } => {
+                (error_event(&wrong_answer(&running.adapter)), true)
+            }
+        };
+        let Ok(piece) = piece else { return };
+        if tx.send(piece).await.is_err() || last {
+            return;
+        }
+    }
+    let error = Error::new(ErrorKind::BackendFailed, "the answer broke off");
+    if let Ok(piece) = error_event(&error) {
+        let _ = tx.send(piece).await;
+    }
+}
+
+fn error_event(error: &Error) -> Result<Bytes> {
+    sse::encode_event(Some("error"), &Problem::from(error))
+}
+
+fn completion(running: &Running, text: String, tokens: u32) -> Completion {
+    Completion {
+        id: running.id,
+        adapter: running.adapter.adapter.clone(),
+        version: running.adapter.version,
+        text,
+        tokens,
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! One entry instance: carries events into the decisions and actions out of them.
+//!
+//! State stands in shards, each under its own lock: the configuration, the
+//! membership, the backend servers, the used tickets, and one shard for each
+//! engine. No lock is held across an await.
+
+mod clock;
+mod completions;
+mod dispatches;
+mod drain;
+mod engine_shard;
+mod engine_shards;
+mod explain;
+mod in_flight;
+mod node;
+mod operator_api;
+mod owner_calls;
+mod refresh;
+mod run;
+mod submissions;
+mod surface;
+
+pub use clock::Clock;
+pub use drain::DrainEnd;
+pub use node::Node;
+pub use run::run;
+pub use surface::Surface;
--- /dev/null
+++ b/src/daemon/node.rs
@@ -0,0 +1,285 @@
+//! State of one entry instance, and the routes to its work.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use super::Clock;
+use super::Surface;
+use super::completions;
+use super::dispatches;
+use super::engine_shards::EngineShards;
+use super::explain::ExplainLog;
+use super::in_flight::InFlight;
+use super::operator_api;
+use super::submissions;
+use crate::decide::backends::Backends;
+use crate::decide::config::ConfigState;
+use crate::decide::config::Snapshot;
+use crate::decide::membership::Membership;
+use crate::decide::ownership;
+use crate::decide::ownership::Candidate;
+use crate::decide::submissions::SubmissionBook;
+use crate::edge::ConfigClient;
+use crate::edge::DeskClient;
+use crate::edge::EngineClient;
+use crate::edge::HttpClient;
+use crate::edge::ListingClient;
+use crate::edge::PeerClient;
+use crate::edge::PeerPath;
+use crate::edge::Reply;
+use crate::edge::Request;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+use crate::names::RequestId;
+use crate::names::Timestamp;
+use crate::settings::Settings;
+use crate::wire::listing::ListedBackend;
+use crate::wire::peer::Hello;
+
+/// Clients of everything outside the process.
+#[derive(Clone, Debug)]
+pub struct Clients {
+    /// Configuration service.
+    pub config: ConfigClient,
+    /// The platform's list of instances.
+    pub listing: ListingClient,
+    /// Engines.
+    pub engine: EngineClient,
+    /// Desks.
+    pub desk: DeskClient,
+    /// Other instances.
+    pub peer: PeerClient,
+}
+
+impl Clients {
+    fn new(settings: &Settings) -> Self {
+        let http = HttpClient::new();
+        Self {
+            config: ConfigClient::new(http.clone(), settings.platform.configuration),
+            listing: ListingClient::new(http.clone(), settings.platform.instances),
+            engine: EngineClient::new(http.clone()),
+            desk: DeskClient::new(http.clone()),
+            peer: PeerClient::new(http),
+        }
+    }
+}
+
+/// One entry instance.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Incarnation of this process.
+    pub incarnation: Incarnation,
+    /// Clock of this process.
+    pub clock: Clock,
+    /// Clients of everything outside.
+    pub clients: Clients,
+    /// Work in progress.
+    pub in_flight: InFlight,
+    /// Engines that this instance works for.
+    pub engines: EngineShards,
+    config: RwLock<ConfigState>,
+    membership: RwLock<Membership>,
+    backends: RwLock<Backends>,
+    book: Mutex<SubmissionBook>,
+    explain: Mutex<ExplainLog>,
+    draining: AtomicBool,
+}
+
+impl Node {
+    /// An instance that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the system gives no random numbers.
+    pub fn new(settings: Settings) -> Result<Arc<Self>> {
+        let incarnation = Incarnation(random_u64()?);
+        let clients = Clients::new(&settings);
+        let explain = Mutex::new(ExplainLog::new(settings.instance.clone()));
+        Ok(Arc::new(Self {
+            settings,
+            incarnation,
+            clock: Clock::start(),
+            clients,
+            in_flight: InFlight::default(),
+            engines: EngineShards::default(),
+            config: RwLock::default(),
+            membership: RwLock::default(),
+            backends: RwLock::default(),
+            book: Mutex::default(),
+            explain,
+            draining: AtomicBool::new(false),
+        }))
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Whether the instance is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Begins to shut down: no new work is taken from now on.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses new work while the instance is shutting down.
+    ///
+    /// # Errors
+    ///
+    /// `Draining`.
+    pub fn check_accepting(&self) -> Result<()> {
+        if !self.is_draining() {
+            return Ok(());
+        }
+        let detail = format!("instance {:?} is shutting down", self.settings.instance.as_str());
+        Err(Error::new(ErrorKind::Draining, detail))
+    }
+
+    /// The configuration in effect.
+    ///
+    /// # Errors
+    ///
+    /// `NotReady` before the first one.
+    pub fn snapshot(&self) -> Result<Arc<Snapshot>> {
+        self.config(|config| config.current().cloned())
+            .ok_or_else(|| Error::new(ErrorKind::NotReady, "no configuration has been read yet"))
+    }
+
+    /// Reads the configuration's state.
+    pub fn config<T>(&self, read: impl FnOnce(&ConfigState) -> T) -> T {
+        read(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes the configuration's state.
+    pub fn config_mut<T>(&self, change: impl FnOnce(&mut ConfigState) -> T) -> T {
+        change(&mut self.config.write().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Reads the membership.
+    pub fn membership<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
+        read(&self.membership.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes the membership.
+    pub fn membership_mut<T>(&self, change: impl FnOnce(&mut Membership) -> T) -> T {
+        change(&mut self.membership.write().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Reads the backend servers.
+    pub fn backends<T>(&self, read: impl FnOnce(&Backends) -> T) -> T {
+        read(&self.backends.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Changes the backend servers.
+    pub fn backends_mut<T>(&self, change: impl FnOnce(&mut Backends) -> T) -> T {
+        change(&mut self.backends.write().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// The used tickets.
+    pub fn book(&self) -> MutexGuard<'_, SubmissionBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The decisions about recent requests.
+    pub fn explain(&self) -> MutexGuard<'_, ExplainLog> {
+        self.explain.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a decision about a request to what operators can ask for.
+    pub fn note(&self, id: RequestId, text: impl Into<String>) {
+        self.explain().note(self.now(), id, text.into());
+    }
+
+    /// Draws an identifier for a request.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the system gives no random numbers.
+    pub fn new_request_id(&self) -> Result<RequestId> {
+        let high = u128::from(random_u64()?) << 64;
+        Ok(RequestId(high | u128::from(random_u64()?)))
+    }
+
+    /// The instance that should own an engine, as seen from here.
+    pub fn owner_of(&self, engine: &ListedBackend) -> Option<InstanceName> {
+        let now = self.now();
+        let mut candidates: Vec<Candidate> = self.membership(|membership| {
+            membership
+                .live(now)
+                .map(|member| Candidate {
+                    name: member.name.clone(),
+                    data_centre: member.data_centre.clone(),
+                })
+                .collect()
+        });
+        if !self.is_draining() {
+            candidates.push(Candidate {
+                name: self.settings.instance.clone(),
+                data_centre: self.settings.data_centre.clone(),
+            });
+        }
+        ownership::preferred_owner(&engine.name, &engine.data_centre, &candidates)
+    }
+
+    /// What this instance says of itself.
+    pub fn hello(&self) -> Hello {
+        Hello {
+            name: self.settings.instance.clone(),
+            incarnation: self.incarnation,
+            generation: self.config(ConfigState::generation),
+            draining: self.is_draining(),
+        }
+    }
+
+    /// Answers one request.
+    pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
+        let answer = match surface {
+            Surface::Caller => self.serve_caller(req).await,
+            Surface::Peer => self.serve_peer(req).await,
+            Surface::Operator => operator_api::serve(&self, &req),
+        };
+        answer.unwrap_or_else(Reply::from)
+    }
+
+    async fn serve_caller(self: Arc<Self>, req: Request) -> Result<Reply> {
+        match (req.method.as_str(), req.path.as_str()) {
+            ("POST", "/v1/completions") => completions::complete(self, req).await,
+            ("POST", "/v1/tickets") => submissions::issue_ticket(&self),
+            ("POST", "/v1/submissions") => submissions::submit(&self, &req).await,
+            ("GET", "/v1/ready") => self.snapshot().map(|_| Reply::json(200, &self.hello())),
+            _ => Err(no_such_path(&req)),
+        }
+    }
+
+    async fn serve_peer(self: Arc<Self>, req: Request) -> Result<Reply> {
+        match PeerPath::parse(&req.path) {
+            Some(PeerPath::Dispatch) => dispatches::serve(&self, &req),
+            Some(PeerPath::Submit) => submissions::serve_forwarded(&self, &req).await,
+            Some(PeerPath::Hello) => super::refresh::serve_hello(&self, &req),
+            None => Err(no_such_path(&req)),
+        }
+    }
+}
+
+/// The answer to a path that doesn't exist.
+pub fn no_such_path(req: &Request) -> Error {
+    Error::new(ErrorKind::NotFound, format!("no {} {}", req.method, req.path))
+}
+
+fn random_u64() -> Result<u64> {
+    getrandom::u64().map_err(|e| Error::new(ErrorKind::Internal, format!("no random numbers: {e}")))
+}
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -17,6 +17,8 @@
 
 /// Time to come back after a failed load.
 const LOAD_RETRY: Duration = Duration::from_secs(2);
+/// Time without orders after a failed unload; the engine may be down.
+const ORDER_PAUSE: Duration = Duration::from_millis(250);
 
 /// Queue, slots and running requests of one engine.
 #[derive(Clone, Debug)]
@@ -27,6 +29,7 @@
     waiting: Vec<Waiting>,
     running: BTreeMap<RequestId, AdapterRef>,
     guard: Guard,
+    orders_after: Timestamp,
 }
 
 impl EngineCore {
@@ -39,6 +42,7 @@
             waiting: Vec::new(),
             running: BTreeMap::new(),
             guard: Guard::default(),
+            orders_after: Timestamp::ZERO,
         }
     }
 
@@ -75,15 +79,17 @@
                 self.slots.remove(&adapter);
             }
             EngineInput::UnloadEnded { adapter, unloaded: false } => {
+                self.orders_after = now + ORDER_PAUSE;
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
             EngineInput::Restarted => self.slots.clear(),
             EngineInput::Guard(input) => self.on_guard(now, input),
+            EngineInput::Unreachable => self.refuse_all_waiting(&mut actions),
             EngineInput::Tick => self.forget_lone(),
         }
         self.refuse_late(now, &mut actions);
         self.dispatch_ready(now, &mut actions);
-        self.request_loads(&mut actions);
+        self.request_loads(now, &mut actions);
         actions
     }
 
@@ -146,6 +152,13 @@
         });
     }
 
+    fn refuse_all_waiting(&mut self, actions: &mut Vec<EngineAction>) {
+        actions.extend(self.waiting.drain(..).map(|waiting| {
+            let error = Error::new(ErrorKind::NoBackend, "the engine does not answer");
+            EngineAction::Refuse { request_id: waiting.request_id, error }
+        }));
+    }
+
     fn refuse_late(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
         self.waiting.retain(|waiting| {
             if now < waiting.deadline {
@@ -181,8 +194,8 @@
         self.waiting = rest;
     }
 
-    fn request_loads(&mut self, actions: &mut Vec<EngineAction>) {
-        if self.guard.paused {
+    fn request_loads(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        if self.guard.paused || now < self.orders_after {
             return;
         }
         let wanted: Vec<AdapterRef> = self.waiting.iter().map(|w| w.adapter.clone()).collect();
--- a/src/decide/engine/event.rs
+++ b/src/decide/engine/event.rs
@@ -32,6 +32,8 @@
     Restarted,
     /// What the owner may do changed.
     Guard(GuardInput),
+    /// The engine answers no more: what waits must go elsewhere.
+    Unreachable,
     /// Time passed.
     Tick,
 }
--- /dev/null
+++ b/src/edge/config_client.rs
@@ -0,0 +1,82 @@
+//! The configuration service, read only.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::StatusCode;
+
+use super::HttpCall;
+use super::HttpClient;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::names::Generation;
+use crate::names::PageName;
+
+/// Time within which the service must answer a plain read.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that the service may take beyond a watch's own.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+
+/// Client of the configuration service.
+#[derive(Clone, Debug)]
+pub struct ConfigClient {
+    http: HttpClient,
+    addr: SocketAddr,
+}
+
+impl ConfigClient {
+    /// A client of the service at `addr`.
+    pub fn new(http: HttpClient, addr: SocketAddr) -> Self {
+        Self { http, addr }
+    }
+
+    /// Reads the root as it is now.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if the service doesn't answer, `NotFound` if nothing is published.
+    pub async fn root(&self) -> Result<Bytes> {
+        self.read("/v1/root".to_owned(), READ_TIMEOUT).await
+    }
+
+    /// Waits up to `wait` for a root above `after`; `None` if there was none.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::root`].
+    pub async fn watch(&self, after: Generation, wait: Duration) -> Result<Option<Bytes>> {
+        let path = format!("/v1/root?after={after}&wait_ms={}", wait.as_millis());
+        match self.read(path, wait + WATCH_MARGIN).await {
+            Ok(bytes) if bytes.is_empty() => Ok(None),
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Reads one page.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Self::root`].
+    pub async fn page(&self, name: &PageName) -> Result<Bytes> {
+        self.read(format!("/v1/pages/{name}"), READ_TIMEOUT).await
+    }
+
+    async fn read(&self, path: String, wait: Duration) -> Result<Bytes> {
+        let unreachable = ErrorKind::PeerUnreachable;
+        let call = HttpCall::get(self.addr, path.clone());
+        let reply =
+            self.http.send(call, wait).await.map_err(|failure| failure.into_error(unreachable))?;
+        match reply.status {
+            StatusCode::OK | StatusCode::NO_CONTENT => {
+                reply.whole().await.map_err(|failure| failure.into_error(unreachable))
+            }
+            StatusCode::NOT_FOUND => {
+                Err(Error::new(ErrorKind::NotFound, format!("configuration has no {path}")))
+            }
+            status => Err(Error::new(unreachable, format!("configuration service: {status}"))),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/engine_client.rs
@@ -0,0 +1,202 @@
+//! Model engines.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+
+use super::CallFailure;
+use super::HttpCall;
+use super::HttpClient;
+use super::HttpReply;
+use crate::decide::dispatch_end::DispatchEnd;
+use crate::wire::engine::EngineEvent;
+use crate::wire::engine::EngineRefusal;
+use crate::wire::engine::GenerateRequest;
+use crate::wire::engine::OrderReply;
+use crate::wire::engine::OrderRequest;
+use crate::wire::engine::RefusalBody;
+use crate::wire::engine::Report;
+use crate::wire::sse::EventReader;
+
+/// Time within which an engine must report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which an engine must carry out an order; covers a slow weight store.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Why an engine did not do what it was asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EngineFailure {
+    /// The engine refused; the work was not run.
+    Refused(RefusalBody),
+    /// The call failed.
+    Call(CallFailure),
+}
+
+impl EngineFailure {
+    /// How the dispatch ended.
+    pub fn end(&self) -> DispatchEnd {
+        match self {
+            Self::Refused(_) => DispatchEnd::Refused,
+            Self::Call(failure) => failure.end,
+        }
+    }
+
+    /// What was seen, for people.
+    pub fn detail(&self) -> String {
+        match self {
+            Self::Refused(body) => format!("engine refused: {:?}", body.refusal),
+            Self::Call(failure) => failure.detail.clone(),
+        }
+    }
+
+    /// Why the engine refused, if it did.
+    pub fn refusal(&self) -> Option<EngineRefusal> {
+        match self {
+            Self::Refused(body) => Some(body.refusal),
+            Self::Call(_) => None,
+        }
+    }
+}
+
+impl From<CallFailure> for EngineFailure {
+    fn from(failure: CallFailure) -> Self {
+        Self::Call(failure)
+    }
+}
+
+/// Client of every engine.
+#[derive(Clone, Debug)]
+pub struct EngineClient {
+    http: HttpClient,
+}
+
+impl EngineClient {
+    /// A client over `http`.
+    pub fn new(http: HttpClient) -> Self {
+        Self { http }
+    }
+
+    /// Starts a generation; `wait` bounds the time to its first event.
+    ///
+    /// # Errors
+    ///
+    /// The engine's refusal, or how the call ended.
+    pub async fn generate(
+        &self,
+        addr: SocketAddr,
+        req: &GenerateRequest,
+        wait: Duration,
+    ) -> Result<EngineStream, EngineFailure> {
+        let call = HttpCall::post(addr, "/v1/generate", to_json(req)?);
+        let reply = self.http.send(call, wait).await?;
+        if !reply.status.is_success() {
+            return Err(refusal(reply).await);
+        }
+        Ok(EngineStream { reply, reader: EventReader::default(), ready: VecDeque::new() })
+    }
+
+    /// Gives an order and waits until it is carried out.
+    ///
+    /// # Errors
+    ///
+    /// The engine's refusal, or how the call ended.
+    pub async fn order(
+        &self,
+        addr: SocketAddr,
+        req: &OrderRequest,
+    ) -> Result<OrderReply, EngineFailure> {
+        let call = HttpCall::post(addr, "/v1/orders", to_json(req)?);
+        let reply = self.http.send_once(call, ORDER_TIMEOUT).await?;
+        if !reply.status.is_success() {
+            return Err(refusal(reply).await);
+        }
+        from_json(&reply.whole().await?)
+    }
+
+    /// Reads the lagging report.
+    ///
+    /// # Errors
+    ///
+    /// How the call ended.
+    pub async fn report(&self, addr: SocketAddr) -> Result<Report, EngineFailure> {
+        self.read(addr, "/v1/report").await
+    }
+
+    /// Asks what runs at this moment.
+    ///
+    /// # Errors
+    ///
+    /// How the call ended.
+    pub async fn running(&self, addr: SocketAddr) -> Result<Report, EngineFailure> {
+        self.read(addr, "/v1/running").await
+    }
+
+    async fn read(&self, addr: SocketAddr, path: &str) -> Result<Report, EngineFailure> {
+        let reply = self.http.send(HttpCall::get(addr, path), REPORT_TIMEOUT).await?;
+        if !reply.status.is_success() {
+            return Err(refusal(reply).await);
+        }
+        from_json(&reply.whole().await?)
+    }
+}
+
+/// Events of a running generation; dropping it cancels the generation.
+#[derive(Debug)]
+pub struct EngineStream {
+    reply: HttpReply,
+    reader: EventReader,
+    ready: VecDeque<EngineEvent>,
+}
+
+impl EngineStream {
+    /// The next event; `None` at the end of the stream.
+    ///
+    /// # Errors
+    ///
+    /// How the stream broke.
+    pub async fn next_event(&mut self) -> Result<Option<EngineEvent>, CallFailure> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                return Ok(Some(event));
+            }
+            let Some(data) = self.reply.chunk().await? else { return Ok(None) };
+            self.reader.push(&data);
+            while let Some(event) = self.reader.next_event().map_err(unreadable)? {
+                self.ready.push_back(event.parse().map_err(unreadable)?);
+            }
+        }
+    }
+}
+
+async fn refusal(reply: HttpReply) -> EngineFailure {
+    let status = reply.status;
+    let body = match reply.whole().await {
+        Ok(body) => body,
+        Err(failure) => return failure.into(),
+    };
+    match serde_json::from_slice(&body) {
+        Ok(refusal) => EngineFailure::Refused(refusal),
+        Err(_) => EngineFailure::Call(CallFailure {
+            end: DispatchEnd::Failed,
+            detail: format!("engine answered {status}"),
+        }),
+    }
+}
+
+fn unreadable(error: impl std::fmt::Display) -> CallFailure {
+    CallFailure { end: DispatchEnd::Failed, detail: format!("engine's answer: {error}") }
+}
+
+fn to_json<T: Serialize>(message: &T) -> Result<Bytes, CallFailure> {
+    serde_json::to_vec(message).map(Bytes::from).map_err(|e| CallFailure {
+        end: DispatchEnd::ResetBeforeSend,
+        detail: format!("message can't be encoded: {e}"),
+    })
+}
+
+fn from_json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, EngineFailure> {
+    serde_json::from_slice(body).map_err(|e| EngineFailure::Call(unreadable(e)))
+}
--- /dev/null
+++ b/src/edge/http_client.rs
@@ -0,0 +1,215 @@
+//! HTTP calls with a bounded answer and a classified end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::timeout;
+
+use crate::decide::dispatch_end::DispatchEnd;
+use crate::error::Error;
+use crate::error::ErrorKind;
+
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an unused connection is kept.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Largest answer that is read whole, in bytes.
+const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
+
+/// A call that got no answer: how it ended, and what was seen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallFailure {
+    /// How the call ended.
+    pub end: DispatchEnd,
+    /// What was seen, for people.
+    pub detail: String,
+}
+
+impl CallFailure {
+    /// The failure as an error of this kind.
+    pub fn into_error(self, kind: ErrorKind) -> Error {
+        Error::new(kind, self.detail)
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub struct HttpReply {
+    /// Status of the answer.
+    pub status: StatusCode,
+    body: Incoming,
+}
+
+impl HttpReply {
+    /// The next piece of the body; `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// `ResetAfterSend` if the connection broke.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, CallFailure> {
+        loop {
+            let Some(frame) = self.body.frame().await else { return Ok(None) };
+            let frame = frame.map_err(|e| CallFailure {
+                end: DispatchEnd::ResetAfterSend,
+                detail: format!("answer broke off: {e}"),
+            })?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    /// The whole body.
+    ///
+    /// # Errors
+    ///
+    /// `ResetAfterSend` if the connection broke, `Failed` if the body is too large.
+    pub async fn whole(mut self) -> Result<Bytes, CallFailure> {
+        let mut buf = BytesMut::new();
+        while let Some(data) = self.chunk().await? {
+            if buf.len() + data.len() > MAX_REPLY_BYTES {
+                let detail = format!("answer exceeds {MAX_REPLY_BYTES} bytes");
+                return Err(CallFailure { end: DispatchEnd::Failed, detail });
+            }
+            buf.extend_from_slice(&data);
+        }
+        Ok(buf.freeze())
+    }
+}
+
+/// One request to one address.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    /// Method.
+    pub method: Method,
+    /// Address of the server.
+    pub addr: SocketAddr,
+    /// Path and query.
+    pub path: String,
+    /// Headers besides those of HTTP itself.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body; may be empty.
+    pub body: Bytes,
+}
+
+impl HttpCall {
+    /// A request without a body.
+    pub fn get(addr: SocketAddr, path: impl Into<String>) -> Self {
+        Self::new(Method::GET, addr, path.into(), Bytes::new())
+    }
+
+    /// A request with a body.
+    pub fn post(addr: SocketAddr, path: impl Into<String>, body: Bytes) -> Self {
+        Self::new(Method::POST, addr, path.into(), body)
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn new(method: Method, addr: SocketAddr, path: String, body: Bytes) -> Self {
+        Self { method, addr, path, headers: Vec::new(), body }
+    }
+}
+
+/// Pooled HTTP client; clones share the pool.
+#[derive(Clone, Debug)]
+pub struct HttpClient {
+    pooled: Client<HttpConnector, Full<Bytes>>,
+    unpooled: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpClient {
+    /// A client with an empty pool.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let pooled = Client::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector.clone());
+        // A call that may not be repeated gets a connection of its own, so that
+        // the client never sends it twice after a pooled connection went stale.
+        let unpooled = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pooled, unpooled }
+    }
+
+    /// Sends a call that may be repeated; `wait` bounds the time to the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// How the call ended, if no answer's head came.
+    pub async fn send(&self, call: HttpCall, wait: Duration) -> Result<HttpReply, CallFailure> {
+        Self::run(&self.pooled, call, wait).await
+    }
+
+    /// Sends a call at most once; `wait` bounds the time to the answer's head.
+    ///
+    /// # Errors
+    ///
+    /// How the call ended, if no answer's head came.
+    pub async fn send_once(
+        &self,
+        call: HttpCall,
+        wait: Duration,
+    ) -> Result<HttpReply, CallFailure> {
+        Self::run(&self.unpooled, call, wait).await
+    }
+
+    async fn run(
+        client: &Client<HttpConnector, Full<Bytes>>,
+        call: HttpCall,
+        wait: Duration,
+    ) -> Result<HttpReply, CallFailure> {
+        let target = format!("http://{}{}", call.addr, call.path);
+        let mut builder = Request::builder().method(call.method).uri(&target);
+        for (name, value) in call.headers {
+            builder = builder.header(name, value);
+        }
+        let req = builder.body(Full::new(call.body)).map_err(|e| CallFailure {
+            end: DispatchEnd::ResetBeforeSend,
+            detail: format!("request to {target} can't be made: {e}"),
+        })?;
+        match timeout(wait, client.request(req)).await {
+            Ok(Ok(response)) => {
+                let status = response.status();
+                Ok(HttpReply { status, body: response.into_body() })
+            }
+            Ok(Err(e)) if e.is_connect() => Err(CallFailure {
+                end: DispatchEnd::ConnectRefused,
+                detail: format!("no connection to {}", call.addr),
+            }),
+            Ok(Err(e)) => Err(CallFailure {
+                end: DispatchEnd::ResetAfterSend,
+                detail: format!("connection to {} broke: {e}", call.addr),
+            }),
+            Err(_) => Err(CallFailure {
+                end: DispatchEnd::TimedOut,
+                detail: format!("no answer from {} in {} ms", call.addr, wait.as_millis()),
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/http_server.rs
@@ -0,0 +1,190 @@
+//! HTTP server: reads whole requests within limits and writes answers.
+//!
+//! The server's own threads read and write; the handler runs on the runtime
+//! given, so that a slow sender holds up no decision.
+
+use std::collections::HashMap;
+use std::future::poll_fn;
+use std::io;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::stream;
+use tokio::runtime::Handle;
+use tokio::time::timeout;
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::body::Body;
+use xitca_web::body::Frame;
+use xitca_web::body::RequestBody;
+use xitca_web::body::ResponseBody;
+use xitca_web::body::StreamBody;
+use xitca_web::error::Error as WebError;
+use xitca_web::http::HeaderValue;
+use xitca_web::http::StatusCode;
+use xitca_web::http::WebResponse;
+use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::service::fn_service;
+
+use super::Reply;
+use super::ReplyBody;
+use super::Request;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most headers that the server reads; the settings may allow fewer.
+const MAX_HEADERS: usize = 128;
+
+/// Limits on what a listener reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HttpLimits {
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time within which a request's head must arrive.
+    pub head_timeout: Duration,
+    /// Time within which a request's body must arrive.
+    pub body_timeout: Duration,
+}
+
+/// The future of an answer.
+pub type ReplyFuture = Pin<Box<dyn Future<Output = Reply> + Send>>;
+/// What answers requests.
+pub type HttpHandler = Arc<dyn Fn(Request) -> ReplyFuture + Send + Sync>;
+/// Stops a running server once nothing is in progress on it.
+pub type StopServer = Box<dyn FnOnce() + Send>;
+
+/// A listener to be served.
+#[derive(Clone)]
+pub struct HttpServer {
+    /// What answers requests.
+    pub handler: HttpHandler,
+    /// Runtime that the handler runs on.
+    pub runtime: Handle,
+    /// Limits on what is read.
+    pub limits: HttpLimits,
+    /// Threads that read and write.
+    pub threads: usize,
+}
+
+impl HttpServer {
+    /// Starts to serve on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// The system's error if the server can't be started.
+    pub fn start(self, listener: TcpListener) -> io::Result<StopServer> {
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let limits = self.limits;
+        let threads = self.threads;
+        let mut server = App::new()
+            .with_state(self)
+            .at("/{*}", fn_service(handle))
+            .serve()
+            .disable_signal()
+            .worker_threads(threads)
+            .request_head_timeout(limits.head_timeout)
+            .max_read_buf_size::<MAX_HEAD_BYTES>()
+            .max_request_headers::<MAX_HEADERS>()
+            .listen(listener)?
+            .run();
+        let handle = server.handle()?;
+        std::thread::spawn(move || {
+            if let Err(e) = server.wait() {
+                log::error!("server at {addr} ended: {e}");
+            }
+        });
+        Ok(Box::new(move || handle.stop(true)))
+    }
+}
+
+async fn handle(mut cx: WebContext<'_, HttpServer>) -> std::result::Result<WebResponse, WebError> {
+    let server = cx.state().clone();
+    let (parts, rest) = cx.take_request().into_parts();
+    let from = *rest.socket_addr();
+    let headers = parts
+        .headers
+        .iter()
+        .filter_map(|(name, value)| {
+            Some((name.as_str().to_owned(), value.to_str().ok()?.to_owned()))
+        })
+        .collect::<HashMap<_, _>>();
+    let (_, body) = rest.replace_body(());
+    let reply = match read_body(server.limits, body).await {
+        Ok(body) => {
+            let req = Request {
+                from,
+                method: parts.method.as_str().to_owned(),
+                path: parts.uri.path().to_owned(),
+                query: parts.uri.query().unwrap_or_default().to_owned(),
+                headers,
+                body,
+            };
+            serve(&server, req).await
+        }
+        Err(error) => Reply::error(&error).header("connection", "close"),
+    };
+    Ok(response(reply))
+}
+
+async fn serve(server: &HttpServer, req: Request) -> Reply {
+    let task = server.runtime.spawn((server.handler)(req));
+    task.await.unwrap_or_else(|e| {
+        Reply::error(&Error::new(ErrorKind::Internal, format!("request failed: {e}")))
+    })
+}
+
+async fn read_body(limits: HttpLimits, body: RequestBody) -> Result<Bytes> {
+    match timeout(limits.body_timeout, collect(body, limits.body_bytes)).await {
+        Ok(body) => body,
+        Err(_) => {
+            let detail = format!("body took over {} ms", limits.body_timeout.as_millis());
+            Err(Error::new(ErrorKind::SlowSender, detail))
+        }
+    }
+}
+
+async fn collect(mut body: RequestBody, max_bytes: usize) -> Result<Bytes> {
+    let mut buf = BytesMut::new();
+    while let Some(frame) = poll_fn(|cx| Pin::new(&mut body).poll_frame(cx)).await {
+        let frame =
+            frame.map_err(|e| Error::new(ErrorKind::Malformed, format!("body broke off: {e}")))?;
+        let Frame::Data(data) = frame else { continue };
+        if buf.len() + data.len() > max_bytes {
+            let detail = format!("body exceeds {max_bytes} bytes");
+            return Err(Error::new(ErrorKind::TooLarge, detail));
+        }
+        buf.extend_from_slice(&data);
+    }
+    Ok(buf.freeze())
+}
+
+fn response(reply: Reply) -> WebResponse {
+    let body = match reply.body {
+        ReplyBody::Whole(bytes) => ResponseBody::bytes(bytes),
+        ReplyBody::Stream(mut rx) => {
+            let pieces = stream::poll_fn(move |cx| {
+                rx.poll_recv(cx).map(|piece| piece.map(|data| Ok::<_, WebError>(Frame::Data(data))))
+            });
+            ResponseBody::boxed(StreamBody::new(pieces))
+        }
+    };
+    let mut response = WebResponse::new(body);
+    *response.status_mut() =
+        StatusCode::from_u16(reply.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(reply.content_type));
+    for (name, value) in reply.headers {
+        if let Ok(value) = HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/src/edge/listing_client.rs
@@ -0,0 +1,49 @@
+//! The platform's list of live and leaving instances.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::HttpCall;
+use super::HttpClient;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::wire::listing::Listing;
+
+/// Time within which the platform must answer.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Client of the platform's list.
+#[derive(Clone, Debug)]
+pub struct ListingClient {
+    http: HttpClient,
+    addr: SocketAddr,
+}
+
+impl ListingClient {
+    /// A client of the list at `addr`.
+    pub fn new(http: HttpClient, addr: SocketAddr) -> Self {
+        Self { http, addr }
+    }
+
+    /// Reads the list.
+    ///
+    /// # Errors
+    ///
+    /// `PeerUnreachable` if the platform doesn't answer, `Malformed` if it answers something else.
+    pub async fn read(&self) -> Result<Listing> {
+        let unreachable = ErrorKind::PeerUnreachable;
+        let call = HttpCall::get(self.addr, "/v1/instances");
+        let reply = self
+            .http
+            .send(call, READ_TIMEOUT)
+            .await
+            .map_err(|failure| failure.into_error(unreachable))?;
+        if !reply.status.is_success() {
+            return Err(Error::new(unreachable, format!("instance list: {}", reply.status)));
+        }
+        let body = reply.whole().await.map_err(|failure| failure.into_error(unreachable))?;
+        serde_json::from_slice(&body)
+            .map_err(|e| Error::new(ErrorKind::Malformed, format!("instance list: {e}")))
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,1 +1,35 @@
-//! Placeholder.
+//! Everything outside one process: the HTTP server, and clients of engines,
+//! desks, the platform and peers.
+//!
+//! Each client speaks one protocol over HTTP and classifies how a call ended, so
+//! that nothing above needs to know the transport.
+
+mod config_client;
+mod desk_client;
+mod engine_client;
+mod http_client;
+mod http_server;
+mod listing_client;
+mod peer_client;
+mod reply;
+mod request;
+
+pub use config_client::ConfigClient;
+pub use desk_client::DeskClient;
+pub use engine_client::EngineClient;
+pub use engine_client::EngineFailure;
+pub use engine_client::EngineStream;
+pub use http_client::CallFailure;
+pub use http_client::HttpCall;
+pub use http_client::HttpClient;
+pub use http_client::HttpReply;
+pub use http_server::HttpHandler;
+pub use http_server::HttpLimits;
+pub use http_server::HttpServer;
+pub use http_server::StopServer;
+pub use listing_client::ListingClient;
+pub use peer_client::PeerClient;
+pub use peer_client::PeerPath;
+pub use reply::Reply;
+pub use reply::ReplyBody;
+pub use request::Request;
--- /dev/null
+++ b/src/edge/reply.rs
@@ -0,0 +1,105 @@
+//! An answer as it goes to the network.
+
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::sync::mpsc;
+
+use crate::error::Error;
+use crate::error::Problem;
+use crate::wire::frame;
+
+/// Media type of JSON answers.
+const JSON: &str = "application/json";
+/// Media type of error answers.
+const PROBLEM_JSON: &str = "application/problem+json";
+/// Media type of streams to callers.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Media type of answers to peers.
+const MESSAGE_PACK: &str = "application/msgpack";
+
+/// Body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Bytes),
+    /// Pieces as they come; the body ends when the sender is dropped.
+    Stream(mpsc::Receiver<Bytes>),
+}
+
+/// An answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// HTTP status code.
+    pub status: u16,
+    /// Media type of the body.
+    pub content_type: &'static str,
+    /// Headers besides the media type.
+    pub headers: Vec<(&'static str, String)>,
+    /// Body.
+    pub body: ReplyBody,
+}
+
+impl Reply {
+    /// A JSON answer.
+    pub fn json<T: Serialize>(status: u16, message: &T) -> Self {
+        match serde_json::to_vec(message) {
+            Ok(body) => Self::whole(status, JSON, Bytes::from(body)),
+            Err(e) => Self::whole(500, "text/plain", Bytes::from(e.to_string())),
+        }
+    }
+
+    /// An answer to a peer.
+    pub fn message<T: Serialize>(message: &T) -> Self {
+        match frame::encode(message) {
+            Ok(body) => Self::whole(200, MESSAGE_PACK, body),
+            Err(e) => Self::error(&e),
+        }
+    }
+
+    /// An error answer from the table.
+    pub fn error(error: &Error) -> Self {
+        let problem = Problem::from(error);
+        let body = serde_json::to_vec(&problem).unwrap_or_default();
+        let mut reply = Self::whole(problem.status, PROBLEM_JSON, Bytes::from(body));
+        if let Some(seconds) = problem.retry_after_s {
+            reply.headers.push(("retry-after", seconds.to_string()));
+        }
+        reply
+    }
+
+    /// An answer of bytes that are JSON already.
+    pub fn raw(body: Bytes) -> Self {
+        Self::whole(200, JSON, body)
+    }
+
+    /// A stream of server-sent events.
+    pub fn events(rx: mpsc::Receiver<Bytes>) -> Self {
+        Self::stream(EVENT_STREAM, rx)
+    }
+
+    /// A stream of frames to a peer.
+    pub fn frames(rx: mpsc::Receiver<Bytes>) -> Self {
+        Self::stream(MESSAGE_PACK, rx)
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn whole(status: u16, content_type: &'static str, body: Bytes) -> Self {
+        Self { status, content_type, headers: Vec::new(), body: ReplyBody::Whole(body) }
+    }
+
+    fn stream(content_type: &'static str, rx: mpsc::Receiver<Bytes>) -> Self {
+        Self { status: 200, content_type, headers: Vec::new(), body: ReplyBody::Stream(rx) }
+    }
+}
+
+impl From<Error> for Reply {
+    fn from(error: Error) -> Self {
+        Self::error(&error)
+    }
+}
--- /dev/null
+++ b/tests/engine_unreachable.rs
@@ -0,0 +1,63 @@
+//! An owner whose engine doesn't answer neither repeats orders at once nor holds requests back.
+
+use std::time::Duration;
+
+use tamaracklead::decide::engine::EngineAction;
+use tamaracklead::decide::engine::EngineCore;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::GuardInput;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::names::Version;
+
+fn adapter(name: &str) -> AdapterRef {
+    AdapterRef::new(AdapterName::new(name), Version(1))
+}
+
+fn waiting(id: u128, name: &str, now: Timestamp) -> Waiting {
+    Waiting {
+        request_id: RequestId(id),
+        adapter: adapter(name),
+        priority: 5,
+        arrived: now,
+        deadline: now + Duration::from_secs(30),
+    }
+}
+
+/// One slot, taken by an idle adapter, and a request that needs it for another.
+fn core_that_must_unload(now: Timestamp) -> (EngineCore, Vec<EngineAction>) {
+    let mut core = EngineCore::new(1, 8);
+    core.on_input(now, EngineInput::Guard(GuardInput::Found(vec![adapter("old")])));
+    let actions = core.on_input(now, EngineInput::Arrived(waiting(1, "new", now)));
+    (core, actions)
+}
+
+#[test]
+fn a_failed_unload_is_repeated_later_and_not_at_once() {
+    let now = Timestamp::from_millis(1000);
+    let (mut core, actions) = core_that_must_unload(now);
+    assert_eq!(actions, [EngineAction::Unload(adapter("old"))]);
+    let failed = EngineInput::UnloadEnded { adapter: adapter("old"), unloaded: false };
+    assert_eq!(core.on_input(now, failed), []);
+    let later = now + Duration::from_secs(1);
+    let actions = core.on_input(later, EngineInput::Tick);
+    assert_eq!(actions, [EngineAction::Unload(adapter("old"))]);
+}
+
+#[test]
+fn requests_that_wait_for_an_unreachable_engine_are_refused_at_once_as_not_run() {
+    let now = Timestamp::from_millis(1000);
+    let (mut core, _) = core_that_must_unload(now);
+    let actions = core.on_input(now, EngineInput::Unreachable);
+    let [EngineAction::Refuse { request_id, error }] = actions.as_slice() else {
+        panic!("not one refusal: {actions:?}");
+    };
+    assert_eq!(*request_id, RequestId(1));
+    assert_eq!(error.kind, ErrorKind::NoBackend);
+    assert!(error.answer().not_run);
+    assert!(error.answer().retry_after.is_some());
+}
