--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,6 +8,7 @@
 pub mod backends;
 pub mod config;
 pub mod dispatch_end;
+pub mod drain;
 pub mod engine;
 pub mod membership;
 pub mod ownership;
