--- a/src/bin/tamarackleadd/main.rs
+++ b/src/bin/tamarackleadd/main.rs
@@ -10,7 +10,7 @@
 use simplelog::LevelFilter;
 use simplelog::WriteLogger;
 use tamaracklead::daemon;
-use tamaracklead::daemon::DrainEnd;
+use tamaracklead::decide::drain::DrainEnd;
 use tamaracklead::settings::Settings;
 
 /// Exit code after faults in the settings.
@@ -38,7 +38,7 @@
     start_log();
     match daemon::run(settings) {
         Ok(DrainEnd::Finished) => ExitCode::SUCCESS,
-        Ok(DrainEnd::CutOff(_)) => ExitCode::from(EXIT_CUT_OFF),
+        Ok(DrainEnd::Interrupted(_) | DrainEnd::LimitReached(_)) => ExitCode::from(EXIT_CUT_OFF),
         Err(error) => {
             eprintln!("tamarackleadd: {error}");
             ExitCode::from(EXIT_FAILED)
--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -9,6 +9,7 @@
 use super::Node;
 use super::dispatches;
 use super::in_flight::InFlightGuard;
+use crate::decide::drain::Work;
 use crate::decide::routing;
 use crate::edge::Reply;
 use crate::edge::Request;
@@ -55,7 +56,7 @@
 ///
 /// Every error kind that a draft can end with before its first byte.
 pub async fn complete(node: Arc<Node>, req: Request) -> Result<Reply> {
-    node.check_accepting()?;
+    node.check_takes(Work::Draft)?;
     let guard = node.in_flight.begin();
     let wanted: CompletionRequest = serde_json::from_slice(&req.body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
--- a/src/daemon/dispatches.rs
+++ b/src/daemon/dispatches.rs
@@ -10,6 +10,7 @@
 use super::Node;
 use super::engine_shard::EngineShard;
 use super::owner_calls;
+use crate::decide::drain::Work;
 use crate::decide::engine::EngineInput;
 use crate::decide::engine::Waiting;
 use crate::edge::EngineFailure;
@@ -35,6 +36,7 @@
 ///
 /// `Malformed` if the body isn't a dispatch.
 pub fn serve(node: &Arc<Node>, req: &Request) -> Result<Reply> {
+    node.check_takes(Work::Dispatch)?;
     let message: Dispatch = frame::decode(&req.body)?;
     let mut events = dispatch(node, message);
     let (tx, rx) = mpsc::channel::<Bytes>(EVENT_QUEUE);
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -1,44 +1,68 @@
-//! Graceful shutdown: nothing new is taken, everything begun is finished.
+//! Carries signals and the work in progress into the decisions on a shutdown.
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
 use super::Node;
-use crate::names::Timestamp;
+use super::refresh;
+use crate::decide::drain::DrainEnd;
+use crate::decide::drain::DrainInput;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
 
 /// How often the work in progress is counted.
-const POLL: Duration = Duration::from_millis(20);
-/// Time for which nothing must be in progress, so that last bytes are written.
-const QUIET: Duration = Duration::from_millis(300);
-
-/// How a shutdown ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DrainEnd {
-    /// Everything was finished.
-    Finished,
-    /// The hard limit came first; this much was cut off.
-    CutOff(usize),
-}
+const POLL: Duration = Duration::from_millis(50);
 
-/// Waits until nothing is in progress, at most for `limit`.
-pub async fn drain(node: &Arc<Node>, limit: Duration) -> DrainEnd {
-    node.begin_drain();
-    log::info!("shutting down; {} in progress", node.in_flight.count());
-    let until = node.now() + limit;
-    let mut quiet_since: Option<Timestamp> = None;
+/// Waits for a signal, then until the instance may end.
+///
+/// # Errors
+///
+/// `Internal` if signals can't be handled.
+pub async fn wait_for_end(node: &Arc<Node>) -> Result<DrainEnd> {
+    let mut terminate = listen_to(SignalKind::terminate())?;
+    let mut interrupt = listen_to(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    begin(node);
     loop {
-        let now = node.now();
-        let count = node.in_flight.count();
-        if count > 0 {
-            quiet_since = None;
-        }
-        let since = *quiet_since.get_or_insert(now);
-        if count == 0 && now.since(since) >= QUIET {
-            return DrainEnd::Finished;
+        tokio::select! {
+            () = tokio::time::sleep(POLL) => observe(node),
+            _ = terminate.recv() => node.drain_input(DrainInput::RequestedAgain),
+            _ = interrupt.recv() => node.drain_input(DrainInput::RequestedAgain),
         }
-        if now >= until {
-            return DrainEnd::CutOff(count);
+        if let Some(end) = node.drain(|drain| drain.end()) {
+            log_end(end);
+            return Ok(end);
         }
-        tokio::time::sleep(POLL).await;
     }
 }
+
+fn begin(node: &Arc<Node>) {
+    let limit = node.settings.shutdown.hard_limit;
+    node.drain_input(DrainInput::Requested { limit });
+    refresh::announce(node);
+    log::info!("shutting down; {} in progress", node.progress().in_progress);
+}
+
+fn observe(node: &Node) {
+    node.drain_input(DrainInput::Observed(node.progress()));
+}
+
+fn log_end(end: DrainEnd) {
+    match end {
+        DrainEnd::Finished => log::info!("everything in progress was finished"),
+        DrainEnd::Interrupted(count) => log::warn!("a second signal cut {count} off"),
+        DrainEnd::LimitReached(count) => log::warn!("the hard limit cut {count} off"),
+    }
+}
+
+fn listen_to(kind: SignalKind) -> Result<Signal> {
+    signal(kind).map_err(|e| Error::new(ErrorKind::Internal, format!("signal handler: {e}")))
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,7 +21,6 @@
 mod surface;
 
 pub use clock::Clock;
-pub use drain::DrainEnd;
 pub use node::Node;
 pub use run::run;
 pub use surface::Surface;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,7 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use super::Clock;
@@ -20,6 +20,10 @@
 use crate::decide::backends::Backends;
 use crate::decide::config::ConfigState;
 use crate::decide::config::Snapshot;
+use crate::decide::drain::Drain;
+use crate::decide::drain::DrainInput;
+use crate::decide::drain::Progress;
+use crate::decide::drain::Work;
 use crate::decide::membership::Membership;
 use crate::decide::ownership;
 use crate::decide::ownership::Candidate;
@@ -92,7 +96,8 @@
     backends: RwLock<Backends>,
     book: Mutex<SubmissionBook>,
     explain: Mutex<ExplainLog>,
-    draining: AtomicBool,
+    drain: Mutex<Drain>,
+    caller_requests: AtomicU64,
 }
 
 impl Node {
@@ -117,7 +122,8 @@
             backends: RwLock::default(),
             book: Mutex::default(),
             explain,
-            draining: AtomicBool::new(false),
+            drain: Mutex::default(),
+            caller_requests: AtomicU64::new(0),
         }))
     }
 
@@ -128,21 +134,35 @@
 
     /// Whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.drain(|drain| drain.is_draining())
     }
 
-    /// Begins to shut down: no new work is taken from now on.
-    pub fn begin_drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+    /// Reads the shutdown's state.
+    pub fn drain<T>(&self, read: impl FnOnce(&Drain) -> T) -> T {
+        read(&self.drain.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Refuses new work while the instance is shutting down.
+    /// Takes an event of the shutdown.
+    pub fn drain_input(&self, input: DrainInput) {
+        let now = self.now();
+        self.drain.lock().unwrap_or_else(PoisonError::into_inner).on_input(now, input);
+    }
+
+    /// What is in progress now.
+    pub fn progress(&self) -> Progress {
+        Progress {
+            in_progress: self.in_flight.count(),
+            caller_requests: self.caller_requests.load(Ordering::SeqCst),
+        }
+    }
+
+    /// Refuses work that a draining instance doesn't take.
     ///
     /// # Errors
     ///
     /// `Draining`.
-    pub fn check_accepting(&self) -> Result<()> {
-        if !self.is_draining() {
+    pub fn check_takes(&self, work: Work) -> Result<()> {
+        if self.drain(|drain| drain.takes(work)) {
             return Ok(());
         }
         let detail = format!("instance {:?} is shutting down", self.settings.instance.as_str());
@@ -248,19 +268,27 @@
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
         let answer = match surface {
-            Surface::Caller => self.serve_caller(req).await,
-            Surface::Peer => self.serve_peer(req).await,
+            Surface::Caller => Arc::clone(&self).serve_caller(req).await,
+            Surface::Peer => Arc::clone(&self).serve_peer(req).await,
             Surface::Operator => operator_api::serve(&self, &req),
         };
-        answer.unwrap_or_else(Reply::from)
+        let reply = answer.unwrap_or_else(Reply::from);
+        if self.is_draining() { reply.header("connection", "close") } else { reply }
+    }
+
+    /// Whether a balancer may send callers here.
+    fn ready(&self) -> Result<Reply> {
+        self.check_takes(Work::Draft)?;
+        self.snapshot().map(|_| Reply::json(200, &self.hello()))
     }
 
     async fn serve_caller(self: Arc<Self>, req: Request) -> Result<Reply> {
+        self.caller_requests.fetch_add(1, Ordering::SeqCst);
         match (req.method.as_str(), req.path.as_str()) {
             ("POST", "/v1/completions") => completions::complete(self, req).await,
             ("POST", "/v1/tickets") => submissions::issue_ticket(&self),
             ("POST", "/v1/submissions") => submissions::submit(&self, &req).await,
-            ("GET", "/v1/ready") => self.snapshot().map(|_| Reply::json(200, &self.hello())),
+            ("GET", "/v1/ready") => self.ready(),
             _ => Err(no_such_path(&req)),
         }
     }
--- a/src/daemon/refresh.rs
+++ b/src/daemon/refresh.rs
@@ -92,20 +92,25 @@
     let mut interval = tokio::time::interval(HELLO_INTERVAL);
     loop {
         interval.tick().await;
-        let peers = node.membership(|membership| {
-            membership.all().map(|member| member.peer_addr).collect::<Vec<_>>()
+        announce(&node);
+    }
+}
+
+/// Tells every peer at once what this instance says of itself.
+pub fn announce(node: &Arc<Node>) {
+    let peers = node.membership(|membership| {
+        membership.all().map(|member| member.peer_addr).collect::<Vec<_>>()
+    });
+    for addr in peers {
+        let node = Arc::clone(node);
+        tokio::spawn(async move {
+            let hello = node.hello();
+            let client = &node.clients.peer;
+            let answer = client.call(addr, PeerPath::Hello, &hello, HELLO_TIMEOUT).await;
+            if let Ok(Ok(hello)) = answer {
+                take_hello(&node, &hello);
+            }
         });
-        for addr in peers {
-            let node = Arc::clone(&node);
-            tokio::spawn(async move {
-                let hello = node.hello();
-                let client = &node.clients.peer;
-                let answer = client.call(addr, PeerPath::Hello, &hello, HELLO_TIMEOUT).await;
-                if let Ok(Ok(hello)) = answer {
-                    take_hello(&node, &hello);
-                }
-            });
-        }
     }
 }
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -4,21 +4,17 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::runtime::Builder;
 use tokio::runtime::Handle;
 use tokio::runtime::Runtime;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
-use super::DrainEnd;
 use super::Node;
 use super::Surface;
-use super::drain::drain;
+use super::drain;
 use super::owner_calls;
 use super::refresh;
+use crate::decide::drain::DrainEnd;
 use crate::edge::HttpHandler;
 use crate::edge::HttpLimits;
 use crate::edge::HttpServer;
@@ -34,8 +30,6 @@
 const PEER_THREADS: usize = 2;
 /// Server threads of the listener for operators.
 const OPERATOR_THREADS: usize = 1;
-/// Longest wait for work in progress when the settings name none.
-const DEFAULT_HARD_LIMIT: Duration = Duration::from_secs(24 * 3600);
 
 /// Runs one entry instance until it has shut down.
 ///
@@ -62,7 +56,7 @@
     }
     spawn_tasks(&runtime, &node);
     log::info!("instance {} started, incarnation {}", node.settings.instance, node.incarnation);
-    let end = runtime.block_on(wait_for_end(&node))?;
+    let end = runtime.block_on(drain::wait_for_end(&node))?;
     for stop in servers {
         stop();
     }
@@ -103,30 +97,6 @@
     TcpListener::bind(addr).map_err(|e| internal(&format!("listener for {whom} at {addr}"), &e))
 }
 
-async fn wait_for_end(node: &Arc<Node>) -> Result<DrainEnd> {
-    let mut terminate = listen_to(SignalKind::terminate())?;
-    let mut interrupt = listen_to(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-    let limit = node.settings.shutdown.hard_limit.unwrap_or(DEFAULT_HARD_LIMIT);
-    let end = tokio::select! {
-        end = drain(node, limit) => end,
-        _ = terminate.recv() => DrainEnd::CutOff(node.in_flight.count()),
-        _ = interrupt.recv() => DrainEnd::CutOff(node.in_flight.count()),
-    };
-    match end {
-        DrainEnd::Finished => log::info!("everything in progress was finished"),
-        DrainEnd::CutOff(count) => log::warn!("{count} in progress cut off"),
-    }
-    Ok(end)
-}
-
-fn listen_to(kind: SignalKind) -> Result<Signal> {
-    signal(kind).map_err(|e| internal("signal handler", &e))
-}
-
 fn internal(what: &str, error: &io::Error) -> Error {
     Error::new(ErrorKind::Internal, format!("{what}: {error}"))
 }
--- a/src/daemon/submissions.rs
+++ b/src/daemon/submissions.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Node;
+use crate::decide::drain::Work;
 use crate::decide::rendezvous;
 use crate::decide::submissions::Claim;
 use crate::decide::submissions::Outcome;
@@ -38,7 +39,7 @@
 ///
 /// `Draining` while the instance is shutting down.
 pub fn issue_ticket(node: &Node) -> Result<Reply> {
-    node.check_accepting()?;
+    node.check_takes(Work::Ticket)?;
     Ok(Reply::json(200, &new_ticket(node)?))
 }
 
--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether a shutdown has begun.
+    pub fn is_draining(&self) -> bool {
+        self.phase != Phase::Accepting
+    }
+
     /// How the shutdown ended, if it has.
     pub fn end(&self) -> Option<DrainEnd> {
         match self.phase {
