--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -58,6 +58,17 @@
     assert_eq!(drain.end(), Some(DrainEnd::Finished));
 }
 
+#[test]
+fn the_idle_time_begins_anew_after_further_work() {
+    let mut drain = draining(None);
+    observe(&mut drain, Timestamp::from_millis(500), 0, 0);
+    observe(&mut drain, Timestamp::from_millis(1_400), 1, 0);
+    observe(&mut drain, Timestamp::from_millis(1_600), 0, 0);
+    assert_eq!(drain.end(), None, "idle for no time at all");
+    observe(&mut drain, Timestamp::from_millis(1_600) + LINGER, 0, 0);
+    assert_eq!(drain.end(), Some(DrainEnd::Finished));
+}
+
 #[test]
 fn callers_that_never_go_quiet_do_not_keep_an_idle_instance() {
     let mut drain = draining(None);
