Add signatures between peers, and bearer keys of callers and operators

A replay window admits each message once: its time lies within 30 s of the receiver's clock, and a nonce is remembered until then. Nothing sent before the receiver started is admitted, since the nonces of its previous life are lost. A full memory refuses, as forgetting early would admit a replay. Per-sender counters were weighed: smaller, but they need ordered delivery per sender.

--- /dev/null
+++ b/src/auth/peer_signer.rs
@@ -0,0 +1,35 @@
+//! Signs requests to other entry instances.
+
+use hmac::Mac;
+
+use super::PeerSignature;
+use super::SignedRequest;
+use crate::decide::replay_window::Nonce;
+use crate::names::InstanceName;
+use crate::names::WallTime;
+use crate::settings::Key;
+
+/// Signs requests of one entry instance.
+#[derive(Clone, Debug)]
+pub struct PeerSigner {
+    key: Key,
+    sender: InstanceName,
+}
+
+impl PeerSigner {
+    /// Signs as `sender` with the fleet's key.
+    pub fn new(key: Key, sender: InstanceName) -> Self {
+        Self { key, sender }
+    }
+
+    /// Signs one request; its `Display` is the value of the signature header.
+    pub fn sign(&self, now: WallTime, nonce: Nonce, request: &SignedRequest<'_>) -> PeerSignature {
+        let mac = request.mac(&self.key, &self.sender, now, nonce);
+        PeerSignature {
+            sender: self.sender.clone(),
+            sent: now,
+            nonce,
+            mac: mac.finalize().into_bytes().into(),
+        }
+    }
+}
--- /dev/null
+++ b/src/auth/signature.rs
@@ -0,0 +1,79 @@
+//! The header that carries a peer's signature.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::decide::replay_window::Nonce;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::names::InstanceName;
+use crate::names::WallTime;
+
+/// Name of the header that carries a [`PeerSignature`].
+pub const SIGNATURE_HEADER: &str = "peer-signature";
+
+const VERSION: &str = "1";
+const MAC_BYTES: usize = 32;
+const NONCE_DIGITS: usize = 32;
+
+/// Signature of one request: `1 SENDER TIME_MS NONCE MAC`, the last two hexadecimal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerSignature {
+    /// Instance that sent the request.
+    pub sender: InstanceName,
+    /// When it was sent, on the sender's clock.
+    pub sent: WallTime,
+    /// Number drawn for this request.
+    pub nonce: Nonce,
+    /// Message authentication code.
+    pub mac: [u8; MAC_BYTES],
+}
+
+impl PeerSignature {
+    fn parse(text: &str) -> Option<Self> {
+        let mut parts = text.split(' ');
+        if parts.next()? != VERSION {
+            return None;
+        }
+        let sender = parts.next().filter(|name| !name.is_empty())?;
+        let sent = parts.next()?.parse().ok()?;
+        let nonce = parts.next().filter(|digits| digits.len() == NONCE_DIGITS)?;
+        let mac = parse_mac(parts.next()?)?;
+        if parts.next().is_some() {
+            return None;
+        }
+        Some(Self {
+            sender: InstanceName::new(sender),
+            sent: WallTime(sent),
+            nonce: Nonce(u128::from_str_radix(nonce, 16).ok()?),
+            mac,
+        })
+    }
+}
+
+impl FromStr for PeerSignature {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        Self::parse(text)
+            .ok_or_else(|| Error::new(ErrorKind::Unauthenticated, "peer signature can't be read"))
+    }
+}
+
+impl fmt::Display for PeerSignature {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{VERSION} {} {} {:032x} ", self.sender, self.sent.0, self.nonce.0)?;
+        self.mac.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+fn parse_mac(text: &str) -> Option<[u8; MAC_BYTES]> {
+    if text.len() != 2 * MAC_BYTES || !text.is_ascii() {
+        return None;
+    }
+    let mut mac = [0; MAC_BYTES];
+    for (i, byte) in mac.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
+    }
+    Some(mac)
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,5 +12,6 @@
 pub mod membership;
 pub mod ownership;
 pub mod rendezvous;
+pub mod replay_window;
 pub mod routing;
 pub mod submissions;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 //! 4. [`edge`]: clients of engines, desks, the platform and peers;
 //! 5. [`daemon`]: shards of state that carry events in and actions out.
 
+pub mod auth;
 pub mod daemon;
 pub mod decide;
 pub mod edge;
--- a/src/names/shared_name.rs
+++ b/src/names/shared_name.rs
@@ -54,6 +54,10 @@
     /// Name of a backend server: a model engine or a desk.
     BackendName
 );
+shared_name!(
+    /// Name of a caller's application, as the settings list it.
+    CallerName
+);
 shared_name!(
     /// Name of a data centre.
     DataCentre
--- a/src/settings/caller_keys.rs
+++ b/src/settings/caller_keys.rs
@@ -6,10 +6,11 @@
 use super::Key;
 use super::key::KeySource;
 use super::section::Section;
+use crate::names::CallerName;
 
 /// Bearer keys of callers by the caller's name.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CallerKeys(pub BTreeMap<String, Key>);
+pub struct CallerKeys(pub BTreeMap<CallerName, Key>);
 
 impl CallerKeys {
     pub(super) fn read(mut section: Section<'_>, base: &Path) -> Self {
@@ -19,7 +20,7 @@
         }
         for caller in section.keys() {
             if let Some(key) = read_key(&mut section, &caller, base) {
-                keys.insert(caller, key);
+                keys.insert(CallerName::new(&caller), key);
             }
         }
         section.finish();
--- /dev/null
+++ b/tests/auth.rs
@@ -0,0 +1,187 @@
+//! Signatures of peers, and bearer keys of callers and operators.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use tamaracklead::auth::CallerGuard;
+use tamaracklead::auth::OperatorGuard;
+use tamaracklead::auth::PeerGuard;
+use tamaracklead::auth::PeerSigner;
+use tamaracklead::auth::SignedRequest;
+use tamaracklead::decide::replay_window::MAX_SKEW;
+use tamaracklead::decide::replay_window::Nonce;
+use tamaracklead::decide::replay_window::ReplayWindow;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::names::CallerName;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::WallTime;
+use tamaracklead::settings::CallerKeys;
+use tamaracklead::settings::Key;
+
+const START: WallTime = WallTime(1_000_000);
+const KEY: &[u8] = b"fleet-key-of-16-bytes";
+
+fn at(ms: u64) -> WallTime {
+    START.after(Duration::from_millis(ms))
+}
+
+fn header(sent: WallTime, nonce: u128, request: &SignedRequest<'_>) -> String {
+    let signer = PeerSigner::new(Key::new(KEY), InstanceName::new("entry-1"));
+    signer.sign(sent, Nonce(nonce), request).to_string()
+}
+
+#[test]
+fn a_signed_request_is_admitted_once() {
+    let receiver = InstanceName::new("entry-2");
+    let request =
+        SignedRequest { method: "POST", path: "/peer/v1/hello", receiver: &receiver, body: b"x" };
+    let guard = PeerGuard::new(Key::new(KEY), START);
+    let header = header(at(10), 7, &request);
+    let sender = guard.verify(at(20), Some(&header), &request).unwrap();
+    assert_eq!(sender, InstanceName::new("entry-1"));
+    let again = guard.verify(at(21), Some(&header), &request).unwrap_err();
+    assert_eq!(again.kind, ErrorKind::Unauthenticated);
+}
+
+#[test]
+fn a_change_of_any_signed_part_is_refused() {
+    let receiver = InstanceName::new("entry-2");
+    let other = InstanceName::new("entry-3");
+    let good =
+        SignedRequest { method: "POST", path: "/peer/v1/hello", receiver: &receiver, body: b"x" };
+    let header = header(at(10), 7, &good);
+    let cases = [
+        ("method", SignedRequest { method: "PUT", ..good }),
+        ("path", SignedRequest { path: "/peer/v1/submit", ..good }),
+        ("receiver", SignedRequest { receiver: &other, ..good }),
+        ("body", SignedRequest { body: b"y", ..good }),
+        ("field border", SignedRequest { method: "POST/", path: "peer/v1/hello", ..good }),
+    ];
+    for (what, request) in cases {
+        let guard = PeerGuard::new(Key::new(KEY), START);
+        let error = guard.verify(at(20), Some(&header), &request).unwrap_err();
+        assert_eq!(error.detail, "peer signature does not hold", "{what}");
+    }
+    let guard = PeerGuard::new(Key::new(b"another-key-of-16-bytes"), START);
+    assert!(guard.verify(at(20), Some(&header), &good).is_err(), "another key");
+}
+
+#[test]
+fn a_damaged_header_is_refused() {
+    let receiver = InstanceName::new("entry-2");
+    let request = SignedRequest { method: "GET", path: "/", receiver: &receiver, body: b"" };
+    let good = header(at(10), 7, &request);
+    let guard = PeerGuard::new(Key::new(KEY), START);
+    let mut headers = vec![String::new(), "1".to_owned(), good.replacen("1 ", "2 ", 1)];
+    headers.push(good.replace("entry-1", "entry-9"));
+    headers.push(good.replace(&at(10).0.to_string(), &at(11).0.to_string()));
+    headers.push(format!("{good} x"));
+    headers.push(good[..good.len() - 1].to_owned());
+    headers.push(good.replace(' ', "  "));
+    headers.push("1 é 1 é é".to_owned());
+    for header in headers {
+        let error = guard.verify(at(20), Some(&header), &request).unwrap_err();
+        assert_eq!(error.kind, ErrorKind::Unauthenticated, "{header}");
+    }
+    let missing = guard.verify(at(20), None, &request).unwrap_err();
+    assert_eq!(missing.detail, "peer signature is missing");
+    assert!(guard.verify(at(20), Some(&good), &request).is_ok());
+}
+
+#[test]
+fn the_time_of_a_message_is_bounded_both_ways() {
+    let skew = MAX_SKEW.as_millis() as u64;
+    let cases = [
+        (at(100_000), at(100_000 - skew), true),
+        (at(100_000), at(100_000 - skew - 1), false),
+        (at(100_000), at(100_000 + skew), true),
+        (at(100_000), at(100_000 + skew + 1), false),
+        (at(5), at(0), true),
+        (at(5), WallTime(START.0 - 1), false),
+    ];
+    for (now, sent, admitted) in cases {
+        let mut window = ReplayWindow::new(START, 10);
+        let result = window.admit(now, sent, Nonce(1));
+        assert_eq!(result.is_ok(), admitted, "now {now:?}, sent {sent:?}: {result:?}");
+    }
+}
+
+#[test]
+fn a_clock_that_is_set_back_does_not_admit_a_message_again() {
+    let mut window = ReplayWindow::new(START, 10);
+    window.admit(at(1000), at(1000), Nonce(1)).unwrap();
+    window.admit(at(90_000), at(90_000), Nonce(2)).unwrap();
+    assert!(window.admit(at(1000), at(1000), Nonce(1)).is_err());
+}
+
+#[test]
+fn a_full_memory_refuses_and_recovers() {
+    let mut window = ReplayWindow::new(START, 2);
+    window.admit(at(0), at(0), Nonce(1)).unwrap();
+    window.admit(at(0), at(0), Nonce(2)).unwrap();
+    let full = window.admit(at(0), at(0), Nonce(3)).unwrap_err();
+    assert_eq!(full.kind, ErrorKind::Overloaded);
+    let later = at(MAX_SKEW.as_millis() as u64 + 1);
+    window.admit(later, later, Nonce(3)).unwrap();
+    assert_eq!(window.len(), 1);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20_261_203),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_message_is_admitted_twice(
+        events in prop::collection::vec((0_u64..200_000, 0_u64..200_000, 0_u128..20), 1..200),
+    ) {
+        let mut window = ReplayWindow::new(START, 64);
+        let mut admitted = std::collections::BTreeSet::new();
+        for (now, sent, nonce) in events {
+            if window.admit(at(now), at(sent), Nonce(nonce)).is_ok() {
+                prop_assert!(admitted.insert((sent, nonce)), "{sent} {nonce} twice");
+            }
+            prop_assert!(window.len() <= 64);
+        }
+    }
+}
+
+#[test]
+fn operators_need_the_exact_key() {
+    let guard = OperatorGuard::new(Key::new(b"operator-key-0123"));
+    let cases = [
+        (None, false),
+        (Some("Bearer operator-key-0123"), true),
+        (Some("bearer operator-key-0123"), true),
+        (Some("Bearer operator-key-012"), false),
+        (Some("Bearer operator-key-01234"), false),
+        (Some("Bearer "), false),
+        (Some("Basic operator-key-0123"), false),
+        (Some("operator-key-0123"), false),
+    ];
+    for (header, admitted) in cases {
+        assert_eq!(guard.check(header).is_ok(), admitted, "{header:?}");
+    }
+}
+
+#[test]
+fn callers_are_named_by_their_key() {
+    let keys = [("app-a", "key-of-app-a-0001"), ("app-b", "key-of-app-b-0002")];
+    let keys: BTreeMap<_, _> = keys
+        .into_iter()
+        .map(|(name, key)| (CallerName::new(name), Key::new(key.as_bytes())))
+        .collect();
+    let guard = CallerGuard::new(Some(CallerKeys(keys)));
+    let caller = guard.check(Some("Bearer key-of-app-b-0002")).unwrap();
+    assert_eq!(caller, Some(CallerName::new("app-b")));
+    assert_eq!(guard.check(None).unwrap_err().kind, ErrorKind::Unauthenticated);
+    assert_eq!(guard.check(Some("Bearer nobody")).unwrap_err().kind, ErrorKind::Unauthenticated);
+    assert_eq!(CallerGuard::new(None).check(None).unwrap(), None);
+}
