--- /dev/null
+++ b/src/cli/failure.rs
@@ -0,0 +1,65 @@
+//! Why a command ended early.
+
+use std::fmt;
+use std::io;
+use std::path::Path;
+
+use super::Exit;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Problem;
+
+/// Why a command ended early, and the exit code for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Failure {
+    /// Exit code.
+    pub exit: Exit,
+    /// What happened.
+    pub error: Error,
+}
+
+impl Failure {
+    /// A failure with this exit code.
+    pub fn new(exit: Exit, error: Error) -> Self {
+        Self { exit, error }
+    }
+
+    /// A file that can't be read.
+    pub fn unreadable(path: &Path, cause: &io::Error) -> Self {
+        let detail = format!("{} can't be read: {cause}", path.display());
+        Self::new(Exit::Usage, Error::new(ErrorKind::Malformed, detail))
+    }
+
+    /// The failure as one line of JSON, in the shape of error answers.
+    pub fn to_json(&self) -> String {
+        serde_json::to_string(&Problem::from(&self.error)).unwrap_or_default()
+    }
+}
+
+impl From<io::Error> for Failure {
+    fn from(e: io::Error) -> Self {
+        let detail = format!("output can't be written: {e}");
+        Self::new(Exit::Failed, Error::new(ErrorKind::Internal, detail))
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        let exit = match error.kind {
+            ErrorKind::OutcomeUnknown => Exit::OutcomeUnknown,
+            _ if error.answer().not_run => Exit::NotRun,
+            _ => Exit::Failed,
+        };
+        Self::new(exit, error)
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.error)?;
+        match self.error.answer().retry_after {
+            Some(span) => write!(f, " (try again in {} s)", span.as_millis().div_ceil(1000)),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/preset_diff.rs
@@ -0,0 +1,71 @@
+//! `tamaracklead preset diff PATH FROM TO`.
+
+use std::fmt;
+use std::io;
+use std::path::Path;
+
+use super::Exit;
+use super::Failure;
+use super::Table;
+use super::published_dir::PublishedDir;
+use super::report::Output;
+use crate::decide::audit::PresetDiff;
+use crate::decide::audit::Publication;
+use crate::decide::audit::StoreBudget;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::names::PresetName;
+
+/// Compares two presets and shows what a switch changes and costs.
+pub(super) fn run(
+    path: &Path,
+    from: &PresetName,
+    to: &PresetName,
+    store: &StoreBudget,
+    output: &mut Output<'_>,
+) -> Result<Exit, Failure> {
+    let dir = PublishedDir::read(path)?;
+    let publication = Publication::check(&dir.root, &dir.pages, &[]).map_err(|findings| {
+        let detail = findings.first().map(ToString::to_string).unwrap_or_default();
+        Failure::new(Exit::Usage, Error::new(ErrorKind::ConfigRefused, detail))
+    })?;
+    let diff = PresetDiff::between(&publication, from, to, store)
+        .map_err(|error| Failure::new(Exit::Usage, error))?;
+    output.report(&diff, show)?;
+    Ok(Exit::Success)
+}
+
+fn show(diff: &PresetDiff, output: &mut Output<'_>) -> io::Result<()> {
+    let mut table = Table::new(&["CHANGE", "WHAT", "FROM", "TO"]);
+    let mut row = |change: &str, what: String, from: String, to: String| {
+        table.row(vec![change.to_owned(), what, from, to]);
+    };
+    for adapter in &diff.loads {
+        row("load", adapter.to_string(), String::new(), "pinned".to_owned());
+    }
+    for adapter in &diff.unpins {
+        row("unpin", adapter.to_string(), "pinned".to_owned(), String::new());
+    }
+    for (adapter, change) in &diff.priorities {
+        row("priority", adapter.to_string(), or_dash(change.from), or_dash(change.to));
+    }
+    if let Some(change) = &diff.stall_weight {
+        row("stall_weight", String::new(), change.from.to_string(), change.to.to_string());
+    }
+    if let Some(change) = &diff.accepting {
+        row("accepting", String::new(), change.from.to_string(), change.to.to_string());
+    }
+    output.table(&table)?;
+    let (loads, unpins, keeps) = (diff.loads.len(), diff.unpins.len(), diff.keeps.len());
+    output.line(format!(
+        "{} -> {}: {loads} to load, {unpins} may be evicted, {keeps} stay pinned",
+        diff.from, diff.to
+    ))?;
+    let seconds = diff.store_time_ms as f64 / 1000.0;
+    output
+        .line(format!("store time at least {seconds:.2} s, one replica each, nothing else loading"))
+}
+
+fn or_dash<T: fmt::Display>(value: Option<T>) -> String {
+    value.map_or_else(|| "-".to_owned(), |value| value.to_string())
+}
--- /dev/null
+++ b/src/cli/table.rs
@@ -0,0 +1,63 @@
+//! Tables that fit a terminal.
+
+const GAP: &str = "  ";
+const CUT: char = '…';
+
+/// Rows of text under a header.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    header: Vec<String>,
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// An empty table with these columns.
+    pub fn new(header: &[&str]) -> Self {
+        Self { header: header.iter().map(|&name| name.to_owned()).collect(), rows: Vec::new() }
+    }
+
+    /// Adds a row; it has as many cells as there are columns.
+    pub fn row(&mut self, cells: Vec<String>) {
+        self.rows.push(cells);
+    }
+
+    /// The table as lines of at most `width` characters; the widest cells are cut first.
+    pub fn render(&self, width: usize) -> String {
+        let widths = self.fit(width);
+        let mut text = String::new();
+        for row in std::iter::once(&self.header).chain(&self.rows) {
+            let cells: Vec<_> =
+                row.iter().zip(&widths).map(|(cell, &width)| pad(cell, width)).collect();
+            text.push_str(cells.join(GAP).trim_end());
+            text.push('\n');
+        }
+        text
+    }
+
+    /// Column widths that together fit into `width`.
+    fn fit(&self, width: usize) -> Vec<usize> {
+        let mut widths: Vec<usize> =
+            (0..self.header.len()).map(|column| self.natural_width(column)).collect();
+        let gaps = GAP.len() * widths.len().saturating_sub(1);
+        let budget = width.saturating_sub(gaps).max(widths.len());
+        while widths.iter().sum::<usize>() > budget {
+            let Some(widest) = widths.iter_mut().max() else { break };
+            *widest -= 1;
+        }
+        widths
+    }
+
+    fn natural_width(&self, column: usize) -> usize {
+        let cells = std::iter::once(&self.header).chain(&self.rows);
+        cells.filter_map(|row| row.get(column)).map(|cell| cell.chars().count()).max().unwrap_or(0)
+    }
+}
+
+fn pad(cell: &str, width: usize) -> String {
+    if cell.chars().count() <= width {
+        return format!("{cell:<width$}");
+    }
+    let mut cut: String = cell.chars().take(width.saturating_sub(1)).collect();
+    cut.push(CUT);
+    cut
+}
--- /dev/null
+++ b/src/decide/audit/mod.rs
@@ -0,0 +1,17 @@
+//! Checks of a configuration before it is published, and the cost of a preset switch.
+//!
+//! An instance refuses a damaged configuration as a whole. These checks name
+//! every finding at once, and also find what an instance would accept but no
+//! operator wants, such as a pinned adapter that isn't published.
+
+mod finding;
+mod preset_diff;
+mod publication;
+mod slot_budget;
+mod store_budget;
+
+pub use finding::Finding;
+pub use preset_diff::PresetDiff;
+pub use publication::Publication;
+pub use slot_budget::SlotBudget;
+pub use store_budget::StoreBudget;
--- /dev/null
+++ b/src/decide/audit/preset_diff.rs
@@ -0,0 +1,115 @@
+//! What a switch from one preset to another changes and costs.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::Serialize;
+
+use super::Publication;
+use super::StoreBudget;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::names::AdapterName;
+use crate::names::AdapterRef;
+use crate::names::PresetName;
+use crate::wire::published::Preset;
+
+/// A value before and after a switch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Change<T> {
+    /// Value in the first preset.
+    pub from: T,
+    /// Value in the second preset.
+    pub to: T,
+}
+
+/// What a switch from one preset to another changes and costs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PresetDiff {
+    /// Preset before.
+    pub from: PresetName,
+    /// Preset after.
+    pub to: PresetName,
+    /// Newly pinned adapters; each is loaded once if it isn't loaded already.
+    pub loads: Vec<AdapterRef>,
+    /// Adapters pinned no longer; each may be evicted when it is idle.
+    pub unpins: Vec<AdapterName>,
+    /// Adapters that stay pinned.
+    pub keeps: Vec<AdapterName>,
+    /// Priorities that change.
+    pub priorities: BTreeMap<AdapterName, Change<Option<u8>>>,
+    /// Weight of load stalls, if it changes.
+    pub stall_weight: Option<Change<u8>>,
+    /// Whether drafts are accepted, if it changes.
+    pub accepting: Option<Change<bool>>,
+    /// Least time that the weight store needs for the loads, in milliseconds.
+    pub store_time_ms: u64,
+}
+
+impl PresetDiff {
+    /// Compares two presets of one configuration.
+    ///
+    /// # Errors
+    ///
+    /// `NotFound` if a preset doesn't exist, `UnknownAdapter` if a newly pinned
+    /// adapter isn't published.
+    pub fn between(
+        publication: &Publication,
+        from: &PresetName,
+        to: &PresetName,
+        store: &StoreBudget,
+    ) -> Result<Self> {
+        let before = find(publication, from)?;
+        let after = find(publication, to)?;
+        let old: BTreeSet<_> = before.pinned.iter().cloned().collect();
+        let new: BTreeSet<_> = after.pinned.iter().cloned().collect();
+        let loads = new
+            .difference(&old)
+            .map(|adapter| newest(publication, adapter))
+            .collect::<Result<Vec<_>>>()?;
+        let store_time: Duration = store.least_time(loads.len());
+        Ok(Self {
+            from: from.clone(),
+            to: to.clone(),
+            loads,
+            unpins: old.difference(&new).cloned().collect(),
+            keeps: old.intersection(&new).cloned().collect(),
+            priorities: priorities(before, after),
+            stall_weight: change(before.stall_weight, after.stall_weight),
+            accepting: change(before.accepting, after.accepting),
+            store_time_ms: u64::try_from(store_time.as_millis()).unwrap_or(u64::MAX),
+        })
+    }
+}
+
+fn find<'a>(publication: &'a Publication, name: &PresetName) -> Result<&'a Preset> {
+    publication.preset(name).ok_or_else(|| {
+        Error::new(ErrorKind::NotFound, format!("preset {:?} does not exist", name.as_str()))
+    })
+}
+
+fn newest(publication: &Publication, adapter: &AdapterName) -> Result<AdapterRef> {
+    let version = publication.adapters().get(adapter).and_then(|published| published.newest());
+    version.map(|version| AdapterRef::new(adapter.clone(), version)).ok_or_else(|| {
+        let detail = format!("pinned adapter {:?} has no published version", adapter.as_str());
+        Error::new(ErrorKind::UnknownAdapter, detail)
+    })
+}
+
+fn priorities(before: &Preset, after: &Preset) -> BTreeMap<AdapterName, Change<Option<u8>>> {
+    let names: BTreeSet<_> = before.priorities.keys().chain(after.priorities.keys()).collect();
+    names
+        .into_iter()
+        .filter_map(|name| {
+            let from = before.priorities.get(name).copied();
+            let to = after.priorities.get(name).copied();
+            Some((name.clone(), change(from, to)?))
+        })
+        .collect()
+}
+
+fn change<T: PartialEq>(from: T, to: T) -> Option<Change<T>> {
+    (from != to).then_some(Change { from, to })
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 //! experiments drive these types directly; [`crate::daemon`] drives them from
 //! the network.
 
+pub mod audit;
 pub mod backends;
 pub mod config;
 pub mod dispatch_end;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 //! 5. [`daemon`]: shards of state that carry events in and actions out.
 
 pub mod auth;
+pub mod cli;
 pub mod daemon;
 pub mod decide;
 pub mod edge;
