Add telemetry: counters summed each second, spans for each hop, the log

Counters are summed in memory and sent once a second, so the bytes sent don't grow with the load. The exporter runs on a thread without a runtime; its HTTP client therefore spawns each export on the daemon's runtime, the timer included.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod error;
 pub mod names;
 pub mod settings;
+pub mod telemetry;
 pub mod wire;
--- a/src/settings/telemetry.rs
+++ b/src/settings/telemetry.rs
@@ -1,13 +1,17 @@
 //! Where logs, metrics and traces go.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 
 use super::section::Section;
 
+const TRACE_PERCENT: u64 = 100;
+const TRACE_PERCENT_BOUNDS: RangeInclusive<u64> = 0..=100;
+
 /// Where logs, metrics and traces go.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Telemetry {
     /// Least severe log line that is written (`log_level`).
     pub log_level: LogLevel,
@@ -15,6 +19,8 @@
     pub statsd: Option<SocketAddr>,
     /// Collector address for traces, OTLP over HTTP (`otlp`); no traces if absent.
     pub otlp: Option<SocketAddr>,
+    /// Share of new traces that are recorded, in percent (`trace_percent`).
+    pub trace_percent: u8,
 }
 
 /// Least severe log line that is written.
@@ -40,6 +46,8 @@
             log_level: section.optional("log_level").unwrap_or_default(),
             statsd: section.optional_addr("statsd"),
             otlp: section.optional_addr("otlp"),
+            trace_percent: section.number("trace_percent", TRACE_PERCENT, TRACE_PERCENT_BOUNDS)
+                as u8,
         };
         section.finish();
         telemetry
--- /dev/null
+++ b/src/telemetry/hop.rs
@@ -0,0 +1,71 @@
+//! The hops of a request.
+
+use opentelemetry::trace::SpanKind;
+
+/// One hop of a request; each is one span.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Hop {
+    /// A draft at the entry instance that the caller called.
+    EntryDraft,
+    /// The entry instance's call to the owner of an engine.
+    DispatchCall,
+    /// A draft at the owner of its engine.
+    OwnerDraft,
+    /// The owner's call to its engine.
+    EngineCall,
+    /// An adapter load that the owner ordered.
+    AdapterLoad,
+    /// A submission at the entry instance that the caller called.
+    EntrySubmission,
+    /// The call to the instance that issued the ticket.
+    ForwardCall,
+    /// A submission at the instance that issued its ticket.
+    IssuerSubmission,
+    /// The call to a desk.
+    DeskCall,
+}
+
+impl Hop {
+    /// Every hop, for tables and tests.
+    pub const ALL: [Self; 9] = [
+        Self::EntryDraft,
+        Self::DispatchCall,
+        Self::OwnerDraft,
+        Self::EngineCall,
+        Self::AdapterLoad,
+        Self::EntrySubmission,
+        Self::ForwardCall,
+        Self::IssuerSubmission,
+        Self::DeskCall,
+    ];
+
+    /// Name of the span.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::EntryDraft => "entry draft",
+            Self::DispatchCall => "dispatch call",
+            Self::OwnerDraft => "owner draft",
+            Self::EngineCall => "engine call",
+            Self::AdapterLoad => "adapter load",
+            Self::EntrySubmission => "entry submission",
+            Self::ForwardCall => "forward call",
+            Self::IssuerSubmission => "issuer submission",
+            Self::DeskCall => "desk call",
+        }
+    }
+
+    /// Side of a call that the span stands for.
+    pub(super) fn kind(self) -> SpanKind {
+        match self {
+            Self::EntryDraft
+            | Self::OwnerDraft
+            | Self::EntrySubmission
+            | Self::IssuerSubmission => SpanKind::Server,
+            Self::DispatchCall
+            | Self::EngineCall
+            | Self::AdapterLoad
+            | Self::ForwardCall
+            | Self::DeskCall => SpanKind::Client,
+        }
+    }
+}
--- /dev/null
+++ b/src/telemetry/mod.rs
@@ -0,0 +1,25 @@
+//! What an instance tells of itself: log lines, metrics and traces.
+//!
+//! Metrics come first; a log line is written only for a change of state. Events
+//! are counted in memory and sent as sums once a second, so the bytes sent don't
+//! grow with the load. Each hop of a request is one span.
+
+mod counter;
+mod gauge;
+mod hop;
+mod log;
+mod metrics;
+mod otlp_client;
+mod span;
+mod timing;
+mod tracer;
+
+pub use counter::Counter;
+pub use gauge::Gauge;
+pub use hop::Hop;
+pub use log::start_log;
+pub use metrics::Metrics;
+pub use metrics::REPORT_INTERVAL;
+pub use span::Span;
+pub use timing::Timing;
+pub use tracer::Tracer;
--- /dev/null
+++ b/tests/support/collector.rs
@@ -0,0 +1,114 @@
+//! Stand-in for a trace collector: OTLP over HTTP, spans kept in memory.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
+use prost::Message;
+
+/// One span as the collector got it.
+#[derive(Clone, Debug)]
+pub struct CollectedSpan {
+    pub instance: String,
+    pub name: String,
+    pub trace_id: Vec<u8>,
+    pub span_id: Vec<u8>,
+    pub parent_id: Vec<u8>,
+    pub failed: bool,
+}
+
+/// A collector on a port of its own.
+pub struct Collector {
+    pub addr: SocketAddr,
+    spans: Arc<Mutex<Vec<CollectedSpan>>>,
+}
+
+impl Collector {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let spans = Arc::new(Mutex::new(Vec::new()));
+        let collected = Arc::clone(&spans);
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let collected = Arc::clone(&collected);
+                thread::spawn(move || serve(stream.unwrap(), &collected));
+            }
+        });
+        Self { addr, spans }
+    }
+
+    /// Waits until `ready` holds of the spans, for at most `limit`; gives them either way.
+    pub fn wait_for(
+        &self,
+        limit: Duration,
+        ready: impl Fn(&[CollectedSpan]) -> bool,
+    ) -> Vec<CollectedSpan> {
+        let until = Instant::now() + limit;
+        loop {
+            let spans = self.spans.lock().unwrap().clone();
+            if ready(&spans) || Instant::now() >= until {
+                return spans;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+fn serve(mut stream: TcpStream, collected: &Mutex<Vec<CollectedSpan>>) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(body) = read_request(&mut reader) {
+        let export = ExportTraceServiceRequest::decode(body.as_slice()).unwrap();
+        collected.lock().unwrap().extend(spans_of(export));
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
+    }
+}
+
+fn read_request(reader: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut len = 0;
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        if line == "\r\n" {
+            break;
+        }
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            len = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; len];
+    reader.read_exact(&mut body).ok()?;
+    Some(body)
+}
+
+fn spans_of(export: ExportTraceServiceRequest) -> Vec<CollectedSpan> {
+    let mut spans = Vec::new();
+    for group in export.resource_spans {
+        let attributes = group.resource.map(|resource| resource.attributes).unwrap_or_default();
+        let instance = attributes.iter().find(|kv| kv.key == "service.instance.id");
+        let instance = format!("{:?}", instance.and_then(|kv| kv.value.clone()));
+        let instance = instance.split('"').nth(1).unwrap_or_default().to_owned();
+        for span in group.scope_spans.into_iter().flat_map(|scope| scope.spans) {
+            spans.push(CollectedSpan {
+                instance: instance.clone(),
+                name: span.name,
+                trace_id: span.trace_id,
+                span_id: span.span_id,
+                parent_id: span.parent_span_id,
+                failed: span.status.is_some_and(|status| status.code == 2),
+            });
+        }
+    }
+    spans
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Small fixtures shared by tests.
+
+pub mod collector;
--- /dev/null
+++ b/tests/telemetry.rs
@@ -0,0 +1,135 @@
+//! Metrics reach a StatsD address; spans of several instances form one tree.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+use support::collector::Collector;
+use tamaracklead::error::Error;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::names::DataCentre;
+use tamaracklead::names::InstanceName;
+use tamaracklead::telemetry::Counter;
+use tamaracklead::telemetry::Gauge;
+use tamaracklead::telemetry::Hop;
+use tamaracklead::telemetry::Metrics;
+use tamaracklead::telemetry::Timing;
+use tamaracklead::telemetry::Tracer;
+use tokio::runtime::Runtime;
+
+const PARENT: &str = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+const EXPORT_LIMIT: Duration = Duration::from_secs(10);
+
+fn receive(socket: &UdpSocket) -> BTreeSet<String> {
+    let mut buf = [0; 2048];
+    let len = socket.recv(&mut buf).unwrap();
+    String::from_utf8_lossy(&buf[..len]).lines().map(str::to_owned).collect()
+}
+
+fn statsd() -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(EXPORT_LIMIT)).unwrap();
+    socket
+}
+
+fn tracer(name: &str, collector: &Collector, runtime: &Runtime) -> Tracer {
+    let instance = InstanceName::new(name);
+    let data_centre = DataCentre::new("cairo-a");
+    let handle = runtime.handle().clone();
+    Tracer::start(&instance, &data_centre, Some(collector.addr), 100, handle).unwrap()
+}
+
+#[test]
+fn sums_since_the_last_report_are_sent() {
+    let socket = statsd();
+    let addr = socket.local_addr().unwrap();
+    let metrics = Metrics::start(&InstanceName::new("cairo.a-1"), Some(addr)).unwrap();
+    for _ in 0..3 {
+        metrics.count(Counter::LoadStalled);
+    }
+    metrics.count(Counter::Retried);
+    metrics.time(Timing::LoadStall, Duration::from_millis(250));
+    metrics.report(&[(Gauge::BatchFillPercent, 75)]);
+    let expected = [
+        "tamaracklead.cairo_a-1.load_stalls:3|c",
+        "tamaracklead.cairo_a-1.retries:1|c",
+        "tamaracklead.cairo_a-1.load_stall_time:250|ms",
+        "tamaracklead.cairo_a-1.batch_fill_percent:75|g",
+    ];
+    assert_eq!(receive(&socket), expected.map(str::to_owned).into());
+    metrics.count(Counter::Retried);
+    metrics.report(&[]);
+    assert_eq!(receive(&socket), ["tamaracklead.cairo_a-1.retries:1|c".to_owned()].into());
+    assert_eq!(metrics.total(Counter::Retried), 2);
+}
+
+#[test]
+fn metric_names_are_distinct_and_each_counter_has_its_place() {
+    let mut names = BTreeSet::new();
+    names.extend(Counter::ALL.map(Counter::name));
+    names.extend(Timing::ALL.map(Timing::name));
+    names.extend(Gauge::ALL.map(Gauge::name));
+    assert_eq!(names.len(), Counter::ALL.len() + Timing::ALL.len() + Gauge::ALL.len());
+    let metrics = Metrics::off();
+    for (i, counter) in Counter::ALL.into_iter().enumerate() {
+        assert_eq!(counter as usize, i);
+        metrics.count(counter);
+        assert_eq!(metrics.total(counter), 1);
+    }
+}
+
+#[test]
+fn spans_of_two_instances_form_one_tree() {
+    let collector = Collector::start();
+    let runtime = Runtime::new().unwrap();
+    let entry = tracer("entry-1", &collector, &runtime);
+    let owner = tracer("entry-2", &collector, &runtime);
+    {
+        let draft = entry.span(Hop::EntryDraft, Some(PARENT));
+        let call = entry.span(Hop::DispatchCall, draft.traceparent().as_deref());
+        let at_owner = owner.span(Hop::OwnerDraft, call.traceparent().as_deref());
+        let engine = owner.span(Hop::EngineCall, at_owner.traceparent().as_deref());
+        engine.set("engine", "engine-1");
+        engine.fail(&Error::new(ErrorKind::BackendFailed, "the answer broke off"));
+    }
+    entry.shutdown();
+    owner.shutdown();
+    let spans = collector.wait_for(EXPORT_LIMIT, |spans| spans.len() == 4);
+    let find = |hop: Hop| spans.iter().find(|span| span.name == hop.name()).unwrap();
+    let chain = [Hop::EntryDraft, Hop::DispatchCall, Hop::OwnerDraft, Hop::EngineCall].map(find);
+    for pair in chain.windows(2) {
+        assert_eq!(pair[1].parent_id, pair[0].span_id, "{} below {}", pair[1].name, pair[0].name);
+        assert_eq!(pair[1].trace_id, pair[0].trace_id);
+    }
+    assert_eq!(
+        chain.map(|span| span.instance.as_str()),
+        ["entry-1", "entry-1", "entry-2", "entry-2"]
+    );
+    assert_eq!(chain.map(|span| span.failed), [false, false, false, true]);
+    let root = &chain[0];
+    let hex = |bytes: &[u8]| bytes.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+    assert_eq!(PARENT, format!("00-{}-{}-01", hex(&root.trace_id), hex(&root.parent_id)));
+}
+
+#[test]
+fn without_a_collector_the_context_is_passed_on() {
+    let tracer = Tracer::off();
+    let span = tracer.span(Hop::EntryDraft, Some(PARENT));
+    assert_eq!(span.traceparent().as_deref(), Some(PARENT));
+    assert_eq!(tracer.span(Hop::EntryDraft, None).traceparent(), None);
+}
+
+#[test]
+fn a_damaged_context_begins_a_new_trace() {
+    let collector = Collector::start();
+    let runtime = Runtime::new().unwrap();
+    let tracer = tracer("entry-1", &collector, &runtime);
+    for parent in ["", "00-zz-zz-01", "00-0af7651916cd43dd8448eb211c80319c", "é"] {
+        let span = tracer.span(Hop::EntryDraft, Some(parent));
+        let passed_on = span.traceparent().unwrap();
+        assert!(passed_on.starts_with("00-") && passed_on.len() == PARENT.len(), "{passed_on}");
+    }
+    tracer.shutdown();
+}
