Add the tool's commands that call instances

A submission is sent again with the same ticket, or with a new one only while every earlier attempt is proven not to have run; an answer of not run after a lost attempt proves nothing about the lost one.

--- a/src/bin/tamaracklead/clap_app.rs
+++ b/src/bin/tamaracklead/clap_app.rs
@@ -1,12 +1,15 @@
 //! The tool's command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::Arg;
 use clap::ArgAction;
 use clap::Command;
 use clap::value_parser;
+use clap_complete::Shell;
 use tamaracklead::decide::audit::SlotBudget;
+use tamaracklead::names::RequestId;
 
 /// Describes the command line.
 pub fn build_app() -> Command {
@@ -25,6 +28,12 @@
         .subcommand(settings())
         .subcommand(config())
         .subcommand(preset())
+        .subcommand(operator(Command::new("status").about("Show instances, engines and queues")))
+        .subcommand(explain())
+        .subcommand(ask())
+        .subcommand(submit())
+        .subcommand(outcome())
+        .subcommand(completions())
 }
 
 fn settings() -> Command {
@@ -79,7 +88,121 @@
                 .value_parser(value_parser!(u64).range(1..=10_000))
                 .help("Loads in flight at which each still runs at full speed"),
         );
-    group("preset", "Presets of the published configuration").subcommand(diff)
+    let wait = Command::new("wait")
+        .about("Wait until a generation is in effect everywhere, or show who is behind")
+        .arg(number("generation", "GENERATION").required(true).help("Generation to wait for"))
+        .arg(
+            number("timeout-s", "SECONDS")
+                .long("timeout-s")
+                .default_value("30")
+                .help("Longest wait"),
+        );
+    group("preset", "Presets of the published configuration")
+        .subcommand(diff)
+        .subcommand(operator(wait))
+}
+
+fn explain() -> Command {
+    let explain = Command::new("explain").about("Show where one request went and why").arg(
+        Arg::new("request")
+            .value_name("REQUEST")
+            .required(true)
+            .value_parser(value_parser!(RequestId))
+            .help("Value of the answer's X-Request-Id header"),
+    );
+    operator(explain)
+}
+
+fn ask() -> Command {
+    let ask = Command::new("ask")
+        .about("Ask for a draft and stream it")
+        .arg(Arg::new("adapter").value_name("ADAPTER").required(true).help("Adapter to answer"))
+        .arg(Arg::new("prompt").value_name("PROMPT").required(true).help("Text, or - for stdin"))
+        .arg(
+            number("version", "VERSION")
+                .long("adapter-version")
+                .help("Version to answer [default: newest]"),
+        )
+        .arg(
+            Arg::new("max-tokens")
+                .long("max-tokens")
+                .value_name("COUNT")
+                .default_value("256")
+                .value_parser(value_parser!(u32))
+                .help("Most tokens to generate"),
+        )
+        .arg(
+            Arg::new("priority")
+                .long("priority")
+                .value_name("0-9")
+                .value_parser(value_parser!(u8).range(0..=9))
+                .help("Priority, 9 is the highest"),
+        )
+        .arg(number("deadline-ms", "MS").long("deadline-ms").help("Time to the answer's begin"));
+    caller(ask)
+}
+
+fn submit() -> Command {
+    let submit = Command::new("submit")
+        .about("Get a ticket, submit, and send again as far as that can't run it twice")
+        .arg(Arg::new("file").value_name("FILE").required(true).help("JSON body, or - for stdin"))
+        .arg(
+            Arg::new("attempts")
+                .long("attempts")
+                .value_name("COUNT")
+                .default_value("5")
+                .value_parser(value_parser!(u32).range(1..=100))
+                .help("Attempts in all"),
+        );
+    caller(submit)
+}
+
+fn outcome() -> Command {
+    let outcome = Command::new("outcome")
+        .about("Tell what became of a submission")
+        .arg(Arg::new("ticket").value_name("TICKET").required(true).help("The ticket"));
+    caller(outcome)
+}
+
+fn completions() -> Command {
+    Command::new("completions").about("Write completions for a shell").arg(
+        Arg::new("shell")
+            .value_name("SHELL")
+            .required(true)
+            .value_parser(value_parser!(Shell))
+            .help("Shell to complete for"),
+    )
+}
+
+/// Adds the arguments of commands that ask operator listeners.
+fn operator(command: Command) -> Command {
+    access(command, "operator", "operator-key", "Operator listener of an instance")
+        .mut_arg("operator-key", |arg| arg.required(true))
+}
+
+/// Adds the arguments of commands that call caller listeners.
+fn caller(command: Command) -> Command {
+    access(command, "entry", "key", "Caller listener of an instance")
+}
+
+fn access(command: Command, addr: &'static str, key: &'static str, help: &'static str) -> Command {
+    let addr = Arg::new(addr)
+        .long(addr)
+        .value_name("ADDR")
+        .required(true)
+        .action(ArgAction::Append)
+        .value_parser(value_parser!(SocketAddr))
+        .help(format!("{help}; repeat it to name others to try"));
+    let key = Arg::new(key)
+        .long(key)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .help("File of the bearer key");
+    command.arg(addr).arg(key)
+}
+
+fn number(id: &'static str, value_name: &'static str) -> Arg {
+    Arg::new(id).value_name(value_name).value_parser(value_parser!(u64))
 }
 
 fn group(name: &'static str, about: &'static str) -> Command {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -1,10 +1,15 @@
 //! What the command line asks for.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use crate::decide::audit::SlotBudget;
 use crate::decide::audit::StoreBudget;
+use crate::names::Generation;
 use crate::names::PresetName;
+use crate::names::RequestId;
+use crate::wire::caller::CompletionRequest;
 
 /// One call of the tool.
 #[derive(Clone, Debug)]
@@ -17,6 +22,26 @@
     pub width: usize,
 }
 
+/// Which instances to ask, and with which key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Access {
+    /// Addresses, tried in this order.
+    pub addrs: Vec<SocketAddr>,
+    /// File of the bearer key, if one is needed.
+    pub key_file: Option<PathBuf>,
+}
+
+/// Where a caller's text or body comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Standard input.
+    Stdin,
+    /// A file.
+    File(PathBuf),
+    /// The command line.
+    Text(String),
+}
+
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Command {
@@ -43,4 +68,55 @@
         /// What the weight store can deliver.
         store: StoreBudget,
     },
+    /// Waits until a generation is in effect everywhere.
+    PresetWait {
+        /// The generation.
+        generation: Generation,
+        /// Longest wait.
+        limit: Duration,
+        /// Operator listeners.
+        access: Access,
+    },
+    /// Shows instances, owned engines, slots and queues.
+    Status {
+        /// Operator listeners.
+        access: Access,
+    },
+    /// Shows where one request went and why.
+    Explain {
+        /// Identifier of the request.
+        request_id: RequestId,
+        /// Operator listeners.
+        access: Access,
+    },
+    /// Asks for a draft and streams it.
+    Ask {
+        /// The request, without its prompt.
+        request: CompletionRequest,
+        /// Where the prompt comes from.
+        prompt: Input,
+        /// Caller listeners.
+        access: Access,
+    },
+    /// Gets a ticket, submits, and re-sends safely.
+    Submit {
+        /// Where the body comes from.
+        body: Input,
+        /// Attempts in all.
+        attempts: u32,
+        /// Caller listeners.
+        access: Access,
+    },
+    /// Tells what became of a submission.
+    Outcome {
+        /// The submission's ticket.
+        ticket: String,
+        /// Caller listeners.
+        access: Access,
+    },
+    /// Writes a file of completions that the program has made.
+    Completions {
+        /// The completions.
+        script: Vec<u8>,
+    },
 }
--- a/src/cli/failure.rs
+++ b/src/cli/failure.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 
 use super::Exit;
+use crate::edge::CallFailure;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Problem;
@@ -36,6 +37,12 @@
     }
 }
 
+impl From<CallFailure> for Failure {
+    fn from(failure: CallFailure) -> Self {
+        Self::new(Exit::Unreachable, failure.into_error(ErrorKind::PeerUnreachable))
+    }
+}
+
 impl From<io::Error> for Failure {
     fn from(e: io::Error) -> Self {
         let detail = format!("output can't be written: {e}");
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,25 +4,39 @@
 //! [`Command`]; [`run`] does the work and gives the exit code. Every command
 //! builds one report, which is shown as text or, with `--json`, as JSON.
 
+mod ask;
 mod command;
 mod config_check;
 mod exit;
+mod explain;
 mod failure;
+mod input;
+mod instances;
+mod outcome;
 mod preset_diff;
+mod preset_wait;
 mod published_dir;
 mod report;
 mod settings_check;
+mod status;
+mod submit;
 mod table;
 
+use std::future::Future;
+use std::io::Write;
+
+pub use command::Access;
 pub use command::Command;
 pub use command::Config;
+pub use command::Input;
 pub use exit::Exit;
 pub use failure::Failure;
+use report::Output;
 pub use table::Table;
+use tokio::runtime::Builder;
 
-use std::io::Write;
-
-use report::Output;
+use crate::error::Error;
+use crate::error::ErrorKind;
 
 /// Runs one command; reports go to `out`, failures to `err`.
 pub fn run(cfg: &Config, out: &mut dyn Write, err: &mut dyn Write) -> Exit {
@@ -33,6 +47,23 @@
         Command::PresetDiff { path, from, to, store } => {
             preset_diff::run(path, from, to, store, &mut output)
         }
+        Command::PresetWait { generation, limit, access } => {
+            block_on(preset_wait::run(*generation, *limit, access, &mut output))
+        }
+        Command::Status { access } => block_on(status::run(access, &mut output)),
+        Command::Explain { request_id, access } => {
+            block_on(explain::run(*request_id, access, &mut output))
+        }
+        Command::Ask { request, prompt, access } => {
+            block_on(ask::run(request, prompt, access, &mut output))
+        }
+        Command::Submit { body, attempts, access } => {
+            block_on(submit::run(body, *attempts, access, &mut output, err))
+        }
+        Command::Outcome { ticket, access } => block_on(outcome::run(ticket, access, &mut output)),
+        Command::Completions { script } => {
+            output.bytes(script).map(|()| Exit::Success).map_err(Failure::from)
+        }
     };
     match result {
         Ok(exit) => exit,
@@ -49,3 +80,12 @@
         }
     }
 }
+
+/// Runs a command that calls instances, on a runtime of one thread.
+fn block_on(command: impl Future<Output = Result<Exit, Failure>>) -> Result<Exit, Failure> {
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| {
+        let error = Error::new(ErrorKind::Internal, format!("runtime can't be started: {e}"));
+        Failure::new(Exit::Failed, error)
+    })?;
+    runtime.block_on(command)
+}
--- a/src/cli/report.rs
+++ b/src/cli/report.rs
@@ -33,6 +33,29 @@
         text(report, self)
     }
 
+    /// Whether reports are JSON.
+    pub(super) fn is_json(&self) -> bool {
+        self.json
+    }
+
+    /// Writes text without ending the line, at once.
+    pub(super) fn piece(&mut self, text: &str) -> io::Result<()> {
+        self.bytes(text.as_bytes())
+    }
+
+    /// Writes bytes as they are, at once.
+    pub(super) fn bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.out.write_all(bytes)?;
+        self.out.flush()
+    }
+
+    /// Writes one message as a line of JSON, at once.
+    pub(super) fn json_line<T: Serialize>(&mut self, message: &T) -> io::Result<()> {
+        serde_json::to_writer(&mut *self.out, message)?;
+        writeln!(self.out)?;
+        self.out.flush()
+    }
+
     /// Writes one line.
     pub(super) fn line(&mut self, line: impl AsRef<str>) -> io::Result<()> {
         writeln!(self.out, "{}", line.as_ref())
--- /dev/null
+++ b/src/decide/convergence.rs
@@ -0,0 +1,72 @@
+//! Whether a generation is in effect at every instance.
+
+use serde::Serialize;
+
+use crate::names::Generation;
+use crate::names::InstanceName;
+use crate::wire::operator::FleetMember;
+
+/// An instance that doesn't have a generation in effect.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Behind {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Generation in effect there, if it is known.
+    pub generation: Option<Generation>,
+    /// Why it counts as behind.
+    pub reason: String,
+}
+
+/// How far a generation has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Convergence {
+    /// The generation asked for.
+    pub wanted: Generation,
+    /// Instances that have it, or a higher one, in effect.
+    pub in_effect: Vec<InstanceName>,
+    /// Instances that don't.
+    pub behind: Vec<Behind>,
+}
+
+impl Convergence {
+    /// Compares what each instance answered with the generation asked for.
+    ///
+    /// An instance that doesn't answer counts as behind, unless the platform
+    /// lists it as leaving.
+    pub fn of(wanted: Generation, members: &[FleetMember]) -> Self {
+        let mut convergence = Self { wanted, in_effect: Vec::new(), behind: Vec::new() };
+        for member in members {
+            convergence.add(member);
+        }
+        convergence
+    }
+
+    /// Whether the generation is in effect everywhere.
+    pub fn is_complete(&self) -> bool {
+        self.behind.is_empty() && !self.in_effect.is_empty()
+    }
+
+    fn add(&mut self, member: &FleetMember) {
+        let Some(status) = &member.status else {
+            if !member.leaving {
+                let cause = member.error.as_deref().unwrap_or("no answer");
+                self.add_behind(member, None, cause.to_owned());
+            }
+            return;
+        };
+        match status.generation {
+            Some(generation) if generation >= self.wanted => {
+                self.in_effect.push(member.instance.clone());
+            }
+            Some(generation) => {
+                let reason = format!("generation {generation} is in effect");
+                self.add_behind(member, Some(generation), reason);
+            }
+            None => self.add_behind(member, None, "no configuration yet".to_owned()),
+        }
+    }
+
+    fn add_behind(&mut self, member: &FleetMember, generation: Option<Generation>, reason: String) {
+        self.behind.push(Behind { instance: member.instance.clone(), generation, reason });
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,11 +8,13 @@
 pub mod audit;
 pub mod backends;
 pub mod config;
+pub mod convergence;
 pub mod dispatch_end;
 pub mod engine;
 pub mod membership;
 pub mod ownership;
 pub mod rendezvous;
 pub mod replay_window;
+pub mod resend;
 pub mod routing;
 pub mod submissions;
--- a/src/error/problem.rs
+++ b/src/error/problem.rs
@@ -1,5 +1,7 @@
 //! Problem documents, the error bodies that callers get (RFC 9457).
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,3 +39,13 @@
         }
     }
 }
+
+impl From<Problem> for Error {
+    fn from(problem: Problem) -> Self {
+        Self {
+            kind: problem.kind,
+            detail: problem.detail,
+            retry_after: problem.retry_after_s.map(Duration::from_secs),
+        }
+    }
+}
--- a/src/settings/key.rs
+++ b/src/settings/key.rs
@@ -36,12 +36,26 @@
         &self.0
     }
 
+    /// Reads a key file, without the newline at its end.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the file, naming it.
+    pub fn read(path: &Path) -> Result<Self, String> {
+        let text = fs::read_to_string(path)
+            .map_err(|e| format!("key file {} can't be read: {e}", path.display()))?;
+        Self::from_text(&text)
+    }
+
     pub(super) fn from_source(source: KeySource, base: &Path) -> Result<Self, String> {
         let text = match source {
             KeySource::Value(text) => text,
-            KeySource::File(path) => fs::read_to_string(base.join(&path))
-                .map_err(|e| format!("key file {} can't be read: {e}", path.display()))?,
+            KeySource::File(path) => return Self::read(&base.join(&path)),
         };
+        Self::from_text(&text)
+    }
+
+    fn from_text(text: &str) -> Result<Self, String> {
         let text = text.trim_end_matches(['\r', '\n']);
         if text.len() < MIN_KEY_BYTES {
             return Err(format!("key of {} bytes, needs {MIN_KEY_BYTES} or more", text.len()));
--- a/src/wire/caller.rs
+++ b/src/wire/caller.rs
@@ -114,3 +114,32 @@
     /// Receipt number that the desk gave.
     pub receipt: String,
 }
+
+/// Answer of `GET /v1/submissions`: what became of a submission.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubmissionStatus {
+    /// Identifier of the submission.
+    pub id: RequestId,
+    /// Its state.
+    #[serde(flatten)]
+    pub state: SubmissionState,
+}
+
+/// State of a submission.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "snake_case")]
+pub enum SubmissionState {
+    /// The ticket has not been used.
+    Unused,
+    /// It is running.
+    Running,
+    /// It ran.
+    Done {
+        /// Receipt number that the desk gave.
+        receipt: String,
+    },
+    /// It is proven not to have run, and the ticket is void.
+    NotRun,
+    /// It may or may not have run.
+    Unknown,
+}
--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -40,12 +40,36 @@
     pub engine: BackendName,
     /// Adapters in its slots.
     pub loaded: Vec<AdapterRef>,
+    /// How many adapters it holds at once.
+    pub slots: usize,
+    /// How many requests it runs at once.
+    pub batch: usize,
     /// Requests that run on it.
     pub running: usize,
     /// Requests that wait for it.
     pub waiting: usize,
 }
 
+/// Answer of `GET /operator/v1/fleet`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetStatus {
+    /// Every listed instance, the answering one first.
+    pub members: Vec<FleetMember>,
+}
+
+/// One listed instance and what it answered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetMember {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Whether the platform lists it as leaving.
+    pub leaving: bool,
+    /// Its state, if it answered.
+    pub status: Option<Status>,
+    /// Why it didn't answer, otherwise.
+    pub error: Option<String>,
+}
+
 /// Answer of `GET /operator/v1/requests/ID`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Explanation {
--- a/tests/support/collector.rs
+++ b/tests/support/collector.rs
@@ -1,11 +1,6 @@
 //! Stand-in for a trace collector: OTLP over HTTP, spans kept in memory.
 
-use std::io::BufRead;
-use std::io::BufReader;
-use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -15,6 +10,9 @@
 use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
 use prost::Message;
 
+use super::stub_server::StubReply;
+use super::stub_server::StubServer;
+
 /// One span as the collector got it.
 #[derive(Clone, Debug)]
 pub struct CollectedSpan {
@@ -34,17 +32,14 @@
 
 impl Collector {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let addr = listener.local_addr().unwrap();
         let spans = Arc::new(Mutex::new(Vec::new()));
         let collected = Arc::clone(&spans);
-        thread::spawn(move || {
-            for stream in listener.incoming() {
-                let collected = Arc::clone(&collected);
-                thread::spawn(move || serve(stream.unwrap(), &collected));
-            }
+        let server = StubServer::start(move |req| {
+            let export = ExportTraceServiceRequest::decode(req.body.as_slice()).unwrap();
+            collected.lock().unwrap().extend(spans_of(export));
+            StubReply::status(200)
         });
-        Self { addr, spans }
+        Self { addr: server.addr, spans }
     }
 
     /// Waits until `ready` holds of the spans, for at most `limit`; gives them either way.
@@ -64,34 +59,6 @@
     }
 }
 
-fn serve(mut stream: TcpStream, collected: &Mutex<Vec<CollectedSpan>>) {
-    let mut reader = BufReader::new(stream.try_clone().unwrap());
-    while let Some(body) = read_request(&mut reader) {
-        let export = ExportTraceServiceRequest::decode(body.as_slice()).unwrap();
-        collected.lock().unwrap().extend(spans_of(export));
-        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").unwrap();
-    }
-}
-
-fn read_request(reader: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut len = 0;
-    loop {
-        let mut line = String::new();
-        if reader.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        if line == "\r\n" {
-            break;
-        }
-        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
-            len = value.trim().parse().unwrap();
-        }
-    }
-    let mut body = vec![0; len];
-    reader.read_exact(&mut body).ok()?;
-    Some(body)
-}
-
 fn spans_of(export: ExportTraceServiceRequest) -> Vec<CollectedSpan> {
     let mut spans = Vec::new();
     for group in export.resource_spans {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,3 +1,5 @@
-//! Small fixtures shared by tests.
+//! Small fixtures shared by tests; no test uses all of them.
+#![allow(dead_code)]
 
 pub mod collector;
+pub mod stub_server;
