--- /dev/null
+++ b/tests/contract_backends.rs
@@ -0,0 +1,151 @@
+//! Contract towards engines and desks: each answer, good or bad, and what the caller is told.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use support::daemon::Daemon;
+use support::http::Answer;
+use support::http::Call;
+use support::platform::Platform;
+use support::stub_server::StubReply;
+
+const GENERATE: &str = "POST /v1/generate";
+const SUBMIT: &str = "POST /v1/submissions";
+
+fn ask(daemon: &Daemon, deadline_ms: u64) -> Answer {
+    let body = json!({"adapter": "heats", "version": 1, "prompt": "x", "deadline_ms": deadline_ms});
+    Call::post("/v1/completions", body.to_string()).send(daemon.caller)
+}
+
+fn submit(daemon: &Daemon) -> Answer {
+    let ticket = Call::post("/v1/tickets", "").send(daemon.caller).json();
+    Call::post("/v1/submissions", "{\"swimmer\":4}")
+        .header("ticket", ticket["ticket"].as_str().unwrap())
+        .send(daemon.caller)
+}
+
+fn stream(text: &str) -> StubReply {
+    StubReply::Whole(200, "text/event-stream", text.as_bytes().to_vec())
+}
+
+fn refusal(reason: &str) -> StubReply {
+    StubReply::json(409, &json!({"refusal": reason, "fencing": 5}))
+}
+
+#[test]
+fn an_answer_of_another_request_adapter_or_version_is_withheld() {
+    let lies: [(&str, Value); 4] = [
+        ("adapter", json!({"adapter": "lanes", "version": 1})),
+        ("adapter", json!({"adapter": "heats", "version": 2})),
+        ("request_id", json!("000000000000000000000000000000ff")),
+        ("adapter", json!({"adapter": "heats", "version": 0})),
+    ];
+    for (field, value) in lies {
+        let platform = Platform::start();
+        let daemon = Daemon::start("entry-1", &platform, |_| {});
+        platform.lie(field, value.clone());
+        let answer = ask(&daemon, 3000);
+        assert_eq!(answer.kind(), "wrong_answer", "{field} {value}");
+        assert!(!answer.text().contains("hello"), "{}", answer.text());
+        assert_eq!(answer.json()["not_run"], false);
+        platform.heal();
+        assert_eq!(ask(&daemon, 3000).status, 200, "after {field} {value}");
+    }
+}
+
+#[test]
+fn each_bad_answer_of_an_engine_has_its_kind() {
+    let started = "data: {\"event\":\"started\",\"request_id\":\"00\"}\n\n";
+    let cases: Vec<(&str, StubReply, &[&str])> = vec![
+        ("closed", StubReply::Closed, &["backend_failed"]),
+        ("status 500", StubReply::status(500), &["backend_failed"]),
+        ("not events", stream("hello"), &["backend_failed"]),
+        ("empty stream", stream(""), &["backend_failed"]),
+        ("malformed event", stream("data: {\"event\":\n\n"), &["backend_failed"]),
+        ("incomplete event", stream(started), &["backend_failed"]),
+        ("unknown event", stream("data: {\"event\":\"more\"}\n\n"), &["backend_failed"]),
+        (
+            "truncated",
+            StubReply::BrokenOff("text/event-stream", started.into()),
+            &["backend_failed"],
+        ),
+        ("oversized event", stream(&"x".repeat(2 << 20)), &["backend_failed"]),
+        ("refused", refusal("full"), &["overloaded"]),
+        ("old fencing number", refusal("old_fencing"), &["not_owner"]),
+    ];
+    for (name, reply, kinds) in cases {
+        let platform = Platform::start();
+        let daemon = Daemon::start("entry-1", &platform, |_| {});
+        platform.script(GENERATE, reply);
+        let answer = ask(&daemon, 1500);
+        let kind = answer.kind();
+        assert!(kinds.contains(&kind.as_str()), "{name}: {}", answer.text());
+        assert!(answer.header("retry-after").is_some(), "{name}: {}", answer.head);
+    }
+}
+
+#[test]
+fn a_slow_engine_ends_at_the_deadline() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    platform.script_slow(GENERATE, Duration::from_secs(4), stream(""));
+    let answer = ask(&daemon, 500);
+    assert_eq!(answer.kind(), "deadline_exceeded");
+    assert_eq!(answer.json()["not_run"], false);
+}
+
+#[test]
+fn an_order_that_fails_is_never_taken_for_a_load() {
+    let bad = [
+        ("refused", refusal("load_failed")),
+        ("status 500", StubReply::status(500)),
+        ("malformed", StubReply::Whole(200, "application/json", b"{".to_vec())),
+        ("closed", StubReply::Closed),
+    ];
+    for (name, reply) in bad {
+        let platform = Platform::start();
+        let daemon = Daemon::start("entry-1", &platform, |_| {});
+        platform.script("POST /v1/orders", reply);
+        let answer = ask(&daemon, 1000);
+        assert_ne!(answer.status, 200, "{name}");
+        assert_eq!(answer.json()["not_run"], true, "{name}: {}", answer.text());
+        assert_eq!(platform.drafts(), 0, "{name}");
+    }
+}
+
+#[test]
+fn a_desk_is_called_once_whatever_it_answers() {
+    let wrong_id = json!({"submission_id": "000000000000000000000000000000ff", "receipt": "r-2"});
+    let cases: Vec<(&str, StubReply)> = vec![
+        ("closed", StubReply::Closed),
+        ("status 500", StubReply::status(500)),
+        ("malformed", StubReply::Whole(200, "application/json", b"{".to_vec())),
+        ("wrong type", StubReply::json(200, &json!({"receipt": 4}))),
+        ("another submission's receipt", StubReply::json(200, &wrong_id)),
+        ("truncated", StubReply::BrokenOff("application/json", b"{\"rec".to_vec())),
+        ("oversized", StubReply::Whole(200, "application/json", vec![b' '; 9 << 20])),
+    ];
+    for (name, reply) in cases {
+        let platform = Platform::start();
+        let daemon = Daemon::start("entry-1", &platform, |_| {});
+        platform.script(SUBMIT, reply);
+        let answer = submit(&daemon);
+        assert_eq!(answer.kind(), "outcome_unknown", "{name}");
+        assert_eq!(answer.json()["not_run"], false, "{name}");
+        assert_eq!(platform.submissions().len(), 1, "{name}");
+    }
+}
+
+#[test]
+fn a_desk_that_can_not_be_reached_is_not_run() {
+    let platform = Platform::start();
+    platform.move_desk(support::daemon::free_addr());
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    let answer = submit(&daemon);
+    assert_eq!(answer.kind(), "no_backend");
+    assert_eq!(answer.json()["not_run"], true);
+    assert!(platform.submissions().is_empty());
+}
--- /dev/null
+++ b/tests/contract_peers.rs
@@ -0,0 +1,189 @@
+//! Contract between entry instances: signatures, messages, and forwarding.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use support::daemon::Daemon;
+use support::daemon::PEER_KEY;
+use support::daemon::wait_until;
+use support::http::Call;
+use support::platform::Platform;
+use tamaracklead::auth::PeerSigner;
+use tamaracklead::auth::SIGNATURE_HEADER;
+use tamaracklead::auth::SignedRequest;
+use tamaracklead::auth::random_nonce;
+use tamaracklead::auth::wall_clock;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::WallTime;
+use tamaracklead::settings::Key;
+
+const HELLO: &str = "/peer/v1/hello";
+const SEEN_LIMIT: Duration = Duration::from_secs(15);
+
+struct Signed<'a> {
+    path: &'a str,
+    receiver: &'a str,
+    key: &'a str,
+    sent: WallTime,
+    body: Vec<u8>,
+}
+
+impl<'a> Signed<'a> {
+    fn new(path: &'a str, body: Vec<u8>) -> Self {
+        Self { path, receiver: "entry-1", key: PEER_KEY, sent: wall_clock(), body }
+    }
+
+    fn call(&self) -> Call {
+        let signer = PeerSigner::new(Key::new(self.key.as_bytes()), InstanceName::new("entry-9"));
+        let receiver = InstanceName::new(self.receiver);
+        let request = SignedRequest {
+            method: "POST",
+            path: self.path,
+            receiver: &receiver,
+            body: &self.body,
+        };
+        let signature = signer.sign(self.sent, random_nonce().unwrap(), &request);
+        Call::post(self.path, self.body.clone()).header(SIGNATURE_HEADER, &signature.to_string())
+    }
+}
+
+fn hello() -> Vec<u8> {
+    let message = tamaracklead::wire::peer::Hello {
+        name: InstanceName::new("entry-9"),
+        incarnation: tamaracklead::names::Incarnation(4),
+        generation: None,
+        draining: false,
+    };
+    tamaracklead::wire::frame::encode(&message).unwrap().to_vec()
+}
+
+#[test]
+fn each_peer_message_has_its_answer() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    let good = Signed::new(HELLO, hello()).call();
+    let mut tampered = good.clone();
+    tampered.body.push(0);
+    let old = WallTime(wall_clock().0 - 60_000);
+    let mut slow = Signed::new(HELLO, hello()).call();
+    slow.pause = Duration::from_millis(1500);
+    let oversized = vec![0; 5 * 1024 * 1024];
+    let cases: Vec<(&str, Call, u16, &str)> = vec![
+        ("good", good.clone(), 200, ""),
+        ("replayed", good, 401, "unauthenticated"),
+        ("unsigned", Call::post(HELLO, hello()), 401, "unauthenticated"),
+        ("tampered", tampered, 401, "unauthenticated"),
+        (
+            "signed with another key",
+            Signed { key: "another-key-of-16-bytes", ..Signed::new(HELLO, hello()) }.call(),
+            401,
+            "unauthenticated",
+        ),
+        (
+            "for another receiver",
+            Signed { receiver: "entry-2", ..Signed::new(HELLO, hello()) }.call(),
+            401,
+            "unauthenticated",
+        ),
+        (
+            "too old",
+            Signed { sent: old, ..Signed::new(HELLO, hello()) }.call(),
+            401,
+            "unauthenticated",
+        ),
+        ("malformed", Signed::new(HELLO, b"\xc1".to_vec()).call(), 400, "malformed"),
+        ("truncated message", Signed::new(HELLO, hello()[..9].to_vec()).call(), 400, "malformed"),
+        ("empty", Signed::new(HELLO, Vec::new()).call(), 400, "malformed"),
+        ("malformed dispatch", Signed::new("/peer/v1/dispatch", hello()).call(), 400, "malformed"),
+        ("malformed submission", Signed::new("/peer/v1/submit", hello()).call(), 400, "malformed"),
+        ("unknown path", Signed::new("/peer/v1/nothing", hello()).call(), 404, "not_found"),
+        ("callers' path", Signed::new("/v1/tickets", Vec::new()).call(), 404, "not_found"),
+        ("oversized", Call::post(HELLO, oversized), 413, "too_large"),
+        ("slow sender", slow, 408, "slow_sender"),
+    ];
+    for (name, call, status, kind) in cases {
+        let answer = call.send(daemon.peer);
+        assert_eq!(answer.status, status, "{name}: {}", answer.text());
+        if !kind.is_empty() {
+            assert_eq!(answer.kind(), kind, "{name}");
+        }
+    }
+}
+
+/// Two daemons that know each other.
+fn pair(platform: &Platform) -> [Daemon; 2] {
+    let daemons = ["entry-1", "entry-2"].map(|name| Daemon::start(name, platform, |_| {}));
+    platform.list(&daemons.iter().map(Daemon::entry).collect());
+    for daemon in &daemons {
+        wait_until(SEEN_LIMIT, || {
+            let status = daemon.operator_get("/operator/v1/status");
+            status["live_peers"].as_array().is_some_and(|peers| peers.len() == 1)
+        });
+    }
+    daemons
+}
+
+#[test]
+fn a_draft_and_a_submission_reach_their_instance_from_any_entry() {
+    let platform = Platform::start();
+    let daemons = pair(&platform);
+    for daemon in &daemons {
+        let body = json!({"adapter": "heats", "prompt": "x"}).to_string();
+        let answer = Call::post("/v1/completions", body).send(daemon.caller);
+        assert_eq!(answer.status, 200, "{}: {}", daemon.name, answer.text());
+    }
+    let ticket = Call::post("/v1/tickets", "").send(daemons[0].caller).json();
+    let ticket = ticket["ticket"].as_str().unwrap().to_owned();
+    let submit = Call::post("/v1/submissions", "1").header("ticket", &ticket);
+    let answers = daemons.each_ref().map(|daemon| submit.send(daemon.caller).json());
+    assert_eq!(answers[0]["receipt"], "r-1");
+    assert_eq!(answers[0], answers[1]);
+    assert_eq!(platform.submissions().len(), 1);
+    let outcome = Call::new("GET", "/v1/submissions").header("ticket", &ticket);
+    assert_eq!(outcome.send(daemons[1].caller).json()["state"], "done");
+}
+
+#[test]
+fn the_fleet_is_seen_from_any_instance_and_a_silent_one_is_named() {
+    let platform = Platform::start();
+    let daemons = pair(&platform);
+    let mut entries: Vec<Value> = daemons.iter().map(Daemon::entry).collect();
+    let nobody = json!({"name": "entry-3", "peer_addr": support::daemon::free_addr(),
+                        "data_centre": "cairo-a", "state": "live"});
+    entries.push(nobody);
+    platform.list(&Value::from(entries));
+    for daemon in &daemons {
+        let members = || {
+            let fleet = daemon.operator_get("/operator/v1/fleet");
+            fleet["members"].as_array().cloned().unwrap_or_default()
+        };
+        wait_until(SEEN_LIMIT, || members().len() == 3);
+        let members = members();
+        let answering = members.iter().filter(|member| member["status"]["generation"] == 1).count();
+        assert_eq!(answering, 2, "{members:?}");
+        let silent = members.iter().find(|member| member["instance"] == "entry-3").unwrap();
+        assert!(silent["status"].is_null() && silent["error"].is_string(), "{silent}");
+    }
+}
+
+#[test]
+fn a_request_is_explained_by_every_instance_that_it_passed() {
+    let platform = Platform::start();
+    let daemons = pair(&platform);
+    for daemon in &daemons {
+        let body = json!({"adapter": "heats", "prompt": "x"}).to_string();
+        let answer = Call::post("/v1/completions", body).send(daemon.caller);
+        let id = answer.header("x-request-id").unwrap();
+        for asked in &daemons {
+            let explanation = asked.operator_get(&format!("/operator/v1/requests/{id}"));
+            let steps = explanation["steps"].as_array().expect("steps").clone();
+            let text = explanation.to_string();
+            assert!(text.contains("resolved to heats@2 of generation 1"), "{text}");
+            assert!(text.contains("dispatched to engine engine-1"), "{text}");
+            assert_eq!(steps[0]["instance"], daemon.name.as_str(), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/tests/contract_platform.rs
@@ -0,0 +1,146 @@
+//! Contract towards the configuration service and the instance list.
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use support::daemon::Daemon;
+use support::daemon::wait_until;
+use support::http::Answer;
+use support::http::Call;
+use support::platform::Platform;
+use support::stub_server::StubReply;
+
+const ROOT: &str = "GET /v1/root";
+const PAGE: &str = "GET /v1/pages/p0";
+const LIST: &str = "GET /v1/instances";
+/// Longest wait for a change to be seen.
+const SEEN_LIMIT: Duration = Duration::from_secs(15);
+/// Time in which a change that must not be taken would have been seen.
+const SETTLE_TIME: Duration = Duration::from_millis(1500);
+
+fn ask(daemon: &Daemon, adapter: &str) -> Answer {
+    let body = json!({"adapter": adapter, "prompt": "x"}).to_string();
+    Call::post("/v1/completions", body).send(daemon.caller)
+}
+
+fn generation(daemon: &Daemon) -> Value {
+    daemon.operator_get("/operator/v1/status")["generation"].clone()
+}
+
+fn adapters() -> Value {
+    json!({"heats": {"model": "base", "versions": [1]}})
+}
+
+#[test]
+fn a_higher_generation_takes_effect_and_a_lower_one_never_does() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    assert_eq!(ask(&daemon, "relay").kind(), "unknown_adapter");
+    platform.publish(5, json!({"relay": {"model": "base", "versions": [1]}}));
+    wait_until(SEEN_LIMIT, || generation(&daemon) == 5);
+    assert_eq!(ask(&daemon, "relay").status, 200);
+    platform.publish(4, adapters());
+    thread::sleep(SETTLE_TIME);
+    assert_eq!(generation(&daemon), 5);
+    assert_eq!(ask(&daemon, "heats").kind(), "unknown_adapter");
+}
+
+#[test]
+fn a_bad_configuration_leaves_the_last_good_one_in_effect() {
+    let root = |extra: Value| {
+        let mut root = json!({"generation": 9, "preset": "ordinary",
+                              "presets": {"ordinary": {}}, "pages": []});
+        for (key, value) in extra.as_object().unwrap() {
+            root[key] = value.clone();
+        }
+        StubReply::json(200, &root)
+    };
+    let whole = |body: &[u8]| StubReply::Whole(200, "application/json", body.to_vec());
+    let cases: Vec<(&str, &str, StubReply)> = vec![
+        ("malformed root", ROOT, whole(b"{")),
+        ("root of wrong type", ROOT, root(json!({"generation": "nine"}))),
+        ("root with an unknown key", ROOT, root(json!({"x": 1}))),
+        ("preset that is not there", ROOT, root(json!({"preset": "night"}))),
+        ("page that is not there", ROOT, root(json!({"pages": [{"name": "p9", "hash": "0"}]}))),
+        ("truncated root", ROOT, StubReply::BrokenOff("application/json", b"{".to_vec())),
+        ("oversized root", ROOT, whole(&vec![b' '; 9 << 20])),
+        ("status 500", ROOT, StubReply::status(500)),
+        ("closed", ROOT, StubReply::Closed),
+        ("page with another hash", PAGE, whole(b"{\"adapters\":{}}")),
+        ("malformed page", PAGE, whole(b"{")),
+        ("missing page", PAGE, StubReply::status(404)),
+    ];
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    for (name, route, reply) in cases {
+        platform.script(route, reply);
+        platform.publish(2, adapters());
+        thread::sleep(SETTLE_TIME);
+        assert_eq!(generation(&daemon), 1, "{name}");
+        assert_eq!(ask(&daemon, "heats").status, 200, "{name}");
+        platform.publish(
+            1,
+            json!({
+                "heats": {"model": "base", "versions": [1, 2]},
+                "lanes": {"model": "base", "versions": [7]},
+            }),
+        );
+        platform.heal();
+    }
+    platform.publish(2, adapters());
+    wait_until(SEEN_LIMIT, || generation(&daemon) == 2);
+}
+
+#[test]
+fn without_a_configuration_nothing_is_run() {
+    let platform = Platform::start();
+    platform.script(ROOT, StubReply::status(503));
+    let daemon = Daemon::spawn("entry-1", &platform, |_| {});
+    wait_until(SEEN_LIMIT, || std::net::TcpStream::connect(daemon.caller).is_ok());
+    let answer = ask(&daemon, "heats");
+    assert_eq!(answer.kind(), "not_ready");
+    assert_eq!(answer.json()["not_run"], true);
+    assert!(answer.header("retry-after").is_some());
+    platform.heal();
+    daemon.wait_ready();
+    wait_until(SEEN_LIMIT, || ask(&daemon, "heats").status == 200);
+}
+
+#[test]
+fn a_bad_list_leaves_the_last_good_one_in_use() {
+    let whole = |body: &[u8]| StubReply::Whole(200, "application/json", body.to_vec());
+    let cases: Vec<(&str, StubReply)> = vec![
+        ("malformed", whole(b"{")),
+        ("wrong type", whole(b"{\"entries\": 4, \"backends\": []}")),
+        ("host name in place of an address", whole(b"{\"entries\": [], \"backends\": [{\"name\": \"e\", \"addr\": \"host:1\", \"data_centre\": \"a\", \"state\": \"live\", \"role\": \"desk\"}]}")),
+        ("truncated", StubReply::BrokenOff("application/json", b"{\"entries\"".to_vec())),
+        ("oversized", whole(&vec![b' '; 9 << 20])),
+        ("status 500", StubReply::status(500)),
+        ("closed", StubReply::Closed),
+    ];
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    wait_until(SEEN_LIMIT, || ask(&daemon, "heats").status == 200);
+    for (name, reply) in cases {
+        platform.script(LIST, reply);
+        thread::sleep(SETTLE_TIME);
+        assert_eq!(ask(&daemon, "heats").status, 200, "{name}");
+        platform.heal();
+    }
+}
+
+#[test]
+fn a_leaving_engine_gets_no_new_work() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    wait_until(SEEN_LIMIT, || ask(&daemon, "heats").status == 200);
+    platform.leave();
+    wait_until(SEEN_LIMIT, || ask(&daemon, "heats").kind() == "no_backend");
+    let before = platform.drafts();
+    assert_eq!(ask(&daemon, "heats").json()["not_run"], true);
+    assert_eq!(platform.drafts(), before);
+}
--- /dev/null
+++ b/tests/support/daemon.rs
@@ -0,0 +1,131 @@
+//! A real entry instance as a child process.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::http::Call;
+use super::platform::Platform;
+
+pub const PEER_KEY: &str = "peer-key-for-tests-0001";
+pub const TICKET_KEY: &str = "ticket-key-for-tests-0002";
+pub const OPERATOR_KEY: &str = "operator-key-for-tests-03";
+pub const CALLER_KEY: &str = "caller-key-for-tests-0004";
+
+/// Longest wait for the daemon to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
+/// One `tamarackleadd`; killed when this is dropped.
+pub struct Daemon {
+    pub name: String,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub operator: SocketAddr,
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts a daemon and waits until it has a configuration.
+    pub fn start(name: &str, platform: &Platform, change: impl FnOnce(&mut Value)) -> Self {
+        let daemon = Self::spawn(name, platform, change);
+        daemon.wait_ready();
+        daemon
+    }
+
+    /// Starts a daemon.
+    pub fn spawn(name: &str, platform: &Platform, change: impl FnOnce(&mut Value)) -> Self {
+        let [caller, peer, operator] = free_addrs();
+        let mut settings = json!({
+            "instance": name,
+            "data_centre": "cairo-a",
+            "listen": {"caller": caller, "peer": peer, "operator": operator},
+            "platform": {"configuration": platform.addr, "instances": platform.addr},
+            "keys": {
+                "peers": {"value": PEER_KEY},
+                "tickets": {"value": TICKET_KEY},
+                "operators": {"value": OPERATOR_KEY},
+            },
+            "limits": {"body_bytes": 4096, "header_count": 32, "body_timeout_ms": 300,
+                       "head_timeout_ms": 2000, "default_deadline_ms": 5000},
+        });
+        change(&mut settings);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let file = format!("daemon-{}-{number}.json", std::process::id());
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+        fs::write(&path, settings.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_tamarackleadd"))
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { name: name.to_owned(), caller, peer, operator, child }
+    }
+
+    /// This instance as the platform lists it.
+    pub fn entry(&self) -> Value {
+        json!({"name": self.name, "peer_addr": self.peer, "data_centre": "cairo-a",
+               "state": "live"})
+    }
+
+    /// Waits until the daemon takes requests.
+    pub fn wait_ready(&self) {
+        let call = Call::new("GET", "/v1/ready").header("authorization", &bearer(CALLER_KEY));
+        wait_until(READY_LIMIT, || {
+            std::net::TcpStream::connect(self.caller).is_ok()
+                && call.try_send(self.caller).is_some_and(|answer| answer.status == 200)
+        });
+    }
+
+    /// Asks the operator listener.
+    pub fn operator_get(&self, path: &str) -> Value {
+        let call = Call::new("GET", path).header("authorization", &bearer(OPERATOR_KEY));
+        call.send(self.operator).json()
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// An `Authorization` header's value.
+pub fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+/// Waits until `ready` holds; fails the test if it doesn't within `limit`.
+pub fn wait_until(limit: Duration, mut ready: impl FnMut() -> bool) {
+    let until = Instant::now() + limit;
+    while !ready() {
+        assert!(Instant::now() < until, "not within {limit:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// An address that nothing listens on.
+pub fn free_addr() -> SocketAddr {
+    free_addrs()[0]
+}
+
+fn free_addrs() -> [SocketAddr; 3] {
+    let listeners = [0; 3].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
--- /dev/null
+++ b/tests/support/http.rs
@@ -0,0 +1,133 @@
+//! Raw HTTP/1.1 calls, broken ones included.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Longest wait for an answer; reaching it fails the test.
+const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+
+/// One answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body)
+            .unwrap_or_else(|e| panic!("{e}: {}", String::from_utf8_lossy(&self.body)))
+    }
+
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+
+    /// The error kind of a problem document; the whole body if it is none.
+    pub fn kind(&self) -> String {
+        match serde_json::from_slice::<serde_json::Value>(&self.body) {
+            Ok(problem) if problem["kind"].is_string() => {
+                problem["kind"].as_str().unwrap().to_owned()
+            }
+            _ => self.text(),
+        }
+    }
+}
+
+/// One call; its body may be announced longer than it is.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub method: &'static str,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    pub missing_bytes: usize,
+    /// Time to wait between the head and the body.
+    pub pause: Duration,
+}
+
+impl Call {
+    pub fn new(method: &'static str, path: &str) -> Self {
+        Self {
+            method,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            missing_bytes: 0,
+            pause: Duration::ZERO,
+        }
+    }
+
+    pub fn post(path: &str, body: impl Into<Vec<u8>>) -> Self {
+        Self { body: body.into(), ..Self::new("POST", path) }
+    }
+
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sends the call; `None` if the connection ended without an answer.
+    pub fn try_send(&self, addr: SocketAddr) -> Option<Answer> {
+        let mut stream = TcpStream::connect(addr).unwrap();
+        stream.set_read_timeout(Some(ANSWER_LIMIT)).unwrap();
+        let mut head = format!("{} {} HTTP/1.1\r\nhost: {addr}\r\n", self.method, self.path);
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        let len = self.body.len() + self.missing_bytes;
+        head.push_str(&format!("connection: close\r\ncontent-length: {len}\r\n\r\n"));
+        stream.write_all(head.as_bytes()).unwrap();
+        std::thread::sleep(self.pause);
+        // The server may answer and close before it has read everything.
+        let _ = stream.write_all(&self.body);
+        if self.missing_bytes > 0 {
+            let _ = stream.shutdown(Shutdown::Write);
+        }
+        let mut raw = Vec::new();
+        let _ = stream.read_to_end(&mut raw);
+        parse(&raw)
+    }
+
+    pub fn send(&self, addr: SocketAddr) -> Answer {
+        self.try_send(addr).unwrap_or_else(|| panic!("no answer to {} {}", self.method, self.path))
+    }
+}
+
+fn parse(raw: &[u8]) -> Option<Answer> {
+    let end = raw.windows(4).position(|window| window == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&raw[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let body = &raw[end + 4..];
+    let chunked = head.to_ascii_lowercase().contains("transfer-encoding: chunked");
+    let body = if chunked { join_chunks(body) } else { body.to_vec() };
+    Some(Answer { status, head, body })
+}
+
+fn join_chunks(mut raw: &[u8]) -> Vec<u8> {
+    let mut body = Vec::new();
+    while let Some(end) = raw.windows(2).position(|window| window == b"\r\n") {
+        let size = std::str::from_utf8(&raw[..end]).ok();
+        let Some(size) = size.and_then(|text| usize::from_str_radix(text, 16).ok()) else { break };
+        let chunk = &raw[end + 2..];
+        if size == 0 || chunk.len() < size {
+            body.extend_from_slice(&chunk[..size.min(chunk.len())]);
+            break;
+        }
+        body.extend_from_slice(&chunk[..size]);
+        raw = chunk.get(size + 2..).unwrap_or_default();
+    }
+    body
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,4 +2,7 @@
 #![allow(dead_code)]
 
 pub mod collector;
+pub mod daemon;
+pub mod http;
+pub mod platform;
 pub mod stub_server;
