Authenticate every listener; tell operators of the whole fleet

Peers sign each request, operators need their key, callers need theirs where the settings name them. One instance asks all listed ones for their state and for their decisions about a request. The state of a submission can be asked for without running it. Requests in progress are bounded on each listener, since the HTTP server has no bound on connections.

--- a/src/bin/tamarackleadd/main.rs
+++ b/src/bin/tamarackleadd/main.rs
@@ -6,12 +6,11 @@
 use std::process::ExitCode;
 
 use app::Config;
-use simplelog::ConfigBuilder;
-use simplelog::LevelFilter;
-use simplelog::WriteLogger;
 use tamaracklead::daemon;
 use tamaracklead::daemon::DrainEnd;
+use tamaracklead::error::Result;
 use tamaracklead::settings::Settings;
+use tamaracklead::telemetry;
 
 /// Exit code after faults in the settings.
 const EXIT_SETTINGS: u8 = 2;
@@ -35,8 +34,7 @@
         println!("{}: no faults", cfg.settings.display());
         return ExitCode::SUCCESS;
     }
-    start_log();
-    match daemon::run(settings) {
+    match run(settings) {
         Ok(DrainEnd::Finished) => ExitCode::SUCCESS,
         Ok(DrainEnd::CutOff(_)) => ExitCode::from(EXIT_CUT_OFF),
         Err(error) => {
@@ -46,10 +44,7 @@
     }
 }
 
-fn start_log() {
-    let config = ConfigBuilder::new().set_time_format_rfc3339().build();
-    let started = WriteLogger::init(LevelFilter::Info, config, std::io::stderr());
-    if let Err(e) = started {
-        eprintln!("tamarackleadd: no log: {e}");
-    }
+fn run(settings: Settings) -> Result<DrainEnd> {
+    telemetry::start_log(settings.telemetry.log_level)?;
+    daemon::run(settings)
 }
--- /dev/null
+++ b/src/daemon/access.rs
@@ -0,0 +1,81 @@
+//! Who may send a request to which listener.
+
+use super::Surface;
+use crate::auth::CallerGuard;
+use crate::auth::OperatorGuard;
+use crate::auth::PeerGuard;
+use crate::auth::SIGNATURE_HEADER;
+use crate::auth::SignedRequest;
+use crate::auth::wall_clock;
+use crate::edge::Request;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::names::InstanceName;
+use crate::settings::Settings;
+use crate::telemetry::Counter;
+use crate::telemetry::Metrics;
+
+const AUTHORIZATION: &str = "authorization";
+/// Path that balancers ask without a key.
+const READY_PATH: &str = "/v1/ready";
+
+/// Checks who sent a request.
+#[derive(Debug)]
+pub struct Access {
+    receiver: InstanceName,
+    callers: CallerGuard,
+    operators: Option<OperatorGuard>,
+    peers: PeerGuard,
+}
+
+impl Access {
+    /// Checks by the keys of the settings.
+    pub fn new(settings: &Settings) -> Self {
+        let keys = &settings.keys;
+        Self {
+            receiver: settings.instance.clone(),
+            callers: CallerGuard::new(keys.callers.clone()),
+            operators: keys.operators.clone().map(OperatorGuard::new),
+            peers: PeerGuard::new(keys.peers.clone(), wall_clock()),
+        }
+    }
+
+    /// Refuses a request whose sender doesn't prove who it is.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthenticated`, or `Overloaded` if too many peer messages came lately.
+    pub fn check(&self, surface: Surface, req: &Request, metrics: &Metrics) -> Result<()> {
+        let (checked, refusals) = match surface {
+            Surface::Caller => (self.check_caller(req), Counter::CallerRefused),
+            Surface::Peer => (self.check_peer(req), Counter::PeerRefused),
+            Surface::Operator => (self.check_operator(req), Counter::CallerRefused),
+        };
+        checked.inspect_err(|_| metrics.count(refusals))
+    }
+
+    fn check_caller(&self, req: &Request) -> Result<()> {
+        if req.path == READY_PATH {
+            return Ok(());
+        }
+        self.callers.check(req.header(AUTHORIZATION)).map(drop)
+    }
+
+    fn check_operator(&self, req: &Request) -> Result<()> {
+        match &self.operators {
+            Some(guard) => guard.check(req.header(AUTHORIZATION)),
+            None => Err(Error::new(ErrorKind::Forbidden, "operators have no key")),
+        }
+    }
+
+    fn check_peer(&self, req: &Request) -> Result<()> {
+        let signed = SignedRequest {
+            method: &req.method,
+            path: &req.path,
+            receiver: &self.receiver,
+            body: &req.body,
+        };
+        self.peers.verify(wall_clock(), req.header(SIGNATURE_HEADER), &signed).map(drop)
+    }
+}
--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -10,6 +10,7 @@
 use super::dispatches;
 use super::in_flight::InFlightGuard;
 use crate::decide::routing;
+use crate::edge::PeerTarget;
 use crate::edge::Reply;
 use crate::edge::Request;
 use crate::error::Error;
@@ -175,13 +176,13 @@
     owner: &InstanceName,
     message: Dispatch,
 ) -> Result<mpsc::Receiver<DispatchEvent>> {
-    let addr = node
-        .membership(|membership| membership.get(owner).map(|member| member.peer_addr))
+    let peer = node
+        .membership(|membership| membership.get(owner).map(PeerTarget::from))
         .ok_or_else(|| {
-        let detail = format!("instance {:?} is not known", owner.as_str());
-        Error::new(ErrorKind::PeerUnreachable, detail)
-    })?;
-    match node.clients.peer.dispatch(addr, &message).await {
+            let detail = format!("instance {:?} is not known", owner.as_str());
+            Error::new(ErrorKind::PeerUnreachable, detail)
+        })?;
+    match node.clients.peer.dispatch(&peer, &message).await {
         Ok(answer) => answer,
         Err(failure) if failure.end.proves_not_run() => {
             Err(failure.into_error(ErrorKind::PeerUnreachable))
--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -136,6 +136,8 @@
         EngineStatus {
             engine: self.name.clone(),
             loaded: state.core.slots().keys().cloned().collect(),
+            slots: state.core.slot_count(),
+            batch: state.core.batch(),
             running: state.core.running().len(),
             waiting: state.core.waiting().len(),
         }
--- a/src/daemon/explain.rs
+++ b/src/daemon/explain.rs
@@ -17,6 +17,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     arrived: Timestamp,
+    from_caller: bool,
     steps: Vec<ExplanationStep>,
 }
 
@@ -34,12 +35,19 @@
         Self { instance, entries: HashMap::new(), order: VecDeque::new() }
     }
 
+    /// Begins a request that came from a caller.
+    pub fn begin(&mut self, now: Timestamp, id: RequestId) {
+        self.make_room();
+        self.order.push_back(id);
+        self.entries.insert(id, Entry { arrived: now, from_caller: true, steps: Vec::new() });
+    }
+
     /// Adds a decision about a request.
     pub fn note(&mut self, now: Timestamp, id: RequestId, text: String) {
         if !self.entries.contains_key(&id) {
             self.make_room();
             self.order.push_back(id);
-            self.entries.insert(id, Entry { arrived: now, steps: Vec::new() });
+            self.entries.insert(id, Entry { arrived: now, from_caller: false, steps: Vec::new() });
         }
         let Some(entry) = self.entries.get_mut(&id) else { return };
         if entry.steps.len() >= MAX_STEPS {
@@ -52,7 +60,11 @@
     /// What was decided about a request, if it is remembered.
     pub fn explain(&self, id: RequestId) -> Option<Explanation> {
         let entry = self.entries.get(&id)?;
-        Some(Explanation { request_id: id, steps: entry.steps.clone() })
+        Some(Explanation {
+            request_id: id,
+            from_entry: entry.from_caller,
+            steps: entry.steps.clone(),
+        })
     }
 
     fn make_room(&mut self) {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! membership, the backend servers, the used tickets, and one shard for each
 //! engine. No lock is held across an await.
 
+mod access;
 mod clock;
 mod completions;
 mod dispatches;
@@ -11,11 +12,14 @@
 mod engine_shard;
 mod engine_shards;
 mod explain;
+mod fleet;
 mod in_flight;
 mod node;
 mod operator_api;
+mod outcomes;
 mod owner_calls;
 mod refresh;
+mod report;
 mod run;
 mod submissions;
 mod surface;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -8,15 +8,20 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
+use tokio::runtime::Handle;
+
 use super::Clock;
 use super::Surface;
+use super::access::Access;
 use super::completions;
 use super::dispatches;
 use super::engine_shards::EngineShards;
 use super::explain::ExplainLog;
 use super::in_flight::InFlight;
 use super::operator_api;
+use super::outcomes;
 use super::submissions;
+use crate::auth::PeerSigner;
 use crate::decide::backends::Backends;
 use crate::decide::config::ConfigState;
 use crate::decide::config::Snapshot;
@@ -41,7 +46,11 @@
 use crate::names::RequestId;
 use crate::names::Timestamp;
 use crate::settings::Settings;
+use crate::telemetry::Metrics;
+use crate::telemetry::Tracer;
+use crate::wire::frame;
 use crate::wire::listing::ListedBackend;
+use crate::wire::peer::ExplainQuestion;
 use crate::wire::peer::Hello;
 
 /// Clients of everything outside the process.
@@ -62,12 +71,13 @@
 impl Clients {
     fn new(settings: &Settings) -> Self {
         let http = HttpClient::new();
+        let signer = PeerSigner::new(settings.keys.peers.clone(), settings.instance.clone());
         Self {
             config: ConfigClient::new(http.clone(), settings.platform.configuration),
             listing: ListingClient::new(http.clone(), settings.platform.instances),
             engine: EngineClient::new(http.clone()),
             desk: DeskClient::new(http.clone()),
-            peer: PeerClient::new(http),
+            peer: PeerClient::new(http, signer),
         }
     }
 }
@@ -85,8 +95,13 @@
     pub clients: Clients,
     /// Work in progress.
     pub in_flight: InFlight,
+    /// Counters and timings.
+    pub metrics: Metrics,
+    /// Traces.
+    pub tracer: Tracer,
     /// Engines that this instance works for.
     pub engines: EngineShards,
+    access: Access,
     config: RwLock<ConfigState>,
     membership: RwLock<Membership>,
     backends: RwLock<Backends>,
@@ -96,12 +111,15 @@
 }
 
 impl Node {
-    /// An instance that knows nothing yet.
+    /// An instance that knows nothing yet; traces are sent on `runtime`.
     ///
     /// # Errors
     ///
-    /// `Internal` if the system gives no random numbers.
-    pub fn new(settings: Settings) -> Result<Arc<Self>> {
+    /// `Internal` if the system gives no random numbers or telemetry can't start.
+    pub fn new(settings: Settings, runtime: &Handle) -> Result<Arc<Self>> {
+        let metrics = Metrics::start(&settings.instance, settings.telemetry.statsd)?;
+        let tracer = Tracer::start(&settings, runtime.clone())?;
+        let access = Access::new(&settings);
         let incarnation = Incarnation(random_u64()?);
         let clients = Clients::new(&settings);
         let explain = Mutex::new(ExplainLog::new(settings.instance.clone()));
@@ -111,7 +129,10 @@
             clock: Clock::start(),
             clients,
             in_flight: InFlight::default(),
+            metrics,
+            tracer,
             engines: EngineShards::default(),
+            access,
             config: RwLock::default(),
             membership: RwLock::default(),
             backends: RwLock::default(),
@@ -247,10 +268,13 @@
 
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
+        if let Err(error) = self.access.check(surface, &req, &self.metrics) {
+            return Reply::from(error);
+        }
         let answer = match surface {
             Surface::Caller => self.serve_caller(req).await,
             Surface::Peer => self.serve_peer(req).await,
-            Surface::Operator => operator_api::serve(&self, &req),
+            Surface::Operator => operator_api::serve(&self, &req).await,
         };
         answer.unwrap_or_else(Reply::from)
     }
@@ -260,6 +284,7 @@
             ("POST", "/v1/completions") => completions::complete(self, req).await,
             ("POST", "/v1/tickets") => submissions::issue_ticket(&self),
             ("POST", "/v1/submissions") => submissions::submit(&self, &req).await,
+            ("GET", "/v1/submissions") => outcomes::serve(&self, &req).await,
             ("GET", "/v1/ready") => self.snapshot().map(|_| Reply::json(200, &self.hello())),
             _ => Err(no_such_path(&req)),
         }
@@ -270,6 +295,13 @@
             Some(PeerPath::Dispatch) => dispatches::serve(&self, &req),
             Some(PeerPath::Submit) => submissions::serve_forwarded(&self, &req).await,
             Some(PeerPath::Hello) => super::refresh::serve_hello(&self, &req),
+            Some(PeerPath::Status) => Ok(Reply::message(&operator_api::status(&self))),
+            Some(PeerPath::Explain) => {
+                let question: ExplainQuestion = frame::decode(&req.body)?;
+                let answer = operator_api::own_explanation(&self, question.request_id)?;
+                Ok(Reply::message(&answer))
+            }
+            Some(PeerPath::Outcome) => outcomes::serve_forwarded(&self, &req),
             None => Err(no_such_path(&req)),
         }
     }
--- a/src/daemon/operator_api.rs
+++ b/src/daemon/operator_api.rs
@@ -1,6 +1,9 @@
 //! Answers to operators.
 
+use std::sync::Arc;
+
 use super::Node;
+use super::fleet;
 use super::node::no_such_path;
 use crate::edge::Reply;
 use crate::edge::Request;
@@ -8,6 +11,7 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::RequestId;
+use crate::wire::operator::Explanation;
 use crate::wire::operator::Status;
 
 const REQUESTS_PREFIX: &str = "/operator/v1/requests/";
@@ -17,18 +21,20 @@
 /// # Errors
 ///
 /// `NotFound` if there's no such path or request.
-pub fn serve(node: &Node, req: &Request) -> Result<Reply> {
+pub async fn serve(node: &Arc<Node>, req: &Request) -> Result<Reply> {
     match (req.method.as_str(), req.path.as_str()) {
         ("GET", "/operator/v1/status") => Ok(Reply::json(200, &status(node))),
+        ("GET", "/operator/v1/fleet") => Ok(Reply::json(200, &fleet::status(node).await)),
         ("GET", path) => match path.strip_prefix(REQUESTS_PREFIX) {
-            Some(id) => explain(node, id),
+            Some(id) => explain(node, id).await,
             None => Err(no_such_path(req)),
         },
         _ => Err(no_such_path(req)),
     }
 }
 
-fn status(node: &Node) -> Status {
+/// State of this instance.
+pub fn status(node: &Node) -> Status {
     let now = node.now();
     let current = node.config(|config| config.current().cloned());
     Status {
@@ -45,10 +51,24 @@
     }
 }
 
-fn explain(node: &Node, id: &str) -> Result<Reply> {
-    let id: RequestId = id.parse().map_err(|e| Error::new(ErrorKind::Malformed, e))?;
-    let explanation = node.explain().explain(id).ok_or_else(|| {
-        Error::new(ErrorKind::NotFound, format!("request {id} is not remembered here"))
-    })?;
+/// What this instance decided about a request.
+///
+/// # Errors
+///
+/// `NotFound` if it isn't remembered here.
+pub fn own_explanation(node: &Node, id: RequestId) -> Result<Explanation> {
+    node.explain().explain(id).ok_or_else(|| not_remembered(id))
+}
+
+async fn explain(node: &Arc<Node>, id: &str) -> Result<Reply> {
+    let id: RequestId = id.parse().map_err(|e: String| Error::new(ErrorKind::Malformed, e))?;
+    let explanation = fleet::explain(node, id).await;
+    if explanation.steps.is_empty() {
+        return Err(not_remembered(id));
+    }
     Ok(Reply::json(200, &explanation))
 }
+
+fn not_remembered(id: RequestId) -> Error {
+    Error::new(ErrorKind::NotFound, format!("request {id} is not remembered"))
+}
--- a/src/daemon/refresh.rs
+++ b/src/daemon/refresh.rs
@@ -11,6 +11,7 @@
 use crate::decide::config::Offer;
 use crate::decide::config::Snapshot;
 use crate::edge::PeerPath;
+use crate::edge::PeerTarget;
 use crate::edge::Reply;
 use crate::edge::Request;
 use crate::error::Result;
@@ -92,15 +93,14 @@
     let mut interval = tokio::time::interval(HELLO_INTERVAL);
     loop {
         interval.tick().await;
-        let peers = node.membership(|membership| {
-            membership.all().map(|member| member.peer_addr).collect::<Vec<_>>()
-        });
-        for addr in peers {
+        let peers = node
+            .membership(|membership| membership.all().map(PeerTarget::from).collect::<Vec<_>>());
+        for peer in peers {
             let node = Arc::clone(&node);
             tokio::spawn(async move {
                 let hello = node.hello();
                 let client = &node.clients.peer;
-                let answer = client.call(addr, PeerPath::Hello, &hello, HELLO_TIMEOUT).await;
+                let answer = client.call(&peer, PeerPath::Hello, &hello, HELLO_TIMEOUT).await;
                 if let Ok(Ok(hello)) = answer {
                     take_hello(&node, &hello);
                 }
--- /dev/null
+++ b/src/daemon/report.rs
@@ -0,0 +1,37 @@
+//! Sends the instance's metrics at their interval.
+
+use std::sync::Arc;
+
+use super::Node;
+use crate::decide::config::ConfigState;
+use crate::telemetry::Gauge;
+use crate::telemetry::REPORT_INTERVAL;
+
+/// Reports for ever.
+pub async fn metrics(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(REPORT_INTERVAL);
+    loop {
+        interval.tick().await;
+        node.metrics.report(&gauges(&node));
+    }
+}
+
+fn gauges(node: &Node) -> Vec<(Gauge, u64)> {
+    let now = node.now();
+    let engines: Vec<_> = node.engines.all().iter().map(|shard| shard.status()).collect();
+    let running: usize = engines.iter().map(|engine| engine.running).sum();
+    let waiting: usize = engines.iter().map(|engine| engine.waiting).sum();
+    let places: usize = engines.iter().map(|engine| engine.batch).sum();
+    let fill = (running * 100).checked_div(places).unwrap_or(0);
+    let generation = node.config(ConfigState::generation).map_or(0, |generation| generation.0);
+    let peers = node.membership(|membership| membership.live(now).count());
+    vec![
+        (Gauge::Generation, generation),
+        (Gauge::BatchFillPercent, fill as u64),
+        (Gauge::EnginesOwned, engines.len() as u64),
+        (Gauge::Running, running as u64),
+        (Gauge::Waiting, waiting as u64),
+        (Gauge::InFlight, node.in_flight.count() as u64),
+        (Gauge::PeersLive, peers as u64),
+    ]
+}
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -19,6 +19,7 @@
 use super::drain::drain;
 use super::owner_calls;
 use super::refresh;
+use super::report;
 use crate::edge::HttpHandler;
 use crate::edge::HttpLimits;
 use crate::edge::HttpServer;
@@ -44,7 +45,7 @@
 /// `Internal` if a listener or the runtime can't be started.
 pub fn run(settings: Settings) -> Result<DrainEnd> {
     let runtime = runtime().map_err(|e| internal("runtime", &e))?;
-    let node = Node::new(settings)?;
+    let node = Node::new(settings, runtime.handle())?;
     let listen = node.settings.listen.clone();
     let caller = bind("callers", listen.caller)?;
     let peer = bind("peers", listen.peer)?;
@@ -66,6 +67,7 @@
     for stop in servers {
         stop();
     }
+    node.tracer.shutdown();
     Ok(end)
 }
 
@@ -77,6 +79,8 @@
     };
     let limits = HttpLimits {
         body_bytes,
+        header_count: limits.header_count,
+        concurrent_requests: limits.concurrent_requests,
         head_timeout: limits.head_timeout,
         body_timeout: limits.body_timeout,
     };
@@ -97,6 +101,7 @@
     runtime.spawn(refresh::listing(Arc::clone(node)));
     runtime.spawn(refresh::heartbeats(Arc::clone(node)));
     runtime.spawn(owner_calls::watch(Arc::clone(node)));
+    runtime.spawn(report::metrics(Arc::clone(node)));
 }
 
 fn bind(whom: &str, addr: SocketAddr) -> Result<TcpListener> {
--- a/src/daemon/submissions.rs
+++ b/src/daemon/submissions.rs
@@ -12,6 +12,7 @@
 use crate::decide::submissions::TICKET_LIFETIME;
 use crate::decide::submissions::Ticket;
 use crate::edge::PeerPath;
+use crate::edge::PeerTarget;
 use crate::edge::Reply;
 use crate::edge::Request;
 use crate::error::Error;
@@ -26,7 +27,7 @@
 use crate::wire::peer::ForwardedSubmission;
 
 /// Header that carries the ticket.
-const TICKET_HEADER: &str = "ticket";
+pub(super) const TICKET_HEADER: &str = "ticket";
 /// Time within which a desk must answer.
 const DESK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time within which the issuing instance must answer; covers the desk's.
@@ -90,16 +91,16 @@
 
 async fn forward(node: &Node, ticket: &Ticket, token: &str, req: &Request) -> Result<Reply> {
     let issuer = node.membership(|membership| {
-        membership.by_incarnation(ticket.incarnation).map(|member| member.peer_addr)
+        membership.by_incarnation(ticket.incarnation).map(PeerTarget::from)
     });
-    let Some(addr) = issuer else { return Err(unknown(ticket)) };
+    let Some(issuer) = issuer else { return Err(unknown(ticket)) };
     let message = ForwardedSubmission {
         ticket: token.to_owned(),
         body: req.body.to_vec(),
         traceparent: req.header("traceparent").map(str::to_owned),
     };
     let peer = &node.clients.peer;
-    let answer = peer.call(addr, PeerPath::Submit, &message, FORWARD_TIMEOUT).await;
+    let answer = peer.call(&issuer, PeerPath::Submit, &message, FORWARD_TIMEOUT).await;
     let reply: SubmissionReply = answer.map_err(|_| unknown(ticket))??;
     Ok(Reply::json(200, &reply))
 }
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -46,6 +46,16 @@
         }
     }
 
+    /// How many adapters the engine holds at once.
+    pub fn slot_count(&self) -> usize {
+        self.slot_count
+    }
+
+    /// How many requests the engine runs at once.
+    pub fn batch(&self) -> usize {
+        self.batch
+    }
+
     /// Adapters in slots and their state.
     pub fn slots(&self) -> &BTreeMap<AdapterRef, SlotState> {
         &self.slots
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -15,6 +15,8 @@
 use bytes::BytesMut;
 use futures_util::stream;
 use tokio::runtime::Handle;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use xitca_web::App;
 use xitca_web::WebContext;
@@ -47,6 +49,10 @@
 pub struct HttpLimits {
     /// Largest body, in bytes.
     pub body_bytes: usize,
+    /// Most headers of a request.
+    pub header_count: usize,
+    /// Most requests in progress at once.
+    pub concurrent_requests: usize,
     /// Time within which a request's head must arrive.
     pub head_timeout: Duration,
     /// Time within which a request's body must arrive.
@@ -84,8 +90,9 @@
         let addr = listener.local_addr()?;
         let limits = self.limits;
         let threads = self.threads;
+        let places = Arc::new(Semaphore::new(limits.concurrent_requests));
         let mut server = App::new()
-            .with_state(self)
+            .with_state(Serving { server: self, places })
             .at("/{*}", fn_service(handle))
             .serve()
             .disable_signal()
@@ -105,8 +112,20 @@
     }
 }
 
-async fn handle(mut cx: WebContext<'_, HttpServer>) -> std::result::Result<WebResponse, WebError> {
-    let server = cx.state().clone();
+/// A server at work and its places for requests.
+#[derive(Clone)]
+struct Serving {
+    server: HttpServer,
+    places: Arc<Semaphore>,
+}
+
+async fn handle(mut cx: WebContext<'_, Serving>) -> std::result::Result<WebResponse, WebError> {
+    let Serving { server, places } = cx.state().clone();
+    let Ok(place) = places.try_acquire_owned() else {
+        let count = server.limits.concurrent_requests;
+        let error = Error::new(ErrorKind::Overloaded, format!("{count} requests in progress"));
+        return Ok(response(Reply::error(&error).header("connection", "close"), None));
+    };
     let (parts, rest) = cx.take_request().into_parts();
     let from = *rest.socket_addr();
     let headers = parts
@@ -117,7 +136,7 @@
         })
         .collect::<HashMap<_, _>>();
     let (_, body) = rest.replace_body(());
-    let reply = match read_body(server.limits, body).await {
+    let reply = match read_request(server.limits, parts.headers.len(), body).await {
         Ok(body) => {
             let req = Request {
                 from,
@@ -131,7 +150,7 @@
         }
         Err(error) => Reply::error(&error).header("connection", "close"),
     };
-    Ok(response(reply))
+    Ok(response(reply, Some(place)))
 }
 
 async fn serve(server: &HttpServer, req: Request) -> Reply {
@@ -141,6 +160,14 @@
     })
 }
 
+async fn read_request(limits: HttpLimits, headers: usize, body: RequestBody) -> Result<Bytes> {
+    if headers > limits.header_count {
+        let detail = format!("{headers} headers exceed {}", limits.header_count);
+        return Err(Error::new(ErrorKind::TooLarge, detail));
+    }
+    read_body(limits, body).await
+}
+
 async fn read_body(limits: HttpLimits, body: RequestBody) -> Result<Bytes> {
     match timeout(limits.body_timeout, collect(body, limits.body_bytes)).await {
         Ok(body) => body,
@@ -166,11 +193,13 @@
     Ok(buf.freeze())
 }
 
-fn response(reply: Reply) -> WebResponse {
+/// The answer on its way out; `place` is given back at its end.
+fn response(reply: Reply, place: Option<OwnedSemaphorePermit>) -> WebResponse {
     let body = match reply.body {
         ReplyBody::Whole(bytes) => ResponseBody::bytes(bytes),
         ReplyBody::Stream(mut rx) => {
             let pieces = stream::poll_fn(move |cx| {
+                let _held = &place;
                 rx.poll_recv(cx).map(|piece| piece.map(|data| Ok::<_, WebError>(Frame::Data(data))))
             });
             ResponseBody::boxed(StreamBody::new(pieces))
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -11,6 +11,8 @@
 mod http_server;
 mod listing_client;
 mod peer_client;
+mod peer_path;
+mod peer_target;
 mod reply;
 mod request;
 
@@ -29,7 +31,8 @@
 pub use http_server::StopServer;
 pub use listing_client::ListingClient;
 pub use peer_client::PeerClient;
-pub use peer_client::PeerPath;
+pub use peer_path::PeerPath;
+pub use peer_target::PeerTarget;
 pub use reply::Reply;
 pub use reply::ReplyBody;
 pub use request::Request;
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -1,6 +1,5 @@
 //! Other entry instances.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -11,6 +10,13 @@
 use super::HttpCall;
 use super::HttpClient;
 use super::HttpReply;
+use super::PeerPath;
+use super::PeerTarget;
+use crate::auth::PeerSigner;
+use crate::auth::SIGNATURE_HEADER;
+use crate::auth::SignedRequest;
+use crate::auth::random_nonce;
+use crate::auth::wall_clock;
 use crate::decide::dispatch_end::DispatchEnd;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -26,43 +32,17 @@
 /// Time that an owner may take beyond the request's deadline.
 const DISPATCH_MARGIN: Duration = Duration::from_secs(1);
 
-/// Paths that instances call on each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PeerPath {
-    /// A request for the owner of an engine.
-    Dispatch,
-    /// A submission for the instance that issued its ticket.
-    Submit,
-    /// What an instance knows of itself.
-    Hello,
-}
-
-impl PeerPath {
-    /// The path as in the request line.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Dispatch => "/peer/v1/dispatch",
-            Self::Submit => "/peer/v1/submit",
-            Self::Hello => "/peer/v1/hello",
-        }
-    }
-
-    /// Reads a path.
-    pub fn parse(path: &str) -> Option<Self> {
-        [Self::Dispatch, Self::Submit, Self::Hello].into_iter().find(|p| p.as_str() == path)
-    }
-}
-
 /// Client of every peer.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
     http: HttpClient,
+    signer: PeerSigner,
 }
 
 impl PeerClient {
-    /// A client over `http`.
-    pub fn new(http: HttpClient) -> Self {
-        Self { http }
+    /// A client over `http` that signs as one instance.
+    pub fn new(http: HttpClient, signer: PeerSigner) -> Self {
+        Self { http, signer }
     }
 
     /// Sends one message and reads its answer.
@@ -72,12 +52,12 @@
     /// How the call ended, or the peer's own error.
     pub async fn call<Q: Serialize, A: DeserializeOwned>(
         &self,
-        addr: SocketAddr,
+        peer: &PeerTarget,
         path: PeerPath,
         message: &Q,
         wait: Duration,
     ) -> std::result::Result<Result<A>, CallFailure> {
-        let reply = self.send(addr, path, message, wait).await?;
+        let reply = self.send(peer, path, message, wait).await?;
         if !reply.status.is_success() {
             return Ok(Err(problem(reply).await));
         }
@@ -92,11 +72,11 @@
     /// How the call ended, or the owner's own error.
     pub async fn dispatch(
         &self,
-        addr: SocketAddr,
+        peer: &PeerTarget,
         message: &Dispatch,
     ) -> std::result::Result<Result<mpsc::Receiver<DispatchEvent>>, CallFailure> {
         let wait = Duration::from_millis(message.deadline_ms) + DISPATCH_MARGIN;
-        let reply = self.send(addr, PeerPath::Dispatch, message, wait).await?;
+        let reply = self.send(peer, PeerPath::Dispatch, message, wait).await?;
         if !reply.status.is_success() {
             return Ok(Err(problem(reply).await));
         }
@@ -107,19 +87,38 @@
 
     async fn send<Q: Serialize>(
         &self,
-        addr: SocketAddr,
+        peer: &PeerTarget,
         path: PeerPath,
         message: &Q,
         wait: Duration,
     ) -> std::result::Result<HttpReply, CallFailure> {
         let body = frame::encode(message)
             .map_err(|e| CallFailure { end: DispatchEnd::ResetBeforeSend, detail: e.detail })?;
-        let call = HttpCall::post(addr, path.as_str(), body);
+        let signature = self.sign(peer, path, &body)?;
+        let call =
+            HttpCall::post(peer.addr, path.as_str(), body).header(SIGNATURE_HEADER, signature);
         match path {
             PeerPath::Submit => self.http.send_once(call, wait).await,
-            PeerPath::Dispatch | PeerPath::Hello => self.http.send(call, wait).await,
+            PeerPath::Dispatch
+            | PeerPath::Hello
+            | PeerPath::Status
+            | PeerPath::Explain
+            | PeerPath::Outcome => self.http.send(call, wait).await,
         }
     }
+
+    fn sign(
+        &self,
+        peer: &PeerTarget,
+        path: PeerPath,
+        body: &[u8],
+    ) -> std::result::Result<String, CallFailure> {
+        let nonce = random_nonce()
+            .map_err(|e| CallFailure { end: DispatchEnd::ResetBeforeSend, detail: e.detail })?;
+        let request =
+            SignedRequest { method: "POST", path: path.as_str(), receiver: &peer.name, body };
+        Ok(self.signer.sign(wall_clock(), nonce, &request).to_string())
+    }
 }
 
 async fn forward_events(mut reply: HttpReply, tx: mpsc::Sender<DispatchEvent>) {
--- /dev/null
+++ b/src/edge/peer_path.rs
@@ -0,0 +1,41 @@
+//! Paths between entry instances.
+
+/// Paths that instances call on each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PeerPath {
+    /// A request for the owner of an engine.
+    Dispatch,
+    /// A submission for the instance that issued its ticket.
+    Submit,
+    /// What an instance knows of itself.
+    Hello,
+    /// State of an instance, for operators.
+    Status,
+    /// Decisions about a request, for operators.
+    Explain,
+    /// State of a submission, from the instance that issued its ticket.
+    Outcome,
+}
+
+impl PeerPath {
+    /// Every path.
+    pub const ALL: [Self; 6] =
+        [Self::Dispatch, Self::Submit, Self::Hello, Self::Status, Self::Explain, Self::Outcome];
+
+    /// The path as in the request line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Dispatch => "/peer/v1/dispatch",
+            Self::Submit => "/peer/v1/submit",
+            Self::Hello => "/peer/v1/hello",
+            Self::Status => "/peer/v1/status",
+            Self::Explain => "/peer/v1/explain",
+            Self::Outcome => "/peer/v1/outcome",
+        }
+    }
+
+    /// Reads a path.
+    pub fn parse(path: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|known| known.as_str() == path)
+    }
+}
--- a/src/edge/reply.rs
+++ b/src/edge/reply.rs
@@ -5,6 +5,7 @@
 use tokio::sync::mpsc;
 
 use crate::error::Error;
+use crate::error::ErrorKind;
 use crate::error::Problem;
 use crate::wire::frame;
 
@@ -61,6 +62,9 @@
         let problem = Problem::from(error);
         let body = serde_json::to_vec(&problem).unwrap_or_default();
         let mut reply = Self::whole(problem.status, PROBLEM_JSON, Bytes::from(body));
+        if error.kind == ErrorKind::Unauthenticated {
+            reply.headers.push(("www-authenticate", "Bearer".to_owned()));
+        }
         if let Some(seconds) = problem.retry_after_s {
             reply.headers.push(("retry-after", seconds.to_string()));
         }
--- a/src/telemetry/tracer.rs
+++ b/src/telemetry/tracer.rs
@@ -1,6 +1,5 @@
 //! Traces of one instance, sent to a collector.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use opentelemetry::Context;
@@ -27,6 +26,7 @@
 use crate::error::ErrorKind;
 use crate::names::DataCentre;
 use crate::names::InstanceName;
+use crate::settings::Settings;
 
 const SERVICE: &str = "tamaracklead";
 /// How often spans are sent.
@@ -54,19 +54,13 @@
         Self { active: None }
     }
 
-    /// Traces that go to a collector, sent on `runtime`; `percent` of new traces are recorded.
+    /// Traces as the settings say, sent on `runtime`.
     ///
     /// # Errors
     ///
     /// `Internal` if the exporter can't be made.
-    pub fn start(
-        instance: &InstanceName,
-        data_centre: &DataCentre,
-        collector: Option<SocketAddr>,
-        percent: u8,
-        runtime: Handle,
-    ) -> Result<Self, Error> {
-        let Some(collector) = collector else { return Ok(Self::off()) };
+    pub fn start(settings: &Settings, runtime: Handle) -> Result<Self, Error> {
+        let Some(collector) = settings.telemetry.otlp else { return Ok(Self::off()) };
         let exporter = SpanExporter::builder()
             .with_http()
             .with_http_client(OtlpClient::new(runtime))
@@ -80,12 +74,12 @@
             .with_max_queue_size(MAX_WAITING_SPANS)
             .build();
         let processor = BatchSpanProcessor::builder(exporter).with_batch_config(batches).build();
-        let share = f64::from(percent) / 100.0;
+        let share = f64::from(settings.telemetry.trace_percent) / 100.0;
         let sampler = Sampler::ParentBased(Box::new(Sampler::TraceIdRatioBased(share)));
         let provider = SdkTracerProvider::builder()
             .with_span_processor(processor)
             .with_sampler(sampler)
-            .with_resource(resource(instance, data_centre))
+            .with_resource(resource(&settings.instance, &settings.data_centre))
             .build();
         let tracer = provider.tracer(SERVICE);
         Ok(Self { active: Some(Active { provider, tracer }) })
--- a/src/wire/operator.rs
+++ b/src/wire/operator.rs
@@ -75,6 +75,8 @@
 pub struct Explanation {
     /// Identifier of the request.
     pub request_id: RequestId,
+    /// Whether the caller's own entry instance answered.
+    pub from_entry: bool,
     /// What was decided, in order.
     pub steps: Vec<ExplanationStep>,
 }
--- a/src/wire/peer.rs
+++ b/src/wire/peer.rs
@@ -72,6 +72,24 @@
     pub traceparent: Option<String>,
 }
 
+/// Body of `POST /peer/v1/status`; the answer is the instance's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatusQuestion {}
+
+/// Body of `POST /peer/v1/explain`; the answer is what the instance decided about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExplainQuestion {
+    /// Identifier of the request.
+    pub request_id: RequestId,
+}
+
+/// Body of `POST /peer/v1/outcome`; the answer is the submission's state.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeQuestion {
+    /// The ticket as the caller sent it.
+    pub ticket: String,
+}
+
 /// Body of `POST /peer/v1/hello` and its answer: what an instance knows of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -53,7 +53,7 @@
         "listen": {"caller": "localhost:80", "peer": 7, "operator": "127.0.0.1:9", "x": 1},
         "platform": [],
         "keys": {"peers": {"value": "short"}, "tickets": {"path": "p"}, "callers": {}},
-        "limits": {"body_bytes": -1, "connections": "many", "head_timeout_ms": 0},
+        "limits": {"body_bytes": -1, "concurrent_requests": "many", "head_timeout_ms": 0},
         "telemetry": {"log_level": "loud", "statsd": "host"},
         "shutdown": {"hard_limit_s": 0, "grace_s": 1},
         "extra": null,
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -4,13 +4,15 @@
 
 use std::collections::BTreeSet;
 use std::net::UdpSocket;
+use std::path::Path;
 use std::time::Duration;
 
+use serde_json::json;
 use support::collector::Collector;
 use tamaracklead::error::Error;
 use tamaracklead::error::ErrorKind;
-use tamaracklead::names::DataCentre;
 use tamaracklead::names::InstanceName;
+use tamaracklead::settings::Settings;
 use tamaracklead::telemetry::Counter;
 use tamaracklead::telemetry::Gauge;
 use tamaracklead::telemetry::Hop;
@@ -35,10 +37,16 @@
 }
 
 fn tracer(name: &str, collector: &Collector, runtime: &Runtime) -> Tracer {
-    let instance = InstanceName::new(name);
-    let data_centre = DataCentre::new("cairo-a");
-    let handle = runtime.handle().clone();
-    Tracer::start(&instance, &data_centre, Some(collector.addr), 100, handle).unwrap()
+    let settings = json!({
+        "instance": name,
+        "data_centre": "cairo-a",
+        "listen": {"caller": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+        "platform": {"configuration": "127.0.0.1:1", "instances": "127.0.0.1:1"},
+        "keys": {"peers": {"value": "k".repeat(16)}, "tickets": {"value": "k".repeat(16)}},
+        "telemetry": {"otlp": collector.addr},
+    });
+    let settings = Settings::parse(&settings.to_string(), Path::new(".")).unwrap();
+    Tracer::start(&settings, runtime.handle().clone()).unwrap()
 }
 
 #[test]
