--- a/lab/src/standin/server.rs
+++ b/lab/src/standin/server.rs
@@ -15,6 +15,8 @@
 
 /// Limits wide enough for everything that tests send.
 const LIMITS: HttpLimits = HttpLimits {
+    header_count: 128,
+    concurrent_requests: 4096,
     body_bytes: 16 * 1024 * 1024,
     head_timeout: Duration::from_secs(10),
     body_timeout: Duration::from_secs(10),
