Refuse bodies that broke off, priorities out of range, and readiness before the list

Contract tests found three faults. The server ends a body without an error when its sender closes early, so a part of a submission could have run as the whole: the length announced is now compared, and chunked bodies are refused. A priority of 10 was accepted. An instance was ready before it had read the instance list, and answered its first requests with no backend.

--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -60,6 +60,7 @@
     let guard = node.in_flight.begin();
     let wanted: CompletionRequest = serde_json::from_slice(&req.body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
+    wanted.check()?;
     let stream = wanted.stream;
     let draft = prepare(&node, wanted, req.header("traceparent"))?;
     let id = draft.id;
@@ -77,6 +78,7 @@
         return Err(Error::new(ErrorKind::Overloaded, detail));
     }
     let id = node.new_request_id()?;
+    node.explain().begin(now, id);
     let adapter = snapshot.resolve(&wanted.adapter, wanted.version)?;
     let model = snapshot.model_of(&adapter.adapter).cloned().ok_or_else(|| {
         Error::new(ErrorKind::UnknownAdapter, format!("adapter {adapter} has no base model"))
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -108,6 +108,7 @@
     book: Mutex<SubmissionBook>,
     explain: Mutex<ExplainLog>,
     draining: AtomicBool,
+    listed: AtomicBool,
 }
 
 impl Node {
@@ -139,6 +140,7 @@
             book: Mutex::default(),
             explain,
             draining: AtomicBool::new(false),
+            listed: AtomicBool::new(false),
         }))
     }
 
@@ -170,6 +172,25 @@
         Err(Error::new(ErrorKind::Draining, detail))
     }
 
+    /// Notes that the instance list has been read.
+    pub fn note_listed(&self) {
+        self.listed.store(true, Ordering::SeqCst);
+    }
+
+    /// Refuses while the instance can't serve yet, or is shutting down.
+    ///
+    /// # Errors
+    ///
+    /// `NotReady` or `Draining`.
+    pub fn check_ready(&self) -> Result<()> {
+        self.check_accepting()?;
+        self.snapshot()?;
+        if self.listed.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        Err(Error::new(ErrorKind::NotReady, "the instance list has not been read yet"))
+    }
+
     /// The configuration in effect.
     ///
     /// # Errors
@@ -285,7 +306,7 @@
             ("POST", "/v1/tickets") => submissions::issue_ticket(&self),
             ("POST", "/v1/submissions") => submissions::submit(&self, &req).await,
             ("GET", "/v1/submissions") => outcomes::serve(&self, &req).await,
-            ("GET", "/v1/ready") => self.snapshot().map(|_| Reply::json(200, &self.hello())),
+            ("GET", "/v1/ready") => self.check_ready().map(|()| Reply::json(200, &self.hello())),
             _ => Err(no_such_path(&req)),
         }
     }
--- a/src/daemon/refresh.rs
+++ b/src/daemon/refresh.rs
@@ -85,6 +85,7 @@
         listing.entries.retain(|entry| entry.name != node.settings.instance);
         node.membership_mut(|membership| membership.on_listing(&listing.entries));
         node.backends_mut(|backends| backends.on_listing(listing.backends));
+        node.note_listed();
     }
 }
 
--- a/src/decide/audit/publication.rs
+++ b/src/decide/audit/publication.rs
@@ -11,13 +11,13 @@
 use crate::names::AdapterName;
 use crate::names::PageName;
 use crate::names::PresetName;
+use crate::wire::caller::MAX_PRIORITY;
 use crate::wire::published::MAX_VALUE_BYTES;
 use crate::wire::published::Page;
 use crate::wire::published::Preset;
 use crate::wire::published::PublishedAdapter;
 use crate::wire::published::Root;
 
-const MAX_PRIORITY: u8 = 9;
 const MAX_STALL_WEIGHT: u8 = 100;
 
 /// A root and pages that can be read, and what is wrong with them.
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -26,10 +26,13 @@
 use xitca_web::body::ResponseBody;
 use xitca_web::body::StreamBody;
 use xitca_web::error::Error as WebError;
+use xitca_web::http::HeaderMap;
 use xitca_web::http::HeaderValue;
 use xitca_web::http::StatusCode;
 use xitca_web::http::WebResponse;
+use xitca_web::http::header::CONTENT_LENGTH;
 use xitca_web::http::header::CONTENT_TYPE;
+use xitca_web::http::header::TRANSFER_ENCODING;
 use xitca_web::service::fn_service;
 
 use super::Reply;
@@ -136,7 +139,7 @@
         })
         .collect::<HashMap<_, _>>();
     let (_, body) = rest.replace_body(());
-    let reply = match read_request(server.limits, parts.headers.len(), body).await {
+    let reply = match read_request(server.limits, &parts.headers, body).await {
         Ok(body) => {
             let req = Request {
                 from,
@@ -160,12 +163,24 @@
     })
 }
 
-async fn read_request(limits: HttpLimits, headers: usize, body: RequestBody) -> Result<Bytes> {
-    if headers > limits.header_count {
-        let detail = format!("{headers} headers exceed {}", limits.header_count);
+async fn read_request(limits: HttpLimits, headers: &HeaderMap, body: RequestBody) -> Result<Bytes> {
+    if headers.len() > limits.header_count {
+        let detail = format!("{} headers exceed {}", headers.len(), limits.header_count);
         return Err(Error::new(ErrorKind::TooLarge, detail));
     }
-    read_body(limits, body).await
+    // The server ends a body without an error when its sender closes early, so
+    // only a length announced beforehand tells a whole body from a part of one.
+    if headers.contains_key(TRANSFER_ENCODING) {
+        let detail = "the body needs a Content-Length in place of a Transfer-Encoding";
+        return Err(Error::new(ErrorKind::Malformed, detail));
+    }
+    let body = read_body(limits, body).await?;
+    let announced = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok()?.parse().ok());
+    if announced.is_some_and(|len: usize| len != body.len()) {
+        let detail = format!("body broke off after {} bytes", body.len());
+        return Err(Error::new(ErrorKind::Malformed, detail));
+    }
+    Ok(body)
 }
 
 async fn read_body(limits: HttpLimits, body: RequestBody) -> Result<Bytes> {
--- a/src/wire/caller.rs
+++ b/src/wire/caller.rs
@@ -3,9 +3,16 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
 use crate::names::AdapterName;
 use crate::names::RequestId;
 use crate::names::Version;
+pub use crate::wire::version_choice::VersionChoice;
+
+/// Highest priority of a request.
+pub const MAX_PRIORITY: u8 = 9;
 
 /// Body of `POST /v1/completions`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,38 +40,23 @@
 }
 
 impl CompletionRequest {
-    fn default_max_tokens() -> u32 {
-        256
-    }
-}
-
-/// Version that a caller asks for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(untagged)]
-pub enum VersionChoice {
-    /// This version and no other.
-    Exact(Version),
-    /// The newest version of the generation in force.
-    #[default]
-    #[serde(with = "newest")]
-    Newest,
-}
-
-mod newest {
-    use serde::Deserialize;
-    use serde::Deserializer;
-    use serde::Serializer;
-    use serde::de::Error;
-
-    pub fn serialize<S: Serializer>(serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str("newest")
+    /// Checks what the types don't.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` if the priority is out of range.
+    pub fn check(&self) -> Result<()> {
+        match self.priority {
+            Some(priority) if priority > MAX_PRIORITY => {
+                let detail = format!("priority {priority} is over {MAX_PRIORITY}");
+                Err(Error::new(ErrorKind::Malformed, detail))
+            }
+            _ => Ok(()),
+        }
     }
 
-    pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<(), D::Error> {
-        match String::deserialize(deserializer)?.as_str() {
-            "newest" => Ok(()),
-            other => Err(D::Error::custom(format!("version {other:?} is not \"newest\""))),
-        }
+    fn default_max_tokens() -> u32 {
+        256
     }
 }
 
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -14,3 +14,4 @@
 pub mod peer;
 pub mod published;
 pub mod sse;
+mod version_choice;
--- a/tests/cli_calls.rs
+++ b/tests/cli_calls.rs
@@ -130,7 +130,7 @@
         assert_eq!(req.path, format!("/operator/v1/requests/{ID}"));
         StubReply::json(
             200,
-            &json!({"request_id": ID, "steps": [
+            &json!({"request_id": ID, "from_entry": true, "steps": [
                 {"instance": "entry-1", "at_ms": 0, "text": "resolved to heats@2 of generation 12"},
                 {"instance": "entry-2", "at_ms": 3, "text": "dispatched to engine engine-1"},
             ]}),
--- a/tests/contract_callers.rs
+++ b/tests/contract_callers.rs
@@ -12,6 +12,7 @@
 use support::daemon::bearer;
 use support::http::Answer;
 use support::http::Call;
+use support::http::Length;
 use support::platform::Platform;
 use tamaracklead::decide::submissions::Ticket;
 use tamaracklead::names::Incarnation;
@@ -108,10 +109,17 @@
     let platform = Platform::start();
     let daemon = Daemon::start("entry-1", &platform, |_| {});
     let mut call = draft(&good_draft());
-    call.missing_bytes = 1;
+    call.length = Length::TooLong;
     if let Some(answer) = call.try_send(daemon.caller) {
         assert!((400..500).contains(&answer.status), "{}", answer.text());
     }
+    let mut chunked = draft(&good_draft()).header("transfer-encoding", "chunked");
+    let body = String::from_utf8(chunked.body.clone()).unwrap();
+    chunked.body = format!("{:x}\r\n{body}\r\n", body.len()).into_bytes();
+    chunked.length = Length::Unannounced;
+    if let Some(answer) = chunked.try_send(daemon.caller) {
+        assert!((400..500).contains(&answer.status), "{}", answer.text());
+    }
     assert_eq!(platform.drafts(), 0);
 }
 
--- a/tests/support/http.rs
+++ b/tests/support/http.rs
@@ -46,14 +46,24 @@
     }
 }
 
-/// One call; its body may be announced longer than it is.
+/// What a call announces of its body's length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
+    Right,
+    /// One byte more than is sent.
+    TooLong,
+    /// Nothing; the body brings its own framing.
+    Unannounced,
+}
+
+/// One call.
 #[derive(Clone, Debug)]
 pub struct Call {
     pub method: &'static str,
     pub path: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
-    pub missing_bytes: usize,
+    pub length: Length,
     /// Time to wait between the head and the body.
     pub pause: Duration,
 }
@@ -65,7 +75,7 @@
             path: path.to_owned(),
             headers: Vec::new(),
             body: Vec::new(),
-            missing_bytes: 0,
+            length: Length::Right,
             pause: Duration::ZERO,
         }
     }
@@ -87,13 +97,18 @@
         for (name, value) in &self.headers {
             head.push_str(&format!("{name}: {value}\r\n"));
         }
-        let len = self.body.len() + self.missing_bytes;
-        head.push_str(&format!("connection: close\r\ncontent-length: {len}\r\n\r\n"));
+        let len = self.body.len();
+        match self.length {
+            Length::Right => head.push_str(&format!("content-length: {len}\r\n")),
+            Length::TooLong => head.push_str(&format!("content-length: {}\r\n", len + 1)),
+            Length::Unannounced => {}
+        }
+        head.push_str("connection: close\r\n\r\n");
         stream.write_all(head.as_bytes()).unwrap();
         std::thread::sleep(self.pause);
         // The server may answer and close before it has read everything.
         let _ = stream.write_all(&self.body);
-        if self.missing_bytes > 0 {
+        if self.length != Length::Right {
             let _ = stream.shutdown(Shutdown::Write);
         }
         let mut raw = Vec::new();
