--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -11,6 +11,7 @@
 use super::in_flight::InFlightGuard;
 use crate::decide::drain::Work;
 use crate::decide::routing;
+use crate::edge::PeerTarget;
 use crate::edge::Reply;
 use crate::edge::Request;
 use crate::error::Error;
@@ -60,6 +61,7 @@
     let guard = node.in_flight.begin();
     let wanted: CompletionRequest = serde_json::from_slice(&req.body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
+    wanted.check()?;
     let stream = wanted.stream;
     let draft = prepare(&node, wanted, req.header("traceparent"))?;
     let id = draft.id;
@@ -77,6 +79,7 @@
         return Err(Error::new(ErrorKind::Overloaded, detail));
     }
     let id = node.new_request_id()?;
+    node.explain().begin(now, id);
     let adapter = snapshot.resolve(&wanted.adapter, wanted.version)?;
     let model = snapshot.model_of(&adapter.adapter).cloned().ok_or_else(|| {
         Error::new(ErrorKind::UnknownAdapter, format!("adapter {adapter} has no base model"))
@@ -176,13 +179,13 @@
     owner: &InstanceName,
     message: Dispatch,
 ) -> Result<mpsc::Receiver<DispatchEvent>> {
-    let addr = node
-        .membership(|membership| membership.get(owner).map(|member| member.peer_addr))
+    let peer = node
+        .membership(|membership| membership.get(owner).map(PeerTarget::from))
         .ok_or_else(|| {
-        let detail = format!("instance {:?} is not known", owner.as_str());
-        Error::new(ErrorKind::PeerUnreachable, detail)
-    })?;
-    match node.clients.peer.dispatch(addr, &message).await {
+            let detail = format!("instance {:?} is not known", owner.as_str());
+            Error::new(ErrorKind::PeerUnreachable, detail)
+        })?;
+    match node.clients.peer.dispatch(&peer, &message).await {
         Ok(answer) => answer,
         Err(failure) if failure.end.proves_not_run() => {
             Err(failure.into_error(ErrorKind::PeerUnreachable))
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -14,6 +14,7 @@
 use super::drain;
 use super::owner_calls;
 use super::refresh;
+use super::report;
 use crate::decide::drain::DrainEnd;
 use crate::edge::HttpHandler;
 use crate::edge::HttpLimits;
@@ -38,7 +39,7 @@
 /// `Internal` if a listener or the runtime can't be started.
 pub fn run(settings: Settings) -> Result<DrainEnd> {
     let runtime = runtime().map_err(|e| internal("runtime", &e))?;
-    let node = Node::new(settings)?;
+    let node = Node::new(settings, runtime.handle())?;
     let listen = node.settings.listen.clone();
     let caller = bind("callers", listen.caller)?;
     let peer = bind("peers", listen.peer)?;
@@ -60,6 +61,7 @@
     for stop in servers {
         stop();
     }
+    node.tracer.shutdown();
     Ok(end)
 }
 
@@ -71,6 +73,8 @@
     };
     let limits = HttpLimits {
         body_bytes,
+        header_count: limits.header_count,
+        concurrent_requests: limits.concurrent_requests,
         head_timeout: limits.head_timeout,
         body_timeout: limits.body_timeout,
     };
@@ -91,6 +95,7 @@
     runtime.spawn(refresh::listing(Arc::clone(node)));
     runtime.spawn(refresh::heartbeats(Arc::clone(node)));
     runtime.spawn(owner_calls::watch(Arc::clone(node)));
+    runtime.spawn(report::metrics(Arc::clone(node)));
 }
 
 fn bind(whom: &str, addr: SocketAddr) -> Result<TcpListener> {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,13 +5,17 @@
 //! experiments drive these types directly; [`crate::daemon`] drives them from
 //! the network.
 
+pub mod audit;
 pub mod backends;
 pub mod config;
+pub mod convergence;
 pub mod dispatch_end;
 pub mod drain;
 pub mod engine;
 pub mod membership;
 pub mod ownership;
 pub mod rendezvous;
+pub mod replay_window;
+pub mod resend;
 pub mod routing;
 pub mod submissions;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,10 +10,13 @@
 //! 4. [`edge`]: clients of engines, desks, the platform and peers;
 //! 5. [`daemon`]: shards of state that carry events in and actions out.
 
+pub mod auth;
+pub mod cli;
 pub mod daemon;
 pub mod decide;
 pub mod edge;
 pub mod error;
 pub mod names;
 pub mod settings;
+pub mod telemetry;
 pub mod wire;
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,8 @@
+//! Small fixtures shared by tests; no test uses all of them.
+#![allow(dead_code)]
+
+pub mod collector;
+pub mod daemon;
+pub mod http;
+pub mod platform;
+pub mod stub_server;
