--- a/lab/src/clap_app.rs
+++ b/lab/src/clap_app.rs
@@ -5,6 +5,7 @@
 use clap::Arg;
 use clap::Command;
 use clap::value_parser;
+use lab::experiment;
 
 /// Describes the command line.
 pub fn build_app() -> Command {
@@ -12,6 +13,7 @@
         .about("Stand-ins, load driver and experiments for tamaracklead")
         .subcommand_required(true)
         .subcommand(stand_in())
+        .subcommand(experiment::command())
         .subcommand(Command::new("demo").about("Runs a fleet through failures and checks it"))
         .subcommand(
             Command::new("up").about("Starts a fleet and leaves it running").arg(
--- /dev/null
+++ b/lab/src/experiment/fleet.rs
@@ -0,0 +1,368 @@
+//! One run: entry instances, owners, engines and the store in virtual time.
+
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tamaracklead::decide::engine::EngineAction;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::error::Error;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::names::Version;
+
+use super::event::Event;
+use super::event::Scheduled;
+use super::figures::Counts;
+use super::figures::Figures;
+use super::owner::Owner;
+use super::policy::Policy;
+use super::request::Outcome;
+use super::request::Request;
+use super::router::EngineView;
+use super::router::Router;
+use crate::load::Deployment;
+use crate::load::FleetEvent;
+use crate::load::Scenario;
+use crate::load::WARM_UP;
+use crate::load::Workload;
+use crate::model::EngineModel;
+use crate::model::Run;
+use crate::model::StepEvent;
+use crate::model::StoreModel;
+
+/// Time until the first token is due.
+pub const DEADLINE: Duration = Duration::from_secs(8);
+/// Time between ticks; what is known of engines is as old as this at most.
+const TICK: Duration = Duration::from_millis(200);
+/// Time after the last arrival in which every request must end.
+const DRAIN: Duration = Duration::from_secs(60);
+/// Time in which an order to an engine that is starting fails.
+const REFUSED_ORDER: Duration = Duration::from_millis(10);
+/// Share of loads that fail.
+const LOAD_FAILURES: f64 = 0.02;
+/// How often a request is routed at most.
+const MOST_ROUTED: u32 = 3;
+/// How often a refused caller tries at most.
+const MOST_TRIES: u32 = 4;
+/// Time after which a caller that got no `Retry-After` comes back.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// State of one run.
+pub struct Fleet<'a> {
+    deployment: &'a Deployment,
+    scenario: Scenario,
+    workload: &'a Workload,
+    models: Vec<EngineModel>,
+    owners: Vec<Owner>,
+    views: Vec<EngineView>,
+    router: Router,
+    store: StoreModel,
+    requests: Vec<Request>,
+    counts: Counts,
+    queue: BinaryHeap<Scheduled>,
+    sequence: u64,
+    rng: ChaCha8Rng,
+}
+
+impl<'a> Fleet<'a> {
+    /// Carries out a run.
+    pub fn run(
+        deployment: &'a Deployment,
+        scenario: Scenario,
+        workload: &'a Workload,
+        policy: Policy,
+        seed: u64,
+    ) -> Figures {
+        let engines = deployment.engines;
+        let mut fleet = Self {
+            deployment,
+            scenario,
+            workload,
+            models: vec![EngineModel::new(deployment.slots, deployment.batch); engines],
+            owners: vec![Owner::new(policy, deployment); engines],
+            views: vec![EngineView { depth: 0, live: true }; engines],
+            router: Router::new(policy, engines),
+            store: StoreModel::new(deployment.store_rate),
+            requests: Vec::new(),
+            counts: Counts::default(),
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        };
+        fleet.schedule_workload();
+        let end = fleet.end();
+        while let Some(next) = fleet.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            fleet.on_event(next.at, next.event);
+        }
+        Figures::of(&fleet.requests, &fleet.counts, Timestamp::ZERO + WARM_UP)
+    }
+
+    fn end(&self) -> Timestamp {
+        let last = self.workload.arrivals.last().map_or(Timestamp::ZERO, |arrival| arrival.at);
+        last + DRAIN
+    }
+
+    fn schedule_workload(&mut self) {
+        for number in 0..self.workload.arrivals.len() {
+            self.schedule(self.workload.arrivals[number].at, Event::Arrive(number));
+        }
+        for number in 0..self.workload.events.len() {
+            self.schedule(self.workload.events[number].0, Event::Fleet(number));
+        }
+        self.schedule(Timestamp::ZERO, Event::Tick);
+    }
+
+    fn schedule(&mut self, at: Timestamp, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Scheduled { at, sequence: self.sequence, event });
+    }
+
+    fn on_event(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Arrive(number) => self.on_arrival(now, number),
+            Event::ComeBack(number) => self.on_come_back(now, number),
+            Event::Step { engine, restarts } => self.on_step(now, engine, restarts),
+            Event::LoadEnd { engine, restarts, adapter, from_store, loaded } => {
+                if from_store {
+                    self.store.end();
+                }
+                if self.models[engine].restarts() != restarts {
+                    return;
+                }
+                if from_store {
+                    self.models[engine].end_load(&adapter, loaded);
+                }
+                self.on_load_ended(now, engine, adapter, loaded);
+            }
+            Event::Tick => self.on_tick(now),
+            Event::Fleet(number) => self.on_fleet_event(now, number),
+        }
+    }
+
+    fn on_arrival(&mut self, now: Timestamp, number: usize) {
+        let arrival = self.workload.arrivals[number];
+        let name = AdapterName::new(&format!("adapter-{}", arrival.adapter));
+        let origin = self.requests.len();
+        self.requests.push(Request {
+            adapter: AdapterRef::new(name, Version(1)),
+            prompt_tokens: arrival.prompt_tokens,
+            answer_tokens: arrival.answer_tokens,
+            arrived: now,
+            deadline: now + DEADLINE,
+            origin,
+            caller_try: 0,
+            engine: 0,
+            routed: 0,
+            dispatched: 0,
+            running: false,
+            stalled_since: None,
+            stall_us: 0,
+            first_token: None,
+            outcome: None,
+        });
+        self.route(now, origin, None);
+    }
+
+    fn on_come_back(&mut self, now: Timestamp, number: usize) {
+        let first = &self.requests[number];
+        let again = Request {
+            arrived: now,
+            deadline: now + DEADLINE,
+            caller_try: first.caller_try + 1,
+            routed: 0,
+            dispatched: 0,
+            stall_us: 0,
+            outcome: None,
+            ..first.clone()
+        };
+        self.requests.push(again);
+        self.route(now, self.requests.len() - 1, None);
+    }
+
+    fn route(&mut self, now: Timestamp, number: usize, avoid: Option<usize>) {
+        let adapter = self.requests[number].adapter.clone();
+        let name = adapter.adapter.as_str();
+        let Some(engine) = self.router.choose(name, avoid, &self.views, &mut self.rng) else {
+            let error = Error::new(ErrorKind::NoBackend, "no engine takes work");
+            return self.refuse(now, number, &error);
+        };
+        let ready = self.owners[engine].is_ready(&adapter);
+        let request = &mut self.requests[number];
+        request.engine = engine;
+        request.routed += 1;
+        request.stalled_since = (!ready).then_some(now);
+        let waiting = Waiting {
+            request_id: RequestId(number as u128),
+            adapter,
+            priority: 5,
+            arrived: now,
+            deadline: request.deadline,
+        };
+        self.input(now, engine, EngineInput::Arrived(waiting));
+    }
+
+    fn input(&mut self, now: Timestamp, engine: usize, input: EngineInput) {
+        let actions = self.owners[engine].on_input(now, input);
+        for action in actions {
+            self.act(now, engine, action);
+        }
+        if let Some(step) = self.models[engine].begin_step() {
+            let restarts = self.models[engine].restarts();
+            self.schedule(now + step, Event::Step { engine, restarts });
+        }
+    }
+
+    fn act(&mut self, now: Timestamp, engine: usize, action: EngineAction) {
+        match action {
+            EngineAction::Load(adapter) => self.load(now, engine, adapter),
+            EngineAction::Unload(adapter) => {
+                let unloaded = self.models[engine].unload_if_idle(&adapter);
+                self.input(now, engine, EngineInput::UnloadEnded { adapter, unloaded });
+            }
+            EngineAction::Dispatch(id) => self.dispatch(now, engine, id),
+            EngineAction::Refuse { request_id, error } => {
+                self.on_refused(now, engine, request_id.0 as usize, &error);
+            }
+        }
+    }
+
+    fn load(&mut self, now: Timestamp, engine: usize, adapter: AdapterRef) {
+        let restarts = self.models[engine].restarts();
+        let from_store = self.models[engine].begin_load(now);
+        let took = if from_store { self.store.begin(now) } else { REFUSED_ORDER };
+        if from_store && now >= Timestamp::ZERO + WARM_UP {
+            self.counts.loads += 1;
+        }
+        let loaded = from_store && !self.rng.random_bool(LOAD_FAILURES);
+        let event = Event::LoadEnd { engine, restarts, adapter, from_store, loaded };
+        self.schedule(now + took, event);
+    }
+
+    fn on_load_ended(&mut self, now: Timestamp, engine: usize, adapter: AdapterRef, loaded: bool) {
+        if loaded {
+            for id in self.owners[engine].waiting_for(&adapter) {
+                self.requests[id.0 as usize].end_stall(now);
+            }
+        }
+        self.input(now, engine, EngineInput::LoadEnded { adapter, loaded });
+    }
+
+    fn dispatch(&mut self, now: Timestamp, engine: usize, id: RequestId) {
+        let request = &mut self.requests[id.0 as usize];
+        self.counts.doubled += u64::from(request.running || request.outcome.is_some());
+        request.end_stall(now);
+        request.dispatched += 1;
+        request.running = true;
+        let run = Run {
+            request_id: id,
+            adapter: request.adapter.clone(),
+            prompt_tokens: request.prompt_tokens,
+            tokens_left: request.answer_tokens,
+        };
+        if !self.models[engine].dispatch(run) {
+            self.counts.wrong += 1;
+        }
+    }
+
+    fn on_step(&mut self, now: Timestamp, engine: usize, restarts: u32) {
+        if self.models[engine].restarts() != restarts {
+            return;
+        }
+        let events = self.models[engine].end_step();
+        if now >= Timestamp::ZERO + WARM_UP {
+            self.counts.steps += 1;
+            self.counts.filled +=
+                self.models[engine].last_fill() as f64 / self.deployment.batch as f64;
+        }
+        for event in events {
+            match event {
+                StepEvent::FirstToken(id) => {
+                    self.requests[id.0 as usize].first_token = Some(now);
+                }
+                StepEvent::Done(id) => {
+                    let request = &mut self.requests[id.0 as usize];
+                    request.running = false;
+                    request.outcome = Some(Outcome::Answered);
+                    self.input(now, engine, EngineInput::Ended(id));
+                }
+            }
+        }
+        if let Some(step) = self.models[engine].begin_step() {
+            self.schedule(now + step, Event::Step { engine, restarts });
+        }
+    }
+
+    fn on_tick(&mut self, now: Timestamp) {
+        for engine in 0..self.owners.len() {
+            self.input(now, engine, EngineInput::Tick);
+            self.views[engine] = EngineView {
+                depth: self.owners[engine].depth(),
+                live: now >= self.models[engine].ready_at(),
+            };
+        }
+        self.schedule(now + TICK, Event::Tick);
+    }
+
+    fn on_fleet_event(&mut self, now: Timestamp, number: usize) {
+        match self.workload.events[number].1.clone() {
+            FleetEvent::Restart(engine) => self.restart(now, engine),
+            FleetEvent::StoreRate(rate) => self.store.set_rate(rate),
+            FleetEvent::Preset(_) => {}
+        }
+    }
+
+    fn restart(&mut self, now: Timestamp, engine: usize) {
+        let lost = self.models[engine].restart(now);
+        for id in &lost {
+            self.requests[id.0 as usize].running = false;
+        }
+        self.input(now, engine, EngineInput::Restarted);
+        for id in lost {
+            self.input(now, engine, EngineInput::Ended(id));
+            let number = id.0 as usize;
+            if self.requests[number].first_token.is_some() {
+                self.requests[number].outcome = Some(Outcome::Failed);
+            } else {
+                self.reroute(now, engine, number, &Error::new(ErrorKind::BackendFailed, "lost"));
+            }
+        }
+    }
+
+    fn on_refused(&mut self, now: Timestamp, engine: usize, number: usize, error: &Error) {
+        self.requests[number].end_stall(now);
+        if error.kind == ErrorKind::LoadFailed {
+            self.reroute(now, engine, number, error);
+        } else {
+            self.refuse(now, number, error);
+        }
+    }
+
+    fn reroute(&mut self, now: Timestamp, engine: usize, number: usize, error: &Error) {
+        let request = &self.requests[number];
+        if request.routed < MOST_ROUTED && now < request.deadline {
+            self.route(now, number, Some(engine));
+        } else {
+            self.refuse(now, number, error);
+        }
+    }
+
+    fn refuse(&mut self, now: Timestamp, number: usize, error: &Error) {
+        self.requests[number].outcome = Some(Outcome::Refused);
+        let again = self.requests[number].caller_try + 1 < MOST_TRIES;
+        if self.scenario.callers_retry() && again {
+            let span = error.retry_after.unwrap_or(COME_BACK);
+            let jitter = span.mul_f64(self.rng.random_range(0.0..0.5));
+            self.schedule(now + span + jitter, Event::ComeBack(number));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/experiment/lru_core.rs
@@ -0,0 +1,171 @@
+//! The baseline's engine queue: arrival order, least recently used adapter out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tamaracklead::decide::engine::EngineAction;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::SlotState;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::error::Error;
+use tamaracklead::error::ErrorKind;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+
+/// Time to come back after a failed load.
+const LOAD_RETRY: Duration = Duration::from_secs(2);
+
+/// Queue, slots and running requests of one engine.
+#[derive(Clone, Debug)]
+pub struct LruCore {
+    slot_count: usize,
+    batch: usize,
+    slots: BTreeMap<AdapterRef, SlotState>,
+    waiting: Vec<Waiting>,
+    running: BTreeMap<RequestId, AdapterRef>,
+}
+
+impl LruCore {
+    /// An engine with `slot_count` free slots that runs `batch` requests at once.
+    pub fn new(slot_count: usize, batch: usize) -> Self {
+        Self {
+            slot_count,
+            batch,
+            slots: BTreeMap::new(),
+            waiting: Vec::new(),
+            running: BTreeMap::new(),
+        }
+    }
+
+    /// Adapters in slots and their state.
+    pub fn slots(&self) -> &BTreeMap<AdapterRef, SlotState> {
+        &self.slots
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> &[Waiting] {
+        &self.waiting
+    }
+
+    /// Requests that run, with the adapter of each.
+    pub fn running(&self) -> &BTreeMap<RequestId, AdapterRef> {
+        &self.running
+    }
+
+    /// Takes one event and returns what must be done.
+    pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineAction> {
+        let mut actions = Vec::new();
+        match input {
+            EngineInput::Arrived(waiting) => self.waiting.push(waiting),
+            EngineInput::Withdrawn(id) => self.waiting.retain(|w| w.request_id != id),
+            EngineInput::Ended(id) => self.on_ended(now, id),
+            EngineInput::LoadEnded { adapter, loaded: true } => {
+                self.slots.insert(adapter, SlotState::Ready { used: now });
+            }
+            EngineInput::LoadEnded { adapter, loaded: false } => {
+                self.slots.remove(&adapter);
+                self.refuse_waiting_for(&adapter, &mut actions);
+            }
+            EngineInput::UnloadEnded { adapter, unloaded: true } => {
+                self.slots.remove(&adapter);
+            }
+            EngineInput::UnloadEnded { adapter, unloaded: false } => {
+                self.slots.insert(adapter, SlotState::Ready { used: now });
+            }
+            EngineInput::Restarted => self.slots.clear(),
+            EngineInput::Guard(_) | EngineInput::Unreachable | EngineInput::Tick => {}
+        }
+        self.refuse_late(now, &mut actions);
+        self.dispatch_ready(now, &mut actions);
+        self.request_loads(&mut actions);
+        actions
+    }
+
+    fn on_ended(&mut self, now: Timestamp, id: RequestId) {
+        let Some(adapter) = self.running.remove(&id) else { return };
+        if let Some(SlotState::Ready { used }) = self.slots.get_mut(&adapter) {
+            *used = now;
+        }
+    }
+
+    fn refuse_waiting_for(&mut self, adapter: &AdapterRef, actions: &mut Vec<EngineAction>) {
+        self.waiting.retain(|waiting| {
+            if &waiting.adapter != adapter {
+                return true;
+            }
+            let detail = format!("adapter {adapter} could not be loaded");
+            let error = Error::new(ErrorKind::LoadFailed, detail).retry_after(LOAD_RETRY);
+            actions.push(EngineAction::Refuse { request_id: waiting.request_id, error });
+            false
+        });
+    }
+
+    fn refuse_late(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        self.waiting.retain(|waiting| {
+            if now < waiting.deadline {
+                return true;
+            }
+            let error = Error::new(ErrorKind::DeadlineTooShort, "deadline passed in the queue");
+            actions.push(EngineAction::Refuse { request_id: waiting.request_id, error });
+            false
+        });
+    }
+
+    fn dispatch_ready(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        self.waiting.sort_by_key(|w| (std::cmp::Reverse(w.priority), w.arrived));
+        let mut rest = Vec::with_capacity(self.waiting.len());
+        for waiting in self.waiting.drain(..) {
+            let slot = self.slots.get_mut(&waiting.adapter);
+            match slot {
+                Some(SlotState::Ready { used }) if self.running.len() < self.batch => {
+                    *used = now;
+                    self.running.insert(waiting.request_id, waiting.adapter);
+                    actions.push(EngineAction::Dispatch(waiting.request_id));
+                }
+                _ => rest.push(waiting),
+            }
+        }
+        self.waiting = rest;
+    }
+
+    fn request_loads(&mut self, actions: &mut Vec<EngineAction>) {
+        let wanted: Vec<AdapterRef> = self.waiting.iter().map(|w| w.adapter.clone()).collect();
+        let mut unloading =
+            self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
+        for adapter in wanted {
+            if self.slots.contains_key(&adapter) {
+                continue;
+            }
+            if self.slots.len() < self.slot_count {
+                self.slots.insert(adapter.clone(), SlotState::Loading);
+                actions.push(EngineAction::Load(adapter));
+                continue;
+            }
+            if unloading > 0 {
+                unloading -= 1;
+                continue;
+            }
+            let Some(victim) = self.victim() else { return };
+            self.slots.insert(victim.clone(), SlotState::Unloading);
+            actions.push(EngineAction::Unload(victim));
+        }
+    }
+
+    /// The least recently used adapter that no request runs on or waits for.
+    fn victim(&self) -> Option<AdapterRef> {
+        self.slots
+            .iter()
+            .filter_map(|(adapter, slot)| match slot {
+                SlotState::Ready { used } if !self.in_use(adapter) => Some((used, adapter)),
+                _ => None,
+            })
+            .min()
+            .map(|(_, adapter)| adapter.clone())
+    }
+
+    fn in_use(&self, adapter: &AdapterRef) -> bool {
+        self.running.values().any(|running| running == adapter)
+            || self.waiting.iter().any(|waiting| &waiting.adapter == adapter)
+    }
+}
--- /dev/null
+++ b/lab/src/experiment/table.rs
@@ -0,0 +1,50 @@
+//! Tables of figures, as Markdown.
+
+use super::bound::Bound;
+use super::figures::Figures;
+use super::policy::Policy;
+use crate::load::Deployment;
+use crate::load::Scenario;
+
+const HEAD: &str = "| policy | stalled | stall total s | stall p95 ms | fill | first p50 | p95 | \
+p99 ms | refused | failed | goodput | loads/answer | amplification | wrong, lost, doubled |\n\
+|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n";
+
+/// Renders the figures of one scenario, one row a policy.
+pub fn render(
+    deployment: &Deployment,
+    scenario: Scenario,
+    rows: &[(Policy, Figures)],
+    bound: &Bound,
+) -> String {
+    let requests = rows.first().map_or(0, |(_, figures)| figures.requests);
+    let mut text =
+        format!("### {}, {} ({requests} requests)\n\n{HEAD}", deployment.name, scenario.name());
+    for (policy, f) in rows {
+        text.push_str(&format!(
+            "| {} | {} | {:.0} | {:.0} | {:.3} | {:.0} | {:.0} | {:.0} | {} | {} | {:.3} | \
+             {:.3} | {:.3} | {}, {}, {} |\n",
+            policy.name(),
+            f.stalled,
+            f.stall_total_s,
+            f.stall_p95,
+            f.fill,
+            f.first_p50,
+            f.first_p95,
+            f.first_p99,
+            f.refused,
+            f.failed,
+            f.goodput,
+            f.loads_per_answer,
+            f.amplification,
+            f.wrong,
+            f.lost,
+            f.doubled,
+        ));
+    }
+    text.push_str(&format!(
+        "| offline bound | {} | {:.0} | | | | | | {} | | | | | |\n",
+        bound.stalled, bound.stall_total_s, bound.refused,
+    ));
+    text
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,5 +2,8 @@
 
 pub mod ask;
 pub mod demo;
+pub mod experiment;
 pub mod fleet;
+pub mod load;
+pub mod model;
 pub mod standin;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lab::demo;
+use lab::experiment;
 use lab::fleet;
 use lab::standin;
 
@@ -14,6 +15,7 @@
     let matches = clap_app::build_app().get_matches();
     let ended = match matches.subcommand() {
         Some(("stand-in", args)) => standin::run(args),
+        Some(("experiment", args)) => experiment::run(args),
         Some(("demo", _)) => bin_dir().and_then(|dir| demo::run(&dir)),
         Some(("up", args)) => {
             let seconds = args.get_one::<u64>("seconds").copied().unwrap_or_default();
