--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -9,6 +9,7 @@
 use super::GuardInput;
 use super::SlotState;
 use super::Waiting;
+use crate::decide::demand::Demand;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::names::AdapterRef;
@@ -20,6 +21,11 @@
 /// Time without orders after a failed unload; the engine may be down.
 const ORDER_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time in which the measured demand for an adapter halves.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
+/// Adapters whose demand is tracked, for each slot.
+const TRACKED_PER_SLOT: usize = 16;
+
 /// Queue, slots and running requests of one engine.
 #[derive(Clone, Debug)]
 pub struct EngineCore {
@@ -30,6 +36,7 @@
     running: BTreeMap<RequestId, AdapterRef>,
     guard: Guard,
     orders_after: Timestamp,
+    demand: Demand,
 }
 
 impl EngineCore {
@@ -43,6 +50,7 @@
             running: BTreeMap::new(),
             guard: Guard::default(),
             orders_after: Timestamp::ZERO,
+            demand: Demand::new(DEMAND_HALF_LIFE, TRACKED_PER_SLOT * slot_count),
         }
     }
 
@@ -65,7 +73,10 @@
     pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineAction> {
         let mut actions = Vec::new();
         match input {
-            EngineInput::Arrived(waiting) => self.waiting.push(waiting),
+            EngineInput::Arrived(waiting) => {
+                self.demand.record(now, &waiting.adapter);
+                self.waiting.push(waiting);
+            }
             EngineInput::Withdrawn(id) => self.waiting.retain(|w| w.request_id != id),
             EngineInput::Ended(id) => self.on_ended(now, id),
             EngineInput::LoadEnded { adapter, loaded: true } => {
@@ -214,22 +225,24 @@
                 unloading -= 1;
                 continue;
             }
-            let Some(victim) = self.victim() else { return };
+            let Some(victim) = self.victim(now) else { return };
             self.slots.insert(victim.clone(), SlotState::Unloading);
             actions.push(EngineAction::Unload(victim));
         }
     }
 
-    /// The least recently used adapter that no request runs on or waits for.
-    fn victim(&self) -> Option<AdapterRef> {
+    /// The adapter with the least demand that no request runs on or waits for.
+    fn victim(&self, now: Timestamp) -> Option<AdapterRef> {
         self.slots
             .iter()
             .filter_map(|(adapter, slot)| match slot {
-                SlotState::Ready { used } if !self.in_use(adapter) => Some((used, adapter)),
+                SlotState::Ready { used } if !self.in_use(adapter) => {
+                    Some((self.demand.count(now, adapter), used, adapter))
+                }
                 _ => None,
             })
-            .min()
-            .map(|(_, adapter)| adapter.clone())
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2))))
+            .map(|(_, _, adapter)| adapter.clone())
     }
 
     fn in_use(&self, adapter: &AdapterRef) -> bool {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod backends;
 pub mod config;
+pub mod demand;
 pub mod dispatch_end;
 pub mod engine;
 pub mod membership;
