Permit loads fleet-wide: most waiting requests first, victims kept until the permit comes

Cause: owners sent loads to the store blindly, so slots stood empty while the store's queue held loads for requests long refused.

--- a/lab/src/experiment/event.rs
+++ b/lab/src/experiment/event.rs
@@ -32,6 +32,8 @@
         /// Whether the adapter is loaded now.
         loaded: bool,
     },
+    /// The permit holder may grant.
+    Grant,
     /// Time passes for every owner, and engines report.
     Tick,
     /// Something happens to the fleet.
--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -9,10 +9,14 @@
 use tamaracklead::decide::engine::EngineAction;
 use tamaracklead::decide::engine::EngineInput;
 use tamaracklead::decide::engine::Waiting;
+use tamaracklead::decide::permits::PermitHolder;
+use tamaracklead::decide::permits::PermitKey;
+use tamaracklead::decide::permits::StoreLimits;
 use tamaracklead::error::Error;
 use tamaracklead::error::ErrorKind;
 use tamaracklead::names::AdapterName;
 use tamaracklead::names::AdapterRef;
+use tamaracklead::names::BackendName;
 use tamaracklead::names::RequestId;
 use tamaracklead::names::Timestamp;
 use tamaracklead::names::Version;
@@ -64,6 +68,8 @@
     views: Vec<EngineView>,
     router: Router,
     store: StoreModel,
+    permits: PermitHolder,
+    next_grant: Timestamp,
     requests: Vec<Request>,
     counts: Counts,
     queue: BinaryHeap<Scheduled>,
@@ -90,6 +96,8 @@
             views: vec![EngineView { depth: 0, live: true }; engines],
             router: Router::new(policy, engines),
             store: StoreModel::new(deployment.store_rate),
+            permits: PermitHolder::new(Timestamp::ZERO, limits(deployment.store_rate)),
+            next_grant: Timestamp::ZERO,
             requests: Vec::new(),
             counts: Counts::default(),
             queue: BinaryHeap::new(),
@@ -144,6 +152,7 @@
                 }
                 self.on_load_ended(now, engine, adapter, loaded);
             }
+            Event::Grant => self.grant(now),
             Event::Tick => self.on_tick(now),
             Event::Fleet(number) => self.on_fleet_event(now, number),
         }
@@ -224,6 +233,15 @@
 
     fn act(&mut self, now: Timestamp, engine: usize, action: EngineAction) {
         match action {
+            EngineAction::ApplyForPermit { adapter, urgency } => {
+                let key = self.permit_key(engine, adapter);
+                self.permits.on_application(now, key, urgency);
+                self.schedule(now, Event::Grant);
+            }
+            EngineAction::ReturnPermit(adapter) => {
+                let key = self.permit_key(engine, adapter);
+                self.permits.on_ended(&key);
+            }
             EngineAction::Load(adapter) => self.load(now, engine, adapter),
             EngineAction::Unload(adapter) => {
                 let unloaded = self.models[engine].unload_if_idle(&adapter);
@@ -236,6 +254,24 @@
         }
     }
 
+    fn permit_key(&self, engine: usize, adapter: AdapterRef) -> PermitKey {
+        PermitKey { engine: BackendName::new(&engine.to_string()), adapter }
+    }
+
+    fn grant(&mut self, now: Timestamp) {
+        for key in self.permits.grant(now) {
+            let engine = key.engine.as_str().parse().expect("permit keys carry engine numbers");
+            self.input(now, engine, EngineInput::PermitGranted(key.adapter));
+        }
+        if let Some(next) = self.permits.next_grant()
+            && next > now
+            && next > self.next_grant
+        {
+            self.next_grant = next;
+            self.schedule(next, Event::Grant);
+        }
+    }
+
     fn load(&mut self, now: Timestamp, engine: usize, adapter: AdapterRef) {
         let restarts = self.models[engine].restarts();
         let from_store = self.models[engine].begin_load(now);
@@ -303,7 +339,10 @@
     }
 
     fn on_tick(&mut self, now: Timestamp) {
+        self.grant(now);
+        let wait = self.permits.expected_wait(now);
         for engine in 0..self.owners.len() {
+            self.input(now, engine, EngineInput::LoadWait(wait));
             self.input(now, engine, EngineInput::Tick);
             self.views[engine] = EngineView {
                 depth: self.owners[engine].depth(),
@@ -316,7 +355,10 @@
     fn on_fleet_event(&mut self, now: Timestamp, number: usize) {
         match self.workload.events[number].1.clone() {
             FleetEvent::Restart(engine) => self.restart(now, engine),
-            FleetEvent::StoreRate(rate) => self.store.set_rate(rate),
+            FleetEvent::StoreRate(rate) => {
+                self.store.set_rate(rate);
+                self.permits.set_limits(limits(rate));
+            }
             FleetEvent::Preset(_) => {}
         }
     }
@@ -366,3 +408,7 @@
         }
     }
 }
+
+fn limits(rate: f64) -> StoreLimits {
+    StoreLimits { rate, in_flight: 8 }
+}
--- a/lab/src/experiment/lru_core.rs
+++ b/lab/src/experiment/lru_core.rs
@@ -74,7 +74,12 @@
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
             EngineInput::Restarted => self.slots.clear(),
-            EngineInput::Guard(_) | EngineInput::Unreachable | EngineInput::Tick => {}
+            EngineInput::Guard(_)
+            | EngineInput::Unreachable
+            | EngineInput::PermitGranted(_)
+            | EngineInput::LoadWait(_)
+            | EngineInput::StallWeight(_)
+            | EngineInput::Tick => {}
         }
         self.refuse_late(now, &mut actions);
         self.dispatch_ready(now, &mut actions);
--- a/lab/src/experiment/owner.rs
+++ b/lab/src/experiment/owner.rs
@@ -3,6 +3,7 @@
 use tamaracklead::decide::engine::EngineAction;
 use tamaracklead::decide::engine::EngineCore;
 use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::PermitMode;
 use tamaracklead::decide::engine::SlotState;
 use tamaracklead::names::AdapterRef;
 use tamaracklead::names::RequestId;
@@ -26,7 +27,7 @@
     pub fn new(policy: Policy, deployment: &Deployment) -> Self {
         let (slots, batch) = (deployment.slots, deployment.batch);
         match policy {
-            Policy::Ours => Self::Ours(EngineCore::new(slots, batch)),
+            Policy::Ours => Self::Ours(EngineCore::with_permits(slots, batch, PermitMode::Asked)),
             Policy::LeastLoaded | Policy::Hash | Policy::Random => {
                 Self::Lru(LruCore::new(slots, batch))
             }
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -1,5 +1,6 @@
 //! The state machine of one owned engine.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,9 +8,12 @@
 use super::EngineInput;
 use super::Guard;
 use super::GuardInput;
+use super::LoadPermits;
+use super::PermitMode;
 use super::SlotState;
 use super::Waiting;
 use crate::decide::demand::Demand;
+use crate::decide::permits::Urgency;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::names::AdapterRef;
@@ -37,11 +41,19 @@
     guard: Guard,
     orders_after: Timestamp,
     demand: Demand,
+    permits: LoadPermits,
 }
 
 impl EngineCore {
     /// An engine with `slot_count` free slots that runs `batch` requests at once.
+    ///
+    /// Its loads need no permit.
     pub fn new(slot_count: usize, batch: usize) -> Self {
+        Self::with_permits(slot_count, batch, PermitMode::Free)
+    }
+
+    /// An engine whose loads need permits as `mode` says.
+    pub fn with_permits(slot_count: usize, batch: usize, mode: PermitMode) -> Self {
         Self {
             slot_count,
             batch,
@@ -51,6 +63,7 @@
             guard: Guard::default(),
             orders_after: Timestamp::ZERO,
             demand: Demand::new(DEMAND_HALF_LIFE, TRACKED_PER_SLOT * slot_count),
+            permits: LoadPermits::new(mode),
         }
     }
 
@@ -80,9 +93,11 @@
             EngineInput::Withdrawn(id) => self.waiting.retain(|w| w.request_id != id),
             EngineInput::Ended(id) => self.on_ended(now, id),
             EngineInput::LoadEnded { adapter, loaded: true } => {
+                self.permits.give_back(adapter.clone(), &mut actions);
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
             EngineInput::LoadEnded { adapter, loaded: false } => {
+                self.permits.give_back(adapter.clone(), &mut actions);
                 self.slots.remove(&adapter);
                 self.refuse_waiting_for(&adapter, &mut actions);
             }
@@ -93,7 +108,12 @@
                 self.orders_after = now + ORDER_PAUSE;
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
-            EngineInput::Restarted => self.slots.clear(),
+            EngineInput::PermitGranted(adapter) => {
+                self.permits.on_granted(adapter, &mut actions);
+            }
+            EngineInput::LoadWait(wait) => self.permits.set_wait(wait),
+            EngineInput::StallWeight(_) => {}
+            EngineInput::Restarted => self.on_restarted(&mut actions),
             EngineInput::Guard(input) => self.on_guard(now, input),
             EngineInput::Unreachable => self.refuse_all_waiting(&mut actions),
             EngineInput::Tick => self.forget_lone(),
@@ -143,6 +163,14 @@
         });
     }
 
+    fn on_restarted(&mut self, actions: &mut Vec<EngineAction>) {
+        for (adapter, slot) in std::mem::take(&mut self.slots) {
+            if slot == SlotState::Loading {
+                self.permits.give_back(adapter, actions);
+            }
+        }
+    }
+
     fn on_ended(&mut self, now: Timestamp, id: RequestId) {
         self.guard.alone.remove(&id);
         let Some(adapter) = self.running.remove(&id) else { return };
@@ -185,7 +213,7 @@
         if self.guard.paused {
             return;
         }
-        self.waiting.sort_by_key(|w| (std::cmp::Reverse(w.priority), w.arrived));
+        self.waiting.sort_by_key(|w| (Reverse(w.priority), w.arrived));
         let mut rest = Vec::with_capacity(self.waiting.len());
         let mut draining = false;
         for waiting in self.waiting.drain(..) {
@@ -209,14 +237,57 @@
         if self.guard.paused || now < self.orders_after {
             return;
         }
-        let wanted: Vec<AdapterRef> = self.waiting.iter().map(|w| w.adapter.clone()).collect();
-        let mut unloading =
-            self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
-        for adapter in wanted {
-            if self.slots.contains_key(&adapter) {
+        let wanted = self.wanted_loads();
+        self.permits.keep_only(&wanted, actions);
+        self.apply_for_permits(now, &wanted, actions);
+        self.use_permits(now, actions);
+    }
+
+    /// Adapters that requests wait for and that aren't in a slot.
+    fn wanted_loads(&self) -> BTreeMap<AdapterRef, Urgency> {
+        let mut wanted: BTreeMap<AdapterRef, Urgency> = BTreeMap::new();
+        for waiting in &self.waiting {
+            if self.slots.contains_key(&waiting.adapter) {
                 continue;
             }
+            let urgency = wanted.entry(waiting.adapter.clone()).or_default();
+            urgency.demanded = true;
+            urgency.priority = urgency.priority.max(waiting.priority);
+            urgency.waiting += 1;
+        }
+        wanted
+    }
+
+    /// Applies for as many loads as slots can be had for, in the order of the queue.
+    fn apply_for_permits(
+        &mut self,
+        now: Timestamp,
+        wanted: &BTreeMap<AdapterRef, Urgency>,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let idle = self.slots.iter().filter(|(adapter, slot)| match slot {
+            SlotState::Ready { .. } => !self.in_use(adapter),
+            SlotState::Unloading => true,
+            SlotState::Loading => false,
+        });
+        let available = idle.count() + self.slot_count.saturating_sub(self.slots.len());
+        for waiting in &self.waiting {
+            let Some(urgency) = wanted.get(&waiting.adapter) else { continue };
+            let known = self.permits.concerns(&waiting.adapter);
+            if known || self.permits.outstanding() < available {
+                self.permits.apply(now, &waiting.adapter, *urgency, actions);
+            }
+        }
+    }
+
+    /// Begins permitted loads in free slots and makes room for the others.
+    fn use_permits(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        let granted: Vec<AdapterRef> = self.permits.granted().cloned().collect();
+        let mut unloading =
+            self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
+        for adapter in granted {
             if self.slots.len() < self.slot_count {
+                self.permits.use_up(&adapter);
                 self.slots.insert(adapter.clone(), SlotState::Loading);
                 actions.push(EngineAction::Load(adapter));
                 continue;
@@ -225,7 +296,11 @@
                 unloading -= 1;
                 continue;
             }
-            let Some(victim) = self.victim(now) else { return };
+            let Some(victim) = self.victim(now) else {
+                self.permits.use_up(&adapter);
+                self.permits.give_back(adapter, actions);
+                continue;
+            };
             self.slots.insert(victim.clone(), SlotState::Unloading);
             actions.push(EngineAction::Unload(victim));
         }
--- a/src/decide/engine/event.rs
+++ b/src/decide/engine/event.rs
@@ -1,5 +1,7 @@
 //! What can happen to an engine as its owner sees it.
 
+use std::time::Duration;
+
 use super::GuardInput;
 use super::Waiting;
 use crate::names::AdapterRef;
@@ -28,6 +30,12 @@
         /// Whether the adapter is unloaded now.
         unloaded: bool,
     },
+    /// The store's permit holder allows a load.
+    PermitGranted(AdapterRef),
+    /// How long a new load would wait for its permit.
+    LoadWait(Duration),
+    /// The preset in force weighs load stalls so much against batch efficiency, 0 to 100.
+    StallWeight(u8),
     /// The engine restarted: every slot is empty.
     Restarted,
     /// What the owner may do changed.
--- a/src/decide/engine/mod.rs
+++ b/src/decide/engine/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 mod event;
 mod guard;
+mod load_permits;
 mod slot;
 mod waiting;
 
@@ -15,5 +16,7 @@
 pub use event::EngineInput;
 pub use guard::Guard;
 pub use guard::GuardInput;
+pub use load_permits::LoadPermits;
+pub use load_permits::PermitMode;
 pub use slot::SlotState;
 pub use waiting::Waiting;
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod engine;
 pub mod membership;
 pub mod ownership;
+pub mod permits;
 pub mod rendezvous;
 pub mod routing;
 pub mod submissions;
