--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -37,6 +37,7 @@
 use crate::load::WARM_UP;
 use crate::load::Workload;
 use crate::model::EngineModel;
+use crate::model::LOAD_TIME;
 use crate::model::Run;
 use crate::model::StepEvent;
 use crate::model::StoreModel;
@@ -240,7 +241,8 @@
             }
             EngineAction::ReturnPermit(adapter) => {
                 let key = self.permit_key(engine, adapter);
-                self.permits.on_ended(&key);
+                self.permits.on_ended(now, &key);
+                self.schedule(now, Event::Grant);
             }
             EngineAction::Load(adapter) => self.load(now, engine, adapter),
             EngineAction::Unload(adapter) => {
@@ -355,10 +357,7 @@
     fn on_fleet_event(&mut self, now: Timestamp, number: usize) {
         match self.workload.events[number].1.clone() {
             FleetEvent::Restart(engine) => self.restart(now, engine),
-            FleetEvent::StoreRate(rate) => {
-                self.store.set_rate(rate);
-                self.permits.set_limits(limits(rate));
-            }
+            FleetEvent::StoreRate(rate) => self.store.set_rate(rate),
             FleetEvent::Preset(_) => {}
         }
     }
@@ -410,5 +409,5 @@
 }
 
 fn limits(rate: f64) -> StoreLimits {
-    StoreLimits { rate, in_flight: 8 }
+    StoreLimits { rate, in_flight: 8, load_time: LOAD_TIME }
 }
--- a/src/decide/permits/limits.rs
+++ b/src/decide/permits/limits.rs
@@ -9,6 +9,8 @@
     pub rate: f64,
     /// Loads in flight at full speed.
     pub in_flight: usize,
+    /// Time of a load at full speed.
+    pub load_time: Duration,
 }
 
 impl StoreLimits {
