Route among two homes by what their owners say of slots and queue

Cause: with one home an adapter waits for that engine's slots while others have idle ones. Two homes are kept: more give no less waiting and ask more owners.

--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -94,7 +94,7 @@
             workload,
             models: vec![EngineModel::new(deployment.slots, deployment.batch); engines],
             owners: vec![Owner::new(policy, deployment); engines],
-            views: vec![EngineView { depth: 0, live: true }; engines],
+            views: vec![EngineView { live: true, ..EngineView::default() }; engines],
             router: Router::new(policy, engines),
             store: StoreModel::new(deployment.store_rate),
             permits: PermitHolder::new(Timestamp::ZERO, limits(deployment.store_rate)),
@@ -201,8 +201,7 @@
 
     fn route(&mut self, now: Timestamp, number: usize, avoid: Option<usize>) {
         let adapter = self.requests[number].adapter.clone();
-        let name = adapter.adapter.as_str();
-        let Some(engine) = self.router.choose(name, avoid, &self.views, &mut self.rng) else {
+        let Some(engine) = self.router.choose(&adapter, avoid, &self.views, &mut self.rng) else {
             let error = Error::new(ErrorKind::NoBackend, "no engine takes work");
             return self.refuse(now, number, &error);
         };
@@ -349,6 +348,7 @@
             self.views[engine] = EngineView {
                 depth: self.owners[engine].depth(),
                 live: now >= self.models[engine].ready_at(),
+                summary: self.owners[engine].summary(now),
             };
         }
         self.schedule(now + TICK, Event::Tick);
--- a/lab/src/experiment/owner.rs
+++ b/lab/src/experiment/owner.rs
@@ -3,6 +3,7 @@
 use tamaracklead::decide::engine::EngineAction;
 use tamaracklead::decide::engine::EngineCore;
 use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::EngineSummary;
 use tamaracklead::decide::engine::PermitMode;
 use tamaracklead::decide::engine::SlotState;
 use tamaracklead::names::AdapterRef;
@@ -51,6 +52,14 @@
         matches!(slots.get(adapter), Some(SlotState::Ready { .. }))
     }
 
+    /// What the owner tells the instances that route.
+    pub fn summary(&self, now: Timestamp) -> EngineSummary {
+        match self {
+            Self::Ours(core) => core.summary(now),
+            Self::Lru(_) => EngineSummary::default(),
+        }
+    }
+
     /// Requests that wait or run.
     pub fn depth(&self) -> usize {
         match self {
--- a/lab/src/experiment/router.rs
+++ b/lab/src/experiment/router.rs
@@ -2,17 +2,25 @@
 
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use tamaracklead::decide::engine::EngineSummary;
 use tamaracklead::decide::rendezvous;
+use tamaracklead::decide::routing;
+use tamaracklead::names::AdapterRef;
 
 use super::policy::Policy;
 
+/// Homes among which a request is routed.
+const HOMES: usize = 2;
+
 /// What the entry instances know of one engine; as old as the last report.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct EngineView {
     /// Requests that wait or run.
     pub depth: usize,
     /// Whether the engine takes work.
     pub live: bool,
+    /// What the owner says of it, if the owner is ours.
+    pub summary: EngineSummary,
 }
 
 /// Routes requests.
@@ -31,7 +39,7 @@
     /// Chooses an engine other than `avoid`.
     pub fn choose(
         &self,
-        adapter: &str,
+        adapter: &AdapterRef,
         avoid: Option<usize>,
         views: &[EngineView],
         rng: &mut ChaCha8Rng,
@@ -44,11 +52,19 @@
         match self.policy {
             Policy::Random => Some(usable[rng.random_range(0..usable.len())]),
             Policy::LeastLoaded => usable.into_iter().min_by_key(|engine| views[*engine].depth),
-            Policy::Hash | Policy::Ours => {
-                let named = usable.into_iter().map(|e| (e, self.names[e].as_str())).collect();
-                let ranked = rendezvous::rank(adapter, named, |(_, name)| name);
-                ranked.first().map(|(engine, _)| *engine)
+            Policy::Hash => self.ranked(adapter, usable).first().copied(),
+            Policy::Ours => {
+                let mut homes = self.ranked(adapter, usable);
+                homes.truncate(HOMES);
+                let summaries: Vec<_> = homes.iter().map(|home| &views[*home].summary).collect();
+                routing::choose(adapter, &summaries).map(|home| homes[home])
             }
         }
     }
+
+    fn ranked(&self, adapter: &AdapterRef, engines: Vec<usize>) -> Vec<usize> {
+        let named = engines.into_iter().map(|e| (e, self.names[e].as_str())).collect();
+        let ranked = rendezvous::rank(adapter.adapter.as_str(), named, |(_, name)| name);
+        ranked.into_iter().map(|(engine, _)| engine).collect()
+    }
 }
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -6,6 +6,7 @@
 
 use super::EngineAction;
 use super::EngineInput;
+use super::EngineSummary;
 use super::Guard;
 use super::GuardInput;
 use super::LoadPermits;
@@ -82,6 +83,25 @@
         &self.running
     }
 
+    /// Slots and queue in brief, for the instances that route to this engine.
+    pub fn summary(&self, now: Timestamp) -> EngineSummary {
+        let in_state = |wanted: fn(&SlotState) -> bool| {
+            self.slots.iter().filter(move |(_, slot)| wanted(slot)).map(|(adapter, _)| adapter)
+        };
+        let ready = in_state(|slot| matches!(slot, SlotState::Ready { .. })).cloned().collect();
+        let loading = in_state(|slot| *slot == SlotState::Loading);
+        let taken = self.slots.len() + self.permits.outstanding();
+        EngineSummary {
+            ready,
+            coming: loading.chain(self.permits.adapters()).cloned().collect(),
+            free_slots: self.slot_count.saturating_sub(taken),
+            weakest_idle: self.victim(now).map(|victim| self.demand.count(now, &victim)),
+            depth: self.waiting.len() + self.running.len(),
+            batch: self.batch,
+            load_wait: self.permits.wait(),
+        }
+    }
+
     /// Takes one event and returns what must be done.
     pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineAction> {
         let mut actions = Vec::new();
--- a/src/decide/engine/load_permits.rs
+++ b/src/decide/engine/load_permits.rs
@@ -57,6 +57,11 @@
         self.applied.len() + self.granted.len()
     }
 
+    /// Adapters whose load is applied for or permitted.
+    pub fn adapters(&self) -> impl Iterator<Item = &AdapterRef> {
+        self.applied.keys().chain(&self.granted)
+    }
+
     /// Whether a load of the adapter is applied for or permitted.
     pub fn concerns(&self, adapter: &AdapterRef) -> bool {
         self.applied.contains_key(adapter) || self.granted.contains(adapter)
@@ -109,7 +114,7 @@
         wanted: &BTreeMap<AdapterRef, Urgency>,
         actions: &mut Vec<EngineAction>,
     ) {
-        let known: Vec<AdapterRef> = self.applied.keys().chain(&self.granted).cloned().collect();
+        let known: Vec<AdapterRef> = self.adapters().cloned().collect();
         for adapter in known.into_iter().filter(|adapter| !wanted.contains_key(adapter)) {
             self.applied.remove(&adapter);
             self.granted.remove(&adapter);
--- a/src/decide/engine/mod.rs
+++ b/src/decide/engine/mod.rs
@@ -9,6 +9,7 @@
 mod guard;
 mod load_permits;
 mod slot;
+mod summary;
 mod waiting;
 
 pub use action::EngineAction;
@@ -19,4 +20,5 @@
 pub use load_permits::LoadPermits;
 pub use load_permits::PermitMode;
 pub use slot::SlotState;
+pub use summary::EngineSummary;
 pub use waiting::Waiting;
--- /dev/null
+++ b/src/decide/routing/choice.rs
@@ -0,0 +1,49 @@
+//! The choice among the homes of an adapter.
+
+use std::time::Duration;
+
+use crate::decide::engine::EngineSummary;
+use crate::names::AdapterRef;
+
+/// Time of a load at full speed.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time for which a request holds its place in the batch.
+const SERVICE_TIME: Duration = Duration::from_secs(6);
+/// Time until an adapter with work on it is idle.
+const BUSY_SLOT_WAIT: Duration = Duration::from_secs(4);
+/// Cost in seconds of evicting an adapter, for each request of its decayed count.
+const EVICTION_COST: f64 = 0.25;
+/// Cost in seconds of a full batch, which slows every request in it down.
+const FULL_BATCH_COST: f64 = 0.05;
+
+/// Index of the home with the least expected cost; the first of equal ones.
+pub fn choose(adapter: &AdapterRef, homes: &[&EngineSummary]) -> Option<usize> {
+    let costs = homes.iter().map(|home| expected_cost(adapter, home)).enumerate();
+    costs.min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(&b.0))).map(|(home, _)| home)
+}
+
+/// Expected cost in seconds of sending a request for an adapter to an engine.
+pub fn expected_cost(adapter: &AdapterRef, home: &EngineSummary) -> f64 {
+    let load = if home.ready.contains(adapter) {
+        0.0
+    } else if home.coming.contains(adapter) {
+        LOAD_TIME.as_secs_f64()
+    } else {
+        LOAD_TIME.as_secs_f64() + home.load_wait.as_secs_f64() + eviction_cost(home)
+    };
+    load + queue_cost(home)
+}
+
+fn eviction_cost(home: &EngineSummary) -> f64 {
+    if home.free_slots > 0 {
+        return 0.0;
+    }
+    home.weakest_idle.map_or(BUSY_SLOT_WAIT.as_secs_f64(), |count| EVICTION_COST * count)
+}
+
+fn queue_cost(home: &EngineSummary) -> f64 {
+    let batch = home.batch.max(1) as f64;
+    let over = (home.depth + 1).saturating_sub(home.batch) as f64;
+    let fill = home.depth as f64 / batch;
+    over * SERVICE_TIME.as_secs_f64() / batch + fill * FULL_BATCH_COST
+}
--- a/src/decide/routing.rs
+++ b/src/decide/routing/homes.rs
@@ -1,4 +1,4 @@
-//! Which engine serves a request.
+//! Homes of an adapter.
 
 use crate::decide::rendezvous;
 use crate::names::AdapterName;
