--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -95,7 +95,7 @@
             models: vec![EngineModel::new(deployment.slots, deployment.batch); engines],
             owners: vec![Owner::new(policy, deployment); engines],
             views: vec![EngineView { live: true, ..EngineView::default() }; engines],
-            router: Router::new(policy, engines),
+            router: Router::new(policy, deployment),
             store: StoreModel::new(deployment.store_rate),
             permits: PermitHolder::new(Timestamp::ZERO, limits(deployment.store_rate)),
             next_grant: Timestamp::ZERO,
--- a/lab/src/experiment/router.rs
+++ b/lab/src/experiment/router.rs
@@ -8,6 +8,7 @@
 use tamaracklead::names::AdapterRef;
 
 use super::policy::Policy;
+use crate::load::Deployment;
 
 /// Homes among which a request is routed.
 const HOMES: usize = 2;
@@ -28,12 +29,14 @@
 pub struct Router {
     policy: Policy,
     names: Vec<String>,
+    stall_weight: u8,
 }
 
 impl Router {
-    /// A router over `engines` engines.
-    pub fn new(policy: Policy, engines: usize) -> Self {
-        Self { policy, names: (0..engines).map(|engine| format!("engine-{engine}")).collect() }
+    /// A router over the engines of a deployment.
+    pub fn new(policy: Policy, deployment: &Deployment) -> Self {
+        let names = (0..deployment.engines).map(|engine| format!("engine-{engine}")).collect();
+        Self { policy, names, stall_weight: deployment.stall_weight }
     }
 
     /// Chooses an engine other than `avoid`.
@@ -57,7 +60,7 @@
                 let mut homes = self.ranked(adapter, usable);
                 homes.truncate(HOMES);
                 let summaries: Vec<_> = homes.iter().map(|home| &views[*home].summary).collect();
-                routing::choose(adapter, &summaries).map(|home| homes[home])
+                routing::choose(adapter, &summaries, self.stall_weight).map(|home| homes[home])
             }
         }
     }
