--- a/lab/src/experiment/owner.rs
+++ b/lab/src/experiment/owner.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug)]
 pub enum Owner {
     /// The project's core.
-    Ours(EngineCore),
+    Ours(Box<EngineCore>),
     /// The baselines' core.
     Lru(LruCore),
 }
@@ -28,7 +28,9 @@
     pub fn new(policy: Policy, deployment: &Deployment) -> Self {
         let (slots, batch) = (deployment.slots, deployment.batch);
         match policy {
-            Policy::Ours => Self::Ours(EngineCore::with_permits(slots, batch, PermitMode::Asked)),
+            Policy::Ours => {
+                Self::Ours(Box::new(EngineCore::with_permits(slots, batch, PermitMode::Asked)))
+            }
             Policy::LeastLoaded | Policy::Hash | Policy::Random => {
                 Self::Lru(LruCore::new(slots, batch))
             }
--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -91,6 +91,8 @@
                 match action {
                     EngineAction::Load(adapter) => orders.push(PendingOrder::Load(adapter)),
                     EngineAction::Unload(adapter) => orders.push(PendingOrder::Unload(adapter)),
+                    // This core's loads are permitted at once.
+                    EngineAction::ApplyForPermit { .. } | EngineAction::ReturnPermit(_) => {}
                     EngineAction::Dispatch(id) => {
                         let told = state.waiters.remove(&id).map(|tx| tx.send(Ok(())));
                         if !matches!(told, Some(Ok(()))) {
--- /dev/null
+++ b/tests/engine_eviction.rs
@@ -0,0 +1,209 @@
+//! An adapter with running or waiting work is never evicted, whatever happens.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::Strategy;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
+use tamaracklead::decide::engine::EngineAction;
+use tamaracklead::decide::engine::EngineCore;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::PermitMode;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::names::Version;
+
+const SLOTS: usize = 2;
+const BATCH: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Arrive { adapter: u8, patience_ms: u64 },
+    Withdraw(usize),
+    EndRun(usize),
+    EndOrder { order: usize, done: bool },
+    Grant(usize),
+    Restart,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0_u8..5, 1_u64..3000).prop_map(|(adapter, patience_ms)| Step::Arrive {
+            adapter,
+            patience_ms,
+        }),
+        1 => (0_usize..8).prop_map(Step::Withdraw),
+        3 => (0_usize..8).prop_map(Step::EndRun),
+        4 => (0_usize..4, proptest::bool::weighted(0.8)).prop_map(|(order, done)| {
+            Step::EndOrder { order, done }
+        }),
+        4 => (0_usize..4).prop_map(Step::Grant),
+        1 => proptest::strategy::Just(Step::Restart),
+        2 => (1_u64..1500).prop_map(Step::Wait),
+    ]
+}
+
+fn adapter(number: u8) -> AdapterRef {
+    AdapterRef::new(AdapterName::new(&format!("a{number}")), Version(1))
+}
+
+/// What the engine and its callers really see.
+#[derive(Default)]
+struct Oracle {
+    loaded: BTreeSet<AdapterRef>,
+    orders: Vec<EngineAction>,
+    applied: BTreeSet<AdapterRef>,
+    waiting: BTreeMap<RequestId, AdapterRef>,
+    running: BTreeMap<RequestId, AdapterRef>,
+}
+
+impl Oracle {
+    /// Takes an action; the fault found, if any.
+    fn on_action(&mut self, action: EngineAction) -> Result<(), String> {
+        match action {
+            EngineAction::ApplyForPermit { adapter, .. } => {
+                self.applied.insert(adapter);
+            }
+            EngineAction::ReturnPermit(adapter) => {
+                self.applied.remove(&adapter);
+            }
+            EngineAction::Load(_) => {
+                let loading = self.orders.iter().filter(|o| matches!(o, EngineAction::Load(_)));
+                if self.loaded.len() + loading.count() >= SLOTS {
+                    return Err("load without a free slot".to_owned());
+                }
+                self.orders.push(action);
+            }
+            EngineAction::Unload(ref adapter) => {
+                let busy = self.running.values().chain(self.waiting.values());
+                if busy.into_iter().any(|used| used == adapter) {
+                    return Err(format!("unload of {adapter}, which has work"));
+                }
+                self.orders.push(action);
+            }
+            EngineAction::Dispatch(id) => {
+                let Some(adapter) = self.waiting.remove(&id) else {
+                    return Err(format!("dispatch of {id}, which does not wait"));
+                };
+                if !self.loaded.contains(&adapter) || self.running.len() >= BATCH {
+                    return Err(format!("dispatch of {id} to an engine that cannot run it"));
+                }
+                let unload = EngineAction::Unload(adapter.clone());
+                if self.orders.contains(&unload) {
+                    return Err(format!("dispatch of {id} while {adapter} is being unloaded"));
+                }
+                self.running.insert(id, adapter);
+            }
+            EngineAction::Refuse { request_id, .. } => {
+                if self.waiting.remove(&request_id).is_none() {
+                    return Err(format!("refusal of {request_id}, which does not wait"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Turns a step into an event, if it can happen now.
+    fn input(&mut self, now: Timestamp, number: u128, step: &Step) -> Option<EngineInput> {
+        match *step {
+            Step::Arrive { adapter: wanted, patience_ms } => {
+                let request_id = RequestId(number);
+                let wanted = adapter(wanted);
+                self.waiting.insert(request_id, wanted.clone());
+                let deadline = now + Duration::from_millis(patience_ms);
+                let waiting =
+                    Waiting { request_id, adapter: wanted, priority: 5, arrived: now, deadline };
+                Some(EngineInput::Arrived(waiting))
+            }
+            Step::Withdraw(index) => {
+                let id = *self.waiting.keys().nth(index)?;
+                self.waiting.remove(&id);
+                Some(EngineInput::Withdrawn(id))
+            }
+            Step::EndRun(index) => {
+                let id = *self.running.keys().nth(index)?;
+                self.running.remove(&id);
+                Some(EngineInput::Ended(id))
+            }
+            Step::EndOrder { order, done } => self.end_order(order, done),
+            Step::Grant(index) => {
+                let adapter = self.applied.iter().nth(index)?.clone();
+                self.applied.remove(&adapter);
+                Some(EngineInput::PermitGranted(adapter))
+            }
+            Step::Restart => {
+                self.loaded.clear();
+                self.orders.clear();
+                Some(EngineInput::Restarted)
+            }
+            Step::Wait(_) => Some(EngineInput::Tick),
+        }
+    }
+
+    fn end_order(&mut self, order: usize, done: bool) -> Option<EngineInput> {
+        if order >= self.orders.len() {
+            return None;
+        }
+        match self.orders.remove(order) {
+            EngineAction::Load(adapter) => {
+                if done {
+                    self.loaded.insert(adapter.clone());
+                }
+                Some(EngineInput::LoadEnded { adapter, loaded: done })
+            }
+            EngineAction::Unload(adapter) => {
+                if done {
+                    self.loaded.remove(&adapter);
+                }
+                Some(EngineInput::UnloadEnded { adapter, unloaded: done })
+            }
+            _ => None,
+        }
+    }
+}
+
+fn check(mode: PermitMode, steps: &[Step]) -> Result<(), String> {
+    let mut core = EngineCore::with_permits(SLOTS, BATCH, mode);
+    let mut oracle = Oracle::default();
+    let mut now = Timestamp::ZERO;
+    for (number, step) in steps.iter().enumerate() {
+        if let Step::Wait(span) = step {
+            now = now + Duration::from_millis(*span);
+        }
+        let Some(input) = oracle.input(now, number as u128, step) else { continue };
+        let restarted = input == EngineInput::Restarted;
+        let mut inputs = vec![input];
+        if restarted {
+            let lost = std::mem::take(&mut oracle.running);
+            inputs.extend(lost.into_keys().map(EngineInput::Ended));
+        }
+        for input in inputs {
+            for action in core.on_input(now, input) {
+                oracle.on_action(action)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn no_adapter_with_work_is_evicted(steps in vec(step(), 1..120)) {
+        let end = check(PermitMode::Free, &steps);
+        prop_assert!(end.is_ok(), "{end:?}");
+    }
+
+    #[test]
+    fn no_adapter_with_work_is_evicted_under_permits(steps in vec(step(), 1..120)) {
+        let end = check(PermitMode::Asked, &steps);
+        prop_assert!(end.is_ok(), "{end:?}");
+    }
+}
