--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -1,14 +1,20 @@
 //! The state machine of one owned engine.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::EngineAction;
 use super::EngineInput;
+use super::EngineSummary;
 use super::Guard;
 use super::GuardInput;
+use super::LoadPermits;
+use super::PermitMode;
 use super::SlotState;
 use super::Waiting;
+use crate::decide::demand::Demand;
+use crate::decide::permits::Urgency;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::names::AdapterRef;
@@ -20,6 +26,11 @@
 /// Time without orders after a failed unload; the engine may be down.
 const ORDER_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time in which the measured demand for an adapter halves.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
+/// Adapters whose demand is tracked, for each slot.
+const TRACKED_PER_SLOT: usize = 16;
+
 /// Queue, slots and running requests of one engine.
 #[derive(Clone, Debug)]
 pub struct EngineCore {
@@ -30,11 +41,20 @@
     running: BTreeMap<RequestId, AdapterRef>,
     guard: Guard,
     orders_after: Timestamp,
+    demand: Demand,
+    permits: LoadPermits,
 }
 
 impl EngineCore {
     /// An engine with `slot_count` free slots that runs `batch` requests at once.
+    ///
+    /// Its loads need no permit.
     pub fn new(slot_count: usize, batch: usize) -> Self {
+        Self::with_permits(slot_count, batch, PermitMode::Free)
+    }
+
+    /// An engine whose loads need permits as `mode` says.
+    pub fn with_permits(slot_count: usize, batch: usize, mode: PermitMode) -> Self {
         Self {
             slot_count,
             batch,
@@ -43,6 +63,8 @@
             running: BTreeMap::new(),
             guard: Guard::default(),
             orders_after: Timestamp::ZERO,
+            demand: Demand::new(DEMAND_HALF_LIFE, TRACKED_PER_SLOT * slot_count),
+            permits: LoadPermits::new(mode),
         }
     }
 
@@ -71,17 +93,41 @@
         &self.running
     }
 
+    /// Slots and queue in brief, for the instances that route to this engine.
+    pub fn summary(&self, now: Timestamp) -> EngineSummary {
+        let in_state = |wanted: fn(&SlotState) -> bool| {
+            self.slots.iter().filter(move |(_, slot)| wanted(slot)).map(|(adapter, _)| adapter)
+        };
+        let ready = in_state(|slot| matches!(slot, SlotState::Ready { .. })).cloned().collect();
+        let loading = in_state(|slot| *slot == SlotState::Loading);
+        let taken = self.slots.len() + self.permits.outstanding();
+        EngineSummary {
+            ready,
+            coming: loading.chain(self.permits.adapters()).cloned().collect(),
+            free_slots: self.slot_count.saturating_sub(taken),
+            weakest_idle: self.victim(now).map(|victim| self.demand.count(now, &victim)),
+            depth: self.waiting.len() + self.running.len(),
+            batch: self.batch,
+            load_wait: self.permits.wait(),
+        }
+    }
+
     /// Takes one event and returns what must be done.
     pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineAction> {
         let mut actions = Vec::new();
         match input {
-            EngineInput::Arrived(waiting) => self.waiting.push(waiting),
+            EngineInput::Arrived(waiting) => {
+                self.demand.record(now, &waiting.adapter);
+                self.waiting.push(waiting);
+            }
             EngineInput::Withdrawn(id) => self.waiting.retain(|w| w.request_id != id),
             EngineInput::Ended(id) => self.on_ended(now, id),
             EngineInput::LoadEnded { adapter, loaded: true } => {
+                self.permits.give_back(adapter.clone(), &mut actions);
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
             EngineInput::LoadEnded { adapter, loaded: false } => {
+                self.permits.give_back(adapter.clone(), &mut actions);
                 self.slots.remove(&adapter);
                 self.refuse_waiting_for(&adapter, &mut actions);
             }
@@ -92,7 +138,12 @@
                 self.orders_after = now + ORDER_PAUSE;
                 self.slots.insert(adapter, SlotState::Ready { used: now });
             }
-            EngineInput::Restarted => self.slots.clear(),
+            EngineInput::PermitGranted(adapter) => {
+                self.permits.on_granted(adapter, &mut actions);
+            }
+            EngineInput::LoadWait(wait) => self.permits.set_wait(wait),
+            EngineInput::StallWeight(_) => {}
+            EngineInput::Restarted => self.on_restarted(&mut actions),
             EngineInput::Guard(input) => self.on_guard(now, input),
             EngineInput::Unreachable => self.refuse_all_waiting(&mut actions),
             EngineInput::Tick => self.forget_lone(),
@@ -142,6 +193,14 @@
         });
     }
 
+    fn on_restarted(&mut self, actions: &mut Vec<EngineAction>) {
+        for (adapter, slot) in std::mem::take(&mut self.slots) {
+            if slot == SlotState::Loading {
+                self.permits.give_back(adapter, actions);
+            }
+        }
+    }
+
     fn on_ended(&mut self, now: Timestamp, id: RequestId) {
         self.guard.alone.remove(&id);
         let Some(adapter) = self.running.remove(&id) else { return };
@@ -184,7 +243,7 @@
         if self.guard.paused {
             return;
         }
-        self.waiting.sort_by_key(|w| (std::cmp::Reverse(w.priority), w.arrived));
+        self.waiting.sort_by_key(|w| (Reverse(w.priority), w.arrived));
         let mut rest = Vec::with_capacity(self.waiting.len());
         let mut draining = false;
         for waiting in self.waiting.drain(..) {
@@ -208,14 +267,57 @@
         if self.guard.paused || now < self.orders_after {
             return;
         }
-        let wanted: Vec<AdapterRef> = self.waiting.iter().map(|w| w.adapter.clone()).collect();
-        let mut unloading =
-            self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
-        for adapter in wanted {
-            if self.slots.contains_key(&adapter) {
+        let wanted = self.wanted_loads();
+        self.permits.keep_only(&wanted, actions);
+        self.apply_for_permits(now, &wanted, actions);
+        self.use_permits(now, actions);
+    }
+
+    /// Adapters that requests wait for and that aren't in a slot.
+    fn wanted_loads(&self) -> BTreeMap<AdapterRef, Urgency> {
+        let mut wanted: BTreeMap<AdapterRef, Urgency> = BTreeMap::new();
+        for waiting in &self.waiting {
+            if self.slots.contains_key(&waiting.adapter) {
                 continue;
             }
+            let urgency = wanted.entry(waiting.adapter.clone()).or_default();
+            urgency.demanded = true;
+            urgency.priority = urgency.priority.max(waiting.priority);
+            urgency.waiting += 1;
+        }
+        wanted
+    }
+
+    /// Applies for as many loads as slots can be had for, in the order of the queue.
+    fn apply_for_permits(
+        &mut self,
+        now: Timestamp,
+        wanted: &BTreeMap<AdapterRef, Urgency>,
+        actions: &mut Vec<EngineAction>,
+    ) {
+        let idle = self.slots.iter().filter(|(adapter, slot)| match slot {
+            SlotState::Ready { .. } => !self.in_use(adapter),
+            SlotState::Unloading => true,
+            SlotState::Loading => false,
+        });
+        let available = idle.count() + self.slot_count.saturating_sub(self.slots.len());
+        for waiting in &self.waiting {
+            let Some(urgency) = wanted.get(&waiting.adapter) else { continue };
+            let known = self.permits.concerns(&waiting.adapter);
+            if known || self.permits.outstanding() < available {
+                self.permits.apply(now, &waiting.adapter, *urgency, actions);
+            }
+        }
+    }
+
+    /// Begins permitted loads in free slots and makes room for the others.
+    fn use_permits(&mut self, now: Timestamp, actions: &mut Vec<EngineAction>) {
+        let granted: Vec<AdapterRef> = self.permits.granted().cloned().collect();
+        let mut unloading =
+            self.slots.values().filter(|slot| **slot == SlotState::Unloading).count();
+        for adapter in granted {
             if self.slots.len() < self.slot_count {
+                self.permits.use_up(&adapter);
                 self.slots.insert(adapter.clone(), SlotState::Loading);
                 actions.push(EngineAction::Load(adapter));
                 continue;
@@ -224,22 +326,28 @@
                 unloading -= 1;
                 continue;
             }
-            let Some(victim) = self.victim() else { return };
+            let Some(victim) = self.victim(now) else {
+                self.permits.use_up(&adapter);
+                self.permits.give_back(adapter, actions);
+                continue;
+            };
             self.slots.insert(victim.clone(), SlotState::Unloading);
             actions.push(EngineAction::Unload(victim));
         }
     }
 
-    /// The least recently used adapter that no request runs on or waits for.
-    fn victim(&self) -> Option<AdapterRef> {
+    /// The adapter with the least demand that no request runs on or waits for.
+    fn victim(&self, now: Timestamp) -> Option<AdapterRef> {
         self.slots
             .iter()
             .filter_map(|(adapter, slot)| match slot {
-                SlotState::Ready { used } if !self.in_use(adapter) => Some((used, adapter)),
+                SlotState::Ready { used } if !self.in_use(adapter) => {
+                    Some((self.demand.count(now, adapter), used, adapter))
+                }
                 _ => None,
             })
-            .min()
-            .map(|(_, adapter)| adapter.clone())
+            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2))))
+            .map(|(_, _, adapter)| adapter.clone())
     }
 
     fn in_use(&self, adapter: &AdapterRef) -> bool {
--- a/src/decide/engine/mod.rs
+++ b/src/decide/engine/mod.rs
@@ -7,7 +7,9 @@
 mod core;
 mod event;
 mod guard;
+mod load_permits;
 mod slot;
+mod summary;
 mod waiting;
 
 pub use action::EngineAction;
@@ -15,5 +17,8 @@
 pub use event::EngineInput;
 pub use guard::Guard;
 pub use guard::GuardInput;
+pub use load_permits::LoadPermits;
+pub use load_permits::PermitMode;
 pub use slot::SlotState;
+pub use summary::EngineSummary;
 pub use waiting::Waiting;
