--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,3 +14,4 @@
 pub mod rendezvous;
 pub mod routing;
 pub mod submissions;
+pub mod takeover;
--- a/src/decide/ownership.rs
+++ b/src/decide/ownership/candidate.rs
@@ -1,4 +1,4 @@
-//! Which instance owns an engine.
+//! Instances that may own engines, and which of them is preferred.
 
 use crate::decide::rendezvous;
 use crate::names::BackendName;
@@ -20,15 +20,21 @@
     data_centre: &DataCentre,
     candidates: &[Candidate],
 ) -> Option<InstanceName> {
-    let near = candidates.iter().filter(|candidate| &candidate.data_centre == data_centre);
-    best(engine, near).or_else(|| best(engine, candidates.iter()))
+    preferred(engine.as_str(), data_centre, candidates)
 }
 
-fn best<'a>(
-    engine: &BackendName,
-    candidates: impl Iterator<Item = &'a Candidate>,
+/// The best candidate for `key`: of the data centre, else of all.
+pub(super) fn preferred(
+    key: &str,
+    data_centre: &DataCentre,
+    candidates: &[Candidate],
 ) -> Option<InstanceName> {
+    let near = candidates.iter().filter(|candidate| &candidate.data_centre == data_centre);
+    best(key, near).or_else(|| best(key, candidates.iter()))
+}
+
+fn best<'a>(key: &str, candidates: impl Iterator<Item = &'a Candidate>) -> Option<InstanceName> {
     candidates
-        .max_by_key(|candidate| rendezvous::score(engine.as_str(), candidate.name.as_str()))
+        .max_by_key(|candidate| rendezvous::score(key, candidate.name.as_str()))
         .map(|candidate| candidate.name.clone())
 }
--- /dev/null
+++ b/src/decide/ownership/lease_action.rs
@@ -0,0 +1,28 @@
+//! What the holder of a lease must do next.
+
+use super::LeaseRelease;
+use super::LeaseRequest;
+use crate::names::InstanceName;
+
+/// An action of a [`super::LeaseHolder`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Ask a panel member.
+    Ask {
+        /// The panel member.
+        to: InstanceName,
+        /// What it is asked.
+        request: LeaseRequest,
+    },
+    /// Tell a panel member that the lease is given up.
+    Release {
+        /// The panel member.
+        to: InstanceName,
+        /// What it is told.
+        release: LeaseRelease,
+    },
+    /// The lease is held, newly or after a foreign fence: take the engines over.
+    Acquired,
+    /// The lease isn't held any more: send the engines nothing.
+    Lost,
+}
--- /dev/null
+++ b/src/decide/ownership/message.rs
@@ -0,0 +1,50 @@
+//! Messages between the holder of a lease and its panel.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::GroupId;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+
+/// One start of an instance that asks for a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claimant {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Its incarnation; a restarted instance is another claimant.
+    pub incarnation: Incarnation,
+}
+
+/// Asks a panel member to grant or renew a lease.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRequest {
+    /// Group to be leased.
+    pub group: GroupId,
+    /// Who asks.
+    pub claimant: Claimant,
+    /// Number of the attempt; grows with each attempt of the claimant.
+    pub round: u64,
+}
+
+/// Answer to a [`LeaseRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseReply {
+    /// Group of the request.
+    pub group: GroupId,
+    /// Attempt of the request.
+    pub round: u64,
+    /// Whether the member grants the lease.
+    pub granted: bool,
+}
+
+/// Tells a panel member that the claimant sends the group's engines nothing more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRelease {
+    /// Group that is given up.
+    pub group: GroupId,
+    /// Who gives it up.
+    pub claimant: Claimant,
+    /// Last attempt that is given up.
+    pub round: u64,
+}
--- /dev/null
+++ b/src/decide/ownership/timing.rs
@@ -0,0 +1,51 @@
+//! Spans that leases are counted by.
+
+use std::time::Duration;
+
+use crate::wire::listing::FencingMode;
+
+/// Spans that leases are counted by; equal on all instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseTiming {
+    /// How long a granter keeps its promise.
+    pub term: Duration,
+    /// Time within which a change of the list reaches every instance that still grants.
+    pub list_lag: Duration,
+    /// Time after which a message to an engine has arrived or never will.
+    pub travel: Duration,
+}
+
+impl LeaseTiming {
+    /// How long a holder may rely on a grant.
+    ///
+    /// A tenth less than the granter's term covers clocks whose rates differ by
+    /// 5% each: 0.9 / 0.95 is less than 1 / 1.05.
+    pub fn held(&self) -> Duration {
+        self.term * 9 / 10
+    }
+
+    /// Time between renewals: two may be lost before the lease runs out.
+    pub fn renewal(&self) -> Duration {
+        self.term / 4
+    }
+
+    /// How long a new panel member grants nothing.
+    ///
+    /// Engines that refuse old fencing numbers are safe without it.
+    pub fn abstention(&self, fencing: FencingMode) -> Duration {
+        match fencing {
+            FencingMode::Refuse => Duration::ZERO,
+            FencingMode::Ignore => self.term + self.list_lag,
+        }
+    }
+}
+
+impl Default for LeaseTiming {
+    fn default() -> Self {
+        Self {
+            term: Duration::from_secs(6),
+            list_lag: Duration::from_secs(6),
+            travel: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/takeover/number.rs
@@ -0,0 +1,25 @@
+//! Fencing numbers that no two instances choose alike.
+
+use crate::names::Fencing;
+use crate::names::Incarnation;
+
+/// Low bits of a fencing number that tell its owner; the rest counts takeovers.
+const OWNER_BITS: u32 = 20;
+
+/// A number above `highest` that carries the owner's incarnation in its low bits.
+///
+/// An engine accepts a number equal to the highest it has seen. Two owners that
+/// read the same highest number and both added one would both be accepted.
+pub fn next_number(highest: Fencing, owner: Incarnation) -> Fencing {
+    let takeovers = (highest.0 >> OWNER_BITS) + 1;
+    Fencing((takeovers << OWNER_BITS) | owner_tag(owner))
+}
+
+/// Whether `number` was chosen by `owner`.
+pub fn chosen_by(number: Fencing, owner: Incarnation) -> bool {
+    number.0 % (1 << OWNER_BITS) == owner_tag(owner)
+}
+
+fn owner_tag(owner: Incarnation) -> u64 {
+    owner.0 % (1 << OWNER_BITS)
+}
--- /dev/null
+++ b/src/decide/takeover/owned.rs
@@ -0,0 +1,222 @@
+//! One engine with its queue, its slots and the state of its takeover.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Custody;
+use super::FenceOutcome;
+use super::OwnedAction;
+use super::Sent;
+use crate::decide::engine::EngineAction;
+use crate::decide::engine::EngineCore;
+use crate::decide::engine::EngineInput;
+use crate::decide::engine::GuardInput;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::names::AdapterRef;
+use crate::names::Fencing;
+use crate::names::Incarnation;
+use crate::names::RequestId;
+use crate::names::Timestamp;
+use crate::wire::engine::Report;
+use crate::wire::listing::FencingMode;
+
+/// One engine as an instance that may own it sees it.
+#[derive(Clone, Debug)]
+pub struct OwnedEngine {
+    core: EngineCore,
+    custody: Custody,
+    /// Adapters closed to new work whose unload waits for a direct report.
+    evicting: BTreeMap<AdapterRef, Timestamp>,
+}
+
+impl OwnedEngine {
+    /// An engine that belongs to another instance.
+    pub fn new(
+        mut core: EngineCore,
+        mode: FencingMode,
+        travel: Duration,
+        owner: Incarnation,
+    ) -> Self {
+        core.on_input(Timestamp::ZERO, EngineInput::Guard(GuardInput::Pause));
+        Self { core, custody: Custody::new(mode, travel, owner), evicting: BTreeMap::new() }
+    }
+
+    /// The engine's queue and slots.
+    pub fn core(&self) -> &EngineCore {
+        &self.core
+    }
+
+    /// What is known of the engine itself.
+    pub fn custody(&self) -> &Custody {
+        &self.custody
+    }
+
+    /// The lease was acquired.
+    pub fn on_acquired(&mut self, now: Timestamp) -> Vec<OwnedAction> {
+        let inputs = self.custody.begin(now);
+        let mut actions = self.apply(now, inputs);
+        actions.extend(self.on_tick(now));
+        actions
+    }
+
+    /// The lease was lost: what waits was not run and is routed anew.
+    pub fn on_lost(&mut self, now: Timestamp) -> Vec<OwnedAction> {
+        let inputs = self.custody.lose();
+        let mut actions = self.apply(now, inputs);
+        let waiting: Vec<RequestId> =
+            self.core.waiting().iter().map(|waiting| waiting.request_id).collect();
+        for request_id in waiting {
+            actions.extend(self.apply(now, vec![EngineInput::Withdrawn(request_id)]));
+            let error = Error::new(ErrorKind::NotOwner, "the engine moved to another instance");
+            actions.push(OwnedAction::Refuse { request_id, error });
+        }
+        actions
+    }
+
+    /// Takes an event of the queue: arrivals, withdrawals, ends of dispatches.
+    pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<OwnedAction> {
+        self.apply(now, vec![input])
+    }
+
+    /// Time passed.
+    pub fn on_tick(&mut self, now: Timestamp) -> Vec<OwnedAction> {
+        let mut actions = self.apply(now, vec![EngineInput::Tick]);
+        let query = self.custody.on_tick(now, !self.evicting.is_empty());
+        actions.extend(query.map(OwnedAction::Ask));
+        actions
+    }
+
+    /// A load or unload that carried `fencing` ended with a known outcome.
+    ///
+    /// Outcomes of orders from before the last takeover say nothing of the engine now.
+    pub fn on_order_ended(
+        &mut self,
+        now: Timestamp,
+        fencing: Fencing,
+        outcome: EngineInput,
+    ) -> Vec<OwnedAction> {
+        if self.custody.number() != Some(fencing) {
+            return Vec::new();
+        }
+        self.apply(now, vec![outcome])
+    }
+
+    /// The end of a message is unknown: no answer came, or the connection broke.
+    pub fn on_unknown(&mut self, now: Timestamp, sent: Sent) -> Vec<OwnedAction> {
+        let mut inputs = Vec::new();
+        match sent {
+            Sent::Begun { request_id, adapter } => {
+                inputs.extend(self.custody.hold(now, adapter));
+                inputs.push(EngineInput::Ended(request_id));
+            }
+            Sent::Dispatch(request_id) => {
+                inputs.extend(self.retake(now));
+                inputs.push(EngineInput::Ended(request_id));
+            }
+            Sent::Order => inputs.extend(self.retake(now)),
+        }
+        self.apply(now, inputs)
+    }
+
+    /// Takes the answer to a fencing order.
+    pub fn on_fence(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        outcome: FenceOutcome,
+    ) -> Vec<OwnedAction> {
+        self.custody.on_fence(call, outcome);
+        self.on_tick(now)
+    }
+
+    /// Takes the engine's direct report.
+    pub fn on_report(&mut self, now: Timestamp, call: u64, report: &Report) -> Vec<OwnedAction> {
+        let (inputs, asked) = self.custody.on_report(now, call, report);
+        let mut actions = self.apply(now, inputs);
+        if let Some(asked) = asked {
+            actions.extend(self.evict(now, asked, report));
+        }
+        actions.extend(self.on_tick(now));
+        actions
+    }
+
+    /// A query for a report failed.
+    pub fn on_report_failed(&mut self, call: u64) {
+        self.custody.on_report_failed(call);
+    }
+
+    /// An answer of the engine named its incarnation.
+    pub fn on_incarnation(&mut self, now: Timestamp, seen: Incarnation) -> Vec<OwnedAction> {
+        let inputs = self.custody.on_incarnation(now, seen);
+        self.apply(now, inputs)
+    }
+
+    fn retake(&mut self, now: Timestamp) -> Vec<EngineInput> {
+        match self.custody.number() {
+            Some(_) => self.custody.begin(now),
+            None => Vec::new(),
+        }
+    }
+
+    /// Unloads closed adapters that a report from after their closing shows idle.
+    fn evict(&mut self, now: Timestamp, asked: Timestamp, report: &Report) -> Vec<OwnedAction> {
+        let Some(fencing) = self.custody.number() else { return Vec::new() };
+        let mut actions = Vec::new();
+        for (adapter, closed) in std::mem::take(&mut self.evicting) {
+            if asked < closed {
+                self.evicting.insert(adapter, closed);
+                continue;
+            }
+            let slot = report.loaded.iter().find(|slot| slot.adapter == adapter);
+            match slot.map(|slot| slot.running) {
+                Some(0) => actions.push(OwnedAction::Unload { adapter, fencing }),
+                Some(_) => actions.extend(self.keep(now, adapter)),
+                None => {
+                    let gone = EngineInput::UnloadEnded { adapter, unloaded: true };
+                    actions.extend(self.apply(now, vec![gone]));
+                }
+            }
+        }
+        actions
+    }
+
+    /// Reopens an adapter on which the engine runs work that isn't known here.
+    fn keep(&mut self, now: Timestamp, adapter: AdapterRef) -> Vec<OwnedAction> {
+        let mut inputs = self.custody.hold(now, adapter.clone());
+        inputs.push(EngineInput::UnloadEnded { adapter, unloaded: false });
+        self.apply(now, inputs)
+    }
+
+    fn apply(&mut self, now: Timestamp, inputs: Vec<EngineInput>) -> Vec<OwnedAction> {
+        let mut actions = Vec::new();
+        for input in inputs {
+            for action in self.core.on_input(now, input) {
+                actions.extend(self.translate(now, action));
+            }
+        }
+        if self.custody.number().is_none() {
+            self.evicting.clear();
+        }
+        actions
+    }
+
+    fn translate(&mut self, now: Timestamp, action: EngineAction) -> Vec<OwnedAction> {
+        if let EngineAction::Refuse { request_id, error } = action {
+            return vec![OwnedAction::Refuse { request_id, error }];
+        }
+        let Some(fencing) = self.custody.number() else { return Vec::new() };
+        match action {
+            EngineAction::Load(adapter) => vec![OwnedAction::Load { adapter, fencing }],
+            EngineAction::Dispatch(request_id) => {
+                vec![OwnedAction::Dispatch { request_id, fencing }]
+            }
+            EngineAction::Unload(adapter) => {
+                self.evicting.insert(adapter, now);
+                let query = self.custody.on_tick(now, true);
+                query.map(OwnedAction::Ask).into_iter().collect()
+            }
+            EngineAction::Refuse { .. } => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/takeover/query.rs
@@ -0,0 +1,20 @@
+//! What an owner asks its engine besides the work itself.
+
+use crate::names::Fencing;
+
+/// A call whose answer goes back to the [`super::Custody`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Query {
+    /// Ask for the direct report of what runs.
+    Running {
+        /// Number of the call, to be given back with its answer.
+        call: u64,
+    },
+    /// Raise the engine's highest fencing number.
+    Fence {
+        /// Number of the call, to be given back with its answer.
+        call: u64,
+        /// The new number.
+        number: Fencing,
+    },
+}
--- /dev/null
+++ b/src/decide/takeover/sent.rs
@@ -0,0 +1,20 @@
+//! What an owner sent to its engine.
+
+use crate::names::AdapterRef;
+use crate::names::RequestId;
+
+/// A message to an engine whose end its owner doesn't know.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// An order to load or unload an adapter.
+    Order,
+    /// A dispatch that the engine hasn't confirmed.
+    Dispatch(RequestId),
+    /// A dispatch that the engine began.
+    Begun {
+        /// The request.
+        request_id: RequestId,
+        /// Adapter that serves it.
+        adapter: AdapterRef,
+    },
+}
