--- a/src/decide/ownership/granter.rs
+++ b/src/decide/ownership/granter.rs
@@ -40,12 +40,13 @@
         Self { timing, seats: BTreeMap::new(), active: Timestamp::ZERO }
     }
 
-    /// Time passed; to be called several times within the lag of the list.
+    /// Time passed; to be called several times a second.
     ///
-    /// After a longer pause of the process its list may be too old to grant by,
-    /// so every seat counts as new.
+    /// After a pause of the process its list may be too old to grant by, so every
+    /// seat counts as new. A list reaches a running process within the other half
+    /// of the lag.
     pub fn on_tick(&mut self, now: Timestamp) {
-        if now.since(self.active) > self.timing.list_lag {
+        if now.since(self.active) > self.timing.list_lag / 2 {
             self.seats.values_mut().for_each(|seat| seat.since = now);
         }
         self.active = now;
--- /dev/null
+++ b/tests/ownership_model/node.rs
@@ -0,0 +1,298 @@
+//! One instance: the decision cores and the thinnest shell around them.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tamaracklead::decide::engine::EngineCore;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::GuardInput;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::decide::ownership::Claimant;
+use tamaracklead::decide::ownership::Granter;
+use tamaracklead::decide::ownership::GroupId;
+use tamaracklead::decide::ownership::LeaseAction;
+use tamaracklead::decide::ownership::LeaseHolder;
+use tamaracklead::decide::ownership::LeaseReply;
+use tamaracklead::decide::ownership::LeaseTiming;
+use tamaracklead::decide::takeover::FenceOutcome;
+use tamaracklead::decide::takeover::OwnedAction;
+use tamaracklead::decide::takeover::OwnedEngine;
+use tamaracklead::decide::takeover::Query;
+use tamaracklead::decide::takeover::Sent;
+use tamaracklead::decide::takeover::chosen_by;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::Fencing;
+use tamaracklead::names::Incarnation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::wire::engine::EngineRefusal;
+
+use crate::engine::Answer;
+use crate::engine::Call;
+use crate::engine::SLOTS;
+
+const BATCH: usize = 3;
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A call of the shell whose end isn't known yet.
+#[derive(Clone, Debug)]
+enum Open {
+    Running(u64),
+    Fence(u64),
+    Load(AdapterRef, Fencing),
+    Unload(AdapterRef, Fencing),
+    Dispatch { request_id: RequestId, adapter: AdapterRef, begun: bool },
+}
+
+/// A call that was decided on but not sent yet.
+#[derive(Clone, Debug)]
+pub struct Unsent {
+    pub id: u64,
+    pub fencing: Fencing,
+    pub call: Call,
+}
+
+pub struct Node {
+    pub name: InstanceName,
+    incarnation: Incarnation,
+    pub granter: Granter,
+    holder: LeaseHolder,
+    owned: OwnedEngine,
+    group: GroupId,
+    pub panel: Vec<InstanceName>,
+    pub wanted: bool,
+    adapters: BTreeMap<RequestId, AdapterRef>,
+    open: BTreeMap<u64, Open>,
+    calls: u64,
+    pub outbox: Vec<Unsent>,
+    pub lease_actions: Vec<LeaseAction>,
+    pub told_not_run: BTreeSet<RequestId>,
+}
+
+impl Node {
+    pub fn new(name: InstanceName, incarnation: Incarnation, group: &GroupId) -> Self {
+        let timing = LeaseTiming::default();
+        let claimant = Claimant { name: name.clone(), incarnation };
+        let core = EngineCore::new(SLOTS, BATCH);
+        Self {
+            name,
+            incarnation,
+            granter: Granter::new(timing),
+            holder: LeaseHolder::new(group.clone(), claimant, timing),
+            owned: OwnedEngine::new(core, group.fencing, timing.travel, incarnation),
+            group: group.clone(),
+            panel: Vec::new(),
+            wanted: false,
+            adapters: BTreeMap::new(),
+            open: BTreeMap::new(),
+            calls: 0,
+            outbox: Vec::new(),
+            lease_actions: Vec::new(),
+            told_not_run: BTreeSet::new(),
+        }
+    }
+
+    pub fn on_list(&mut self, now: Timestamp, panel: Vec<InstanceName>) {
+        let seat = panel.contains(&self.name).then(|| self.group.clone());
+        self.granter.on_panels(now, &seat.into_iter().collect());
+        self.panel = panel;
+    }
+
+    pub fn on_tick(&mut self, now: Timestamp) {
+        self.granter.on_tick(now);
+        let actions = self.holder.on_tick(now, self.wanted, &self.panel);
+        self.on_lease(now, actions);
+        let actions = self.owned.on_tick(now);
+        self.on_owned(actions);
+    }
+
+    pub fn on_grant(&mut self, now: Timestamp, from: &InstanceName, reply: &LeaseReply) {
+        let actions = self.holder.on_reply(now, from, reply);
+        self.on_lease(now, actions);
+    }
+
+    pub fn on_arrival(&mut self, now: Timestamp, request_id: RequestId, adapter: AdapterRef) {
+        if self.holder.may_act(now).is_err() {
+            self.told_not_run.insert(request_id);
+            return;
+        }
+        self.adapters.insert(request_id, adapter.clone());
+        let deadline = now + PATIENCE;
+        let waiting = Waiting { request_id, adapter, priority: 5, arrived: now, deadline };
+        let actions = self.owned.on_input(now, EngineInput::Arrived(waiting));
+        self.on_owned(actions);
+    }
+
+    /// Sends what was decided on, each message after a fresh look at the lease.
+    pub fn flush(&mut self, now: Timestamp) -> Vec<Unsent> {
+        let mut sent = Vec::new();
+        for unsent in std::mem::take(&mut self.outbox) {
+            let free = matches!(unsent.call, Call::Running);
+            if free || self.holder.may_act(now).is_ok() {
+                sent.push(unsent);
+            } else {
+                self.on_not_sent(now, unsent.id);
+            }
+        }
+        sent
+    }
+
+    fn on_not_sent(&mut self, now: Timestamp, id: u64) {
+        let actions = match self.open.remove(&id) {
+            Some(Open::Dispatch { request_id, .. }) => {
+                self.told_not_run.insert(request_id);
+                self.owned.on_input(now, EngineInput::Ended(request_id))
+            }
+            Some(Open::Fence(call)) => self.owned.on_fence(now, call, FenceOutcome::Unknown),
+            Some(_) => self.owned.on_unknown(now, Sent::Order),
+            None => Vec::new(),
+        };
+        self.on_owned(actions);
+    }
+
+    /// Gives up on the `pick`-th open call that has been sent; the engine may still get it.
+    pub fn give_up(&mut self, now: Timestamp, pick: usize) {
+        let unsent: BTreeSet<u64> = self.outbox.iter().map(|unsent| unsent.id).collect();
+        let sent: Vec<u64> = self.open.keys().filter(|id| !unsent.contains(id)).copied().collect();
+        if !sent.is_empty() {
+            self.on_broken(now, sent[pick % sent.len()]);
+        }
+    }
+
+    fn on_broken(&mut self, now: Timestamp, id: u64) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let actions = match open {
+            Open::Running(call) => {
+                self.owned.on_report_failed(call);
+                Vec::new()
+            }
+            Open::Fence(call) => self.owned.on_fence(now, call, FenceOutcome::Unknown),
+            Open::Load(..) | Open::Unload(..) => self.owned.on_unknown(now, Sent::Order),
+            Open::Dispatch { request_id, adapter, begun: true } => {
+                self.owned.on_unknown(now, Sent::Begun { request_id, adapter })
+            }
+            Open::Dispatch { request_id, begun: false, .. } => {
+                self.owned.on_unknown(now, Sent::Dispatch(request_id))
+            }
+        };
+        self.on_owned(actions);
+    }
+
+    pub fn on_answer(&mut self, now: Timestamp, id: u64, answer: Answer) {
+        match answer {
+            Answer::Report(report) => {
+                let Some(Open::Running(call)) = self.open.remove(&id) else { return };
+                let actions = self.owned.on_report(now, call, &report);
+                self.on_owned(actions);
+            }
+            Answer::Done => self.on_done(now, id),
+            Answer::Begun => {
+                if let Some(Open::Dispatch { begun, .. }) = self.open.get_mut(&id) {
+                    *begun = true;
+                }
+            }
+            Answer::Finished => {
+                let Some(Open::Dispatch { request_id, .. }) = self.open.remove(&id) else { return };
+                let actions = self.owned.on_input(now, EngineInput::Ended(request_id));
+                self.on_owned(actions);
+            }
+            Answer::Broken => self.on_broken(now, id),
+            Answer::Refused { refusal, highest } => self.on_refused(now, id, refusal, highest),
+        }
+    }
+
+    fn on_done(&mut self, now: Timestamp, id: u64) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let actions = match open {
+            Open::Fence(call) => self.owned.on_fence(now, call, FenceOutcome::Taken),
+            Open::Load(adapter, fencing) => {
+                let outcome = EngineInput::LoadEnded { adapter, loaded: true };
+                self.owned.on_order_ended(now, fencing, outcome)
+            }
+            Open::Unload(adapter, fencing) => {
+                let outcome = EngineInput::UnloadEnded { adapter, unloaded: true };
+                self.owned.on_order_ended(now, fencing, outcome)
+            }
+            Open::Running(_) | Open::Dispatch { .. } => Vec::new(),
+        };
+        self.on_owned(actions);
+    }
+
+    fn on_refused(&mut self, now: Timestamp, id: u64, refusal: EngineRefusal, highest: Fencing) {
+        let Some(open) = self.open.remove(&id) else { return };
+        let fenced = refusal == EngineRefusal::OldFencing && !chosen_by(highest, self.incarnation);
+        let actions = match open {
+            Open::Fence(call) => self.owned.on_fence(now, call, FenceOutcome::TooLow { highest }),
+            Open::Dispatch { request_id, adapter, .. } => {
+                self.told_not_run.insert(request_id);
+                let mut actions = self.owned.on_input(now, EngineInput::Ended(request_id));
+                if refusal == EngineRefusal::NotLoaded {
+                    let gone = EngineInput::Guard(GuardInput::NotLoaded(adapter));
+                    actions.extend(self.owned.on_input(now, gone));
+                }
+                actions
+            }
+            Open::Load(..) | Open::Unload(..) => self.owned.on_unknown(now, Sent::Order),
+            Open::Running(_) => Vec::new(),
+        };
+        self.on_owned(actions);
+        if fenced {
+            let actions = self.holder.on_fenced(now, &self.panel);
+            self.on_lease(now, actions);
+        }
+    }
+
+    fn on_lease(&mut self, now: Timestamp, actions: Vec<LeaseAction>) {
+        for action in actions {
+            match action {
+                LeaseAction::Acquired => {
+                    let actions = self.owned.on_acquired(now);
+                    self.on_owned(actions);
+                }
+                LeaseAction::Lost => {
+                    let actions = self.owned.on_lost(now);
+                    self.on_owned(actions);
+                }
+                message => self.lease_actions.push(message),
+            }
+        }
+    }
+
+    fn on_owned(&mut self, actions: Vec<OwnedAction>) {
+        for action in actions {
+            match action {
+                OwnedAction::Ask(Query::Running { call }) => {
+                    self.post(Open::Running(call), Fencing(0), Call::Running);
+                }
+                OwnedAction::Ask(Query::Fence { call, number }) => {
+                    self.post(Open::Fence(call), number, Call::Fence);
+                }
+                OwnedAction::Load { adapter, fencing } => {
+                    let call = Call::Load(adapter.clone());
+                    self.post(Open::Load(adapter, fencing), fencing, call);
+                }
+                OwnedAction::Unload { adapter, fencing } => {
+                    let call = Call::Unload(adapter.clone());
+                    self.post(Open::Unload(adapter, fencing), fencing, call);
+                }
+                OwnedAction::Dispatch { request_id, fencing } => {
+                    let adapter = self.adapters[&request_id].clone();
+                    let call = Call::Dispatch(request_id, adapter.clone());
+                    let open = Open::Dispatch { request_id, adapter, begun: false };
+                    self.post(open, fencing, call);
+                }
+                OwnedAction::Refuse { request_id, .. } => {
+                    self.told_not_run.insert(request_id);
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, open: Open, fencing: Fencing, call: Call) {
+        self.calls += 1;
+        self.open.insert(self.calls, open);
+        self.outbox.push(Unsent { id: self.calls, fencing, call });
+    }
+}
--- /dev/null
+++ b/tests/ownership_model/step.rs
@@ -0,0 +1,104 @@
+//! What can happen to the instances, the network and the engine.
+
+use proptest::prelude::BoxedStrategy;
+use proptest::prelude::Strategy;
+use proptest::prop_oneof;
+
+pub const NODES: usize = 6;
+/// Place of the engine among the ends of a cut.
+pub const ENGINE: usize = NODES;
+const ADAPTERS: usize = 4;
+const MESSAGES: usize = 64;
+
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    /// Time passes while every process and message that can make progress does.
+    Run {
+        ms: u64,
+    },
+    /// Time passes and nothing is delivered.
+    Advance {
+        ms: u64,
+    },
+    Tick {
+        node: usize,
+    },
+    Flush {
+        node: usize,
+    },
+    Arrive {
+        node: usize,
+        adapter: usize,
+    },
+    Finish {
+        pick: usize,
+    },
+    Deliver {
+        pick: usize,
+    },
+    Drop {
+        pick: usize,
+    },
+    Duplicate {
+        pick: usize,
+    },
+    GiveUp {
+        node: usize,
+        pick: usize,
+    },
+    Freeze {
+        node: usize,
+    },
+    Thaw {
+        node: usize,
+    },
+    Kill {
+        node: usize,
+    },
+    RestartEngine,
+    Cut {
+        from: usize,
+        to: usize,
+    },
+    Heal,
+    /// The instance's view of the fleet makes it the preferred owner, or not.
+    Want {
+        node: usize,
+        wanted: bool,
+    },
+    /// The list gains or loses an instance.
+    Relist {
+        node: usize,
+    },
+    /// The newest list reaches an instance.
+    Learn {
+        node: usize,
+    },
+}
+
+pub fn any_step() -> BoxedStrategy<Step> {
+    let node = || 0..NODES;
+    let pick = || 0..MESSAGES;
+    prop_oneof![
+        4 => (50u64..2500).prop_map(|ms| Step::Run { ms }),
+        3 => (1u64..4000).prop_map(|ms| Step::Advance { ms }),
+        3 => node().prop_map(|node| Step::Tick { node }),
+        3 => node().prop_map(|node| Step::Flush { node }),
+        8 => (node(), 0..ADAPTERS).prop_map(|(node, adapter)| Step::Arrive { node, adapter }),
+        3 => pick().prop_map(|pick| Step::Finish { pick }),
+        8 => pick().prop_map(|pick| Step::Deliver { pick }),
+        2 => pick().prop_map(|pick| Step::Drop { pick }),
+        1 => pick().prop_map(|pick| Step::Duplicate { pick }),
+        2 => (node(), pick()).prop_map(|(node, pick)| Step::GiveUp { node, pick }),
+        2 => node().prop_map(|node| Step::Freeze { node }),
+        2 => node().prop_map(|node| Step::Thaw { node }),
+        1 => node().prop_map(|node| Step::Kill { node }),
+        1 => proptest::strategy::Just(Step::RestartEngine),
+        1 => (node(), 0..=ENGINE).prop_map(|(from, to)| Step::Cut { from, to }),
+        1 => proptest::strategy::Just(Step::Heal),
+        4 => (node(), proptest::bool::ANY).prop_map(|(node, wanted)| Step::Want { node, wanted }),
+        1 => node().prop_map(|node| Step::Relist { node }),
+        1 => node().prop_map(|node| Step::Learn { node }),
+    ]
+    .boxed()
+}
--- /dev/null
+++ b/tests/ownership_model/world.rs
@@ -0,0 +1,351 @@
+//! Instances, their clocks, the network between them, and one engine.
+
+use std::collections::BTreeSet;
+
+use tamaracklead::decide::ownership::Candidate;
+use tamaracklead::decide::ownership::GroupId;
+use tamaracklead::decide::ownership::LeaseAction;
+use tamaracklead::decide::ownership::LeaseRelease;
+use tamaracklead::decide::ownership::LeaseReply;
+use tamaracklead::decide::ownership::LeaseRequest;
+use tamaracklead::decide::ownership::panel;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::DataCentre;
+use tamaracklead::names::Fencing;
+use tamaracklead::names::Incarnation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::names::Version;
+use tamaracklead::wire::listing::FencingMode;
+
+use crate::engine::Answer;
+use crate::engine::Call;
+use crate::engine::Engine;
+use crate::node::Node;
+use crate::step::ENGINE;
+use crate::step::NODES;
+use crate::step::Step;
+
+/// Rates of the instances' clocks, in thousandths; within the 5% that leases allow for.
+const RATES: [u64; NODES] = [1000, 960, 1040, 950, 1050, 1010];
+/// Longest travel to an engine that ignores fencing: the bound of 1 s by the fastest clock.
+const TRAVEL_MS: u64 = 900;
+/// Time within which a running instance learns a list: half the lag by the fastest clock.
+const LIST_MS: u64 = 2800;
+/// Most messages in flight; the oldest is lost beyond.
+const MAX_MESSAGES: usize = 200;
+const RUN_STEP_MS: u64 = 50;
+const FEWEST_LISTED: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Body {
+    Request(LeaseRequest),
+    Reply(LeaseReply),
+    Release(LeaseRelease),
+    Call { id: u64, fencing: Fencing, call: Call },
+    Answer { id: u64, answer: Answer },
+}
+
+#[derive(Clone, Debug)]
+struct Message {
+    from: usize,
+    /// Incarnation of the sender or, for answers, of the receiver.
+    life: u64,
+    to: usize,
+    sent: u64,
+    body: Body,
+}
+
+struct Place {
+    node: Node,
+    life: u64,
+    frozen: bool,
+    stale_ms: u64,
+}
+
+pub struct World {
+    mode: FencingMode,
+    group: GroupId,
+    real_ms: u64,
+    places: Vec<Place>,
+    lives: u64,
+    messages: Vec<Message>,
+    cuts: BTreeSet<(usize, usize)>,
+    listed: BTreeSet<usize>,
+    pub engine: Engine,
+    requests: u128,
+    pub told_not_run: BTreeSet<RequestId>,
+}
+
+fn name(index: usize) -> InstanceName {
+    InstanceName::new(&format!("entry-{index}"))
+}
+
+impl World {
+    pub fn new(mode: FencingMode) -> Self {
+        let data_centre = DataCentre::new("dc");
+        let group = GroupId::new(&BackendName::new("engine"), data_centre, mode);
+        let mut world = Self {
+            mode,
+            group,
+            real_ms: 0,
+            places: Vec::new(),
+            lives: 0,
+            messages: Vec::new(),
+            cuts: BTreeSet::new(),
+            listed: (0..NODES).collect(),
+            engine: Engine::new(mode),
+            requests: 0,
+            told_not_run: BTreeSet::new(),
+        };
+        for index in 0..NODES {
+            let place = world.start(index);
+            world.places.push(place);
+        }
+        world
+    }
+
+    pub fn apply(&mut self, step: Step) {
+        match step {
+            Step::Run { ms } => self.run(ms),
+            Step::Advance { ms } => self.advance(ms),
+            Step::Tick { node } => self.tick(node),
+            Step::Flush { node } => self.flush(node),
+            Step::Arrive { node, adapter } => self.arrive(node, adapter),
+            Step::Finish { pick } => self.finish(pick),
+            Step::Deliver { pick } => self.deliver(pick),
+            Step::Drop { pick } => {
+                self.take(pick);
+            }
+            Step::Duplicate { pick } => self.duplicate(pick),
+            Step::GiveUp { node, pick } => self.on_node(node, |node, now| node.give_up(now, pick)),
+            Step::Freeze { node } => self.places[node].frozen = true,
+            Step::Thaw { node } => self.places[node].frozen = false,
+            Step::Kill { node } => self.kill(node),
+            Step::RestartEngine => self.restart_engine(),
+            Step::Cut { from, to } => {
+                self.cuts.insert((from, to));
+            }
+            Step::Heal => self.cuts.clear(),
+            Step::Want { node, wanted } => self.on_node(node, |node, _| node.wanted = wanted),
+            Step::Relist { node } => self.relist(node),
+            Step::Learn { node } => self.learn(node),
+        }
+        for place in &mut self.places {
+            self.told_not_run.append(&mut place.node.told_not_run);
+        }
+    }
+
+    /// What callers and the engine saw that must never be.
+    pub fn violations(&self) -> Vec<String> {
+        let mut violations = self.engine.violations.clone();
+        for request in self.told_not_run.intersection(&self.engine.ran) {
+            violations.push(format!("request {request} ran and was said not to have run"));
+        }
+        violations
+    }
+
+    fn start(&mut self, index: usize) -> Place {
+        self.lives += 1;
+        let node = Node::new(name(index), Incarnation(self.lives), &self.group);
+        let mut place = Place { node, life: self.lives, frozen: false, stale_ms: 0 };
+        place.node.on_list(self.now(index), self.panel());
+        place
+    }
+
+    fn kill(&mut self, index: usize) {
+        let told = std::mem::take(&mut self.places[index].node.told_not_run);
+        self.told_not_run.extend(told);
+        self.places[index] = self.start(index);
+    }
+
+    fn now(&self, index: usize) -> Timestamp {
+        Timestamp::from_micros((self.real_ms + 1_000) * RATES[index])
+    }
+
+    fn panel(&self) -> Vec<InstanceName> {
+        let candidates: Vec<Candidate> = self
+            .listed
+            .iter()
+            .map(|index| Candidate { name: name(*index), data_centre: DataCentre::new("dc") })
+            .collect();
+        panel(&self.group, &candidates)
+    }
+
+    /// Lets a running instance act, then sends its messages to other instances.
+    fn on_node(&mut self, index: usize, act: impl FnOnce(&mut Node, Timestamp)) {
+        let now = self.now(index);
+        let place = &mut self.places[index];
+        if place.frozen {
+            return;
+        }
+        act(&mut place.node, now);
+        let life = place.life;
+        for action in std::mem::take(&mut place.node.lease_actions) {
+            let (to, body) = match action {
+                LeaseAction::Ask { to, request } => (to, Body::Request(request)),
+                LeaseAction::Release { to, release } => (to, Body::Release(release)),
+                LeaseAction::Acquired | LeaseAction::Lost => continue,
+            };
+            let to = (0..NODES).find(|index| name(*index) == to).unwrap();
+            self.send(Message { from: index, life, to, sent: self.real_ms, body });
+        }
+    }
+
+    fn send(&mut self, message: Message) {
+        if self.messages.len() >= MAX_MESSAGES {
+            self.messages.remove(0);
+        }
+        self.messages.push(message);
+    }
+
+    fn tick(&mut self, index: usize) {
+        self.on_node(index, |node, now| node.on_tick(now));
+    }
+
+    fn flush(&mut self, index: usize) {
+        let mut sent = Vec::new();
+        self.on_node(index, |node, now| sent = node.flush(now));
+        let life = self.places[index].life;
+        for unsent in sent {
+            let body = Body::Call { id: unsent.id, fencing: unsent.fencing, call: unsent.call };
+            self.send(Message { from: index, life, to: ENGINE, sent: self.real_ms, body });
+        }
+    }
+
+    fn arrive(&mut self, index: usize, adapter: usize) {
+        self.requests += 1;
+        let request_id = RequestId(self.requests);
+        let adapter = AdapterName::new(&format!("adapter-{adapter}"));
+        let adapter = AdapterRef::new(adapter, Version(1));
+        self.on_node(index, |node, now| node.on_arrival(now, request_id, adapter));
+    }
+
+    fn finish(&mut self, pick: usize) {
+        let ids: Vec<RequestId> = self.engine.running.keys().copied().collect();
+        if ids.is_empty() {
+            return;
+        }
+        let run = self.engine.running.remove(&ids[pick % ids.len()]).unwrap();
+        self.answer(run.node, run.call, Answer::Finished);
+    }
+
+    fn restart_engine(&mut self) {
+        for run in self.engine.restart() {
+            self.answer(run.node, run.call, Answer::Broken);
+        }
+    }
+
+    /// Sends an answer of the engine; `call` names the life of the instance and its call.
+    fn answer(&mut self, to: usize, call: u64, answer: Answer) {
+        let (life, id) = (call >> 32, call & u64::from(u32::MAX));
+        let body = Body::Answer { id, answer };
+        self.send(Message { from: ENGINE, life, to, sent: self.real_ms, body });
+    }
+
+    fn advance(&mut self, ms: u64) {
+        self.real_ms += ms;
+        if self.mode == FencingMode::Ignore {
+            let oldest = self.real_ms.saturating_sub(TRAVEL_MS);
+            self.messages.retain(|message| message.to != ENGINE || message.sent >= oldest);
+        }
+        for index in 0..NODES {
+            if self.places[index].frozen {
+                continue;
+            }
+            self.places[index].stale_ms += ms;
+            if self.places[index].stale_ms > LIST_MS {
+                self.learn(index);
+            }
+        }
+    }
+
+    fn learn(&mut self, index: usize) {
+        let panel = self.panel();
+        self.on_node(index, |node, now| node.on_list(now, panel));
+        if !self.places[index].frozen {
+            self.places[index].stale_ms = 0;
+        }
+    }
+
+    fn relist(&mut self, index: usize) {
+        if self.listed.len() > FEWEST_LISTED && self.listed.remove(&index) {
+            return;
+        }
+        self.listed.insert(index);
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms.div_ceil(RUN_STEP_MS) {
+            self.advance(RUN_STEP_MS);
+            for index in 0..NODES {
+                self.tick(index);
+                self.flush(index);
+            }
+            for message in std::mem::take(&mut self.messages) {
+                self.hand_over(message);
+            }
+        }
+    }
+
+    fn take(&mut self, pick: usize) -> Option<Message> {
+        if self.messages.is_empty() {
+            return None;
+        }
+        let pick = pick % self.messages.len();
+        Some(self.messages.remove(pick))
+    }
+
+    fn deliver(&mut self, pick: usize) {
+        if let Some(message) = self.take(pick) {
+            self.hand_over(message);
+        }
+    }
+
+    fn duplicate(&mut self, pick: usize) {
+        let Some(message) = self.take(pick) else { return };
+        if message.from != ENGINE && message.to != ENGINE {
+            self.send(message.clone());
+        }
+        self.send(message);
+    }
+
+    fn hand_over(&mut self, message: Message) {
+        let Message { from, life, to, body, .. } = message.clone();
+        if self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from)) {
+            return;
+        }
+        if to != ENGINE && self.places[to].frozen {
+            self.messages.push(message);
+            return;
+        }
+        match body {
+            Body::Call { id, fencing, call } => {
+                let id = (life << 32) | id;
+                let answer = self.engine.handle(from, id, fencing, call);
+                self.answer(from, id, answer);
+            }
+            Body::Answer { id, answer } if self.places[to].life == life => {
+                self.on_node(to, |node, now| node.on_answer(now, id, answer));
+            }
+            Body::Answer { .. } => {}
+            Body::Request(request) => {
+                let mut reply = None;
+                self.on_node(to, |node, now| reply = Some(node.granter.on_request(now, &request)));
+                let Some(reply) = reply else { return };
+                let body = Body::Reply(reply);
+                self.send(Message { from: to, life, to: from, sent: self.real_ms, body });
+            }
+            Body::Reply(reply) if self.places[to].life == life => {
+                self.on_node(to, |node, now| node.on_grant(now, &name(from), &reply));
+            }
+            Body::Reply(_) => {}
+            Body::Release(release) => {
+                self.on_node(to, |node, _| node.granter.on_release(&release));
+            }
+        }
+    }
+}
