Add echo checks, strikes and permits, with models that drive them

The quarantine model first failed: the owner of the first engine got a permit while it still ran a copy without one, and three engines ended. The owner of the first engine is now asked like any other, and strikes are looked at again before a permitted start.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,9 +8,11 @@
 pub mod backends;
 pub mod config;
 pub mod dispatch_end;
+pub mod echo;
 pub mod engine;
 pub mod membership;
 pub mod ownership;
+pub mod quarantine;
 pub mod rendezvous;
 pub mod routing;
 pub mod submissions;
--- /dev/null
+++ b/src/decide/quarantine/book.rs
@@ -0,0 +1,132 @@
+//! The strikes that one instance knows of.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::Clearance;
+use super::Fingerprint;
+use super::Strike;
+use super::Verdict;
+use crate::names::Timestamp;
+
+/// Time after its last strike for which a request is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Most fingerprints that are remembered: about 1 MB.
+const MAX_FINGERPRINTS: usize = 4096;
+/// Most strikes of one fingerprint that are remembered.
+const MAX_STRIKES: usize = 8;
+/// Strikes from which a request is refused.
+const REFUSED_FROM: usize = 2;
+
+/// What is known of one fingerprint.
+#[derive(Clone, Debug)]
+struct Record {
+    /// Each strike, and whether it was cleared; a cleared strike that comes again stays cleared.
+    strikes: BTreeMap<Strike, bool>,
+    until: Timestamp,
+}
+
+impl Record {
+    fn counted(&self) -> usize {
+        self.strikes.values().filter(|cleared| !**cleared).count()
+    }
+}
+
+/// The strikes that one instance knows of.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantineBook {
+    records: BTreeMap<Fingerprint, Record>,
+}
+
+impl QuarantineBook {
+    /// Takes a strike, seen here or told by a peer; the same strike counts once.
+    pub fn on_strike(&mut self, now: Timestamp, strike: Strike) {
+        self.forget_expired(now);
+        let fingerprint = strike.fingerprint;
+        self.make_room(fingerprint);
+        let record = self.record(now, fingerprint);
+        if record.strikes.contains_key(&strike) {
+            return;
+        }
+        if record.strikes.len() < MAX_STRIKES {
+            record.strikes.insert(strike, false);
+        }
+        record.until = now + MEMORY;
+    }
+
+    /// Takes a clearance, made here or told by a peer.
+    pub fn on_clearance(&mut self, now: Timestamp, clearance: &Clearance) {
+        self.forget_expired(now);
+        for strike in &clearance.strikes {
+            self.make_room(strike.fingerprint);
+            let record = self.record(now, strike.fingerprint);
+            if record.strikes.len() < MAX_STRIKES || record.strikes.contains_key(strike) {
+                record.strikes.insert(strike.clone(), true);
+            }
+        }
+    }
+
+    /// The clearance for a request that ran alone to its end.
+    pub fn clear(&mut self, now: Timestamp, fingerprint: Fingerprint) -> Option<Clearance> {
+        self.forget_expired(now);
+        let record = self.records.get_mut(&fingerprint)?;
+        let counted = record.strikes.iter_mut().filter(|(_, cleared)| !**cleared);
+        let strikes: Vec<Strike> = counted
+            .map(|(strike, cleared)| {
+                *cleared = true;
+                strike.clone()
+            })
+            .collect();
+        (!strikes.is_empty()).then_some(Clearance { strikes })
+    }
+
+    /// What may be done with a request; to be asked again just before its dispatch.
+    pub fn verdict(&self, now: Timestamp, fingerprint: Fingerprint) -> Verdict {
+        let Some(record) = self.records.get(&fingerprint) else { return Verdict::Run };
+        if record.until <= now {
+            return Verdict::Run;
+        }
+        match record.counted() {
+            0 => Verdict::Run,
+            strikes if strikes < REFUSED_FROM => Verdict::Alone,
+            _ => Verdict::Refuse { retry_after: record.until.since(now) },
+        }
+    }
+
+    /// The strikes of a fingerprint that count, to be told to its home.
+    pub fn strikes(&self, fingerprint: Fingerprint) -> Vec<Strike> {
+        let Some(record) = self.records.get(&fingerprint) else { return Vec::new() };
+        let counted = record.strikes.iter().filter(|(_, cleared)| !**cleared);
+        counted.map(|(strike, _)| strike.clone()).collect()
+    }
+
+    /// How many fingerprints are remembered.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether nothing is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    fn record(&mut self, now: Timestamp, fingerprint: Fingerprint) -> &mut Record {
+        let fresh = || Record { strikes: BTreeMap::new(), until: now + MEMORY };
+        self.records.entry(fingerprint).or_insert_with(fresh)
+    }
+
+    fn forget_expired(&mut self, now: Timestamp) {
+        self.records.retain(|_, record| record.until > now);
+    }
+
+    /// Forgets the record with the fewest strikes, of these the oldest.
+    fn make_room(&mut self, fingerprint: Fingerprint) {
+        if self.records.len() < MAX_FINGERPRINTS || self.records.contains_key(&fingerprint) {
+            return;
+        }
+        let least = self.records.iter().min_by_key(|(_, record)| (record.counted(), record.until));
+        if let Some(least) = least.map(|(fingerprint, _)| *fingerprint) {
+            self.records.remove(&least);
+        }
+    }
+}
--- a/tests/ownership_model/node.rs
+++ b/tests/ownership_model/node.rs
@@ -94,6 +94,10 @@
         }
     }
 
+    pub fn believes_owner(&self, now: Timestamp) -> bool {
+        self.holder.may_act(now).is_ok()
+    }
+
     pub fn on_list(&mut self, now: Timestamp, panel: Vec<InstanceName>) {
         let seat = panel.contains(&self.name).then(|| self.group.clone());
         self.granter.on_panels(now, &seat.into_iter().collect());
--- a/tests/ownership_model/regressions.rs
+++ b/tests/ownership_model/regressions.rs
@@ -37,6 +37,7 @@
     for mode in [FencingMode::Refuse, FencingMode::Ignore] {
         let mut steps = request_after_takeover();
         steps.push(Step::Kill { node: 0 });
+        steps.push(Step::Finish { pick: 0 });
         steps.push(Step::Want { node: 1, wanted: true });
         steps.push(Step::Run { ms: 20_000 });
         steps.extend((0..NODES).map(|node| Step::Arrive { node, adapter: 1 }));
