Carry permit requests through an owned engine

The merge of load permits and of takeovers left these two actions without a translation; returning a permit needs no lease, asking for one does.

--- a/src/decide/takeover/owned.rs
+++ b/src/decide/takeover/owned.rs
@@ -202,21 +202,27 @@
     }
 
     fn translate(&mut self, now: Timestamp, action: EngineAction) -> Vec<OwnedAction> {
-        if let EngineAction::Refuse { request_id, error } = action {
-            return vec![OwnedAction::Refuse { request_id, error }];
-        }
-        let Some(fencing) = self.custody.number() else { return Vec::new() };
-        match action {
-            EngineAction::Load(adapter) => vec![OwnedAction::Load { adapter, fencing }],
-            EngineAction::Dispatch(request_id) => {
+        let fencing = self.custody.number();
+        match (action, fencing) {
+            (EngineAction::Refuse { request_id, error }, _) => {
+                vec![OwnedAction::Refuse { request_id, error }]
+            }
+            (EngineAction::ReturnPermit(adapter), _) => vec![OwnedAction::ReturnPermit(adapter)],
+            (EngineAction::ApplyForPermit { adapter, urgency }, Some(_)) => {
+                vec![OwnedAction::ApplyForPermit { adapter, urgency }]
+            }
+            (EngineAction::Load(adapter), Some(fencing)) => {
+                vec![OwnedAction::Load { adapter, fencing }]
+            }
+            (EngineAction::Dispatch(request_id), Some(fencing)) => {
                 vec![OwnedAction::Dispatch { request_id, fencing }]
             }
-            EngineAction::Unload(adapter) => {
+            (EngineAction::Unload(adapter), Some(_)) => {
                 self.evicting.insert(adapter, now);
                 let query = self.custody.on_tick(now, true);
                 query.map(OwnedAction::Ask).into_iter().collect()
             }
-            EngineAction::Refuse { .. } => Vec::new(),
+            (_, None) => Vec::new(),
         }
     }
 }
--- a/src/decide/takeover/owned_action.rs
+++ b/src/decide/takeover/owned_action.rs
@@ -1,6 +1,7 @@
 //! What the owner of an engine must do next.
 
 use super::Query;
+use crate::decide::permits::Urgency;
 use crate::error::Error;
 use crate::names::AdapterRef;
 use crate::names::Fencing;
@@ -41,4 +42,13 @@
         /// Its final answer.
         error: Error,
     },
+    /// Ask the store's permit holder for a load, or tell it the new urgency of one.
+    ApplyForPermit {
+        /// The adapter.
+        adapter: AdapterRef,
+        /// How urgent the load is.
+        urgency: Urgency,
+    },
+    /// Give back a permit that isn't needed or whose load ended.
+    ReturnPermit(AdapterRef),
 }
--- a/tests/ownership_model/node.rs
+++ b/tests/ownership_model/node.rs
@@ -287,6 +287,10 @@
                     let open = Open::Dispatch { request_id, adapter, begun: false };
                     self.post(open, fencing, call);
                 }
+                // Cores of the model load without permits.
+                OwnedAction::ApplyForPermit { .. } | OwnedAction::ReturnPermit(_) => {
+                    unreachable!("a permit was asked for")
+                }
                 OwnedAction::Refuse { request_id, .. } => {
                     self.told_not_run.insert(request_id);
                 }
