Drive real processes with a workload, and compare hops

lab load sends a workload's arrivals at their own times, counts latencies from the planned times, and fails on a wrong answer; lab hops compares the first token by the engine itself, by its owner and over two hops, in one run.

--- a/lab/src/ask.rs
+++ b/lab/src/ask.rs
@@ -57,7 +57,8 @@
         Self { adapter, version: None, prompt: "Hello".to_owned(), max_tokens: 4 }
     }
 
-    fn body(&self, stream: bool) -> Bytes {
+    /// The request's body.
+    pub fn body(&self, stream: bool) -> Bytes {
         let mut body = serde_json::json!({
             "adapter": self.adapter,
             "prompt": self.prompt,
@@ -70,7 +71,12 @@
         Bytes::from(body.to_string())
     }
 
-    fn check(&self, completion: &Completion, text: &str) -> Result<(), AskError> {
+    /// Checks that the answer is whole and by the right adapter and version.
+    ///
+    /// # Errors
+    ///
+    /// What was wrong.
+    pub fn check(&self, completion: &Completion, text: &str) -> Result<(), AskError> {
         let version = self.version.unwrap_or(completion.version);
         let expected = format!("[{}@{version}]", self.adapter);
         let right = completion.adapter == self.adapter
--- a/lab/src/clap_app.rs
+++ b/lab/src/clap_app.rs
@@ -5,6 +5,7 @@
 use clap::Arg;
 use clap::Command;
 use clap::value_parser;
+use lab::drive;
 use lab::experiment;
 
 /// Describes the command line.
@@ -14,6 +15,8 @@
         .subcommand_required(true)
         .subcommand(stand_in())
         .subcommand(experiment::command())
+        .subcommand(drive::load_command())
+        .subcommand(drive::hops_command())
         .subcommand(Command::new("demo").about("Runs a fleet through failures and checks it"))
         .subcommand(
             Command::new("up").about("Starts a fleet and leaves it running").arg(
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -28,7 +28,13 @@
             entry.name, entry.addr, entry.operator
         );
     }
+    let key = fleet.operator_key_file()?;
     println!("Try:");
+    println!(
+        "  tamaracklead status --operator {} --operator-key {}",
+        fleet.entries[0].operator,
+        key.display()
+    );
     let addr = fleet.entries[0].addr;
     println!(
         "  curl -N http://{addr}/v1/completions -d '{{\"adapter\":\"adapter-0001\",\"prompt\":\"Hello\",\"stream\":true}}'"
--- a/lab/src/fleet/running.rs
+++ b/lab/src/fleet/running.rs
@@ -9,12 +9,14 @@
 
 use bytes::Bytes;
 use tamaracklead::decide::config::Snapshot;
+use tamaracklead::edge::HttpCall;
 use tamaracklead::names::BackendName;
 use tamaracklead::names::Generation;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::PageName;
 use tamaracklead::names::PresetName;
 use tamaracklead::wire::listing::BackendRole;
+use tamaracklead::wire::listing::FencingMode;
 use tamaracklead::wire::listing::ListedBackend;
 use tamaracklead::wire::listing::ListedEntry;
 use tamaracklead::wire::listing::ListedState;
@@ -156,15 +158,25 @@
         self.client.put_json(self.instances.addr, "/lab/instances", &self.listing).await
     }
 
+    /// A file that holds the operators' key; it goes with the fleet.
+    ///
+    /// # Errors
+    ///
+    /// A sentence if it can't be written.
+    pub fn operator_key_file(&self) -> Result<PathBuf, String> {
+        let path = self.dir.join("operators.key");
+        fs::write(&path, OPERATOR_KEY).map_err(|e| e.to_string())?;
+        Ok(path)
+    }
+
     /// What one daemon says of itself.
     ///
     /// # Errors
     ///
     /// A sentence if it can't be reached.
     pub async fn status(&self, entry: usize) -> Result<Status, String> {
-        let call =
-            tamaracklead::edge::HttpCall::get(self.entries[entry].operator, "/operator/v1/status")
-                .header("authorization", format!("Bearer {OPERATOR_KEY}"));
+        let call = HttpCall::get(self.entries[entry].operator, "/operator/v1/status")
+            .header("authorization", format!("Bearer {OPERATOR_KEY}"));
         let reply = self.client.send(call).await?;
         let body = reply.whole().await.map_err(|failure| failure.detail)?;
         serde_json::from_slice(&body).map_err(|e| e.to_string())
@@ -195,8 +207,7 @@
         let addrs = [self.config.addr, self.instances.addr];
         for addr in addrs {
             let until = Instant::now() + READY_TIMEOUT;
-            while self.client.send(tamaracklead::edge::HttpCall::get(addr, "/lab/x")).await.is_err()
-            {
+            while self.client.send(HttpCall::get(addr, "/lab/x")).await.is_err() {
                 if Instant::now() > until {
                     return Err(format!("stand-in at {addr} does not answer"));
                 }
@@ -307,7 +318,7 @@
         ("batch", plan.batch.to_string()),
         ("token-ms", plan.token_ms.to_string()),
     ];
-    if plan.fencing == tamaracklead::wire::listing::FencingMode::Ignore {
+    if plan.fencing == FencingMode::Ignore {
         args.push(("ignore-fencing", String::new()));
     }
     stand_in(lab, "engine", &format!("engine-{number}"), &args)
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod ask;
 pub mod demo;
+pub mod drive;
 pub mod experiment;
 pub mod fleet;
 pub mod load;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use lab::demo;
+use lab::drive;
 use lab::experiment;
 use lab::fleet;
 use lab::standin;
@@ -16,6 +17,8 @@
     let ended = match matches.subcommand() {
         Some(("stand-in", args)) => standin::run(args),
         Some(("experiment", args)) => experiment::run(args),
+        Some(("load", args)) => bin_dir().and_then(|dir| drive::run_load(&dir, args)),
+        Some(("hops", args)) => bin_dir().and_then(|dir| drive::run_hops(&dir, args)),
         Some(("demo", _)) => bin_dir().and_then(|dir| demo::run(&dir)),
         Some(("up", args)) => {
             let seconds = args.get_one::<u64>("seconds").copied().unwrap_or_default();
