Trace each hop of a request, and count what happens to it

The answer stage of a draft moves to a file of its own. Error answers of drafts carry the request's identifier, so that operators can ask for them.

--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::mpsc;
 
 use super::Node;
 use super::dispatches;
+use super::draft_answer::DraftAnswer;
+use super::draft_answer::wrong_answer;
 use super::in_flight::InFlightGuard;
 use crate::decide::drain::Work;
 use crate::decide::routing;
@@ -16,26 +17,23 @@
 use crate::edge::Request;
 use crate::error::Error;
 use crate::error::ErrorKind;
-use crate::error::Problem;
 use crate::error::Result;
 use crate::names::AdapterRef;
 use crate::names::InstanceName;
 use crate::names::RequestId;
 use crate::names::Timestamp;
-use crate::wire::caller::Completion;
-use crate::wire::caller::CompletionChunk;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
 use crate::wire::caller::CompletionRequest;
 use crate::wire::listing::ListedBackend;
 use crate::wire::peer::Dispatch;
 use crate::wire::peer::DispatchEvent;
-use crate::wire::sse;
 
 /// Engines that one request is tried on.
 const MAX_ATTEMPTS: usize = 3;
 /// Priority when neither caller nor preset names one.
 const DEFAULT_PRIORITY: u8 = 5;
-/// Pieces of one answer that may be in memory at once.
-const PIECE_QUEUE: usize = 64;
 
 struct Draft {
     id: RequestId,
@@ -45,12 +43,6 @@
     homes: Vec<ListedBackend>,
 }
 
-struct Running {
-    id: RequestId,
-    adapter: AdapterRef,
-    rx: mpsc::Receiver<DispatchEvent>,
-}
-
 /// Answers `POST /v1/completions`.
 ///
 /// # Errors
@@ -62,15 +54,44 @@
     let wanted: CompletionRequest = serde_json::from_slice(&req.body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
     wanted.check()?;
-    let stream = wanted.stream;
-    let draft = prepare(&node, wanted, req.header("traceparent"))?;
-    let id = draft.id;
-    let running = start(&node, draft).await?;
-    let reply = if stream { stream_answer(running, guard) } else { whole_answer(running).await? };
+    let id = node.new_request_id()?;
+    node.explain().begin(node.now(), id);
+    node.metrics.count(Counter::DraftArrived);
+    let span = node.tracer.span(Hop::EntryDraft, req.header("traceparent"));
+    span.set("request_id", id.to_string());
+    let reply = match run(&node, id, wanted, span, guard).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            node.metrics.count_error(error.kind);
+            Reply::error(&error)
+        }
+    };
     Ok(reply.header("x-request-id", id.to_string()))
 }
 
-fn prepare(node: &Node, wanted: CompletionRequest, traceparent: Option<&str>) -> Result<Draft> {
+async fn run(
+    node: &Arc<Node>,
+    id: RequestId,
+    wanted: CompletionRequest,
+    span: Span,
+    guard: InFlightGuard,
+) -> Result<Reply> {
+    let arrived = node.now();
+    let stream = wanted.stream;
+    let prepared = prepare(node, id, wanted, span.traceparent());
+    let draft = prepared.inspect_err(|error| span.fail(error))?;
+    let adapter = draft.adapter.clone();
+    let rx = start(node, draft).await.inspect_err(|error| span.fail(error))?;
+    let answer = DraftAnswer { id, adapter, arrived, rx, has_token: false, span };
+    if stream { Ok(answer.stream(node, guard)) } else { answer.whole(node).await }
+}
+
+fn prepare(
+    node: &Node,
+    id: RequestId,
+    wanted: CompletionRequest,
+    traceparent: Option<String>,
+) -> Result<Draft> {
     let now = node.now();
     let snapshot = node.snapshot()?;
     if !snapshot.preset().accepting {
@@ -78,8 +99,6 @@
         let detail = format!("preset {preset:?} accepts no drafts");
         return Err(Error::new(ErrorKind::Overloaded, detail));
     }
-    let id = node.new_request_id()?;
-    node.explain().begin(now, id);
     let adapter = snapshot.resolve(&wanted.adapter, wanted.version)?;
     let model = snapshot.model_of(&adapter.adapter).cloned().ok_or_else(|| {
         Error::new(ErrorKind::UnknownAdapter, format!("adapter {adapter} has no base model"))
@@ -102,14 +121,14 @@
         max_tokens: wanted.max_tokens,
         priority: wanted.priority.or(preset_priority).unwrap_or(DEFAULT_PRIORITY),
         deadline_ms: wait.as_millis() as u64,
-        traceparent: traceparent.map(str::to_owned),
+        traceparent,
     };
     node.note(id, format!("resolved to {adapter} of generation {}", snapshot.generation()));
     Ok(Draft { id, adapter, deadline: now + wait, message, homes })
 }
 
 /// Tries the homes in their order until an engine has begun.
-async fn start(node: &Arc<Node>, draft: Draft) -> Result<Running> {
+async fn start(node: &Arc<Node>, draft: Draft) -> Result<mpsc::Receiver<DispatchEvent>> {
     let mut last = Error::new(ErrorKind::NoBackend, "no engine could be tried");
     for engine in draft.homes.iter().take(MAX_ATTEMPTS) {
         let now = node.now();
@@ -120,9 +139,10 @@
         message.engine = engine.name.clone();
         message.deadline_ms = draft.deadline.since(now).as_millis() as u64;
         match attempt(node, engine, message).await {
-            Ok(rx) => return Ok(Running { id: draft.id, adapter: draft.adapter, rx }),
+            Ok(rx) => return Ok(rx),
             Err(error) if may_try_next(&error) => {
                 node.note(draft.id, format!("engine {}: {error}", engine.name));
+                node.metrics.count(Counter::Retried);
                 last = error;
             }
             Err(error) => {
@@ -152,7 +172,7 @@
 async fn attempt(
     node: &Arc<Node>,
     engine: &ListedBackend,
-    message: Dispatch,
+    mut message: Dispatch,
 ) -> Result<mpsc::Receiver<DispatchEvent>> {
     let id = message.request_id;
     let expected = message.adapter.clone();
@@ -164,7 +184,10 @@
     let mut rx = if owner == node.settings.instance {
         dispatches::dispatch(node, message)
     } else {
-        remote(node, &owner, message).await?
+        let span = node.tracer.span(Hop::DispatchCall, message.traceparent.as_deref());
+        span.set("owner", owner.as_str());
+        message.traceparent = span.traceparent();
+        remote(node, &owner, message).await.inspect_err(|error| span.fail(error))?
     };
     match rx.recv().await {
         Some(DispatchEvent::Started { adapter }) if adapter == expected => Ok(rx),
@@ -196,73 +219,3 @@
         }
     }
 }
-
-fn wrong_answer(expected: &AdapterRef) -> Error {
-    Error::new(ErrorKind::WrongAnswer, format!("the engine did not answer as {expected}"))
-}
-
-async fn whole_answer(mut running: Running) -> Result<Reply> {
-    let mut text = String::new();
-    while let Some(event) = running.rx.recv().await {
-        match event {
-            DispatchEvent::Token { text: token } => text.push_str(&token),
-            DispatchEvent::Done { adapter, tokens } if adapter == running.adapter => {
-                return Ok(Reply::json(200, &completion(&running, text, tokens)));
-            }
-            DispatchEvent::Failed { error } => return Err(error),
-            DispatchEvent::Started { .. } | DispatchEvent::Done { .. } => {
-                return Err(wrong_answer(&running.adapter));
-            }
-        }
-    }
-    Err(Error::new(ErrorKind::BackendFailed, "the answer broke off"))
-}
-
-fn stream_answer(running: Running, guard: InFlightGuard) -> Reply {
-    let (tx, rx) = mpsc::channel(PIECE_QUEUE);
-    tokio::spawn(async move {
-        let _guard = guard;
-        pump(running, tx).await;
-    });
-    Reply::events(rx)
-}
-
-async fn pump(mut running: Running, tx: mpsc::Sender<Bytes>) {
-    while let Some(event) = running.rx.recv().await {
-        let (piece, last) = match event {
-            DispatchEvent::Token { text } => {
-                (sse::encode_event(None, &CompletionChunk { id: running.id, text }), false)
-            }
-            DispatchEvent::Done { adapter, tokens } if adapter == running.adapter => {
-                let done = completion(&running, String::new(), tokens);
-                (sse::encode_event(Some("done"), &done), true)
-            }
-            DispatchEvent::Failed { error } => (error_event(&error), true),
-            DispatchEvent::Started { .. } | DispatchEvent::Done { .. } => {
-                (error_event(&wrong_answer(&running.adapter)), true)
-            }
-        };
-        let Ok(piece) = piece else { return };
-        if tx.send(piece).await.is_err() || last {
-            return;
-        }
-    }
-    let error = Error::new(ErrorKind::BackendFailed, "the answer broke off");
-    if let Ok(piece) = error_event(&error) {
-        let _ = tx.send(piece).await;
-    }
-}
-
-fn error_event(error: &Error) -> Result<Bytes> {
-    sse::encode_event(Some("error"), &Problem::from(error))
-}
-
-fn completion(running: &Running, text: String, tokens: u32) -> Completion {
-    Completion {
-        id: running.id,
-        adapter: running.adapter.adapter.clone(),
-        version: running.adapter.version,
-        text,
-        tokens,
-    }
-}
--- a/src/daemon/dispatches.rs
+++ b/src/daemon/dispatches.rs
@@ -20,6 +20,10 @@
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
+use crate::telemetry::Timing;
 use crate::wire::engine::EngineEvent;
 use crate::wire::engine::EngineRefusal;
 use crate::wire::engine::GenerateRequest;
@@ -59,7 +63,10 @@
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let _guard = node.in_flight.begin();
-        if let Err(error) = run(&node, &message, &tx).await {
+        let span = node.tracer.span(Hop::OwnerDraft, message.traceparent.as_deref());
+        span.set("engine", message.engine.as_str());
+        if let Err(error) = run(&node, &message, &span, &tx).await {
+            span.fail(&error);
             node.note(message.request_id, format!("ended: {error}"));
             let _ = tx.send(DispatchEvent::Failed { error }).await;
         }
@@ -67,7 +74,12 @@
     rx
 }
 
-async fn run(node: &Arc<Node>, message: &Dispatch, tx: &mpsc::Sender<DispatchEvent>) -> Result<()> {
+async fn run(
+    node: &Arc<Node>,
+    message: &Dispatch,
+    span: &Span,
+    tx: &mpsc::Sender<DispatchEvent>,
+) -> Result<()> {
     let shard = owner_calls::owned_shard(node, &message.engine).await?;
     let (verdict_tx, verdict_rx) = oneshot::channel();
     let id = message.request_id;
@@ -80,6 +92,7 @@
         arrived: now,
         deadline: now + Duration::from_millis(message.deadline_ms),
     };
+    let stalled = !shard.is_loaded(&message.adapter);
     owner_calls::apply(node, &shard, EngineInput::Arrived(waiting));
     let verdict = tokio::select! {
         verdict = verdict_rx => verdict,
@@ -89,12 +102,26 @@
         }
     };
     verdict.map_err(|_| Error::new(ErrorKind::Internal, "the queue lost the request"))??;
-    node.note(id, format!("dispatched to engine {}", shard.name));
-    let result = generate(node, &shard, message, tx).await;
+    let waited = node.now().since(now);
+    count_wait(node, stalled, waited);
+    let load = if stalled { ", its adapter was loaded first" } else { "" };
+    node.note(id, format!("dispatched to engine {} after {waited:.0?}{load}", shard.name));
+    let call = node.tracer.span(Hop::EngineCall, span.traceparent().as_deref());
+    call.set("engine", shard.name.as_str());
+    call.set("adapter", message.adapter.to_string());
+    let result = generate(node, &shard, message, tx).await.inspect_err(|error| call.fail(error));
     owner_calls::apply(node, &shard, EngineInput::Ended(id));
     result
 }
 
+fn count_wait(node: &Node, stalled: bool, waited: Duration) {
+    node.metrics.time(Timing::QueueWait, waited);
+    if stalled {
+        node.metrics.count(Counter::LoadStalled);
+        node.metrics.time(Timing::LoadStall, waited);
+    }
+}
+
 async fn generate(
     node: &Arc<Node>,
     shard: &EngineShard,
--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -10,6 +10,7 @@
 use crate::decide::engine::EngineAction;
 use crate::decide::engine::EngineCore;
 use crate::decide::engine::EngineInput;
+use crate::decide::engine::SlotState;
 use crate::error::Error;
 use crate::names::AdapterRef;
 use crate::names::BackendName;
@@ -126,6 +127,11 @@
         restarted
     }
 
+    /// Whether an adapter can serve now.
+    pub fn is_loaded(&self, adapter: &AdapterRef) -> bool {
+        matches!(self.lock().core.slots().get(adapter), Some(SlotState::Ready { .. }))
+    }
+
     /// Whether no request waits or runs here.
     pub fn is_idle(&self) -> bool {
         let state = self.lock();
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod completions;
 mod dispatches;
+mod draft_answer;
 mod drain;
 mod engine_shard;
 mod engine_shards;
--- a/src/daemon/owner_calls.rs
+++ b/src/daemon/owner_calls.rs
@@ -13,6 +13,10 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::BackendName;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
+use crate::telemetry::Timing;
 use crate::wire::engine::Order;
 use crate::wire::engine::OrderRequest;
 use crate::wire::listing::BackendRole;
@@ -67,6 +71,7 @@
     let found = report.loaded.into_iter().map(|loaded| loaded.adapter).collect();
     shard.apply(node.now(), EngineInput::Guard(GuardInput::Found(found)));
     log::info!("owner of engine {} with fencing number {fencing}", engine.name);
+    node.metrics.count(Counter::LeaseGained);
     Ok(node.engines.insert(shard))
 }
 
@@ -83,7 +88,11 @@
         PendingOrder::Unload(adapter) => Order::UnloadIfIdle { adapter: adapter.clone() },
     };
     let req = OrderRequest { order, fencing: shard.fencing() };
+    let began = node.now();
+    let span = load_span(&node, &shard, &pending);
     let done = node.clients.engine.order(shard.addr, &req).await;
+    count_order(&node, &pending, done.is_ok(), node.now().since(began));
+    drop(span);
     if let Err(failure) = &done {
         log::warn!("engine {}: {pending:?}: {}", shard.name, failure.detail());
     }
@@ -99,6 +108,30 @@
     next.await;
 }
 
+fn load_span(node: &Node, shard: &EngineShard, pending: &PendingOrder) -> Option<Span> {
+    let PendingOrder::Load(adapter) = pending else { return None };
+    // A load serves every request that waits for it, so it belongs to no single trace.
+    let span = node.tracer.span(Hop::AdapterLoad, None);
+    span.set("engine", shard.name.as_str());
+    span.set("adapter", adapter.to_string());
+    Some(span)
+}
+
+fn count_order(node: &Node, pending: &PendingOrder, done: bool, took: Duration) {
+    match (pending, done) {
+        (PendingOrder::Load(_), true) => {
+            node.metrics.count(Counter::LoadStarted);
+            node.metrics.time(Timing::Load, took);
+        }
+        (PendingOrder::Load(_), false) => {
+            node.metrics.count(Counter::LoadStarted);
+            node.metrics.count(Counter::LoadFailed);
+        }
+        (PendingOrder::Unload(_), true) => node.metrics.count(Counter::Evicted),
+        (PendingOrder::Unload(_), false) => {}
+    }
+}
+
 /// Watches the engines of this instance: late requests, restarts, lost ownership.
 pub async fn watch(node: Arc<Node>) {
     let mut interval = tokio::time::interval(WATCH_INTERVAL);
@@ -117,11 +150,13 @@
         .is_some_and(|engine| node.owner_of(&engine).as_ref() == Some(&node.settings.instance));
     if !owned && shard.is_idle() {
         node.engines.remove(&shard.name);
+        node.metrics.count(Counter::LeaseLost);
         return;
     }
     match node.clients.engine.report(shard.addr).await {
         Ok(report) if shard.note_incarnation(report.incarnation) => {
             log::warn!("engine {} has restarted", shard.name);
+            node.metrics.count(Counter::EngineRestarted);
             apply(&node, &shard, EngineInput::Restarted);
         }
         Ok(_) => {}
--- a/src/daemon/refresh.rs
+++ b/src/daemon/refresh.rs
@@ -17,6 +17,7 @@
 use crate::error::Result;
 use crate::names::Generation;
 use crate::names::PageName;
+use crate::telemetry::Counter;
 use crate::wire::frame;
 use crate::wire::peer::Hello;
 
@@ -68,9 +69,13 @@
 }
 
 fn apply(node: &Node, root_bytes: Bytes, pages: BTreeMap<PageName, Bytes>) -> Result<()> {
-    let snapshot = Snapshot::assemble(root_bytes, pages)?;
+    let snapshot = Snapshot::assemble(root_bytes, pages)
+        .inspect_err(|_| node.metrics.count(Counter::ConfigRefused))?;
     let generation: Generation = snapshot.generation();
-    if node.config_mut(|config| config.offer(snapshot))? == Offer::Applied {
+    let offered = node.config_mut(|config| config.offer(snapshot));
+    let offered = offered.inspect_err(|_| node.metrics.count(Counter::ConfigRefused))?;
+    if offered == Offer::Applied {
+        node.metrics.count(Counter::ConfigApplied);
         log::info!("generation {generation} is in effect");
     }
     Ok(())
--- a/src/daemon/submissions.rs
+++ b/src/daemon/submissions.rs
@@ -21,6 +21,10 @@
 use crate::error::Result;
 use crate::names::RequestId;
 use crate::names::Timestamp;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
+use crate::telemetry::Timing;
 use crate::wire::caller::SubmissionReply;
 use crate::wire::caller::TicketReply;
 use crate::wire::desk::DeskSubmission;
@@ -41,6 +45,7 @@
 /// `Draining` while the instance is shutting down.
 pub fn issue_ticket(node: &Node) -> Result<Reply> {
     node.check_takes(Work::Ticket)?;
+    node.metrics.count(Counter::TicketIssued);
     Ok(Reply::json(200, &new_ticket(node)?))
 }
 
@@ -63,16 +68,38 @@
 /// Every error kind that a submission can end with.
 pub async fn submit(node: &Arc<Node>, req: &Request) -> Result<Reply> {
     let _guard = node.in_flight.begin();
+    let arrived = node.now();
+    node.metrics.count(Counter::SubmissionArrived);
+    let span = node.tracer.span(Hop::EntrySubmission, req.header("traceparent"));
+    match submit_here(node, req, &span).await {
+        Ok(reply) => {
+            if reply.status == 200 {
+                node.metrics.count(Counter::SubmissionAnswered);
+                node.metrics.time(Timing::Submission, node.now().since(arrived));
+            }
+            Ok(reply)
+        }
+        Err(error) => {
+            span.fail(&error);
+            node.metrics.count_error(error.kind);
+            Err(error)
+        }
+    }
+}
+
+async fn submit_here(node: &Arc<Node>, req: &Request, span: &Span) -> Result<Reply> {
     let Some(token) = req.header(TICKET_HEADER) else {
         let error = Error::new(ErrorKind::TicketRequired, "a submission needs a Ticket header");
         let ticket = new_ticket(node)?.ticket;
+        node.metrics.count_error(error.kind);
         return Ok(Reply::error(&error).header(TICKET_HEADER, ticket));
     };
     let ticket = Ticket::verify(token, node.settings.keys.tickets.as_bytes())?;
     if ticket.incarnation == node.incarnation {
-        return run(node, &ticket, &req.body).await.map(|reply| Reply::json(200, &reply));
+        let reply = run(node, &ticket, &req.body, span).await?;
+        return Ok(Reply::json(200, &reply));
     }
-    forward(node, &ticket, token, req).await
+    forward(node, &ticket, token, req, span).await
 }
 
 /// Answers `POST /peer/v1/submit`.
@@ -87,18 +114,27 @@
     if ticket.incarnation != node.incarnation {
         return Err(unknown(&ticket));
     }
-    run(node, &ticket, &message.body).await.map(|reply| Reply::message(&reply))
+    let span = node.tracer.span(Hop::IssuerSubmission, message.traceparent.as_deref());
+    let reply = run(node, &ticket, &message.body, &span).await;
+    reply.inspect_err(|error| span.fail(error)).map(|reply| Reply::message(&reply))
 }
 
-async fn forward(node: &Node, ticket: &Ticket, token: &str, req: &Request) -> Result<Reply> {
+async fn forward(
+    node: &Node,
+    ticket: &Ticket,
+    token: &str,
+    req: &Request,
+    span: &Span,
+) -> Result<Reply> {
     let issuer = node.membership(|membership| {
         membership.by_incarnation(ticket.incarnation).map(PeerTarget::from)
     });
     let Some(issuer) = issuer else { return Err(unknown(ticket)) };
+    let call = node.tracer.span(Hop::ForwardCall, span.traceparent().as_deref());
     let message = ForwardedSubmission {
         ticket: token.to_owned(),
         body: req.body.to_vec(),
-        traceparent: req.header("traceparent").map(str::to_owned),
+        traceparent: call.traceparent(),
     };
     let peer = &node.clients.peer;
     let answer = peer.call(&issuer, PeerPath::Submit, &message, FORWARD_TIMEOUT).await;
@@ -106,7 +142,12 @@
     Ok(Reply::json(200, &reply))
 }
 
-async fn run(node: &Arc<Node>, ticket: &Ticket, body: &[u8]) -> Result<SubmissionReply> {
+async fn run(
+    node: &Arc<Node>,
+    ticket: &Ticket,
+    body: &[u8],
+    span: &Span,
+) -> Result<SubmissionReply> {
     let value: serde_json::Value = serde_json::from_slice(body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
     let expires = Timestamp::from_millis(ticket.expires_ms);
@@ -117,7 +158,11 @@
         Claim::Run => {
             let node = Arc::clone(node);
             let ticket = ticket.clone();
-            let task = tokio::spawn(async move { call_desk(&node, &ticket, value).await });
+            let call = node.tracer.span(Hop::DeskCall, span.traceparent().as_deref());
+            let task = tokio::spawn(async move {
+                let answer = call_desk(&node, &ticket, value).await;
+                answer.inspect_err(|error| call.fail(error))
+            });
             task.await.map_err(|_| Error::new(ErrorKind::OutcomeUnknown, "submission was lost"))?
         }
     }
@@ -143,6 +188,7 @@
                 return answer(ticket, outcome);
             }
             Err(failure) if failure.end.proves_not_run() => {
+                node.metrics.count(Counter::Retried);
                 log::warn!("desk {}: {}", desk.name, failure.detail);
             }
             Err(failure) => {
--- a/src/telemetry/metrics.rs
+++ b/src/telemetry/metrics.rs
@@ -59,6 +59,19 @@
         self.totals[counter as usize].fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Counts an error answer to a caller by what it says.
+    pub fn count_error(&self, kind: ErrorKind) {
+        match kind {
+            ErrorKind::OutcomeUnknown => self.count(Counter::OutcomeUnknown),
+            ErrorKind::WrongAnswer => self.count(Counter::WrongAnswer),
+            _ if kind.answer().not_run => self.count(Counter::NotRun),
+            _ => self.count(Counter::Failed),
+        }
+        if kind == ErrorKind::Quarantined {
+            self.count(Counter::Quarantined);
+        }
+    }
+
     /// How often an event was counted since the start.
     pub fn total(&self, counter: Counter) -> u64 {
         self.totals[counter as usize].load(Ordering::Relaxed)
--- a/tests/contract_peers.rs
+++ b/tests/contract_peers.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 use support::daemon::Daemon;
 use support::daemon::PEER_KEY;
+use support::daemon::start_pair;
 use support::daemon::wait_until;
 use support::http::Call;
 use support::platform::Platform;
@@ -113,23 +114,10 @@
     }
 }
 
-/// Two daemons that know each other.
-fn pair(platform: &Platform) -> [Daemon; 2] {
-    let daemons = ["entry-1", "entry-2"].map(|name| Daemon::start(name, platform, |_| {}));
-    platform.list(&daemons.iter().map(Daemon::entry).collect());
-    for daemon in &daemons {
-        wait_until(SEEN_LIMIT, || {
-            let status = daemon.operator_get("/operator/v1/status");
-            status["live_peers"].as_array().is_some_and(|peers| peers.len() == 1)
-        });
-    }
-    daemons
-}
-
 #[test]
 fn a_draft_and_a_submission_reach_their_instance_from_any_entry() {
     let platform = Platform::start();
-    let daemons = pair(&platform);
+    let daemons = start_pair(&platform, |_| {});
     for daemon in &daemons {
         let body = json!({"adapter": "heats", "prompt": "x"}).to_string();
         let answer = Call::post("/v1/completions", body).send(daemon.caller);
@@ -149,7 +137,7 @@
 #[test]
 fn the_fleet_is_seen_from_any_instance_and_a_silent_one_is_named() {
     let platform = Platform::start();
-    let daemons = pair(&platform);
+    let daemons = start_pair(&platform, |_| {});
     let mut entries: Vec<Value> = daemons.iter().map(Daemon::entry).collect();
     let nobody = json!({"name": "entry-3", "peer_addr": support::daemon::free_addr(),
                         "data_centre": "cairo-a", "state": "live"});
@@ -172,7 +160,7 @@
 #[test]
 fn a_request_is_explained_by_every_instance_that_it_passed() {
     let platform = Platform::start();
-    let daemons = pair(&platform);
+    let daemons = start_pair(&platform, |_| {});
     for daemon in &daemons {
         let body = json!({"adapter": "heats", "prompt": "x"}).to_string();
         let answer = Call::post("/v1/completions", body).send(daemon.caller);
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -29,6 +29,19 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
+/// Two daemons that know each other.
+pub fn start_pair(platform: &Platform, change: impl Fn(&mut Value)) -> [Daemon; 2] {
+    let daemons = ["entry-1", "entry-2"].map(|name| Daemon::start(name, platform, &change));
+    platform.list(&daemons.iter().map(Daemon::entry).collect());
+    for daemon in &daemons {
+        wait_until(READY_LIMIT, || {
+            let status = daemon.operator_get("/operator/v1/status");
+            status["live_peers"].as_array().is_some_and(|peers| peers.len() == 1)
+        });
+    }
+    daemons
+}
+
 /// One `tamarackleadd`; killed when this is dropped.
 pub struct Daemon {
     pub name: String,
--- /dev/null
+++ b/tests/trace_tree.rs
@@ -0,0 +1,149 @@
+//! The spans of one request form one tree across processes.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::UdpSocket;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use support::collector::CollectedSpan;
+use support::collector::Collector;
+use support::daemon::Daemon;
+use support::daemon::start_pair;
+use support::http::Call;
+use support::platform::Platform;
+use tamaracklead::telemetry::Hop;
+
+const EXPORT_LIMIT: Duration = Duration::from_secs(20);
+
+fn traceparent(number: u8) -> String {
+    format!("00-{number:032x}-00000000000000ff-01")
+}
+
+/// Spans of the trace with this number.
+fn trace(spans: &[CollectedSpan], number: u8) -> Vec<CollectedSpan> {
+    let mut id = [0; 16];
+    id[15] = number;
+    spans.iter().filter(|span| span.trace_id == id).cloned().collect()
+}
+
+/// The names on the way from the root to each span; fails if a parent is missing.
+fn paths(spans: &[CollectedSpan]) -> BTreeSet<String> {
+    let by_id: BTreeMap<_, _> = spans.iter().map(|span| (span.span_id.clone(), span)).collect();
+    let mut paths = BTreeSet::new();
+    for span in spans {
+        let mut path = vec![format!("{}@{}", span.name, span.instance)];
+        let mut at = span;
+        while let Some(parent) = by_id.get(&at.parent_id) {
+            path.push(format!("{}@{}", parent.name, parent.instance));
+            at = parent;
+        }
+        assert_eq!(at.parent_id, [0, 0, 0, 0, 0, 0, 0, 0xff], "{} has no parent", at.name);
+        path.reverse();
+        paths.insert(path.join(" > "));
+    }
+    paths
+}
+
+fn send(daemon: &Daemon, call: Call, number: u8) {
+    let answer = call.header("traceparent", &traceparent(number)).send(daemon.caller);
+    assert_eq!(answer.status, 200, "{}", answer.text());
+}
+
+#[test]
+fn the_spans_of_a_request_form_one_tree_across_processes() {
+    let platform = Platform::start();
+    let collector = Collector::start();
+    let daemons = start_pair(&platform, |settings| {
+        settings["telemetry"] = json!({"otlp": collector.addr});
+    });
+    let draft = json!({"adapter": "heats", "prompt": "x"}).to_string();
+    send(&daemons[0], Call::post("/v1/completions", draft.clone()), 1);
+    send(&daemons[1], Call::post("/v1/completions", draft), 2);
+    let ticket = Call::post("/v1/tickets", "").send(daemons[0].caller).json();
+    let ticket = ticket["ticket"].as_str().unwrap();
+    send(&daemons[1], Call::post("/v1/submissions", "1").header("ticket", ticket), 3);
+
+    let whole = |spans: &[CollectedSpan]| {
+        let sizes = [1, 2, 3].map(|number| trace(spans, number).len());
+        sizes[0] + sizes[1] >= 7 && sizes[2] >= 4
+    };
+    let spans = collector.wait_for(EXPORT_LIMIT, whole);
+    let [one, two] = [1, 2].map(|number| paths(&trace(&spans, number)));
+    let (own, remote) = if one.len() < two.len() { (one, two) } else { (two, one) };
+    // One of the two entry instances owns the engine.
+    let longest = |paths: &BTreeSet<String>| {
+        paths
+            .iter()
+            .max_by_key(|path| path.len())
+            .unwrap()
+            .replace("@entry-1", "")
+            .replace("@entry-2", "")
+    };
+    let chain = |hops: &[Hop]| hops.iter().map(|hop| hop.name()).collect::<Vec<_>>().join(" > ");
+    assert_eq!(longest(&own), chain(&[Hop::EntryDraft, Hop::OwnerDraft, Hop::EngineCall]));
+    let hops = [Hop::EntryDraft, Hop::DispatchCall, Hop::OwnerDraft, Hop::EngineCall];
+    assert_eq!(longest(&remote), chain(&hops));
+    let submission = paths(&trace(&spans, 3));
+    let expected = "entry submission@entry-2 > forward call@entry-2 > \
+                    issuer submission@entry-1 > desk call@entry-1";
+    assert!(submission.contains(expected), "{submission:#?}");
+}
+
+#[test]
+fn a_daemon_reports_its_counters() {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(EXPORT_LIMIT)).unwrap();
+    let statsd = socket.local_addr().unwrap();
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |settings| {
+        settings["telemetry"] = json!({"statsd": statsd});
+    });
+    let draft = |adapter| {
+        let body = json!({"adapter": adapter, "prompt": "x"}).to_string();
+        Call::post("/v1/completions", body).send(daemon.caller)
+    };
+    assert_eq!(draft("heats").status, 200);
+    assert_eq!(draft("heats").status, 200);
+    assert_eq!(draft("relay").status, 404);
+    let expected = [
+        "requests.draft:3|c",
+        "answers.draft:2|c",
+        "answers.not_run:1|c",
+        "load_stalls:1|c",
+        "loads.started:1|c",
+        "leases.gained:1|c",
+        "config.applied:1|c",
+        "generation:1|g",
+    ];
+    let mut sums: BTreeMap<String, u64> = BTreeMap::new();
+    let mut buf = [0; 4096];
+    let line = |text: &str| {
+        let text = text.strip_prefix("tamaracklead.entry-1.")?;
+        let (name, rest) = text.split_once(':')?;
+        let (value, kind) = rest.split_once('|')?;
+        Some((name.to_owned(), value.parse::<u64>().ok()?, kind.to_owned()))
+    };
+    let complete = |sums: &BTreeMap<String, u64>| {
+        expected.iter().all(|wanted| {
+            let (name, rest) = wanted.split_once(':').unwrap();
+            sums.get(name).is_some_and(|sum| rest.starts_with(&format!("{sum}|")))
+        })
+    };
+    let until = Instant::now() + EXPORT_LIMIT;
+    while !complete(&sums) {
+        assert!(Instant::now() < until, "{sums:?}");
+        let len = socket.recv(&mut buf).expect("metrics stop before they are complete");
+        for (name, value, kind) in String::from_utf8_lossy(&buf[..len]).lines().filter_map(line) {
+            if kind == "c" {
+                *sums.entry(name).or_default() += value;
+            } else {
+                sums.insert(name, value);
+            }
+        }
+        assert!(sums.get("requests.draft").is_none_or(|sum| *sum <= 3), "{sums:?}");
+    }
+}
