--- a/src/daemon/access.rs
+++ b/src/daemon/access.rs
@@ -1,5 +1,6 @@
 //! Who may send a request to which listener.
 
+use super::CallerRoute;
 use super::Surface;
 use crate::auth::CallerGuard;
 use crate::auth::OperatorGuard;
@@ -17,8 +18,6 @@
 use crate::telemetry::Metrics;
 
 const AUTHORIZATION: &str = "authorization";
-/// Path that balancers ask without a key.
-const READY_PATH: &str = "/v1/ready";
 
 /// Checks who sent a request.
 #[derive(Debug)]
@@ -56,7 +55,8 @@
     }
 
     fn check_caller(&self, req: &Request) -> Result<()> {
-        if req.path == READY_PATH {
+        // Balancers ask for readiness without a key.
+        if req.path == CallerRoute::Ready.path() {
             return Ok(());
         }
         self.callers.check(req.header(AUTHORIZATION)).map(drop)
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -21,11 +21,14 @@
 mod owner_calls;
 mod refresh;
 mod report;
+mod route;
 mod run;
 mod submissions;
 mod surface;
 
 pub use clock::Clock;
 pub use node::Node;
+pub use route::CallerRoute;
+pub use route::OperatorRoute;
 pub use run::run;
 pub use surface::Surface;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -11,6 +11,7 @@
 
 use tokio::runtime::Handle;
 
+use super::CallerRoute;
 use super::Clock;
 use super::Surface;
 use super::access::Access;
@@ -324,13 +325,13 @@
 
     async fn serve_caller(self: Arc<Self>, req: Request) -> Result<Reply> {
         self.caller_requests.fetch_add(1, Ordering::SeqCst);
-        match (req.method.as_str(), req.path.as_str()) {
-            ("POST", "/v1/completions") => completions::complete(self, req).await,
-            ("POST", "/v1/tickets") => submissions::issue_ticket(&self),
-            ("POST", "/v1/submissions") => submissions::submit(&self, &req).await,
-            ("GET", "/v1/submissions") => outcomes::serve(&self, &req).await,
-            ("GET", "/v1/ready") => self.check_ready().map(|()| Reply::json(200, &self.hello())),
-            _ => Err(no_such_path(&req)),
+        let route = CallerRoute::of(&req.method, &req.path).ok_or_else(|| no_such_path(&req))?;
+        match route {
+            CallerRoute::Complete => completions::complete(self, req).await,
+            CallerRoute::IssueTicket => submissions::issue_ticket(&self),
+            CallerRoute::Submit => submissions::submit(&self, &req).await,
+            CallerRoute::Outcome => outcomes::serve(&self, &req).await,
+            CallerRoute::Ready => self.check_ready().map(|()| Reply::json(200, &self.hello())),
         }
     }
 
--- a/src/daemon/operator_api.rs
+++ b/src/daemon/operator_api.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::Node;
+use super::OperatorRoute;
 use super::fleet;
 use super::node::no_such_path;
 use crate::edge::Reply;
@@ -14,22 +15,19 @@
 use crate::wire::operator::Explanation;
 use crate::wire::operator::Status;
 
-const REQUESTS_PREFIX: &str = "/operator/v1/requests/";
-
 /// Answers one request of an operator.
 ///
 /// # Errors
 ///
 /// `NotFound` if there's no such path or request.
 pub async fn serve(node: &Arc<Node>, req: &Request) -> Result<Reply> {
-    match (req.method.as_str(), req.path.as_str()) {
-        ("GET", "/operator/v1/status") => Ok(Reply::json(200, &status(node))),
-        ("GET", "/operator/v1/fleet") => Ok(Reply::json(200, &fleet::status(node).await)),
-        ("GET", path) => match path.strip_prefix(REQUESTS_PREFIX) {
-            Some(id) => explain(node, id).await,
-            None => Err(no_such_path(req)),
-        },
-        _ => Err(no_such_path(req)),
+    let Some((route, id)) = OperatorRoute::of(&req.method, &req.path) else {
+        return Err(no_such_path(req));
+    };
+    match route {
+        OperatorRoute::Status => Ok(Reply::json(200, &status(node))),
+        OperatorRoute::Fleet => Ok(Reply::json(200, &fleet::status(node).await)),
+        OperatorRoute::Explain => explain(node, &id).await,
     }
 }
 
