--- a/tests/contract_callers.rs
+++ b/tests/contract_callers.rs
@@ -2,6 +2,10 @@
 
 mod support;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -10,10 +14,12 @@
 use support::daemon::Daemon;
 use support::daemon::TICKET_KEY;
 use support::daemon::bearer;
+use support::daemon::wait_until;
 use support::http::Answer;
 use support::http::Call;
 use support::http::Length;
 use support::platform::Platform;
+use support::stub_server::StubReply;
 use tamaracklead::decide::submissions::Ticket;
 use tamaracklead::names::Incarnation;
 use tamaracklead::names::InstanceName;
@@ -139,6 +145,39 @@
     assert_eq!(platform.drafts(), 0);
 }
 
+#[test]
+fn a_head_that_never_ends_is_cut_off() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    let mut stream = TcpStream::connect(daemon.caller).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+    stream.write_all(b"POST /v1/completions HTTP/1.1\r\nhost: x\r\n").unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).expect("the daemon closes the connection");
+    assert!(!answer.starts_with(b"HTTP/1.1 200"));
+}
+
+#[test]
+fn requests_beyond_the_limit_are_refused_at_once() {
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |settings| {
+        settings["limits"]["concurrent_requests"] = json!(1);
+    });
+    let pause = Duration::from_secs(3);
+    platform.script_slow("POST /v1/generate", pause, StubReply::status(500));
+    let caller = daemon.caller;
+    let first = thread::spawn(move || draft(&good_draft()).send(caller));
+    wait_until(Duration::from_secs(10), || platform.drafts() == 1);
+    let refused = draft(&good_draft()).send(caller);
+    assert_eq!(refused.kind(), "overloaded");
+    assert_eq!(refused.json()["not_run"], true);
+    assert!(refused.header("retry-after").is_some());
+    assert_eq!(first.join().unwrap().kind(), "backend_failed");
+    platform.heal();
+    assert_eq!(draft(&good_draft()).send(caller).status, 200);
+    assert_eq!(platform.drafts(), 2);
+}
+
 #[test]
 fn a_submission_runs_once_and_each_repetition_gets_its_receipt() {
     let platform = Platform::start();
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
@@ -13,6 +14,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
 use serde_json::Value;
 use serde_json::json;
 
@@ -48,6 +52,7 @@
     pub caller: SocketAddr,
     pub peer: SocketAddr,
     pub operator: SocketAddr,
+    log: PathBuf,
     child: Child,
 }
 
@@ -80,14 +85,15 @@
         let file = format!("daemon-{}-{number}.json", std::process::id());
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         fs::write(&path, settings.to_string()).unwrap();
+        let log = path.with_extension("log");
         let child = Command::new(env!("CARGO_BIN_EXE_tamarackleadd"))
             .arg(&path)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(fs::File::create(&log).unwrap())
             .spawn()
             .unwrap();
-        Self { name: name.to_owned(), caller, peer, operator, child }
+        Self { name: name.to_owned(), caller, peer, operator, log, child }
     }
 
     /// This instance as the platform lists it.
@@ -96,6 +102,21 @@
                "state": "live"})
     }
 
+    /// What the daemon has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap()
+    }
+
+    /// Asks the daemon to shut down, as the platform does.
+    pub fn terminate(&self) {
+        kill(Pid::from_raw(self.child.id() as i32), Signal::SIGTERM).unwrap();
+    }
+
+    /// Waits for the daemon's end; gives its exit code.
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
     /// Waits until the daemon takes requests.
     pub fn wait_ready(&self) {
         let call = Call::new("GET", "/v1/ready").header("authorization", &bearer(CALLER_KEY));
