Send small pieces of a stream at once

Cause: accepted connections had no TCP_NODELAY, so a piece waited for the acknowledgement of the one before, about 40 ms a hop.

--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::stream;
+use socket2::SockRef;
 use tokio::runtime::Handle;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -90,6 +91,9 @@
     /// The system's error if the server can't be started.
     pub fn start(self, listener: TcpListener) -> io::Result<StopServer> {
         listener.set_nonblocking(true)?;
+        // Accepted connections inherit this; without it each small piece of a
+        // stream waits for the acknowledgement of the one before.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
         let addr = listener.local_addr()?;
         let limits = self.limits;
         let threads = self.threads;
