--- a/tests/ownership_model/step.rs
+++ b/tests/ownership_model/step.rs
@@ -60,6 +60,12 @@
     Kill {
         node: usize,
     },
+    /// Freezes an instance that has decided on a message but not sent it.
+    FreezeSender,
+    /// A message to the engine is held up in the network.
+    Delay {
+        pick: usize,
+    },
     RestartEngine,
     Cut {
         from: usize,
@@ -102,7 +108,10 @@
         1 => pick().prop_map(|pick| Step::Drop { pick }),
         1 => pick().prop_map(|pick| Step::Duplicate { pick }),
         3 => (node(), pick()).prop_map(|(node, pick)| Step::GiveUp { node, pick }),
-        3 => node().prop_map(|node| Step::Freeze { node }),
+        2 => node().prop_map(|node| Step::Freeze { node }),
+        6 => Just(Step::FreezeSender),
+        12 => Just(Step::Run { ms: 50 }),
+        8 => pick().prop_map(|pick| Step::Delay { pick }),
         12 => node().prop_map(|node| Step::Thaw { node }),
         1 => node().prop_map(|node| Step::Kill { node }),
         1 => Just(Step::RestartEngine),
--- a/tests/ownership_model/world.rs
+++ b/tests/ownership_model/world.rs
@@ -57,6 +57,8 @@
     to: usize,
     sent: u64,
     body: Body,
+    /// Held up in the network: only a step of its own delivers it.
+    delayed: bool,
 }
 
 struct Place {
@@ -132,6 +134,13 @@
             Step::Freeze { node } => self.places[node].frozen = true,
             Step::Thaw { node } => self.places[node].frozen = false,
             Step::Kill { node } => self.kill(node),
+            Step::FreezeSender => {
+                let sender = self.places.iter_mut().find(|place| !place.node.outbox.is_empty());
+                if let Some(place) = sender {
+                    place.frozen = true;
+                }
+            }
+            Step::Delay { pick } => self.delay(pick),
             Step::RestartEngine => self.restart_engine(),
             Step::Cut { from, to } => {
                 self.cuts.insert((from, to));
@@ -203,7 +212,7 @@
                 LeaseAction::Acquired | LeaseAction::Lost => continue,
             };
             let to = (0..NODES).find(|index| name(*index) == to).unwrap();
-            self.send(Message { from: index, life, to, sent: self.real_ms, body });
+            self.send(Message { from: index, life, to, sent: self.real_ms, body, delayed: false });
         }
     }
 
@@ -224,7 +233,14 @@
         let life = self.places[index].life;
         for unsent in sent {
             let body = Body::Call { id: unsent.id, fencing: unsent.fencing, call: unsent.call };
-            self.send(Message { from: index, life, to: ENGINE, sent: self.real_ms, body });
+            self.send(Message {
+                from: index,
+                life,
+                to: ENGINE,
+                sent: self.real_ms,
+                body,
+                delayed: false,
+            });
         }
     }
 
@@ -255,7 +271,7 @@
     fn answer(&mut self, to: usize, call: u64, answer: Answer) {
         let (life, id) = (call >> 32, call & u64::from(u32::MAX));
         let body = Body::Answer { id, answer };
-        self.send(Message { from: ENGINE, life, to, sent: self.real_ms, body });
+        self.send(Message { from: ENGINE, life, to, sent: self.real_ms, body, delayed: false });
     }
 
     fn advance(&mut self, ms: u64) {
@@ -298,7 +314,11 @@
                 self.flush(index);
             }
             for message in std::mem::take(&mut self.messages) {
-                self.hand_over(message);
+                if message.delayed {
+                    self.messages.push(message);
+                } else {
+                    self.hand_over(message);
+                }
             }
         }
     }
@@ -317,6 +337,15 @@
         }
     }
 
+    fn delay(&mut self, pick: usize) {
+        let mut calls: Vec<&mut Message> =
+            self.messages.iter_mut().filter(|message| message.to == ENGINE).collect();
+        let count = calls.len();
+        if count > 0 {
+            calls[pick % count].delayed = true;
+        }
+    }
+
     fn duplicate(&mut self, pick: usize) {
         let Some(message) = self.take(pick) else { return };
         if message.from != ENGINE && message.to != ENGINE {
@@ -349,7 +378,14 @@
                 self.on_node(to, |node, now| reply = Some(node.granter.on_request(now, &request)));
                 let Some(reply) = reply else { return };
                 let body = Body::Reply(reply);
-                self.send(Message { from: to, life, to: from, sent: self.real_ms, body });
+                self.send(Message {
+                    from: to,
+                    life,
+                    to: from,
+                    sent: self.real_ms,
+                    body,
+                    delayed: false,
+                });
             }
             Body::Reply(reply) if self.places[to].life == life => {
                 self.on_node(to, |node, now| node.on_grant(now, &name(from), &reply));
