--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -7,10 +7,12 @@
 
 use tokio::sync::oneshot;
 
-use crate::decide::engine::EngineAction;
-use crate::decide::engine::EngineCore;
 use crate::decide::engine::EngineInput;
 use crate::decide::engine::SlotState;
+use crate::decide::ownership::GroupId;
+use crate::decide::takeover::OwnedAction;
+use crate::decide::takeover::OwnedEngine;
+use crate::decide::takeover::Query;
 use crate::error::Error;
 use crate::names::AdapterRef;
 use crate::names::BackendName;
@@ -23,25 +25,25 @@
 /// Reports in a row that an engine may miss before its queue is refused.
 const UNREACHABLE_AFTER: u32 = 3;
 
-/// What a waiting request learns: that it may be sent, or its final answer.
-pub type Verdict = Result<(), Error>;
+/// What a waiting request learns: the number that it may be sent with, or its final answer.
+pub type Verdict = Result<Fencing, Error>;
 
-/// An order that must be given to the engine.
+/// A call that must be made to the engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PendingOrder {
-    /// Load an adapter.
-    Load(AdapterRef),
-    /// Unload an adapter if nothing runs on it.
-    Unload(AdapterRef),
+pub enum EngineCall {
+    /// Ask for the direct report, or fence.
+    Ask(Query),
+    /// Order to load an adapter.
+    Load(AdapterRef, Fencing),
+    /// Order to unload an adapter if nothing runs on it.
+    Unload(AdapterRef, Fencing),
 }
 
 #[derive(Debug)]
 struct State {
-    core: EngineCore,
+    owned: OwnedEngine,
     waiters: HashMap<RequestId, oneshot::Sender<Verdict>>,
-    incarnation: Option<Incarnation>,
     failed_reports: u32,
-    fencing: Fencing,
 }
 
 /// One owned engine.
@@ -51,30 +53,16 @@
     pub name: BackendName,
     /// Address that it serves on.
     pub addr: SocketAddr,
+    /// Group that it's leased with.
+    pub group: GroupId,
     state: Mutex<State>,
 }
 
 impl EngineShard {
-    /// An engine whose slots are unknown until its first report.
-    pub fn new(name: BackendName, addr: SocketAddr, core: EngineCore) -> Self {
-        let state = State {
-            core,
-            waiters: HashMap::new(),
-            incarnation: None,
-            failed_reports: 0,
-            fencing: Fencing::default(),
-        };
-        Self { name, addr, state: Mutex::new(state) }
-    }
-
-    /// Fencing number of this owner.
-    pub fn fencing(&self) -> Fencing {
-        self.lock().fencing
-    }
-
-    /// Raises the fencing number of this owner.
-    pub fn set_fencing(&self, fencing: Fencing) {
-        self.lock().fencing = fencing;
+    /// An engine that hasn't been taken over yet.
+    pub fn new(name: BackendName, addr: SocketAddr, group: GroupId, owned: OwnedEngine) -> Self {
+        let state = State { owned, waiters: HashMap::new(), failed_reports: 0 };
+        Self { name, addr, group, state: Mutex::new(state) }
     }
 
     /// Registers who waits for a request's verdict.
@@ -82,33 +70,23 @@
         self.lock().waiters.insert(id, tx);
     }
 
-    /// Takes one event; tells the requests concerned and returns the orders to give.
-    pub fn apply(&self, now: Timestamp, input: EngineInput) -> Vec<PendingOrder> {
+    /// Takes one event; tells the requests concerned and returns the calls to make.
+    pub fn apply(
+        &self,
+        now: Timestamp,
+        event: impl FnOnce(&mut OwnedEngine, Timestamp) -> Vec<OwnedAction>,
+    ) -> Vec<EngineCall> {
         let mut state = self.lock();
-        let mut orders = Vec::new();
-        let mut inputs = vec![input];
-        while let Some(input) = inputs.pop() {
-            for action in state.core.on_input(now, input) {
-                match action {
-                    EngineAction::Load(adapter) => orders.push(PendingOrder::Load(adapter)),
-                    EngineAction::Unload(adapter) => orders.push(PendingOrder::Unload(adapter)),
-                    // This core's loads are permitted at once.
-                    EngineAction::ApplyForPermit { .. } | EngineAction::ReturnPermit(_) => {}
-                    EngineAction::Dispatch(id) => {
-                        let told = state.waiters.remove(&id).map(|tx| tx.send(Ok(())));
-                        if !matches!(told, Some(Ok(()))) {
-                            inputs.push(EngineInput::Ended(id));
-                        }
-                    }
-                    EngineAction::Refuse { request_id, error } => {
-                        if let Some(tx) = state.waiters.remove(&request_id) {
-                            let _ = tx.send(Err(error));
-                        }
-                    }
-                }
+        let mut calls = Vec::new();
+        let mut actions = event(&mut state.owned, now);
+        while !actions.is_empty() {
+            let unheard = state.carry_out(actions, &mut calls);
+            actions = Vec::new();
+            for id in unheard {
+                actions.extend(state.owned.on_input(now, EngineInput::Ended(id)));
             }
         }
-        orders
+        calls
     }
 
     /// Notes that the engine gave no report; true if it has to be given up for now.
@@ -118,40 +96,81 @@
         state.failed_reports >= UNREACHABLE_AFTER
     }
 
-    /// Notes the engine's incarnation; true if it has restarted since the last report.
-    pub fn note_incarnation(&self, incarnation: Incarnation) -> bool {
+    /// Notes that the engine gave a report; true if it has restarted since the last one.
+    pub fn note_report(&self, incarnation: Incarnation) -> bool {
         let mut state = self.lock();
         state.failed_reports = 0;
-        let restarted = state.incarnation.is_some_and(|known| known != incarnation);
-        state.incarnation = Some(incarnation);
-        restarted
+        state.owned.custody().incarnation().is_some_and(|known| known != incarnation)
     }
 
     /// Whether an adapter can serve now.
     pub fn is_loaded(&self, adapter: &AdapterRef) -> bool {
-        matches!(self.lock().core.slots().get(adapter), Some(SlotState::Ready { .. }))
+        matches!(self.lock().owned.core().slots().get(adapter), Some(SlotState::Ready { .. }))
     }
 
     /// Whether no request waits or runs here.
     pub fn is_idle(&self) -> bool {
         let state = self.lock();
-        state.core.waiting().is_empty() && state.core.running().is_empty()
+        let core = state.owned.core();
+        core.waiting().is_empty() && core.running().is_empty()
     }
 
     /// What operators see of the engine.
     pub fn status(&self) -> EngineStatus {
         let state = self.lock();
+        let core = state.owned.core();
         EngineStatus {
             engine: self.name.clone(),
-            loaded: state.core.slots().keys().cloned().collect(),
-            slots: state.core.slot_count(),
-            batch: state.core.batch(),
-            running: state.core.running().len(),
-            waiting: state.core.waiting().len(),
+            loaded: core.slots().keys().cloned().collect(),
+            slots: core.slot_count(),
+            batch: core.batch(),
+            running: core.running().len(),
+            waiting: core.waiting().len(),
         }
     }
 
+    /// Whether the takeover is over.
+    pub fn is_taken_over(&self) -> bool {
+        self.lock().owned.custody().number().is_some()
+    }
+
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+impl State {
+    /// Returns the dispatches that nobody waits for any more.
+    fn carry_out(
+        &mut self,
+        actions: Vec<OwnedAction>,
+        calls: &mut Vec<EngineCall>,
+    ) -> Vec<RequestId> {
+        let mut unheard = Vec::new();
+        for action in actions {
+            match action {
+                OwnedAction::Ask(query) => calls.push(EngineCall::Ask(query)),
+                OwnedAction::Load { adapter, fencing } => {
+                    calls.push(EngineCall::Load(adapter, fencing));
+                }
+                OwnedAction::Unload { adapter, fencing } => {
+                    calls.push(EngineCall::Unload(adapter, fencing));
+                }
+                OwnedAction::Dispatch { request_id, fencing } => {
+                    let told = self.waiters.remove(&request_id).map(|tx| tx.send(Ok(fencing)));
+                    if !matches!(told, Some(Ok(()))) {
+                        unheard.push(request_id);
+                    }
+                }
+                // This core's loads are permitted at once.
+                OwnedAction::ApplyForPermit { .. } | OwnedAction::ReturnPermit(_) => {}
+                OwnedAction::Refuse { request_id, error } => {
+                    if let Some(tx) = self.waiters.remove(&request_id) {
+                        let _ = tx.send(Err(error));
+                    }
+                }
+            }
+        }
+        unheard
+    }
+}
--- a/src/daemon/engine_shards.rs
+++ b/src/daemon/engine_shards.rs
@@ -2,12 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::RwLock;
 
-use tokio::sync::Mutex as AsyncMutex;
-
 use super::engine_shard::EngineShard;
 use crate::names::BackendName;
 
@@ -15,7 +12,6 @@
 #[derive(Debug, Default)]
 pub struct EngineShards {
     shards: RwLock<BTreeMap<BackendName, Arc<EngineShard>>>,
-    takeovers: Mutex<BTreeMap<BackendName, Arc<AsyncMutex<()>>>>,
 }
 
 impl EngineShards {
@@ -24,20 +20,19 @@
         self.shards.read().unwrap_or_else(PoisonError::into_inner).get(name).cloned()
     }
 
-    /// Lock under which one task at a time takes an engine over.
-    ///
-    /// A second takeover would raise the fencing number above that of the first.
-    pub fn takeover_lock(&self, name: &BackendName) -> Arc<AsyncMutex<()>> {
-        let mut takeovers = self.takeovers.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(takeovers.entry(name.clone()).or_default())
-    }
-
-    /// Adds an engine.
-    pub fn insert(&self, shard: EngineShard) -> Arc<EngineShard> {
-        let shard = Arc::new(shard);
+    /// One engine, made if it is new; and whether it is.
+    pub fn get_or_insert(
+        &self,
+        name: &BackendName,
+        make: impl FnOnce() -> EngineShard,
+    ) -> (Arc<EngineShard>, bool) {
         let mut shards = self.shards.write().unwrap_or_else(PoisonError::into_inner);
-        shards.insert(shard.name.clone(), Arc::clone(&shard));
-        shard
+        if let Some(shard) = shards.get(name) {
+            return (Arc::clone(shard), false);
+        }
+        let shard = Arc::new(make());
+        shards.insert(name.clone(), Arc::clone(&shard));
+        (shard, true)
     }
 
     /// Forgets an engine.
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -15,6 +15,7 @@
 mod explain;
 mod fleet;
 mod in_flight;
+mod leases;
 mod node;
 mod operator_api;
 mod outcomes;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -20,6 +20,8 @@
 use super::engine_shards::EngineShards;
 use super::explain::ExplainLog;
 use super::in_flight::InFlight;
+use super::leases;
+use super::leases::Leases;
 use super::operator_api;
 use super::outcomes;
 use super::submissions;
@@ -31,9 +33,11 @@
 use crate::decide::drain::DrainInput;
 use crate::decide::drain::Progress;
 use crate::decide::drain::Work;
+use crate::decide::membership::Member;
 use crate::decide::membership::Membership;
-use crate::decide::ownership;
 use crate::decide::ownership::Candidate;
+use crate::decide::ownership::Claimant;
+use crate::decide::ownership::GroupId;
 use crate::decide::submissions::SubmissionBook;
 use crate::edge::ConfigClient;
 use crate::edge::DeskClient;
@@ -108,6 +112,8 @@
     /// Engines that this instance works for.
     pub engines: EngineShards,
     access: Access,
+    /// Leases of engine groups.
+    pub leases: Leases,
     config: RwLock<ConfigState>,
     membership: RwLock<Membership>,
     backends: RwLock<Backends>,
@@ -130,6 +136,7 @@
         let access = Access::new(&settings);
         let incarnation = Incarnation(random_u64()?);
         let clients = Clients::new(&settings);
+        let claimant = Claimant { name: settings.instance.clone(), incarnation };
         let explain = Mutex::new(ExplainLog::new(settings.instance.clone()));
         Ok(Arc::new(Self {
             settings,
@@ -141,6 +148,7 @@
             tracer,
             engines: EngineShards::default(),
             access,
+            leases: Leases::new(claimant),
             config: RwLock::default(),
             membership: RwLock::default(),
             backends: RwLock::default(),
@@ -280,23 +288,33 @@
 
     /// The instance that should own an engine, as seen from here.
     pub fn owner_of(&self, engine: &ListedBackend) -> Option<InstanceName> {
+        GroupId::of(engine)?.preferred_owner(&self.live_candidates())
+    }
+
+    /// Instances that may own engines, as seen from here.
+    pub fn live_candidates(&self) -> Vec<Candidate> {
         let now = self.now();
-        let mut candidates: Vec<Candidate> = self.membership(|membership| {
-            membership
-                .live(now)
-                .map(|member| Candidate {
-                    name: member.name.clone(),
-                    data_centre: member.data_centre.clone(),
-                })
-                .collect()
-        });
+        let mut candidates: Vec<Candidate> =
+            self.membership(|membership| membership.live(now).map(candidate).collect());
         if !self.is_draining() {
-            candidates.push(Candidate {
-                name: self.settings.instance.clone(),
-                data_centre: self.settings.data_centre.clone(),
-            });
+            candidates.push(self.own_candidate());
+        }
+        candidates
+    }
+
+    /// Every listed instance and this one, whether they answer or not.
+    pub fn listed_candidates(&self) -> Vec<Candidate> {
+        let mut candidates: Vec<Candidate> =
+            self.membership(|membership| membership.all().map(candidate).collect());
+        candidates.push(self.own_candidate());
+        candidates
+    }
+
+    fn own_candidate(&self) -> Candidate {
+        Candidate {
+            name: self.settings.instance.clone(),
+            data_centre: self.settings.data_centre.clone(),
         }
-        ownership::preferred_owner(&engine.name, &engine.data_centre, &candidates)
     }
 
     /// What this instance says of itself.
@@ -339,6 +357,7 @@
         match PeerPath::parse(&req.path) {
             Some(PeerPath::Dispatch) => dispatches::serve(&self, &req),
             Some(PeerPath::Submit) => submissions::serve_forwarded(&self, &req).await,
+            Some(PeerPath::Lease) => leases::serve(&self, &req),
             Some(PeerPath::Hello) => super::refresh::serve_hello(&self, &req),
             Some(PeerPath::Status) => Ok(Reply::message(&operator_api::status(&self))),
             Some(PeerPath::Explain) => {
@@ -352,6 +371,10 @@
     }
 }
 
+fn candidate(member: &Member) -> Candidate {
+    Candidate { name: member.name.clone(), data_centre: member.data_centre.clone() }
+}
+
 /// The answer to a path that doesn't exist.
 pub fn no_such_path(req: &Request) -> Error {
     Error::new(ErrorKind::NotFound, format!("no {} {}", req.method, req.path))
--- a/src/daemon/owner_calls.rs
+++ b/src/daemon/owner_calls.rs
@@ -4,166 +4,303 @@
 use std::time::Duration;
 
 use super::Node;
+use super::engine_shard::EngineCall;
 use super::engine_shard::EngineShard;
-use super::engine_shard::PendingOrder;
+use super::leases;
 use crate::decide::engine::EngineCore;
 use crate::decide::engine::EngineInput;
-use crate::decide::engine::GuardInput;
+use crate::decide::ownership::GroupId;
+use crate::decide::takeover::FenceOutcome;
+use crate::decide::takeover::OwnedAction;
+use crate::decide::takeover::OwnedEngine;
+use crate::decide::takeover::Query;
+use crate::decide::takeover::Sent;
+use crate::decide::takeover::chosen_by;
+use crate::edge::EngineFailure;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::names::AdapterRef;
 use crate::names::BackendName;
+use crate::names::Fencing;
+use crate::names::Timestamp;
 use crate::telemetry::Counter;
 use crate::telemetry::Hop;
-use crate::telemetry::Span;
 use crate::telemetry::Timing;
+use crate::wire::engine::EngineRefusal;
 use crate::wire::engine::Order;
 use crate::wire::engine::OrderRequest;
 use crate::wire::listing::BackendRole;
 use crate::wire::listing::ListedBackend;
 
-/// How often an owner looks at its engines.
+/// How often an owner looks at its leases and engines.
 pub const WATCH_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which a request waits for a lease that is being taken.
+const LEASE_WAIT: Duration = Duration::from_millis(1500);
+/// Time between looks at a lease that is being taken.
+const LEASE_POLL: Duration = Duration::from_millis(20);
 
-/// The shard of an engine that this instance owns; made at the first request.
+/// The shard of an engine that this instance owns.
 ///
 /// # Errors
 ///
-/// `NoBackend` if the engine isn't known, `NotOwner` if another instance owns it.
+/// `NoBackend` if the engine isn't known, `NotOwner` if this instance has no lease of it.
 pub async fn owned_shard(node: &Arc<Node>, name: &BackendName) -> Result<Arc<EngineShard>> {
     let engine = node.backends(|known| known.get(name).cloned()).ok_or_else(|| {
         Error::new(ErrorKind::NoBackend, format!("engine {:?} is not known", name.as_str()))
     })?;
-    if node.owner_of(&engine).as_ref() != Some(&node.settings.instance) {
-        let detail = format!("another instance owns engine {:?}", name.as_str());
-        return Err(Error::new(ErrorKind::NotOwner, detail));
+    let group = GroupId::of(&engine).ok_or_else(|| {
+        let detail = format!("backend server {:?} is not an engine", name.as_str());
+        Error::new(ErrorKind::NoBackend, detail)
+    })?;
+    wait_for_lease(node, &engine, &group).await?;
+    Ok(shard_of(node, &engine, &group))
+}
+
+async fn wait_for_lease(node: &Arc<Node>, engine: &ListedBackend, group: &GroupId) -> Result<()> {
+    let until = node.now() + LEASE_WAIT;
+    loop {
+        let now = node.now();
+        let checked = node.leases.may_act(now, group);
+        let preferred = node.owner_of(engine).as_ref() == Some(&node.settings.instance);
+        if checked.is_ok() || !preferred || now >= until {
+            return checked;
+        }
+        tokio::time::sleep(LEASE_POLL).await;
     }
-    if let Some(shard) = node.engines.get(name) {
-        return Ok(shard);
+}
+
+/// The shard of an engine, made and taken over if it is new.
+fn shard_of(node: &Arc<Node>, engine: &ListedBackend, group: &GroupId) -> Arc<EngineShard> {
+    let make = || {
+        let (slots, batch) = match engine.role {
+            BackendRole::Engine { slots, batch, .. } => (slots as usize, batch as usize),
+            BackendRole::Desk => (0, 0),
+        };
+        let core = EngineCore::new(slots, batch);
+        let travel = node.leases.timing().travel;
+        let owned = OwnedEngine::new(core, group.fencing, travel, node.incarnation);
+        EngineShard::new(engine.name.clone(), engine.addr, group.clone(), owned)
+    };
+    let (shard, is_new) = node.engines.get_or_insert(&engine.name, make);
+    if is_new {
+        apply(node, &shard, OwnedEngine::on_acquired);
     }
-    let lock = node.engines.takeover_lock(name);
-    let _taking_over = lock.lock().await;
-    if let Some(shard) = node.engines.get(name) {
-        return Ok(shard);
+    shard
+}
+
+/// The lease of a group was acquired: its engines are taken over.
+pub fn on_acquired(node: &Arc<Node>, group: &GroupId) {
+    for shard in node.engines.all().into_iter().filter(|shard| &shard.group == group) {
+        apply(node, &shard, OwnedEngine::on_acquired);
     }
-    take_over(node, &engine).await
 }
 
-/// Raises the engine's fencing number and takes what is loaded from its direct answer.
-async fn take_over(node: &Arc<Node>, engine: &ListedBackend) -> Result<Arc<EngineShard>> {
-    let BackendRole::Engine { slots, batch, .. } = engine.role else {
-        let detail = format!("backend server {:?} is not an engine", engine.name.as_str());
-        return Err(Error::new(ErrorKind::NoBackend, detail));
-    };
-    let failed = |detail: String| {
-        let detail = format!("engine {:?}: {detail}", engine.name.as_str());
-        Error::new(ErrorKind::NoBackend, detail)
-    };
-    let client = &node.clients.engine;
-    let report = client.running(engine.addr).await.map_err(|f| failed(f.detail()))?;
-    let fencing = report.fencing.next();
-    let order = OrderRequest { order: Order::Fence, fencing };
-    client.order(engine.addr, &order).await.map_err(|f| failed(f.detail()))?;
-    let core = EngineCore::new(slots as usize, batch as usize);
-    let shard = EngineShard::new(engine.name.clone(), engine.addr, core);
-    shard.set_fencing(fencing);
-    shard.note_incarnation(report.incarnation);
-    let found = report.loaded.into_iter().map(|loaded| loaded.adapter).collect();
-    shard.apply(node.now(), EngineInput::Guard(GuardInput::Found(found)));
-    log::info!("owner of engine {} with fencing number {fencing}", engine.name);
-    node.metrics.count(Counter::LeaseGained);
-    Ok(node.engines.insert(shard))
-}
-
-/// Takes one event and gives the orders that it brings about.
-pub fn apply(node: &Arc<Node>, shard: &Arc<EngineShard>, input: EngineInput) {
-    for order in shard.apply(node.now(), input) {
-        tokio::spawn(give_order(Arc::clone(node), Arc::clone(shard), order));
-    }
-}
-
-async fn give_order(node: Arc<Node>, shard: Arc<EngineShard>, pending: PendingOrder) {
-    let order = match &pending {
-        PendingOrder::Load(adapter) => Order::Load { adapter: adapter.clone() },
-        PendingOrder::Unload(adapter) => Order::UnloadIfIdle { adapter: adapter.clone() },
-    };
-    let req = OrderRequest { order, fencing: shard.fencing() };
-    let began = node.now();
-    let span = load_span(&node, &shard, &pending);
-    let done = node.clients.engine.order(shard.addr, &req).await;
-    count_order(&node, &pending, done.is_ok(), node.now().since(began));
-    drop(span);
-    if let Err(failure) = &done {
-        log::warn!("engine {}: {pending:?}: {}", shard.name, failure.detail());
+/// The lease of a group was lost: nothing more is sent to its engines.
+pub fn on_lost(node: &Arc<Node>, group: &GroupId) {
+    for shard in node.engines.all().into_iter().filter(|shard| &shard.group == group) {
+        apply(node, &shard, OwnedEngine::on_lost);
     }
-    let input = match pending {
-        PendingOrder::Load(adapter) => EngineInput::LoadEnded { adapter, loaded: done.is_ok() },
-        PendingOrder::Unload(adapter) => {
-            EngineInput::UnloadEnded { adapter, unloaded: done.is_ok() }
+}
+
+/// Takes one event of the queue and makes the calls that it brings about.
+pub fn apply_input(node: &Arc<Node>, shard: &Arc<EngineShard>, input: EngineInput) {
+    apply(node, shard, |owned, now| owned.on_input(now, input));
+}
+
+/// Takes one event and makes the calls that it brings about.
+pub fn apply(
+    node: &Arc<Node>,
+    shard: &Arc<EngineShard>,
+    event: impl FnOnce(&mut OwnedEngine, Timestamp) -> Vec<OwnedAction>,
+) {
+    for call in shard.apply(node.now(), event) {
+        let task = make_call(Arc::clone(node), Arc::clone(shard), call);
+        // Boxed because a call may bring about further calls.
+        let task: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> = Box::pin(task);
+        tokio::spawn(task);
+    }
+}
+
+async fn make_call(node: Arc<Node>, shard: Arc<EngineShard>, call: EngineCall) {
+    match call {
+        EngineCall::Ask(Query::Running { call }) => ask_running(&node, &shard, call).await,
+        EngineCall::Ask(Query::Fence { call, number }) => fence(&node, &shard, call, number).await,
+        EngineCall::Load(adapter, fencing) => load(&node, &shard, adapter, fencing).await,
+        EngineCall::Unload(adapter, fencing) => unload(&node, &shard, adapter, fencing).await,
+    }
+}
+
+async fn ask_running(node: &Arc<Node>, shard: &Arc<EngineShard>, call: u64) {
+    match node.clients.engine.running(shard.addr).await {
+        Ok(report) => {
+            if shard.note_report(report.incarnation) {
+                log::warn!("engine {} has restarted", shard.name);
+                node.metrics.count(Counter::EngineRestarted);
+            }
+            apply(node, shard, |owned, now| owned.on_report(now, call, &report));
+        }
+        Err(_) => {
+            apply(node, shard, |owned, _| {
+                owned.on_report_failed(call);
+                Vec::new()
+            });
+            if shard.note_failed_report() {
+                apply_input(node, shard, EngineInput::Unreachable);
+            }
         }
+    }
+}
+
+async fn fence(node: &Arc<Node>, shard: &Arc<EngineShard>, call: u64, number: Fencing) {
+    let outcome = match order(node, shard, Order::Fence, number).await {
+        OrderEnd::Done => FenceOutcome::Taken,
+        OrderEnd::Refused(EngineRefusal::OldFencing, highest) => FenceOutcome::TooLow { highest },
+        _ => FenceOutcome::Unknown,
     };
-    // Boxed because an order may bring about further orders.
-    let next: std::pin::Pin<Box<dyn Future<Output = ()> + Send>> =
-        Box::pin(async move { apply(&node, &shard, input) });
-    next.await;
+    if outcome == FenceOutcome::Taken {
+        log::info!("engine {} fenced with number {number}", shard.name);
+    }
+    apply(node, shard, |owned, now| owned.on_fence(now, call, outcome));
 }
 
-fn load_span(node: &Node, shard: &EngineShard, pending: &PendingOrder) -> Option<Span> {
-    let PendingOrder::Load(adapter) = pending else { return None };
+async fn load(node: &Arc<Node>, shard: &Arc<EngineShard>, adapter: AdapterRef, number: Fencing) {
+    let began = node.now();
     // A load serves every request that waits for it, so it belongs to no single trace.
     let span = node.tracer.span(Hop::AdapterLoad, None);
     span.set("engine", shard.name.as_str());
     span.set("adapter", adapter.to_string());
-    Some(span)
+    let end = order(node, shard, Order::Load { adapter: adapter.clone() }, number).await;
+    count_load(node, end, node.now().since(began));
+    drop(span);
+    let failed = matches!(end, OrderEnd::NotRun | OrderEnd::Refused(..));
+    let retake = match end {
+        OrderEnd::Done | OrderEnd::NotRun => false,
+        OrderEnd::Refused(refusal, _) => refusal != EngineRefusal::LoadFailed,
+        OrderEnd::NotSent | OrderEnd::Unknown => true,
+    };
+    if failed || end == OrderEnd::Done {
+        let outcome = EngineInput::LoadEnded { adapter, loaded: end == OrderEnd::Done };
+        apply(node, shard, |owned, now| owned.on_order_ended(now, number, outcome));
+    }
+    if retake {
+        apply(node, shard, |owned, now| owned.on_unknown(now, Sent::Order));
+    }
 }
 
-fn count_order(node: &Node, pending: &PendingOrder, done: bool, took: Duration) {
-    match (pending, done) {
-        (PendingOrder::Load(_), true) => {
-            node.metrics.count(Counter::LoadStarted);
-            node.metrics.time(Timing::Load, took);
+fn count_load(node: &Node, end: OrderEnd, took: Duration) {
+    if end == OrderEnd::NotSent {
+        return;
+    }
+    node.metrics.count(Counter::LoadStarted);
+    match end {
+        OrderEnd::Done => node.metrics.time(Timing::Load, took),
+        _ => node.metrics.count(Counter::LoadFailed),
+    }
+}
+
+async fn unload(node: &Arc<Node>, shard: &Arc<EngineShard>, adapter: AdapterRef, number: Fencing) {
+    let order_sent = Order::UnloadIfIdle { adapter: adapter.clone() };
+    let end = order(node, shard, order_sent, number).await;
+    if end == OrderEnd::Done {
+        node.metrics.count(Counter::Evicted);
+    }
+    let unloaded = match end {
+        OrderEnd::Done | OrderEnd::Refused(EngineRefusal::NotLoaded, _) => true,
+        OrderEnd::Refused(EngineRefusal::Busy, _) | OrderEnd::NotRun => false,
+        OrderEnd::Refused(..) | OrderEnd::NotSent | OrderEnd::Unknown => {
+            apply(node, shard, |owned, now| owned.on_unknown(now, Sent::Order));
+            return;
         }
-        (PendingOrder::Load(_), false) => {
-            node.metrics.count(Counter::LoadStarted);
-            node.metrics.count(Counter::LoadFailed);
+    };
+    let outcome = EngineInput::UnloadEnded { adapter, unloaded };
+    apply(node, shard, |owned, now| owned.on_order_ended(now, number, outcome));
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderEnd {
+    /// It was carried out.
+    Done,
+    /// The engine refused it; with its highest fencing number.
+    Refused(EngineRefusal, Fencing),
+    /// It didn't reach the engine.
+    NotRun,
+    /// The lease ran out before it was sent.
+    NotSent,
+    /// It may have been carried out.
+    Unknown,
+}
+
+async fn order(
+    node: &Arc<Node>,
+    shard: &Arc<EngineShard>,
+    order: Order,
+    fencing: Fencing,
+) -> OrderEnd {
+    let req = OrderRequest { order, fencing };
+    if node.leases.may_act(node.now(), &shard.group).is_err() {
+        return OrderEnd::NotSent;
+    }
+    match node.clients.engine.order(shard.addr, &req).await {
+        Ok(_) => OrderEnd::Done,
+        Err(failure) => {
+            log::warn!("engine {}: {:?}: {}", shard.name, req.order, failure.detail());
+            on_refused(node, shard, &failure);
+            match failure {
+                EngineFailure::Refused(body) => OrderEnd::Refused(body.refusal, body.fencing),
+                EngineFailure::Call(call) if call.end.proves_not_run() => OrderEnd::NotRun,
+                EngineFailure::Call(_) => OrderEnd::Unknown,
+            }
         }
-        (PendingOrder::Unload(_), true) => node.metrics.count(Counter::Evicted),
-        (PendingOrder::Unload(_), false) => {}
     }
 }
 
-/// Watches the engines of this instance: late requests, restarts, lost ownership.
+/// Notes that another instance has fenced the engine, if that's why it refused.
+pub fn on_refused(node: &Arc<Node>, shard: &EngineShard, failure: &EngineFailure) {
+    let EngineFailure::Refused(body) = failure else { return };
+    let old = body.refusal == EngineRefusal::OldFencing;
+    if old && !chosen_by(body.fencing, node.incarnation) {
+        leases::on_fenced(node, &shard.group);
+    }
+}
+
+/// Watches the leases and engines of this instance.
 pub async fn watch(node: Arc<Node>) {
     let mut interval = tokio::time::interval(WATCH_INTERVAL);
     loop {
         interval.tick().await;
+        leases::tick(&node);
+        take_over_new(&node);
         for shard in node.engines.all() {
-            apply(&node, &shard, EngineInput::Tick);
-            tokio::spawn(look_at(Arc::clone(&node), shard));
+            look_at(&node, &shard);
+        }
+    }
+}
+
+/// Takes over engines of leased groups that were listed since.
+fn take_over_new(node: &Arc<Node>) {
+    let engines: Vec<ListedBackend> =
+        node.backends(|known| known.all_live_engines().into_iter().cloned().collect());
+    for engine in engines {
+        let Some(group) = GroupId::of(&engine) else { continue };
+        let known = node.engines.get(&engine.name).is_some();
+        if !known && node.leases.may_act(node.now(), &group).is_ok() {
+            shard_of(node, &engine, &group);
         }
     }
 }
 
-async fn look_at(node: Arc<Node>, shard: Arc<EngineShard>) {
-    let engine = node.backends(|known| known.get(&shard.name).cloned());
-    let owned = engine
-        .is_some_and(|engine| node.owner_of(&engine).as_ref() == Some(&node.settings.instance));
-    if !owned && shard.is_idle() {
+fn look_at(node: &Arc<Node>, shard: &Arc<EngineShard>) {
+    let listed = node.backends(|known| known.get(&shard.name).map(|engine| engine.addr));
+    let leased = node.leases.may_act(node.now(), &shard.group).is_ok();
+    if shard.is_idle() && (!leased || listed != Some(shard.addr)) {
         node.engines.remove(&shard.name);
-        node.metrics.count(Counter::LeaseLost);
         return;
     }
-    match node.clients.engine.report(shard.addr).await {
-        Ok(report) if shard.note_incarnation(report.incarnation) => {
-            log::warn!("engine {} has restarted", shard.name);
-            node.metrics.count(Counter::EngineRestarted);
-            apply(&node, &shard, EngineInput::Restarted);
-        }
-        Ok(_) => {}
-        Err(_) => {
-            if shard.note_failed_report() {
-                apply(&node, &shard, EngineInput::Unreachable);
-            }
-        }
+    if !leased {
+        // Nothing can be sent now: what waits is refused at once, as not run.
+        apply_input(node, shard, EngineInput::Unreachable);
     }
+    apply(node, shard, OwnedEngine::on_tick);
 }
--- a/src/decide/ownership/candidate.rs
+++ b/src/decide/ownership/candidate.rs
@@ -1,7 +1,6 @@
 //! Instances that may own engines, and which of them is preferred.
 
 use crate::decide::rendezvous;
-use crate::names::BackendName;
 use crate::names::DataCentre;
 use crate::names::InstanceName;
 
@@ -14,17 +13,8 @@
     pub data_centre: DataCentre,
 }
 
-/// The instance that should own an engine: the best of its data centre, else the best of all.
-pub fn preferred_owner(
-    engine: &BackendName,
-    data_centre: &DataCentre,
-    candidates: &[Candidate],
-) -> Option<InstanceName> {
-    preferred(engine.as_str(), data_centre, candidates)
-}
-
 /// The best candidate for `key`: of the data centre, else of all.
-pub(super) fn preferred(
+pub fn preferred(
     key: &str,
     data_centre: &DataCentre,
     candidates: &[Candidate],
--- a/src/decide/ownership/message.rs
+++ b/src/decide/ownership/message.rs
@@ -48,3 +48,12 @@
     /// Last attempt that is given up.
     pub round: u64,
 }
+
+/// Body of `POST /peer/v1/lease`; the answer is a [`LeaseReply`] if it asks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaseMessage {
+    /// Asks for a grant.
+    Ask(LeaseRequest),
+    /// Gives a lease up.
+    Release(LeaseRelease),
+}
--- a/src/decide/ownership/mod.rs
+++ b/src/decide/ownership/mod.rs
@@ -16,12 +16,12 @@
 mod timing;
 
 pub use candidate::Candidate;
-pub use candidate::preferred_owner;
 pub use granter::Granter;
 pub use group::GroupId;
 pub use holder::LeaseHolder;
 pub use lease_action::LeaseAction;
 pub use message::Claimant;
+pub use message::LeaseMessage;
 pub use message::LeaseRelease;
 pub use message::LeaseReply;
 pub use message::LeaseRequest;
--- a/src/decide/ownership/timing.rs
+++ b/src/decide/ownership/timing.rs
@@ -43,9 +43,9 @@
 impl Default for LeaseTiming {
     fn default() -> Self {
         Self {
-            term: Duration::from_secs(6),
-            list_lag: Duration::from_secs(6),
-            travel: Duration::from_secs(1),
+            term: Duration::from_secs(4),
+            list_lag: Duration::from_secs(4),
+            travel: Duration::from_millis(500),
         }
     }
 }
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -101,6 +101,7 @@
             PeerPath::Submit => self.http.send_once(call, wait).await,
             PeerPath::Dispatch
             | PeerPath::Hello
+            | PeerPath::Lease
             | PeerPath::Status
             | PeerPath::Explain
             | PeerPath::Outcome => self.http.send(call, wait).await,
--- a/src/edge/peer_path.rs
+++ b/src/edge/peer_path.rs
@@ -9,6 +9,8 @@
     Submit,
     /// What an instance knows of itself.
     Hello,
+    /// A message to a panel member.
+    Lease,
     /// State of an instance, for operators.
     Status,
     /// Decisions about a request, for operators.
@@ -19,8 +21,15 @@
 
 impl PeerPath {
     /// Every path.
-    pub const ALL: [Self; 6] =
-        [Self::Dispatch, Self::Submit, Self::Hello, Self::Status, Self::Explain, Self::Outcome];
+    pub const ALL: [Self; 7] = [
+        Self::Dispatch,
+        Self::Submit,
+        Self::Hello,
+        Self::Lease,
+        Self::Status,
+        Self::Explain,
+        Self::Outcome,
+    ];
 
     /// The path as in the request line.
     pub fn as_str(self) -> &'static str {
@@ -28,6 +37,7 @@
             Self::Dispatch => "/peer/v1/dispatch",
             Self::Submit => "/peer/v1/submit",
             Self::Hello => "/peer/v1/hello",
+            Self::Lease => "/peer/v1/lease",
             Self::Status => "/peer/v1/status",
             Self::Explain => "/peer/v1/explain",
             Self::Outcome => "/peer/v1/outcome",
