--- a/tests/ownership_model/step.rs
+++ b/tests/ownership_model/step.rs
@@ -60,6 +60,10 @@
     Kill {
         node: usize,
     },
+    /// Everything that can make progress does so in rounds of one millisecond.
+    Rush {
+        rounds: usize,
+    },
     /// Freezes an instance that has decided on a message but not sent it.
     FreezeSender,
     /// A message to the engine is held up in the network.
@@ -111,6 +115,7 @@
         2 => node().prop_map(|node| Step::Freeze { node }),
         6 => Just(Step::FreezeSender),
         12 => Just(Step::Run { ms: 50 }),
+        16 => (1..20usize).prop_map(|rounds| Step::Rush { rounds }),
         8 => pick().prop_map(|pick| Step::Delay { pick }),
         12 => node().prop_map(|node| Step::Thaw { node }),
         1 => node().prop_map(|node| Step::Kill { node }),
--- a/tests/ownership_model/world.rs
+++ b/tests/ownership_model/world.rs
@@ -37,7 +37,7 @@
 const LIST_MS: u64 = 1850;
 /// Most messages in flight; the oldest is lost beyond.
 const MAX_MESSAGES: usize = 200;
-const RUN_STEP_MS: u64 = 50;
+const RUN_ROUND_MS: u64 = 50;
 const FEWEST_LISTED: usize = 2;
 
 #[derive(Clone, Debug)]
@@ -112,7 +112,8 @@
 
     pub fn apply(&mut self, step: Step) {
         match step {
-            Step::Run { ms } => self.run(ms),
+            Step::Run { ms } => self.run(ms.div_ceil(RUN_ROUND_MS), RUN_ROUND_MS),
+            Step::Rush { rounds } => self.run(rounds as u64, 1),
             Step::Advance { ms } => self.advance(ms),
             Step::Tick { node } => self.tick(node),
             Step::Flush { node } => self.flush(node),
@@ -306,9 +307,9 @@
         self.listed.insert(index);
     }
 
-    fn run(&mut self, ms: u64) {
-        for _ in 0..ms.div_ceil(RUN_STEP_MS) {
-            self.advance(RUN_STEP_MS);
+    fn run(&mut self, rounds: u64, round_ms: u64) {
+        for _ in 0..rounds {
+            self.advance(round_ms);
             for index in 0..NODES {
                 self.tick(index);
                 self.flush(index);
