--- a/tests/ownership_model/world.rs
+++ b/tests/ownership_model/world.rs
@@ -31,13 +31,13 @@
 
 /// Rates of the instances' clocks, in thousandths; within the 5% that leases allow for.
 const RATES: [u64; NODES] = [950, 1050, 960, 1040, 1000];
-/// Longest travel to an engine that ignores fencing: the bound of 1 s by the fastest clock.
-const TRAVEL_MS: u64 = 900;
+/// Longest travel to an engine that ignores fencing: the bound of 500 ms by the fastest clock.
+const TRAVEL_MS: u64 = 450;
 /// Time within which a running instance learns a list: half the lag by the fastest clock.
-const LIST_MS: u64 = 2800;
+const LIST_MS: u64 = 1850;
 /// Most messages in flight; the oldest is lost beyond.
 const MAX_MESSAGES: usize = 200;
-const RUN_STEP_MS: u64 = 50;
+const RUN_ROUND_MS: u64 = 50;
 const FEWEST_LISTED: usize = 2;
 
 #[derive(Clone, Debug)]
@@ -57,6 +57,8 @@
     to: usize,
     sent: u64,
     body: Body,
+    /// Held up in the network: only a step of its own delivers it.
+    delayed: bool,
 }
 
 struct Place {
@@ -110,7 +112,8 @@
 
     pub fn apply(&mut self, step: Step) {
         match step {
-            Step::Run { ms } => self.run(ms),
+            Step::Run { ms } => self.run(ms.div_ceil(RUN_ROUND_MS), RUN_ROUND_MS),
+            Step::Rush { rounds } => self.run(rounds as u64, 1),
             Step::Advance { ms } => self.advance(ms),
             Step::Tick { node } => self.tick(node),
             Step::Flush { node } => self.flush(node),
@@ -132,6 +135,13 @@
             Step::Freeze { node } => self.places[node].frozen = true,
             Step::Thaw { node } => self.places[node].frozen = false,
             Step::Kill { node } => self.kill(node),
+            Step::FreezeSender => {
+                let sender = self.places.iter_mut().find(|place| !place.node.outbox.is_empty());
+                if let Some(place) = sender {
+                    place.frozen = true;
+                }
+            }
+            Step::Delay { pick } => self.delay(pick),
             Step::RestartEngine => self.restart_engine(),
             Step::Cut { from, to } => {
                 self.cuts.insert((from, to));
@@ -203,7 +213,7 @@
                 LeaseAction::Acquired | LeaseAction::Lost => continue,
             };
             let to = (0..NODES).find(|index| name(*index) == to).unwrap();
-            self.send(Message { from: index, life, to, sent: self.real_ms, body });
+            self.send(Message { from: index, life, to, sent: self.real_ms, body, delayed: false });
         }
     }
 
@@ -224,7 +234,14 @@
         let life = self.places[index].life;
         for unsent in sent {
             let body = Body::Call { id: unsent.id, fencing: unsent.fencing, call: unsent.call };
-            self.send(Message { from: index, life, to: ENGINE, sent: self.real_ms, body });
+            self.send(Message {
+                from: index,
+                life,
+                to: ENGINE,
+                sent: self.real_ms,
+                body,
+                delayed: false,
+            });
         }
     }
 
@@ -255,7 +272,7 @@
     fn answer(&mut self, to: usize, call: u64, answer: Answer) {
         let (life, id) = (call >> 32, call & u64::from(u32::MAX));
         let body = Body::Answer { id, answer };
-        self.send(Message { from: ENGINE, life, to, sent: self.real_ms, body });
+        self.send(Message { from: ENGINE, life, to, sent: self.real_ms, body, delayed: false });
     }
 
     fn advance(&mut self, ms: u64) {
@@ -290,15 +307,19 @@
         self.listed.insert(index);
     }
 
-    fn run(&mut self, ms: u64) {
-        for _ in 0..ms.div_ceil(RUN_STEP_MS) {
-            self.advance(RUN_STEP_MS);
+    fn run(&mut self, rounds: u64, round_ms: u64) {
+        for _ in 0..rounds {
+            self.advance(round_ms);
             for index in 0..NODES {
                 self.tick(index);
                 self.flush(index);
             }
             for message in std::mem::take(&mut self.messages) {
-                self.hand_over(message);
+                if message.delayed {
+                    self.messages.push(message);
+                } else {
+                    self.hand_over(message);
+                }
             }
         }
     }
@@ -317,6 +338,15 @@
         }
     }
 
+    fn delay(&mut self, pick: usize) {
+        let mut calls: Vec<&mut Message> =
+            self.messages.iter_mut().filter(|message| message.to == ENGINE).collect();
+        let count = calls.len();
+        if count > 0 {
+            calls[pick % count].delayed = true;
+        }
+    }
+
     fn duplicate(&mut self, pick: usize) {
         let Some(message) = self.take(pick) else { return };
         if message.from != ENGINE && message.to != ENGINE {
@@ -349,7 +379,14 @@
                 self.on_node(to, |node, now| reply = Some(node.granter.on_request(now, &request)));
                 let Some(reply) = reply else { return };
                 let body = Body::Reply(reply);
-                self.send(Message { from: to, life, to: from, sent: self.real_ms, body });
+                self.send(Message {
+                    from: to,
+                    life,
+                    to: from,
+                    sent: self.real_ms,
+                    body,
+                    delayed: false,
+                });
             }
             Body::Reply(reply) if self.places[to].life == life => {
                 self.on_node(to, |node, now| node.on_grant(now, &name(from), &reply));
