--- a/src/auth/peer_guard.rs
+++ b/src/auth/peer_guard.rs
@@ -18,7 +18,7 @@
 /// Parts of the nonce memory, each under its own lock.
 const SHARDS: usize = 8;
 
-/// Nonces that one shard remembers; all shards hold a minute of 1,000 messages a second.
+/// Nonces that one shard remembers; all shards hold half a minute of 2,000 messages a second.
 const SHARD_CAPACITY: usize = 8192;
 
 /// Checks requests of other entry instances.
--- a/src/bin/tamaracklead/app.rs
+++ b/src/bin/tamaracklead/app.rs
@@ -55,6 +55,7 @@
             from: PresetName::new(text(matches, "from")),
             to: PresetName::new(text(matches, "to")),
             store: store(matches),
+            access: matches.contains_id("operator").then(|| operator(matches)),
         },
         ("preset", "wait", matches) => Command::PresetWait {
             generation: Generation(number(matches, "generation")),
--- a/src/bin/tamaracklead/clap_app.rs
+++ b/src/bin/tamaracklead/clap_app.rs
@@ -11,6 +11,8 @@
 use tamaracklead::decide::audit::SlotBudget;
 use tamaracklead::names::RequestId;
 
+const FLEET_SLOTS_HELP: &str = "Operator listener, to count what the fleet holds now";
+
 /// Describes the command line.
 pub fn build_app() -> Command {
     Command::new("tamaracklead")
@@ -98,7 +100,7 @@
                 .help("Longest wait"),
         );
     group("preset", "Presets of the published configuration")
-        .subcommand(diff)
+        .subcommand(access(diff, "operator", "operator-key", FLEET_SLOTS_HELP))
         .subcommand(operator(wait))
 }
 
@@ -177,19 +179,20 @@
 /// Adds the arguments of commands that ask operator listeners.
 fn operator(command: Command) -> Command {
     access(command, "operator", "operator-key", "Operator listener of an instance")
+        .mut_arg("operator", |arg| arg.required(true))
         .mut_arg("operator-key", |arg| arg.required(true))
 }
 
 /// Adds the arguments of commands that call caller listeners.
 fn caller(command: Command) -> Command {
     access(command, "entry", "key", "Caller listener of an instance")
+        .mut_arg("entry", |arg| arg.required(true))
 }
 
 fn access(command: Command, addr: &'static str, key: &'static str, help: &'static str) -> Command {
     let addr = Arg::new(addr)
         .long(addr)
         .value_name("ADDR")
-        .required(true)
         .action(ArgAction::Append)
         .value_parser(value_parser!(SocketAddr))
         .help(format!("{help}; repeat it to name others to try"));
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -67,6 +67,8 @@
         to: PresetName,
         /// What the weight store can deliver.
         store: StoreBudget,
+        /// Operator listeners, if the fleet's slots are to count.
+        access: Option<Access>,
     },
     /// Waits until a generation is in effect everywhere.
     PresetWait {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -44,8 +44,8 @@
     let result = match &cfg.command {
         Command::SettingsCheck { file } => settings_check::run(file, &mut output),
         Command::ConfigCheck { path, slots } => config_check::run(path, slots, &mut output),
-        Command::PresetDiff { path, from, to, store } => {
-            preset_diff::run(path, from, to, store, &mut output)
+        Command::PresetDiff { path, from, to, store, access } => {
+            block_on(preset_diff::run(path, from, to, store, access.as_ref(), &mut output))
         }
         Command::PresetWait { generation, limit, access } => {
             block_on(preset_wait::run(*generation, *limit, access, &mut output))
--- a/src/cli/preset_diff.rs
+++ b/src/cli/preset_diff.rs
@@ -4,24 +4,30 @@
 use std::io;
 use std::path::Path;
 
+use super::Access;
 use super::Exit;
 use super::Failure;
 use super::Table;
+use super::instances::Instances;
 use super::published_dir::PublishedDir;
 use super::report::Output;
+use super::status::FLEET_PATH;
+use crate::decide::audit::FleetSlots;
 use crate::decide::audit::PresetDiff;
 use crate::decide::audit::Publication;
 use crate::decide::audit::StoreBudget;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::names::PresetName;
+use crate::wire::operator::FleetStatus;
 
 /// Compares two presets and shows what a switch changes and costs.
-pub(super) fn run(
+pub(super) async fn run(
     path: &Path,
     from: &PresetName,
     to: &PresetName,
     store: &StoreBudget,
+    access: Option<&Access>,
     output: &mut Output<'_>,
 ) -> Result<Exit, Failure> {
     let dir = PublishedDir::read(path)?;
@@ -29,12 +35,21 @@
         let detail = findings.first().map(ToString::to_string).unwrap_or_default();
         Failure::new(Exit::Usage, Error::new(ErrorKind::ConfigRefused, detail))
     })?;
-    let diff = PresetDiff::between(&publication, from, to, store)
+    let slots = match access {
+        Some(access) => Some(fleet_slots(access).await?),
+        None => None,
+    };
+    let diff = PresetDiff::between(&publication, from, to, store, slots.as_ref())
         .map_err(|error| Failure::new(Exit::Usage, error))?;
     output.report(&diff, show)?;
     Ok(Exit::Success)
 }
 
+async fn fleet_slots(access: &Access) -> Result<FleetSlots, Failure> {
+    let fleet: FleetStatus = Instances::new(access)?.get(FLEET_PATH).await?;
+    Ok(FleetSlots::of(&fleet))
+}
+
 fn show(diff: &PresetDiff, output: &mut Output<'_>) -> io::Result<()> {
     let mut table = Table::new(&["CHANGE", "WHAT", "FROM", "TO"]);
     let mut row = |change: &str, what: String, from: String, to: String| {
@@ -43,6 +58,9 @@
     for adapter in &diff.loads {
         row("load", adapter.to_string(), String::new(), "pinned".to_owned());
     }
+    for adapter in &diff.loaded {
+        row("pin", adapter.to_string(), "loaded".to_owned(), "pinned".to_owned());
+    }
     for adapter in &diff.unpins {
         row("unpin", adapter.to_string(), "pinned".to_owned(), String::new());
     }
@@ -61,6 +79,9 @@
         "{} -> {}: {loads} to load, {unpins} may be evicted, {keeps} stay pinned",
         diff.from, diff.to
     ))?;
+    if let Some(evictions) = diff.evictions {
+        output.line(format!("at least {evictions} evictions, by the slots of owned engines"))?;
+    }
     let seconds = diff.store_time_ms as f64 / 1000.0;
     output
         .line(format!("store time at least {seconds:.2} s, one replica each, nothing else loading"))
--- a/src/decide/audit/mod.rs
+++ b/src/decide/audit/mod.rs
@@ -5,12 +5,14 @@
 //! operator wants, such as a pinned adapter that isn't published.
 
 mod finding;
+mod fleet_slots;
 mod preset_diff;
 mod publication;
 mod slot_budget;
 mod store_budget;
 
 pub use finding::Finding;
+pub use fleet_slots::FleetSlots;
 pub use preset_diff::PresetDiff;
 pub use publication::Publication;
 pub use slot_budget::SlotBudget;
--- a/src/decide/audit/preset_diff.rs
+++ b/src/decide/audit/preset_diff.rs
@@ -6,6 +6,7 @@
 
 use serde::Serialize;
 
+use super::FleetSlots;
 use super::Publication;
 use super::StoreBudget;
 use crate::error::Error;
@@ -32,8 +33,12 @@
     pub from: PresetName,
     /// Preset after.
     pub to: PresetName,
-    /// Newly pinned adapters; each is loaded once if it isn't loaded already.
+    /// Newly pinned adapters that are loaded for the switch.
     pub loads: Vec<AdapterRef>,
+    /// Newly pinned adapters that some engine holds already.
+    pub loaded: Vec<AdapterRef>,
+    /// Fewest evictions that make room, if the fleet's slots are known.
+    pub evictions: Option<usize>,
     /// Adapters pinned no longer; each may be evicted when it is idle.
     pub unpins: Vec<AdapterName>,
     /// Adapters that stay pinned.
@@ -49,7 +54,7 @@
 }
 
 impl PresetDiff {
-    /// Compares two presets of one configuration.
+    /// Compares two presets of one configuration, against the fleet's slots if they are known.
     ///
     /// # Errors
     ///
@@ -60,20 +65,26 @@
         from: &PresetName,
         to: &PresetName,
         store: &StoreBudget,
+        slots: Option<&FleetSlots>,
     ) -> Result<Self> {
         let before = find(publication, from)?;
         let after = find(publication, to)?;
         let old: BTreeSet<_> = before.pinned.iter().cloned().collect();
         let new: BTreeSet<_> = after.pinned.iter().cloned().collect();
-        let loads = new
+        let pinned = new
             .difference(&old)
             .map(|adapter| newest(publication, adapter))
             .collect::<Result<Vec<_>>>()?;
+        let (loaded, loads): (Vec<_>, Vec<_>) = pinned
+            .into_iter()
+            .partition(|adapter| slots.is_some_and(|slots| slots.loaded.contains(adapter)));
         let store_time: Duration = store.least_time(loads.len());
         Ok(Self {
             from: from.clone(),
             to: to.clone(),
+            evictions: slots.map(|slots| loads.len().saturating_sub(slots.free)),
             loads,
+            loaded,
             unpins: old.difference(&new).cloned().collect(),
             keeps: old.intersection(&new).cloned().collect(),
             priorities: priorities(before, after),
--- a/tests/cli_calls.rs
+++ b/tests/cli_calls.rs
@@ -334,3 +334,26 @@
         assert!(run.out.contains("outcome"), "{shell}");
     }
 }
+
+#[test]
+fn preset_diff_counts_what_the_fleet_holds() {
+    let dir = Path::new(env!("CARGO_TARGET_TMPDIR")).join("cli-calls-config");
+    fs::create_dir_all(dir.join("pages")).unwrap();
+    let page = json!({"adapters": {
+        "heats": {"model": "base", "versions": [2]},
+        "lanes": {"model": "base", "versions": [7]},
+        "relay": {"model": "base", "versions": [1]},
+    }});
+    let presets = json!({"ordinary": {}, "gala": {"pinned": ["heats", "lanes", "relay"]}});
+    let root = json!({"generation": 1, "preset": "ordinary", "presets": presets,
+                      "pages": [{"name": "p0", "hash": "-"}]});
+    fs::write(dir.join("root.json"), root.to_string()).unwrap();
+    fs::write(dir.join("pages/p0.json"), page.to_string()).unwrap();
+    let mut full = fleet();
+    full["members"][0]["status"]["engines"][0]["slots"] = json!(2);
+    let server = fleet_server(full);
+    let args = ["preset", "diff", dir.to_str().unwrap(), "ordinary", "gala"];
+    let run = operator(&server, "diff", &args);
+    run.assert(Exit::Success);
+    insta::assert_snapshot!("preset_diff_fleet", run.out);
+}
