Sign answers between entry instances

A process that got a replaced instance's address could answer for it: its hello made it a live peer, and its answer to a forwarded submission was believed. An answer is now bound to the signature of its request; without one it proves nothing. Refusals of unauthenticated requests stay unsigned, since a signed one could be used to say that another copy of the request was not run.

--- a/src/auth/peer_guard.rs
+++ b/src/auth/peer_guard.rs
@@ -6,12 +6,12 @@
 use hmac::Mac;
 
 use super::PeerSignature;
+use super::SignedAnswer;
 use super::SignedRequest;
 use crate::decide::replay_window::ReplayWindow;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
-use crate::names::InstanceName;
 use crate::names::WallTime;
 use crate::settings::Key;
 
@@ -36,7 +36,12 @@
         Self { key, shards }
     }
 
-    /// Checks a request that came with this signature header; gives the sender.
+    /// Signs the answer to a request that was admitted.
+    pub fn sign_answer(&self, answer: &SignedAnswer<'_>) -> String {
+        answer.sign(&self.key)
+    }
+
+    /// Checks a request that came with this signature header; gives the signature.
     ///
     /// # Errors
     ///
@@ -48,7 +53,7 @@
         now: WallTime,
         header: Option<&str>,
         request: &SignedRequest<'_>,
-    ) -> Result<InstanceName> {
+    ) -> Result<PeerSignature> {
         let header = header.ok_or_else(|| refused("peer signature is missing"))?;
         let signature: PeerSignature = header.parse()?;
         request
@@ -58,7 +63,7 @@
         let shard = &self.shards[(signature.nonce.0 % SHARDS as u128) as usize];
         let mut window = shard.lock().unwrap_or_else(PoisonError::into_inner);
         window.admit(now, signature.sent, signature.nonce)?;
-        Ok(signature.sender)
+        Ok(signature)
     }
 }
 
--- a/src/auth/peer_signer.rs
+++ b/src/auth/peer_signer.rs
@@ -3,8 +3,10 @@
 use hmac::Mac;
 
 use super::PeerSignature;
+use super::SignedAnswer;
 use super::SignedRequest;
 use crate::decide::replay_window::Nonce;
+use crate::error::Result;
 use crate::names::InstanceName;
 use crate::names::WallTime;
 use crate::settings::Key;
@@ -22,6 +24,15 @@
         Self { key, sender }
     }
 
+    /// Checks the signature of an answer.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthenticated` if the signature is missing or doesn't hold.
+    pub fn verify_answer(&self, answer: &SignedAnswer<'_>, header: Option<&str>) -> Result<()> {
+        answer.verify(&self.key, header)
+    }
+
     /// Signs one request; its `Display` is the value of the signature header.
     pub fn sign(&self, now: WallTime, nonce: Nonce, request: &SignedRequest<'_>) -> PeerSignature {
         let mac = request.mac(&self.key, &self.sender, now, nonce);
--- a/src/auth/signature.rs
+++ b/src/auth/signature.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use super::hex;
+use super::hex::MAC_BYTES;
 use crate::decide::replay_window::Nonce;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -13,7 +15,6 @@
 pub const SIGNATURE_HEADER: &str = "peer-signature";
 
 const VERSION: &str = "1";
-const MAC_BYTES: usize = 32;
 const NONCE_DIGITS: usize = 32;
 
 /// Signature of one request: `1 SENDER TIME_MS NONCE MAC`, the last two hexadecimal.
@@ -38,7 +39,7 @@
         let sender = parts.next().filter(|name| !name.is_empty())?;
         let sent = parts.next()?.parse().ok()?;
         let nonce = parts.next().filter(|digits| digits.len() == NONCE_DIGITS)?;
-        let mac = parse_mac(parts.next()?)?;
+        let mac = hex::decode(parts.next()?)?;
         if parts.next().is_some() {
             return None;
         }
@@ -63,17 +64,6 @@
 impl fmt::Display for PeerSignature {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{VERSION} {} {} {:032x} ", self.sender, self.sent.0, self.nonce.0)?;
-        self.mac.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+        f.write_str(&hex::encode(&self.mac))
     }
 }
-
-fn parse_mac(text: &str) -> Option<[u8; MAC_BYTES]> {
-    if text.len() != 2 * MAC_BYTES || !text.is_ascii() {
-        return None;
-    }
-    let mut mac = [0; MAC_BYTES];
-    for (i, byte) in mac.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).ok()?;
-    }
-    Some(mac)
-}
--- a/src/daemon/access.rs
+++ b/src/daemon/access.rs
@@ -2,12 +2,17 @@
 
 use super::CallerRoute;
 use super::Surface;
+use crate::auth::ANSWER_HEADER;
 use crate::auth::CallerGuard;
 use crate::auth::OperatorGuard;
 use crate::auth::PeerGuard;
+use crate::auth::PeerSignature;
 use crate::auth::SIGNATURE_HEADER;
+use crate::auth::SignedAnswer;
 use crate::auth::SignedRequest;
 use crate::auth::wall_clock;
+use crate::edge::Reply;
+use crate::edge::ReplyBody;
 use crate::edge::Request;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -40,20 +45,36 @@
         }
     }
 
-    /// Refuses a request whose sender doesn't prove who it is.
+    /// Refuses a request whose sender doesn't prove who it is; gives a peer's signature.
     ///
     /// # Errors
     ///
     /// `Unauthenticated`, or `Overloaded` if too many peer messages came lately.
-    pub fn check(&self, surface: Surface, req: &Request, metrics: &Metrics) -> Result<()> {
+    pub fn check(
+        &self,
+        surface: Surface,
+        req: &Request,
+        metrics: &Metrics,
+    ) -> Result<Option<PeerSignature>> {
         let (checked, refusals) = match surface {
-            Surface::Caller => (self.check_caller(req), Counter::CallerRefused),
-            Surface::Peer => (self.check_peer(req), Counter::PeerRefused),
-            Surface::Operator => (self.check_operator(req), Counter::CallerRefused),
+            Surface::Caller => (self.check_caller(req).map(|()| None), Counter::CallerRefused),
+            Surface::Peer => (self.check_peer(req).map(Some), Counter::PeerRefused),
+            Surface::Operator => (self.check_operator(req).map(|()| None), Counter::CallerRefused),
         };
         checked.inspect_err(|_| metrics.count(refusals))
     }
 
+    /// Signs the answer to a peer's request.
+    pub fn sign(&self, request: &PeerSignature, reply: Reply) -> Reply {
+        let body = match &reply.body {
+            ReplyBody::Whole(body) => Some(body.as_ref()),
+            ReplyBody::Stream(_) => None,
+        };
+        let answer = SignedAnswer { request, status: reply.status, body };
+        let signature = self.peers.sign_answer(&answer);
+        reply.header(ANSWER_HEADER, signature)
+    }
+
     fn check_caller(&self, req: &Request) -> Result<()> {
         // Balancers ask for readiness without a key.
         if req.path == CallerRoute::Ready.path() {
@@ -69,13 +90,13 @@
         }
     }
 
-    fn check_peer(&self, req: &Request) -> Result<()> {
+    fn check_peer(&self, req: &Request) -> Result<PeerSignature> {
         let signed = SignedRequest {
             method: &req.method,
             path: &req.path,
             receiver: &self.receiver,
             body: &req.body,
         };
-        self.peers.verify(wall_clock(), req.header(SIGNATURE_HEADER), &signed).map(drop)
+        self.peers.verify(wall_clock(), req.header(SIGNATURE_HEADER), &signed)
     }
 }
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -311,15 +311,20 @@
 
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
-        if let Err(error) = self.access.check(surface, &req, &self.metrics) {
-            return Reply::from(error);
-        }
+        let signature = match self.access.check(surface, &req, &self.metrics) {
+            Ok(signature) => signature,
+            Err(error) => return Reply::from(error),
+        };
         let answer = match surface {
             Surface::Caller => Arc::clone(&self).serve_caller(req).await,
             Surface::Peer => Arc::clone(&self).serve_peer(req).await,
             Surface::Operator => operator_api::serve(&self, &req).await,
         };
         let reply = answer.unwrap_or_else(Reply::from);
+        let reply = match &signature {
+            Some(request) => self.access.sign(request, reply),
+            None => reply,
+        };
         if self.is_draining() { reply.header("connection", "close") } else { reply }
     }
 
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -7,6 +7,7 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
@@ -48,10 +49,16 @@
 pub struct HttpReply {
     /// Status of the answer.
     pub status: StatusCode,
+    headers: HeaderMap,
     body: Incoming,
 }
 
 impl HttpReply {
+    /// A header's value, if it is there and is text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     /// The next piece of the body; `None` at its end.
     ///
     /// # Errors
@@ -195,8 +202,8 @@
         })?;
         match timeout(wait, client.request(req)).await {
             Ok(Ok(response)) => {
-                let status = response.status();
-                Ok(HttpReply { status, body: response.into_body() })
+                let (parts, body) = response.into_parts();
+                Ok(HttpReply { status: parts.status, headers: parts.headers, body })
             }
             Ok(Err(e)) if e.is_connect() => Err(CallFailure {
                 end: DispatchEnd::ConnectRefused,
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
@@ -12,8 +14,11 @@
 use super::HttpReply;
 use super::PeerPath;
 use super::PeerTarget;
+use crate::auth::ANSWER_HEADER;
+use crate::auth::PeerSignature;
 use crate::auth::PeerSigner;
 use crate::auth::SIGNATURE_HEADER;
+use crate::auth::SignedAnswer;
 use crate::auth::SignedRequest;
 use crate::auth::random_nonce;
 use crate::auth::wall_clock;
@@ -32,6 +37,12 @@
 /// Time that an owner may take beyond the request's deadline.
 const DISPATCH_MARGIN: Duration = Duration::from_secs(1);
 
+/// An answer that is still to be checked.
+struct PeerReply {
+    request: PeerSignature,
+    http: HttpReply,
+}
+
 /// Client of every peer.
 #[derive(Clone, Debug)]
 pub struct PeerClient {
@@ -58,11 +69,9 @@
         wait: Duration,
     ) -> std::result::Result<Result<A>, CallFailure> {
         let reply = self.send(peer, path, message, wait).await?;
-        if !reply.status.is_success() {
-            return Ok(Err(problem(reply).await));
-        }
-        let body = reply.whole().await?;
-        Ok(frame::decode(&body))
+        let succeeded = reply.http.status.is_success();
+        let body = self.whole(reply).await?;
+        Ok(if succeeded { frame::decode(&body) } else { Err(problem(&body)) })
     }
 
     /// Sends a request to the owner of its engine and returns the events of its answer.
@@ -77,11 +86,13 @@
     ) -> std::result::Result<Result<mpsc::Receiver<DispatchEvent>>, CallFailure> {
         let wait = Duration::from_millis(message.deadline_ms) + DISPATCH_MARGIN;
         let reply = self.send(peer, PeerPath::Dispatch, message, wait).await?;
-        if !reply.status.is_success() {
-            return Ok(Err(problem(reply).await));
+        if !reply.http.status.is_success() {
+            return Ok(Err(problem(&self.whole(reply).await?)));
         }
+        let header = reply.http.header(ANSWER_HEADER);
+        self.verify(&reply.request, reply.http.status, None, header)?;
         let (tx, rx) = mpsc::channel(EVENT_QUEUE);
-        tokio::spawn(forward_events(reply, tx));
+        tokio::spawn(forward_events(reply.http, tx));
         Ok(Ok(rx))
     }
 
@@ -91,20 +102,45 @@
         path: PeerPath,
         message: &Q,
         wait: Duration,
-    ) -> std::result::Result<HttpReply, CallFailure> {
+    ) -> std::result::Result<PeerReply, CallFailure> {
         let body = frame::encode(message)
             .map_err(|e| CallFailure { end: DispatchEnd::ResetBeforeSend, detail: e.detail })?;
-        let signature = self.sign(peer, path, &body)?;
-        let call =
-            HttpCall::post(peer.addr, path.as_str(), body).header(SIGNATURE_HEADER, signature);
-        match path {
+        let request = self.sign(peer, path, &body)?;
+        let call = HttpCall::post(peer.addr, path.as_str(), body)
+            .header(SIGNATURE_HEADER, request.to_string());
+        let http = match path {
             PeerPath::Submit => self.http.send_once(call, wait).await,
             PeerPath::Dispatch
             | PeerPath::Hello
             | PeerPath::Status
             | PeerPath::Explain
             | PeerPath::Outcome => self.http.send(call, wait).await,
-        }
+        }?;
+        Ok(PeerReply { request, http })
+    }
+
+    /// The whole body of an answer whose signature holds.
+    async fn whole(&self, reply: PeerReply) -> std::result::Result<Bytes, CallFailure> {
+        let status = reply.http.status;
+        let header = reply.http.header(ANSWER_HEADER).map(str::to_owned);
+        let body = reply.http.whole().await?;
+        self.verify(&reply.request, status, Some(&body), header.as_deref())?;
+        Ok(body)
+    }
+
+    /// Checks an answer's signature; an answer without one proves nothing.
+    fn verify(
+        &self,
+        request: &PeerSignature,
+        status: StatusCode,
+        body: Option<&[u8]>,
+        header: Option<&str>,
+    ) -> std::result::Result<(), CallFailure> {
+        let answer = SignedAnswer { request, status: status.as_u16(), body };
+        self.signer.verify_answer(&answer, header).map_err(|error| CallFailure {
+            end: DispatchEnd::Failed,
+            detail: format!("status {}: {}", status.as_u16(), error.detail),
+        })
     }
 
     fn sign(
@@ -112,12 +148,12 @@
         peer: &PeerTarget,
         path: PeerPath,
         body: &[u8],
-    ) -> std::result::Result<String, CallFailure> {
+    ) -> std::result::Result<PeerSignature, CallFailure> {
         let nonce = random_nonce()
             .map_err(|e| CallFailure { end: DispatchEnd::ResetBeforeSend, detail: e.detail })?;
         let request =
             SignedRequest { method: "POST", path: path.as_str(), receiver: &peer.name, body };
-        Ok(self.signer.sign(wall_clock(), nonce, &request).to_string())
+        Ok(self.signer.sign(wall_clock(), nonce, &request))
     }
 }
 
@@ -145,17 +181,9 @@
     }
 }
 
-async fn problem(reply: HttpReply) -> Error {
-    let status = reply.status;
-    match reply.whole().await {
-        Ok(body) => match serde_json::from_slice::<Problem>(&body) {
-            Ok(problem) => Error {
-                kind: problem.kind,
-                detail: problem.detail,
-                retry_after: problem.retry_after_s.map(Duration::from_secs),
-            },
-            Err(_) => Error::new(ErrorKind::Internal, format!("peer answered {status}")),
-        },
-        Err(failure) => failure.into_error(ErrorKind::OutcomeUnknown),
+fn problem(body: &[u8]) -> Error {
+    match serde_json::from_slice::<Problem>(body) {
+        Ok(problem) => problem.into(),
+        Err(e) => Error::new(ErrorKind::Internal, format!("peer's error can't be read: {e}")),
     }
 }
--- a/tests/auth.rs
+++ b/tests/auth.rs
@@ -11,7 +11,9 @@
 use tamaracklead::auth::CallerGuard;
 use tamaracklead::auth::OperatorGuard;
 use tamaracklead::auth::PeerGuard;
+use tamaracklead::auth::PeerSignature;
 use tamaracklead::auth::PeerSigner;
+use tamaracklead::auth::SignedAnswer;
 use tamaracklead::auth::SignedRequest;
 use tamaracklead::decide::replay_window::MAX_SKEW;
 use tamaracklead::decide::replay_window::Nonce;
@@ -42,8 +44,8 @@
         SignedRequest { method: "POST", path: "/peer/v1/hello", receiver: &receiver, body: b"x" };
     let guard = PeerGuard::new(Key::new(KEY), START);
     let header = header(at(10), 7, &request);
-    let sender = guard.verify(at(20), Some(&header), &request).unwrap();
-    assert_eq!(sender, InstanceName::new("entry-1"));
+    let signature = guard.verify(at(20), Some(&header), &request).unwrap();
+    assert_eq!(signature.sender, InstanceName::new("entry-1"));
     let again = guard.verify(at(21), Some(&header), &request).unwrap_err();
     assert_eq!(again.kind, ErrorKind::Unauthenticated);
 }
@@ -71,6 +73,31 @@
     assert!(guard.verify(at(20), Some(&header), &good).is_err(), "another key");
 }
 
+#[test]
+fn an_answer_is_bound_to_its_request_status_and_body() {
+    let receiver = InstanceName::new("entry-2");
+    let request = SignedRequest { method: "POST", path: "/", receiver: &receiver, body: b"x" };
+    let key = Key::new(KEY);
+    let parse = |nonce| header(at(10), nonce, &request).parse::<PeerSignature>().unwrap();
+    let (signature, other) = (parse(7), parse(8));
+    let good = SignedAnswer { request: &signature, status: 200, body: Some(b"yes") };
+    let signed = good.sign(&key);
+    assert!(good.verify(&key, Some(&signed)).is_ok());
+    let cases = [
+        ("another request", SignedAnswer { request: &other, ..good }),
+        ("another status", SignedAnswer { status: 503, ..good }),
+        ("another body", SignedAnswer { body: Some(b"no"), ..good }),
+        ("a stream", SignedAnswer { body: None, ..good }),
+    ];
+    for (what, answer) in cases {
+        assert!(answer.verify(&key, Some(&signed)).is_err(), "{what}");
+    }
+    assert!(good.verify(&Key::new(b"another-key-of-16-bytes"), Some(&signed)).is_err());
+    for damaged in [None, Some(""), Some("00"), Some(&signed[1..]), Some("é")] {
+        assert!(good.verify(&key, damaged).is_err(), "{damaged:?}");
+    }
+}
+
 #[test]
 fn a_damaged_header_is_refused() {
     let receiver = InstanceName::new("entry-2");
--- a/tests/contract_peers.rs
+++ b/tests/contract_peers.rs
@@ -2,6 +2,9 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -12,6 +15,8 @@
 use support::daemon::wait_until;
 use support::http::Call;
 use support::platform::Platform;
+use support::stub_server::StubReply;
+use support::stub_server::StubServer;
 use tamaracklead::auth::PeerSigner;
 use tamaracklead::auth::SIGNATURE_HEADER;
 use tamaracklead::auth::SignedRequest;
@@ -114,6 +119,26 @@
     }
 }
 
+#[test]
+fn an_impostor_at_a_peers_address_is_not_believed() {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&asked);
+    let impostor = StubServer::start(move |_| {
+        count.fetch_add(1, Ordering::SeqCst);
+        StubReply::Whole(200, "application/msgpack", hello())
+    });
+    let platform = Platform::start();
+    let daemon = Daemon::start("entry-1", &platform, |_| {});
+    platform.list(&json!([daemon.entry(), {
+        "name": "entry-9", "peer_addr": impostor.addr, "data_centre": "cairo-a", "state": "live",
+    }]));
+    wait_until(SEEN_LIMIT, || asked.load(Ordering::SeqCst) >= 3);
+    assert_eq!(daemon.operator_get("/operator/v1/status")["live_peers"], json!([]));
+    let fleet = daemon.operator_get("/operator/v1/fleet");
+    let error = fleet["members"][1]["error"].as_str().unwrap();
+    assert!(error.contains("signature does not hold"), "{fleet}");
+}
+
 #[test]
 fn a_draft_and_a_submission_reach_their_instance_from_any_entry() {
     let platform = Platform::start();
