Keep idle connections longer than clients do; one type a file in the tool

The server closed idle connections after 5 s while clients of the system kept theirs for 20 s, so a dispatch could be sent on a connection being closed and end as a failure that may have run.

--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -1,9 +1,10 @@
 //! What the command line asks for.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
+use super::Access;
+use super::Input;
 use crate::decide::audit::SlotBudget;
 use crate::decide::audit::StoreBudget;
 use crate::names::Generation;
@@ -11,37 +12,6 @@
 use crate::names::RequestId;
 use crate::wire::caller::CompletionRequest;
 
-/// One call of the tool.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// What to do.
-    pub command: Command,
-    /// Whether reports are JSON.
-    pub json: bool,
-    /// Widest line of a table, in characters.
-    pub width: usize,
-}
-
-/// Which instances to ask, and with which key.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Access {
-    /// Addresses, tried in this order.
-    pub addrs: Vec<SocketAddr>,
-    /// File of the bearer key, if one is needed.
-    pub key_file: Option<PathBuf>,
-}
-
-/// Where a caller's text or body comes from.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Input {
-    /// Standard input.
-    Stdin,
-    /// A file.
-    File(PathBuf),
-    /// The command line.
-    Text(String),
-}
-
 /// What to do.
 #[derive(Clone, Debug)]
 pub enum Command {
--- a/src/cli/input.rs
+++ b/src/cli/input.rs
@@ -3,12 +3,23 @@
 use std::fs;
 use std::io;
 use std::path::Path;
+use std::path::PathBuf;
 
 use super::Failure;
-use super::Input;
 
 const STDIN_NAME: &str = "standard input";
 
+/// Where a caller's text or body comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Input {
+    /// Standard input.
+    Stdin,
+    /// A file.
+    File(PathBuf),
+    /// The command line.
+    Text(String),
+}
+
 impl Input {
     /// Reads all of it.
     pub(super) fn read(&self) -> Result<String, Failure> {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,8 +4,10 @@
 //! [`Command`]; [`run`] does the work and gives the exit code. Every command
 //! builds one report, which is shown as text or, with `--json`, as JSON.
 
+mod access;
 mod ask;
 mod command;
+mod config;
 mod config_check;
 mod exit;
 mod explain;
@@ -25,12 +27,12 @@
 use std::future::Future;
 use std::io::Write;
 
-pub use command::Access;
+pub use access::Access;
 pub use command::Command;
-pub use command::Config;
-pub use command::Input;
+pub use config::Config;
 pub use exit::Exit;
 pub use failure::Failure;
+pub use input::Input;
 use report::Output;
 pub use table::Table;
 use tokio::runtime::Builder;
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -42,6 +42,9 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 
+/// Time after which an unused connection is closed; longer than clients of this
+/// system keep theirs, so that none sends on a connection that is being closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// Largest head of a request, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Most headers that the server reads; the settings may allow fewer.
@@ -100,6 +103,7 @@
             .serve()
             .disable_signal()
             .worker_threads(threads)
+            .keep_alive_timeout(KEEP_ALIVE)
             .request_head_timeout(limits.head_timeout)
             .max_read_buf_size::<MAX_HEAD_BYTES>()
             .max_request_headers::<MAX_HEADERS>()
