--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -154,6 +154,7 @@
                 kind: problem.kind,
                 detail: problem.detail,
                 retry_after: problem.retry_after_s.map(Duration::from_secs),
+                may_have_run: !problem.not_run,
             },
             Err(_) => Error::new(ErrorKind::Internal, format!("peer answered {status}")),
         },
