--- /dev/null
+++ b/src/wire/gossip.rs
@@ -0,0 +1,153 @@
+//! Heartbeats between entry instances and the news that they carry.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::published::PageRef;
+use crate::names::BackendName;
+use crate::names::DataCentre;
+use crate::names::Generation;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+
+/// One content of one generation; a higher generation always orders higher.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ConfigId {
+    /// Generation of the root.
+    pub generation: Generation,
+    /// XXH3 (64 bits) of the root's bytes.
+    pub root_hash: u64,
+}
+
+/// What is believed of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberStatus {
+    /// It answers.
+    Alive,
+    /// It didn't answer and may still refute that.
+    Suspect,
+    /// It didn't refute the suspicion in time.
+    Dead,
+}
+
+/// State of one member, as it says of itself or as others believe.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberNews {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Address of its listener for peers.
+    pub addr: SocketAddr,
+    /// Data centre that it runs in.
+    pub dc: DataCentre,
+    /// Incarnation of its process.
+    pub inc: Incarnation,
+    /// Raised by the member itself to refute a suspicion or an earlier incarnation.
+    pub epoch: u64,
+    /// What is believed of it.
+    pub status: MemberStatus,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Configuration in effect at the member.
+    pub config: Option<ConfigId>,
+    /// Whether its last read of the configuration service succeeded.
+    pub reads: bool,
+}
+
+/// A backend server that some source said is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BackendLeaving {
+    /// Name of the backend server.
+    pub name: BackendName,
+    /// Incarnation that leaves, if it is known.
+    pub inc: Option<Incarnation>,
+}
+
+/// News of another module; equal topic and key mean equal news.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TopicNews {
+    /// Module that it is for.
+    pub topic: Topic,
+    /// Key within the topic.
+    pub key: u64,
+    /// Value that belongs to the key.
+    pub value: u64,
+}
+
+/// Modules that spread news of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Topic {
+    /// Strikes against requests that crash engines.
+    Quarantine,
+}
+
+/// One piece of news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum News {
+    /// State of a member.
+    Member(MemberNews),
+    /// A backend server leaves.
+    Backend(BackendLeaving),
+    /// News of another module.
+    Topic(TopicNews),
+}
+
+/// What a message asks of its receiver.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GossipKind {
+    /// To answer.
+    Probe,
+    /// To probe another member and to say whether it answered.
+    ProbeFor {
+        /// Member to probe.
+        target: InstanceName,
+    },
+    /// Nothing: a member that the receiver asked about has answered.
+    Reached {
+        /// Member that answered.
+        target: InstanceName,
+        /// Incarnation that answered.
+        inc: Incarnation,
+    },
+    /// Nothing: urgent news.
+    Push,
+}
+
+/// Body of `POST /peer/v1/gossip`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Gossip {
+    /// The sender's own state.
+    pub from: MemberNews,
+    /// What is asked.
+    pub kind: GossipKind,
+    /// Further news.
+    pub news: Vec<News>,
+}
+
+/// Answer to a [`Gossip`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipAnswer {
+    /// The answering instance's own state.
+    pub from: MemberNews,
+    /// Further news.
+    pub news: Vec<News>,
+}
+
+/// Body of `POST /peer/v1/config`: a read of the configuration in effect at a peer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigRead {
+    /// Page to read; the root if there's none.
+    pub page: Option<PageRef>,
+}
+
+/// Answer to a [`ConfigRead`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigAnswer {
+    /// The published bytes, which are JSON; `None` if the peer doesn't hold them.
+    pub text: Option<String>,
+}
--- a/src/wire/listing.rs
+++ b/src/wire/listing.rs
@@ -7,6 +7,7 @@
 
 use crate::names::BackendName;
 use crate::names::DataCentre;
+use crate::names::Incarnation;
 use crate::names::InstanceName;
 use crate::names::ModelName;
 
@@ -41,6 +42,9 @@
     pub addr: SocketAddr,
     /// Data centre that it runs in.
     pub data_centre: DataCentre,
+    /// Incarnation of the process behind the address, if the platform knows it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub incarnation: Option<Incarnation>,
     /// Whether it is live or leaving.
     pub state: ListedState,
     /// What it serves.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -9,6 +9,7 @@
 pub mod desk;
 pub mod engine;
 pub mod frame;
+pub mod gossip;
 pub mod listing;
 pub mod operator;
 pub mod peer;
