--- a/src/decide/config/snapshot.rs
+++ b/src/decide/config/snapshot.rs
@@ -15,7 +15,9 @@
 use crate::names::ModelName;
 use crate::names::PageName;
 use crate::wire::caller::VersionChoice;
+use crate::wire::gossip::ConfigId;
 use crate::wire::published::Page;
+use crate::wire::published::PageRef;
 use crate::wire::published::Preset;
 use crate::wire::published::PublishedAdapter;
 use crate::wire::published::Root;
@@ -77,6 +79,22 @@
         self.root.generation
     }
 
+    /// Generation and hash of the content.
+    pub fn id(&self) -> ConfigId {
+        Self::id_of(&self.root, &self.root_bytes)
+    }
+
+    /// Generation and hash of a root.
+    pub fn id_of(root: &Root, bytes: &[u8]) -> ConfigId {
+        ConfigId { generation: root.generation, root_hash: xxh3_64(bytes) }
+    }
+
+    /// Bytes of a page, if the snapshot holds it with the same hash.
+    pub fn page(&self, wanted: &PageRef) -> Option<&Bytes> {
+        let held = self.root.pages.iter().any(|page| page == wanted);
+        held.then(|| self.pages.get(&wanted.name)).flatten()
+    }
+
     /// The root.
     pub fn root(&self) -> &Root {
         &self.root
--- /dev/null
+++ b/src/decide/config/source.rs
@@ -0,0 +1,23 @@
+//! Where a configuration is read from.
+
+use std::fmt;
+
+use crate::names::InstanceName;
+
+/// A place that published bytes are read from.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Source {
+    /// The configuration service.
+    Service,
+    /// Another entry instance.
+    Peer(InstanceName),
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Service => f.write_str("the configuration service"),
+            Self::Peer(name) => write!(f, "instance {:?}", name.as_str()),
+        }
+    }
+}
