--- /dev/null
+++ b/src/decide/backends/book.rs
@@ -0,0 +1,91 @@
+//! The backend servers that one instance knows of.
+
+use std::collections::BTreeMap;
+
+use super::leaving_marks::LeavingMarks;
+use crate::names::BackendName;
+use crate::names::Incarnation;
+use crate::names::ModelName;
+use crate::names::Timestamp;
+use crate::wire::gossip::BackendLeaving;
+use crate::wire::listing::BackendRole;
+use crate::wire::listing::ListedBackend;
+use crate::wire::listing::ListedState;
+
+/// The backend servers that one instance knows of.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    known: BTreeMap<BackendName, ListedBackend>,
+    marks: LeavingMarks,
+}
+
+impl Backends {
+    /// Takes the platform's list; returns what it newly says is leaving.
+    pub fn on_listing(
+        &mut self,
+        now: Timestamp,
+        listed: Vec<ListedBackend>,
+    ) -> Vec<BackendLeaving> {
+        let mut news = Vec::new();
+        for backend in listed.iter().filter(|backend| backend.state == ListedState::Leaving) {
+            let mark = BackendLeaving { name: backend.name.clone(), inc: backend.incarnation };
+            if self.marks.add(now, mark.clone()) {
+                news.push(mark);
+            }
+        }
+        self.marks.refresh(now, &listed);
+        self.known = listed.into_iter().map(|backend| (backend.name.clone(), backend)).collect();
+        news
+    }
+
+    /// Takes a peer's word that a backend server leaves; returns whether it is new.
+    pub fn on_leaving(&mut self, now: Timestamp, mark: BackendLeaving) -> bool {
+        self.marks.add(now, mark)
+    }
+
+    /// Takes a backend server's own answer that it leaves; returns the news, if it is any.
+    pub fn on_own_answer(
+        &mut self,
+        now: Timestamp,
+        name: &BackendName,
+        incarnation: Option<Incarnation>,
+    ) -> Option<BackendLeaving> {
+        let listed = self.known.get(name).and_then(|backend| backend.incarnation);
+        let mark = BackendLeaving { name: name.clone(), inc: incarnation.or(listed) };
+        self.marks.add(now, mark.clone()).then_some(mark)
+    }
+
+    /// One backend server by name.
+    pub fn get(&self, name: &BackendName) -> Option<&ListedBackend> {
+        self.known.get(name)
+    }
+
+    /// Whether a backend server may get new work.
+    pub fn may_get_work(&self, name: &BackendName) -> bool {
+        self.known.get(name).is_some_and(|backend| self.is_live(backend))
+    }
+
+    /// Engines of a base model that may get new work.
+    pub fn live_engines(&self, wanted: &ModelName) -> Vec<&ListedBackend> {
+        let serves = |backend: &&ListedBackend| matches!(&backend.role, BackendRole::Engine { model, .. } if model == wanted);
+        self.live().filter(serves).collect()
+    }
+
+    /// Every engine that may get new work.
+    pub fn all_live_engines(&self) -> Vec<&ListedBackend> {
+        self.live().filter(|backend| matches!(backend.role, BackendRole::Engine { .. })).collect()
+    }
+
+    /// Desks that may get new work.
+    pub fn live_desks(&self) -> Vec<&ListedBackend> {
+        self.live().filter(|backend| backend.role == BackendRole::Desk).collect()
+    }
+
+    fn live(&self) -> impl Iterator<Item = &ListedBackend> {
+        self.known.values().filter(|backend| self.is_live(backend))
+    }
+
+    fn is_live(&self, backend: &ListedBackend) -> bool {
+        backend.state == ListedState::Live && !self.marks.covers(backend)
+    }
+}
--- /dev/null
+++ b/src/decide/fleet/core.rs
@@ -0,0 +1,261 @@
+//! The fleet as one instance knows it.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::FleetAction;
+use super::listing_reads::ListingReads;
+use crate::decide::backends::Backends;
+use crate::decide::config::ConfigAction;
+use crate::decide::config::ConfigSync;
+use crate::decide::config::ServiceAnswer;
+use crate::decide::config::ServiceHealth;
+use crate::decide::config::Source;
+use crate::decide::config::is_reader;
+use crate::decide::membership::Identity;
+use crate::decide::membership::Member;
+use crate::decide::membership::Membership;
+use crate::decide::membership::MembershipAction;
+use crate::names::BackendName;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+use crate::names::Timestamp;
+use crate::wire::gossip::Gossip;
+use crate::wire::gossip::GossipAnswer;
+use crate::wire::gossip::MemberNews;
+use crate::wire::gossip::TopicNews;
+use crate::wire::listing::Listing;
+use crate::wire::published::PageRef;
+
+/// Time between two choices of the readers.
+const READER_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Members, configuration and backend servers as one instance knows them.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    members: Membership,
+    config: ConfigSync,
+    backends: Backends,
+    listing: ListingReads,
+    reader: bool,
+    next_choice: Timestamp,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    /// A new instance that knows of nothing.
+    pub fn new(now: Timestamp, identity: Identity, seed: u64) -> Self {
+        Self {
+            members: Membership::new(now, identity, seed),
+            config: ConfigSync::new(now, seed.rotate_left(1)),
+            backends: Backends::default(),
+            listing: ListingReads::new(),
+            reader: true,
+            next_choice: now,
+            rng: ChaCha8Rng::seed_from_u64(seed.rotate_left(2)),
+        }
+    }
+
+    /// The members.
+    pub fn members(&self) -> &Membership {
+        &self.members
+    }
+
+    /// The configuration.
+    pub fn config(&self) -> &ConfigSync {
+        &self.config
+    }
+
+    /// The backend servers.
+    pub fn backends(&self) -> &Backends {
+        &self.backends
+    }
+
+    /// Whether this instance may take new work.
+    pub fn is_ready(&self) -> bool {
+        self.members.is_joined() && self.config.is_ready()
+    }
+
+    /// Whether a backend server may get new work now; asked immediately before each dispatch.
+    pub fn may_dispatch(&self, now: Timestamp, name: &BackendName) -> bool {
+        let informed = self.members.is_joined() && !self.members.is_paused(now);
+        informed && self.backends.may_get_work(name)
+    }
+
+    /// Whether this instance watches the configuration service.
+    pub fn is_reader(&self) -> bool {
+        self.reader
+    }
+
+    /// Tells the others that this instance takes no new work.
+    pub fn set_draining(&mut self) {
+        self.members.set_draining();
+    }
+
+    /// Makes the reads, probes and pushes that are due.
+    pub fn tick(&mut self, now: Timestamp) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let membership = self.members.tick(now);
+        self.on_membership(now, membership, &mut actions);
+        self.choose_reader(now);
+        let config = self.config.tick(now, self.members.is_joined(), self.reader);
+        self.on_config(config, &mut actions);
+        if self.listing.is_due(now, self.reader, &mut self.rng) {
+            actions.push(FleetAction::ReadListing);
+        }
+        actions
+    }
+
+    /// Takes the platform's list; `None` if the read failed.
+    pub fn on_listing(&mut self, now: Timestamp, listing: Option<Listing>) -> Vec<FleetAction> {
+        self.listing.on_end(listing.is_some());
+        let Some(listing) = listing else { return Vec::new() };
+        self.members.on_listing(now, &listing.entries);
+        let mut actions = Vec::new();
+        for mark in self.backends.on_listing(now, listing.backends) {
+            self.members.spread_leaving(now, mark.clone());
+            actions.push(FleetAction::BackendLeaving(mark));
+        }
+        actions
+    }
+
+    /// Takes a backend server's own answer that it leaves.
+    pub fn on_backend_answer(
+        &mut self,
+        now: Timestamp,
+        name: &BackendName,
+        incarnation: Option<Incarnation>,
+    ) -> Vec<FleetAction> {
+        let Some(mark) = self.backends.on_own_answer(now, name, incarnation) else {
+            return Vec::new();
+        };
+        self.members.spread_leaving(now, mark.clone());
+        vec![FleetAction::BackendLeaving(mark)]
+    }
+
+    /// Spreads news of another module.
+    pub fn spread(&mut self, now: Timestamp, news: TopicNews) {
+        self.members.spread_topic(now, news);
+    }
+
+    /// Takes a peer's message and returns the answer.
+    pub fn on_gossip(
+        &mut self,
+        now: Timestamp,
+        message: Gossip,
+    ) -> (GossipAnswer, Vec<FleetAction>) {
+        let mut actions = Vec::new();
+        let (answer, membership) = self.members.on_gossip(now, message);
+        self.on_membership(now, membership, &mut actions);
+        (answer, actions)
+    }
+
+    /// Takes the answer to a message; `None` if the call failed.
+    pub fn on_gossip_answer(
+        &mut self,
+        now: Timestamp,
+        to: &InstanceName,
+        call: u64,
+        answer: Option<GossipAnswer>,
+    ) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let membership = self.members.on_answer(now, to, call, answer);
+        self.on_membership(now, membership, &mut actions);
+        actions
+    }
+
+    /// Takes the end of a call to the configuration service.
+    pub fn on_service(
+        &mut self,
+        now: Timestamp,
+        call: u64,
+        answer: ServiceAnswer,
+    ) -> Vec<FleetAction> {
+        let config = self.config.on_service(now, call, answer);
+        self.with_config(config)
+    }
+
+    /// Takes the root in effect at a peer; `None` if the read failed.
+    pub fn on_peer_root(
+        &mut self,
+        now: Timestamp,
+        peer: &InstanceName,
+        bytes: Option<Bytes>,
+    ) -> Vec<FleetAction> {
+        let config = self.config.on_peer_root(now, peer, bytes);
+        self.with_config(config)
+    }
+
+    /// Takes a page; `None` if the read failed.
+    pub fn on_page(
+        &mut self,
+        now: Timestamp,
+        from: &Source,
+        page: &PageRef,
+        bytes: Option<Bytes>,
+    ) -> Vec<FleetAction> {
+        let config = self.config.on_page(now, from, page, bytes);
+        self.with_config(config)
+    }
+
+    fn with_config(&mut self, config: Vec<ConfigAction>) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        self.on_config(config, &mut actions);
+        actions
+    }
+
+    fn on_config(&mut self, config: Vec<ConfigAction>, actions: &mut Vec<FleetAction>) {
+        self.members.set_config(self.config.id());
+        self.members.set_reads(self.config.service_health() != ServiceHealth::Unreachable);
+        actions.extend(config.into_iter().map(FleetAction::Config));
+    }
+
+    fn on_membership(
+        &mut self,
+        now: Timestamp,
+        membership: Vec<MembershipAction>,
+        actions: &mut Vec<FleetAction>,
+    ) {
+        for action in membership {
+            match action {
+                MembershipAction::Send { to, addr, call, message } => {
+                    actions.push(FleetAction::Gossip { to, addr, call, message });
+                }
+                MembershipAction::PeerConfig { peer, config } => {
+                    let config = self.config.on_claim(now, &peer, config);
+                    self.on_config(config, actions);
+                }
+                MembershipAction::PeerGone { peer } => self.config.forget_peer(&peer),
+                MembershipAction::BackendLeaving(mark) => {
+                    if self.backends.on_leaving(now, mark.clone()) {
+                        actions.push(FleetAction::BackendLeaving(mark));
+                    }
+                }
+                MembershipAction::Topic(news) => actions.push(FleetAction::Topic(news)),
+                MembershipAction::Woke => {
+                    self.config.on_wake(now);
+                    self.listing.restart();
+                    actions.push(FleetAction::Woke);
+                }
+                MembershipAction::Superseded => actions.push(FleetAction::Superseded),
+            }
+        }
+    }
+
+    fn choose_reader(&mut self, now: Timestamp) {
+        if now < self.next_choice {
+            return;
+        }
+        self.next_choice = now + READER_INTERVAL;
+        let live: Vec<MemberNews> = self
+            .members
+            .all()
+            .filter(|member| member.is_alive())
+            .filter_map(Member::news)
+            .collect();
+        self.reader = is_reader(self.members.me(), live.iter());
+    }
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -14,6 +14,7 @@
 pub mod drain;
 pub mod echo;
 pub mod engine;
+pub mod fleet;
 pub mod membership;
 pub mod ownership;
 pub mod permits;
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -102,6 +102,8 @@
 pub enum GossipKind {
     /// To answer.
     Probe,
+    /// To answer with all lasting news: the sender has just started or was paused.
+    Join,
     /// To probe another member and to say whether it answered.
     ProbeFor {
         /// Member to probe.
