--- /dev/null
+++ b/tests/fleet/oracle.rs
@@ -0,0 +1,176 @@
+//! What must hold, from what was applied and which work would be dispatched.
+
+use tamaracklead::names::BackendName;
+use tamaracklead::names::Incarnation;
+use tamaracklead::wire::gossip::BackendLeaving;
+use tamaracklead::wire::listing::ListedState;
+use tamaracklead::wire::listing::Listing;
+
+use super::Node;
+use super::SECOND;
+use super::World;
+
+/// Time within which a leaving backend server gets no new work.
+const LEAVING_LIMIT: u64 = 3 * SECOND;
+/// Time within which all connected instances hold the highest generation.
+pub const SETTLE: u64 = 16 * SECOND;
+
+impl World {
+    /// Ends every fault but a stale or stopped service, and lets time pass.
+    pub fn settle(&mut self) {
+        self.heal();
+        self.loss_percent = 0;
+        self.duplicate_percent = 0;
+        let thawed = self.nodes.iter().map(|node| node.frozen_until).max().unwrap_or(0);
+        let frozen_for = thawed.saturating_sub(self.now);
+        self.run(frozen_for + SETTLE);
+    }
+
+    /// Checks that all instances agree, after [`Self::settle`].
+    pub fn check_settled(&self) {
+        let up = || self.nodes.iter().filter(|node| node.alive);
+        let held = up().filter_map(|node| node.generation()).max();
+        let service = &self.platform.service;
+        let sound = !service.down && !service.page_missing && !service.page_damaged;
+        let shown = service.history.get(service.shown).map(|shown| shown.generation.0);
+        let wanted = if sound { held.max(shown) } else { held };
+        for node in up() {
+            let name = node.index;
+            assert_eq!(node.generation(), wanted, "entry-{name} after all faults have ended");
+            let id = node.core.config().id();
+            let rival = up().any(|other| other.core.config().id() != id);
+            if rival {
+                assert!(node.core.config().in_conflict(), "entry-{name}: conflict not alarmed");
+            }
+            if wanted.is_some() {
+                assert!(node.core.is_ready(), "entry-{name} is not ready");
+            }
+        }
+        self.check_settled_backends();
+    }
+
+    fn check_settled_backends(&self) {
+        let Some(truth) = self.platform.truth.backends.first() else { return };
+        let Some(inc) = truth.incarnation else { return };
+        let marked = |node: &Node| {
+            let backends = node.core.backends();
+            let known = backends.get(&truth.name).and_then(|known| known.incarnation);
+            known == Some(inc) && !backends.may_get_work(&truth.name)
+        };
+        // What only instances that are gone have heard is lost with them.
+        let told = self.nodes.iter().any(|node| node.alive && marked(node));
+        for node in self.nodes.iter().filter(|node| node.alive) {
+            let works = self.may_dispatch(node.index);
+            let index = node.index;
+            let known = node.core.backends().get(&truth.name).and_then(|known| known.incarnation);
+            if told && known == Some(inc) {
+                assert!(!works, "entry-{index} dispatches to a leaving backend server");
+            }
+            let listed = !self.platform.lagging && !self.platform.list_down;
+            if listed && !told && truth.state == ListedState::Live {
+                assert!(works, "entry-{index} refuses a live backend server");
+            }
+        }
+    }
+
+    pub(super) fn note_said(&mut self, name: &str, incarnation: u64) {
+        self.said.entry((name.to_owned(), incarnation)).or_insert(self.now);
+    }
+
+    pub(super) fn note_listing(&mut self, listing: &Listing) {
+        for backend in &listing.backends {
+            if backend.state == ListedState::Leaving
+                && let Some(inc) = backend.incarnation
+            {
+                self.note_said(backend.name.as_str(), inc.0);
+            }
+        }
+    }
+
+    pub(super) fn note_asking(&mut self, index: usize) {
+        let now = self.now;
+        let holders = self
+            .nodes
+            .iter()
+            .filter(|node| node.index != index && node.runs(now))
+            .filter(|node| node.group == self.nodes[index].group)
+            .filter_map(|node| Some((node.index, node.incarnation, node.generation()?)))
+            .collect();
+        let seen = &mut self.nodes[index].seen;
+        seen.asking_since = Some(now);
+        seen.holders = holders;
+    }
+
+    /// Checks one instance after each event.
+    pub(super) fn check(&mut self, index: usize) {
+        self.check_never_reverts(index);
+        self.check_ready(index);
+        self.check_leaving(index);
+    }
+
+    fn check_never_reverts(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let Some(id) = node.core.config().id() else {
+            assert_eq!(node.seen.applied, None, "entry-{index} lost its configuration");
+            return;
+        };
+        if let Some(before) = node.seen.applied {
+            assert!(
+                id == before || id.generation > before.generation,
+                "entry-{index} went from {before:?} to {id:?}"
+            );
+        }
+        node.seen.applied = Some(id);
+    }
+
+    fn check_ready(&mut self, index: usize) {
+        if !self.nodes[index].core.is_ready() {
+            return;
+        }
+        let Some(since) = self.nodes[index].seen.asking_since.take() else { return };
+        if self.nodes[index].disturbed > since {
+            return;
+        }
+        let generation = self.nodes[index].generation().unwrap_or(0);
+        let holders = std::mem::take(&mut self.nodes[index].seen.holders);
+        for (holder, incarnation, held) in holders {
+            let peer = &self.nodes[holder];
+            let steady = peer.incarnation == incarnation && peer.disturbed <= since && peer.alive;
+            let listed =
+                self.platform.shown.entries.iter().any(|entry| entry.name == super::name(holder));
+            assert!(
+                !(steady && listed) || generation >= held,
+                "entry-{index} is ready with {generation} while entry-{holder} holds {held}"
+            );
+        }
+    }
+
+    fn check_leaving(&mut self, index: usize) {
+        let name = BackendName::new("engine-0");
+        let known = self.nodes[index].core.backends().get(&name);
+        let Some(inc) = known.and_then(|known| known.incarnation) else { return };
+        let works = self.may_dispatch(index);
+        let mark = BackendLeaving { name: name.clone(), inc: Some(Incarnation(inc.0)) };
+        let Some(said) = self.said.get(&(name.as_str().to_owned(), inc.0)).copied() else {
+            return;
+        };
+        let group = self.nodes[index].group;
+        let steady = self.nodes.iter().all(|node| node.disturbed < said && node.group == group);
+        if works && steady && self.loss_percent == 0 {
+            assert!(
+                self.now < said + LEAVING_LIMIT,
+                "entry-{index} dispatches to a backend server said to leave {} ms ago",
+                (self.now - said) / 1000
+            );
+        }
+        let node = &mut self.nodes[index];
+        if !node.core.backends().may_get_work(&name) {
+            node.seen.refused_work.insert(mark);
+        } else if works {
+            assert!(
+                !node.seen.refused_work.contains(&mark),
+                "entry-{index} took a leaving backend server back"
+            );
+        }
+    }
+}
