--- a/src/decide/membership/beliefs.rs
+++ b/src/decide/membership/beliefs.rs
@@ -66,7 +66,8 @@
         let same = member.incarnation == Some(news.inc) && member.epoch == news.epoch;
         let newer = member.incarnation.is_none() || news.epoch > member.epoch;
         let refutable = matches!(member.status, None | Some(MemberStatus::Alive));
-        if !newer && !(same && refutable) {
+        let believed = newer || (same && refutable);
+        if !believed {
             return;
         }
         let returned = !member.is_alive();
