--- a/tests/config_fuzz.rs
+++ b/tests/config_fuzz.rs
@@ -166,7 +166,7 @@
     }
 }
 
-fn run_cases(config: Config, rng: TestRng) {
+fn run_cases(config: &Config, rng: TestRng) {
     let strategy = Plan::sequential_strategy(1..MAX_STEPS);
     let mut runner = TestRunner::new_with_rng(config.clone(), rng);
     let outcome = runner.run(&strategy, |(plan, steps, seen)| {
@@ -185,7 +185,7 @@
 #[test]
 fn random_faults_never_break_what_must_hold() {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[SEED; 32]);
-    run_cases(config(CASES), rng);
+    run_cases(&config(CASES), rng);
 }
 
 /// Runs only when the variable sets a number of cases; each run draws fresh seeds.
@@ -195,5 +195,5 @@
     let Some(cases) = cases else { return };
     let seed: [u8; 32] = std::array::from_fn(|_| rand::random());
     println!("{CASES_VARIABLE}={cases} seed={seed:?}");
-    run_cases(config(cases), TestRng::from_seed(RngAlgorithm::ChaCha, &seed));
+    run_cases(&config(cases), TestRng::from_seed(RngAlgorithm::ChaCha, &seed));
 }
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,101 @@
+//! Backend servers that leave get no new work.
+
+mod fleet;
+
+use fleet::SECOND;
+use fleet::World;
+use tamaracklead::wire::listing::ListedState;
+
+fn started(size: usize) -> World {
+    let mut world = World::new(size, 3, 17);
+    world.run(3 * SECOND);
+    assert!((0..size).all(|index| world.may_dispatch(index)));
+    world
+}
+
+fn assert_refused(world: &World) {
+    for index in 0..world.nodes.len() {
+        assert!(!world.may_dispatch(index), "entry-{index} dispatches");
+    }
+}
+
+#[test]
+fn the_list_is_believed_within_three_seconds() {
+    for size in [1, 9, 50] {
+        let mut world = started(size);
+        world.set_backend(1, ListedState::Leaving);
+        world.run(4 * SECOND);
+        assert_refused(&world);
+    }
+}
+
+#[test]
+fn one_instances_word_reaches_all_within_three_seconds_while_the_list_says_live() {
+    for size in [2, 9, 50, 420] {
+        let mut world = started(size);
+        world.own_answer(0, 1);
+        world.run(3 * SECOND);
+        assert_refused(&world);
+        world.run(20 * SECOND);
+        assert_refused(&world);
+    }
+}
+
+#[test]
+fn a_list_that_says_live_again_is_not_believed() {
+    let mut world = started(3);
+    world.set_backend(1, ListedState::Leaving);
+    world.run(3 * SECOND);
+    world.set_backend(1, ListedState::Live);
+    world.run(30 * SECOND);
+    assert_refused(&world);
+}
+
+#[test]
+fn the_next_incarnation_of_a_backend_server_gets_work() {
+    let mut world = started(3);
+    world.own_answer(0, 1);
+    world.run(5 * SECOND);
+    world.set_backend(2, ListedState::Live);
+    world.run(3 * SECOND);
+    assert!((0..3).all(|index| world.may_dispatch(index)));
+}
+
+#[test]
+fn a_cut_off_side_hears_it_soon_after_the_partition_heals() {
+    let mut world = started(6);
+    world.partition(&[0, 0, 0, 1, 1, 1]);
+    world.run(60 * SECOND);
+    world.own_answer(0, 1);
+    world.run(300 * SECOND);
+    let knows = |index: usize, world: &World| !world.may_dispatch(index);
+    assert!((0..3).all(|index| knows(index, &world)));
+    assert!((3..6).all(|index| !knows(index, &world)), "nothing can have told the other side");
+    world.heal();
+    world.run(8 * SECOND);
+    assert_refused(&world);
+}
+
+#[test]
+fn a_paused_instance_dispatches_nothing_before_it_has_asked() {
+    let mut world = started(3);
+    world.freeze(2, 4 * SECOND);
+    world.own_answer(0, 1);
+    world.run(4 * SECOND + SECOND / 1000);
+    for _ in 0..40 {
+        assert!(!world.may_dispatch(2), "entry-2 dispatches by what it knew before its pause");
+        world.run(SECOND / 10);
+    }
+}
+
+#[test]
+fn a_restarted_instance_learns_it_from_its_peers() {
+    let mut world = started(3);
+    world.own_answer(0, 1);
+    world.run(120 * SECOND);
+    world.restart(2);
+    for _ in 0..40 {
+        world.run(SECOND / 10);
+        assert!(!world.may_dispatch(2));
+    }
+}
