Let members pull the lasting news they miss; ask again after a pause in any phase

Fuzzing found an instance that had been cut off for half a second and never heard that a backend server leaves: the news had been sent as often as it may be. Messages now carry a digest of the lasting news, and news its age. A process that was paused while joining outranked the one that replaced it.

--- a/src/decide/membership/beliefs.rs
+++ b/src/decide/membership/beliefs.rs
@@ -36,9 +36,7 @@
         }
         self.probes.clear();
         self.rival = None;
-        if self.phase == Phase::Joined {
-            self.phase = Phase::Rejoining;
-        }
+        self.phase = Phase::Rejoining;
         self.phase_since = now;
         self.next_probe = now;
         for member in self.members.values_mut() {
@@ -89,7 +87,6 @@
         actions.push(MembershipAction::PeerConfig { peer, config });
         if returned {
             self.queue.push_member(now, news.clone());
-            self.queue.renew();
         }
     }
 
@@ -103,14 +100,14 @@
         for item in news {
             match item {
                 News::Member(news) => self.take_member(now, &news, actions),
-                News::Backend(news) => {
-                    if self.queue.push_backend(now, news.clone()) {
+                News::Backend { leaving, age_s } => {
+                    if self.queue.push_backend(now, leaving.clone(), age_s) {
                         self.push_due = true;
-                        actions.push(MembershipAction::BackendLeaving(news));
+                        actions.push(MembershipAction::BackendLeaving(leaving));
                     }
                 }
-                News::Topic(news) => {
-                    if self.queue.push_topic(now, news.clone()) {
+                News::Topic { news, age_s } => {
+                    if self.queue.push_topic(now, news.clone(), age_s) {
                         self.push_due = true;
                         actions.push(MembershipAction::Topic(news));
                     }
@@ -275,7 +272,12 @@
             to: news.name.clone(),
             addr: news.addr,
             call: self.serial,
-            message: Gossip { from: self.me.clone(), kind: GossipKind::Probe, news: Vec::new() },
+            message: Gossip {
+                from: self.me.clone(),
+                kind: GossipKind::Probe,
+                digest: self.queue.digest(),
+                news: Vec::new(),
+            },
         });
     }
 
--- a/src/decide/membership/core.rs
+++ b/src/decide/membership/core.rs
@@ -9,6 +9,7 @@
 use super::Member;
 use super::MembershipAction;
 use super::limits::PAUSE_LIMIT;
+use super::limits::SWEEP_INTERVAL;
 use super::news_queue::NewsQueue;
 use super::probes::Probes;
 use super::push_budget::PushBudget;
@@ -65,6 +66,7 @@
     pub(super) round: Vec<InstanceName>,
     pub(super) next_probe: Timestamp,
     pub(super) next_reconnect: Timestamp,
+    pub(super) next_sweep: Timestamp,
     /// Call to the process that others know under this instance's name, and their news.
     pub(super) rival: Option<(u64, MemberNews)>,
     pub(super) phase: Phase,
@@ -99,6 +101,7 @@
             round: Vec::new(),
             next_probe: now,
             next_reconnect: now,
+            next_sweep: now,
             rival: None,
             phase: Phase::Joining,
             phase_since: now,
@@ -169,12 +172,12 @@
 
     /// Spreads that a backend server leaves.
     pub fn spread_leaving(&mut self, now: Timestamp, news: BackendLeaving) {
-        self.push_due |= self.queue.push_backend(now, news);
+        self.push_due |= self.queue.push_backend(now, news, 0);
     }
 
     /// Spreads news of another module.
     pub fn spread_topic(&mut self, now: Timestamp, news: TopicNews) {
-        self.push_due |= self.queue.push_topic(now, news);
+        self.push_due |= self.queue.push_topic(now, news, 0);
     }
 
     /// Takes the platform's list; this instance's own entry is left out.
@@ -207,8 +210,11 @@
         self.probe_lost(now, &mut actions);
         self.probe_indirectly(now, &mut actions);
         self.suspect_silent(now);
-        self.bury_suspects(now, &mut actions);
-        self.forget_old(now);
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.bury_suspects(now, &mut actions);
+            self.forget_old(now);
+        }
         self.push_news(now, &mut actions);
         actions
     }
@@ -222,18 +228,16 @@
         let mut actions = self.observe(now);
         let sender = message.from.name.clone();
         let joining = message.kind == GossipKind::Join;
+        let digest = message.digest;
         self.take_direct(now, &message.from, &mut actions);
         self.take_news(now, message.news, &mut actions);
         match message.kind {
             GossipKind::Probe | GossipKind::Join | GossipKind::Push => {}
-            GossipKind::ProbeFor { target } => self.probe_for(sender, target, &mut actions),
+            GossipKind::ProbeFor { target } => self.probe_for(now, sender, target, &mut actions),
             GossipKind::Reached { target, inc } => self.on_reached(now, &target, inc),
         }
         let mut news = self.correction(&message.from);
-        news.extend(match joining {
-            true => self.queue.lasting(),
-            false => self.queue.take(self.members.len()),
-        });
+        news.extend(self.news_for(now, joining, digest));
         self.push_news(now, &mut actions);
         (GossipAnswer { from: self.me.clone(), news }, actions)
     }
@@ -264,7 +268,7 @@
         self.take_direct(now, &answer.from, &mut actions);
         self.take_news(now, answer.news, &mut actions);
         if let Some((target, origin)) = relay {
-            self.send(&origin, GossipKind::Reached { target, inc }, &mut actions);
+            self.send(now, &origin, GossipKind::Reached { target, inc }, &mut actions);
         }
         self.push_news(now, &mut actions);
         actions
--- a/src/decide/membership/limits.rs
+++ b/src/decide/membership/limits.rs
@@ -32,16 +32,20 @@
 ///
 /// Half the time within which leaving backend servers get no new work.
 pub const PAUSE_LIMIT: Duration = Duration::from_millis(1500);
+/// Time between two searches for members to give up or forget.
+pub const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// Members that urgent news is pushed to at once.
-pub const PUSH_FANOUT: usize = 3;
+pub const PUSH_FANOUT: usize = 4;
 /// Pushed messages in a second, on average.
 pub const PUSHES_PER_SECOND: f64 = 2.0;
 /// Pushed messages in one burst.
-pub const PUSH_BURST: f64 = 9.0;
+pub const PUSH_BURST: f64 = 12.0;
 /// Encoded news in one message, in bytes.
 pub const MAX_NEWS_BYTES: usize = 600;
 /// Encoded news in the answer to a joining member, in bytes.
 pub const MAX_JOIN_BYTES: usize = 32 * 1024;
+/// Encoded news in the answer to a member that misses some, in bytes.
+pub const MAX_PULL_BYTES: usize = 2 * 1024;
 /// Transmissions of one piece of news, for each doubling of the fleet.
 pub const SENDS_PER_DOUBLING: u32 = 4;
 /// Pieces of news that are kept for sending.
--- a/src/decide/membership/news_queue.rs
+++ b/src/decide/membership/news_queue.rs
@@ -1,8 +1,8 @@
 //! News that is still to be passed on.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use super::limits::MAX_JOIN_BYTES;
 use super::limits::MAX_NEWS_BYTES;
 use super::limits::MAX_QUEUED;
 use super::limits::NEWS_KEEP;
@@ -29,10 +29,20 @@
     news: News,
     sends: u32,
     bytes: usize,
-    since: Timestamp,
+    /// Hash of lasting news; zero for news of members, which doesn't last.
+    hash: u64,
+    until: Timestamp,
 }
 
-/// News with the number of its transmissions, the least sent first.
+impl Queued {
+    /// The news with its age at this time.
+    fn aged(&self, now: Timestamp) -> News {
+        let age = NEWS_KEEP.saturating_sub(self.until.since(now));
+        self.news.clone().with_age(age.as_secs() as u32)
+    }
+}
+
+/// News with the number of its transmissions; urgent news first, then the least sent.
 #[derive(Clone, Debug, Default)]
 pub struct NewsQueue {
     queued: BTreeMap<NewsKey, Queued>,
@@ -42,61 +52,50 @@
     /// Adds news about a member.
     pub fn push_member(&mut self, now: Timestamp, news: MemberNews) {
         let key = NewsKey::Member(news.name.clone());
-        self.insert(now, key, News::Member(news));
+        self.insert(key, News::Member(news), now + NEWS_KEEP);
     }
 
     /// Adds news about a backend server; returns whether it is new.
-    pub fn push_backend(&mut self, now: Timestamp, news: BackendLeaving) -> bool {
-        let key = NewsKey::Backend(news.clone());
-        let is_new = !self.queued.contains_key(&key);
-        if is_new {
-            self.insert(now, key, News::Backend(news));
-        }
-        is_new
+    pub fn push_backend(&mut self, now: Timestamp, leaving: BackendLeaving, age_s: u32) -> bool {
+        let key = NewsKey::Backend(leaving.clone());
+        self.push_lasting(now, key, News::Backend { leaving, age_s }, age_s)
     }
 
     /// Adds news of another module; returns whether it is new.
-    pub fn push_topic(&mut self, now: Timestamp, news: TopicNews) -> bool {
+    pub fn push_topic(&mut self, now: Timestamp, news: TopicNews, age_s: u32) -> bool {
         let key = NewsKey::Topic(news.clone());
-        let is_new = !self.queued.contains_key(&key);
-        if is_new {
-            self.insert(now, key, News::Topic(news));
-        }
-        is_new
+        self.push_lasting(now, key, News::Topic { news, age_s }, age_s)
     }
 
-    /// Sends lasting news again, for members that may have missed it.
-    pub fn renew(&mut self) {
-        for (key, queued) in &mut self.queued {
-            if !matches!(key, NewsKey::Member(_)) {
-                queued.sends = 0;
-            }
-        }
+    /// Digest of the lasting news; equal digests mean equal news.
+    pub fn digest(&self) -> u64 {
+        self.queued.values().fold(0, |digest, queued| digest ^ queued.hash)
     }
 
-    /// News of lasting use, for a member that has just started or was paused.
-    pub fn lasting(&self) -> Vec<News> {
-        let mut left = MAX_JOIN_BYTES;
+    /// Lasting news of up to `limit` bytes, from the piece at `start` on.
+    pub fn lasting(&self, now: Timestamp, limit: usize, start: usize) -> Vec<News> {
+        let lasting: Vec<&Queued> =
+            self.queued.values().filter(|queued| queued.hash != 0).collect();
+        let start = start % lasting.len().max(1);
+        let mut left = limit;
         let mut taken = Vec::new();
-        for (key, queued) in &self.queued {
-            if matches!(key, NewsKey::Member(_)) {
-                continue;
-            }
+        for queued in lasting.iter().cycle().skip(start).take(lasting.len()) {
             if queued.bytes > left {
                 break;
             }
             left -= queued.bytes;
-            taken.push(queued.news.clone());
+            taken.push(queued.aged(now));
         }
         taken
     }
 
     /// The news for one message to a fleet of this size.
-    pub fn take(&mut self, fleet: usize) -> Vec<News> {
+    pub fn take(&mut self, now: Timestamp, fleet: usize) -> Vec<News> {
         let most = SENDS_PER_DOUBLING * (fleet + 2).ilog2();
         let mut due: Vec<(&NewsKey, &mut Queued)> =
             self.queued.iter_mut().filter(|(_, queued)| queued.sends < most).collect();
-        due.sort_by_key(|(key, queued)| (queued.sends, matches!(key, NewsKey::Member(_))));
+        // Urgent news is never crowded out by that of members.
+        due.sort_by_key(|(key, queued)| (matches!(key, NewsKey::Member(_)), queued.sends));
         let mut left = MAX_NEWS_BYTES;
         let mut taken = Vec::new();
         for (_, queued) in due {
@@ -105,7 +104,7 @@
             }
             left -= queued.bytes;
             queued.sends += 1;
-            taken.push(queued.news.clone());
+            taken.push(queued.aged(now));
         }
         taken
     }
@@ -115,19 +114,30 @@
         let most = SENDS_PER_DOUBLING * (fleet + 2).ilog2();
         self.queued.retain(|key, queued| match key {
             NewsKey::Member(_) => queued.sends < most,
-            NewsKey::Backend(_) | NewsKey::Topic(_) => now.since(queued.since) < NEWS_KEEP,
+            NewsKey::Backend(_) | NewsKey::Topic(_) => now < queued.until,
         });
     }
 
-    fn insert(&mut self, now: Timestamp, key: NewsKey, news: News) {
-        let bytes = frame::encode(&news).map_or(usize::MAX, |encoded| encoded.len());
+    fn push_lasting(&mut self, now: Timestamp, key: NewsKey, news: News, age_s: u32) -> bool {
+        let age = Duration::from_secs(u64::from(age_s));
+        if age >= NEWS_KEEP || self.queued.contains_key(&key) {
+            return false;
+        }
+        self.insert(key, news, now + (NEWS_KEEP - age));
+        true
+    }
+
+    fn insert(&mut self, key: NewsKey, news: News, until: Timestamp) {
+        let Ok(encoded) = frame::encode(&news) else { return };
+        let bytes = encoded.len();
         if bytes > MAX_NEWS_BYTES {
             return;
         }
         if self.queued.len() >= MAX_QUEUED {
             self.drop_most_sent();
         }
-        self.queued.insert(key, Queued { news, sends: 0, bytes, since: now });
+        let hash = news.identity_hash();
+        self.queued.insert(key, Queued { news, sends: 0, bytes, hash, until });
     }
 
     fn drop_most_sent(&mut self) {
--- a/src/decide/membership/protocol.rs
+++ b/src/decide/membership/protocol.rs
@@ -1,5 +1,6 @@
 //! Whom an instance asks, and when.
 
+use rand::Rng;
 use rand::seq::IteratorRandom;
 use rand::seq::SliceRandom;
 
@@ -12,6 +13,9 @@
 use super::limits::JOIN_RETRY;
 use super::limits::JOIN_WAIT;
 use super::limits::LISTING_WAIT;
+use super::limits::MAX_JOIN_BYTES;
+use super::limits::MAX_PULL_BYTES;
+use super::limits::MAX_QUEUED;
 use super::limits::PROBE_INTERVAL;
 use super::limits::PUSH_FANOUT;
 use super::limits::RECONNECT_INTERVAL;
@@ -93,7 +97,7 @@
             }
             for relay in self.pick_alive(INDIRECT_PROBES, &target) {
                 let kind = GossipKind::ProbeFor { target: target.clone() };
-                self.send(&relay, kind, actions);
+                self.send(now, &relay, kind, actions);
             }
         }
     }
@@ -111,18 +115,19 @@
         self.push_due = false;
         let me = self.me.name.clone();
         for target in self.pick_alive(allowed, &me) {
-            self.send(&target, GossipKind::Push, actions);
+            self.send(now, &target, GossipKind::Push, actions);
         }
     }
 
     /// Probes a member for another one.
     pub(super) fn probe_for(
         &mut self,
+        now: Timestamp,
         origin: InstanceName,
         target: InstanceName,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if let Some(call) = self.send(&target, GossipKind::Probe, actions) {
+        if let Some(call) = self.send(now, &target, GossipKind::Probe, actions) {
             self.probes.relay(call, target, origin);
         }
     }
@@ -130,6 +135,7 @@
     /// Sends one message to a known member; returns the number of the call.
     pub(super) fn send(
         &mut self,
+        now: Timestamp,
         to: &InstanceName,
         kind: GossipKind,
         actions: &mut Vec<MembershipAction>,
@@ -139,14 +145,27 @@
         let doubted = matches!(member.status, Some(MemberStatus::Suspect | MemberStatus::Dead));
         let told = if doubted { member.news() } else { None };
         let mut news: Vec<News> = told.map(News::Member).into_iter().collect();
-        news.extend(self.queue.take(self.members.len()));
+        news.extend(self.queue.take(now, self.members.len()));
         self.serial += 1;
         let call = self.serial;
-        let message = Gossip { from: self.me.clone(), kind, news };
+        let message = Gossip { from: self.me.clone(), kind, digest: self.queue.digest(), news };
         actions.push(MembershipAction::Send { to: to.clone(), addr, call, message });
         Some(call)
     }
 
+    /// The news for an answer: what the sender misses, else what is due.
+    pub(super) fn news_for(&mut self, now: Timestamp, joining: bool, digest: u64) -> Vec<News> {
+        let differs = digest != self.queue.digest();
+        if joining {
+            return self.queue.lasting(now, MAX_JOIN_BYTES, 0);
+        }
+        if differs {
+            let start = self.rng.random_range(0..MAX_QUEUED);
+            return self.queue.lasting(now, MAX_PULL_BYTES, start);
+        }
+        self.queue.take(now, self.members.len())
+    }
+
     fn probe(
         &mut self,
         now: Timestamp,
@@ -154,7 +173,7 @@
         kind: GossipKind,
         actions: &mut Vec<MembershipAction>,
     ) {
-        if let Some(call) = self.send(to, kind, actions) {
+        if let Some(call) = self.send(now, to, kind, actions) {
             self.probes.sent(now, to, call);
         }
     }
@@ -166,7 +185,7 @@
 
     fn join_deadline(&self) -> Timestamp {
         match (self.phase, self.listing_since) {
-            (Phase::Rejoining, _) => self.phase_since + REJOIN_WAIT,
+            (Phase::Rejoining, Some(_)) => self.phase_since + REJOIN_WAIT,
             (_, Some(since)) => since.max(self.phase_since) + JOIN_WAIT,
             (_, None) => self.phase_since + LISTING_WAIT,
         }
--- a/src/wire/gossip.rs
+++ b/src/wire/gossip.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::published::PageRef;
 use crate::names::BackendName;
@@ -91,9 +92,45 @@
     /// State of a member.
     Member(MemberNews),
     /// A backend server leaves.
-    Backend(BackendLeaving),
+    Backend {
+        /// Which one.
+        leaving: BackendLeaving,
+        /// Age of the news, in seconds.
+        age_s: u32,
+    },
     /// News of another module.
-    Topic(TopicNews),
+    Topic {
+        /// The news.
+        news: TopicNews,
+        /// Age of the news, in seconds.
+        age_s: u32,
+    },
+}
+
+impl News {
+    /// The news with another age.
+    #[must_use]
+    pub fn with_age(self, age_s: u32) -> Self {
+        match self {
+            Self::Member(_) => self,
+            Self::Backend { leaving, .. } => Self::Backend { leaving, age_s },
+            Self::Topic { news, .. } => Self::Topic { news, age_s },
+        }
+    }
+
+    /// Hash of news that lasts, without its age; zero for news of members.
+    pub fn identity_hash(&self) -> u64 {
+        let text = match self {
+            Self::Member(_) => return 0,
+            Self::Backend { leaving, .. } => {
+                format!("backend {} {}", leaving.inc.map_or(0, |inc| inc.0), leaving.name)
+            }
+            Self::Topic { news, .. } => {
+                format!("topic {:?} {} {}", news.topic, news.key, news.value)
+            }
+        };
+        xxh3_64(text.as_bytes()).max(1)
+    }
 }
 
 /// What a message asks of its receiver.
@@ -127,6 +164,8 @@
     pub from: MemberNews,
     /// What is asked.
     pub kind: GossipKind,
+    /// Digest of the sender's lasting news.
+    pub digest: u64,
     /// Further news.
     pub news: Vec<News>,
 }
