Carry the fleet's decisions in the daemon

Heartbeats to all peers and the plain poll of the configuration give way to bounded probes, and to reads that the decisions ask for. New work waits until the peers and the service were asked, also after a pause of the process.

--- a/lab/src/fleet/running.rs
+++ b/lab/src/fleet/running.rs
@@ -228,10 +228,10 @@
         for entry in 0..self.entries.len() {
             loop {
                 let status = self.status(entry).await;
-                let ready = status
+                let informed = status
                     .as_ref()
                     .is_ok_and(|s| s.generation.is_some() && s.live_peers.len() >= peers);
-                if ready {
+                if informed && self.is_ready(entry).await {
                     break;
                 }
                 if Instant::now() > until {
@@ -243,6 +243,12 @@
         Ok(())
     }
 
+    /// Whether one daemon takes work.
+    pub async fn is_ready(&self, entry: usize) -> bool {
+        let call = tamaracklead::edge::HttpCall::get(self.entries[entry].addr, "/v1/ready");
+        self.client.send(call).await.is_ok_and(|reply| reply.status.is_success())
+    }
+
     fn start_entry(&self, bin_dir: &Path, number: usize) -> Result<Entry, String> {
         let name = format!("entry-{number}");
         let addr = free_addr()?;
@@ -293,6 +299,7 @@
             name: BackendName::new(&stand_in.process.name),
             addr: stand_in.addr,
             data_centre: self.plan.data_centre(number),
+            incarnation: None,
             state: ListedState::Live,
             role: role.clone(),
         })
--- a/lab/src/standin/engine.rs
+++ b/lab/src/standin/engine.rs
@@ -65,6 +65,7 @@
     busy_unloads: u64,
     loads: u64,
     served: u64,
+    leaving: bool,
 }
 
 impl Engine {
@@ -238,8 +239,13 @@
                 Some(LoadedAdapter { adapter: adapter.clone(), running: (*running)? })
             })
             .collect();
-        let report =
-            Report { incarnation: self.incarnation, fencing: state.fencing, loaded, age_ms };
+        let report = Report {
+            incarnation: self.incarnation,
+            fencing: state.fencing,
+            loaded,
+            age_ms,
+            leaving: state.leaving,
+        };
         Reply::json(200, &report)
     }
 
@@ -262,6 +268,10 @@
             ("GET", "/v1/running") => self.report(0),
             ("GET", "/v1/report") => self.report(REPORT_LAG_MS),
             ("GET", "/lab/counts") => self.lab_counts(),
+            ("PUT", "/lab/leaving") => {
+                self.state.lock().unwrap().leaving = true;
+                Reply::json(200, &())
+            }
             _ => no_such_path(&req),
         }
     }
--- /dev/null
+++ b/src/daemon/control.rs
@@ -0,0 +1,222 @@
+//! Carries events into the fleet's decisions and their actions out.
+//!
+//! One task ticks; every message, read and watch that the decisions ask for runs
+//! in a task of its own and gives its end back as the next event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::MissedTickBehavior;
+
+use super::Node;
+use crate::decide::config::ConfigAction;
+use crate::decide::config::ServiceAnswer;
+use crate::decide::config::ServiceHealth;
+use crate::decide::config::Source;
+use crate::decide::config::WATCH_WAIT;
+use crate::decide::drain::DrainInput;
+use crate::decide::fleet::FleetAction;
+use crate::edge::PeerPath;
+use crate::edge::PeerTarget;
+use crate::edge::Reply;
+use crate::edge::Request;
+use crate::error::Result;
+use crate::names::BackendName;
+use crate::names::Generation;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+use crate::telemetry::Counter;
+use crate::wire::frame;
+use crate::wire::gossip::ConfigAnswer;
+use crate::wire::gossip::ConfigRead;
+use crate::wire::gossip::Gossip;
+use crate::wire::gossip::GossipAnswer;
+use crate::wire::published::PageRef;
+
+/// How often the decisions look at the clock.
+const TICK: Duration = Duration::from_millis(100);
+/// Time within which a peer must answer a heartbeat.
+const GOSSIP_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time within which a peer must deliver a root or a page.
+const PEER_READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Ticks for ever.
+pub async fn run(node: Arc<Node>) {
+    let mut interval = tokio::time::interval(TICK);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = node.now();
+        let actions = node.fleet_mut(|fleet| fleet.tick(now));
+        act(&node, actions);
+    }
+}
+
+/// Tells the others at once that this instance takes no new work.
+pub fn announce_drain(node: &Arc<Node>) {
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| {
+        fleet.set_draining();
+        fleet.tick(now)
+    });
+    act(node, actions);
+}
+
+/// Takes a backend server's own answer that it leaves.
+pub fn on_backend_leaving(node: &Arc<Node>, name: &BackendName, incarnation: Option<Incarnation>) {
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_backend_answer(now, name, incarnation));
+    act(node, actions);
+}
+
+/// Answers `POST /peer/v1/gossip`.
+///
+/// # Errors
+///
+/// `Malformed` if the body isn't such a message.
+pub fn serve_gossip(node: &Arc<Node>, req: &Request) -> Result<Reply> {
+    let message: Gossip = frame::decode(&req.body)?;
+    let now = node.now();
+    let (answer, actions) = node.fleet_mut(|fleet| fleet.on_gossip(now, message));
+    act(node, actions);
+    Ok(Reply::message(&answer))
+}
+
+/// Answers `POST /peer/v1/config`.
+///
+/// # Errors
+///
+/// `Malformed` if the body isn't such a message.
+pub fn serve_config(node: &Node, req: &Request) -> Result<Reply> {
+    let read: ConfigRead = frame::decode(&req.body)?;
+    let bytes = node.config(|config| config.serve(read.page.as_ref()));
+    let text = bytes.and_then(|bytes| String::from_utf8(bytes.to_vec()).ok());
+    Ok(Reply::message(&ConfigAnswer { text }))
+}
+
+fn act(node: &Arc<Node>, actions: Vec<FleetAction>) {
+    for action in actions {
+        match action {
+            FleetAction::Gossip { to, addr, call, message } => {
+                let peer = PeerTarget { name: to, addr };
+                tokio::spawn(send_gossip(Arc::clone(node), peer, call, message));
+            }
+            FleetAction::Config(action) => act_on_config(node, action),
+            FleetAction::ReadListing => {
+                tokio::spawn(read_listing(Arc::clone(node)));
+            }
+            FleetAction::BackendLeaving(leaving) => {
+                log::info!("backend server {} leaves", leaving.name);
+            }
+            FleetAction::Topic(news) => log::debug!("news: {news:?}"),
+            FleetAction::Woke => {
+                log::warn!("the process was paused; it asks its peers before it takes new work");
+            }
+            FleetAction::Superseded => {
+                log::error!("another process runs as {}; shutting down", node.settings.instance);
+                let limit = node.settings.shutdown.hard_limit;
+                node.drain_input(DrainInput::Requested { limit });
+            }
+        }
+    }
+}
+
+fn act_on_config(node: &Arc<Node>, action: ConfigAction) {
+    match action {
+        ConfigAction::ReadService { call, after } => {
+            tokio::spawn(read_service(Arc::clone(node), call, after));
+        }
+        ConfigAction::ReadRoot { from } => {
+            tokio::spawn(read_peer_root(Arc::clone(node), from));
+        }
+        ConfigAction::ReadPage { from, page } => {
+            tokio::spawn(read_page(Arc::clone(node), from, page));
+        }
+        ConfigAction::Applied(snapshot) => {
+            node.metrics.count(Counter::ConfigApplied);
+            let preset = &snapshot.root().preset;
+            log::info!("generation {} is in effect, preset {preset}", snapshot.generation());
+        }
+        ConfigAction::Conflict { ours, theirs, from } => {
+            node.metrics.count(Counter::ConfigRefused);
+            log::error!(
+                "{from} holds other content of generation {} ({:016x}, here {:016x}); publish a higher one",
+                ours.generation,
+                theirs.root_hash,
+                ours.root_hash
+            );
+        }
+        ConfigAction::Refused(error) => {
+            node.metrics.count(Counter::ConfigRefused);
+            log::error!("{error}");
+        }
+        ConfigAction::ServiceChanged(health) => log_health(health),
+    }
+}
+
+fn log_health(health: ServiceHealth) {
+    match health {
+        ServiceHealth::Current => log::info!("the configuration service is up to date"),
+        ServiceHealth::Stale => log::warn!("the configuration service shows an old generation"),
+        ServiceHealth::Unreachable => log::warn!("the configuration service doesn't answer"),
+    }
+}
+
+async fn send_gossip(node: Arc<Node>, peer: PeerTarget, call: u64, message: Gossip) {
+    let client = &node.clients.peer;
+    let answer = client.call(&peer, PeerPath::Gossip, &message, GOSSIP_TIMEOUT);
+    let answer: Option<GossipAnswer> = answer.await.ok().and_then(Result::ok);
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_gossip_answer(now, &peer.name, call, answer));
+    act(&node, actions);
+}
+
+async fn read_listing(node: Arc<Node>) {
+    let listing = node.clients.listing.read().await.ok();
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_listing(now, listing));
+    act(&node, actions);
+}
+
+async fn read_service(node: Arc<Node>, call: u64, after: Option<Generation>) {
+    let client = &node.clients.config;
+    let answer = match after {
+        None => client.root().await.map(Some),
+        Some(after) => client.watch(after, WATCH_WAIT).await,
+    };
+    let answer = match answer {
+        Ok(Some(bytes)) => ServiceAnswer::Root(bytes),
+        Ok(None) => ServiceAnswer::Unchanged,
+        Err(_) => ServiceAnswer::Failed,
+    };
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_service(now, call, answer));
+    act(&node, actions);
+}
+
+async fn read_peer_root(node: Arc<Node>, from: InstanceName) {
+    let bytes = read_peer(&node, &from, None).await;
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_peer_root(now, &from, bytes));
+    act(&node, actions);
+}
+
+async fn read_page(node: Arc<Node>, from: Source, page: PageRef) {
+    let bytes = match &from {
+        Source::Service => node.clients.config.page(&page.name).await.ok(),
+        Source::Peer(peer) => read_peer(&node, peer, Some(page.clone())).await,
+    };
+    let now = node.now();
+    let actions = node.fleet_mut(|fleet| fleet.on_page(now, &from, &page, bytes));
+    act(&node, actions);
+}
+
+async fn read_peer(node: &Node, peer: &InstanceName, page: Option<PageRef>) -> Option<Bytes> {
+    let target = node.membership(|members| members.get(peer).map(PeerTarget::from))?;
+    let read = ConfigRead { page };
+    let client = &node.clients.peer;
+    let answer = client.call(&target, PeerPath::Config, &read, PEER_READ_TIMEOUT);
+    let answer: ConfigAnswer = answer.await.ok()?.ok()?;
+    answer.text.map(Bytes::from)
+}
--- a/src/daemon/dispatches.rs
+++ b/src/daemon/dispatches.rs
@@ -177,7 +177,8 @@
         fencing,
     };
     let wait = Duration::from_millis(message.deadline_ms);
-    if let Err(error) = node.leases.may_act(node.now(), &shard.group) {
+    let may_act = node.leases.may_act(node.now(), &shard.group);
+    if let Err(error) = may_act.and_then(|()| node.check_dispatch(&shard.name)) {
         return (Err(error), RunEnd::Over);
     }
     match node.clients.engine.generate(shard.addr, &req, wait).await {
--- a/src/daemon/drain.rs
+++ b/src/daemon/drain.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::signal;
 
 use super::Node;
-use super::refresh;
+use super::control;
 use crate::decide::drain::DrainEnd;
 use crate::decide::drain::DrainInput;
 use crate::error::Error;
@@ -47,7 +47,7 @@
 fn begin(node: &Arc<Node>) {
     let limit = node.settings.shutdown.hard_limit;
     node.drain_input(DrainInput::Requested { limit });
-    refresh::announce(node);
+    control::announce_drain(node);
     log::info!("shutting down; {} in progress", node.progress().in_progress);
 }
 
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,12 +1,12 @@
 //! One entry instance: carries events into the decisions and actions out of them.
 //!
-//! State stands in shards, each under its own lock: the configuration, the
-//! membership, the backend servers, the used tickets, and one shard for each
-//! engine. No lock is held across an await.
+//! State stands in shards, each under its own lock: the fleet (members,
+//! configuration, backend servers), the used tickets, and one shard for each engine. No lock is held across an await.
 
 mod access;
 mod clock;
 mod completions;
+mod control;
 mod dispatches;
 mod draft_answer;
 mod drain;
@@ -20,7 +20,6 @@
 mod operator_api;
 mod outcomes;
 mod owner_calls;
-mod refresh;
 mod report;
 mod route;
 mod run;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -5,7 +5,6 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -16,6 +15,7 @@
 use super::Surface;
 use super::access::Access;
 use super::completions;
+use super::control;
 use super::dispatches;
 use super::engine_shards::EngineShards;
 use super::explain::ExplainLog;
@@ -27,12 +27,14 @@
 use super::submissions;
 use crate::auth::PeerSigner;
 use crate::decide::backends::Backends;
-use crate::decide::config::ConfigState;
+use crate::decide::config::ConfigSync;
 use crate::decide::config::Snapshot;
 use crate::decide::drain::Drain;
 use crate::decide::drain::DrainInput;
 use crate::decide::drain::Progress;
 use crate::decide::drain::Work;
+use crate::decide::fleet::Fleet;
+use crate::decide::membership::Identity;
 use crate::decide::membership::Member;
 use crate::decide::membership::Membership;
 use crate::decide::ownership::Candidate;
@@ -51,6 +53,7 @@
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::names::BackendName;
 use crate::names::Incarnation;
 use crate::names::InstanceName;
 use crate::names::RequestId;
@@ -114,14 +117,11 @@
     access: Access,
     /// Leases of engine groups.
     pub leases: Leases,
-    config: RwLock<ConfigState>,
-    membership: RwLock<Membership>,
-    backends: RwLock<Backends>,
+    fleet: RwLock<Fleet>,
     book: Mutex<SubmissionBook>,
     explain: Mutex<ExplainLog>,
     drain: Mutex<Drain>,
     caller_requests: AtomicU64,
-    listed: AtomicBool,
 }
 
 impl Node {
@@ -137,11 +137,19 @@
         let incarnation = Incarnation(random_u64()?);
         let clients = Clients::new(&settings);
         let claimant = Claimant { name: settings.instance.clone(), incarnation };
+        let clock = Clock::start();
+        let identity = Identity {
+            name: settings.instance.clone(),
+            peer_addr: settings.listen.peer,
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+        };
+        let fleet = Fleet::new(clock.now(), identity, random_u64()?);
         let explain = Mutex::new(ExplainLog::new(settings.instance.clone()));
         Ok(Arc::new(Self {
             settings,
             incarnation,
-            clock: Clock::start(),
+            clock,
             clients,
             in_flight: InFlight::default(),
             metrics,
@@ -149,14 +157,11 @@
             engines: EngineShards::default(),
             access,
             leases: Leases::new(claimant),
-            config: RwLock::default(),
-            membership: RwLock::default(),
-            backends: RwLock::default(),
+            fleet: RwLock::new(fleet),
             book: Mutex::default(),
             explain,
             drain: Mutex::default(),
             caller_requests: AtomicU64::new(0),
-            listed: AtomicBool::new(false),
         }))
     }
 
@@ -202,11 +207,6 @@
         Err(Error::new(ErrorKind::Draining, detail))
     }
 
-    /// Notes that the instance list has been read.
-    pub fn note_listed(&self) {
-        self.listed.store(true, Ordering::SeqCst);
-    }
-
     /// Refuses while the instance can't serve yet, or is shutting down.
     ///
     /// # Errors
@@ -214,51 +214,59 @@
     /// `NotReady` or `Draining`.
     pub fn check_ready(&self) -> Result<()> {
         self.check_takes(Work::Draft)?;
-        self.snapshot()?;
-        if self.listed.load(Ordering::SeqCst) {
-            return Ok(());
-        }
-        Err(Error::new(ErrorKind::NotReady, "the instance list has not been read yet"))
+        self.snapshot().map(|_| ())
     }
 
     /// The configuration in effect.
     ///
     /// # Errors
     ///
-    /// `NotReady` before the first one.
+    /// `NotReady` before the peers and the service were asked, also after a pause of the process.
     pub fn snapshot(&self) -> Result<Arc<Snapshot>> {
-        self.config(|config| config.current().cloned())
-            .ok_or_else(|| Error::new(ErrorKind::NotReady, "no configuration has been read yet"))
+        let now = self.now();
+        self.fleet(|fleet| fleet.snapshot(now)).ok_or_else(|| {
+            let detail = "the peers and the configuration service are being asked";
+            Error::new(ErrorKind::NotReady, detail)
+        })
     }
 
-    /// Reads the configuration's state.
-    pub fn config<T>(&self, read: impl FnOnce(&ConfigState) -> T) -> T {
-        read(&self.config.read().unwrap_or_else(PoisonError::into_inner))
+    /// Reads what is known of the fleet.
+    pub fn fleet<T>(&self, read: impl FnOnce(&Fleet) -> T) -> T {
+        read(&self.fleet.read().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Changes the configuration's state.
-    pub fn config_mut<T>(&self, change: impl FnOnce(&mut ConfigState) -> T) -> T {
-        change(&mut self.config.write().unwrap_or_else(PoisonError::into_inner))
+    /// Changes what is known of the fleet.
+    pub fn fleet_mut<T>(&self, change: impl FnOnce(&mut Fleet) -> T) -> T {
+        change(&mut self.fleet.write().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Reads the membership.
-    pub fn membership<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
-        read(&self.membership.read().unwrap_or_else(PoisonError::into_inner))
+    /// Reads the configuration's state.
+    pub fn config<T>(&self, read: impl FnOnce(&ConfigSync) -> T) -> T {
+        self.fleet(|fleet| read(fleet.config()))
     }
 
-    /// Changes the membership.
-    pub fn membership_mut<T>(&self, change: impl FnOnce(&mut Membership) -> T) -> T {
-        change(&mut self.membership.write().unwrap_or_else(PoisonError::into_inner))
+    /// Reads the membership.
+    pub fn membership<T>(&self, read: impl FnOnce(&Membership) -> T) -> T {
+        self.fleet(|fleet| read(fleet.members()))
     }
 
     /// Reads the backend servers.
     pub fn backends<T>(&self, read: impl FnOnce(&Backends) -> T) -> T {
-        read(&self.backends.read().unwrap_or_else(PoisonError::into_inner))
+        self.fleet(|fleet| read(fleet.backends()))
     }
 
-    /// Changes the backend servers.
-    pub fn backends_mut<T>(&self, change: impl FnOnce(&mut Backends) -> T) -> T {
-        change(&mut self.backends.write().unwrap_or_else(PoisonError::into_inner))
+    /// Refuses work for a backend server that leaves; asked immediately before each dispatch.
+    ///
+    /// # Errors
+    ///
+    /// `NoBackend`.
+    pub fn check_dispatch(&self, name: &BackendName) -> Result<()> {
+        let now = self.now();
+        if self.fleet(|fleet| fleet.may_dispatch(now, name)) {
+            return Ok(());
+        }
+        let detail = format!("backend server {:?} gets no new work", name.as_str());
+        Err(Error::new(ErrorKind::NoBackend, detail))
     }
 
     /// The used tickets.
@@ -304,8 +312,9 @@
 
     /// Every listed instance and this one, whether they answer or not.
     pub fn listed_candidates(&self) -> Vec<Candidate> {
-        let mut candidates: Vec<Candidate> =
-            self.membership(|membership| membership.all().map(candidate).collect());
+        let mut candidates: Vec<Candidate> = self.membership(|membership| {
+            membership.all().filter(|member| member.listed).map(candidate).collect()
+        });
         candidates.push(self.own_candidate());
         candidates
     }
@@ -322,11 +331,16 @@
         Hello {
             name: self.settings.instance.clone(),
             incarnation: self.incarnation,
-            generation: self.config(ConfigState::generation),
+            generation: self.config(ConfigSync::generation),
             draining: self.is_draining(),
         }
     }
 
+    fn serve_hello(&self, req: &Request) -> Result<Reply> {
+        let _: Hello = frame::decode(&req.body)?;
+        Ok(Reply::message(&self.hello()))
+    }
+
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
         let signature = match self.access.check(surface, &req, &self.metrics) {
@@ -363,7 +377,9 @@
             Some(PeerPath::Dispatch) => dispatches::serve(&self, &req),
             Some(PeerPath::Submit) => submissions::serve_forwarded(&self, &req).await,
             Some(PeerPath::Lease) => leases::serve(&self, &req),
-            Some(PeerPath::Hello) => super::refresh::serve_hello(&self, &req),
+            Some(PeerPath::Hello) => self.serve_hello(&req),
+            Some(PeerPath::Gossip) => control::serve_gossip(&self, &req),
+            Some(PeerPath::Config) => control::serve_config(&self, &req),
             Some(PeerPath::Status) => Ok(Reply::message(&operator_api::status(&self))),
             Some(PeerPath::Explain) => {
                 let question: ExplainQuestion = frame::decode(&req.body)?;
--- a/src/daemon/owner_calls.rs
+++ b/src/daemon/owner_calls.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::Node;
+use super::control;
 use super::engine_shard::EngineCall;
 use super::engine_shard::EngineShard;
 use super::leases;
@@ -138,6 +139,9 @@
                 log::warn!("engine {} has restarted", shard.name);
                 node.metrics.count(Counter::EngineRestarted);
             }
+            if report.leaving {
+                control::on_backend_leaving(node, &shard.name, Some(report.incarnation));
+            }
             apply(node, shard, |owned, now| owned.on_report(now, call, &report));
         }
         Err(_) => {
--- a/src/daemon/report.rs
+++ b/src/daemon/report.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::Node;
-use crate::decide::config::ConfigState;
+use crate::decide::config::ConfigSync;
 use crate::telemetry::Gauge;
 use crate::telemetry::REPORT_INTERVAL;
 
@@ -23,7 +23,7 @@
     let waiting: usize = engines.iter().map(|engine| engine.waiting).sum();
     let places: usize = engines.iter().map(|engine| engine.batch).sum();
     let fill = (running * 100).checked_div(places).unwrap_or(0);
-    let generation = node.config(ConfigState::generation).map_or(0, |generation| generation.0);
+    let generation = node.config(ConfigSync::generation).map_or(0, |generation| generation.0);
     let peers = node.membership(|membership| membership.live(now).count());
     vec![
         (Gauge::Generation, generation),
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -11,9 +11,9 @@
 
 use super::Node;
 use super::Surface;
+use super::control;
 use super::drain;
 use super::owner_calls;
-use super::refresh;
 use super::report;
 use crate::decide::drain::DrainEnd;
 use crate::edge::HttpHandler;
@@ -91,9 +91,7 @@
 }
 
 fn spawn_tasks(runtime: &Runtime, node: &Arc<Node>) {
-    runtime.spawn(refresh::configuration(Arc::clone(node)));
-    runtime.spawn(refresh::listing(Arc::clone(node)));
-    runtime.spawn(refresh::heartbeats(Arc::clone(node)));
+    runtime.spawn(control::run(Arc::clone(node)));
     runtime.spawn(owner_calls::watch(Arc::clone(node)));
     runtime.spawn(report::metrics(Arc::clone(node)));
 }
--- a/src/decide/backends/book.rs
+++ b/src/decide/backends/book.rs
@@ -50,8 +50,12 @@
         name: &BackendName,
         incarnation: Option<Incarnation>,
     ) -> Option<BackendLeaving> {
-        let listed = self.known.get(name).and_then(|backend| backend.incarnation);
-        let mark = BackendLeaving { name: name.clone(), inc: incarnation.or(listed) };
+        // Marks carry the list's incarnation, so that the list can end them.
+        let inc = match self.known.get(name) {
+            Some(backend) => backend.incarnation,
+            None => incarnation,
+        };
+        let mark = BackendLeaving { name: name.clone(), inc };
         self.marks.add(now, mark.clone()).then_some(mark)
     }
 
--- a/src/decide/backends/leaving_marks.rs
+++ b/src/decide/backends/leaving_marks.rs
@@ -1,8 +1,10 @@
 //! Backend servers that some source said are leaving.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::names::BackendName;
 use crate::names::Timestamp;
 use crate::wire::gossip::BackendLeaving;
 use crate::wire::listing::ListedBackend;
@@ -49,6 +51,8 @@
     }
 
     /// Keeps the marks of listed backend servers and forgets those long unlisted.
+    ///
+    /// Without an incarnation a mark ends as soon as its name isn't listed.
     pub fn refresh(&mut self, now: Timestamp, listed: &[ListedBackend]) {
         for backend in listed {
             for (mark, last_used) in self.marks.range_mut(Self::first_of(backend)..) {
@@ -60,7 +64,11 @@
                 }
             }
         }
-        self.marks.retain(|_, last_used| now.since(*last_used) < MARK_KEEP);
+        let names: BTreeSet<&BackendName> = listed.iter().map(|backend| &backend.name).collect();
+        self.marks.retain(|mark, last_used| {
+            let ended = mark.inc.is_none() && !names.contains(&mark.name);
+            !ended && now.since(*last_used) < MARK_KEEP
+        });
     }
 
     fn first_of(backend: &ListedBackend) -> BackendLeaving {
--- a/src/decide/config/snapshot.rs
+++ b/src/decide/config/snapshot.rs
@@ -25,6 +25,7 @@
 /// One generation: its root, its pages as published, and an index of adapters.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
+    id: ConfigId,
     root: Root,
     root_bytes: Bytes,
     pages: BTreeMap<PageName, Bytes>,
@@ -57,7 +58,8 @@
                 .map_err(|e| refused(format!("page {name:?}: {e}")))?;
             adapters.extend(page.adapters);
         }
-        Ok(Self { root, root_bytes, pages, adapters, preset })
+        let id = Self::id_of(&root, &root_bytes);
+        Ok(Self { id, root, root_bytes, pages, adapters, preset })
     }
 
     /// Reads a root.
@@ -81,7 +83,7 @@
 
     /// Generation and hash of the content.
     pub fn id(&self) -> ConfigId {
-        Self::id_of(&self.root, &self.root_bytes)
+        self.id
     }
 
     /// Generation and hash of a root.
--- a/src/decide/fleet/core.rs
+++ b/src/decide/fleet/core.rs
@@ -1,5 +1,6 @@
 //! The fleet as one instance knows it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,7 @@
 use crate::decide::config::ConfigSync;
 use crate::decide::config::ServiceAnswer;
 use crate::decide::config::ServiceHealth;
+use crate::decide::config::Snapshot;
 use crate::decide::config::Source;
 use crate::decide::config::is_reader;
 use crate::decide::membership::Identity;
@@ -79,6 +81,12 @@
         self.members.is_joined() && self.config.is_ready()
     }
 
+    /// The configuration for new work; none before the peers and the service were asked.
+    pub fn snapshot(&self, now: Timestamp) -> Option<Arc<Snapshot>> {
+        let informed = self.is_ready() && !self.members.is_paused(now);
+        informed.then(|| self.config.current().cloned()).flatten()
+    }
+
     /// Whether a backend server may get new work now; asked immediately before each dispatch.
     pub fn may_dispatch(&self, now: Timestamp, name: &BackendName) -> bool {
         let informed = self.members.is_joined() && !self.members.is_paused(now);
--- a/src/decide/membership/protocol.rs
+++ b/src/decide/membership/protocol.rs
@@ -145,7 +145,9 @@
         let doubted = matches!(member.status, Some(MemberStatus::Suspect | MemberStatus::Dead));
         let told = if doubted { member.news() } else { None };
         let mut news: Vec<News> = told.map(News::Member).into_iter().collect();
-        news.extend(self.queue.take(now, self.members.len()));
+        if kind != GossipKind::Join {
+            news.extend(self.queue.take(now, self.members.len()));
+        }
         self.serial += 1;
         let call = self.serial;
         let message = Gossip { from: self.me.clone(), kind, digest: self.queue.digest(), news };
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -113,6 +113,8 @@
             PeerPath::Dispatch
             | PeerPath::Hello
             | PeerPath::Lease
+            | PeerPath::Gossip
+            | PeerPath::Config
             | PeerPath::Status
             | PeerPath::Explain
             | PeerPath::Outcome => self.http.send(call, wait).await,
--- a/src/edge/peer_path.rs
+++ b/src/edge/peer_path.rs
@@ -11,6 +11,10 @@
     Hello,
     /// A message to a panel member.
     Lease,
+    /// Heartbeats and news.
+    Gossip,
+    /// The configuration in effect at a peer.
+    Config,
     /// State of an instance, for operators.
     Status,
     /// Decisions about a request, for operators.
@@ -21,11 +25,13 @@
 
 impl PeerPath {
     /// Every path.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 9] = [
         Self::Dispatch,
         Self::Submit,
         Self::Hello,
         Self::Lease,
+        Self::Gossip,
+        Self::Config,
         Self::Status,
         Self::Explain,
         Self::Outcome,
@@ -38,6 +44,8 @@
             Self::Submit => "/peer/v1/submit",
             Self::Hello => "/peer/v1/hello",
             Self::Lease => "/peer/v1/lease",
+            Self::Gossip => "/peer/v1/gossip",
+            Self::Config => "/peer/v1/config",
             Self::Status => "/peer/v1/status",
             Self::Explain => "/peer/v1/explain",
             Self::Outcome => "/peer/v1/outcome",
--- a/src/wire/engine.rs
+++ b/src/wire/engine.rs
@@ -131,6 +131,9 @@
     pub loaded: Vec<LoadedAdapter>,
     /// How old the report is, in milliseconds.
     pub age_ms: u64,
+    /// Whether the engine is leaving and takes no new work.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub leaving: bool,
 }
 
 /// One adapter in a slot.
--- a/tests/ownership_model/engine.rs
+++ b/tests/ownership_model/engine.rs
@@ -133,6 +133,7 @@
             fencing: self.highest,
             loaded: loaded.collect(),
             age_ms: 0,
+            leaving: false,
         }
     }
 }
