--- a/lab/src/fleet/running.rs
+++ b/lab/src/fleet/running.rs
@@ -245,7 +245,7 @@
 
     /// Whether one daemon takes work.
     pub async fn is_ready(&self, entry: usize) -> bool {
-        let call = tamaracklead::edge::HttpCall::get(self.entries[entry].addr, "/v1/ready");
+        let call = HttpCall::get(self.entries[entry].addr, "/v1/ready");
         self.client.send(call).await.is_ok_and(|reply| reply.status.is_success())
     }
 
