--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -56,10 +56,7 @@
 /// Tells the others at once that this instance takes no new work.
 pub fn announce_drain(node: &Arc<Node>) {
     let now = node.now();
-    let actions = node.fleet_mut(|fleet| {
-        fleet.set_draining();
-        fleet.tick(now)
-    });
+    let actions = node.fleet_mut(|fleet| fleet.set_draining(now));
     act(node, actions);
 }
 
--- a/src/decide/fleet/core.rs
+++ b/src/decide/fleet/core.rs
@@ -98,9 +98,12 @@
         self.reader
     }
 
-    /// Tells the others that this instance takes no new work.
-    pub fn set_draining(&mut self) {
-        self.members.set_draining();
+    /// Tells all others at once that this instance takes no new work.
+    pub fn set_draining(&mut self, now: Timestamp) -> Vec<FleetAction> {
+        let mut actions = Vec::new();
+        let membership = self.members.set_draining(now);
+        self.on_membership(now, membership, &mut actions);
+        actions
     }
 
     /// Makes the reads, probes and pushes that are due.
--- a/src/decide/membership/core.rs
+++ b/src/decide/membership/core.rs
@@ -164,10 +164,20 @@
         self.me.reads = reads;
     }
 
-    /// Tells the others that this instance takes no new work.
-    pub fn set_draining(&mut self) {
-        self.push_due |= !self.me.draining;
+    /// Tells all others at once that this instance takes no new work.
+    pub fn set_draining(&mut self, now: Timestamp) -> Vec<MembershipAction> {
+        let mut actions = Vec::new();
+        if self.me.draining {
+            return actions;
+        }
         self.me.draining = true;
+        // Once in the life of a process, so the bytes don't matter.
+        let alive = self.members.values().filter(|member| member.is_alive());
+        let targets: Vec<InstanceName> = alive.map(|member| member.name.clone()).collect();
+        for target in targets {
+            self.send(now, &target, GossipKind::Push, &mut actions);
+        }
+        actions
     }
 
     /// Spreads that a backend server leaves.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -173,6 +173,13 @@
         self.platform.refresh();
     }
 
+    pub fn drain(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        let now = node.clock(self.now);
+        let actions = node.core.set_draining(now);
+        self.act(index, actions);
+    }
+
     /// Lets an instance take the backend server's own answer that it leaves.
     pub fn own_answer(&mut self, index: usize, incarnation: u64) {
         if !self.nodes[index].runs(self.now) {
