--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -4,6 +4,10 @@
 
 use fleet::SECOND;
 use fleet::World;
+use tamaracklead::decide::backends::Backends;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::Incarnation;
+use tamaracklead::names::Timestamp;
 use tamaracklead::wire::listing::ListedState;
 
 fn started(size: usize) -> World {
@@ -97,3 +101,33 @@
         assert!(!world.may_dispatch(2));
     }
 }
+
+/// Found by fuzzing: the news had been sent as often as it may be before the link was back.
+#[test]
+fn an_instance_cut_off_for_half_a_second_hears_it_too() {
+    let mut world = World::new(4, 3, 4_951_213_707_268_467_861);
+    world.run(7 * SECOND / 10);
+    world.partition(&[0, 1, 0, 0]);
+    world.own_answer(0, 1);
+    world.publish(2, 1);
+    world.run(SECOND / 2);
+    world.heal();
+    world.run(16 * SECOND);
+    assert_refused(&world);
+}
+
+#[test]
+fn a_list_without_incarnations_ends_a_mark_by_leaving_the_name_out() {
+    let mut backends = Backends::default();
+    let now = Timestamp::from_millis(1);
+    let name = BackendName::new("engine-0");
+    let mut listed = fleet::backend("engine-0", 1, ListedState::Live);
+    listed.incarnation = None;
+    backends.on_listing(now, vec![listed.clone()]);
+    assert!(backends.on_own_answer(now, &name, Some(Incarnation(7))).is_some());
+    backends.on_listing(now, vec![listed.clone()]);
+    assert!(!backends.may_get_work(&name), "the list lags");
+    backends.on_listing(now, Vec::new());
+    backends.on_listing(now, vec![listed]);
+    assert!(backends.may_get_work(&name));
+}
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -12,7 +12,11 @@
 use tamaracklead::names::DataCentre;
 use tamaracklead::names::Incarnation;
 use tamaracklead::names::Timestamp;
+use tamaracklead::wire::gossip::Gossip;
+use tamaracklead::wire::gossip::GossipKind;
+use tamaracklead::wire::gossip::MemberNews;
 use tamaracklead::wire::gossip::MemberStatus;
+use tamaracklead::wire::gossip::News;
 use tamaracklead::wire::listing::ListedEntry;
 use tamaracklead::wire::listing::ListedState;
 
@@ -215,3 +219,23 @@
     assert!(superseded);
     assert!(old.is_superseded() && !new.is_superseded());
 }
+
+/// Found by fuzzing: word of an earlier incarnation stopped the process that had replaced it.
+#[test]
+fn word_of_an_earlier_incarnation_does_not_stop_its_successor() {
+    let mut peer = member(1, 10, 1001);
+    let mut new = member(0, 20, 1000);
+    let now = Timestamp::from_millis(100);
+    for later in [now, Timestamp::from_millis(600)] {
+        new.on_listing(later, &[listed(1, 1001)]);
+        carry(later, &mut new, &mut [&mut peer]);
+    }
+    assert!(new.is_joined());
+    let earlier = MemberNews { inc: Incarnation(5), epoch: 9, ..new.me().clone() };
+    let news = vec![News::Member(earlier)];
+    let kind = GossipKind::Push;
+    let message = Gossip { from: peer.me().clone(), kind, digest: 0, news };
+    new.on_gossip(Timestamp::from_millis(700), message);
+    assert!(!new.is_superseded());
+    assert!(new.me().epoch > 9, "it refutes");
+}
