--- a/src/daemon/submissions/attempt.rs
+++ b/src/daemon/submissions/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::daemon::Node;
+use crate::decide::dispatch_end::DispatchEnd;
 use crate::decide::rendezvous;
 use crate::decide::submissions::AfterSend;
 use crate::decide::submissions::Attempt;
@@ -20,6 +21,10 @@
 use crate::wire::desk::DeskSubmission;
 use crate::wire::listing::ListedBackend;
 
+/// Time for which a submission waits until a desk may get new work.
+const PERMISSION_WAIT: Duration = Duration::from_secs(2);
+/// Time between looks at whether a desk may get new work.
+const PERMISSION_POLL: Duration = Duration::from_millis(20);
 /// Time within which a desk must answer.
 const DESK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Replicas that one attempt may try to reach, each within the connect timeout.
@@ -58,6 +63,7 @@
 
 async fn run(node: &Node, mut attempt: Attempt, submission: &DeskSubmission) -> Outcome {
     let replicas = replicas(node, attempt.id());
+    wait_for_permission(node, &replicas).await;
     for (number, desk) in replicas.iter().enumerate() {
         let more = number + 1 < replicas.len();
         match try_replica(node, attempt, desk, submission, more).await {
@@ -71,6 +77,15 @@
     node.submissions.book().give_up(attempt, ErrorKind::NoBackend)
 }
 
+/// Waits while no replica may get new work: a process that was paused first asks its peers.
+async fn wait_for_permission(node: &Node, replicas: &[ListedBackend]) {
+    let until = node.now() + PERMISSION_WAIT;
+    let refused = |desk: &ListedBackend| node.check_dispatch(&desk.name).is_err();
+    while node.now() < until && replicas.iter().all(refused) {
+        tokio::time::sleep(PERMISSION_POLL).await;
+    }
+}
+
 fn replicas(node: &Node, id: RequestId) -> Vec<ListedBackend> {
     let desks = node.backends(|known| known.live_desks().into_iter().cloned().collect());
     let mut ranked =
@@ -93,6 +108,11 @@
             return node.submissions.book().end_connect(attempt, failure.end, more);
         }
     };
+    if let Err(error) = node.check_dispatch(&desk.name) {
+        log::info!("desk {}: {error}", desk.name);
+        let end = DispatchEnd::ResetBeforeSend;
+        return node.submissions.book().end_connect(attempt, end, more);
+    }
     // The clock is read after everything that waits and right before the send.
     let permit = node.submissions.book().start_send(node.now(), attempt);
     match permit {
--- a/src/decide/config/snapshot.rs
+++ b/src/decide/config/snapshot.rs
@@ -15,7 +15,9 @@
 use crate::names::ModelName;
 use crate::names::PageName;
 use crate::wire::caller::VersionChoice;
+use crate::wire::gossip::ConfigId;
 use crate::wire::published::Page;
+use crate::wire::published::PageRef;
 use crate::wire::published::Preset;
 use crate::wire::published::PublishedAdapter;
 use crate::wire::published::Root;
@@ -23,6 +25,7 @@
 /// One generation: its root, its pages as published, and an index of adapters.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
+    id: ConfigId,
     root: Root,
     root_bytes: Bytes,
     pages: BTreeMap<PageName, Bytes>,
@@ -55,7 +58,8 @@
                 .map_err(|e| refused(format!("page {name:?}: {e}")))?;
             adapters.extend(page.adapters);
         }
-        Ok(Self { root, root_bytes, pages, adapters, preset })
+        let id = Self::id_of(&root, &root_bytes);
+        Ok(Self { id, root, root_bytes, pages, adapters, preset })
     }
 
     /// Reads a root.
@@ -77,6 +81,22 @@
         self.root.generation
     }
 
+    /// Generation and hash of the content.
+    pub fn id(&self) -> ConfigId {
+        self.id
+    }
+
+    /// Generation and hash of a root.
+    pub fn id_of(root: &Root, bytes: &[u8]) -> ConfigId {
+        ConfigId { generation: root.generation, root_hash: xxh3_64(bytes) }
+    }
+
+    /// Bytes of a page, if the snapshot holds it with the same hash.
+    pub fn page(&self, wanted: &PageRef) -> Option<&Bytes> {
+        let held = self.root.pages.iter().any(|page| page == wanted);
+        held.then(|| self.pages.get(&wanted.name)).flatten()
+    }
+
     /// The root.
     pub fn root(&self) -> &Root {
         &self.root
