Make submissions at most once, and not run only where proven

A ticket runs only while the book of the incarnation that issued it holds it as unused. Two faults of the first version: an outcome that was forgotten was told as 'ticket expired, not run', and a ticket given back after 'not run' let a delayed re-send run after its caller was told so. Now the memory outlasts the ticket and answers 'unknown' past its end, and 'not run' voids the ticket. The latest time seen counts in every decision, so a stale clock undoes nothing. Refusals of a submission with a ticket never say 'not run' unless its issuer proves it.

--- a/src/decide/dispatch_end.rs
+++ b/src/decide/dispatch_end.rs
@@ -1,5 +1,6 @@
 //! How a dispatch can end, and what is said of it.
 
+use crate::error::Error;
 use crate::error::ErrorKind;
 
 /// Every way in which a call to a backend server can end without a whole answer.
@@ -9,8 +10,16 @@
     ConnectRefused,
     /// The connection broke before any byte of the request was sent.
     ResetBeforeSend,
+    /// The time for sending was over before any byte was sent.
+    NotSent,
+    /// The caller went away before any byte was sent.
+    CancelledBeforeSend,
     /// The connection broke after a byte of the request may have arrived.
     ResetAfterSend,
+    /// The answer began and broke off.
+    AnswerCut,
+    /// The answer can't be read, or belongs to another request.
+    AnswerDamaged,
     /// No answer came in time.
     TimedOut,
     /// The backend server refused, and says that it did not run the request.
@@ -19,49 +28,123 @@
     Failed,
     /// The caller went away.
     Cancelled,
+    /// No connection to the instance that owns the engine was made.
+    OwnerUnreachable,
     /// The instance that owns the engine was lost after it got the request.
     OwnerLost,
 }
 
+/// What is said of one way to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndRow {
+    /// Whether it is proven that this dispatch did not run.
+    pub not_run: bool,
+    /// Whether a submission may go to another replica of the desk.
+    pub another_replica: bool,
+    /// What callers are told of a draft.
+    pub draft: ErrorKind,
+    /// What callers are told of a submission.
+    pub submission: ErrorKind,
+}
+
 impl DispatchEnd {
     /// Every way, for tables and tests.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 13] = [
         Self::ConnectRefused,
         Self::ResetBeforeSend,
+        Self::NotSent,
+        Self::CancelledBeforeSend,
         Self::ResetAfterSend,
+        Self::AnswerCut,
+        Self::AnswerDamaged,
         Self::TimedOut,
         Self::Refused,
         Self::Failed,
         Self::Cancelled,
+        Self::OwnerUnreachable,
         Self::OwnerLost,
     ];
 
-    /// Whether it is proven that the request did not run.
-    pub fn proves_not_run(self) -> bool {
+    /// The table from end to what is said.
+    pub fn row(self) -> EndRow {
+        use ErrorKind as Kind;
+        let not_run = |another_replica, draft, submission| EndRow {
+            not_run: true,
+            another_replica,
+            draft,
+            submission,
+        };
+        let unproven = |draft| EndRow {
+            not_run: false,
+            another_replica: false,
+            draft,
+            submission: Kind::OutcomeUnknown,
+        };
         match self {
-            Self::ConnectRefused | Self::ResetBeforeSend | Self::Refused => true,
-            Self::ResetAfterSend
-            | Self::TimedOut
-            | Self::Failed
-            | Self::Cancelled
-            | Self::OwnerLost => false,
+            Self::ConnectRefused => not_run(true, Kind::NoBackend, Kind::NoBackend),
+            Self::ResetBeforeSend => not_run(true, Kind::NoBackend, Kind::NoBackend),
+            Self::NotSent => not_run(false, Kind::DeadlineTooShort, Kind::TicketExpired),
+            Self::CancelledBeforeSend => not_run(false, Kind::NoBackend, Kind::NoBackend),
+            Self::ResetAfterSend => unproven(Kind::BackendFailed),
+            Self::AnswerCut => unproven(Kind::BackendFailed),
+            Self::AnswerDamaged => unproven(Kind::WrongAnswer),
+            Self::TimedOut => unproven(Kind::DeadlineExceeded),
+            Self::Refused => not_run(false, Kind::Overloaded, Kind::BackendRefused),
+            Self::Failed => unproven(Kind::BackendFailed),
+            Self::Cancelled => unproven(Kind::BackendFailed),
+            Self::OwnerUnreachable => not_run(true, Kind::PeerUnreachable, Kind::NoBackend),
+            Self::OwnerLost => unproven(Kind::BackendFailed),
         }
     }
 
+    /// Whether it is proven that this dispatch did not run.
+    pub fn proves_not_run(self) -> bool {
+        self.row().not_run
+    }
+
+    /// Whether a submission may go to another replica of the desk.
+    pub fn allows_another_replica(self) -> bool {
+        self.row().another_replica
+    }
+
     /// What callers are told of a draft that ended so.
     pub fn draft_kind(self) -> ErrorKind {
-        match self {
-            Self::ConnectRefused | Self::ResetBeforeSend => ErrorKind::NoBackend,
-            Self::Refused => ErrorKind::Overloaded,
-            Self::TimedOut => ErrorKind::DeadlineExceeded,
-            Self::ResetAfterSend | Self::Failed | Self::Cancelled | Self::OwnerLost => {
-                ErrorKind::BackendFailed
-            }
-        }
+        self.row().draft
     }
 
     /// What callers are told of a submission that ended so.
     pub fn submission_kind(self) -> ErrorKind {
-        if self.proves_not_run() { ErrorKind::NoBackend } else { ErrorKind::OutcomeUnknown }
+        self.row().submission
+    }
+
+    /// How a desk's answer that isn't a success ends the dispatch.
+    ///
+    /// These statuses say that the request itself can't be accepted. Others,
+    /// among them 408, 409 and every 5xx, may follow work that was done.
+    pub fn of_desk_status(status: u16) -> Self {
+        match status {
+            400 | 401 | 403 | 404 | 405 | 413 | 415 | 422 => Self::Refused,
+            _ => Self::Failed,
+        }
+    }
+}
+
+/// The ends of all dispatches of one request.
+///
+/// A request is "not run" only if every one of its dispatches is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatchEnds {
+    may_have_run: bool,
+}
+
+impl DispatchEnds {
+    /// Records the end of one dispatch.
+    pub fn record(&mut self, end: DispatchEnd) {
+        self.may_have_run |= !end.proves_not_run();
+    }
+
+    /// The error that the caller is told at last.
+    pub fn conclude(self, error: Error) -> Error {
+        if self.may_have_run { error.may_have_run() } else { error }
     }
 }
--- /dev/null
+++ b/src/decide/submissions/attempt.rs
@@ -0,0 +1,57 @@
+//! The one attempt to run a submission.
+
+use super::Outcome;
+use crate::names::RequestId;
+
+/// Permission to run one submission, held by whoever sends it to a desk.
+///
+/// It can't be cloned and only a book makes it, once for each ticket.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Attempt {
+    id: RequestId,
+}
+
+impl Attempt {
+    pub(super) fn new(id: RequestId) -> Self {
+        Self { id }
+    }
+
+    pub(super) fn into_id(self) -> RequestId {
+        self.id
+    }
+
+    /// The submission that may run.
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+}
+
+/// Permission to send one submission to one desk, at once.
+#[derive(Debug, PartialEq, Eq)]
+pub struct SendPermit {
+    attempt: Attempt,
+}
+
+impl SendPermit {
+    pub(super) fn new(attempt: Attempt) -> Self {
+        Self { attempt }
+    }
+
+    /// The submission that may be sent.
+    pub fn id(&self) -> RequestId {
+        self.attempt.id
+    }
+
+    pub(super) fn into_attempt(self) -> Attempt {
+        self.attempt
+    }
+}
+
+/// What follows the end of one send.
+#[derive(Debug, PartialEq, Eq)]
+pub enum AfterSend {
+    /// No byte reached the desk: another replica may be tried.
+    TryAnother(Attempt),
+    /// The submission ended.
+    Ended(Outcome),
+}
--- /dev/null
+++ b/src/decide/submissions/body_hash.rs
@@ -0,0 +1,15 @@
+//! Hashes of submitted bodies.
+
+use sha2::Digest;
+use sha2::Sha256;
+
+/// SHA-256 of the body that a ticket was first used with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct BodyHash([u8; 32]);
+
+impl BodyHash {
+    /// Hashes a body, byte for byte.
+    pub fn of(body: &[u8]) -> Self {
+        Self(Sha256::digest(body).into())
+    }
+}
--- a/src/decide/submissions/book.rs
+++ b/src/decide/submissions/book.rs
@@ -1,114 +1,285 @@
-//! The used tickets of one incarnation.
+//! The tickets that one incarnation issued.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::AfterSend;
+use super::Attempt;
+use super::BodyHash;
+use super::BookLimits;
+use super::Claim;
+use super::MAX_RECEIPT_BYTES;
+use super::Outcome;
+use super::SendPermit;
+use super::Ticket;
+use super::entry::Entry;
+use super::entry::State;
+use super::verdict::outcome_unknown;
+use crate::decide::dispatch_end::DispatchEnd;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
 use crate::names::RequestId;
 use crate::names::Timestamp;
 
-/// How long a ticket may be used.
-pub const TICKET_LIFETIME: Duration = Duration::from_secs(600);
-
-/// How a submission ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The desk ran it and gave a receipt.
-    Done {
-        /// Receipt number that the desk gave.
-        receipt: String,
-    },
-    /// It may or may not have run.
-    Unknown,
-}
-
-/// What a claim on a ticket gave.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Claim {
-    /// The submission may run now, once.
-    Run,
-    /// It is running.
-    Running,
-    /// It ended.
-    Ended(Outcome),
-}
-
-#[derive(Clone, Debug)]
-enum Use {
-    Running,
-    Ended(Outcome),
-}
+/// Shortest time to come back when the book is full.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-#[derive(Clone, Debug)]
-struct Entry {
-    body_hash: u64,
-    expires: Timestamp,
-    state: Use,
+/// How much a book holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BookLoad {
+    /// Tickets that may still be used.
+    pub unused: usize,
+    /// Submissions that are running.
+    pub running: usize,
+    /// Outcomes that are remembered.
+    pub ended: usize,
 }
 
-/// The used tickets of one incarnation.
-#[derive(Clone, Debug, Default)]
+/// The tickets that one incarnation issued, and what became of them.
+///
+/// The latest time seen counts as the present in every decision, so a caller
+/// that read the clock before a pause can't undo what was decided meanwhile.
+#[derive(Debug)]
 pub struct SubmissionBook {
+    name: InstanceName,
+    incarnation: Incarnation,
+    limits: BookLimits,
+    closed: bool,
+    latest: Timestamp,
     entries: HashMap<RequestId, Entry>,
+    due: BTreeSet<(Timestamp, RequestId)>,
 }
 
 impl SubmissionBook {
+    /// An empty book of one incarnation.
+    pub fn new(name: InstanceName, incarnation: Incarnation, limits: BookLimits) -> Self {
+        Self {
+            name,
+            incarnation,
+            limits,
+            closed: false,
+            latest: Timestamp::ZERO,
+            entries: HashMap::new(),
+            due: BTreeSet::new(),
+        }
+    }
+
+    /// Issues a ticket for the new submission `id`.
+    ///
+    /// # Errors
+    ///
+    /// `Overloaded` if the book is full, `Draining` after [`Self::close`].
+    pub fn issue(&mut self, now: Timestamp, id: RequestId) -> Result<Ticket> {
+        let now = self.advance(now);
+        self.forget(now);
+        if self.closed {
+            let detail = format!("instance {} issues no new tickets", self.name);
+            return Err(Error::new(ErrorKind::Draining, detail));
+        }
+        if self.entries.len() >= self.limits.max_tickets() {
+            return Err(self.full(now));
+        }
+        if self.entries.contains_key(&id) {
+            let detail = format!("submission id {id} was drawn twice");
+            return Err(Error::new(ErrorKind::Internal, detail));
+        }
+        let expires_ms = (now + self.limits.lifetime).as_micros() / 1000;
+        let expires = Timestamp::from_millis(expires_ms);
+        self.entries.insert(id, Entry { expires, state: State::Unused });
+        self.due.insert((expires, id));
+        Ok(Ticket { id, issuer: self.name.clone(), incarnation: self.incarnation, expires_ms })
+    }
+
     /// Claims a ticket for a submission with this body.
     ///
     /// # Errors
     ///
-    /// `TicketExpired` or `TicketReused`.
-    pub fn claim(
-        &mut self,
-        now: Timestamp,
-        id: RequestId,
-        expires: Timestamp,
-        body_hash: u64,
-    ) -> Result<Claim> {
-        if let Some(entry) = self.entries.get(&id) {
-            if entry.body_hash != body_hash {
+    /// `TicketExpired` if it is proven that the submission never ran,
+    /// `TicketReused` if it came with another body, `OutcomeUnknown` if this
+    /// book can't tell.
+    pub fn claim(&mut self, now: Timestamp, ticket: &Ticket, body: BodyHash) -> Result<Claim> {
+        let now = self.advance(now);
+        self.check_issuer(ticket)?;
+        let id = ticket.id;
+        let Some(entry) = self.entries.get_mut(&id) else {
+            return Err(self.absent(now, ticket));
+        };
+        match &entry.state {
+            State::Unused if now >= entry.expires => Err(expired(id)),
+            State::Unused => {
+                entry.state = State::Running { body };
+                Ok(Claim::Run(Attempt::new(id)))
+            }
+            State::Running { body: used } | State::Ended { body: used, .. } if *used != body => {
                 let detail = format!("ticket {id} was used with another body");
-                return Err(Error::new(ErrorKind::TicketReused, detail));
+                Err(Error::new(ErrorKind::TicketReused, detail))
             }
-            return Ok(match &entry.state {
-                Use::Running => Claim::Running,
-                Use::Ended(outcome) => Claim::Ended(outcome.clone()),
-            });
+            State::Running { .. } => Ok(Claim::Running),
+            State::Ended { outcome, .. } => Ok(Claim::Ended(outcome.clone())),
         }
-        if now >= expires {
-            return Err(Error::new(ErrorKind::TicketExpired, format!("ticket {id} has expired")));
+    }
+
+    /// Permits one send, which must follow at once; `now` is read immediately before.
+    ///
+    /// # Errors
+    ///
+    /// The outcome, not run, if the ticket expired meanwhile.
+    pub fn start_send(
+        &mut self,
+        now: Timestamp,
+        attempt: Attempt,
+    ) -> std::result::Result<SendPermit, Outcome> {
+        let now = self.advance(now);
+        match self.entries.get(&attempt.id()) {
+            Some(entry) if now < entry.expires => Ok(SendPermit::new(attempt)),
+            Some(_) | None => Err(self.give_up(attempt, ErrorKind::TicketExpired)),
         }
-        self.entries.insert(id, Entry { body_hash, expires, state: Use::Running });
-        Ok(Claim::Run)
     }
 
-    /// Records how a submission ended.
-    pub fn finish(&mut self, id: RequestId, outcome: Outcome) {
-        if let Some(entry) = self.entries.get_mut(&id) {
-            entry.state = Use::Ended(outcome);
+    /// Records that no connection to a desk was made; another replica may follow.
+    pub fn end_connect(
+        &mut self,
+        attempt: Attempt,
+        end: DispatchEnd,
+        more_replicas: bool,
+    ) -> AfterSend {
+        if end.allows_another_replica() && more_replicas {
+            return AfterSend::TryAnother(attempt);
+        }
+        if end.proves_not_run() {
+            return AfterSend::Ended(self.give_up(attempt, end.submission_kind()));
         }
+        AfterSend::Ended(self.end(attempt.into_id(), Outcome::Unknown))
     }
 
-    /// Gives a ticket back after the submission was proven not to have run.
-    pub fn release(&mut self, id: RequestId) {
-        self.entries.remove(&id);
+    /// Records how a send ended without a receipt; another replica follows
+    /// only if no byte left and `more_replicas` are at hand.
+    pub fn end_send(
+        &mut self,
+        permit: SendPermit,
+        end: DispatchEnd,
+        more_replicas: bool,
+    ) -> AfterSend {
+        self.end_connect(permit.into_attempt(), end, more_replicas)
+    }
+
+    /// Records the receipt that a desk gave.
+    pub fn end_with_receipt(&mut self, permit: SendPermit, receipt: &str) -> Outcome {
+        let outcome = if receipt.len() > MAX_RECEIPT_BYTES {
+            Outcome::Unknown
+        } else {
+            Outcome::Done { receipt: receipt.into() }
+        };
+        self.end(permit.into_attempt().into_id(), outcome)
     }
 
-    /// What is known of a submission.
-    pub fn outcome(&self, id: RequestId) -> Option<Claim> {
-        self.entries.get(&id).map(|entry| match &entry.state {
-            Use::Running => Claim::Running,
-            Use::Ended(outcome) => Claim::Ended(outcome.clone()),
-        })
+    /// Ends an attempt that sends nothing; by its type no send is under way.
+    pub fn give_up(&mut self, attempt: Attempt, kind: ErrorKind) -> Outcome {
+        self.end(attempt.into_id(), Outcome::NotRun { kind })
     }
 
-    /// Forgets ended submissions whose tickets have expired.
+    /// Ends a submission whose attempt was lost, by a panic say; nothing is known of it.
+    pub fn attempt_lost(&mut self, id: RequestId) {
+        self.end(id, Outcome::Unknown);
+    }
+
+    /// Issues no tickets from now on.
+    pub fn close(&mut self) {
+        self.closed = true;
+    }
+
+    /// Forgets unused tickets that expired and outcomes whose time is over.
     pub fn forget_expired(&mut self, now: Timestamp) {
-        self.entries.retain(|_, entry| match entry.state {
-            Use::Running => true,
-            Use::Ended(_) => now < entry.expires,
-        });
+        let now = self.advance(now);
+        self.forget(now);
+    }
+
+    /// How much the book holds.
+    pub fn load(&self) -> BookLoad {
+        let mut load = BookLoad::default();
+        for entry in self.entries.values() {
+            match entry.state {
+                State::Unused => load.unused += 1,
+                State::Running { .. } => load.running += 1,
+                State::Ended { .. } => load.ended += 1,
+            }
+        }
+        load
+    }
+
+    fn advance(&mut self, now: Timestamp) -> Timestamp {
+        self.latest = self.latest.max(now);
+        self.latest
+    }
+
+    fn check_issuer(&self, ticket: &Ticket) -> Result<()> {
+        if ticket.issuer == self.name && ticket.incarnation == self.incarnation {
+            return Ok(());
+        }
+        let cause = format!("the process of {} that issued the ticket is gone", ticket.issuer);
+        Err(outcome_unknown(ticket.id, &cause))
     }
+
+    /// Between its expiry and the end of the memory only an unused ticket is absent.
+    fn absent(&self, now: Timestamp, ticket: &Ticket) -> Error {
+        let expires = Timestamp::from_millis(ticket.expires_ms);
+        if now >= expires && now < expires + self.limits.memory {
+            return expired(ticket.id);
+        }
+        outcome_unknown(ticket.id, "its outcome is no longer remembered")
+    }
+
+    /// Ends a running submission; an outcome that stands is never replaced.
+    fn end(&mut self, id: RequestId, outcome: Outcome) -> Outcome {
+        let Some(entry) = self.entries.get_mut(&id) else { return Outcome::Unknown };
+        match &entry.state {
+            State::Running { body } => {
+                entry.state = State::Ended { body: *body, outcome: outcome.clone() };
+                outcome
+            }
+            State::Ended { outcome: standing, .. } => standing.clone(),
+            State::Unused => Outcome::Unknown,
+        }
+    }
+
+    fn forget(&mut self, now: Timestamp) {
+        while let Some((due, id)) = self.due.first().copied() {
+            if due > now {
+                return;
+            }
+            self.due.remove(&(due, id));
+            if let Some(next) = self.next_due(now, id) {
+                self.due.insert((next, id));
+            } else {
+                self.entries.remove(&id);
+            }
+        }
+    }
+
+    /// When the entry is looked at again; `None` if it may be forgotten now.
+    fn next_due(&self, now: Timestamp, id: RequestId) -> Option<Timestamp> {
+        let entry = self.entries.get(&id)?;
+        let end_of_memory = entry.expires + self.limits.memory;
+        match entry.state {
+            State::Unused => None,
+            State::Running { .. } => Some(end_of_memory.max(now + self.limits.lifetime)),
+            State::Ended { .. } if now >= end_of_memory => None,
+            State::Ended { .. } => Some(end_of_memory),
+        }
+    }
+
+    fn full(&self, now: Timestamp) -> Error {
+        let tickets = self.entries.len();
+        let wait = self.due.first().map_or(MIN_RETRY_AFTER, |(due, _)| due.since(now));
+        Error::new(ErrorKind::Overloaded, format!("{tickets} tickets are remembered"))
+            .retry_after(wait.max(MIN_RETRY_AFTER))
+    }
+}
+
+fn expired(id: RequestId) -> Error {
+    Error::new(ErrorKind::TicketExpired, format!("ticket {id} expired unused"))
 }
--- a/src/decide/submissions/mod.rs
+++ b/src/decide/submissions/mod.rs
@@ -1,15 +1,38 @@
 //! Submissions at most once, by tickets.
 //!
 //! A caller first gets a ticket, signed and bound to the incarnation that
-//! issued it. Only that incarnation may ever run the submission, and it
-//! remembers used tickets until they expire; so no claim is replicated and a
-//! wrong view of the membership does no harm.
+//! issued it. Only that incarnation may ever run the submission, and only while
+//! its [`SubmissionBook`] holds the ticket as unused; the book is never copied,
+//! so no claim is replicated and a wrong view of the membership does no harm.
+//!
+//! A ticket is used up by its first attempt, whatever the attempt ends in: an
+//! answer of "not run" voids it, so a re-send that was delayed on its way can't
+//! run the submission after its caller was told so. Every other instance
+//! forwards to the issuer and says "outcome unknown" when it can't reach it.
 
+mod attempt;
+mod body_hash;
 mod book;
+mod entry;
+mod limits;
+mod outcome;
+mod route;
 mod ticket;
+mod verdict;
 
-pub use book::Claim;
-pub use book::Outcome;
+pub use attempt::AfterSend;
+pub use attempt::Attempt;
+pub use attempt::SendPermit;
+pub use body_hash::BodyHash;
+pub use book::BookLoad;
 pub use book::SubmissionBook;
-pub use book::TICKET_LIFETIME;
+pub use limits::BookLimits;
+pub use limits::ENTRY_BYTES;
+pub use limits::MAX_RECEIPT_BYTES;
+pub use limits::OUTCOME_MEMORY;
+pub use limits::TICKET_LIFETIME;
+pub use outcome::Claim;
+pub use outcome::Outcome;
+pub use route::Route;
 pub use ticket::Ticket;
+pub use verdict::Verdict;
--- a/src/error/answer.rs
+++ b/src/error/answer.rs
@@ -26,6 +26,12 @@
 
 impl ErrorKind {
     /// The table from kind to answer.
+    ///
+    /// `not_run` speaks of one request. A submission may have been sent before,
+    /// so what refuses one with a ticket goes through [`super::Error::may_have_run`]
+    /// unless the ticket's issuer proved that it never ran. `TicketInvalid` and
+    /// `TicketReused` prove nothing: another instance may have accepted the
+    /// ticket, or run the same submission written differently.
     pub fn answer(self) -> Answer {
         let row =
             |status, title, not_run, retry_after| Answer { status, title, not_run, retry_after };
@@ -41,9 +47,9 @@
             Self::TooLarge => row(413, "request too large", true, None),
             Self::SlowSender => row(408, "request body took too long", true, None),
             Self::TicketRequired => row(428, "ticket required", true, None),
-            Self::TicketInvalid => row(403, "ticket invalid", true, None),
+            Self::TicketInvalid => row(403, "ticket invalid", false, None),
             Self::TicketExpired => row(410, "ticket expired", true, None),
-            Self::TicketReused => row(409, "ticket used for another submission", true, None),
+            Self::TicketReused => row(409, "ticket used for another submission", false, None),
             Self::Overloaded => row(503, "overloaded", true, soon),
             Self::DeadlineTooShort => row(503, "deadline cannot be met", true, soon),
             Self::LoadFailed => row(503, "adapter could not be loaded", true, later),
@@ -53,6 +59,7 @@
             Self::NotReady => row(503, "no configuration yet", true, later),
             Self::Quarantined => row(422, "request crashed engines", true, Some(QUARANTINE_RETRY)),
             Self::WrongAnswer => row(502, "answer withheld: wrong adapter", false, soon),
+            Self::BackendRefused => row(422, "refused by the backend server", true, None),
             Self::BackendFailed => row(502, "backend server failed", false, later),
             Self::OutcomeUnknown => row(504, "outcome unknown", false, later),
             Self::DeadlineExceeded => row(504, "deadline exceeded", false, soon),
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -51,6 +51,8 @@
     Quarantined,
     /// A backend server answered for another request, adapter or version.
     WrongAnswer,
+    /// A backend server refused the request without running it.
+    BackendRefused,
     /// A backend server failed while the request may have run.
     BackendFailed,
     /// A submission may or may not have run.
@@ -67,7 +69,7 @@
 
 impl ErrorKind {
     /// Every kind, for tables and tests.
-    pub const ALL: [Self; 27] = [
+    pub const ALL: [Self; 28] = [
         Self::Malformed,
         Self::Unauthenticated,
         Self::Forbidden,
@@ -89,6 +91,7 @@
         Self::NotReady,
         Self::Quarantined,
         Self::WrongAnswer,
+        Self::BackendRefused,
         Self::BackendFailed,
         Self::OutcomeUnknown,
         Self::DeadlineExceeded,
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -28,12 +28,15 @@
     pub detail: String,
     /// When trying again makes sense, if it does.
     pub retry_after: Option<Duration>,
+    /// Whether the work may have run although the kind says otherwise.
+    #[serde(default)]
+    pub may_have_run: bool,
 }
 
 impl Error {
     /// Makes an error that says nothing about trying again beyond the table's default.
     pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
-        Self { kind, detail: detail.into(), retry_after: None }
+        Self { kind, detail: detail.into(), retry_after: None, may_have_run: false }
     }
 
     /// Sets when to come back.
@@ -43,12 +46,20 @@
         self
     }
 
+    /// Says that the work may have run, by an earlier try, whatever the kind says.
+    #[must_use]
+    pub fn may_have_run(mut self) -> Self {
+        self.may_have_run = true;
+        self
+    }
+
     /// The answer that callers get: from the table, with this error's own time to come back.
     pub fn answer(&self) -> Answer {
         let mut answer = self.kind.answer();
         if self.retry_after.is_some() {
             answer.retry_after = self.retry_after;
         }
+        answer.not_run &= !self.may_have_run;
         answer
     }
 }
