Carry submissions through the book in the daemon

Connecting to a desk and sending are two steps, with the ticket's expiry read from a fresh clock between them. Every send of a ticket waits on the book for the one attempt. A peer's answer is a typed verdict; whatever refuses a submission with a ticket on the way, by size, slowness or shutdown, no longer says that it was not run.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -25,6 +25,7 @@
 use super::operator_api;
 use super::outcomes;
 use super::submissions;
+use super::submissions::Submissions;
 use crate::auth::PeerSigner;
 use crate::decide::backends::Backends;
 use crate::decide::config::ConfigState;
@@ -38,7 +39,6 @@
 use crate::decide::ownership::Candidate;
 use crate::decide::ownership::Claimant;
 use crate::decide::ownership::GroupId;
-use crate::decide::submissions::SubmissionBook;
 use crate::edge::ConfigClient;
 use crate::edge::DeskClient;
 use crate::edge::EngineClient;
@@ -58,6 +58,7 @@
 use crate::settings::Settings;
 use crate::telemetry::Metrics;
 use crate::telemetry::Tracer;
+use crate::wire::caller::TICKET_HEADER;
 use crate::wire::frame;
 use crate::wire::listing::ListedBackend;
 use crate::wire::peer::ExplainQuestion;
@@ -86,7 +87,7 @@
             config: ConfigClient::new(http.clone(), settings.platform.configuration),
             listing: ListingClient::new(http.clone(), settings.platform.instances),
             engine: EngineClient::new(http.clone()),
-            desk: DeskClient::new(http.clone()),
+            desk: DeskClient,
             peer: PeerClient::new(http, signer),
         }
     }
@@ -109,6 +110,8 @@
     pub metrics: Metrics,
     /// Traces.
     pub tracer: Tracer,
+    /// Submissions whose tickets this process issued.
+    pub submissions: Submissions,
     /// Engines that this instance works for.
     pub engines: EngineShards,
     access: Access,
@@ -117,7 +120,6 @@
     config: RwLock<ConfigState>,
     membership: RwLock<Membership>,
     backends: RwLock<Backends>,
-    book: Mutex<SubmissionBook>,
     explain: Mutex<ExplainLog>,
     drain: Mutex<Drain>,
     caller_requests: AtomicU64,
@@ -137,6 +139,7 @@
         let incarnation = Incarnation(random_u64()?);
         let clients = Clients::new(&settings);
         let claimant = Claimant { name: settings.instance.clone(), incarnation };
+        let submissions = Submissions::new(settings.instance.clone(), incarnation);
         let explain = Mutex::new(ExplainLog::new(settings.instance.clone()));
         Ok(Arc::new(Self {
             settings,
@@ -146,13 +149,13 @@
             in_flight: InFlight::default(),
             metrics,
             tracer,
+            submissions,
             engines: EngineShards::default(),
             access,
             leases: Leases::new(claimant),
             config: RwLock::default(),
             membership: RwLock::default(),
             backends: RwLock::default(),
-            book: Mutex::default(),
             explain,
             drain: Mutex::default(),
             caller_requests: AtomicU64::new(0),
@@ -261,11 +264,6 @@
         change(&mut self.backends.write().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// The used tickets.
-    pub fn book(&self) -> MutexGuard<'_, SubmissionBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The decisions about recent requests.
     pub fn explain(&self) -> MutexGuard<'_, ExplainLog> {
         self.explain.lock().unwrap_or_else(PoisonError::into_inner)
@@ -329,16 +327,19 @@
 
     /// Answers one request.
     pub async fn serve(self: Arc<Self>, surface: Surface, req: Request) -> Reply {
+        let ticketed = req.header(TICKET_HEADER).is_some();
+        // Only the issuer of a ticket proves that its submission did not run.
+        let tell = |error: Error| if ticketed { error.may_have_run() } else { error };
         let signature = match self.access.check(surface, &req, &self.metrics) {
             Ok(signature) => signature,
-            Err(error) => return Reply::from(error),
+            Err(error) => return Reply::from(tell(error)),
         };
         let answer = match surface {
             Surface::Caller => Arc::clone(&self).serve_caller(req).await,
             Surface::Peer => Arc::clone(&self).serve_peer(req).await,
             Surface::Operator => operator_api::serve(&self, &req).await,
         };
-        let reply = answer.unwrap_or_else(Reply::from);
+        let reply = answer.map_err(tell).unwrap_or_else(Reply::from);
         let reply = match &signature {
             Some(request) => self.access.sign(request, reply),
             None => reply,
--- a/src/daemon/outcomes.rs
+++ b/src/daemon/outcomes.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use super::Node;
-use super::submissions::TICKET_HEADER;
-use crate::decide::submissions::Claim;
 use crate::decide::submissions::Outcome;
+use crate::decide::submissions::Standing;
 use crate::decide::submissions::Ticket;
 use crate::edge::PeerPath;
 use crate::edge::PeerTarget;
@@ -17,6 +16,7 @@
 use crate::error::Result;
 use crate::wire::caller::SubmissionState;
 use crate::wire::caller::SubmissionStatus;
+use crate::wire::caller::TICKET_HEADER;
 use crate::wire::frame;
 use crate::wire::peer::OutcomeQuestion;
 
@@ -58,11 +58,15 @@
 }
 
 fn own(node: &Node, ticket: &Ticket) -> SubmissionStatus {
-    let state = match node.book().outcome(ticket.id) {
-        Some(Claim::Running | Claim::Run) => SubmissionState::Running,
-        Some(Claim::Ended(Outcome::Done { receipt })) => SubmissionState::Done { receipt },
-        Some(Claim::Ended(Outcome::Unknown)) => SubmissionState::Unknown,
-        None => SubmissionState::Unused,
+    let now = node.now();
+    let state = match node.submissions.book().standing(now, ticket) {
+        Standing::Unused => SubmissionState::Unused,
+        Standing::Running => SubmissionState::Running,
+        Standing::Ended(Outcome::Done { receipt }) => {
+            SubmissionState::Done { receipt: receipt.to_string() }
+        }
+        Standing::Ended(Outcome::NotRun { .. }) => SubmissionState::NotRun,
+        Standing::Ended(Outcome::Unknown) | Standing::Unknown => SubmissionState::Unknown,
     };
     SubmissionStatus { id: ticket.id, state }
 }
--- /dev/null
+++ b/src/daemon/submissions/mod.rs
@@ -0,0 +1,160 @@
+//! Tickets and submissions.
+//!
+//! Only the process that issued a ticket claims it; every other one forwards.
+//! An attempt runs in a task of its own, so a caller that goes away ends
+//! nothing, and whoever sends the same ticket meanwhile waits for its end.
+
+mod attempt;
+mod shard;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+pub use self::shard::Submissions;
+use super::Node;
+use crate::decide::drain::Work;
+use crate::decide::submissions::BodyHash;
+use crate::decide::submissions::Claim;
+use crate::decide::submissions::Route;
+use crate::decide::submissions::Ticket;
+use crate::decide::submissions::Verdict;
+use crate::edge::PeerPath;
+use crate::edge::PeerTarget;
+use crate::edge::Reply;
+use crate::edge::Request;
+use crate::error::Error;
+use crate::error::ErrorKind;
+use crate::error::Result;
+use crate::wire::caller::SubmissionReply;
+use crate::wire::caller::TICKET_HEADER;
+use crate::wire::caller::TicketReply;
+use crate::wire::frame;
+use crate::wire::peer::ForwardedSubmission;
+
+/// Time for which a send waits for the outcome; covers connecting to two desks and one call.
+const OUTCOME_TIMEOUT: Duration = Duration::from_secs(13);
+/// Time within which the issuing instance must answer; covers [`OUTCOME_TIMEOUT`].
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(14);
+
+/// Answers `POST /v1/tickets`.
+///
+/// # Errors
+///
+/// `Draining` while the instance is shutting down, `Overloaded` while it
+/// remembers as many tickets as it may.
+pub fn issue_ticket(node: &Node) -> Result<Reply> {
+    Ok(Reply::json(200, &new_ticket(node)?))
+}
+
+fn new_ticket(node: &Node) -> Result<TicketReply> {
+    node.check_takes(Work::Ticket)?;
+    let id = node.new_request_id()?;
+    let now = node.now();
+    let ticket = node.submissions.book().issue(now, id)?;
+    let lifetime = ticket.expires_ms.saturating_sub(now.as_micros() / 1000);
+    Ok(TicketReply {
+        id,
+        ticket: ticket.sign(node.settings.keys.tickets.as_bytes()),
+        expires_in_s: lifetime.div_ceil(1000),
+    })
+}
+
+/// Answers `POST /v1/submissions`.
+///
+/// # Errors
+///
+/// What kept the submission from being judged by its issuer; with a ticket
+/// none of that proves that it did not run.
+pub async fn submit(node: &Arc<Node>, req: &Request) -> Result<Reply> {
+    let _guard = node.in_flight.begin();
+    let Some(token) = req.header(TICKET_HEADER) else {
+        return Ok(ticket_required(node));
+    };
+    let ticket = Ticket::verify(token, node.settings.keys.tickets.as_bytes())?;
+    let verdict = match route(node, &ticket) {
+        Route::Here => run(node, &ticket, &req.body).await?,
+        Route::Forward(_) => forward(node, &ticket, token, req).await,
+        Route::Gone => Verdict::issuer_lost(&ticket, "its process is gone"),
+    };
+    Ok(reply(&ticket, verdict))
+}
+
+/// Answers `POST /peer/v1/submit`; never forwards again.
+///
+/// # Errors
+///
+/// What kept the submission from being judged here.
+pub async fn serve_forwarded(node: &Arc<Node>, req: &Request) -> Result<Reply> {
+    let _guard = node.in_flight.begin();
+    let message: ForwardedSubmission = frame::decode(&req.body)?;
+    let ticket = Ticket::verify(&message.ticket, node.settings.keys.tickets.as_bytes())?;
+    let verdict = match route(node, &ticket) {
+        Route::Here => run(node, &ticket, &message.body).await?,
+        Route::Forward(_) | Route::Gone => Verdict::issuer_lost(&ticket, "its process is gone"),
+    };
+    Ok(Reply::message(&verdict))
+}
+
+fn route(node: &Node, ticket: &Ticket) -> Route {
+    node.membership(|membership| {
+        let is_known = |name: &_| membership.get(name).is_some();
+        Route::of(ticket, &node.settings.instance, node.incarnation, is_known)
+    })
+}
+
+fn ticket_required(node: &Node) -> Reply {
+    let error = Error::new(ErrorKind::TicketRequired, "a submission needs a Ticket header");
+    let reply = Reply::error(&error);
+    match new_ticket(node) {
+        Ok(fresh) => reply.header(TICKET_HEADER, fresh.ticket),
+        Err(_) => reply,
+    }
+}
+
+fn reply(ticket: &Ticket, verdict: Verdict) -> Reply {
+    match verdict.into_receipt(ticket.id) {
+        Ok(receipt) => Reply::json(200, &SubmissionReply { id: ticket.id, receipt }),
+        Err(error) => Reply::error(&error),
+    }
+}
+
+async fn forward(node: &Node, ticket: &Ticket, token: &str, req: &Request) -> Verdict {
+    let issuer = node.membership(|membership| membership.get(&ticket.issuer).map(PeerTarget::from));
+    let Some(issuer) = issuer else {
+        return Verdict::issuer_lost(ticket, "it is not listed");
+    };
+    let message = ForwardedSubmission {
+        ticket: token.to_owned(),
+        body: req.body.to_vec(),
+        traceparent: req.header("traceparent").map(str::to_owned),
+    };
+    let peer = &node.clients.peer;
+    match peer.call::<_, Verdict>(&issuer, PeerPath::Submit, &message, FORWARD_TIMEOUT).await {
+        Ok(Ok(verdict)) => verdict,
+        Ok(Err(error)) => Verdict::issuer_lost(ticket, &error.detail),
+        Err(failure) => Verdict::issuer_lost(ticket, &failure.detail),
+    }
+}
+
+/// Claims the ticket, runs its submission if this claim is the first, and waits for the end.
+async fn run(node: &Arc<Node>, ticket: &Ticket, body: &[u8]) -> Result<Verdict> {
+    let value: serde_json::Value = serde_json::from_slice(body)
+        .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
+    let hash = BodyHash::of(body);
+    let until = node.now() + OUTCOME_TIMEOUT;
+    loop {
+        let ended = node.submissions.ended();
+        let claim = node.submissions.book().claim(node.now(), ticket, hash);
+        match claim {
+            Ok(Claim::Ended(outcome)) => return Ok(Verdict::of_outcome(ticket.id, &outcome)),
+            Ok(Claim::Run(attempt)) => attempt::spawn(node, attempt, value.clone()),
+            Ok(Claim::Running) => {}
+            Err(error) => return Ok(Verdict::of_refusal(error)),
+        }
+        if timeout(until.since(node.now()), ended).await.is_err() {
+            return Ok(Verdict::unknown(ticket.id, "it is still running"));
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/submissions/shard.rs
@@ -0,0 +1,47 @@
+//! The book of submissions under its lock, and word of what ended.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::Notify;
+use tokio::sync::futures::OwnedNotified;
+
+use crate::decide::submissions::BookLimits;
+use crate::decide::submissions::SubmissionBook;
+use crate::names::Incarnation;
+use crate::names::InstanceName;
+
+/// The submissions of one incarnation.
+#[derive(Debug)]
+pub struct Submissions {
+    book: Mutex<SubmissionBook>,
+    ended: Arc<Notify>,
+}
+
+impl Submissions {
+    /// No submissions yet.
+    pub fn new(name: InstanceName, incarnation: Incarnation) -> Self {
+        let book = SubmissionBook::new(name, incarnation, BookLimits::default());
+        Self { book: Mutex::new(book), ended: Arc::default() }
+    }
+
+    /// The book; the guard must not be held across an await.
+    pub fn book(&self) -> MutexGuard<'_, SubmissionBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Resolves when a submission ends after this call.
+    pub fn ended(&self) -> Pin<Box<OwnedNotified>> {
+        let mut ended = Box::pin(Arc::clone(&self.ended).notified_owned());
+        ended.as_mut().enable();
+        ended
+    }
+
+    /// Tells everyone who waits to look at the book again.
+    pub fn announce_end(&self) {
+        self.ended.notify_waiters();
+    }
+}
--- a/src/decide/submissions/book.rs
+++ b/src/decide/submissions/book.rs
@@ -12,6 +12,7 @@
 use super::MAX_RECEIPT_BYTES;
 use super::Outcome;
 use super::SendPermit;
+use super::Standing;
 use super::Ticket;
 use super::entry::Entry;
 use super::entry::State;
@@ -48,7 +49,6 @@
     name: InstanceName,
     incarnation: Incarnation,
     limits: BookLimits,
-    closed: bool,
     latest: Timestamp,
     entries: HashMap<RequestId, Entry>,
     due: BTreeSet<(Timestamp, RequestId)>,
@@ -61,7 +61,6 @@
             name,
             incarnation,
             limits,
-            closed: false,
             latest: Timestamp::ZERO,
             entries: HashMap::new(),
             due: BTreeSet::new(),
@@ -72,14 +71,10 @@
     ///
     /// # Errors
     ///
-    /// `Overloaded` if the book is full, `Draining` after [`Self::close`].
+    /// `Overloaded` if the book is full.
     pub fn issue(&mut self, now: Timestamp, id: RequestId) -> Result<Ticket> {
         let now = self.advance(now);
         self.forget(now);
-        if self.closed {
-            let detail = format!("instance {} issues no new tickets", self.name);
-            return Err(Error::new(ErrorKind::Draining, detail));
-        }
         if self.entries.len() >= self.limits.max_tickets() {
             return Err(self.full(now));
         }
@@ -187,9 +182,23 @@
         self.end(id, Outcome::Unknown);
     }
 
-    /// Issues no tickets from now on.
-    pub fn close(&mut self) {
-        self.closed = true;
+    /// What is known of a submission, without running it.
+    pub fn standing(&mut self, now: Timestamp, ticket: &Ticket) -> Standing {
+        let now = self.advance(now);
+        if self.check_issuer(ticket).is_err() {
+            return Standing::Unknown;
+        }
+        let never_used = Standing::Ended(Outcome::NotRun { kind: ErrorKind::TicketExpired });
+        match self.entries.get(&ticket.id) {
+            Some(Entry { expires, state: State::Unused }) if now >= *expires => never_used,
+            Some(Entry { state: State::Unused, .. }) => Standing::Unused,
+            Some(Entry { state: State::Running { .. }, .. }) => Standing::Running,
+            Some(Entry { state: State::Ended { outcome, .. }, .. }) => {
+                Standing::Ended(outcome.clone())
+            }
+            None if self.absent(now, ticket).kind == ErrorKind::TicketExpired => never_used,
+            None => Standing::Unknown,
+        }
     }
 
     /// Forgets unused tickets that expired and outcomes whose time is over.
--- a/src/decide/submissions/mod.rs
+++ b/src/decide/submissions/mod.rs
@@ -33,6 +33,7 @@
 pub use limits::TICKET_LIFETIME;
 pub use outcome::Claim;
 pub use outcome::Outcome;
+pub use outcome::Standing;
 pub use route::Route;
 pub use ticket::Ticket;
 pub use verdict::Verdict;
--- a/src/decide/submissions/outcome.rs
+++ b/src/decide/submissions/outcome.rs
@@ -32,3 +32,16 @@
     /// It ended.
     Ended(Outcome),
 }
+
+/// What is known of a submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It hasn't come; it may be on its way.
+    Unused,
+    /// It is running.
+    Running,
+    /// It ended.
+    Ended(Outcome),
+    /// Nothing is known here.
+    Unknown,
+}
--- a/src/edge/desk_client.rs
+++ b/src/edge/desk_client.rs
@@ -1,60 +1,134 @@
 //! Desks, whose calls may not be repeated.
+//!
+//! Connecting and sending are two steps, so that the right to send is checked
+//! between them. Each call has a connection of its own: a pooled one might
+//! break without a sign of whether the desk read the request.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HOST;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use super::CallFailure;
-use super::HttpCall;
-use super::HttpClient;
 use crate::decide::dispatch_end::DispatchEnd;
 use crate::wire::desk::DeskReceipt;
 use crate::wire::desk::DeskSubmission;
 
+/// Time within which a connection must be made.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
 /// Client of every desk.
-#[derive(Clone, Debug)]
-pub struct DeskClient {
-    http: HttpClient,
-}
+#[derive(Clone, Debug, Default)]
+pub struct DeskClient;
 
 impl DeskClient {
-    /// A client over `http`.
-    pub fn new(http: HttpClient) -> Self {
-        Self { http }
+    /// Connects to a desk.
+    ///
+    /// # Errors
+    ///
+    /// `ConnectRefused` if no connection was made in time.
+    pub async fn connect(&self, addr: SocketAddr) -> Result<DeskConnection, CallFailure> {
+        let refused = |detail: String| CallFailure { end: DispatchEnd::ConnectRefused, detail };
+        let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(refused(format!("no connection to {addr}: {e}"))),
+            Err(_) => return Err(refused(format!("no connection to {addr} in time"))),
+        };
+        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| refused(format!("no connection to {addr}: {e}")))?;
+        tokio::spawn(async move {
+            // How the call ended is seen by the call itself.
+            let _ = connection.await;
+        });
+        Ok(DeskConnection { addr, sender })
     }
+}
+
+/// A connection to a desk on which nothing was sent.
+#[derive(Debug)]
+pub struct DeskConnection {
+    addr: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+}
 
-    /// Sends a submission once; `wait` bounds the time to the answer.
+impl DeskConnection {
+    /// Sends a submission; `wait` bounds the time to the whole answer.
     ///
     /// # Errors
     ///
     /// How the call ended.
     pub async fn submit(
-        &self,
-        addr: SocketAddr,
+        mut self,
         submission: &DeskSubmission,
         wait: Duration,
     ) -> Result<DeskReceipt, CallFailure> {
-        let body = serde_json::to_vec(submission).map(Bytes::from).map_err(|e| CallFailure {
-            end: DispatchEnd::ResetBeforeSend,
-            detail: format!("submission can't be encoded: {e}"),
-        })?;
-        let call = HttpCall::post(addr, "/v1/submissions", body);
-        let reply = self.http.send_once(call, wait).await?;
-        let status = reply.status;
-        if !status.is_success() {
-            let detail = format!("desk answered {status}");
-            return Err(CallFailure { end: DispatchEnd::Failed, detail });
+        let req = self.request(submission)?;
+        match timeout(wait, self.call(req)).await {
+            Ok(body) => read_receipt(&body?, submission),
+            Err(_) => {
+                let detail = format!("no answer from {} in {} ms", self.addr, wait.as_millis());
+                Err(CallFailure { end: DispatchEnd::TimedOut, detail })
+            }
         }
-        let body = reply.whole().await?;
-        let receipt: DeskReceipt = serde_json::from_slice(&body).map_err(|e| CallFailure {
-            end: DispatchEnd::Failed,
-            detail: format!("desk's answer: {e}"),
+    }
+
+    fn request(&self, submission: &DeskSubmission) -> Result<Request<Full<Bytes>>, CallFailure> {
+        let unsent = |detail: String| CallFailure { end: DispatchEnd::ResetBeforeSend, detail };
+        let body = serde_json::to_vec(submission)
+            .map_err(|e| unsent(format!("submission can't be encoded: {e}")))?;
+        Request::post("/v1/submissions")
+            .header(HOST, self.addr.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|e| unsent(format!("request can't be made: {e}")))
+    }
+
+    async fn call(&mut self, req: Request<Full<Bytes>>) -> Result<Bytes, CallFailure> {
+        let addr = self.addr;
+        let response = self.sender.send_request(req).await.map_err(|e| CallFailure {
+            end: DispatchEnd::ResetAfterSend,
+            detail: format!("connection to {addr} broke: {e}"),
         })?;
-        if receipt.submission_id != submission.submission_id {
-            let detail = "desk answered for another submission".to_owned();
-            return Err(CallFailure { end: DispatchEnd::Failed, detail });
-        }
-        Ok(receipt)
+        read_answer(response).await
+    }
+}
+
+async fn read_answer(response: Response<Incoming>) -> Result<Bytes, CallFailure> {
+    let status = response.status();
+    if !status.is_success() {
+        let end = DispatchEnd::of_desk_status(status.as_u16());
+        return Err(CallFailure { end, detail: format!("desk answered {status}") });
+    }
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.map_err(|e| CallFailure {
+        end: DispatchEnd::AnswerCut,
+        detail: format!("desk's answer broke off: {e}"),
+    })?;
+    Ok(body.to_bytes())
+}
+
+fn read_receipt(body: &[u8], submission: &DeskSubmission) -> Result<DeskReceipt, CallFailure> {
+    let damaged = |detail: String| CallFailure { end: DispatchEnd::AnswerDamaged, detail };
+    let receipt: DeskReceipt =
+        serde_json::from_slice(body).map_err(|e| damaged(format!("desk's answer: {e}")))?;
+    if receipt.submission_id != submission.submission_id {
+        return Err(damaged("desk answered for another submission".to_owned()));
     }
+    Ok(receipt)
 }
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -42,6 +42,7 @@
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::wire::caller::TICKET_HEADER;
 
 /// Time after which an unused connection is closed; longer than clients of this
 /// system keep theirs, so that none sends on a connection that is being closed.
@@ -135,7 +136,8 @@
     let Ok(place) = places.try_acquire_owned() else {
         let count = server.limits.concurrent_requests;
         let error = Error::new(ErrorKind::Overloaded, format!("{count} requests in progress"));
-        return Ok(response(Reply::error(&error).header("connection", "close"), None));
+        let ticketed = cx.req().headers().contains_key(TICKET_HEADER);
+        return Ok(response(refused(error, ticketed), None));
     };
     let (parts, rest) = cx.take_request().into_parts();
     let from = *rest.socket_addr();
@@ -147,6 +149,7 @@
         })
         .collect::<HashMap<_, _>>();
     let (_, body) = rest.replace_body(());
+    let ticketed = headers.contains_key(TICKET_HEADER);
     let reply = match read_request(server.limits, &parts.headers, body).await {
         Ok(body) => {
             let req = Request {
@@ -159,11 +162,17 @@
             };
             serve(&server, req).await
         }
-        Err(error) => Reply::error(&error).header("connection", "close"),
+        Err(error) => refused(error, ticketed),
     };
     Ok(response(reply, Some(place)))
 }
 
+/// Refuses a request unread; one with a ticket may have come before and run.
+fn refused(error: Error, ticketed: bool) -> Reply {
+    let error = if ticketed { error.may_have_run() } else { error };
+    Reply::error(&error).header("connection", "close")
+}
+
 async fn serve(server: &HttpServer, req: Request) -> Reply {
     let task = server.runtime.spawn((server.handler)(req));
     task.await.unwrap_or_else(|e| {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,6 +18,7 @@
 
 pub use config_client::ConfigClient;
 pub use desk_client::DeskClient;
+pub use desk_client::DeskConnection;
 pub use engine_client::EngineClient;
 pub use engine_client::EngineFailure;
 pub use engine_client::EngineStream;
--- a/src/error/problem.rs
+++ b/src/error/problem.rs
@@ -46,6 +46,7 @@
             kind: problem.kind,
             detail: problem.detail,
             retry_after: problem.retry_after_s.map(Duration::from_secs),
+            may_have_run: !problem.not_run,
         }
     }
 }
--- a/src/wire/caller.rs
+++ b/src/wire/caller.rs
@@ -84,12 +84,17 @@
     pub text: String,
 }
 
+/// Header that carries the ticket of a submission.
+pub const TICKET_HEADER: &str = "ticket";
+
 /// Answer of `POST /v1/tickets`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TicketReply {
+    /// Identifier of the submission, by which the desk knows it.
+    pub id: RequestId,
     /// The ticket, to be sent with the submission.
     pub ticket: String,
-    /// Seconds until it expires.
+    /// Seconds until it expires; after that its submission never starts to run.
     pub expires_in_s: u64,
 }
 
