--- a/tests/cli_calls.rs
+++ b/tests/cli_calls.rs
@@ -239,7 +239,7 @@
             *tickets += 1;
             return StubReply::json(
                 200,
-                &json!({"ticket": format!("t{tickets}"), "expires_in_s": 600}),
+                &json!({"id": ID, "ticket": format!("t{tickets}"), "expires_in_s": 120}),
             );
         }
         let mut seen = seen.lock().unwrap();
--- a/tests/contract_callers.rs
+++ b/tests/contract_callers.rs
@@ -230,13 +230,13 @@
             "ticket_required",
             true,
         ),
-        ("not a ticket", submit("x", "1"), "ticket_invalid", true),
-        ("truncated ticket", submit(&truncated, "1"), "ticket_invalid", true),
+        ("not a ticket", submit("x", "1"), "ticket_invalid", false),
+        ("truncated ticket", submit(&truncated, "1"), "ticket_invalid", false),
         (
             "forged ticket",
             submit(&forged("another-key-of-16-bytes", incarnation, far), "1"),
             "ticket_invalid",
-            true,
+            false,
         ),
         (
             "expired ticket",
@@ -250,9 +250,15 @@
             "outcome_unknown",
             false,
         ),
-        ("used ticket", submit(&used, "2"), "ticket_reused", true),
-        ("malformed body", submit(&new_ticket(&daemon), "{"), "malformed", true),
-        ("oversized body", submit(&new_ticket(&daemon), &"1".repeat(5000)), "too_large", true),
+        (
+            "ticket that was never issued",
+            submit(&forged(TICKET_KEY, incarnation, far), "1"),
+            "outcome_unknown",
+            false,
+        ),
+        ("used ticket", submit(&used, "2"), "ticket_reused", false),
+        ("malformed body", submit(&new_ticket(&daemon), "{"), "malformed", false),
+        ("oversized body", submit(&new_ticket(&daemon), &"1".repeat(5000)), "too_large", false),
     ];
     for (name, answer, kind, not_run) in &cases {
         assert_eq!(answer.kind(), *kind, "{name}");
