--- a/src/daemon/submissions/attempt.rs
+++ b/src/daemon/submissions/attempt.rs
@@ -9,10 +9,14 @@
 use crate::decide::submissions::Attempt;
 use crate::decide::submissions::Outcome;
 use crate::decide::submissions::SendPermit;
+use crate::decide::submissions::Verdict;
 use crate::edge::CallFailure;
 use crate::edge::DeskConnection;
 use crate::error::ErrorKind;
 use crate::names::RequestId;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
 use crate::wire::desk::DeskSubmission;
 use crate::wire::listing::ListedBackend;
 
@@ -36,7 +40,8 @@
 }
 
 /// Runs an attempt in a task of its own.
-pub fn spawn(node: &Arc<Node>, attempt: Attempt, body: serde_json::Value) {
+pub fn spawn(node: &Arc<Node>, attempt: Attempt, body: serde_json::Value, parent: &Span) {
+    let span = node.tracer.span(Hop::DeskCall, parent.traceparent().as_deref());
     let node = Arc::clone(node);
     let id = attempt.id();
     tokio::spawn(async move {
@@ -44,6 +49,9 @@
         let _end = EndGuard { node: Arc::clone(&node), id };
         let submission = DeskSubmission { submission_id: id, body };
         let outcome = run(&node, attempt, &submission).await;
+        if let Err(error) = Verdict::of_outcome(id, &outcome).into_receipt(id) {
+            span.fail(&error);
+        }
         node.note(id, format!("submission ended: {outcome:?}"));
     });
 }
@@ -53,7 +61,10 @@
     for (number, desk) in replicas.iter().enumerate() {
         let more = number + 1 < replicas.len();
         match try_replica(node, attempt, desk, submission, more).await {
-            AfterSend::TryAnother(again) => attempt = again,
+            AfterSend::TryAnother(again) => {
+                node.metrics.count(Counter::Retried);
+                attempt = again;
+            }
             AfterSend::Ended(outcome) => return outcome,
         }
     }
--- a/src/daemon/submissions/mod.rs
+++ b/src/daemon/submissions/mod.rs
@@ -27,6 +27,10 @@
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
+use crate::telemetry::Counter;
+use crate::telemetry::Hop;
+use crate::telemetry::Span;
+use crate::telemetry::Timing;
 use crate::wire::caller::SubmissionReply;
 use crate::wire::caller::TICKET_HEADER;
 use crate::wire::caller::TicketReply;
@@ -53,6 +57,7 @@
     let id = node.new_request_id()?;
     let now = node.now();
     let ticket = node.submissions.book().issue(now, id)?;
+    node.metrics.count(Counter::TicketIssued);
     let lifetime = ticket.expires_ms.saturating_sub(now.as_micros() / 1000);
     Ok(TicketReply {
         id,
@@ -69,16 +74,36 @@
 /// none of that proves that it did not run.
 pub async fn submit(node: &Arc<Node>, req: &Request) -> Result<Reply> {
     let _guard = node.in_flight.begin();
+    let arrived = node.now();
+    node.metrics.count(Counter::SubmissionArrived);
+    let span = node.tracer.span(Hop::EntrySubmission, req.header("traceparent"));
     let Some(token) = req.header(TICKET_HEADER) else {
         return Ok(ticket_required(node));
     };
-    let ticket = Ticket::verify(token, node.settings.keys.tickets.as_bytes())?;
+    match judge(node, token, &req.body, &span).await {
+        Ok(reply) => {
+            node.metrics.count(Counter::SubmissionAnswered);
+            node.metrics.time(Timing::Submission, node.now().since(arrived));
+            Ok(Reply::json(200, &reply))
+        }
+        Err(error) => {
+            span.fail(&error);
+            node.metrics.count_error(error.kind);
+            Ok(Reply::error(&error))
+        }
+    }
+}
+
+/// The receipt, or the error that the caller is told.
+async fn judge(node: &Arc<Node>, token: &str, body: &[u8], span: &Span) -> Result<SubmissionReply> {
+    let ticket = verify(node, token).map_err(Error::may_have_run)?;
     let verdict = match route(node, &ticket) {
-        Route::Here => run(node, &ticket, &req.body).await?,
-        Route::Forward(_) => forward(node, &ticket, token, req).await,
-        Route::Gone => Verdict::issuer_lost(&ticket, "its process is gone"),
+        Route::Here => run(node, &ticket, body, span).await,
+        Route::Forward(_) => Ok(forward(node, &ticket, token, body, span).await),
+        Route::Gone => Ok(Verdict::issuer_lost(&ticket, "its process is gone")),
     };
-    Ok(reply(&ticket, verdict))
+    let receipt = verdict.map_err(Error::may_have_run)?.into_receipt(ticket.id)?;
+    Ok(SubmissionReply { id: ticket.id, receipt })
 }
 
 /// Answers `POST /peer/v1/submit`; never forwards again.
@@ -89,14 +114,19 @@
 pub async fn serve_forwarded(node: &Arc<Node>, req: &Request) -> Result<Reply> {
     let _guard = node.in_flight.begin();
     let message: ForwardedSubmission = frame::decode(&req.body)?;
-    let ticket = Ticket::verify(&message.ticket, node.settings.keys.tickets.as_bytes())?;
+    let ticket = verify(node, &message.ticket)?;
+    let span = node.tracer.span(Hop::IssuerSubmission, message.traceparent.as_deref());
     let verdict = match route(node, &ticket) {
-        Route::Here => run(node, &ticket, &message.body).await?,
+        Route::Here => run(node, &ticket, &message.body, &span).await?,
         Route::Forward(_) | Route::Gone => Verdict::issuer_lost(&ticket, "its process is gone"),
     };
     Ok(Reply::message(&verdict))
 }
 
+fn verify(node: &Node, token: &str) -> Result<Ticket> {
+    Ticket::verify(token, node.settings.keys.tickets.as_bytes())
+}
+
 fn route(node: &Node, ticket: &Ticket) -> Route {
     node.membership(|membership| {
         let is_known = |name: &_| membership.get(name).is_some();
@@ -106,6 +136,7 @@
 
 fn ticket_required(node: &Node) -> Reply {
     let error = Error::new(ErrorKind::TicketRequired, "a submission needs a Ticket header");
+    node.metrics.count_error(error.kind);
     let reply = Reply::error(&error);
     match new_ticket(node) {
         Ok(fresh) => reply.header(TICKET_HEADER, fresh.ticket),
@@ -113,22 +144,16 @@
     }
 }
 
-fn reply(ticket: &Ticket, verdict: Verdict) -> Reply {
-    match verdict.into_receipt(ticket.id) {
-        Ok(receipt) => Reply::json(200, &SubmissionReply { id: ticket.id, receipt }),
-        Err(error) => Reply::error(&error),
-    }
-}
-
-async fn forward(node: &Node, ticket: &Ticket, token: &str, req: &Request) -> Verdict {
+async fn forward(node: &Node, ticket: &Ticket, token: &str, body: &[u8], span: &Span) -> Verdict {
     let issuer = node.membership(|membership| membership.get(&ticket.issuer).map(PeerTarget::from));
     let Some(issuer) = issuer else {
         return Verdict::issuer_lost(ticket, "it is not listed");
     };
+    let call = node.tracer.span(Hop::ForwardCall, span.traceparent().as_deref());
     let message = ForwardedSubmission {
         ticket: token.to_owned(),
-        body: req.body.to_vec(),
-        traceparent: req.header("traceparent").map(str::to_owned),
+        body: body.to_vec(),
+        traceparent: call.traceparent(),
     };
     let peer = &node.clients.peer;
     match peer.call::<_, Verdict>(&issuer, PeerPath::Submit, &message, FORWARD_TIMEOUT).await {
@@ -139,7 +164,7 @@
 }
 
 /// Claims the ticket, runs its submission if this claim is the first, and waits for the end.
-async fn run(node: &Arc<Node>, ticket: &Ticket, body: &[u8]) -> Result<Verdict> {
+async fn run(node: &Arc<Node>, ticket: &Ticket, body: &[u8], span: &Span) -> Result<Verdict> {
     let value: serde_json::Value = serde_json::from_slice(body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
     let hash = BodyHash::of(body);
@@ -149,7 +174,7 @@
         let claim = node.submissions.book().claim(node.now(), ticket, hash);
         match claim {
             Ok(Claim::Ended(outcome)) => return Ok(Verdict::of_outcome(ticket.id, &outcome)),
-            Ok(Claim::Run(attempt)) => attempt::spawn(node, attempt, value.clone()),
+            Ok(Claim::Run(attempt)) => attempt::spawn(node, attempt, value.clone(), span),
             Ok(Claim::Running) => {}
             Err(error) => return Ok(Verdict::of_refusal(error)),
         }
