--- a/src/daemon/dispatches.rs
+++ b/src/daemon/dispatches.rs
@@ -10,6 +10,8 @@
 use super::Node;
 use super::engine_shard::EngineShard;
 use super::owner_calls;
+use super::quarantine;
+use super::quarantine::Ending;
 use crate::decide::drain::Work;
 use crate::decide::echo::EchoCheck;
 use crate::decide::engine::EngineInput;
@@ -24,6 +26,7 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::Fencing;
+use crate::names::Incarnation;
 use crate::telemetry::Counter;
 use crate::telemetry::Hop;
 use crate::telemetry::Span;
@@ -85,6 +88,31 @@
     tx: &mpsc::Sender<DispatchEvent>,
 ) -> Result<()> {
     let shard = owner_calls::owned_shard(node, &message.engine).await?;
+    let admission = quarantine::admit(node, message).await?;
+    let mut ran_on = None;
+    let result = run_admitted(node, &shard, message, admission.alone, &mut ran_on, span, tx).await;
+    let ending = match &result {
+        Ok(RunEnd::Over) => Ending::Complete,
+        Err(error) if error.kind == ErrorKind::BackendFailed => {
+            owner_calls::incarnation_ended(node, &shard, ran_on)
+                .await
+                .map_or(Ending::Other, Ending::Crashed)
+        }
+        Ok(_) | Err(_) => Ending::Other,
+    };
+    quarantine::finish(node, &shard.name, admission, ending).await;
+    result.map(|_| ())
+}
+
+async fn run_admitted(
+    node: &Arc<Node>,
+    shard: &Arc<EngineShard>,
+    message: &Dispatch,
+    alone: bool,
+    ran_on: &mut Option<Incarnation>,
+    span: &Span,
+    tx: &mpsc::Sender<DispatchEvent>,
+) -> Result<RunEnd> {
     let (verdict_tx, verdict_rx) = oneshot::channel();
     let id = message.request_id;
     let now = node.now();
@@ -97,16 +125,20 @@
         deadline: now + Duration::from_millis(message.deadline_ms),
     };
     let stalled = !shard.is_loaded(&message.adapter);
-    owner_calls::apply_input(node, &shard, EngineInput::Arrived(waiting));
+    if alone {
+        owner_calls::apply_input(node, shard, EngineInput::Guard(GuardInput::Alone(id)));
+    }
+    owner_calls::apply_input(node, shard, EngineInput::Arrived(waiting));
     let verdict = tokio::select! {
         verdict = verdict_rx => verdict,
         () = tx.closed() => {
-            owner_calls::apply_input(node, &shard, EngineInput::Withdrawn(id));
-            return Ok(());
+            owner_calls::apply_input(node, shard, EngineInput::Withdrawn(id));
+            return Ok(RunEnd::Begun);
         }
     };
     let fencing =
         verdict.map_err(|_| Error::new(ErrorKind::Internal, "the queue lost the request"))??;
+    *ran_on = shard.incarnation();
     let waited = node.now().since(now);
     count_wait(node, stalled, waited);
     let load = if stalled { ", its adapter was loaded first" } else { "" };
@@ -114,9 +146,9 @@
     let call = node.tracer.span(Hop::EngineCall, span.traceparent().as_deref());
     call.set("engine", shard.name.as_str());
     call.set("adapter", message.adapter.to_string());
-    let (result, end) = generate(node, &shard, message, fencing, tx).await;
-    on_end(node, &shard, message, end);
-    result.inspect_err(|error| call.fail(error))
+    let (result, end) = generate(node, shard, message, fencing, tx).await;
+    on_end(node, shard, message, end);
+    result.inspect_err(|error| call.fail(error)).map(|()| end)
 }
 
 fn count_wait(node: &Node, stalled: bool, waited: Duration) {
--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Incarnation that the engine last named, if any.
+    pub fn incarnation(&self) -> Option<Incarnation> {
+        self.lock().owned.custody().incarnation()
+    }
+
     /// Whether the takeover is over.
     pub fn is_taken_over(&self) -> bool {
         self.lock().owned.custody().number().is_some()
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -20,6 +20,7 @@
 mod operator_api;
 mod outcomes;
 mod owner_calls;
+mod quarantine;
 mod refresh;
 mod report;
 mod route;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -24,6 +24,8 @@
 use super::leases::Leases;
 use super::operator_api;
 use super::outcomes;
+use super::quarantine;
+use super::quarantine::Quarantine;
 use super::submissions;
 use crate::auth::PeerSigner;
 use crate::decide::backends::Backends;
@@ -114,6 +116,8 @@
     access: Access,
     /// Leases of engine groups.
     pub leases: Leases,
+    /// Requests that crash engines.
+    pub quarantine: Quarantine,
     config: RwLock<ConfigState>,
     membership: RwLock<Membership>,
     backends: RwLock<Backends>,
@@ -149,6 +153,7 @@
             engines: EngineShards::default(),
             access,
             leases: Leases::new(claimant),
+            quarantine: Quarantine::default(),
             config: RwLock::default(),
             membership: RwLock::default(),
             backends: RwLock::default(),
@@ -363,6 +368,7 @@
             Some(PeerPath::Dispatch) => dispatches::serve(&self, &req),
             Some(PeerPath::Submit) => submissions::serve_forwarded(&self, &req).await,
             Some(PeerPath::Lease) => leases::serve(&self, &req),
+            Some(PeerPath::Quarantine) => quarantine::serve(&self, &req).await,
             Some(PeerPath::Hello) => super::refresh::serve_hello(&self, &req),
             Some(PeerPath::Status) => Ok(Reply::message(&operator_api::status(&self))),
             Some(PeerPath::Explain) => {
--- a/src/daemon/owner_calls.rs
+++ b/src/daemon/owner_calls.rs
@@ -23,6 +23,7 @@
 use crate::names::AdapterRef;
 use crate::names::BackendName;
 use crate::names::Fencing;
+use crate::names::Incarnation;
 use crate::names::Timestamp;
 use crate::telemetry::Counter;
 use crate::telemetry::Hop;
@@ -256,6 +257,18 @@
     }
 }
 
+/// The engine's incarnation of before, if it has ended; asks the engine.
+pub async fn incarnation_ended(
+    node: &Node,
+    shard: &EngineShard,
+    before: Option<Incarnation>,
+) -> Option<Incarnation> {
+    match node.clients.engine.running(shard.addr).await {
+        Ok(report) if Some(report.incarnation) == before => None,
+        Ok(_) | Err(_) => before,
+    }
+}
+
 /// Notes that another instance has fenced the engine, if that's why it refused.
 pub fn on_refused(node: &Arc<Node>, shard: &EngineShard, failure: &EngineFailure) {
     let EngineFailure::Refused(body) = failure else { return };
--- /dev/null
+++ b/src/decide/quarantine/message.rs
@@ -0,0 +1,63 @@
+//! Messages between instances about requests that crash engines.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Clearance;
+use super::Fingerprint;
+use super::PermitReply;
+use super::Strike;
+use crate::names::BackendName;
+use crate::names::RequestId;
+
+/// Body of `POST /peer/v1/quarantine`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuarantineMessage {
+    /// Requests were running when an engine's incarnation ended.
+    Struck(Vec<Strike>),
+    /// Strikes that don't count any more.
+    Cleared(Clearance),
+    /// Asks the home for a permit.
+    Ask {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// The request.
+        request: RequestId,
+        /// First engine of its adapter.
+        first: BackendName,
+        /// Strikes that the asker knows of.
+        strikes: Vec<Strike>,
+    },
+    /// Tells the home that a request under its permit ended.
+    Finished {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// The request.
+        request: RequestId,
+        /// The strike that it got, if any.
+        strikes: Vec<Strike>,
+    },
+    /// Asks the owner of the first engine whether the request runs there.
+    Confirm {
+        /// The request's fingerprint.
+        fingerprint: Fingerprint,
+        /// Strikes that the home knows of.
+        strikes: Vec<Strike>,
+    },
+}
+
+/// Answer to a [`QuarantineMessage`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum QuarantineReply {
+    /// News was taken.
+    Noted,
+    /// Answer to `Ask`.
+    Permit(PermitReply),
+    /// Answer to `Confirm`.
+    First {
+        /// Whether the request runs there.
+        occupied: bool,
+        /// Strikes that the owner knows of.
+        strikes: Vec<Strike>,
+    },
+}
--- a/src/decide/quarantine/mod.rs
+++ b/src/decide/quarantine/mod.rs
@@ -7,6 +7,7 @@
 
 mod book;
 mod fingerprint;
+mod message;
 mod permit_reply;
 mod permits;
 mod route;
@@ -15,6 +16,8 @@
 
 pub use book::QuarantineBook;
 pub use fingerprint::Fingerprint;
+pub use message::QuarantineMessage;
+pub use message::QuarantineReply;
 pub use permit_reply::PermitReply;
 pub use permits::FirstEngine;
 pub use permits::Permits;
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -113,6 +113,7 @@
             PeerPath::Dispatch
             | PeerPath::Hello
             | PeerPath::Lease
+            | PeerPath::Quarantine
             | PeerPath::Status
             | PeerPath::Explain
             | PeerPath::Outcome => self.http.send(call, wait).await,
--- a/src/edge/peer_path.rs
+++ b/src/edge/peer_path.rs
@@ -11,6 +11,8 @@
     Hello,
     /// A message to a panel member.
     Lease,
+    /// A message about requests that crash engines.
+    Quarantine,
     /// State of an instance, for operators.
     Status,
     /// Decisions about a request, for operators.
@@ -21,11 +23,12 @@
 
 impl PeerPath {
     /// Every path.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Dispatch,
         Self::Submit,
         Self::Hello,
         Self::Lease,
+        Self::Quarantine,
         Self::Status,
         Self::Explain,
         Self::Outcome,
@@ -38,6 +41,7 @@
             Self::Submit => "/peer/v1/submit",
             Self::Hello => "/peer/v1/hello",
             Self::Lease => "/peer/v1/lease",
+            Self::Quarantine => "/peer/v1/quarantine",
             Self::Status => "/peer/v1/status",
             Self::Explain => "/peer/v1/explain",
             Self::Outcome => "/peer/v1/outcome",
