--- a/src/decide/quarantine/book.rs
+++ b/src/decide/quarantine/book.rs
@@ -11,7 +11,7 @@
 
 /// Time after its last strike for which a request is remembered.
 const MEMORY: Duration = Duration::from_secs(600);
-/// Most fingerprints that are remembered: about 1 MB.
+/// Most fingerprints that are remembered; bounds memory.
 const MAX_FINGERPRINTS: usize = 4096;
 /// Most strikes of one fingerprint that are remembered.
 const MAX_STRIKES: usize = 8;
--- a/src/decide/quarantine/permits.rs
+++ b/src/decide/quarantine/permits.rs
@@ -20,7 +20,7 @@
 const PERMIT_TERM: Duration = Duration::from_secs(120);
 /// Time after which a refused asker may ask again while another copy runs.
 const BUSY_RETRY: Duration = Duration::from_millis(200);
-/// Most permits that a home has given at once: about 1 MB.
+/// Most permits that a home has given at once; bounds memory.
 const MAX_PERMITS: usize = 8192;
 
 /// What the owner of the first engine says of a fingerprint.
--- a/tests/ownership_model/main.rs
+++ b/tests/ownership_model/main.rs
@@ -3,6 +3,7 @@
 //! `TAMARACKLEAD_FUZZ_CASES=N` runs N cases from fresh seeds instead of the fixed ones.
 
 mod engine;
+mod message;
 mod node;
 mod regressions;
 mod step;
--- a/tests/ownership_model/regressions.rs
+++ b/tests/ownership_model/regressions.rs
@@ -20,7 +20,7 @@
         Step::Want { node: 0, wanted: true },
         Step::Run { ms: 20_000 },
         Step::Arrive { node: 0, adapter: 0 },
-        Step::Run { ms: 500 },
+        Step::Run { ms: 2_000 },
     ]
 }
 
@@ -41,7 +41,7 @@
         steps.push(Step::Want { node: 1, wanted: true });
         steps.push(Step::Run { ms: 20_000 });
         steps.extend((0..NODES).map(|node| Step::Arrive { node, adapter: 1 }));
-        steps.push(Step::Run { ms: 500 });
+        steps.push(Step::Run { ms: 2_000 });
         let world = play(mode, &steps);
         assert_eq!(world.engine.ran.len(), 2, "{mode:?}");
     }
@@ -62,3 +62,66 @@
         assert_eq!(world.engine.ran.len(), 1, "{mode:?}");
     }
 }
+
+#[test]
+fn a_new_owner_evicts_nothing_that_its_predecessor_left_running() {
+    for mode in [FencingMode::Refuse, FencingMode::Ignore] {
+        let mut steps = request_after_takeover();
+        steps.push(Step::Kill { node: 0 });
+        steps.push(Step::Want { node: 1, wanted: true });
+        steps.push(Step::Run { ms: 20_000 });
+        steps.push(Step::Arrive { node: 1, adapter: 1 });
+        steps.push(Step::Run { ms: 2_000 });
+        let world = play(mode, &steps);
+        assert_eq!((world.engine.ran.len(), world.engine.evictions), (1, 0), "{mode:?}");
+    }
+}
+
+#[test]
+fn an_isolated_owner_stops_before_another_begins() {
+    let mut steps = request_after_takeover();
+    steps.push(Step::Isolate { node: 0 });
+    steps.push(Step::Want { node: 1, wanted: true });
+    steps.extend(vec![Step::Run { ms: 100 }; 200]);
+    let world = play(FencingMode::Ignore, &steps);
+    assert_eq!(world.owners(), [1]);
+}
+
+#[test]
+fn panel_members_that_restarted_abstain_while_a_forgotten_promise_may_hold() {
+    let mut steps = request_after_takeover();
+    steps.push(Step::Orphan { node: 0 });
+    steps.push(Step::Want { node: 1, wanted: true });
+    steps.extend(vec![Step::Run { ms: 100 }; 200]);
+    let world = play(FencingMode::Ignore, &steps);
+    assert_eq!(world.owners(), [1]);
+}
+
+/// An order of the old owner is held up, the engine changes hands, and the order arrives.
+#[test]
+fn a_late_unload_of_an_earlier_owner_evicts_nothing() {
+    for mode in [FencingMode::Refuse, FencingMode::Ignore] {
+        let mut steps = request_after_takeover();
+        steps.push(Step::Finish { pick: 0 });
+        steps.push(Step::Run { ms: 200 });
+        steps.push(Step::Arrive { node: 0, adapter: 1 });
+        let mut world = play(mode, &steps);
+        while world.unloads_in_flight() == 0 {
+            world.apply(Step::Rush { rounds: 1 });
+        }
+        world.apply(Step::Delay { pick: 0 });
+        world.apply(Step::Want { node: 0, wanted: false });
+        world.apply(Step::Rush { rounds: 5 });
+        world.apply(Step::Want { node: 1, wanted: true });
+        for _ in 0..200 {
+            world.apply(Step::Rush { rounds: 1 });
+            if world.engine.running.is_empty() {
+                world.apply(Step::Arrive { node: 1, adapter: 0 });
+            }
+        }
+        for pick in 0..20 {
+            world.apply(Step::Deliver { pick });
+        }
+        assert_eq!(world.violations(), Vec::<String>::new(), "{mode:?}");
+    }
+}
--- a/tests/ownership_model/step.rs
+++ b/tests/ownership_model/step.rs
@@ -76,6 +76,14 @@
         to: usize,
     },
     Heal,
+    /// Cuts an instance off from every other, but not from the engine.
+    Isolate {
+        node: usize,
+    },
+    /// Cuts an instance off and kills every other.
+    Orphan {
+        node: usize,
+    },
     /// The instance's view of the fleet makes it the preferred owner, or not.
     Want {
         node: usize,
@@ -122,6 +130,8 @@
         1 => Just(Step::RestartEngine),
         1 => (node(), 0..=ENGINE).prop_map(|(from, to)| Step::Cut { from, to }),
         4 => Just(Step::Heal),
+        3 => node().prop_map(|node| Step::Isolate { node }),
+        1 => node().prop_map(|node| Step::Orphan { node }),
         5 => node().prop_map(|node| Step::HandOver { node }),
         1 => (node(), proptest::bool::ANY).prop_map(|(node, wanted)| Step::Want { node, wanted }),
         1 => node().prop_map(|node| Step::Relist { node }),
--- a/tests/ownership_model/world.rs
+++ b/tests/ownership_model/world.rs
@@ -5,15 +5,11 @@
 use tamaracklead::decide::ownership::Candidate;
 use tamaracklead::decide::ownership::GroupId;
 use tamaracklead::decide::ownership::LeaseAction;
-use tamaracklead::decide::ownership::LeaseRelease;
-use tamaracklead::decide::ownership::LeaseReply;
-use tamaracklead::decide::ownership::LeaseRequest;
 use tamaracklead::decide::ownership::panel;
 use tamaracklead::names::AdapterName;
 use tamaracklead::names::AdapterRef;
 use tamaracklead::names::BackendName;
 use tamaracklead::names::DataCentre;
-use tamaracklead::names::Fencing;
 use tamaracklead::names::Incarnation;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::RequestId;
@@ -22,8 +18,9 @@
 use tamaracklead::wire::listing::FencingMode;
 
 use crate::engine::Answer;
-use crate::engine::Call;
 use crate::engine::Engine;
+use crate::message::Body;
+use crate::message::Message;
 use crate::node::Node;
 use crate::step::ENGINE;
 use crate::step::NODES;
@@ -40,27 +37,6 @@
 const RUN_ROUND_MS: u64 = 50;
 const FEWEST_LISTED: usize = 2;
 
-#[derive(Clone, Debug)]
-enum Body {
-    Request(LeaseRequest),
-    Reply(LeaseReply),
-    Release(LeaseRelease),
-    Call { id: u64, fencing: Fencing, call: Call },
-    Answer { id: u64, answer: Answer },
-}
-
-#[derive(Clone, Debug)]
-struct Message {
-    from: usize,
-    /// Incarnation of the sender or, for answers, of the receiver.
-    life: u64,
-    to: usize,
-    sent: u64,
-    body: Body,
-    /// Held up in the network: only a step of its own delivers it.
-    delayed: bool,
-}
-
 struct Place {
     node: Node,
     life: u64,
@@ -146,6 +122,11 @@
             Step::Cut { from, to } => {
                 self.cuts.insert((from, to));
             }
+            Step::Isolate { node } => self.isolate(node),
+            Step::Orphan { node } => {
+                self.isolate(node);
+                (0..NODES).filter(|other| *other != node).for_each(|other| self.kill(other));
+            }
             Step::Heal => self.cuts.clear(),
             Step::Want { node, wanted } => self.on_node(node, |node, _| node.wanted = wanted),
             Step::HandOver { node } => {
@@ -161,12 +142,25 @@
         }
     }
 
+    /// Instances that may send something to the engine now.
+    pub fn owners(&self) -> Vec<usize> {
+        let believes = |index: &usize| self.places[*index].node.believes_owner(self.now(*index));
+        (0..NODES).filter(believes).collect()
+    }
+
+    /// How many orders to unload are on their way to the engine.
+    pub fn unloads_in_flight(&self) -> usize {
+        self.messages.iter().filter(|message| message.is_unload()).count()
+    }
+
     /// What callers and the engine saw that must never be.
     pub fn violations(&self) -> Vec<String> {
         let mut violations = self.engine.violations.clone();
-        for request in self.told_not_run.intersection(&self.engine.ran) {
-            violations.push(format!("request {request} ran and was said not to have run"));
+        if self.mode == FencingMode::Ignore && self.owners().len() > 1 {
+            violations.push(format!("instances {:?} may act at once", self.owners()));
         }
+        let lies = self.told_not_run.intersection(&self.engine.ran);
+        violations.extend(lies.map(|request| format!("request {request} ran after \"not run\"")));
         violations
     }
 
@@ -179,8 +173,7 @@
     }
 
     fn kill(&mut self, index: usize) {
-        let told = std::mem::take(&mut self.places[index].node.told_not_run);
-        self.told_not_run.extend(told);
+        self.told_not_run.append(&mut self.places[index].node.told_not_run);
         self.places[index] = self.start(index);
     }
 
@@ -301,20 +294,21 @@
     }
 
     fn relist(&mut self, index: usize) {
-        if self.listed.len() > FEWEST_LISTED && self.listed.remove(&index) {
-            return;
+        let removed = self.listed.len() > FEWEST_LISTED && self.listed.remove(&index);
+        if !removed {
+            self.listed.insert(index);
         }
-        self.listed.insert(index);
     }
 
     fn run(&mut self, rounds: u64, round_ms: u64) {
         for _ in 0..rounds {
             self.advance(round_ms);
+            let in_flight = std::mem::take(&mut self.messages);
             for index in 0..NODES {
                 self.tick(index);
                 self.flush(index);
             }
-            for message in std::mem::take(&mut self.messages) {
+            for message in in_flight {
                 if message.delayed {
                     self.messages.push(message);
                 } else {
@@ -325,10 +319,7 @@
     }
 
     fn take(&mut self, pick: usize) -> Option<Message> {
-        if self.messages.is_empty() {
-            return None;
-        }
-        let pick = pick % self.messages.len();
+        let pick = pick.checked_rem(self.messages.len())?;
         Some(self.messages.remove(pick))
     }
 
@@ -338,15 +329,22 @@
         }
     }
 
+    /// Holds up a message to the engine, an unload if there is one.
     fn delay(&mut self, pick: usize) {
-        let mut calls: Vec<&mut Message> =
-            self.messages.iter_mut().filter(|message| message.to == ENGINE).collect();
-        let count = calls.len();
+        let calls = self.messages.iter_mut().filter(|message| message.to == ENGINE);
+        let mut calls: Vec<&mut Message> = calls.collect();
+        calls.sort_by_key(|message| !message.is_unload());
+        let unloads = calls.partition_point(|message| message.is_unload());
+        let count = if unloads > 0 { unloads } else { calls.len() };
         if count > 0 {
             calls[pick % count].delayed = true;
         }
     }
 
+    fn isolate(&mut self, node: usize) {
+        self.cuts.extend((0..NODES).filter(|other| *other != node).map(|other| (node, other)));
+    }
+
     fn duplicate(&mut self, pick: usize) {
         let Some(message) = self.take(pick) else { return };
         if message.from != ENGINE && message.to != ENGINE {
