--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -24,6 +24,8 @@
 use super::leases::Leases;
 use super::operator_api;
 use super::outcomes;
+use super::quarantine;
+use super::quarantine::Quarantine;
 use super::submissions;
 use super::submissions::Submissions;
 use crate::auth::PeerSigner;
@@ -120,6 +122,8 @@
     access: Access,
     /// Leases of engine groups.
     pub leases: Leases,
+    /// Requests that crash engines.
+    pub quarantine: Quarantine,
     fleet: RwLock<Fleet>,
     explain: Mutex<ExplainLog>,
     drain: Mutex<Drain>,
@@ -161,6 +165,7 @@
             engines: EngineShards::default(),
             access,
             leases: Leases::new(claimant),
+            quarantine: Quarantine::default(),
             fleet: RwLock::new(fleet),
             explain,
             drain: Mutex::default(),
@@ -381,6 +386,7 @@
             Some(PeerPath::Hello) => self.serve_hello(&req),
             Some(PeerPath::Gossip) => control::serve_gossip(&self, &req),
             Some(PeerPath::Config) => control::serve_config(&self, &req),
+            Some(PeerPath::Quarantine) => quarantine::serve(&self, &req).await,
             Some(PeerPath::Status) => Ok(Reply::message(&operator_api::status(&self))),
             Some(PeerPath::Explain) => {
                 let question: ExplainQuestion = frame::decode(&req.body)?;
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -115,6 +115,7 @@
             | PeerPath::Lease
             | PeerPath::Gossip
             | PeerPath::Config
+            | PeerPath::Quarantine
             | PeerPath::Status
             | PeerPath::Explain
             | PeerPath::Outcome => self.http.send(call, wait).await,
--- a/src/edge/peer_path.rs
+++ b/src/edge/peer_path.rs
@@ -15,6 +15,8 @@
     Gossip,
     /// The configuration in effect at a peer.
     Config,
+    /// A message about requests that crash engines.
+    Quarantine,
     /// State of an instance, for operators.
     Status,
     /// Decisions about a request, for operators.
@@ -25,13 +27,14 @@
 
 impl PeerPath {
     /// Every path.
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Dispatch,
         Self::Submit,
         Self::Hello,
         Self::Lease,
         Self::Gossip,
         Self::Config,
+        Self::Quarantine,
         Self::Status,
         Self::Explain,
         Self::Outcome,
@@ -46,6 +49,7 @@
             Self::Lease => "/peer/v1/lease",
             Self::Gossip => "/peer/v1/gossip",
             Self::Config => "/peer/v1/config",
+            Self::Quarantine => "/peer/v1/quarantine",
             Self::Status => "/peer/v1/status",
             Self::Explain => "/peer/v1/explain",
             Self::Outcome => "/peer/v1/outcome",
