--- a/tests/docs_tables.rs
+++ b/tests/docs_tables.rs
@@ -79,6 +79,17 @@
     }
 }
 
+#[test]
+fn the_page_on_architecture_names_every_decision() {
+    let text = page("ARCHITECTURE.md");
+    let list = Path::new(env!("CARGO_MANIFEST_DIR")).join("src/decide/mod.rs");
+    for line in fs::read_to_string(list).unwrap().lines() {
+        let Some(module) = line.strip_prefix("pub mod ") else { continue };
+        let name = format!("`decide::{}`", module.trim_end_matches(';'));
+        assert!(text.contains(&name), "{name}");
+    }
+}
+
 #[test]
 fn links_between_pages_lead_somewhere() {
     let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
