Judge a refused attempt of a submission by its kind alone

An instance can't know of a submission's other attempts and may answer that it may have run; the tool is the only user of its ticket and knows them all.

--- a/src/decide/resend.rs
+++ b/src/decide/resend.rs
@@ -4,6 +4,7 @@
 //! submission, so it may only be used while every earlier attempt is proven
 //! not to have run. An answer of "not run" speaks of the attempt that it
 //! answers; after another attempt was lost, it proves nothing about that one.
+//! The sender uses a ticket alone, so it knows every attempt.
 
 use std::time::Duration;
 
@@ -68,7 +69,9 @@
         self.maybe_ran |= match end {
             AttemptEnd::NotSent => false,
             AttemptEnd::Lost => true,
-            AttemptEnd::Refused(error) => !error.answer().not_run,
+            // The kind speaks of this attempt alone. An instance can't know of the
+            // others, so its answer may say less; this sender knows them all.
+            AttemptEnd::Refused(error) => !error.kind.answer().not_run,
         };
         if self.attempts_left == 0 || self.is_final(end) {
             return self.give_up();
--- a/tests/cli_fleet.rs
+++ b/tests/cli_fleet.rs
@@ -29,6 +29,9 @@
     fs::write(&key, OPERATOR_KEY).unwrap();
     let body = Path::new(env!("CARGO_TARGET_TMPDIR")).join("cli-fleet.json");
     fs::write(&body, json!({"swimmer": 4}).to_string()).unwrap();
+    let large = Path::new(env!("CARGO_TARGET_TMPDIR")).join("cli-fleet-large.json");
+    fs::write(&large, json!({"swimmers": "x".repeat(5000)}).to_string()).unwrap();
+    let large = large.to_str().unwrap();
     let (key, body) = (key.to_str().unwrap(), body.to_str().unwrap());
     for daemon in &daemons {
         let operator = daemon.operator.to_string();
@@ -58,7 +61,10 @@
             let (out, _) = tool(&["outcome", ticket, "--entry", &entry], Exit::Success);
             assert!(out.contains("ran, receipt r-1"), "{out}");
         }
-        tool(&["outcome", "not-a-ticket", "--entry", &entry], Exit::NotRun);
+        let (_, err) = tool(&["outcome", "not-a-ticket", "--entry", &entry], Exit::NotRun);
+        assert!(err.contains("ticket is damaged or forged"), "{err}");
+        let (_, err) = tool(&["submit", large, "--entry", &entry], Exit::NotRun);
+        assert!(err.contains("body exceeds 4096 bytes"), "{err}");
     }
     assert_eq!(platform.submissions().len(), daemons.len());
 }
