--- a/src/cli/outcome.rs
+++ b/src/cli/outcome.rs
@@ -9,6 +9,7 @@
 use super::instances::read_answer;
 use super::report::Output;
 use crate::edge::HttpCall;
+use crate::error::Error;
 use crate::wire::caller::SubmissionState;
 use crate::wire::caller::SubmissionStatus;
 
@@ -23,7 +24,9 @@
 ) -> Result<Exit, Failure> {
     let call = |addr| HttpCall::get(addr, "/v1/submissions").header("ticket", ticket);
     let reply = Instances::new(access)?.send(call, ANSWER_TIMEOUT).await?;
-    let status: SubmissionStatus = read_answer(reply).await??;
+    let answer: Result<SubmissionStatus, Error> = read_answer(reply).await?;
+    // A refusal of the question tells nothing about the submission.
+    let status = answer.map_err(|error| Failure::new(Exit::OutcomeUnknown, error))?;
     output.report(&status, |status, output| output.line(text(status)))?;
     Ok(exit(&status.state))
 }
