Let the system choose the ports of the daemons under test

A contract test failed once in a full run: the daemon's log said that the port, probed free before its start, was in use. The daemon now logs the addresses that it listens on, and the tests bind port 0 and read them there.

--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -99,7 +99,11 @@
 }
 
 fn bind(whom: &str, addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr).map_err(|e| internal(&format!("listener for {whom} at {addr}"), &e))
+    let failed = |e| internal(&format!("listener for {whom} at {addr}"), &e);
+    let listener = TcpListener::bind(addr).map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    log::info!("listening for {whom} at {bound}");
+    Ok(listener)
 }
 
 fn internal(what: &str, error: &io::Error) -> Error {
--- a/tests/support/daemon.rs
+++ b/tests/support/daemon.rs
@@ -28,6 +28,8 @@
 pub const OPERATOR_KEY: &str = "operator-key-for-tests-03";
 pub const CALLER_KEY: &str = "caller-key-for-tests-0004";
 
+/// Lets the system choose the port, so that no other process can take it first.
+const ANY_PORT: &str = "127.0.0.1:0";
 /// Longest wait for the daemon to be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
@@ -66,11 +68,10 @@
 
     /// Starts a daemon.
     pub fn spawn(name: &str, platform: &Platform, change: impl FnOnce(&mut Value)) -> Self {
-        let [caller, peer, operator] = free_addrs();
         let mut settings = json!({
             "instance": name,
             "data_centre": "cairo-a",
-            "listen": {"caller": caller, "peer": peer, "operator": operator},
+            "listen": {"caller": ANY_PORT, "peer": ANY_PORT, "operator": ANY_PORT},
             "platform": {"configuration": platform.addr, "instances": platform.addr},
             "keys": {
                 "peers": {"value": PEER_KEY},
@@ -93,6 +94,8 @@
             .stderr(fs::File::create(&log).unwrap())
             .spawn()
             .unwrap();
+        let [caller, peer, operator] =
+            ["callers", "peers", "operators"].map(|whom| listening_at(&log, whom));
         Self { name: name.to_owned(), caller, peer, operator, log, child }
     }
 
@@ -156,10 +159,19 @@
 
 /// An address that nothing listens on.
 pub fn free_addr() -> SocketAddr {
-    free_addrs()[0]
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
 }
 
-fn free_addrs() -> [SocketAddr; 3] {
-    let listeners = [0; 3].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    listeners.map(|listener| listener.local_addr().unwrap())
+/// The address that a daemon has logged for one of its listeners.
+fn listening_at(log: &Path, whom: &str) -> SocketAddr {
+    let mark = format!("listening for {whom} at ");
+    let mut found = None;
+    wait_until(READY_LIMIT, || {
+        let text = fs::read_to_string(log).unwrap();
+        let line = text.lines().find_map(|line| Some(line.split_once(&mark)?.1.to_owned()));
+        // The last line may not be whole yet.
+        found = line.filter(|_| text.ends_with('\n'));
+        found.is_some()
+    });
+    found.unwrap().parse().unwrap()
 }
