Refuse at once what would wait too long for its load

Cause: requests that could never be served in time waited for their whole deadline. Admitted is what waits for its load at most a share of the time left: all of it at stall weight 0, less at 100.

--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -105,6 +105,10 @@
             sequence: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         };
+        for engine in 0..engines {
+            let weight = EngineInput::StallWeight(deployment.stall_weight);
+            fleet.input(Timestamp::ZERO, engine, weight);
+        }
         fleet.schedule_workload();
         let end = fleet.end();
         while let Some(next) = fleet.queue.pop() {
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -13,6 +13,7 @@
 use super::PermitMode;
 use super::SlotState;
 use super::Waiting;
+use crate::decide::admission;
 use crate::decide::demand::Demand;
 use crate::decide::permits::Urgency;
 use crate::error::Error;
@@ -26,6 +27,10 @@
 /// Time without orders after a failed unload; the engine may be down.
 const ORDER_PAUSE: Duration = Duration::from_millis(250);
 
+/// Time of a load at full speed.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+/// Stall weight until a preset sets one.
+const DEFAULT_STALL_WEIGHT: u8 = 50;
 /// Time in which the measured demand for an adapter halves.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
 /// Adapters whose demand is tracked, for each slot.
@@ -43,6 +48,7 @@
     orders_after: Timestamp,
     demand: Demand,
     permits: LoadPermits,
+    stall_weight: u8,
 }
 
 impl EngineCore {
@@ -65,6 +71,7 @@
             orders_after: Timestamp::ZERO,
             demand: Demand::new(DEMAND_HALF_LIFE, TRACKED_PER_SLOT * slot_count),
             permits: LoadPermits::new(mode),
+            stall_weight: DEFAULT_STALL_WEIGHT,
         }
     }
 
@@ -116,10 +123,7 @@
     pub fn on_input(&mut self, now: Timestamp, input: EngineInput) -> Vec<EngineAction> {
         let mut actions = Vec::new();
         match input {
-            EngineInput::Arrived(waiting) => {
-                self.demand.record(now, &waiting.adapter);
-                self.waiting.push(waiting);
-            }
+            EngineInput::Arrived(waiting) => self.on_arrived(now, waiting, &mut actions),
             EngineInput::Withdrawn(id) => self.waiting.retain(|w| w.request_id != id),
             EngineInput::Ended(id) => self.on_ended(now, id),
             EngineInput::LoadEnded { adapter, loaded: true } => {
@@ -142,7 +146,7 @@
                 self.permits.on_granted(adapter, &mut actions);
             }
             EngineInput::LoadWait(wait) => self.permits.set_wait(wait),
-            EngineInput::StallWeight(_) => {}
+            EngineInput::StallWeight(weight) => self.stall_weight = weight,
             EngineInput::Restarted => self.on_restarted(&mut actions),
             EngineInput::Guard(input) => self.on_guard(now, input),
             EngineInput::Unreachable => self.refuse_all_waiting(&mut actions),
@@ -193,6 +197,19 @@
         });
     }
 
+    fn on_arrived(&mut self, now: Timestamp, waiting: Waiting, actions: &mut Vec<EngineAction>) {
+        self.demand.record(now, &waiting.adapter);
+        let has_slot = self.slots.contains_key(&waiting.adapter);
+        let wait = self.permits.wait() + LOAD_TIME;
+        let patience = admission::load_patience(waiting.deadline.since(now), self.stall_weight);
+        if has_slot || wait <= patience {
+            return self.waiting.push(waiting);
+        }
+        let detail = format!("adapter {} would take {wait:?} to load", waiting.adapter);
+        let error = Error::new(ErrorKind::Overloaded, detail).retry_after(wait);
+        actions.push(EngineAction::Refuse { request_id: waiting.request_id, error });
+    }
+
     fn on_restarted(&mut self, actions: &mut Vec<EngineAction>) {
         for (adapter, slot) in std::mem::take(&mut self.slots) {
             if slot == SlotState::Loading {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 //! the network.
 
 pub mod audit;
+pub mod admission;
 pub mod backends;
 pub mod config;
 pub mod convergence;
