--- a/lab/src/experiment/fleet.rs
+++ b/lab/src/experiment/fleet.rs
@@ -12,6 +12,7 @@
 use tamaracklead::decide::permits::PermitHolder;
 use tamaracklead::decide::permits::PermitKey;
 use tamaracklead::decide::permits::StoreLimits;
+use tamaracklead::decide::retry_budget::RetryBudget;
 use tamaracklead::error::Error;
 use tamaracklead::error::ErrorKind;
 use tamaracklead::names::AdapterName;
@@ -32,7 +33,6 @@
 use super::router::EngineView;
 use super::router::Router;
 use crate::load::Deployment;
-use crate::load::FleetEvent;
 use crate::load::Scenario;
 use crate::load::WARM_UP;
 use crate::load::Workload;
@@ -52,30 +52,26 @@
 const REFUSED_ORDER: Duration = Duration::from_millis(10);
 /// Share of loads that fail.
 const LOAD_FAILURES: f64 = 0.02;
-/// How often a request is routed at most.
-const MOST_ROUTED: u32 = 3;
-/// How often a refused caller tries at most.
-const MOST_TRIES: u32 = 4;
-/// Time after which a caller that got no `Retry-After` comes back.
-const COME_BACK: Duration = Duration::from_secs(1);
 
 /// State of one run.
 pub struct Fleet<'a> {
-    deployment: &'a Deployment,
-    scenario: Scenario,
-    workload: &'a Workload,
-    models: Vec<EngineModel>,
-    owners: Vec<Owner>,
-    views: Vec<EngineView>,
-    router: Router,
-    store: StoreModel,
-    permits: PermitHolder,
-    next_grant: Timestamp,
-    requests: Vec<Request>,
-    counts: Counts,
-    queue: BinaryHeap<Scheduled>,
-    sequence: u64,
-    rng: ChaCha8Rng,
+    pub(super) deployment: &'a Deployment,
+    pub(super) scenario: Scenario,
+    pub(super) workload: &'a Workload,
+    pub(super) models: Vec<EngineModel>,
+    pub(super) owners: Vec<Owner>,
+    pub(super) views: Vec<EngineView>,
+    pub(super) policy: Policy,
+    pub(super) router: Router,
+    pub(super) retries: RetryBudget,
+    pub(super) store: StoreModel,
+    pub(super) permits: PermitHolder,
+    pub(super) next_grant: Timestamp,
+    pub(super) requests: Vec<Request>,
+    pub(super) counts: Counts,
+    pub(super) queue: BinaryHeap<Scheduled>,
+    pub(super) sequence: u64,
+    pub(super) rng: ChaCha8Rng,
 }
 
 impl<'a> Fleet<'a> {
@@ -95,6 +91,8 @@
             models: vec![EngineModel::new(deployment.slots, deployment.batch); engines],
             owners: vec![Owner::new(policy, deployment); engines],
             views: vec![EngineView { live: true, ..EngineView::default() }; engines],
+            policy,
+            retries: RetryBudget::default(),
             router: Router::new(policy, deployment),
             store: StoreModel::new(deployment.store_rate),
             permits: PermitHolder::new(Timestamp::ZERO, limits(deployment.store_rate)),
@@ -135,7 +133,7 @@
         self.schedule(Timestamp::ZERO, Event::Tick);
     }
 
-    fn schedule(&mut self, at: Timestamp, event: Event) {
+    pub(super) fn schedule(&mut self, at: Timestamp, event: Event) {
         self.sequence += 1;
         self.queue.push(Scheduled { at, sequence: self.sequence, event });
     }
@@ -164,11 +162,11 @@
     }
 
     fn on_arrival(&mut self, now: Timestamp, number: usize) {
+        self.retries.on_first_try();
         let arrival = self.workload.arrivals[number];
-        let name = AdapterName::new(&format!("adapter-{}", arrival.adapter));
         let origin = self.requests.len();
         self.requests.push(Request {
-            adapter: AdapterRef::new(name, Version(1)),
+            adapter: adapter_ref(arrival.adapter),
             prompt_tokens: arrival.prompt_tokens,
             answer_tokens: arrival.answer_tokens,
             arrived: now,
@@ -203,7 +201,7 @@
         self.route(now, self.requests.len() - 1, None);
     }
 
-    fn route(&mut self, now: Timestamp, number: usize, avoid: Option<usize>) {
+    pub(super) fn route(&mut self, now: Timestamp, number: usize, avoid: Option<usize>) {
         let adapter = self.requests[number].adapter.clone();
         let Some(engine) = self.router.choose(&adapter, avoid, &self.views, &mut self.rng) else {
             let error = Error::new(ErrorKind::NoBackend, "no engine takes work");
@@ -224,7 +222,7 @@
         self.input(now, engine, EngineInput::Arrived(waiting));
     }
 
-    fn input(&mut self, now: Timestamp, engine: usize, input: EngineInput) {
+    pub(super) fn input(&mut self, now: Timestamp, engine: usize, input: EngineInput) {
         let actions = self.owners[engine].on_input(now, input);
         for action in actions {
             self.act(now, engine, action);
@@ -357,61 +355,13 @@
         }
         self.schedule(now + TICK, Event::Tick);
     }
-
-    fn on_fleet_event(&mut self, now: Timestamp, number: usize) {
-        match self.workload.events[number].1.clone() {
-            FleetEvent::Restart(engine) => self.restart(now, engine),
-            FleetEvent::StoreRate(rate) => self.store.set_rate(rate),
-            FleetEvent::Preset(_) => {}
-        }
-    }
-
-    fn restart(&mut self, now: Timestamp, engine: usize) {
-        let lost = self.models[engine].restart(now);
-        for id in &lost {
-            self.requests[id.0 as usize].running = false;
-        }
-        self.input(now, engine, EngineInput::Restarted);
-        for id in lost {
-            self.input(now, engine, EngineInput::Ended(id));
-            let number = id.0 as usize;
-            if self.requests[number].first_token.is_some() {
-                self.requests[number].outcome = Some(Outcome::Failed);
-            } else {
-                self.reroute(now, engine, number, &Error::new(ErrorKind::BackendFailed, "lost"));
-            }
-        }
-    }
-
-    fn on_refused(&mut self, now: Timestamp, engine: usize, number: usize, error: &Error) {
-        self.requests[number].end_stall(now);
-        if error.kind == ErrorKind::LoadFailed {
-            self.reroute(now, engine, number, error);
-        } else {
-            self.refuse(now, number, error);
-        }
-    }
-
-    fn reroute(&mut self, now: Timestamp, engine: usize, number: usize, error: &Error) {
-        let request = &self.requests[number];
-        if request.routed < MOST_ROUTED && now < request.deadline {
-            self.route(now, number, Some(engine));
-        } else {
-            self.refuse(now, number, error);
-        }
-    }
-
-    fn refuse(&mut self, now: Timestamp, number: usize, error: &Error) {
-        self.requests[number].outcome = Some(Outcome::Refused);
-        let again = self.requests[number].caller_try + 1 < MOST_TRIES;
-        if self.scenario.callers_retry() && again {
-            let span = error.retry_after.unwrap_or(COME_BACK);
-            let jitter = span.mul_f64(self.rng.random_range(0.0..0.5));
-            self.schedule(now + span + jitter, Event::ComeBack(number));
-        }
-    }
 }
 
 fn limits(rate: f64) -> StoreLimits {
     StoreLimits { rate, in_flight: 8, load_time: LOAD_TIME }
 }
+
+/// The adapter of a number.
+pub fn adapter_ref(number: usize) -> AdapterRef {
+    AdapterRef::new(AdapterName::new(&format!("adapter-{number}")), Version(1))
+}
--- a/lab/src/experiment/lru_core.rs
+++ b/lab/src/experiment/lru_core.rs
@@ -79,6 +79,7 @@
             | EngineInput::PermitGranted(_)
             | EngineInput::LoadWait(_)
             | EngineInput::StallWeight(_)
+            | EngineInput::Pinned(_)
             | EngineInput::Tick => {}
         }
         self.refuse_late(now, &mut actions);
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod event;
 mod figures;
 mod fleet;
+mod fleet_faults;
 mod lru_core;
 mod owner;
 mod policy;
--- a/lab/src/experiment/router.rs
+++ b/lab/src/experiment/router.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// First home of an adapter among all engines.
+    pub fn first_home(&self, adapter: &AdapterRef) -> usize {
+        self.ranked(adapter, (0..self.names.len()).collect())[0]
+    }
+
     fn ranked(&self, adapter: &AdapterRef, engines: Vec<usize>) -> Vec<usize> {
         let named = engines.into_iter().map(|e| (e, self.names[e].as_str())).collect();
         let ranked = rendezvous::rank(adapter.adapter.as_str(), named, |(_, name)| name);
--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -11,6 +11,7 @@
 use super::GuardInput;
 use super::LoadPermits;
 use super::PermitMode;
+use super::Pinned;
 use super::SlotState;
 use super::Waiting;
 use crate::decide::admission;
@@ -49,6 +50,7 @@
     demand: Demand,
     permits: LoadPermits,
     stall_weight: u8,
+    pinned: Pinned,
 }
 
 impl EngineCore {
@@ -72,6 +74,7 @@
             demand: Demand::new(DEMAND_HALF_LIFE, TRACKED_PER_SLOT * slot_count),
             permits: LoadPermits::new(mode),
             stall_weight: DEFAULT_STALL_WEIGHT,
+            pinned: Pinned::default(),
         }
     }
 
@@ -133,6 +136,7 @@
             EngineInput::LoadEnded { adapter, loaded: false } => {
                 self.permits.give_back(adapter.clone(), &mut actions);
                 self.slots.remove(&adapter);
+                self.pinned.on_failed(now, &adapter);
                 self.refuse_waiting_for(&adapter, &mut actions);
             }
             EngineInput::UnloadEnded { adapter, unloaded: true } => {
@@ -147,6 +151,7 @@
             }
             EngineInput::LoadWait(wait) => self.permits.set_wait(wait),
             EngineInput::StallWeight(weight) => self.stall_weight = weight,
+            EngineInput::Pinned(adapters) => self.pinned.set(adapters, self.slot_count),
             EngineInput::Restarted => self.on_restarted(&mut actions),
             EngineInput::Guard(input) => self.on_guard(now, input),
             EngineInput::Unreachable => self.refuse_all_waiting(&mut actions),
@@ -284,14 +289,14 @@
         if self.guard.paused || now < self.orders_after {
             return;
         }
-        let wanted = self.wanted_loads();
+        let wanted = self.wanted_loads(now);
         self.permits.keep_only(&wanted, actions);
         self.apply_for_permits(now, &wanted, actions);
         self.use_permits(now, actions);
     }
 
-    /// Adapters that requests wait for and that aren't in a slot.
-    fn wanted_loads(&self) -> BTreeMap<AdapterRef, Urgency> {
+    /// Adapters that requests wait for, or that are pinned, and that aren't in a slot.
+    fn wanted_loads(&self, now: Timestamp) -> BTreeMap<AdapterRef, Urgency> {
         let mut wanted: BTreeMap<AdapterRef, Urgency> = BTreeMap::new();
         for waiting in &self.waiting {
             if self.slots.contains_key(&waiting.adapter) {
@@ -302,6 +307,11 @@
             urgency.priority = urgency.priority.max(waiting.priority);
             urgency.waiting += 1;
         }
+        for adapter in self.pinned.due(now) {
+            if !self.slots.contains_key(adapter) {
+                wanted.entry(adapter.clone()).or_default();
+            }
+        }
         wanted
     }
 
@@ -318,11 +328,11 @@
             SlotState::Loading => false,
         });
         let available = idle.count() + self.slot_count.saturating_sub(self.slots.len());
-        for waiting in &self.waiting {
-            let Some(urgency) = wanted.get(&waiting.adapter) else { continue };
-            let known = self.permits.concerns(&waiting.adapter);
-            if known || self.permits.outstanding() < available {
-                self.permits.apply(now, &waiting.adapter, *urgency, actions);
+        let demanded = self.waiting.iter().map(|waiting| &waiting.adapter);
+        for adapter in demanded.chain(self.pinned.due(now)) {
+            let Some(urgency) = wanted.get(adapter) else { continue };
+            if self.permits.concerns(adapter) || self.permits.outstanding() < available {
+                self.permits.apply(now, adapter, *urgency, actions);
             }
         }
     }
@@ -353,18 +363,22 @@
         }
     }
 
-    /// The adapter with the least demand that no request runs on or waits for.
+    /// The adapter with the least demand that no request runs on or waits for; pinned ones last.
     fn victim(&self, now: Timestamp) -> Option<AdapterRef> {
         self.slots
             .iter()
             .filter_map(|(adapter, slot)| match slot {
                 SlotState::Ready { used } if !self.in_use(adapter) => {
-                    Some((self.demand.count(now, adapter), used, adapter))
+                    let pinned = self.pinned.contains(adapter);
+                    Some((pinned, self.demand.count(now, adapter), used, adapter))
                 }
                 _ => None,
             })
-            .min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2))))
-            .map(|(_, _, adapter)| adapter.clone())
+            .min_by(|a, b| {
+                let demand = a.0.cmp(&b.0).then_with(|| a.1.total_cmp(&b.1));
+                demand.then_with(|| (a.2, a.3).cmp(&(b.2, b.3)))
+            })
+            .map(|(_, _, _, adapter)| adapter.clone())
     }
 
     fn in_use(&self, adapter: &AdapterRef) -> bool {
--- a/src/decide/engine/event.rs
+++ b/src/decide/engine/event.rs
@@ -36,6 +36,8 @@
     LoadWait(Duration),
     /// The preset in force weighs load stalls so much against batch efficiency, 0 to 100.
     StallWeight(u8),
+    /// The preset in force keeps these adapters loaded here.
+    Pinned(Vec<AdapterRef>),
     /// The engine restarted: every slot is empty.
     Restarted,
     /// What the owner may do changed.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -22,6 +22,7 @@
 pub mod rendezvous;
 pub mod replay_window;
 pub mod resend;
+pub mod retry_budget;
 pub mod routing;
 pub mod submissions;
 pub mod takeover;
