--- a/lab/src/clap_app.rs
+++ b/lab/src/clap_app.rs
@@ -7,6 +7,7 @@
 use clap::value_parser;
 use lab::drive;
 use lab::experiment;
+use lab::slopes;
 
 /// Describes the command line.
 pub fn build_app() -> Command {
@@ -17,6 +18,7 @@
         .subcommand(experiment::command())
         .subcommand(drive::load_command())
         .subcommand(drive::hops_command())
+        .subcommand(slopes::command())
         .subcommand(Command::new("demo").about("Runs a fleet through failures and checks it"))
         .subcommand(
             Command::new("up").about("Starts a fleet and leaves it running").arg(
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod fleet;
 pub mod load;
 pub mod model;
+pub mod slopes;
 pub mod standin;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 use lab::drive;
 use lab::experiment;
 use lab::fleet;
+use lab::slopes;
 use lab::standin;
 
 fn main() -> ExitCode {
@@ -19,6 +20,7 @@
         Some(("experiment", args)) => experiment::run(args),
         Some(("load", args)) => bin_dir().and_then(|dir| drive::run_load(&dir, args)),
         Some(("hops", args)) => bin_dir().and_then(|dir| drive::run_hops(&dir, args)),
+        Some(("slopes", args)) => slopes::run(args),
         Some(("demo", _)) => bin_dir().and_then(|dir| demo::run(&dir)),
         Some(("up", args)) => {
             let seconds = args.get_one::<u64>("seconds").copied().unwrap_or_default();
--- /dev/null
+++ b/lab/src/slopes/inputs.rs
@@ -0,0 +1,134 @@
+//! Inputs of the measurements, of any size.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tamaracklead::decide::config::Snapshot;
+use tamaracklead::decide::engine::Waiting;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::DataCentre;
+use tamaracklead::names::Generation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::ModelName;
+use tamaracklead::names::PageName;
+use tamaracklead::names::PresetName;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::names::Version;
+use tamaracklead::wire::listing::BackendRole;
+use tamaracklead::wire::listing::FencingMode;
+use tamaracklead::wire::listing::ListedBackend;
+use tamaracklead::wire::listing::ListedEntry;
+use tamaracklead::wire::listing::ListedState;
+use tamaracklead::wire::published::Page;
+use tamaracklead::wire::published::PageRef;
+use tamaracklead::wire::published::Preset;
+use tamaracklead::wire::published::PublishedAdapter;
+use tamaracklead::wire::published::Root;
+
+/// Adapter slots of an engine.
+pub const SLOTS: usize = 8;
+/// Requests that an engine runs at once.
+pub const BATCH: usize = 16;
+/// Adapters of a page.
+const PAGE_ADAPTERS: usize = 1000;
+/// Data centres.
+const DATA_CENTRES: usize = 5;
+
+/// The adapter of a number.
+pub fn adapter(number: usize) -> AdapterRef {
+    AdapterRef::new(AdapterName::new(&format!("customer-adapter-{number:05}")), Version(3))
+}
+
+/// A request that waits for an adapter.
+pub fn waiting(id: u128, adapter: &AdapterRef, now: Timestamp) -> Waiting {
+    Waiting {
+        request_id: RequestId(id),
+        adapter: adapter.clone(),
+        priority: 5,
+        arrived: now,
+        deadline: now + Duration::from_secs(8),
+    }
+}
+
+/// `count` listed engines.
+pub fn engines(count: usize) -> Vec<ListedBackend> {
+    let engine = |number: usize| ListedBackend {
+        name: BackendName::new(&format!("engine-{number:05}")),
+        addr: addr(),
+        data_centre: data_centre(number),
+        state: ListedState::Live,
+        role: BackendRole::Engine {
+            model: ModelName::new("base"),
+            slots: SLOTS as u32,
+            batch: BATCH as u32,
+            fencing: FencingMode::Refuse,
+        },
+    };
+    (0..count).map(engine).collect()
+}
+
+/// `count` listed entry instances.
+pub fn entries(count: usize) -> Vec<ListedEntry> {
+    let entry = |number: usize| ListedEntry {
+        name: InstanceName::new(&format!("entry-{number:05}")),
+        peer_addr: addr(),
+        data_centre: data_centre(number),
+        state: ListedState::Live,
+    };
+    (0..count).map(entry).collect()
+}
+
+/// A root and its pages, as published, with `count` adapters.
+pub fn published(count: usize) -> (Bytes, BTreeMap<PageName, Bytes>) {
+    let mut pages = BTreeMap::new();
+    let mut refs = Vec::new();
+    for first in (0..count).step_by(PAGE_ADAPTERS) {
+        let name = PageName::new(&format!("page-{first}"));
+        let last = (first + PAGE_ADAPTERS).min(count);
+        let bytes = Bytes::from(json(&page(first..last)));
+        refs.push(PageRef { name: name.clone(), hash: Snapshot::hash(&bytes) });
+        pages.insert(name, bytes);
+    }
+    let preset = PresetName::new("ordinary");
+    let settings = Preset {
+        stall_weight: 50,
+        pinned: Vec::new(),
+        priorities: BTreeMap::new(),
+        accepting: true,
+    };
+    let presets = BTreeMap::from([(preset.clone(), settings)]);
+    let root = Root { generation: Generation(1), preset, presets, pages: refs };
+    (Bytes::from(json(&root)), pages)
+}
+
+/// A whole generation with `count` adapters.
+pub fn snapshot(count: usize) -> Snapshot {
+    let (root, pages) = published(count);
+    Snapshot::assemble(root, pages).expect("the published configuration is whole")
+}
+
+fn page(numbers: std::ops::Range<usize>) -> Page {
+    let published = |number| {
+        let versions = vec![Version(1), Version(2), Version(3)];
+        (adapter(number).adapter, PublishedAdapter { model: ModelName::new("base"), versions })
+    };
+    Page { adapters: numbers.map(published).collect() }
+}
+
+fn json(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("these types have a JSON form")
+}
+
+fn data_centre(number: usize) -> DataCentre {
+    DataCentre::new(&format!("dc-{}", number % DATA_CENTRES))
+}
+
+fn addr() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 1))
+}
--- /dev/null
+++ b/lab/src/slopes/mod.rs
@@ -0,0 +1,25 @@
+//! Slopes: what one more adapter, engine, member or request costs.
+
+mod inputs;
+mod memory;
+mod processor;
+
+use clap::ArgMatches;
+use clap::Command;
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new("slopes")
+        .about("Measures memory and processor time of the decisions at several sizes")
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// If this process's memory can't be read.
+pub fn run(_: &ArgMatches) -> Result<(), String> {
+    memory::print()?;
+    processor::print();
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/slopes/processor.rs
@@ -0,0 +1,183 @@
+//! Processor time of the decisions, by size.
+
+use std::collections::BTreeSet;
+use std::hint::black_box;
+use std::time::Duration;
+use std::time::Instant;
+
+use tamaracklead::decide::config::Snapshot;
+use tamaracklead::decide::demand::Demand;
+use tamaracklead::decide::engine::EngineCore;
+use tamaracklead::decide::engine::EngineInput;
+use tamaracklead::decide::engine::EngineSummary;
+use tamaracklead::decide::membership::Membership;
+use tamaracklead::decide::ownership::Claimant;
+use tamaracklead::decide::ownership::Granter;
+use tamaracklead::decide::ownership::GroupId;
+use tamaracklead::decide::ownership::LeaseRequest;
+use tamaracklead::decide::ownership::LeaseTiming;
+use tamaracklead::decide::permits::PermitHolder;
+use tamaracklead::decide::permits::PermitKey;
+use tamaracklead::decide::permits::StoreLimits;
+use tamaracklead::decide::permits::Urgency;
+use tamaracklead::decide::routing;
+use tamaracklead::decide::submissions::Ticket;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::DataCentre;
+use tamaracklead::names::Incarnation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Timestamp;
+use tamaracklead::wire::caller::VersionChoice;
+use tamaracklead::wire::listing::FencingMode;
+
+use super::inputs;
+
+/// Time for which each measurement repeats.
+const MEASURE_FOR: Duration = Duration::from_millis(200);
+
+/// Prints the slopes of processor time.
+pub fn print() {
+    println!("\n| processor | size | microseconds each |\n|---|--:|--:|");
+    for size in [3000, 17000] {
+        let snapshot = inputs::snapshot(size);
+        let wanted = inputs::adapter(size / 2).adapter;
+        line("resolve a version, by adapters", size, || {
+            black_box(snapshot.resolve(&wanted, VersionChoice::Newest)).is_ok()
+        });
+        let (root, pages) = inputs::published(size);
+        line("apply a generation with every page, by adapters", size, || {
+            Snapshot::assemble(root.clone(), pages.clone()).is_ok()
+        });
+    }
+    for size in [12, 100, 633, 1900] {
+        let engines = inputs::engines(size);
+        let wanted = inputs::adapter(7);
+        line("rank every engine for an adapter, by engines", size, || {
+            black_box(routing::homes(&wanted.adapter, engines.clone())).len()
+        });
+        line("two homes of an adapter, by engines", size, || {
+            black_box(routing::first_homes(&wanted.adapter, &engines, 2)).len()
+        });
+    }
+    choose_home();
+    for size in [0, 16, 64] {
+        engine_request(size);
+    }
+    for size in [420, 4200] {
+        let entries = inputs::entries(size);
+        let mut membership = Membership::default();
+        membership.on_listing(&entries);
+        line("heartbeat heard, by members", size, || {
+            membership.on_heard(Timestamp::ZERO, &entries[size / 2].name, Incarnation(1), false);
+        });
+        line("read the instance list, by members", size, || membership.on_listing(&entries));
+    }
+    for size in [10, 100, 1000] {
+        permit(size);
+    }
+    demand();
+    ticket();
+    lease();
+}
+
+fn choose_home() {
+    let summary = EngineSummary {
+        ready: (0..inputs::SLOTS).map(inputs::adapter).collect(),
+        batch: inputs::BATCH,
+        weakest_idle: Some(1.0),
+        ..EngineSummary::default()
+    };
+    let wanted = inputs::adapter(7);
+    line("choose between two homes", 2, || {
+        black_box(routing::choose(&wanted, &[&summary, &summary], 50))
+    });
+}
+
+fn engine_request(waiting: usize) {
+    let now = Timestamp::ZERO;
+    let mut core = EngineCore::new(inputs::SLOTS, 2);
+    let wanted = inputs::adapter(0);
+    let mut id = 0;
+    for _ in 0..waiting + 2 {
+        id += 1;
+        core.on_input(now, EngineInput::Arrived(inputs::waiting(id, &wanted, now)));
+    }
+    core.on_input(now, EngineInput::LoadEnded { adapter: wanted.clone(), loaded: true });
+    line("request through an owner's queue, by waiting", waiting, || {
+        id += 1;
+        core.on_input(now, EngineInput::Arrived(inputs::waiting(id, &wanted, now)));
+        let running = core.running().keys().next().copied().unwrap_or(RequestId(0));
+        core.on_input(now, EngineInput::Ended(running)).len()
+    });
+}
+
+fn permit(waiting: usize) {
+    let limits = StoreLimits { rate: 1e9, in_flight: 8, load_time: Duration::from_millis(250) };
+    let mut holder = PermitHolder::new(Timestamp::ZERO, limits);
+    let key = |number| PermitKey {
+        engine: BackendName::new("engine-00001"),
+        adapter: inputs::adapter(number),
+    };
+    let urgency = Urgency { demanded: true, priority: 5, waiting: 1 };
+    for number in 0..waiting {
+        holder.on_application(Timestamp::ZERO, key(number), urgency);
+    }
+    let mut now = Timestamp::ZERO;
+    let mut number = waiting;
+    line("permit asked for, granted and ended, by waiting", waiting, || {
+        now = now + Duration::from_micros(1);
+        number += 1;
+        holder.on_application(now, key(number), urgency);
+        for key in holder.grant(now) {
+            holder.on_ended(now, &key);
+        }
+    });
+}
+
+fn demand() {
+    let mut demand = Demand::new(Duration::from_secs(60), 128);
+    let adapters: Vec<_> = (0..1000).map(inputs::adapter).collect();
+    let mut number = 0;
+    line("request counted, 128 adapters kept", 128, || {
+        number += 1;
+        demand.record(Timestamp::ZERO, &adapters[number % adapters.len()]);
+    });
+}
+
+fn lease() {
+    let mut granter = Granter::new(LeaseTiming::default());
+    let engine = BackendName::new("engine-00001");
+    let group = GroupId::new(&engine, DataCentre::new("dc-1"), FencingMode::Refuse);
+    granter.on_panels(Timestamp::ZERO, &BTreeSet::from([group.clone()]));
+    let claimant = Claimant { name: InstanceName::new("entry-00001"), incarnation: Incarnation(1) };
+    let mut request = LeaseRequest { group, claimant, round: 0 };
+    line("lease renewed by a panel member", 1, || {
+        request.round += 1;
+        black_box(granter.on_request(Timestamp::ZERO, &request)).granted
+    });
+}
+
+fn ticket() {
+    let key = [7_u8; 32];
+    let ticket = Ticket {
+        id: RequestId(1),
+        issuer: InstanceName::new("entry-00001"),
+        incarnation: Incarnation(1),
+        expires_ms: 60_000,
+    };
+    let token = ticket.sign(&key);
+    line("ticket signed", 1, || black_box(ticket.sign(&key)).len());
+    line("ticket verified", 1, || black_box(Ticket::verify(&token, &key)).is_ok());
+}
+
+fn line<T>(name: &str, size: usize, mut run: impl FnMut() -> T) {
+    let begun = Instant::now();
+    let mut count = 0_u32;
+    while begun.elapsed() < MEASURE_FOR {
+        black_box(run());
+        count += 1;
+    }
+    let each = begun.elapsed().as_secs_f64() * 1e6 / f64::from(count);
+    println!("| {name} | {size} | {each:.2} |");
+}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,8 +5,8 @@
 //! experiments drive these types directly; [`crate::daemon`] drives them from
 //! the network.
 
-pub mod audit;
 pub mod admission;
+pub mod audit;
 pub mod backends;
 pub mod config;
 pub mod convergence;
--- a/src/decide/routing/homes.rs
+++ b/src/decide/routing/homes.rs
@@ -1,5 +1,7 @@
 //! Homes of an adapter.
 
+use std::cmp::Reverse;
+
 use crate::decide::rendezvous;
 use crate::names::AdapterName;
 use crate::wire::listing::ListedBackend;
@@ -8,3 +10,25 @@
 pub fn homes(adapter: &AdapterName, engines: Vec<ListedBackend>) -> Vec<ListedBackend> {
     rendezvous::rank(adapter.as_str(), engines, |engine| engine.name.as_str())
 }
+
+/// The `count` best engines that may serve an adapter, best first.
+///
+/// Ranks as [`homes`] does, in one pass and without copies.
+pub fn first_homes<'a>(
+    adapter: &AdapterName,
+    engines: impl IntoIterator<Item = &'a ListedBackend>,
+    count: usize,
+) -> Vec<&'a ListedBackend> {
+    let mut best: Vec<(Reverse<u64>, &'a ListedBackend)> = Vec::with_capacity(count + 1);
+    for engine in engines {
+        let score = Reverse(rendezvous::score(adapter.as_str(), engine.name.as_str()));
+        let place = best.partition_point(|(known, other)| {
+            (known, other.name.as_str()) < (&score, engine.name.as_str())
+        });
+        if place < count {
+            best.insert(place, (score, engine));
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, engine)| engine).collect()
+}
--- a/src/decide/routing/mod.rs
+++ b/src/decide/routing/mod.rs
@@ -9,4 +9,5 @@
 
 pub use choice::choose;
 pub use choice::expected_cost;
+pub use homes::first_homes;
 pub use homes::homes;
