--- a/lab/src/slopes/mod.rs
+++ b/lab/src/slopes/mod.rs
@@ -2,6 +2,7 @@
 
 mod inputs;
 mod memory;
+mod messages;
 mod processor;
 
 use clap::ArgMatches;
@@ -17,9 +18,10 @@
 ///
 /// # Errors
 ///
-/// If this process's memory can't be read.
+/// None; the signature is that of the other commands.
 pub fn run(_: &ArgMatches) -> Result<(), String> {
-    memory::print()?;
+    memory::print();
+    messages::print();
     processor::print();
     Ok(())
 }
