--- a/lab/src/slopes/processor.rs
+++ b/lab/src/slopes/processor.rs
@@ -113,7 +113,7 @@
 }
 
 fn permit(waiting: usize) {
-    let limits = StoreLimits { rate: 1e9, in_flight: 8, load_time: Duration::from_millis(250) };
+    let limits = StoreLimits { rate: 1e6, in_flight: 8, load_time: Duration::from_millis(250) };
     let mut holder = PermitHolder::new(Timestamp::ZERO, limits);
     let key = |number| PermitKey {
         engine: BackendName::new("engine-00001"),
--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -103,8 +103,11 @@
     let model = snapshot.model_of(&adapter.adapter).cloned().ok_or_else(|| {
         Error::new(ErrorKind::UnknownAdapter, format!("adapter {adapter} has no base model"))
     })?;
-    let engines = node.backends(|known| known.live_engines(&model).into_iter().cloned().collect());
-    let homes = routing::homes(&adapter.adapter, engines);
+    let homes: Vec<ListedBackend> = node.backends(|known| {
+        let engines = known.live_engines(&model);
+        let homes = routing::first_homes(&adapter.adapter, engines, MAX_ATTEMPTS);
+        homes.into_iter().cloned().collect()
+    });
     let Some(first) = homes.first() else {
         let detail = format!("no live engine runs base model {:?}", model.as_str());
         return Err(Error::new(ErrorKind::NoBackend, detail));
@@ -130,7 +133,7 @@
 /// Tries the homes in their order until an engine has begun.
 async fn start(node: &Arc<Node>, draft: Draft) -> Result<mpsc::Receiver<DispatchEvent>> {
     let mut last = Error::new(ErrorKind::NoBackend, "no engine could be tried");
-    for engine in draft.homes.iter().take(MAX_ATTEMPTS) {
+    for engine in &draft.homes {
         let now = node.now();
         if now >= draft.deadline {
             break;
