--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 //! experiments drive these types directly; [`crate::daemon`] drives them from
 //! the network.
 
+pub mod admission;
 pub mod audit;
 pub mod backends;
 pub mod config;
@@ -22,6 +23,7 @@
 pub mod rendezvous;
 pub mod replay_window;
 pub mod resend;
+pub mod retry_budget;
 pub mod routing;
 pub mod submissions;
 pub mod takeover;
