--- a/lab/src/slopes/inputs.rs
+++ b/lab/src/slopes/inputs.rs
@@ -8,11 +8,14 @@
 use bytes::Bytes;
 use tamaracklead::decide::config::Snapshot;
 use tamaracklead::decide::engine::Waiting;
+use tamaracklead::decide::membership::Identity;
+use tamaracklead::decide::membership::Membership;
 use tamaracklead::names::AdapterName;
 use tamaracklead::names::AdapterRef;
 use tamaracklead::names::BackendName;
 use tamaracklead::names::DataCentre;
 use tamaracklead::names::Generation;
+use tamaracklead::names::Incarnation;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::ModelName;
 use tamaracklead::names::PageName;
@@ -61,6 +64,7 @@
     let engine = |number: usize| ListedBackend {
         name: BackendName::new(&format!("engine-{number:05}")),
         addr: addr(),
+        incarnation: Some(Incarnation(number as u64 + 1)),
         data_centre: data_centre(number),
         state: ListedState::Live,
         role: BackendRole::Engine {
@@ -84,6 +88,19 @@
     (0..count).map(entry).collect()
 }
 
+/// The view of the instance with this number, which has read a list of `count`.
+pub fn membership(number: usize, count: usize) -> Membership {
+    let identity = Identity {
+        name: InstanceName::new(&format!("entry-{number:05}")),
+        peer_addr: addr(),
+        data_centre: data_centre(number),
+        incarnation: Incarnation(number as u64 + 1),
+    };
+    let mut membership = Membership::new(Timestamp::ZERO, identity, number as u64);
+    membership.on_listing(Timestamp::ZERO, &entries(count));
+    membership
+}
+
 /// A root and its pages, as published, with `count` adapters.
 pub fn published(count: usize) -> (Bytes, BTreeMap<PageName, Bytes>) {
     let mut pages = BTreeMap::new();
--- a/lab/src/slopes/memory.rs
+++ b/lab/src/slopes/memory.rs
@@ -9,7 +9,6 @@
 use tamaracklead::decide::demand::Demand;
 use tamaracklead::decide::engine::EngineCore;
 use tamaracklead::decide::engine::EngineInput;
-use tamaracklead::decide::membership::Membership;
 use tamaracklead::names::Timestamp;
 
 use super::inputs;
@@ -35,11 +34,7 @@
         (0..size).map(busy_engine).collect::<Vec<_>>()
     });
     line("listed engine", &[1900, 7700, 19000], inputs::engines);
-    line("member", &[420, 4200, 42000], |size| {
-        let mut membership = Membership::default();
-        membership.on_listing(&inputs::entries(size));
-        membership
-    });
+    line("member", &[420, 4200, 42000], |size| inputs::membership(0, size));
 }
 
 fn line<T>(name: &str, sizes: &[usize], build: impl Fn(usize) -> T) {
--- a/lab/src/slopes/processor.rs
+++ b/lab/src/slopes/processor.rs
@@ -10,7 +10,7 @@
 use tamaracklead::decide::engine::EngineCore;
 use tamaracklead::decide::engine::EngineInput;
 use tamaracklead::decide::engine::EngineSummary;
-use tamaracklead::decide::membership::Membership;
+use tamaracklead::decide::membership::MembershipAction;
 use tamaracklead::decide::ownership::Claimant;
 use tamaracklead::decide::ownership::Granter;
 use tamaracklead::decide::ownership::GroupId;
@@ -29,6 +29,7 @@
 use tamaracklead::names::RequestId;
 use tamaracklead::names::Timestamp;
 use tamaracklead::wire::caller::VersionChoice;
+use tamaracklead::wire::gossip::Gossip;
 use tamaracklead::wire::listing::FencingMode;
 
 use super::inputs;
@@ -66,12 +67,14 @@
     }
     for size in [420, 4200] {
         let entries = inputs::entries(size);
-        let mut membership = Membership::default();
-        membership.on_listing(&entries);
+        let mut membership = inputs::membership(0, size);
+        let heartbeat = heartbeat(size);
         line("heartbeat heard, by members", size, || {
-            membership.on_heard(Timestamp::ZERO, &entries[size / 2].name, Incarnation(1), false);
+            membership.on_gossip(Timestamp::ZERO, heartbeat.clone()).1.len()
+        });
+        line("read the instance list, by members", size, || {
+            membership.on_listing(Timestamp::ZERO, &entries);
         });
-        line("read the instance list, by members", size, || membership.on_listing(&entries));
     }
     for size in [10, 100, 1000] {
         permit(size);
@@ -81,6 +84,16 @@
     lease();
 }
 
+/// The first message that another instance sends.
+fn heartbeat(size: usize) -> Gossip {
+    let mut sender = inputs::membership(1, size);
+    let sent = sender.tick(Timestamp::from_millis(1)).into_iter().find_map(|action| match action {
+        MembershipAction::Send { message, .. } => Some(message),
+        _ => None,
+    });
+    sent.expect("an instance that starts asks its peers")
+}
+
 fn choose_home() {
     let summary = EngineSummary {
         ready: (0..inputs::SLOTS).map(inputs::adapter).collect(),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -27,6 +27,7 @@
 
 fn engine(number: usize) -> ListedBackend {
     ListedBackend {
+        incarnation: None,
         name: BackendName::new(&format!("engine-{number}")),
         addr: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         data_centre: DataCentre::new("dc-1"),
