--- a/tests/docs_tables.rs
+++ b/tests/docs_tables.rs
@@ -90,10 +90,23 @@
     }
 }
 
+#[test]
+fn every_page_is_named_in_its_index() {
+    let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
+    for (dir, index) in [("operating", "OPERATING.md"), ("design", "ARCHITECTURE.md")] {
+        let text = page(index);
+        for entry in fs::read_dir(docs.join(dir)).unwrap() {
+            let file = entry.unwrap().file_name().into_string().unwrap();
+            assert!(text.contains(&format!("({dir}/{file})")), "{dir}/{file} in {index}");
+        }
+    }
+}
+
 #[test]
 fn links_between_pages_lead_somewhere() {
     let docs = Path::new(env!("CARGO_MANIFEST_DIR")).join("docs");
-    let mut pages = vec![docs.clone(), docs.join("operating"), docs.join("examples")];
+    let mut pages = vec![docs.clone()];
+    pages.extend(["operating", "design", "examples"].map(|dir| docs.join(dir)));
     let mut broken = Vec::new();
     for dir in pages.drain(..) {
         for entry in fs::read_dir(&dir).unwrap() {
