Advertise an address for peers that they can reach

Members pass each other's addresses on, and an instance gave the one from its settings: with port 0 or a listener on every address nobody could reach it, and drafts ended as peer_unreachable. Found when the tests began to bind port 0.

--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -147,7 +147,7 @@
         let clock = Clock::start();
         let identity = Identity {
             name: settings.instance.clone(),
-            peer_addr: settings.listen.peer,
+            peer_addr: settings.listen.peer_addr(),
             data_centre: settings.data_centre.clone(),
             incarnation,
         };
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -37,13 +37,13 @@
 /// # Errors
 ///
 /// `Internal` if a listener or the runtime can't be started.
-pub fn run(settings: Settings) -> Result<DrainEnd> {
+pub fn run(mut settings: Settings) -> Result<DrainEnd> {
     let runtime = runtime().map_err(|e| internal("runtime", &e))?;
+    let listen = &mut settings.listen;
+    let caller = bind("callers", &mut listen.caller)?;
+    let peer = bind("peers", &mut listen.peer)?;
+    let operator = listen.operator.as_mut().map(|addr| bind("operators", addr)).transpose()?;
     let node = Node::new(settings, runtime.handle())?;
-    let listen = node.settings.listen.clone();
-    let caller = bind("callers", listen.caller)?;
-    let peer = bind("peers", listen.peer)?;
-    let operator = listen.operator.map(|addr| bind("operators", addr)).transpose()?;
     let handle = runtime.handle();
     let start = |surface, listener, threads| {
         server(&node, surface, handle, threads).start(listener).map_err(|e| internal("server", &e))
@@ -96,11 +96,12 @@
     runtime.spawn(report::metrics(Arc::clone(node)));
 }
 
-fn bind(whom: &str, addr: SocketAddr) -> Result<TcpListener> {
+/// Binds a listener; `addr` becomes the address it got, as port 0 lets the system choose.
+fn bind(whom: &str, addr: &mut SocketAddr) -> Result<TcpListener> {
     let failed = |e| internal(&format!("listener for {whom} at {addr}"), &e);
-    let listener = TcpListener::bind(addr).map_err(failed)?;
-    let bound = listener.local_addr().map_err(failed)?;
-    log::info!("listening for {whom} at {bound}");
+    let listener = TcpListener::bind(*addr).map_err(failed)?;
+    *addr = listener.local_addr().map_err(failed)?;
+    log::info!("listening for {whom} at {addr}");
     Ok(listener)
 }
 
