--- a/lab/tests/ownership.rs
+++ b/lab/tests/ownership.rs
@@ -101,19 +101,15 @@
     let runtime = fleet::runtime().unwrap();
     let mut fleet = start(&runtime, one_engine(FencingMode::Refuse));
     let draft = Draft { max_tokens: LONG, ..Draft::new(FleetPlan::adapter(1)) };
-    let stream = runtime.block_on(async {
-        ask_all(&fleet, &others(&fleet)).await;
-        let (client, addr, draft) = (fleet.client.clone(), fleet.entries[1].addr, draft.clone());
-        let stream = tokio::spawn(async move { ask::ask_stream(&client, addr, &draft).await });
-        wait_until_running(&fleet).await;
-        stream
-    });
+    runtime.block_on(ask_all(&fleet, &others(&fleet)));
+    let (client, addr, first) = (fleet.client.clone(), fleet.entries[1].addr, draft.clone());
+    let stream = runtime.spawn(async move { ask::ask_stream(&client, addr, &first).await });
+    runtime.block_on(wait_until_running(&fleet));
     fleet.engines[0].process.kill();
     assert!(runtime.block_on(stream).unwrap().is_err());
     fleet.engines[0].process.restart().unwrap();
     runtime.block_on(async {
-        let again = Draft { max_tokens: LONG, ..Draft::new(FleetPlan::adapter(1)) };
-        ask::ask_patiently(&fleet.client, &others(&fleet), &again, TRIES).await.unwrap();
+        ask::ask_patiently(&fleet.client, &others(&fleet), &draft, TRIES).await.unwrap();
         ask_all(&fleet, &others(&fleet)).await;
     });
 }
