--- /dev/null
+++ b/tests/ownership.rs
@@ -0,0 +1,141 @@
+//! What a lease and a takeover promise, one step at a time.
+
+use std::time::Duration;
+
+use tamaracklead::decide::engine::EngineCore;
+use tamaracklead::decide::ownership::Candidate;
+use tamaracklead::decide::ownership::Claimant;
+use tamaracklead::decide::ownership::GroupId;
+use tamaracklead::decide::ownership::LeaseAction;
+use tamaracklead::decide::ownership::LeaseHolder;
+use tamaracklead::decide::ownership::LeaseReply;
+use tamaracklead::decide::ownership::LeaseTiming;
+use tamaracklead::decide::ownership::PANEL_SIZE;
+use tamaracklead::decide::ownership::panel;
+use tamaracklead::decide::takeover::FenceOutcome;
+use tamaracklead::decide::takeover::OwnedAction;
+use tamaracklead::decide::takeover::OwnedEngine;
+use tamaracklead::decide::takeover::Query;
+use tamaracklead::decide::takeover::chosen_by;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::DataCentre;
+use tamaracklead::names::Fencing;
+use tamaracklead::names::Incarnation;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::Timestamp;
+use tamaracklead::wire::engine::Report;
+use tamaracklead::wire::listing::FencingMode;
+
+const OWNER: Incarnation = Incarnation(7);
+const NOW: Timestamp = Timestamp::ZERO;
+
+fn group(data_centre: &str) -> GroupId {
+    GroupId::new(&BackendName::new("e"), DataCentre::new(data_centre), FencingMode::Refuse)
+}
+
+fn candidate(number: usize, data_centre: &str) -> Candidate {
+    Candidate {
+        name: InstanceName::new(&format!("entry-{number}")),
+        data_centre: DataCentre::new(data_centre),
+    }
+}
+
+fn report(incarnation: u64, highest: u64) -> Report {
+    Report {
+        incarnation: Incarnation(incarnation),
+        fencing: Fencing(highest),
+        loaded: Vec::new(),
+        age_ms: 0,
+    }
+}
+
+/// The call of the only query among the actions, and its number if it fences.
+fn query(actions: &[OwnedAction]) -> (u64, Option<Fencing>) {
+    match actions {
+        [OwnedAction::Ask(Query::Running { call })] => (*call, None),
+        [OwnedAction::Ask(Query::Fence { call, number })] => (*call, Some(*number)),
+        other => panic!("not one query: {other:?}"),
+    }
+}
+
+/// An engine that was taken over, with the number that fenced it.
+fn taken_over(mode: FencingMode, highest: u64) -> (OwnedEngine, Fencing) {
+    let timing = LeaseTiming::default();
+    let mut owned = OwnedEngine::new(EngineCore::new(1, 1), mode, timing.travel, OWNER);
+    let (call, _) = query(&owned.on_acquired(NOW));
+    let (call, number) = query(&owned.on_report(NOW, call, &report(1, highest)));
+    let settled = NOW + timing.travel;
+    let (call, _) = query(&owned.on_fence(settled, call, FenceOutcome::Taken));
+    assert_eq!(owned.custody().number(), None);
+    owned.on_report(settled, call, &report(1, number.unwrap().0));
+    (owned, number.unwrap())
+}
+
+#[test]
+fn a_takeover_fences_above_the_highest_number_before_it_owns() {
+    for mode in [FencingMode::Refuse, FencingMode::Ignore] {
+        let (owned, number) = taken_over(mode, 5);
+        assert!(number > Fencing(5));
+        assert!(chosen_by(number, OWNER));
+        assert_eq!(owned.custody().number(), Some(number));
+    }
+}
+
+#[test]
+fn two_owners_that_read_the_same_number_never_choose_alike() {
+    let number = tamaracklead::decide::takeover::next_number;
+    assert_ne!(number(Fencing(5), Incarnation(1)), number(Fencing(5), Incarnation(2)));
+}
+
+#[test]
+fn an_engine_that_ignores_fencing_is_not_asked_again_before_late_messages_are_dead() {
+    let timing = LeaseTiming::default();
+    let core = EngineCore::new(1, 1);
+    let mut owned = OwnedEngine::new(core, FencingMode::Ignore, timing.travel, OWNER);
+    let (call, _) = query(&owned.on_acquired(NOW));
+    let (call, _) = query(&owned.on_report(NOW, call, &report(1, 0)));
+    assert_eq!(owned.on_fence(NOW, call, FenceOutcome::Taken), []);
+    assert_eq!(owned.on_tick(NOW + timing.travel - Duration::from_millis(1)), []);
+    query(&owned.on_tick(NOW + timing.travel));
+}
+
+#[test]
+fn an_engine_that_came_back_is_fenced_anew_before_anything_is_sent() {
+    let (mut owned, _) = taken_over(FencingMode::Refuse, 5);
+    let later = NOW + Duration::from_secs(10);
+    let (call, _) = query(&owned.on_tick(later));
+    let actions = owned.on_report(later, call, &report(2, 0));
+    assert_eq!(owned.custody().number(), None);
+    query(&actions);
+    let (mut told, _) = taken_over(FencingMode::Refuse, 5);
+    told.on_incarnation(later, Incarnation(2));
+    assert_eq!(told.custody().number(), None);
+}
+
+#[test]
+fn a_lease_is_counted_from_before_it_was_asked_for() {
+    let timing = LeaseTiming::default();
+    let me = InstanceName::new("entry-1");
+    let claimant = Claimant { name: me.clone(), incarnation: OWNER };
+    let mut holder = LeaseHolder::new(group("a"), claimant, timing);
+    let actions = holder.on_tick(NOW, true, std::slice::from_ref(&me));
+    assert!(matches!(actions[..], [LeaseAction::Ask { .. }]));
+    let answered = NOW + Duration::from_millis(900);
+    let reply = LeaseReply { group: group("a"), round: 1, granted: true };
+    assert_eq!(holder.on_reply(answered, &me, &reply), [LeaseAction::Acquired]);
+    let last = NOW + timing.held() - timing.travel;
+    assert!(holder.may_act(last - Duration::from_millis(1)).is_ok());
+    assert!(holder.may_act(last).is_err());
+}
+
+#[test]
+fn a_panel_takes_the_groups_own_data_centre_first() {
+    let mut listed: Vec<Candidate> = (0..20).map(|number| candidate(number, "b")).collect();
+    listed.extend((20..23).map(|number| candidate(number, "a")));
+    let members = panel(&group("a"), &listed);
+    assert_eq!(members.len(), PANEL_SIZE);
+    let own = |name: &InstanceName| (20..23).any(|number| name == &candidate(number, "a").name);
+    assert!(members[..3].iter().all(own));
+    let owner = group("a").preferred_owner(&listed).unwrap();
+    assert!(own(&owner));
+}
