--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -214,7 +214,11 @@
     /// `NotReady` or `Draining`.
     pub fn check_ready(&self) -> Result<()> {
         self.check_takes(Work::Draft)?;
-        self.snapshot().map(|_| ())
+        self.snapshot()?;
+        if self.backends(Backends::is_empty) {
+            return Err(Error::new(ErrorKind::NotReady, "no backend server is listed yet"));
+        }
+        Ok(())
     }
 
     /// The configuration in effect.
--- a/src/decide/backends/book.rs
+++ b/src/decide/backends/book.rs
@@ -59,6 +59,11 @@
         self.marks.add(now, mark.clone()).then_some(mark)
     }
 
+    /// Whether no backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// One backend server by name.
     pub fn get(&self, name: &BackendName) -> Option<&ListedBackend> {
         self.known.get(name)
