Mark the incarnation that a backend server's own answer names

Found by fuzzing: while the list still showed the incarnation before, the mark was made for that one, and the new one got work.

--- a/src/decide/backends/book.rs
+++ b/src/decide/backends/book.rs
@@ -50,9 +50,10 @@
         name: &BackendName,
         incarnation: Option<Incarnation>,
     ) -> Option<BackendLeaving> {
-        // Marks carry the list's incarnation, so that the list can end them.
+        // A list without incarnations can only end marks without one.
         let inc = match self.known.get(name) {
-            Some(backend) => backend.incarnation,
+            Some(backend) if backend.incarnation.is_none() => None,
+            Some(backend) => incarnation.or(backend.incarnation),
             None => incarnation,
         };
         let mark = BackendLeaving { name: name.clone(), inc };
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,12 +2,19 @@
 
 mod fleet;
 
+use fleet::Publication;
 use fleet::SECOND;
 use fleet::World;
 use fleet::publication;
 use tamaracklead::decide::config::CallBudget;
+use tamaracklead::decide::config::ConfigAction;
+use tamaracklead::decide::config::ConfigSync;
 use tamaracklead::decide::config::READERS_PER_DATA_CENTRE;
+use tamaracklead::decide::config::ServiceAnswer;
 use tamaracklead::decide::config::ServiceHealth;
+use tamaracklead::decide::config::Snapshot;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::Timestamp;
 
 /// Time in which a fleet without faults has started.
 const START: u64 = 3 * SECOND;
@@ -251,3 +258,52 @@
     println!("50 instances without the service: {rate:.2} calls/s, at most {most:.2}");
     assert!(rate <= most, "{rate} calls/s, more than {most}");
 }
+
+/// Answers every read with one publication.
+fn answer(
+    sync: &mut ConfigSync,
+    now: Timestamp,
+    wanted: &Publication,
+    mut open: Vec<ConfigAction>,
+) {
+    while let Some(action) = open.pop() {
+        open.extend(match action {
+            ConfigAction::ReadService { call, .. } => {
+                sync.on_service(now, call, ServiceAnswer::Root(wanted.root.clone()))
+            }
+            ConfigAction::ReadRoot { from } => {
+                sync.on_peer_root(now, &from, Some(wanted.root.clone()))
+            }
+            ConfigAction::ReadPage { from, page } => {
+                let bytes = wanted.pages.get(&page.name).cloned();
+                sync.on_page(now, &from, &page, bytes)
+            }
+            _ => Vec::new(),
+        });
+    }
+}
+
+#[test]
+fn after_a_pause_nothing_is_ready_before_the_generation_of_a_peer_is_in_effect() {
+    let (old, new) = (publication(1, 0), publication(2, 0));
+    let now = Timestamp::from_millis(100);
+    let mut sync = ConfigSync::new(now, 1);
+    let open = sync.tick(now, true, true);
+    answer(&mut sync, now, &old, open);
+    sync.tick(now, true, true);
+    assert!(sync.is_ready());
+
+    let woken = Timestamp::from_millis(9_000);
+    sync.on_wake(woken);
+    assert!(!sync.is_ready());
+    let id = Snapshot::id_of(&Snapshot::parse_root(&new.root).unwrap(), &new.root);
+    let reads = sync.on_claim(woken, &InstanceName::new("entry-1"), Some(id));
+    let open = sync.tick(woken, true, true);
+    answer(&mut sync, woken, &old, open);
+    sync.tick(woken, true, true);
+    assert!(!sync.is_ready(), "the stale service alone doesn't make it ready");
+    answer(&mut sync, woken, &new, reads);
+    sync.tick(woken, true, true);
+    assert!(sync.is_ready());
+    assert_eq!(sync.id(), Some(id));
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -16,6 +16,7 @@
 pub use node::addr;
 pub use node::name;
 pub use platform::Platform;
+pub use platform::Publication;
 pub use platform::publication;
 use rand::Rng;
 use rand::SeedableRng;
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -83,7 +83,12 @@
     let mut world = started(3);
     world.freeze(2, 4 * SECOND);
     world.own_answer(0, 1);
-    world.run(4 * SECOND + SECOND / 1000);
+    world.run(4 * SECOND - 1);
+    let paused = &world.nodes[2];
+    let clock = paused.clock(world.now);
+    let informed = paused.core.may_dispatch(clock, &BackendName::new("engine-0"));
+    assert!(!informed, "the clock alone tells, before any event");
+    world.run(SECOND / 1000);
     for _ in 0..40 {
         assert!(!world.may_dispatch(2), "entry-2 dispatches by what it knew before its pause");
         world.run(SECOND / 10);
@@ -116,6 +121,19 @@
     assert_refused(&world);
 }
 
+/// Found by fuzzing: the mark was made for the incarnation that the lagging list still showed.
+#[test]
+fn an_incarnation_that_the_list_does_not_show_yet_is_marked_too() {
+    let mut world = started(2);
+    world.platform.lagging = true;
+    world.own_answer(0, 2);
+    world.run(SECOND);
+    world.platform.lagging = false;
+    world.set_backend(2, ListedState::Live);
+    world.run(3 * SECOND);
+    assert_refused(&world);
+}
+
 #[test]
 fn a_list_without_incarnations_ends_a_mark_by_leaving_the_name_out() {
     let mut backends = Backends::default();
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -129,6 +129,8 @@
     world.kill(3);
     world.run(20 * SECOND - 1);
     assert_eq!(live(&world, 0), 0);
+    world.run(SECOND / 2);
+    assert_eq!(live(&world, 0), 2, "the killed one isn't believed in again");
     world.run(16 * SECOND);
     assert_eq!(live(&world, 0), 2);
     assert!((1..3).all(|index| live(&world, index) == 2), "it refuted its own death");
