--- a/src/decide/backends/book.rs
+++ b/src/decide/backends/book.rs
@@ -50,15 +50,21 @@
         name: &BackendName,
         incarnation: Option<Incarnation>,
     ) -> Option<BackendLeaving> {
-        // Marks carry the list's incarnation, so that the list can end them.
+        // A list without incarnations can only end marks without one.
         let inc = match self.known.get(name) {
-            Some(backend) => backend.incarnation,
+            Some(backend) if backend.incarnation.is_none() => None,
+            Some(backend) => incarnation.or(backend.incarnation),
             None => incarnation,
         };
         let mark = BackendLeaving { name: name.clone(), inc };
         self.marks.add(now, mark.clone()).then_some(mark)
     }
 
+    /// Whether no backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
     /// One backend server by name.
     pub fn get(&self, name: &BackendName) -> Option<&ListedBackend> {
         self.known.get(name)
