--- a/tests/submissions_fuzz/main.rs
+++ b/tests/submissions_fuzz/main.rs
@@ -11,6 +11,8 @@
 mod submit;
 mod world;
 
+use std::sync::OnceLock;
+
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 use proptest_state_machine::prop_state_machine;
@@ -24,28 +26,28 @@
     std::env::var(name).ok()?.parse().ok()
 }
 
+/// The seed of this run; drawn once, because the macro asks for each case.
+fn seed() -> u64 {
+    static SEED: OnceLock<u64> = OnceLock::new();
+    *SEED.get_or_init(|| {
+        let is_long_run = number("TAMARACKLEAD_FUZZ_CASES").is_some();
+        let fresh = is_long_run.then(rand::random);
+        let seed = number("TAMARACKLEAD_FUZZ_SEED").or(fresh).unwrap_or(CI_SEED);
+        eprintln!("seed {seed}");
+        seed
+    })
+}
+
 fn config() -> Config {
     let cases = number("TAMARACKLEAD_FUZZ_CASES");
-    let fresh = || u64::from(std::process::id()) << 32 | u64::from(fresh_nanos());
-    let seed = match (number("TAMARACKLEAD_FUZZ_SEED"), cases) {
-        (Some(seed), _) => seed,
-        (None, Some(_)) => fresh(),
-        (None, None) => CI_SEED,
-    };
-    eprintln!("seed {seed}");
     Config {
         cases: cases.map_or(CI_CASES, |cases| cases as u32),
-        rng_seed: RngSeed::Fixed(seed),
+        rng_seed: RngSeed::Fixed(seed()),
         failure_persistence: None,
         ..Config::default()
     }
 }
 
-fn fresh_nanos() -> u32 {
-    let now = std::time::SystemTime::now();
-    now.duration_since(std::time::UNIX_EPOCH).map_or(0, |span| span.subsec_nanos())
-}
-
 prop_state_machine! {
     #![proptest_config(config())]
 
