--- a/src/decide/engine/core.rs
+++ b/src/decide/engine/core.rs
@@ -33,7 +33,7 @@
 /// Stall weight until a preset sets one.
 const DEFAULT_STALL_WEIGHT: u8 = 50;
 /// Time in which the measured demand for an adapter halves.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(60);
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(30);
 /// Adapters whose demand is tracked, for each slot.
 const TRACKED_PER_SLOT: usize = 16;
 
