--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -42,6 +42,7 @@
 
 fn report(incarnation: u64, highest: u64) -> Report {
     Report {
+        leaving: false,
         incarnation: Incarnation(incarnation),
         fencing: Fencing(highest),
         loaded: Vec::new(),
