--- a/src/decide/membership/beliefs.rs
+++ b/src/decide/membership/beliefs.rs
@@ -36,6 +36,7 @@
         }
         self.probes.clear();
         self.rival = None;
+        self.calls_before_pause = self.serial;
         self.phase = Phase::Rejoining;
         self.phase_since = now;
         self.next_probe = now;
--- a/src/decide/membership/core.rs
+++ b/src/decide/membership/core.rs
@@ -74,6 +74,8 @@
     pub(super) listing_since: Option<Timestamp>,
     pub(super) last_event: Timestamp,
     pub(super) serial: u64,
+    /// Number of the last call before the last pause; its answer and earlier ones are outdated.
+    pub(super) calls_before_pause: u64,
     pub(super) rng: ChaCha8Rng,
 }
 
@@ -108,6 +110,7 @@
             listing_since: None,
             last_event: now,
             serial: 0,
+            calls_before_pause: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
@@ -261,6 +264,9 @@
         answer: Option<GossipAnswer>,
     ) -> Vec<MembershipAction> {
         let mut actions = self.observe(now);
+        if call <= self.calls_before_pause {
+            return actions;
+        }
         let answer = answer.filter(|answer| &answer.from.name == to);
         let relay = self.probes.end_relay(call);
         let Some(answer) = answer else {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -136,6 +136,15 @@
     assert!((1..3).all(|index| live(&world, index) == 2), "it refuted its own death");
 }
 
+#[test]
+fn an_instance_that_wakes_cut_off_believes_in_nobody() {
+    let mut world = started(4);
+    world.partition(&[1, 0, 0, 0]);
+    world.freeze(0, 4 * SECOND);
+    world.run(4 * SECOND + SECOND / 5);
+    assert_eq!(live(&world, 0), 0);
+}
+
 #[test]
 fn a_draining_instance_is_not_live() {
     let mut world = started(4);
