--- a/src/decide/config/mod.rs
+++ b/src/decide/config/mod.rs
@@ -6,6 +6,7 @@
 //! from whom; [`ConfigState`] decides what is applied.
 
 mod action;
+mod applying;
 mod backoff;
 mod budget;
 mod claims;
--- a/src/decide/config/sync.rs
+++ b/src/decide/config/sync.rs
@@ -12,7 +12,6 @@
 use super::ConfigAction;
 use super::ConfigCounters;
 use super::ConfigState;
-use super::Offer;
 use super::ServiceAnswer;
 use super::ServiceHealth;
 use super::Snapshot;
@@ -41,17 +40,17 @@
 /// service can't deliver whole never delays one that a peer holds whole.
 #[derive(Clone, Debug)]
 pub struct ConfigSync {
-    state: ConfigState,
-    claims: Claims,
-    from_peers: Option<Fetch>,
-    from_service: Option<Fetch>,
-    refused: BTreeSet<ConfigId>,
-    conflicts: BTreeSet<ConfigId>,
-    reads: ServiceReads,
-    watching: bool,
-    counters: ConfigCounters,
-    ready: bool,
-    rng: ChaCha8Rng,
+    pub(super) state: ConfigState,
+    pub(super) claims: Claims,
+    pub(super) from_peers: Option<Fetch>,
+    pub(super) from_service: Option<Fetch>,
+    pub(super) refused: BTreeSet<ConfigId>,
+    pub(super) conflicts: BTreeSet<ConfigId>,
+    pub(super) reads: ServiceReads,
+    pub(super) watching: bool,
+    pub(super) counters: ConfigCounters,
+    pub(super) ready: bool,
+    pub(super) rng: ChaCha8Rng,
 }
 
 impl ConfigSync {
@@ -355,67 +354,4 @@
         let whole = fetch.assemble();
         self.finish(whole, id, actions);
     }
-
-    fn finish(
-        &mut self,
-        whole: Option<Result<Snapshot, Error>>,
-        id: ConfigId,
-        actions: &mut Vec<ConfigAction>,
-    ) {
-        let offer = match whole {
-            None => return,
-            Some(Ok(snapshot)) => self.state.offer(snapshot),
-            Some(Err(e)) => Err(e),
-        };
-        match offer {
-            Ok(Offer::Applied) => self.on_applied(actions),
-            Ok(Offer::Known | Offer::Older) => {}
-            Err(e) => {
-                self.refused.insert(id);
-                self.refuse(e, actions);
-            }
-        }
-        self.drop_unwanted();
-    }
-
-    fn on_applied(&mut self, actions: &mut Vec<ConfigAction>) {
-        self.counters.applied += 1;
-        self.conflicts.clear();
-        let generation = self.generation();
-        self.refused.retain(|id| Some(id.generation) > generation);
-        if let Some(snapshot) = self.current() {
-            actions.push(ConfigAction::Applied(Arc::clone(snapshot)));
-        }
-    }
-
-    fn drop_unwanted(&mut self) {
-        let done = |fetch: &Option<Fetch>, sync: &Self| {
-            fetch.as_ref().is_some_and(|fetch| !sync.is_wanted(&fetch.id()))
-        };
-        if done(&self.from_peers, self) {
-            self.from_peers = None;
-        }
-        if done(&self.from_service, self) {
-            self.from_service = None;
-        }
-    }
-
-    fn is_wanted(&self, id: &ConfigId) -> bool {
-        let higher = self.generation().is_none_or(|current| id.generation > current);
-        higher && !self.refused.contains(id)
-    }
-
-    fn check_conflict(&mut self, id: ConfigId, from: Source, actions: &mut Vec<ConfigAction>) {
-        let Some(ours) = self.id() else { return };
-        let conflicting = id.generation == ours.generation && id != ours;
-        if conflicting && self.conflicts.insert(id) {
-            self.counters.conflicts += 1;
-            actions.push(ConfigAction::Conflict { ours, theirs: id, from });
-        }
-    }
-
-    fn refuse(&mut self, error: Error, actions: &mut Vec<ConfigAction>) {
-        self.counters.refused += 1;
-        actions.push(ConfigAction::Refused(error));
-    }
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -2,9 +2,9 @@
 
 mod fleet;
 
-use fleet::Publication;
 use fleet::SECOND;
 use fleet::World;
+use fleet::platform::Publication;
 use fleet::publication;
 use tamaracklead::decide::config::CallBudget;
 use tamaracklead::decide::config::ConfigAction;
