Keep fencing numbers growing over a restart of the engine

An engine that came back has forgotten its highest number, so its owner fenced it with a lower one than before, and its own unload from before the restart, delivered late, was carried out under running work. The directed case failed before and passes now: an owner chooses above every number of its own.

--- a/src/decide/takeover/custody.rs
+++ b/src/decide/takeover/custody.rs
@@ -55,6 +55,8 @@
     open: Option<Open>,
     asked: Timestamp,
     incarnation: Option<Incarnation>,
+    /// Highest number chosen here; an engine that came back has forgotten it.
+    chosen: Fencing,
     holds: BTreeMap<AdapterRef, Timestamp>,
 }
 
@@ -70,6 +72,7 @@
             open: None,
             asked: Timestamp::ZERO,
             incarnation: None,
+            chosen: Fencing::default(),
             holds: BTreeMap::new(),
         }
     }
@@ -144,7 +147,7 @@
         self.phase = match outcome {
             FenceOutcome::Taken => Phase::Settling { settled, number },
             FenceOutcome::TooLow { highest } => {
-                Phase::Fencing { settled, number: next_number(highest, self.owner) }
+                Phase::Fencing { settled, number: self.choose(highest) }
             }
             FenceOutcome::Unknown => Phase::Reading { settled },
         };
@@ -171,7 +174,7 @@
         match self.phase {
             Phase::Foreign | Phase::Fencing { .. } => (Vec::new(), None),
             Phase::Reading { settled } => {
-                let number = next_number(report.fencing, self.owner);
+                let number = self.choose(report.fencing);
                 self.phase = Phase::Fencing { settled, number };
                 (Vec::new(), None)
             }
@@ -232,6 +235,12 @@
             .collect()
     }
 
+    /// A number above the engine's highest and above every earlier one of this owner.
+    fn choose(&mut self, highest: Fencing) -> Fencing {
+        self.chosen = next_number(highest.max(self.chosen), self.owner);
+        self.chosen
+    }
+
     fn ask_running(&mut self, now: Timestamp) -> Query {
         self.asked = now;
         Query::Running { call: self.open_call(now) }
--- a/tests/ownership_model/regressions.rs
+++ b/tests/ownership_model/regressions.rs
@@ -125,3 +125,33 @@
         assert_eq!(world.violations(), Vec::<String>::new(), "{mode:?}");
     }
 }
+
+/// A restarted engine has forgotten its highest number; the owner must not.
+#[test]
+fn a_late_unload_from_before_a_restart_evicts_nothing() {
+    let mut steps = Vec::new();
+    for node in [0, 1, 2, 0] {
+        steps.push(Step::HandOver { node });
+        steps.push(Step::Run { ms: 10_000 });
+    }
+    steps.push(Step::Arrive { node: 0, adapter: 0 });
+    steps.push(Step::Run { ms: 500 });
+    steps.push(Step::Finish { pick: 0 });
+    steps.push(Step::Run { ms: 200 });
+    steps.push(Step::Arrive { node: 0, adapter: 1 });
+    let mut world = play(FencingMode::Refuse, &steps);
+    while world.unloads_in_flight() == 0 {
+        world.apply(Step::Rush { rounds: 1 });
+    }
+    world.apply(Step::Delay { pick: 0 });
+    world.apply(Step::RestartEngine);
+    world.apply(Step::Run { ms: 4_000 });
+    world.apply(Step::Finish { pick: 0 });
+    world.apply(Step::Run { ms: 500 });
+    world.apply(Step::Arrive { node: 0, adapter: 0 });
+    world.apply(Step::Run { ms: 2_000 });
+    for pick in 0..20 {
+        world.apply(Step::Deliver { pick });
+    }
+    assert_eq!(world.violations(), Vec::<String>::new());
+}
