--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -4,6 +4,7 @@
 //! configuration, backend servers), the used tickets, and one shard for each engine. No lock is held across an await.
 
 mod access;
+mod clients;
 mod clock;
 mod completions;
 mod control;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -14,6 +14,7 @@
 use super::Clock;
 use super::Surface;
 use super::access::Access;
+use super::clients::Clients;
 use super::completions;
 use super::control;
 use super::dispatches;
@@ -28,7 +29,6 @@
 use super::quarantine::Quarantine;
 use super::submissions;
 use super::submissions::Submissions;
-use crate::auth::PeerSigner;
 use crate::decide::backends::Backends;
 use crate::decide::config::ConfigSync;
 use crate::decide::config::Snapshot;
@@ -43,12 +43,6 @@
 use crate::decide::ownership::Candidate;
 use crate::decide::ownership::Claimant;
 use crate::decide::ownership::GroupId;
-use crate::edge::ConfigClient;
-use crate::edge::DeskClient;
-use crate::edge::EngineClient;
-use crate::edge::HttpClient;
-use crate::edge::ListingClient;
-use crate::edge::PeerClient;
 use crate::edge::PeerPath;
 use crate::edge::Reply;
 use crate::edge::Request;
@@ -69,35 +63,6 @@
 use crate::wire::peer::ExplainQuestion;
 use crate::wire::peer::Hello;
 
-/// Clients of everything outside the process.
-#[derive(Clone, Debug)]
-pub struct Clients {
-    /// Configuration service.
-    pub config: ConfigClient,
-    /// The platform's list of instances.
-    pub listing: ListingClient,
-    /// Engines.
-    pub engine: EngineClient,
-    /// Desks.
-    pub desk: DeskClient,
-    /// Other instances.
-    pub peer: PeerClient,
-}
-
-impl Clients {
-    fn new(settings: &Settings) -> Self {
-        let http = HttpClient::new();
-        let signer = PeerSigner::new(settings.keys.peers.clone(), settings.instance.clone());
-        Self {
-            config: ConfigClient::new(http.clone(), settings.platform.configuration),
-            listing: ListingClient::new(http.clone(), settings.platform.instances),
-            engine: EngineClient::new(http.clone()),
-            desk: DeskClient,
-            peer: PeerClient::new(http, signer),
-        }
-    }
-}
-
 /// One entry instance.
 #[derive(Debug)]
 pub struct Node {
