--- a/lab/src/ask.rs
+++ b/lab/src/ask.rs
@@ -1,4 +1,4 @@
-//! What a caller does: asks for drafts and submits, coming back when told to.
+//! What a caller does: asks for completions and submits, coming back when told to.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -38,9 +38,9 @@
     }
 }
 
-/// A draft that a caller asks for.
+/// A completion that a caller asks for.
 #[derive(Clone, Debug)]
-pub struct Draft {
+pub struct AskedCompletion {
     /// Adapter that must answer.
     pub adapter: AdapterName,
     /// Version that must answer; the newest if absent.
@@ -51,8 +51,8 @@
     pub max_tokens: u32,
 }
 
-impl Draft {
-    /// A short draft by the newest version of an adapter.
+impl AskedCompletion {
+    /// A short completion by the newest version of an adapter.
     pub fn new(adapter: AdapterName) -> Self {
         Self { adapter, version: None, prompt: "Hello".to_owned(), max_tokens: 4 }
     }
@@ -95,11 +95,15 @@
 /// # Errors
 ///
 /// How it failed.
-pub async fn ask(client: &LabClient, addr: SocketAddr, draft: &Draft) -> Result<(), AskError> {
-    let call = HttpCall::post(addr, "/v1/completions", draft.body(false));
+pub async fn ask(
+    client: &LabClient,
+    addr: SocketAddr,
+    asked: &AskedCompletion,
+) -> Result<(), AskError> {
+    let call = HttpCall::post(addr, "/v1/completions", asked.body(false));
     let body = whole(client, call).await?;
     let completion: Completion = parse(&body)?;
-    draft.check(&completion, &completion.text)
+    asked.check(&completion, &completion.text)
 }
 
 /// Asks for a stream, reads it to its end and checks it.
@@ -110,9 +114,9 @@
 pub async fn ask_stream(
     client: &LabClient,
     addr: SocketAddr,
-    draft: &Draft,
+    asked: &AskedCompletion,
 ) -> Result<(), AskError> {
-    let call = HttpCall::post(addr, "/v1/completions", draft.body(true));
+    let call = HttpCall::post(addr, "/v1/completions", asked.body(true));
     let mut reply = client.send(call).await.map_err(AskError::Broken)?;
     if !reply.status.is_success() {
         let body = reply.whole().await.map_err(|failure| AskError::Broken(failure.detail))?;
@@ -126,7 +130,7 @@
             match event.name.as_str() {
                 "done" => {
                     let completion: Completion = parse(event.data.as_bytes())?;
-                    return draft.check(&completion, &text);
+                    return asked.check(&completion, &text);
                 }
                 "error" => return Err(AskError::Problem(parse(event.data.as_bytes())?)),
                 _ => {
@@ -147,13 +151,13 @@
 pub async fn ask_patiently(
     client: &LabClient,
     addrs: &[SocketAddr],
-    draft: &Draft,
+    asked: &AskedCompletion,
     tries: usize,
 ) -> Result<usize, AskError> {
     let mut last = AskError::Broken("no address".to_owned());
     for attempt in 0..tries {
         let addr = addrs[attempt % addrs.len()];
-        match ask(client, addr, draft).await {
+        match ask(client, addr, asked).await {
             Ok(()) => return Ok(attempt),
             Err(AskError::Wrong(text)) => return Err(AskError::Wrong(text)),
             Err(error) => {
--- a/lab/src/demo.rs
+++ b/lab/src/demo.rs
@@ -9,7 +9,7 @@
 
 use crate::ask;
 use crate::ask::AskError;
-use crate::ask::Draft;
+use crate::ask::AskedCompletion;
 use crate::fleet;
 use crate::fleet::Fleet;
 use crate::fleet::FleetPlan;
@@ -45,15 +45,15 @@
         "  {} daemons, {} engines with {} slots each, {} desks, {} adapters: ready",
         plan.entries, plan.engines, plan.slots, plan.desks, plan.adapters
     );
-    drafts(&fleet, "drafts for hot and cold adapters").await?;
+    completions(&fleet, "completions for hot and cold adapters").await?;
     submission(&fleet).await?;
     switch_preset(&mut fleet).await?;
     fleet.entries[2].process.kill();
-    drafts(&fleet, "drafts after one daemon was killed").await?;
+    completions(&fleet, "completions after one daemon was killed").await?;
     fleet.engines[0].process.kill();
-    drafts(&fleet, "drafts after one engine was killed").await?;
+    completions(&fleet, "completions after one engine was killed").await?;
     fleet.engines[0].process.restart()?;
-    drafts(&fleet, "drafts after the engine came back cold").await?;
+    completions(&fleet, "completions after the engine came back cold").await?;
     shut_down(&mut fleet).await?;
     no_busy_unload(&fleet).await
 }
@@ -63,18 +63,18 @@
     fleet.entries.iter().take(2).map(|entry| entry.addr).collect()
 }
 
-async fn drafts(fleet: &Fleet, title: &str) -> Result<(), String> {
+async fn completions(fleet: &Fleet, title: &str) -> Result<(), String> {
     let addrs = live_addrs(fleet);
     let mut tasks = Vec::new();
     for number in 0..HOT * 8 + COLD {
         let adapter = if number < HOT * 8 { number % HOT + 1 } else { 100 + number };
-        let mut draft = Draft::new(FleetPlan::adapter(adapter));
-        draft.version = (number % 2 == 0).then_some(tamaracklead::names::Version(1));
+        let mut asked = AskedCompletion::new(FleetPlan::adapter(adapter));
+        asked.version = (number % 2 == 0).then_some(tamaracklead::names::Version(1));
         let client = fleet.client.clone();
         let mut addrs = addrs.clone();
         addrs.rotate_left(number as usize % 2);
         tasks.push(tokio::spawn(async move {
-            ask::ask_patiently(&client, &addrs, &draft, TRIES).await
+            ask::ask_patiently(&client, &addrs, &asked, TRIES).await
         }));
     }
     let total = tasks.len();
@@ -121,11 +121,11 @@
 }
 
 async fn shut_down(fleet: &mut Fleet) -> Result<(), String> {
-    let mut draft = Draft::new(FleetPlan::adapter(1));
-    draft.max_tokens = LONG_STREAM;
+    let mut asked = AskedCompletion::new(FleetPlan::adapter(1));
+    asked.max_tokens = LONG_STREAM;
     let client = fleet.client.clone();
     let addr = fleet.entries[1].addr;
-    let stream = tokio::spawn(async move { ask::ask_stream(&client, addr, &draft).await });
+    let stream = tokio::spawn(async move { ask::ask_stream(&client, addr, &asked).await });
     tokio::time::sleep(std::time::Duration::from_millis(300)).await;
     fleet.entries[1].process.signal(Signal::SIGTERM);
     let answer = stream.await.map_err(|e| e.to_string())?;
--- a/lab/src/drive/hops.rs
+++ b/lab/src/drive/hops.rs
@@ -19,7 +19,7 @@
 use super::request;
 use super::request::End;
 use crate::ask;
-use crate::ask::Draft;
+use crate::ask::AskedCompletion;
 use crate::fleet::Fleet;
 use crate::fleet::FleetPlan;
 use crate::fleet::LabClient;
@@ -115,9 +115,9 @@
         ..FleetPlan::nakhla()
     };
     let fleet = Fleet::start(bin_dir, fleet_plan).await?;
-    let draft = Draft { max_tokens: 1, ..Draft::new(FleetPlan::adapter(1)) };
+    let asked = AskedCompletion { max_tokens: 1, ..AskedCompletion::new(FleetPlan::adapter(1)) };
     for entry in &fleet.entries {
-        let warm = ask::ask_patiently(&fleet.client, &[entry.addr], &draft, 10).await;
+        let warm = ask::ask_patiently(&fleet.client, &[entry.addr], &asked, 10).await;
         warm.map_err(|e| format!("warm-up: {e:?}"))?;
     }
     let owner = owner(&fleet).await?;
@@ -125,7 +125,7 @@
     let direct = GenerateRequest {
         request_id: RequestId(1),
         adapter: AdapterRef::new(FleetPlan::adapter(1), Version(2)),
-        prompt: draft.prompt.clone(),
+        prompt: asked.prompt.clone(),
         max_tokens: 1,
         priority: 5,
         fencing: report.fencing,
@@ -135,7 +135,7 @@
         engine: fleet.engines[0].addr,
         owner: fleet.entries[owner].addr,
         other: fleet.entries[1 - owner].addr,
-        draft,
+        asked,
         direct,
     };
     Ok(send_all(&sender, plan).await)
@@ -179,7 +179,7 @@
     engine: SocketAddr,
     owner: SocketAddr,
     other: SocketAddr,
-    draft: Draft,
+    asked: AskedCompletion,
     direct: GenerateRequest,
 }
 
@@ -190,7 +190,7 @@
             Way::Owner => self.owner,
             Way::TwoHops => self.other,
         };
-        match request::run(&self.client, addr, &self.draft, planned).await {
+        match request::run(&self.client, addr, &self.asked, planned).await {
             End::Answered { first_token, .. } => Some(first_token),
             End::Problem(_) | End::Broken | End::Wrong(_) => None,
         }
--- a/lab/src/drive/load.rs
+++ b/lab/src/drive/load.rs
@@ -11,7 +11,7 @@
 
 use super::figures::Figures;
 use super::request;
-use crate::ask::Draft;
+use crate::ask::AskedCompletion;
 use crate::fleet::Fleet;
 use crate::fleet::FleetPlan;
 use crate::load::Arrival;
@@ -57,8 +57,8 @@
         tokio::time::sleep_until(planned.into()).await;
         let client = fleet.client.clone();
         let addr = fleet.entries[number % fleet.entries.len()].addr;
-        let draft = draft(arrival);
-        running.spawn(async move { request::run(&client, addr, &draft, planned).await });
+        let asked = asked(arrival);
+        running.spawn(async move { request::run(&client, addr, &asked, planned).await });
         while let Some(ended) = running.try_join_next() {
             figures.record(ended.map_err(|e| e.to_string())?);
         }
@@ -92,8 +92,8 @@
     }
 }
 
-fn draft(arrival: &Arrival) -> Draft {
+fn asked(arrival: &Arrival) -> AskedCompletion {
     // Published adapters are numbered from 1.
     let adapter = FleetPlan::adapter(arrival.adapter as u32 + 1);
-    Draft { max_tokens: arrival.answer_tokens, ..Draft::new(adapter) }
+    AskedCompletion { max_tokens: arrival.answer_tokens, ..AskedCompletion::new(adapter) }
 }
--- a/lab/src/drive/request.rs
+++ b/lab/src/drive/request.rs
@@ -9,7 +9,7 @@
 use tamaracklead::error::Problem;
 use tamaracklead::wire::sse::EventReader;
 
-use crate::ask::Draft;
+use crate::ask::AskedCompletion;
 use crate::fleet::LabClient;
 
 /// How one request ended.
@@ -30,9 +30,14 @@
     Wrong(String),
 }
 
-/// Sends one draft and follows its stream to the end.
-pub async fn run(client: &LabClient, addr: SocketAddr, draft: &Draft, planned: Instant) -> End {
-    let call = HttpCall::post(addr, "/v1/completions", draft.body(true));
+/// Sends one completion and follows its stream to the end.
+pub async fn run(
+    client: &LabClient,
+    addr: SocketAddr,
+    asked: &AskedCompletion,
+    planned: Instant,
+) -> End {
+    let call = HttpCall::post(addr, "/v1/completions", asked.body(true));
     let Ok(mut reply) = client.send(call).await else { return End::Broken };
     if !reply.status.is_success() {
         return match reply.whole().await {
@@ -54,7 +59,7 @@
                     let whole = planned.elapsed();
                     let first_token = first_token.unwrap_or(whole);
                     return match event.parse() {
-                        Ok(done) if draft.check(&done, &text).is_ok() => {
+                        Ok(done) if asked.check(&done, &text).is_ok() => {
                             End::Answered { first_token, whole }
                         }
                         _ => End::Wrong(text),
--- a/lab/tests/config_faults.rs
+++ b/lab/tests/config_faults.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use lab::ask;
-use lab::ask::Draft;
+use lab::ask::AskedCompletion;
 use lab::fleet;
 use lab::fleet::Fleet;
 use lab::fleet::FleetPlan;
@@ -38,12 +38,12 @@
 }
 
 async fn refusal(fleet: &Fleet, entry: usize) -> Option<ErrorKind> {
-    let draft = Draft::new(FleetPlan::adapter(1));
-    let answer = ask::ask(&fleet.client, fleet.entries[entry].addr, &draft).await;
+    let asked = AskedCompletion::new(FleetPlan::adapter(1));
+    let answer = ask::ask(&fleet.client, fleet.entries[entry].addr, &asked).await;
     answer.err().map(|error| error.kind().unwrap_or(ErrorKind::Internal))
 }
 
-/// Asks until a draft is answered; a new owner may still be taking the engine over.
+/// Asks until a completion is answered; a new owner may still be taking the engine over.
 async fn wait_until_served(fleet: &Fleet, entry: usize) {
     let until = Instant::now() + PATIENCE;
     while let Some(kind) = refusal(fleet, entry).await {
@@ -142,7 +142,7 @@
 fn an_engines_own_word_that_it_leaves_reaches_every_daemon() {
     fleet::runtime().unwrap().block_on(async {
         let fleet = start().await;
-        // The first draft gives the engine its owner, which asks for its reports.
+        // The first completion gives the engine its owner, which asks for its reports.
         wait_until_served(&fleet, 0).await;
         fleet.client.put_json(fleet.engines[0].addr, "/lab/leaving", &()).await.unwrap();
         wait_until_refused(&fleet).await;
--- a/lab/tests/ownership.rs
+++ b/lab/tests/ownership.rs
@@ -6,7 +6,7 @@
 
 use lab::ask;
 use lab::ask::AskError;
-use lab::ask::Draft;
+use lab::ask::AskedCompletion;
 use lab::fleet;
 use lab::fleet::Fleet;
 use lab::fleet::FleetPlan;
@@ -38,13 +38,13 @@
 async fn ask_all(fleet: &Fleet, addrs: &[SocketAddr]) {
     let mut calls = Vec::new();
     for number in 1..=ADAPTERS {
-        let draft = Draft::new(FleetPlan::adapter(number));
+        let asked = AskedCompletion::new(FleetPlan::adapter(number));
         let client = fleet.client.clone();
         let mut addrs = addrs.to_vec();
         let turn = number as usize % addrs.len();
         addrs.rotate_left(turn);
         calls.push(tokio::spawn(async move {
-            ask::ask_patiently(&client, &addrs, &draft, TRIES).await
+            ask::ask_patiently(&client, &addrs, &asked, TRIES).await
         }));
     }
     for call in calls {
@@ -100,16 +100,16 @@
 fn requests_that_an_engine_took_down_with_it_are_answered_when_sent_again() {
     let runtime = fleet::runtime().unwrap();
     let mut fleet = start(&runtime, one_engine(FencingMode::Refuse));
-    let draft = Draft { max_tokens: LONG, ..Draft::new(FleetPlan::adapter(1)) };
+    let asked = AskedCompletion { max_tokens: LONG, ..AskedCompletion::new(FleetPlan::adapter(1)) };
     runtime.block_on(ask_all(&fleet, &others(&fleet)));
-    let (client, addr, first) = (fleet.client.clone(), fleet.entries[1].addr, draft.clone());
+    let (client, addr, first) = (fleet.client.clone(), fleet.entries[1].addr, asked.clone());
     let stream = runtime.spawn(async move { ask::ask_stream(&client, addr, &first).await });
     runtime.block_on(wait_until_running(&fleet));
     fleet.engines[0].process.kill();
     assert!(runtime.block_on(stream).unwrap().is_err());
     fleet.engines[0].process.restart().unwrap();
     runtime.block_on(async {
-        ask::ask_patiently(&fleet.client, &others(&fleet), &draft, TRIES).await.unwrap();
+        ask::ask_patiently(&fleet.client, &others(&fleet), &asked, TRIES).await.unwrap();
         ask_all(&fleet, &others(&fleet)).await;
     });
 }
@@ -130,13 +130,16 @@
     let runtime = fleet::runtime().unwrap();
     let plan = FleetPlan { entries: 3, engines: 5, ..FleetPlan::nakhla() };
     let mut fleet = start(&runtime, plan);
-    let poison = Draft { prompt: POISON.to_owned(), ..Draft::new(FleetPlan::adapter(1)) };
+    let poison = AskedCompletion {
+        prompt: POISON.to_owned(),
+        ..AskedCompletion::new(FleetPlan::adapter(1))
+    };
     let mut quarantined = false;
     for _ in 0..TRIES {
         let mut calls = Vec::new();
         for entry in &fleet.entries {
-            let (client, addr, draft) = (fleet.client.clone(), entry.addr, poison.clone());
-            calls.push(runtime.spawn(async move { ask::ask(&client, addr, &draft).await }));
+            let (client, addr, asked) = (fleet.client.clone(), entry.addr, poison.clone());
+            calls.push(runtime.spawn(async move { ask::ask(&client, addr, &asked).await }));
         }
         for call in calls {
             let error: AskError = runtime.block_on(call).unwrap().unwrap_err();
--- a/lab/tests/shutdown.rs
+++ b/lab/tests/shutdown.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use lab::ask;
-use lab::ask::Draft;
+use lab::ask::AskedCompletion;
 use lab::fleet;
 use lab::fleet::Fleet;
 use lab::fleet::FleetPlan;
@@ -24,8 +24,8 @@
     runtime.block_on(Fleet::start(bin_dir, plan)).unwrap()
 }
 
-fn long_draft() -> Draft {
-    Draft { max_tokens: LONG, ..Draft::new(FleetPlan::adapter(1)) }
+fn long_completion() -> AskedCompletion {
+    AskedCompletion { max_tokens: LONG, ..AskedCompletion::new(FleetPlan::adapter(1)) }
 }
 
 /// Waits until the engine runs a request, so that a stream is known to have begun.
@@ -40,11 +40,11 @@
     }
 }
 
-/// Waits until the daemon refuses drafts because it's shutting down; returns the refusal.
+/// Waits until the daemon refuses completions because it's shutting down; returns the refusal.
 async fn wait_until_draining(fleet: &Fleet, entry: usize) -> tamaracklead::error::Problem {
     loop {
-        let draft = Draft::new(FleetPlan::adapter(1));
-        match ask::ask(&fleet.client, fleet.entries[entry].addr, &draft).await {
+        let asked = AskedCompletion::new(FleetPlan::adapter(1));
+        match ask::ask(&fleet.client, fleet.entries[entry].addr, &asked).await {
             Err(ask::AskError::Problem(problem)) if problem.kind == ErrorKind::Draining => {
                 return problem;
             }
@@ -62,7 +62,7 @@
         for entry in &fleet.entries {
             let (client, addr) = (fleet.client.clone(), entry.addr);
             streams.push(tokio::spawn(async move {
-                ask::ask_stream(&client, addr, &long_draft()).await
+                ask::ask_stream(&client, addr, &long_completion()).await
             }));
         }
         wait_until_running(&fleet).await;
@@ -90,7 +90,7 @@
         let ticket = ask::ticket(&client, issuer).await.unwrap();
         let stream = {
             let client = client.clone();
-            tokio::spawn(async move { ask::ask_stream(&client, issuer, &long_draft()).await })
+            tokio::spawn(async move { ask::ask_stream(&client, issuer, &long_completion()).await })
         };
         wait_until_running(&fleet).await;
         fleet.entries[0].process.signal(Signal::SIGTERM);
@@ -112,7 +112,8 @@
     let runtime = fleet::runtime().unwrap();
     let mut fleet = start(&runtime);
     let (client, addr) = (fleet.client.clone(), fleet.entries[0].addr);
-    let stream = runtime.spawn(async move { ask::ask_stream(&client, addr, &long_draft()).await });
+    let stream =
+        runtime.spawn(async move { ask::ask_stream(&client, addr, &long_completion()).await });
     runtime.block_on(async {
         wait_until_running(&fleet).await;
         fleet.entries[0].process.signal(Signal::SIGTERM);
--- a/src/bin/tamaracklead/clap_app.rs
+++ b/src/bin/tamaracklead/clap_app.rs
@@ -117,7 +117,7 @@
 
 fn ask() -> Command {
     let ask = Command::new("ask")
-        .about("Ask for a draft and stream it")
+        .about("Ask for a completion and stream it")
         .arg(Arg::new("adapter").value_name("ADAPTER").required(true).help("Adapter to answer"))
         .arg(Arg::new("prompt").value_name("PROMPT").required(true).help("Text, or - for stdin"))
         .arg(
--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -28,7 +28,7 @@
 /// Time that an instance may take beyond the deadline.
 const WAIT_MARGIN: Duration = Duration::from_secs(5);
 
-/// Asks for a draft and shows it as it comes.
+/// Asks for a completion and shows it as it comes.
 pub(super) async fn run(
     request: &CompletionRequest,
     prompt: &Input,
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -61,7 +61,7 @@
         /// Operator listeners.
         access: Access,
     },
-    /// Asks for a draft and streams it.
+    /// Asks for a completion and streams it.
     Ask {
         /// The request, without its prompt.
         request: CompletionRequest,
--- a/src/daemon/draft_answer.rs
+++ b/src/daemon/completion_answer.rs
@@ -1,4 +1,4 @@
-//! The last part of a draft at its entry instance: the answer, checked and passed on.
+//! The last part of a completion at its entry instance: the answer, checked and passed on.
 
 use std::sync::Arc;
 
@@ -26,9 +26,9 @@
 /// Pieces of one answer that may be in memory at once.
 const PIECE_QUEUE: usize = 64;
 
-/// A draft whose engine has begun.
+/// A completion whose engine has begun.
 #[derive(Debug)]
-pub struct DraftAnswer {
+pub struct CompletionAnswer {
     /// Identifier of the request.
     pub id: RequestId,
     /// Adapter that must answer.
@@ -39,7 +39,7 @@
     pub rx: mpsc::Receiver<DispatchEvent>,
     /// Whether a token has arrived.
     pub has_token: bool,
-    /// Span of the draft.
+    /// Span of the completion.
     pub span: Span,
 }
 
@@ -49,7 +49,7 @@
     End(u32),
 }
 
-impl DraftAnswer {
+impl CompletionAnswer {
     /// Waits for the whole answer.
     ///
     /// # Errors
@@ -108,8 +108,8 @@
             }
             Part::Token(_) => {}
             Part::End(_) => {
-                node.metrics.count(Counter::DraftAnswered);
-                node.metrics.time(Timing::Draft, span);
+                node.metrics.count(Counter::CompletionAnswered);
+                node.metrics.time(Timing::Completion, span);
             }
         }
         Ok(part)
--- a/src/daemon/completions.rs
+++ b/src/daemon/completions.rs
@@ -1,4 +1,4 @@
-//! The entry's part of a draft: resolve, route, check the echo, answer.
+//! The entry's part of a prepared: resolve, route, check the echo, answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,9 +6,9 @@
 use tokio::sync::mpsc;
 
 use super::Node;
+use super::completion_answer::CompletionAnswer;
+use super::completion_answer::wrong_answer;
 use super::dispatches;
-use super::draft_answer::DraftAnswer;
-use super::draft_answer::wrong_answer;
 use super::in_flight::InFlightGuard;
 use crate::decide::dispatch_end::may_try_another_engine;
 use crate::decide::drain::Work;
@@ -36,7 +36,7 @@
 /// Priority when neither caller nor preset names one.
 const DEFAULT_PRIORITY: u8 = 5;
 
-struct Draft {
+struct Prepared {
     id: RequestId,
     adapter: AdapterRef,
     deadline: Timestamp,
@@ -48,17 +48,17 @@
 ///
 /// # Errors
 ///
-/// Every error kind that a draft can end with before its first byte.
+/// Every error kind that a completion can end with before its first byte.
 pub async fn complete(node: Arc<Node>, req: Request) -> Result<Reply> {
-    node.check_takes(Work::Draft)?;
+    node.check_takes(Work::Completion)?;
     let guard = node.in_flight.begin();
     let wanted: CompletionRequest = serde_json::from_slice(&req.body)
         .map_err(|e| Error::new(ErrorKind::Malformed, format!("body: {e}")))?;
     wanted.check()?;
     let id = node.new_request_id()?;
     node.explain().begin(node.now(), id);
-    node.metrics.count(Counter::DraftArrived);
-    let span = node.tracer.span(Hop::EntryDraft, req.header("traceparent"));
+    node.metrics.count(Counter::CompletionArrived);
+    let span = node.tracer.span(Hop::EntryCompletion, req.header("traceparent"));
     span.set("request_id", id.to_string());
     let reply = match run(&node, id, wanted, span, guard).await {
         Ok(reply) => reply,
@@ -80,10 +80,10 @@
     let arrived = node.now();
     let stream = wanted.stream;
     let prepared = prepare(node, id, wanted, span.traceparent());
-    let draft = prepared.inspect_err(|error| span.fail(error))?;
-    let adapter = draft.adapter.clone();
-    let rx = start(node, draft).await.inspect_err(|error| span.fail(error))?;
-    let answer = DraftAnswer { id, adapter, arrived, rx, has_token: false, span };
+    let prepared = prepared.inspect_err(|error| span.fail(error))?;
+    let adapter = prepared.adapter.clone();
+    let rx = start(node, prepared).await.inspect_err(|error| span.fail(error))?;
+    let answer = CompletionAnswer { id, adapter, arrived, rx, has_token: false, span };
     if stream { Ok(answer.stream(node, guard)) } else { answer.whole(node).await }
 }
 
@@ -92,12 +92,12 @@
     id: RequestId,
     wanted: CompletionRequest,
     traceparent: Option<String>,
-) -> Result<Draft> {
+) -> Result<Prepared> {
     let now = node.now();
     let snapshot = node.snapshot()?;
     if !snapshot.preset().accepting {
         let preset = snapshot.root().preset.as_str();
-        let detail = format!("preset {preset:?} accepts no drafts");
+        let detail = format!("preset {preset:?} accepts no completions");
         return Err(Error::new(ErrorKind::Overloaded, detail));
     }
     let adapter = snapshot.resolve(&wanted.adapter, wanted.version)?;
@@ -128,29 +128,29 @@
         traceparent,
     };
     node.note(id, format!("resolved to {adapter} of generation {}", snapshot.generation()));
-    Ok(Draft { id, adapter, deadline: now + wait, message, homes })
+    Ok(Prepared { id, adapter, deadline: now + wait, message, homes })
 }
 
 /// Tries the homes in their order until an engine has begun.
-async fn start(node: &Arc<Node>, draft: Draft) -> Result<mpsc::Receiver<DispatchEvent>> {
+async fn start(node: &Arc<Node>, prepared: Prepared) -> Result<mpsc::Receiver<DispatchEvent>> {
     let mut last = Error::new(ErrorKind::NoBackend, "no engine could be tried");
-    for engine in &draft.homes {
+    for engine in &prepared.homes {
         let now = node.now();
-        if now >= draft.deadline {
+        if now >= prepared.deadline {
             break;
         }
-        let mut message = draft.message.clone();
+        let mut message = prepared.message.clone();
         message.engine = engine.name.clone();
-        message.deadline_ms = draft.deadline.since(now).as_millis() as u64;
+        message.deadline_ms = prepared.deadline.since(now).as_millis() as u64;
         match attempt(node, engine, message).await {
             Ok(rx) => return Ok(rx),
             Err(error) if may_try_another_engine(&error) => {
-                node.note(draft.id, format!("engine {}: {error}", engine.name));
+                node.note(prepared.id, format!("engine {}: {error}", engine.name));
                 node.metrics.count(Counter::Retried);
                 last = error;
             }
             Err(error) => {
-                node.note(draft.id, format!("engine {}: {error}; final", engine.name));
+                node.note(prepared.id, format!("engine {}: {error}; final", engine.name));
                 return Err(error);
             }
         }
@@ -158,7 +158,7 @@
     Err(last)
 }
 
-/// Sends a draft to the owner of one engine and waits until the engine has begun.
+/// Sends a completion to the owner of one engine and waits until the engine has begun.
 async fn attempt(
     node: &Arc<Node>,
     engine: &ListedBackend,
@@ -204,7 +204,7 @@
             Err(failure.into_error(ErrorKind::PeerUnreachable))
         }
         Err(failure) => {
-            let kind = failure.end.draft_kind();
+            let kind = failure.end.completion_kind();
             Err(failure.into_error(kind))
         }
     }
--- a/src/daemon/dispatches.rs
+++ b/src/daemon/dispatches.rs
@@ -1,4 +1,4 @@
-//! The owner's part of a draft: queue, slot, dispatch, and the engine's answer.
+//! The owner's part of a completion: queue, slot, dispatch, and the engine's answer.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,13 +64,13 @@
     Ok(Reply::frames(rx))
 }
 
-/// Runs a draft on an engine that this instance owns and returns the events of its answer.
+/// Runs a completion on an engine that this instance owns and returns the events of its answer.
 pub fn dispatch(node: &Arc<Node>, message: Dispatch) -> mpsc::Receiver<DispatchEvent> {
     let (tx, rx) = mpsc::channel(EVENT_QUEUE);
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let _guard = node.in_flight.begin();
-        let span = node.tracer.span(Hop::OwnerDraft, message.traceparent.as_deref());
+        let span = node.tracer.span(Hop::OwnerCompletion, message.traceparent.as_deref());
         span.set("engine", message.engine.as_str());
         if let Err(error) = run(&node, &message, &span, &tx).await {
             span.fail(&error);
@@ -246,7 +246,7 @@
             () = tx.closed() => return Ok(RunEnd::Begun),
         };
         let event = event.map_err(|failure| {
-            let kind = failure.end.draft_kind();
+            let kind = failure.end.completion_kind();
             failure.into_error(kind)
         })?;
         let Some(event) = event else {
@@ -280,7 +280,7 @@
     let kind = match failure.refusal() {
         Some(EngineRefusal::OldFencing) => ErrorKind::NotOwner,
         Some(EngineRefusal::NotLoaded) => ErrorKind::NoBackend,
-        Some(_) | None => failure.end().draft_kind(),
+        Some(_) | None => failure.end().completion_kind(),
     };
     Error::new(kind, format!("engine {:?}: {}", shard.name.as_str(), failure.detail()))
 }
--- a/src/daemon/engine_shard.rs
+++ b/src/daemon/engine_shard.rs
@@ -100,7 +100,7 @@
     pub fn note_report(&self, incarnation: Incarnation) -> bool {
         let mut state = self.lock();
         state.failed_reports = 0;
-        state.owned.custody().incarnation().is_some_and(|known| known != incarnation)
+        state.owned.takeover_state().incarnation().is_some_and(|known| known != incarnation)
     }
 
     /// Whether an adapter can serve now.
@@ -131,12 +131,12 @@
 
     /// Incarnation that the engine last named, if any.
     pub fn incarnation(&self) -> Option<Incarnation> {
-        self.lock().owned.custody().incarnation()
+        self.lock().owned.takeover_state().incarnation()
     }
 
     /// Whether the takeover is over.
     pub fn is_taken_over(&self) -> bool {
-        self.lock().owned.custody().number().is_some()
+        self.lock().owned.takeover_state().number().is_some()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, State> {
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -6,10 +6,10 @@
 mod access;
 mod clients;
 mod clock;
+mod completion_answer;
 mod completions;
 mod control;
 mod dispatches;
-mod draft_answer;
 mod drain;
 mod engine_shard;
 mod engine_shards;
--- a/src/daemon/node.rs
+++ b/src/daemon/node.rs
@@ -186,7 +186,7 @@
     ///
     /// `NotReady` or `Draining`.
     pub fn check_ready(&self) -> Result<()> {
-        self.check_takes(Work::Draft)?;
+        self.check_takes(Work::Completion)?;
         self.snapshot()?;
         if self.backends(Backends::is_empty) {
             return Err(Error::new(ErrorKind::NotReady, "no backend server is listed yet"));
--- a/src/daemon/route.rs
+++ b/src/daemon/route.rs
@@ -3,7 +3,7 @@
 /// A route of the caller listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum CallerRoute {
-    /// Generates a draft.
+    /// Generates a completion.
     Complete,
     /// Issues a ticket.
     IssueTicket,
--- a/src/decide/audit/preset_diff.rs
+++ b/src/decide/audit/preset_diff.rs
@@ -47,7 +47,7 @@
     pub priorities: BTreeMap<AdapterName, Change<Option<u8>>>,
     /// Weight of load stalls, if it changes.
     pub stall_weight: Option<Change<u8>>,
-    /// Whether drafts are accepted, if it changes.
+    /// Whether completions are accepted, if it changes.
     pub accepting: Option<Change<bool>>,
     /// Least time that the weight store needs for the loads, in milliseconds.
     pub store_time_ms: u64,
--- a/src/decide/dispatch_end.rs
+++ b/src/decide/dispatch_end.rs
@@ -41,8 +41,8 @@
     pub not_run: bool,
     /// Whether a submission may go to another replica of the desk.
     pub another_replica: bool,
-    /// What callers are told of a draft.
-    pub draft: ErrorKind,
+    /// What callers are told of a completion.
+    pub completion: ErrorKind,
     /// What callers are told of a submission.
     pub submission: ErrorKind,
 }
@@ -68,16 +68,16 @@
     /// The table from end to what is said.
     pub fn row(self) -> EndRow {
         use ErrorKind as Kind;
-        let not_run = |another_replica, draft, submission| EndRow {
+        let not_run = |another_replica, completion, submission| EndRow {
             not_run: true,
             another_replica,
-            draft,
+            completion,
             submission,
         };
-        let unproven = |draft| EndRow {
+        let unproven = |completion| EndRow {
             not_run: false,
             another_replica: false,
-            draft,
+            completion,
             submission: Kind::OutcomeUnknown,
         };
         match self {
@@ -107,9 +107,9 @@
         self.row().another_replica
     }
 
-    /// What callers are told of a draft that ended so.
-    pub fn draft_kind(self) -> ErrorKind {
-        self.row().draft
+    /// What callers are told of a completion that ended so.
+    pub fn completion_kind(self) -> ErrorKind {
+        self.row().completion
     }
 
     /// What callers are told of a submission that ended so.
@@ -129,7 +129,7 @@
     }
 }
 
-/// Whether a draft that failed so may go to another engine.
+/// Whether a completion that failed so may go to another engine.
 ///
 /// Only after a proven "not run", so that the last error speaks for every try.
 pub fn may_try_another_engine(error: &Error) -> bool {
--- a/src/decide/drain.rs
+++ b/src/decide/drain.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: what is still taken, and when the process may end.
 //!
-//! A draining instance takes no new drafts and issues no tickets. It goes on
+//! A draining instance takes no new completions and issues no tickets. It goes on
 //! with everything begun, and it still runs submissions whose tickets it
 //! issued, because no other instance may run them. It ends once nothing is in
 //! progress and callers have sent nothing for [`LINGER`], so that a balancer
@@ -19,28 +19,33 @@
 /// Work that may come in while an instance is draining.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Work {
-    /// A caller's draft.
-    Draft,
+    /// A caller's completion.
+    Completion,
     /// A caller's wish for a ticket.
     Ticket,
     /// A submission whose ticket was issued here.
     OwnSubmission,
     /// A submission whose ticket another instance issued.
     ForeignSubmission,
-    /// A draft that another instance sends to an engine owned here.
+    /// A completion that another instance sends to an engine owned here.
     Dispatch,
 }
 
 impl Work {
     /// Every kind of work, for tables and tests.
-    pub const ALL: [Self; 5] =
-        [Self::Draft, Self::Ticket, Self::OwnSubmission, Self::ForeignSubmission, Self::Dispatch];
+    pub const ALL: [Self; 5] = [
+        Self::Completion,
+        Self::Ticket,
+        Self::OwnSubmission,
+        Self::ForeignSubmission,
+        Self::Dispatch,
+    ];
 
     /// Whether a draining instance takes it.
     pub fn taken_while_draining(self) -> bool {
         match self {
             Self::OwnSubmission | Self::ForeignSubmission => true,
-            Self::Draft | Self::Ticket | Self::Dispatch => false,
+            Self::Completion | Self::Ticket | Self::Dispatch => false,
         }
     }
 }
--- a/src/decide/membership/beliefs.rs
+++ b/src/decide/membership/beliefs.rs
@@ -35,7 +35,7 @@
             return Vec::new();
         }
         self.probes.clear();
-        self.rival = None;
+        self.name_conflict = None;
         self.calls_before_pause = self.serial;
         self.phase = Phase::Rejoining;
         self.phase_since = now;
@@ -57,7 +57,7 @@
         actions: &mut Vec<MembershipAction>,
     ) {
         if news.name == self.me.name {
-            self.on_namesake(news, actions);
+            self.on_name_conflict(news, actions);
             return;
         }
         let known = self.members.entry(news.name.clone());
@@ -156,7 +156,7 @@
     }
 
     /// Gives up the members that didn't refute a suspicion in time.
-    pub(super) fn bury_suspects(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
+    pub(super) fn expire_suspects(&mut self, now: Timestamp, actions: &mut Vec<MembershipAction>) {
         for member in self.members.values_mut() {
             let suspected = member.status == Some(MemberStatus::Suspect);
             if !suspected || now.since(member.since) < SUSPICION {
@@ -247,13 +247,13 @@
         let gone = self.phase == Phase::Joining || news.addr == self.me.addr;
         if mine || gone {
             self.outrank(news);
-        } else if self.rival.is_none() {
-            self.ask_namesake(news, actions);
+        } else if self.name_conflict.is_none() {
+            self.ask_conflicting(news, actions);
         }
     }
 
     /// Takes what another process of this instance's name says itself.
-    fn on_namesake(&mut self, news: &MemberNews, actions: &mut Vec<MembershipAction>) {
+    fn on_name_conflict(&mut self, news: &MemberNews, actions: &mut Vec<MembershipAction>) {
         if news.inc == self.me.inc || news.epoch < self.me.epoch {
             return;
         }
@@ -266,9 +266,9 @@
     }
 
     /// Asks the process that others know under this instance's name.
-    fn ask_namesake(&mut self, news: &MemberNews, actions: &mut Vec<MembershipAction>) {
+    fn ask_conflicting(&mut self, news: &MemberNews, actions: &mut Vec<MembershipAction>) {
         self.serial += 1;
-        self.rival = Some((self.serial, news.clone()));
+        self.name_conflict = Some((self.serial, news.clone()));
         actions.push(MembershipAction::Send {
             to: news.name.clone(),
             addr: news.addr,
@@ -283,8 +283,8 @@
     }
 
     /// Takes the silence of the process that was asked.
-    pub(super) fn on_namesake_silent(&mut self, call: u64) {
-        if let Some((_, news)) = self.rival.take_if(|(asked, _)| *asked == call) {
+    pub(super) fn on_conflict_silent(&mut self, call: u64) {
+        if let Some((_, news)) = self.name_conflict.take_if(|(asked, _)| *asked == call) {
             self.outrank(&news);
         }
     }
--- a/src/decide/membership/core.rs
+++ b/src/decide/membership/core.rs
@@ -68,7 +68,7 @@
     pub(super) next_reconnect: Timestamp,
     pub(super) next_sweep: Timestamp,
     /// Call to the process that others know under this instance's name, and their news.
-    pub(super) rival: Option<(u64, MemberNews)>,
+    pub(super) name_conflict: Option<(u64, MemberNews)>,
     pub(super) phase: Phase,
     pub(super) phase_since: Timestamp,
     pub(super) listing_since: Option<Timestamp>,
@@ -104,7 +104,7 @@
             next_probe: now,
             next_reconnect: now,
             next_sweep: now,
-            rival: None,
+            name_conflict: None,
             phase: Phase::Joining,
             phase_since: now,
             listing_since: None,
@@ -225,7 +225,7 @@
         self.suspect_silent(now);
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
-            self.bury_suspects(now, &mut actions);
+            self.expire_suspects(now, &mut actions);
             self.forget_old(now);
         }
         self.push_news(now, &mut actions);
@@ -271,7 +271,7 @@
         let relay = self.probes.end_relay(call);
         let Some(answer) = answer else {
             self.probes.call_failed(to, call);
-            self.on_namesake_silent(call);
+            self.on_conflict_silent(call);
             return actions;
         };
         if self.probes.answered(to, call)
@@ -279,7 +279,7 @@
         {
             member.answered = true;
         }
-        self.rival.take_if(|(asked, _)| *asked == call);
+        self.name_conflict.take_if(|(asked, _)| *asked == call);
         let inc = answer.from.inc;
         self.take_direct(now, &answer.from, &mut actions);
         self.take_news(now, answer.news, &mut actions);
--- a/src/decide/takeover/owned.rs
+++ b/src/decide/takeover/owned.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::Custody;
 use super::FenceOutcome;
 use super::OwnedAction;
 use super::Sent;
+use super::TakeoverState;
 use crate::decide::engine::EngineAction;
 use crate::decide::engine::EngineCore;
 use crate::decide::engine::EngineInput;
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct OwnedEngine {
     core: EngineCore,
-    custody: Custody,
+    takeover_state: TakeoverState,
     /// Adapters closed to new work whose unload waits for a direct report.
     evicting: BTreeMap<AdapterRef, Timestamp>,
 }
@@ -39,7 +39,11 @@
         owner: Incarnation,
     ) -> Self {
         core.on_input(Timestamp::ZERO, EngineInput::Guard(GuardInput::Pause));
-        Self { core, custody: Custody::new(mode, travel, owner), evicting: BTreeMap::new() }
+        Self {
+            core,
+            takeover_state: TakeoverState::new(mode, travel, owner),
+            evicting: BTreeMap::new(),
+        }
     }
 
     /// The engine's queue and slots.
@@ -48,13 +52,13 @@
     }
 
     /// What is known of the engine itself.
-    pub fn custody(&self) -> &Custody {
-        &self.custody
+    pub fn takeover_state(&self) -> &TakeoverState {
+        &self.takeover_state
     }
 
     /// The lease was acquired.
     pub fn on_acquired(&mut self, now: Timestamp) -> Vec<OwnedAction> {
-        let inputs = self.custody.begin(now);
+        let inputs = self.takeover_state.begin(now);
         let mut actions = self.apply(now, inputs);
         actions.extend(self.on_tick(now));
         actions
@@ -62,7 +66,7 @@
 
     /// The lease was lost: what waits was not run and is routed anew.
     pub fn on_lost(&mut self, now: Timestamp) -> Vec<OwnedAction> {
-        let inputs = self.custody.lose();
+        let inputs = self.takeover_state.lose();
         let mut actions = self.apply(now, inputs);
         let waiting: Vec<RequestId> =
             self.core.waiting().iter().map(|waiting| waiting.request_id).collect();
@@ -82,7 +86,7 @@
     /// Time passed.
     pub fn on_tick(&mut self, now: Timestamp) -> Vec<OwnedAction> {
         let mut actions = self.apply(now, vec![EngineInput::Tick]);
-        let query = self.custody.on_tick(now, !self.evicting.is_empty());
+        let query = self.takeover_state.on_tick(now, !self.evicting.is_empty());
         actions.extend(query.map(OwnedAction::Ask));
         actions
     }
@@ -96,7 +100,7 @@
         fencing: Fencing,
         outcome: EngineInput,
     ) -> Vec<OwnedAction> {
-        if self.custody.number() != Some(fencing) {
+        if self.takeover_state.number() != Some(fencing) {
             return Vec::new();
         }
         self.apply(now, vec![outcome])
@@ -107,7 +111,7 @@
         let mut inputs = Vec::new();
         match sent {
             Sent::Begun { request_id, adapter } => {
-                inputs.extend(self.custody.hold(now, adapter));
+                inputs.extend(self.takeover_state.hold(now, adapter));
                 inputs.push(EngineInput::Ended(request_id));
             }
             Sent::Dispatch(request_id) => {
@@ -126,13 +130,13 @@
         call: u64,
         outcome: FenceOutcome,
     ) -> Vec<OwnedAction> {
-        self.custody.on_fence(call, outcome);
+        self.takeover_state.on_fence(call, outcome);
         self.on_tick(now)
     }
 
     /// Takes the engine's direct report.
     pub fn on_report(&mut self, now: Timestamp, call: u64, report: &Report) -> Vec<OwnedAction> {
-        let (inputs, asked) = self.custody.on_report(now, call, report);
+        let (inputs, asked) = self.takeover_state.on_report(now, call, report);
         let mut actions = self.apply(now, inputs);
         if let Some(asked) = asked {
             actions.extend(self.evict(now, asked, report));
@@ -143,25 +147,25 @@
 
     /// A query for a report failed.
     pub fn on_report_failed(&mut self, call: u64) {
-        self.custody.on_report_failed(call);
+        self.takeover_state.on_report_failed(call);
     }
 
     /// An answer of the engine named its incarnation.
     pub fn on_incarnation(&mut self, now: Timestamp, seen: Incarnation) -> Vec<OwnedAction> {
-        let inputs = self.custody.on_incarnation(now, seen);
+        let inputs = self.takeover_state.on_incarnation(now, seen);
         self.apply(now, inputs)
     }
 
     fn retake(&mut self, now: Timestamp) -> Vec<EngineInput> {
-        match self.custody.number() {
-            Some(_) => self.custody.begin(now),
+        match self.takeover_state.number() {
+            Some(_) => self.takeover_state.begin(now),
             None => Vec::new(),
         }
     }
 
     /// Unloads closed adapters that a report from after their closing shows idle.
     fn evict(&mut self, now: Timestamp, asked: Timestamp, report: &Report) -> Vec<OwnedAction> {
-        let Some(fencing) = self.custody.number() else { return Vec::new() };
+        let Some(fencing) = self.takeover_state.number() else { return Vec::new() };
         let mut actions = Vec::new();
         for (adapter, closed) in std::mem::take(&mut self.evicting) {
             if asked < closed {
@@ -183,7 +187,7 @@
 
     /// Reopens an adapter on which the engine runs work that isn't known here.
     fn keep(&mut self, now: Timestamp, adapter: AdapterRef) -> Vec<OwnedAction> {
-        let mut inputs = self.custody.hold(now, adapter.clone());
+        let mut inputs = self.takeover_state.hold(now, adapter.clone());
         inputs.push(EngineInput::UnloadEnded { adapter, unloaded: false });
         self.apply(now, inputs)
     }
@@ -195,14 +199,14 @@
                 actions.extend(self.translate(now, action));
             }
         }
-        if self.custody.number().is_none() {
+        if self.takeover_state.number().is_none() {
             self.evicting.clear();
         }
         actions
     }
 
     fn translate(&mut self, now: Timestamp, action: EngineAction) -> Vec<OwnedAction> {
-        let fencing = self.custody.number();
+        let fencing = self.takeover_state.number();
         match (action, fencing) {
             (EngineAction::Refuse { request_id, error }, _) => {
                 vec![OwnedAction::Refuse { request_id, error }]
@@ -219,7 +223,7 @@
             }
             (EngineAction::Unload(adapter), Some(_)) => {
                 self.evicting.insert(adapter, now);
-                let query = self.custody.on_tick(now, true);
+                let query = self.takeover_state.on_tick(now, true);
                 query.map(OwnedAction::Ask).into_iter().collect()
             }
             (_, None) => Vec::new(),
--- a/src/decide/takeover/query.rs
+++ b/src/decide/takeover/query.rs
@@ -2,7 +2,7 @@
 
 use crate::names::Fencing;
 
-/// A call whose answer goes back to the [`super::Custody`].
+/// A call whose answer goes back to the [`super::TakeoverState`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
     /// Ask for the direct report of what runs.
--- a/src/decide/takeover/custody.rs
+++ b/src/decide/takeover/takeover_state.rs
@@ -46,7 +46,7 @@
 
 /// What an owner knows of an engine that it took over.
 #[derive(Clone, Debug)]
-pub struct Custody {
+pub struct TakeoverState {
     mode: FencingMode,
     travel: Duration,
     owner: Incarnation,
@@ -60,7 +60,7 @@
     holds: BTreeMap<AdapterRef, Timestamp>,
 }
 
-impl Custody {
+impl TakeoverState {
     /// An engine that belongs to another instance.
     pub fn new(mode: FencingMode, travel: Duration, owner: Incarnation) -> Self {
         Self {
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -179,7 +179,7 @@
         }
     }
     if !ended {
-        let kind = DispatchEnd::OwnerLost.draft_kind();
+        let kind = DispatchEnd::OwnerLost.completion_kind();
         let error = Error::new(kind, "the owner of the engine was lost");
         let _ = tx.send(DispatchEvent::Failed { error }).await;
     }
--- a/src/telemetry/counter.rs
+++ b/src/telemetry/counter.rs
@@ -3,14 +3,14 @@
 /// An event that is counted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Counter {
-    /// Drafts that callers asked for.
-    DraftArrived,
+    /// Completions that callers asked for.
+    CompletionArrived,
     /// Submissions that callers sent, re-sent ones included.
     SubmissionArrived,
     /// Tickets issued.
     TicketIssued,
-    /// Drafts answered whole.
-    DraftAnswered,
+    /// Completions answered whole.
+    CompletionAnswered,
     /// Submissions answered with a receipt.
     SubmissionAnswered,
     /// Requests answered with "not run".
@@ -52,10 +52,10 @@
 impl Counter {
     /// Every one, for tables and tests.
     pub const ALL: [Self; 22] = [
-        Self::DraftArrived,
+        Self::CompletionArrived,
         Self::SubmissionArrived,
         Self::TicketIssued,
-        Self::DraftAnswered,
+        Self::CompletionAnswered,
         Self::SubmissionAnswered,
         Self::NotRun,
         Self::OutcomeUnknown,
@@ -79,10 +79,10 @@
     /// Name of the metric, behind the instance's prefix.
     pub fn name(self) -> &'static str {
         match self {
-            Self::DraftArrived => "requests.draft",
+            Self::CompletionArrived => "requests.completion",
             Self::SubmissionArrived => "requests.submission",
             Self::TicketIssued => "requests.ticket",
-            Self::DraftAnswered => "answers.draft",
+            Self::CompletionAnswered => "answers.completion",
             Self::SubmissionAnswered => "answers.submission",
             Self::NotRun => "answers.not_run",
             Self::OutcomeUnknown => "answers.outcome_unknown",
@@ -107,10 +107,10 @@
     /// What it tells, for the documentation.
     pub fn meaning(self) -> &'static str {
         match self {
-            Self::DraftArrived => "drafts that callers asked for",
+            Self::CompletionArrived => "completions that callers asked for",
             Self::SubmissionArrived => "submissions that callers sent, re-sent ones included",
             Self::TicketIssued => "tickets issued",
-            Self::DraftAnswered => "drafts answered whole",
+            Self::CompletionAnswered => "completions answered whole",
             Self::SubmissionAnswered => "submissions answered with a receipt",
             Self::NotRun => "requests answered with not run",
             Self::OutcomeUnknown => "submissions answered with outcome unknown",
--- a/src/telemetry/hop.rs
+++ b/src/telemetry/hop.rs
@@ -5,12 +5,12 @@
 /// One hop of a request; each is one span.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Hop {
-    /// A draft at the entry instance that the caller called.
-    EntryDraft,
+    /// A completion at the entry instance that the caller called.
+    EntryCompletion,
     /// The entry instance's call to the owner of an engine.
     DispatchCall,
-    /// A draft at the owner of its engine.
-    OwnerDraft,
+    /// A completion at the owner of its engine.
+    OwnerCompletion,
     /// The owner's call to its engine.
     EngineCall,
     /// An adapter load that the owner ordered.
@@ -28,9 +28,9 @@
 impl Hop {
     /// Every hop, for tables and tests.
     pub const ALL: [Self; 9] = [
-        Self::EntryDraft,
+        Self::EntryCompletion,
         Self::DispatchCall,
-        Self::OwnerDraft,
+        Self::OwnerCompletion,
         Self::EngineCall,
         Self::AdapterLoad,
         Self::EntrySubmission,
@@ -42,9 +42,9 @@
     /// Name of the span.
     pub fn name(self) -> &'static str {
         match self {
-            Self::EntryDraft => "entry draft",
+            Self::EntryCompletion => "entry completion",
             Self::DispatchCall => "dispatch call",
-            Self::OwnerDraft => "owner draft",
+            Self::OwnerCompletion => "owner completion",
             Self::EngineCall => "engine call",
             Self::AdapterLoad => "adapter load",
             Self::EntrySubmission => "entry submission",
@@ -57,8 +57,8 @@
     /// Side of a call that the span stands for.
     pub(super) fn kind(self) -> SpanKind {
         match self {
-            Self::EntryDraft
-            | Self::OwnerDraft
+            Self::EntryCompletion
+            | Self::OwnerCompletion
             | Self::EntrySubmission
             | Self::IssuerSubmission => SpanKind::Server,
             Self::DispatchCall
--- a/src/telemetry/timing.rs
+++ b/src/telemetry/timing.rs
@@ -7,10 +7,10 @@
     LoadStall,
     /// Time that a request waited at the owner before dispatch.
     QueueWait,
-    /// Time from a draft's arrival to its first token.
+    /// Time from a completion's arrival to its first token.
     FirstToken,
-    /// Time from a draft's arrival to the end of its answer.
-    Draft,
+    /// Time from a completion's arrival to the end of its answer.
+    Completion,
     /// Time from a submission's arrival to its answer.
     Submission,
     /// Time from a load order to its end.
@@ -23,7 +23,7 @@
         Self::LoadStall,
         Self::QueueWait,
         Self::FirstToken,
-        Self::Draft,
+        Self::Completion,
         Self::Submission,
         Self::Load,
     ];
@@ -34,7 +34,7 @@
             Self::LoadStall => "load_stall_time",
             Self::QueueWait => "queue_wait_time",
             Self::FirstToken => "first_token_time",
-            Self::Draft => "draft_time",
+            Self::Completion => "completion_time",
             Self::Submission => "submission_time",
             Self::Load => "load_time",
         }
@@ -45,8 +45,8 @@
         match self {
             Self::LoadStall => "time that a request waited for its adapter to be loaded",
             Self::QueueWait => "time that a request waited at the owner before dispatch",
-            Self::FirstToken => "time from a draft's arrival to its first token",
-            Self::Draft => "time from a draft's arrival to the end of its answer",
+            Self::FirstToken => "time from a completion's arrival to its first token",
+            Self::Completion => "time from a completion's arrival to the end of its answer",
             Self::Submission => "time from a submission's arrival to its answer",
             Self::Load => "time from a load order to its end",
         }
--- a/src/wire/published.rs
+++ b/src/wire/published.rs
@@ -52,7 +52,7 @@
     /// Priority of adapters that have one of their own, 0 (low) to 9 (high).
     #[serde(default)]
     pub priorities: BTreeMap<AdapterName, u8>,
-    /// Whether new drafts are accepted.
+    /// Whether new completions are accepted.
     #[serde(default = "Preset::default_accepting")]
     pub accepting: bool,
 }
--- a/tests/contract_backends.rs
+++ b/tests/contract_backends.rs
@@ -112,7 +112,7 @@
         let answer = ask(&daemon, 1000);
         assert_ne!(answer.status, 200, "{name}");
         assert_eq!(answer.json()["not_run"], true, "{name}: {}", answer.text());
-        assert_eq!(platform.drafts(), 0, "{name}");
+        assert_eq!(platform.completions(), 0, "{name}");
     }
 }
 
--- a/tests/contract_callers.rs
+++ b/tests/contract_callers.rs
@@ -25,18 +25,18 @@
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::RequestId;
 
-fn draft(body: &Value) -> Call {
+fn completion(body: &Value) -> Call {
     Call::post("/v1/completions", body.to_string())
 }
 
-fn good_draft() -> Value {
+fn good_completion() -> Value {
     json!({"adapter": "heats", "version": 1, "prompt": "who swims?"})
 }
 
 fn with(field: &str, value: Value) -> Call {
-    let mut body = good_draft();
+    let mut body = good_completion();
     body[field] = value;
-    draft(&body)
+    completion(&body)
 }
 
 fn new_ticket(daemon: &Daemon) -> String {
@@ -57,10 +57,10 @@
 }
 
 #[test]
-fn a_good_draft_is_answered_whole_or_as_a_stream() {
+fn a_good_completion_is_answered_whole_or_as_a_stream() {
     let platform = Platform::start();
     let daemon = Daemon::start("entry-1", &platform, |_| {});
-    let whole = draft(&good_draft()).send(daemon.caller);
+    let whole = completion(&good_completion()).send(daemon.caller);
     assert_eq!(whole.status, 200, "{}", whole.text());
     let body = whole.json();
     assert_eq!((&body["adapter"], &body["version"]), (&json!("heats"), &json!(1)));
@@ -76,17 +76,17 @@
 }
 
 #[test]
-fn each_bad_draft_has_its_answer() {
+fn each_bad_completion_has_its_answer() {
     let platform = Platform::start();
     let daemon = Daemon::start("entry-1", &platform, |_| {});
-    let mut slow = draft(&good_draft());
+    let mut slow = completion(&good_completion());
     slow.pause = Duration::from_secs(4);
     let cases: Vec<(&str, Call)> = vec![
         ("malformed", Call::post("/v1/completions", "{\"adapter\":")),
         ("not utf-8", Call::post("/v1/completions", b"\xff\xfe".to_vec())),
         ("empty", Call::post("/v1/completions", "")),
         ("wrong type", with("prompt", json!(4))),
-        ("missing field", draft(&json!({"adapter": "heats"}))),
+        ("missing field", completion(&json!({"adapter": "heats"}))),
         ("unknown field", with("model", json!("x"))),
         ("negative number", with("max_tokens", json!(-1))),
         ("priority out of range", with("priority", json!(10))),
@@ -106,7 +106,7 @@
         assert_eq!(answer.json()["not_run"], true, "{name}");
         answers.push_str(&shown(name, &answer));
     }
-    assert_eq!(platform.drafts(), 0);
+    assert_eq!(platform.completions(), 0);
     insta::assert_snapshot!(answers);
 }
 
@@ -114,19 +114,19 @@
 fn a_truncated_body_is_not_run() {
     let platform = Platform::start();
     let daemon = Daemon::start("entry-1", &platform, |_| {});
-    let mut call = draft(&good_draft());
+    let mut call = completion(&good_completion());
     call.length = Length::TooLong;
     if let Some(answer) = call.try_send(daemon.caller) {
         assert!((400..500).contains(&answer.status), "{}", answer.text());
     }
-    let mut chunked = draft(&good_draft()).header("transfer-encoding", "chunked");
+    let mut chunked = completion(&good_completion()).header("transfer-encoding", "chunked");
     let body = String::from_utf8(chunked.body.clone()).unwrap();
     chunked.body = format!("{:x}\r\n{body}\r\n", body.len()).into_bytes();
     chunked.length = Length::Unannounced;
     if let Some(answer) = chunked.try_send(daemon.caller) {
         assert!((400..500).contains(&answer.status), "{}", answer.text());
     }
-    assert_eq!(platform.drafts(), 0);
+    assert_eq!(platform.completions(), 0);
 }
 
 #[test]
@@ -134,7 +134,7 @@
     let platform = Platform::start();
     let daemon = Daemon::start("entry-1", &platform, |_| {});
     for count in [40, 300] {
-        let mut call = draft(&good_draft());
+        let mut call = completion(&good_completion());
         for i in 0..count {
             call = call.header(&format!("x-{i}"), "1");
         }
@@ -142,7 +142,7 @@
             assert!((400..500).contains(&answer.status), "{count}: {}", answer.text());
         }
     }
-    assert_eq!(platform.drafts(), 0);
+    assert_eq!(platform.completions(), 0);
 }
 
 #[test]
@@ -166,16 +166,16 @@
     let pause = Duration::from_secs(3);
     platform.script_slow("POST /v1/generate", pause, StubReply::status(500));
     let caller = daemon.caller;
-    let first = thread::spawn(move || draft(&good_draft()).send(caller));
-    wait_until(Duration::from_secs(10), || platform.drafts() == 1);
-    let refused = draft(&good_draft()).send(caller);
+    let first = thread::spawn(move || completion(&good_completion()).send(caller));
+    wait_until(Duration::from_secs(10), || platform.completions() == 1);
+    let refused = completion(&good_completion()).send(caller);
     assert_eq!(refused.kind(), "overloaded");
     assert_eq!(refused.json()["not_run"], true);
     assert!(refused.header("retry-after").is_some());
     assert_eq!(first.join().unwrap().kind(), "backend_failed");
     platform.heal();
-    assert_eq!(draft(&good_draft()).send(caller).status, 200);
-    assert_eq!(platform.drafts(), 2);
+    assert_eq!(completion(&good_completion()).send(caller).status, 200);
+    assert_eq!(platform.completions(), 2);
 }
 
 #[test]
@@ -282,7 +282,7 @@
     ];
     for path in ["/v1/completions", "/v1/tickets"] {
         for (header, status) in &cases {
-            let mut call = Call::post(path, good_draft().to_string());
+            let mut call = Call::post(path, good_completion().to_string());
             if let Some(header) = header {
                 call = call.header("authorization", header);
             }
@@ -294,7 +294,7 @@
             }
         }
     }
-    assert_eq!(platform.drafts(), 1);
+    assert_eq!(platform.completions(), 1);
 }
 
 #[test]
--- a/tests/contract_peers.rs
+++ b/tests/contract_peers.rs
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn a_draft_and_a_submission_reach_their_instance_from_any_entry() {
+fn a_completion_and_a_submission_reach_their_instance_from_any_entry() {
     let platform = Platform::start();
     let daemons = start_pair(&platform, |_| {});
     for daemon in &daemons {
--- a/tests/contract_platform.rs
+++ b/tests/contract_platform.rs
@@ -140,7 +140,7 @@
     wait_until(SEEN_LIMIT, || ask(&daemon, "heats").status == 200);
     platform.leave();
     wait_until(SEEN_LIMIT, || ask(&daemon, "heats").kind() == "no_backend");
-    let before = platform.drafts();
+    let before = platform.completions();
     assert_eq!(ask(&daemon, "heats").json()["not_run"], true);
-    assert_eq!(platform.drafts(), before);
+    assert_eq!(platform.completions(), before);
 }
--- a/tests/daemon_program.rs
+++ b/tests/daemon_program.rs
@@ -20,7 +20,7 @@
 use support::platform::Platform;
 use support::stub_server::StubReply;
 
-fn draft() -> Call {
+fn completion() -> Call {
     Call::post("/v1/completions", json!({"adapter": "heats", "prompt": "x"}).to_string())
 }
 
@@ -60,7 +60,7 @@
     let headers = [bearer(CALLER_KEY), bearer("wrong-key-for-tests-0009"), bearer(OPERATOR_KEY)];
     for header in &headers {
         for addr in [daemon.caller, daemon.peer, daemon.operator] {
-            draft().header("authorization", header).send(addr);
+            completion().header("authorization", header).send(addr);
         }
     }
     let log = daemon.log();
@@ -74,7 +74,7 @@
 fn a_graceful_shutdown_finishes_what_runs_and_refuses_what_is_new() {
     let platform = Platform::start();
     let mut daemon = Daemon::start("entry-1", &platform, |_| {});
-    assert_eq!(draft().send(daemon.caller).status, 200);
+    assert_eq!(completion().send(daemon.caller).status, 200);
     let pause = Duration::from_secs(2);
     let receipt = StubReply::status(500);
     platform.script_slow("POST /v1/submissions", pause, receipt);
@@ -86,7 +86,7 @@
     wait_until(Duration::from_secs(10), || platform.submissions().len() == 1);
     daemon.terminate();
     wait_until(Duration::from_secs(10), || {
-        let refused = draft().send(caller);
+        let refused = completion().send(caller);
         refused.kind() == "draining" && refused.json()["not_run"] == true
     });
     let answer = running.join().unwrap();
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -32,7 +32,7 @@
     let accepting = Drain::default();
     let draining = draining(None);
     let table = [
-        (Work::Draft, false),
+        (Work::Completion, false),
         (Work::Ticket, false),
         (Work::OwnSubmission, true),
         (Work::ForeignSubmission, true),
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -33,7 +33,7 @@
     for end in DispatchEnd::ALL {
         let row = end.row();
         assert_eq!(row.submission.answer().not_run, row.not_run, "submission {end:?}");
-        assert_eq!(row.draft.answer().not_run, row.not_run, "draft {end:?}");
+        assert_eq!(row.completion.answer().not_run, row.not_run, "completion {end:?}");
     }
 }
 
@@ -52,15 +52,15 @@
     for end in DispatchEnd::ALL {
         let row = end.row();
         rows.push_str(&format!(
-            "{end:?}: not_run={} another_replica={} draft={:?} submission={:?}\n",
-            row.not_run, row.another_replica, row.draft, row.submission
+            "{end:?}: not_run={} another_replica={} completion={:?} submission={:?}\n",
+            row.not_run, row.another_replica, row.completion, row.submission
         ));
     }
     insta::assert_snapshot!(rows);
 }
 
 #[test]
-fn a_draft_goes_to_another_engine_only_after_a_proven_not_run() {
+fn a_completion_goes_to_another_engine_only_after_a_proven_not_run() {
     for kind in ErrorKind::ALL {
         let error = Error::new(kind, "first try");
         let proven = error.answer().not_run;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -67,7 +67,7 @@
     let (call, number) = query(&owned.on_report(NOW, call, &report(1, highest)));
     let settled = NOW + timing.travel;
     let (call, _) = query(&owned.on_fence(settled, call, FenceOutcome::Taken));
-    assert_eq!(owned.custody().number(), None);
+    assert_eq!(owned.takeover_state().number(), None);
     owned.on_report(settled, call, &report(1, number.unwrap().0));
     (owned, number.unwrap())
 }
@@ -78,7 +78,7 @@
         let (owned, number) = taken_over(mode, 5);
         assert!(number > Fencing(5));
         assert!(chosen_by(number, OWNER));
-        assert_eq!(owned.custody().number(), Some(number));
+        assert_eq!(owned.takeover_state().number(), Some(number));
     }
 }
 
@@ -106,11 +106,11 @@
     let later = NOW + Duration::from_secs(10);
     let (call, _) = query(&owned.on_tick(later));
     let actions = owned.on_report(later, call, &report(2, 0));
-    assert_eq!(owned.custody().number(), None);
+    assert_eq!(owned.takeover_state().number(), None);
     query(&actions);
     let (mut told, _) = taken_over(FencingMode::Refuse, 5);
     told.on_incarnation(later, Incarnation(2));
-    assert_eq!(told.custody().number(), None);
+    assert_eq!(told.takeover_state().number(), None);
 }
 
 #[test]
--- a/tests/support/platform.rs
+++ b/tests/support/platform.rs
@@ -116,8 +116,8 @@
         self.state.lock().unwrap().submissions.clone()
     }
 
-    /// Drafts that reached the engine.
-    pub fn drafts(&self) -> usize {
+    /// Completions that reached the engine.
+    pub fn completions(&self) -> usize {
         self.state.lock().unwrap().generations_asked
     }
 }
--- a/tests/telemetry.rs
+++ b/tests/telemetry.rs
@@ -95,9 +95,9 @@
     let entry = tracer("entry-1", &collector, &runtime);
     let owner = tracer("entry-2", &collector, &runtime);
     {
-        let draft = entry.span(Hop::EntryDraft, Some(PARENT));
-        let call = entry.span(Hop::DispatchCall, draft.traceparent().as_deref());
-        let at_owner = owner.span(Hop::OwnerDraft, call.traceparent().as_deref());
+        let completion = entry.span(Hop::EntryCompletion, Some(PARENT));
+        let call = entry.span(Hop::DispatchCall, completion.traceparent().as_deref());
+        let at_owner = owner.span(Hop::OwnerCompletion, call.traceparent().as_deref());
         let engine = owner.span(Hop::EngineCall, at_owner.traceparent().as_deref());
         engine.set("engine", "engine-1");
         engine.fail(&Error::new(ErrorKind::BackendFailed, "the answer broke off"));
@@ -106,7 +106,8 @@
     owner.shutdown();
     let spans = collector.wait_for(EXPORT_LIMIT, |spans| spans.len() == 4);
     let find = |hop: Hop| spans.iter().find(|span| span.name == hop.name()).unwrap();
-    let chain = [Hop::EntryDraft, Hop::DispatchCall, Hop::OwnerDraft, Hop::EngineCall].map(find);
+    let chain =
+        [Hop::EntryCompletion, Hop::DispatchCall, Hop::OwnerCompletion, Hop::EngineCall].map(find);
     for pair in chain.windows(2) {
         assert_eq!(pair[1].parent_id, pair[0].span_id, "{} below {}", pair[1].name, pair[0].name);
         assert_eq!(pair[1].trace_id, pair[0].trace_id);
@@ -124,9 +125,9 @@
 #[test]
 fn without_a_collector_the_context_is_passed_on() {
     let tracer = Tracer::off();
-    let span = tracer.span(Hop::EntryDraft, Some(PARENT));
+    let span = tracer.span(Hop::EntryCompletion, Some(PARENT));
     assert_eq!(span.traceparent().as_deref(), Some(PARENT));
-    assert_eq!(tracer.span(Hop::EntryDraft, None).traceparent(), None);
+    assert_eq!(tracer.span(Hop::EntryCompletion, None).traceparent(), None);
 }
 
 #[test]
@@ -135,7 +136,7 @@
     let runtime = Runtime::new().unwrap();
     let tracer = tracer("entry-1", &collector, &runtime);
     for parent in ["", "00-zz-zz-01", "00-0af7651916cd43dd8448eb211c80319c", "é"] {
-        let span = tracer.span(Hop::EntryDraft, Some(parent));
+        let span = tracer.span(Hop::EntryCompletion, Some(parent));
         let passed_on = span.traceparent().unwrap();
         assert!(passed_on.starts_with("00-") && passed_on.len() == PARENT.len(), "{passed_on}");
     }
--- a/tests/trace_tree.rs
+++ b/tests/trace_tree.rs
@@ -60,9 +60,9 @@
     let daemons = start_pair(&platform, |settings| {
         settings["telemetry"] = json!({"otlp": collector.addr});
     });
-    let draft = json!({"adapter": "heats", "prompt": "x"}).to_string();
-    send(&daemons[0], Call::post("/v1/completions", draft.clone()), 1);
-    send(&daemons[1], Call::post("/v1/completions", draft), 2);
+    let completion = json!({"adapter": "heats", "prompt": "x"}).to_string();
+    send(&daemons[0], Call::post("/v1/completions", completion.clone()), 1);
+    send(&daemons[1], Call::post("/v1/completions", completion), 2);
     let ticket = Call::post("/v1/tickets", "").send(daemons[0].caller).json();
     let ticket = ticket["ticket"].as_str().unwrap();
     send(&daemons[1], Call::post("/v1/submissions", "1").header("ticket", ticket), 3);
@@ -84,8 +84,11 @@
             .replace("@entry-2", "")
     };
     let chain = |hops: &[Hop]| hops.iter().map(|hop| hop.name()).collect::<Vec<_>>().join(" > ");
-    assert_eq!(longest(&own), chain(&[Hop::EntryDraft, Hop::OwnerDraft, Hop::EngineCall]));
-    let hops = [Hop::EntryDraft, Hop::DispatchCall, Hop::OwnerDraft, Hop::EngineCall];
+    assert_eq!(
+        longest(&own),
+        chain(&[Hop::EntryCompletion, Hop::OwnerCompletion, Hop::EngineCall])
+    );
+    let hops = [Hop::EntryCompletion, Hop::DispatchCall, Hop::OwnerCompletion, Hop::EngineCall];
     assert_eq!(longest(&remote), chain(&hops));
     let submission = paths(&trace(&spans, 3));
     let expected = "entry submission@entry-2 > forward call@entry-2 > \
@@ -102,16 +105,16 @@
     let daemon = Daemon::start("entry-1", &platform, |settings| {
         settings["telemetry"] = json!({"statsd": statsd});
     });
-    let draft = |adapter| {
+    let completion = |adapter| {
         let body = json!({"adapter": adapter, "prompt": "x"}).to_string();
         Call::post("/v1/completions", body).send(daemon.caller)
     };
-    assert_eq!(draft("heats").status, 200);
-    assert_eq!(draft("heats").status, 200);
-    assert_eq!(draft("relay").status, 404);
+    assert_eq!(completion("heats").status, 200);
+    assert_eq!(completion("heats").status, 200);
+    assert_eq!(completion("relay").status, 404);
     let expected = [
-        "requests.draft:3|c",
-        "answers.draft:2|c",
+        "requests.completion:3|c",
+        "answers.completion:2|c",
         "answers.not_run:1|c",
         "load_stalls:1|c",
         "loads.started:1|c",
@@ -144,6 +147,6 @@
                 sums.insert(name, value);
             }
         }
-        assert!(sums.get("requests.draft").is_none_or(|sum| *sum <= 3), "{sums:?}");
+        assert!(sums.get("requests.completion").is_none_or(|sum| *sum <= 3), "{sums:?}");
     }
 }
