Start a lab fleet again when one of its ports was taken

Cause: a port was looked at and let go, and two test programs whose process ids lay close were handed overlapping ranges; a stand-in then ended at its start, or another fleet's answered in its place. Ranges are now larger than a program uses, and a fleet that lost a process at its start begins anew.

--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -100,8 +100,9 @@
 const FIRST_PORT: u32 = 20_000;
 /// How many ports the lab hands out before it begins again.
 const PORT_COUNT: u32 = 12_000;
-/// Distance between the first ports of two processes with neighbouring ids.
-const PROCESS_STRIDE: u32 = 97;
+/// Distance between the first ports of two processes with neighbouring ids; more
+/// than a test program uses.
+const PROCESS_STRIDE: u32 = 300;
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
--- a/lab/src/fleet/running.rs
+++ b/lab/src/fleet/running.rs
@@ -32,6 +32,8 @@
 
 /// Time within which a fleet must be ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// How often a fleet is started before it's given up.
+const START_TRIES: usize = 3;
 /// How often readiness is asked for.
 const POLL: Duration = Duration::from_millis(50);
 /// Key that operators of the lab's fleets use.
@@ -92,6 +94,16 @@
     ///
     /// A sentence that says what failed.
     pub async fn start(bin_dir: &Path, plan: FleetPlan) -> Result<Self, String> {
+        // Another process may take a port between the look at it and its use.
+        for _ in 1..START_TRIES {
+            if let Ok(fleet) = Self::start_once(bin_dir, plan.clone()).await {
+                return Ok(fleet);
+            }
+        }
+        Self::start_once(bin_dir, plan).await
+    }
+
+    async fn start_once(bin_dir: &Path, plan: FleetPlan) -> Result<Self, String> {
         let lab = bin_dir.join("lab");
         let config = stand_in(&lab, "config", "config", &[])?;
         let instances = stand_in(&lab, "instances", "instances", &[])?;
@@ -129,9 +141,22 @@
         fleet.publish_listing().await?;
         fleet.publish(Generation(1), "ordinary").await?;
         fleet.wait_until_ready().await?;
+        fleet.check_running()?;
         Ok(fleet)
     }
 
+    /// Fails if a process has ended, as one does whose port is taken.
+    fn check_running(&mut self) -> Result<(), String> {
+        let platform = [&mut self.config, &mut self.instances, &mut self.store];
+        let backends = self.engines.iter_mut().chain(&mut self.desks);
+        let stand_ins = platform.into_iter().chain(backends).map(|stand_in| &mut stand_in.process);
+        let entries = self.entries.iter_mut().map(|entry| &mut entry.process);
+        match stand_ins.chain(entries).find_map(|process| process.has_ended().then_some(process)) {
+            Some(process) => Err(format!("{} ended at its start", process.name)),
+            None => Ok(()),
+        }
+    }
+
     /// Publishes a generation with this preset in force.
     ///
     /// # Errors
@@ -203,12 +228,15 @@
         Ok(())
     }
 
-    async fn wait_for_stand_ins(&self) -> Result<(), String> {
+    async fn wait_for_stand_ins(&mut self) -> Result<(), String> {
         let platform = [&self.config, &self.instances, &self.store];
         let backends = self.engines.iter().chain(&self.desks);
-        for addr in platform.into_iter().chain(backends).map(|stand_in| stand_in.addr) {
+        let stand_ins = platform.into_iter().chain(backends);
+        let addrs: Vec<SocketAddr> = stand_ins.map(|stand_in| stand_in.addr).collect();
+        for addr in addrs {
             let until = Instant::now() + READY_TIMEOUT;
             while self.client.send(HttpCall::get(addr, "/lab/x")).await.is_err() {
+                self.check_running()?;
                 if Instant::now() > until {
                     return Err(format!("stand-in at {addr} does not answer"));
                 }
--- a/lab/tests/submissions.rs
+++ b/lab/tests/submissions.rs
@@ -19,8 +19,6 @@
 const HOLD_MS: u64 = 3_000;
 /// Generous wait for what must come; nothing is judged by time.
 const PATIENCE: Duration = Duration::from_secs(60);
-/// How often a fleet is started until it is ready.
-const FLEET_STARTS: usize = 3;
 const POLL: Duration = Duration::from_millis(20);
 
 type Answer = Result<SubmissionReply, AskError>;
@@ -28,12 +26,6 @@
 async fn small_fleet(desk_delay_ms: u64) -> Fleet {
     let lab = Path::new(env!("CARGO_BIN_EXE_lab"));
     let plan = FleetPlan { engines: 1, adapters: 5, desk_delay_ms, ..FleetPlan::nakhla() };
-    // Another process may take a port between the look at it and its use.
-    for _ in 1..FLEET_STARTS {
-        if let Ok(fleet) = Fleet::start(lab.parent().unwrap(), plan.clone()).await {
-            return fleet;
-        }
-    }
     Fleet::start(lab.parent().unwrap(), plan).await.unwrap()
 }
 
