--- a/tests/quarantine_model.rs
+++ b/tests/quarantine_model/world.rs
@@ -1,19 +1,8 @@
-//! Requests that crash engines, sent to any instance while news is late or lost.
-//!
-//! `TAMARACKLEAD_FUZZ_CASES=N` runs N cases from fresh seeds instead of the fixed ones.
+//! Instances that exchange permits, strikes and clearances over a queue of messages.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use proptest::prelude::BoxedStrategy;
-use proptest::prelude::Just;
-use proptest::prelude::ProptestConfig;
-use proptest::prelude::Strategy;
-use proptest::prop_oneof;
-use proptest::test_runner::RngSeed;
-use proptest_state_machine::ReferenceStateMachine;
-use proptest_state_machine::StateMachineTest;
-use proptest_state_machine::prop_state_machine;
 use tamaracklead::decide::quarantine::Clearance;
 use tamaracklead::decide::quarantine::Fingerprint;
 use tamaracklead::decide::quarantine::FirstEngine;
@@ -31,21 +20,19 @@
 use tamaracklead::names::Version;
 
 /// Instances; each owns the engine of its number.
-const OWNERS: usize = 5;
+pub const OWNERS: usize = 5;
 /// The adapter's first engine.
-const FIRST: usize = 0;
+pub const FIRST: usize = 0;
 /// The instance that gives the permits.
 const HOME: usize = 1;
 /// Prompts below this number crash engines.
 const POISONS: usize = 2;
-const PROMPTS: usize = 5;
+pub const PROMPTS: usize = 5;
 const MOST_LOST: usize = 2;
-const FIXED_CASES: u32 = 1000;
-const FIXED_SEED: u64 = 20_261_203;
 const NOW: Timestamp = Timestamp::ZERO;
 
 #[derive(Clone, Copy, Debug)]
-enum Step {
+pub enum Step {
     /// A caller's request was routed to an engine.
     Send {
         engine: usize,
@@ -102,13 +89,13 @@
     asking: BTreeSet<RequestId>,
 }
 
-struct World {
+pub struct World {
     owners: Vec<Owner>,
     permits: Permits,
     messages: Vec<Message>,
     requests: u128,
     /// Engines lost while each poison ran alone or with innocents only.
-    lost: BTreeMap<usize, usize>,
+    pub lost: BTreeMap<usize, usize>,
     /// Crashes that each innocent was caught in.
     caught: BTreeMap<usize, usize>,
     refused: BTreeSet<usize>,
@@ -120,7 +107,7 @@
 }
 
 impl World {
-    fn new() -> Self {
+    pub fn new() -> Self {
         Self {
             owners: (0..OWNERS).map(|_| Owner::default()).collect(),
             permits: Permits::default(),
@@ -132,7 +119,7 @@
         }
     }
 
-    fn apply(&mut self, step: Step) {
+    pub fn apply(&mut self, step: Step) {
         match step {
             Step::Send { engine, prompt } => self.send(engine, prompt),
             Step::Crash { engine } => self.crash(engine),
@@ -317,7 +304,7 @@
         self.start(engine, run);
     }
 
-    fn check(&self) {
+    pub fn check(&self) {
         for (prompt, lost) in &self.lost {
             assert!(*lost <= MOST_LOST, "poison {prompt} ended {lost} engines");
         }
@@ -327,95 +314,3 @@
         }
     }
 }
-
-struct Steps;
-
-impl ReferenceStateMachine for Steps {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<Self::State> {
-        Just(()).boxed()
-    }
-
-    fn transitions(_: &Self::State) -> BoxedStrategy<Self::Transition> {
-        let engine = || 0..OWNERS;
-        prop_oneof![
-            4 => (engine(), 0..PROMPTS).prop_map(|(engine, prompt)| Step::Send { engine, prompt }),
-            3 => engine().prop_map(|engine| Step::Crash { engine }),
-            2 => (engine(), 0..8usize).prop_map(|(engine, pick)| Step::Finish { engine, pick }),
-            8 => (0..64usize).prop_map(|pick| Step::Deliver { pick }),
-            4 => (0..64usize).prop_map(|pick| Step::Lose { pick }),
-        ]
-        .boxed()
-    }
-
-    fn apply((): Self::State, _: &Self::Transition) -> Self::State {}
-}
-
-struct Quarantine;
-
-impl StateMachineTest for Quarantine {
-    type SystemUnderTest = World;
-    type Reference = Steps;
-
-    fn init_test((): &()) -> World {
-        World::new()
-    }
-
-    fn apply(mut world: World, (): &(), step: Step) -> World {
-        world.apply(step);
-        world
-    }
-
-    fn check_invariants(world: &World, (): &()) {
-        world.check();
-    }
-}
-
-fn config() -> ProptestConfig {
-    let cases = std::env::var("TAMARACKLEAD_FUZZ_CASES").ok();
-    let cases = cases.map(|text| text.parse().expect("TAMARACKLEAD_FUZZ_CASES is a number"));
-    ProptestConfig {
-        cases: cases.unwrap_or(FIXED_CASES),
-        rng_seed: if cases.is_some() { RngSeed::Random } else { RngSeed::Fixed(FIXED_SEED) },
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
-prop_state_machine! {
-    #![proptest_config(config())]
-
-    #[test]
-    fn a_request_ends_at_most_two_engines_and_no_innocent_is_refused(
-        sequential 1..300 => Quarantine
-    );
-}
-
-/// The owner of the first engine asked for a permit while it still ran a copy without one.
-#[test]
-fn a_permit_is_not_given_while_the_first_engine_runs_a_copy() {
-    let mut world = World::new();
-    let steps = [
-        Step::Send { engine: 1, prompt: 1 },
-        Step::Deliver { pick: 0 },
-        Step::Deliver { pick: 0 },
-        Step::Send { engine: FIRST, prompt: 1 },
-        Step::Crash { engine: 1 },
-        Step::Deliver { pick: 0 },
-        Step::Send { engine: FIRST, prompt: 1 },
-        Step::Deliver { pick: 4 },
-        Step::Deliver { pick: 4 },
-        Step::Deliver { pick: 4 },
-        Step::Deliver { pick: 4 },
-        Step::Crash { engine: FIRST },
-        Step::Deliver { pick: 4 },
-        Step::Crash { engine: FIRST },
-    ];
-    for step in steps {
-        world.apply(step);
-        world.check();
-    }
-    assert_eq!(world.lost.get(&1), Some(&2));
-}
