--- a/lab/src/fleet/running.rs
+++ b/lab/src/fleet/running.rs
@@ -15,6 +15,7 @@
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::PageName;
 use tamaracklead::names::PresetName;
+use tamaracklead::wire::engine::Report;
 use tamaracklead::wire::listing::BackendRole;
 use tamaracklead::wire::listing::FencingMode;
 use tamaracklead::wire::listing::ListedBackend;
@@ -272,6 +273,21 @@
         Ok(())
     }
 
+    /// Waits until the first engine runs a request, so that a stream is known to have begun.
+    ///
+    /// # Errors
+    ///
+    /// A sentence if the engine can't be reached.
+    pub async fn wait_until_running(&self) -> Result<(), String> {
+        loop {
+            let report: Report = self.client.get(self.engines[0].addr, "/v1/running").await?;
+            if report.loaded.iter().any(|loaded| loaded.running > 0) {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Whether one daemon takes work.
     pub async fn is_ready(&self, entry: usize) -> bool {
         let call = HttpCall::get(self.entries[entry].addr, "/v1/ready");
--- a/lab/tests/ownership.rs
+++ b/lab/tests/ownership.rs
@@ -104,7 +104,7 @@
     runtime.block_on(ask_all(&fleet, &others(&fleet)));
     let (client, addr, first) = (fleet.client.clone(), fleet.entries[1].addr, asked.clone());
     let stream = runtime.spawn(async move { ask::ask_stream(&client, addr, &first).await });
-    runtime.block_on(wait_until_running(&fleet));
+    runtime.block_on(fleet.wait_until_running()).unwrap();
     fleet.engines[0].process.kill();
     assert!(runtime.block_on(stream).unwrap().is_err());
     fleet.engines[0].process.restart().unwrap();
@@ -114,17 +114,6 @@
     });
 }
 
-async fn wait_until_running(fleet: &Fleet) {
-    loop {
-        let report: tamaracklead::wire::engine::Report =
-            fleet.client.get(fleet.engines[0].addr, "/v1/running").await.unwrap();
-        if report.loaded.iter().any(|loaded| loaded.running > 0) {
-            return;
-        }
-        tokio::task::yield_now().await;
-    }
-}
-
 #[test]
 fn a_request_that_crashes_engines_ends_two_at_most_whoever_is_asked() {
     let runtime = fleet::runtime().unwrap();
--- a/lab/tests/shutdown.rs
+++ b/lab/tests/shutdown.rs
@@ -28,18 +28,6 @@
     AskedCompletion { max_tokens: LONG, ..AskedCompletion::new(FleetPlan::adapter(1)) }
 }
 
-/// Waits until the engine runs a request, so that a stream is known to have begun.
-async fn wait_until_running(fleet: &Fleet) {
-    loop {
-        let report: tamaracklead::wire::engine::Report =
-            fleet.client.get(fleet.engines[0].addr, "/v1/running").await.unwrap();
-        if report.loaded.iter().any(|loaded| loaded.running > 0) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Waits until the daemon refuses completions because it's shutting down; returns the refusal.
 async fn wait_until_draining(fleet: &Fleet, entry: usize) -> tamaracklead::error::Problem {
     loop {
@@ -65,7 +53,7 @@
                 ask::ask_stream(&client, addr, &long_completion()).await
             }));
         }
-        wait_until_running(&fleet).await;
+        fleet.wait_until_running().await.unwrap();
         for entry in &fleet.entries {
             entry.process.signal(Signal::SIGTERM);
         }
@@ -92,7 +80,7 @@
             let client = client.clone();
             tokio::spawn(async move { ask::ask_stream(&client, issuer, &long_completion()).await })
         };
-        wait_until_running(&fleet).await;
+        fleet.wait_until_running().await.unwrap();
         fleet.entries[0].process.signal(Signal::SIGTERM);
         wait_until_draining(&fleet, 0).await;
         let body = serde_json::json!({"proposal": 1});
@@ -115,7 +103,7 @@
     let stream =
         runtime.spawn(async move { ask::ask_stream(&client, addr, &long_completion()).await });
     runtime.block_on(async {
-        wait_until_running(&fleet).await;
+        fleet.wait_until_running().await.unwrap();
         fleet.entries[0].process.signal(Signal::SIGTERM);
         wait_until_draining(&fleet, 0).await;
         fleet.entries[0].process.signal(Signal::SIGTERM);
