Keep an adapter at one replica, and await copies that load fast by time

Change: targets in rendezvous order whatever the load; another home only for an adapter that is a quarter of a busy replica's work; a copy held before counts as loaded after 30 ms; requests later than 3.5 s after SIGTERM are refused.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -62,8 +62,7 @@
 
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
-    let ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let id = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
     let text = String::from_utf8_lossy(id);
     Some(text.trim().to_owned())
 }
--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -21,6 +21,7 @@
 mod replicas;
 mod retry_share;
 mod route;
+mod shutdown;
 mod versions;
 
 pub use adapter_key::AdapterKey;
@@ -53,4 +54,5 @@
 pub use retry_share::RetryShare;
 pub use route::Route;
 pub use route::RouteKind;
+pub use shutdown::Shutdown;
 pub use versions::DeclaredVersions;
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -23,9 +23,19 @@
 const SILENT_AFTER: Duration = Duration::from_millis(900);
 /// Time for which a replica that refused a connection gets no work.
 const DOWN_TIME: Duration = Duration::from_millis(400);
+/// Time for which a replica keeps a copy of what it held.
+const HAD_TIME: Duration = Duration::from_secs(60);
 /// Half-life of the memory of failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Work that another instance has at a replica.
+#[derive(Clone, Debug)]
+struct PeerWork {
+    load: Load,
+    in_use: Vec<(AdapterKey, u32)>,
+    at: Timestamp,
+}
+
 /// What one instance believes of one replica.
 #[derive(Clone, Debug)]
 pub struct Replica {
@@ -40,7 +50,8 @@
     held: HashMap<AdapterKey, u64>,
     owner_news: Option<Timestamp>,
     missing: HashMap<AdapterKey, Timestamp>,
-    others: BTreeMap<InstanceName, (Load, Timestamp)>,
+    had: HashMap<AdapterKey, Timestamp>,
+    others: BTreeMap<InstanceName, PeerWork>,
     down_until: Timestamp,
     failures: (f64, Timestamp),
     last_heard: Timestamp,
@@ -62,6 +73,7 @@
             held,
             owner_news: None,
             missing: HashMap::new(),
+            had: HashMap::new(),
             others: BTreeMap::new(),
             down_until: now,
             failures: (0.0, now),
@@ -77,7 +89,7 @@
     pub fn update(&mut self, now: Timestamp, entry: ReplicaEntry) {
         let owner_news_counts = self.owner_news.is_some_and(|at| now.since(at) < OWNER_NEWS_TIME);
         if !owner_news_counts {
-            self.held = held_of(&entry.models);
+            self.set_held(now, held_of(&entry.models));
         }
         self.lapsed = None;
         let was_draining = self.entry.state == ReplicaState::Draining;
@@ -89,13 +101,14 @@
 
     /// Takes the word of the instance that gives this replica its orders.
     pub fn on_owner_news(&mut self, now: Timestamp, models: &[HeldModel]) {
-        self.held = held_of(models);
+        self.set_held(now, held_of(models));
         self.owner_news = Some(now);
     }
 
     /// Notes that the replica holds something now.
-    pub fn on_loaded(&mut self, key: AdapterKey, version: u64) {
+    pub fn on_loaded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
         self.missing.remove(&key);
+        self.had.insert(key.clone(), now);
         self.held.insert(key, version);
     }
 
@@ -111,6 +124,14 @@
         self.prefixes.forget(key);
     }
 
+    fn set_held(&mut self, now: Timestamp, held: HashMap<AdapterKey, u64>) {
+        for key in held.keys() {
+            self.had.insert(key.clone(), now);
+        }
+        self.had.retain(|_, at| now.since(*at) < HAD_TIME);
+        self.held = held;
+    }
+
     /// Version of something that the replica holds.
     pub fn holds(&self, now: Timestamp, key: &AdapterKey) -> Option<u64> {
         let missing = self.missing.get(key).is_some_and(|at| now.since(*at) < MISSING_TIME);
@@ -139,16 +160,35 @@
     }
 
     /// Notes the work that another instance has here.
-    pub fn on_peer_load(&mut self, now: Timestamp, peer: &InstanceName, load: Load) {
-        self.others.insert(peer.clone(), (load, now));
+    pub fn on_peer_load(
+        &mut self,
+        now: Timestamp,
+        peer: &InstanceName,
+        load: Load,
+        in_use: Vec<(AdapterKey, u32)>,
+    ) {
+        self.others.insert(peer.clone(), PeerWork { load, in_use, at: now });
+    }
+
+    /// Requests of all instances that use something, as far as is known.
+    pub fn uses_of(&self, now: Timestamp, key: &AdapterKey) -> u32 {
+        let own = self.in_use.get(key).copied().unwrap_or_default();
+        let fresh = self.others.values().filter(|work| now.since(work.at) < PEER_LOAD_TIME);
+        let others = fresh.flat_map(|work| &work.in_use).filter(|(used, _)| used == key);
+        own + others.map(|(_, count)| count).sum::<u32>()
+    }
+
+    /// Whether the replica held something lately, so that it loads it fast.
+    pub fn had(&self, now: Timestamp, key: &AdapterKey) -> bool {
+        self.had.get(key).is_some_and(|at| now.since(*at) < HAD_TIME)
     }
 
     /// Work of all instances, as far as is known.
     pub fn load(&self, now: Timestamp) -> Load {
         let mut total = self.own;
-        for (load, at) in self.others.values() {
-            if now.since(*at) < PEER_LOAD_TIME {
-                total.add(*load);
+        for work in self.others.values() {
+            if now.since(work.at) < PEER_LOAD_TIME {
+                total.add(work.load);
             }
         }
         total
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -16,6 +16,12 @@
 
 /// Adapters that may be on their way to one replica at the same time.
 const MAX_COMING: usize = 4;
+/// Adapters that may be on their way from the weight store to one replica.
+const MAX_FETCHED: usize = 2;
+/// Time that a replica needs for an adapter that it held before.
+const WARM_LOAD: Duration = Duration::from_millis(30);
+/// Adapters that a replica keeps a copy of after they were unloaded.
+const WARM_COUNT: usize = 40;
 /// Time for which a report may be older than an order.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which a load that no report shows is taken as failed.
@@ -64,6 +70,7 @@
 struct Coming {
     since: Timestamp,
     version: u64,
+    is_warm: bool,
 }
 
 /// The plan for one replica.
@@ -74,6 +81,8 @@
     leaving: HashMap<AdapterKey, Timestamp>,
     ordered: HashMap<AdapterKey, Timestamp>,
     wishes: VecDeque<(AdapterKey, Timestamp)>,
+    /// Versions that the replica had before, the latest last.
+    had: VecDeque<(AdapterKey, u64)>,
     model_ordered: Option<Timestamp>,
 }
 
@@ -92,7 +101,11 @@
         self.take_shown(now, &shown);
         for key in coming {
             if !self.ordered.contains_key(key) {
-                self.coming.entry(key.clone()).or_insert(Coming { since: now, version: 0 });
+                self.coming.entry(key.clone()).or_insert(Coming {
+                    since: now,
+                    version: 0,
+                    is_warm: false,
+                });
             }
         }
         let ordered = &self.ordered;
@@ -126,12 +139,33 @@
         }
     }
 
-    /// Whether an adapter is held and stays.
-    pub fn holds(&self, key: &AdapterKey) -> Option<u64> {
+    /// Version of an adapter that is held and stays, or that must have arrived by now.
+    pub fn holds(&self, now: Timestamp, key: &AdapterKey) -> Option<u64> {
         if self.leaving.contains_key(key) {
             return None;
         }
-        self.held.get(key).map(|held| held.version)
+        let held = self.held.get(key).map(|held| held.version);
+        held.or_else(|| {
+            let coming = self.coming.get(key)?;
+            let arrived = coming.is_warm && now.since(coming.since) >= WARM_LOAD;
+            arrived.then_some(coming.version)
+        })
+    }
+
+    /// Whether an adapter is on its way.
+    pub fn is_coming(&self, key: &AdapterKey) -> bool {
+        self.coming.contains_key(key)
+    }
+
+    /// Time until an adapter that is on its way must have arrived, if that is known.
+    pub fn arrives_in(&self, now: Timestamp, key: &AdapterKey) -> Option<Duration> {
+        let coming = self.coming.get(key).filter(|coming| coming.is_warm)?;
+        Some(WARM_LOAD.saturating_sub(now.since(coming.since)))
+    }
+
+    /// Takes back the wish for an adapter that isn't on its way.
+    pub fn forget_wish(&mut self, key: &AdapterKey) {
+        self.wishes.retain(|(wish, _)| wish != key);
     }
 
     /// Whether loads or unloads are under way.
@@ -178,12 +212,19 @@
         if let Some(order) = self.outdated(versions) {
             return Some(order);
         }
-        let (key, _) = self.wishes.iter().find(|(key, _)| self.has_model(key))?.clone();
+        if self.coming.len() >= MAX_COMING {
+            return None;
+        }
+        let fetched = self.coming.values().filter(|coming| !coming.is_warm).count();
+        let may_load = |key: &AdapterKey| {
+            self.has_model(key) && (fetched < MAX_FETCHED || self.is_warm(key, versions))
+        };
+        let (key, _) = self.wishes.iter().find(|(key, _)| may_load(key))?.clone();
         let taken = self.adapters_taken();
-        if taken < engine.adapter_slots && self.coming.len() < MAX_COMING {
+        if taken < engine.adapter_slots {
             return Some(Order::Load { version: versions.newest(&key), key });
         }
-        if taken < engine.adapter_slots || !self.leaving.is_empty() {
+        if !self.leaving.is_empty() {
             return None;
         }
         self.victim(now).map(|key| Order::Unload { key })
@@ -197,7 +238,10 @@
             Order::Load { .. } if key.adapter.is_none() => self.model_ordered = Some(now),
             Order::Load { version, .. } => {
                 self.wishes.retain(|(wish, _)| wish != &key);
-                self.coming.insert(key, Coming { since: now, version: version.unwrap_or(0) });
+                let had = self.had_version(&key);
+                let is_warm = had.is_some() && version.is_none_or(|version| had == Some(version));
+                let version = version.or(had).unwrap_or(0);
+                self.coming.insert(key, Coming { since: now, version, is_warm });
             }
             Order::Unload { .. } if done => {
                 self.held.remove(&key);
@@ -215,6 +259,8 @@
             let just_unloaded = self.ordered.contains_key(key) && !loading;
             if key.adapter.is_none() {
                 self.model_ordered = None;
+            } else if self.had.back() != Some(&(key.clone(), *version)) {
+                self.note_had(key, *version);
             }
             match self.held.get_mut(key) {
                 Some(held) => held.version = *version,
@@ -261,6 +307,24 @@
         Some(Order::Load { key: key.clone(), version: versions.newest(key) })
     }
 
+    fn had_version(&self, key: &AdapterKey) -> Option<u64> {
+        self.had.iter().find(|(had, _)| had == key).map(|(_, version)| *version)
+    }
+
+    /// Whether the replica has a copy of the version that would be loaded.
+    fn is_warm(&self, key: &AdapterKey, versions: &DeclaredVersions) -> bool {
+        let Some(had) = self.had_version(key) else { return false };
+        versions.newest(key).is_none_or(|newest| newest == had)
+    }
+
+    fn note_had(&mut self, key: &AdapterKey, version: u64) {
+        self.had.retain(|(had, _)| had != key);
+        self.had.push_back((key.clone(), version));
+        if self.had.len() > WARM_COUNT {
+            self.had.pop_front();
+        }
+    }
+
     fn has_model(&self, key: &AdapterKey) -> bool {
         self.held.contains_key(&AdapterKey::base(key.model.clone()))
     }
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -30,7 +30,11 @@
 /// Delay expected of a request that waits for a slot of a plain service, in ms.
 const SLOT_WAIT_MS: f64 = 40.0;
 /// Delay from which on another replica should hold the adapter too, in ms.
-const SPREAD_FROM_MS: f64 = 180.0;
+const SPREAD_FROM_MS: f64 = 250.0;
+/// Requests of one adapter at a replica from which on another one should hold it too.
+const SPREAD_FROM_USES: u32 = 4;
+/// Share of a replica's requests that such an adapter has at least.
+const SPREAD_FROM_SHARE: f64 = 0.25;
 /// Age of a declared version from which on older ones are not used.
 const OLD_VERSION_TIME: Duration = Duration::from_millis(2500);
 
@@ -155,9 +159,9 @@
         let delay = |r: &Replica| expected_delay_ms(now, r, engine, wanted, key);
         let best = holders.map(|r| (delay(r), r)).min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((best_delay, best)) = best else {
-            return load_targets(now, &usable, engine, wanted, key);
+            return load_targets(now, &usable, key);
         };
-        let spread = if best_delay >= SPREAD_FROM_MS {
+        let spread = if best_delay >= SPREAD_FROM_MS && is_hot(now, best, key) {
             spread_target(now, &usable, key, best, &delay)
         } else {
             None
@@ -212,29 +216,29 @@
         + replica.failure_score(now) * FAILURE_MS
 }
 
-/// Replicas that could load an adapter: its rendezvous order, busy ones last.
-fn load_targets(
-    now: Timestamp,
-    usable: &[&Replica],
-    engine: &EngineSpec,
-    wanted: &Wanted,
-    key: &AdapterKey,
-) -> Choice {
+/// Whether an adapter is a good part of a replica's work.
+fn is_hot(now: Timestamp, replica: &Replica, key: &AdapterKey) -> bool {
+    let uses = replica.uses_of(now, key);
+    let share = f64::from(uses) / f64::from(replica.load(now).requests.max(1));
+    uses >= SPREAD_FROM_USES && share >= SPREAD_FROM_SHARE
+}
+
+/// Replicas that could load an adapter, in its rendezvous order.
+///
+/// The order doesn't depend on the load: a replica loads again fast, and without the
+/// weight store, what it has held before.
+fn load_targets(now: Timestamp, usable: &[&Replica], key: &AdapterKey) -> Choice {
     if usable.is_empty() {
         return Choice::Nobody;
     }
     let base = AdapterKey::base(key.model.clone());
-    let text = key.rank_text();
-    let ranked = rendezvous::rank(&text, usable.to_vec(), |r| r.entry.name.as_str());
-    let is_busy =
-        |r: &&Replica| expected_delay_ms(now, r, engine, wanted, key) > 2.0 * SPREAD_FROM_MS;
-    let has_base = |r: &&Replica| r.holds(now, &base).is_some();
-    let mut targets: Vec<&Replica> = ranked;
-    targets.sort_by_key(|r| (!has_base(r), is_busy(r)));
-    Choice::Load(targets.iter().map(|r| r.entry.name.clone()).collect())
+    let mut ranked = rendezvous::rank(&key.rank_text(), usable.to_vec(), |r| r.entry.name.as_str());
+    ranked.sort_by_key(|r| r.holds(now, &base).is_none());
+    Choice::Load(ranked.iter().map(|r| r.entry.name.clone()).collect())
 }
 
-/// The first replica in an adapter's order that doesn't hold it and is much less busy.
+/// The first replica in an adapter's order that doesn't hold it and is much less busy;
+/// one that held it before goes first.
 fn spread_target(
     now: Timestamp,
     usable: &[&Replica],
@@ -248,6 +252,7 @@
         r.holds(now, key).is_none() && r.holds(now, &base).is_some() && delay(r) < best_delay / 2.0
     };
     let free: Vec<&Replica> = usable.iter().copied().filter(|r| free(r)).collect();
-    let ranked = rendezvous::rank(&key.rank_text(), free, |r| r.entry.name.as_str());
+    let mut ranked = rendezvous::rank(&key.rank_text(), free, |r| r.entry.name.as_str());
+    ranked.sort_by_key(|r| !r.had(now, key));
     ranked.first().map(|r| r.entry.name.clone())
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -207,7 +207,7 @@
     let mut owned = node.owned();
     for load in loads {
         if let Some(known) = replicas.get_mut(&load.replica) {
-            known.on_peer_load(now, peer, load.load);
+            known.on_peer_load(now, peer, load.load, load.in_use.clone());
         }
         if let Some(owned) = owned.get_mut(&load.replica) {
             for (key, count) in &load.in_use {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -128,6 +128,9 @@
         arrived: Timestamp,
         counted: Counted,
     ) -> Result<Self, Refusal> {
+        if !node.takes_work() {
+            return Err(Refusal::NotRun);
+        }
         let config = node.current_config().ok_or(Refusal::NotReady)?;
         let (route, service) = find(&config, &call, &head)?;
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -11,11 +11,14 @@
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Wanted;
 use crate::names::BackendName;
+use crate::names::Timestamp;
 
 /// Replicas that are tried for one load.
 const MAX_TARGETS: usize = 3;
 /// Longest time that one replica is given.
 const TARGET_LIMIT: Duration = Duration::from_millis(1200);
+/// Longest time until a replica begins to load it.
+const START_LIMIT: Duration = Duration::from_millis(500);
 /// Pause after no replica could load it.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
@@ -66,20 +69,50 @@
         owned.plan.wish(now, key);
     }
     node.order_wake.notify_one();
-    let held = async {
-        loop {
-            match node.owned().get(replica) {
-                Some(owned) if owned.lease.is_held() => {
-                    if let Some(version) = owned.plan.holds(key) {
-                        return Some(version);
-                    }
-                }
-                _ => return None,
-            }
-            changes.changed().await.ok()?;
+    let deadline = node.now() + limit;
+    let start_by = node.now() + START_LIMIT.min(limit);
+    loop {
+        let pause = match look(node, key, replica, start_by) {
+            Progress::Held(version) => return Some(version),
+            Progress::Failed => return None,
+            Progress::Coming(pause) => pause.unwrap_or(limit),
+        };
+        let left = deadline.since(node.now());
+        if left.is_zero() {
+            return None;
+        }
+        tokio::select! {
+            changed = changes.changed() => changed.ok()?,
+            () = sleep(pause.min(left)) => {}
         }
+    }
+}
+
+/// How far a load has come.
+enum Progress {
+    Held(u64),
+    /// It is awaited; a look is worth while after the pause.
+    Coming(Option<Duration>),
+    Failed,
+}
+
+fn look(node: &Node, key: &AdapterKey, replica: &BackendName, start_by: Timestamp) -> Progress {
+    let now = node.now();
+    let mut all = node.owned();
+    let Some(owned) = all.get_mut(replica).filter(|owned| owned.lease.is_held()) else {
+        return Progress::Failed;
     };
-    timeout(limit, held).await.ok().flatten()
+    if let Some(version) = owned.plan.holds(now, key) {
+        return Progress::Held(version);
+    }
+    if owned.plan.is_coming(key) {
+        return Progress::Coming(owned.plan.arrives_in(now, key));
+    }
+    if now >= start_by {
+        owned.plan.forget_wish(key);
+        return Progress::Failed;
+    }
+    Progress::Coming(Some(start_by.since(now)))
 }
 
 async fn load_at(
@@ -96,7 +129,7 @@
     };
     let Some(version) = version else { return false };
     if let Some(known) = node.replicas().get_mut(target) {
-        known.on_loaded(key.clone(), version);
+        known.on_loaded(node.now(), key.clone(), version);
     }
     true
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -29,6 +30,7 @@
 use crate::decide::traffic::Peers;
 use crate::decide::traffic::Replicas;
 use crate::decide::traffic::RetryShare;
+use crate::decide::traffic::Shutdown;
 use crate::decide::traffic::TrafficConfig;
 use crate::edge::HttpClient;
 use crate::names::BackendName;
@@ -56,7 +58,7 @@
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
-    draining: AtomicBool,
+    shutdown: OnceLock<Shutdown>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
     replicas: Mutex<Replicas>,
@@ -93,7 +95,7 @@
             plan_changes: watch::Sender::new(0),
             in_flight: AtomicUsize::new(0),
             clock: Clock::start(),
-            draining: AtomicBool::new(false),
+            shutdown: OnceLock::new(),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
             replicas: Mutex::default(),
@@ -158,13 +160,19 @@
 
     /// Whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
+        self.shutdown.get().is_some()
+    }
+
+    /// Whether new requests are taken, also if callers should go elsewhere.
+    pub fn takes_work(&self) -> bool {
+        self.shutdown.get().is_none_or(|shutdown| shutdown.takes_work(self.now()))
     }
 
     /// Begins to shut down.
-    pub fn set_draining(&self) {
-        self.draining.store(true, Ordering::Relaxed);
+    pub fn shut_down(&self) -> Shutdown {
         self.peers().set_draining();
+        let limit = self.settings.shutdown_limit();
+        *self.shutdown.get_or_init(|| Shutdown::new(self.now(), limit))
     }
 
     /// Notes that other instances were asked, or that there was time to.
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -124,7 +124,7 @@
         return Err(format!("watch answered {status}"));
     }
     let page = node.protocol.read_watch(&body).map_err(|e| e.to_string())?;
-    Ok(take_page(node, topic, page))
+    Ok(take_page(node, topic, &page))
 }
 
 async fn get(node: &Node, path: String, limit: Duration) -> Result<(u16, bytes::Bytes), String> {
@@ -145,7 +145,7 @@
     state.as_of = Some(state.as_of.unwrap_or_default().max(as_of));
 }
 
-fn take_page(node: &Node, topic: Topic, page: PublishedPage) -> bool {
+fn take_page(node: &Node, topic: Topic, page: &PublishedPage) -> bool {
     apply(node, topic, &page.events);
     let mut state = node.topic(topic);
     if state.as_of.is_some_and(|as_of| page.as_of > as_of) {
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -9,7 +9,6 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
-use tokio::time::Instant;
 use tokio::time::sleep;
 
 use super::Protocol;
@@ -27,10 +26,6 @@
 
 /// Time after the start from which on an instance without peers counts itself as alone.
 const JOIN_LIMIT: Duration = Duration::from_millis(1500);
-/// Shortest shutdown: callers' balancer has noticed by then.
-const MIN_SHUTDOWN: Duration = Duration::from_millis(3500);
-/// Time before the limit of a shutdown at which the process ends anyway.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(500);
 /// Pause between looks at the work in progress of a shutdown.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
 /// Pause between looks at the settings file.
@@ -114,14 +109,11 @@
 }
 
 async fn shut_down(node: &Node) {
-    let started = Instant::now();
-    node.set_draining();
+    let shutdown = node.shut_down();
     log::info!("shutting down, {} in progress", node.in_flight.load(Ordering::Relaxed));
-    let limit = node.settings.shutdown_limit().saturating_sub(SHUTDOWN_MARGIN);
     loop {
-        let elapsed = started.elapsed();
         let in_flight = node.in_flight.load(Ordering::Relaxed);
-        if elapsed >= limit || (elapsed >= MIN_SHUTDOWN.min(limit) && in_flight == 0) {
+        if shutdown.is_over(node.now(), in_flight) {
             log::info!("stopped, {in_flight} cut off");
             return;
         }
