Answer at once that a replica is full; judge silence by what it has to read

Cause: a request waited 500 ms at each of three full replicas; streams were taken from busy replicas after 900 ms although they were reading prompts.

--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -21,6 +21,8 @@
 const PEER_LOAD_TIME: Duration = Duration::from_secs(2);
 /// Time without a byte, while work is unanswered, after which a replica counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
+/// Time on top of it for each unread token of a prompt.
+const SILENT_PER_TOKEN: Duration = Duration::from_micros(60);
 /// Time for which a replica that refused a connection gets no work.
 const DOWN_TIME: Duration = Duration::from_millis(400);
 /// Time for which a replica keeps a copy of what it held.
@@ -262,8 +264,12 @@
 
     /// Whether the replica leaves work unanswered and sends nothing.
     pub fn is_silent(&self, now: Timestamp) -> bool {
+        if self.unanswered == 0 {
+            return false;
+        }
         let since = self.last_heard.max(self.unanswered_since);
-        self.unanswered > 0 && now.since(since) >= SILENT_AFTER
+        let unread = u32::try_from(self.load(now).unread_tokens).unwrap_or(u32::MAX);
+        now.since(since) >= SILENT_AFTER + SILENT_PER_TOKEN * unread
     }
 }
 
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -23,7 +23,7 @@
 /// Adapters that may be waiting for their last requests to be unloaded.
 const MAX_LEAVING: usize = 2;
 /// Adapters that may be on their way from the weight store to one replica.
-const MAX_FETCHED: usize = 2;
+const MAX_FETCHED: usize = 1;
 /// Time that a replica needs for an adapter that it held before.
 const WARM_LOAD: Duration = Duration::from_millis(30);
 /// Adapters that a replica keeps a copy of after they were unloaded.
@@ -229,6 +229,13 @@
         Some(WARM_LOAD.saturating_sub(now.since(coming.since)))
     }
 
+    /// Whether every place is taken and none can be freed now.
+    pub fn is_full(&self, now: Timestamp, engine: &EngineSpec) -> bool {
+        let waiting = self.wishes.len();
+        let free = engine.adapter_slots.saturating_sub(self.adapters_taken());
+        waiting >= free + self.victims(now).count()
+    }
+
     /// Takes back the wish for an adapter that isn't on its way.
     pub fn forget_wish(&mut self, key: &AdapterKey) {
         self.wishes.retain(|(wish, _)| wish != key);
@@ -407,16 +414,20 @@
         users.values().any(|(_, at)| now.since(*at) < USE_NEWS_TIME)
     }
 
-    /// The least used adapter that nobody waits for and that isn't used now.
-    fn victim(&self, now: Timestamp) -> Option<AdapterKey> {
-        let free = self.held.iter().filter(|(key, held)| {
+    /// Adapters that nobody waits for and that aren't used now.
+    fn victims(&self, now: Timestamp) -> impl Iterator<Item = (&AdapterKey, &Held)> {
+        self.held.iter().filter(move |(key, held)| {
             key.adapter.is_some()
                 && now.since(held.used) >= KEEP_AFTER_USE
                 && !self.is_in_use(now, key)
                 && !self.coming.contains_key(*key)
                 && !self.leaving.contains_key(*key)
-        });
-        let least = free.min_by(|a, b| {
+        })
+    }
+
+    /// The least used adapter that can make room.
+    fn victim(&self, now: Timestamp) -> Option<AdapterKey> {
+        let least = self.victims(now).min_by(|a, b| {
             decayed(now, a.1).total_cmp(&decayed(now, b.1)).then_with(|| a.0.cmp(b.0))
         });
         least.map(|(key, _)| key.clone())
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// Notes that bytes of the answer have come.
+    pub fn on_heard(&self) {
+        let now = self.node.now();
+        if let Some(known) = self.node.replicas().get_mut(&self.replica) {
+            known.on_heard(now);
+        }
+    }
+
     /// Notes that the first event has come, so the prompt has been read.
     pub fn on_event(&mut self) {
         let now = self.node.now();
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -73,8 +73,7 @@
         }
         LOAD_PATH => {
             let request: LoadRequest = decode(body)?;
-            let limit = Duration::from_millis(request.wait_ms);
-            let version = loads::load_here(node, &request.key, &request.replica, limit).await;
+            let version = loads::load_here(node, &request).await;
             encode(&LoadAnswer { version })
         }
         HANDOVER_PATH => {
@@ -95,23 +94,16 @@
     }
 }
 
-/// Asks the instance that gives `replica` its orders to load `key`; the version it holds then.
-pub async fn ask_load(
-    node: &Node,
-    owner: &InstanceName,
-    key: &AdapterKey,
-    replica: &BackendName,
-    limit: Duration,
-) -> Option<u64> {
+/// Asks the instance that gives a replica its orders for a load; the version it holds then.
+pub async fn ask_load(node: &Node, owner: &InstanceName, request: &LoadRequest) -> Option<u64> {
     let addr = node.peers().addr_of(node.now(), owner)?;
-    let wait_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-    let request = LoadRequest { replica: replica.clone(), key: key.clone(), wait_ms };
-    let answer: Result<LoadAnswer> =
-        call(node, addr, LOAD_PATH, &request, limit + LOAD_MARGIN).await;
+    let limit = Duration::from_millis(request.wait_ms) + LOAD_MARGIN;
+    let answer: Result<LoadAnswer> = call(node, addr, LOAD_PATH, request, limit).await;
     match answer {
         Ok(answer) => answer.version,
         Err(e) => {
-            log::info!("load of {} at {replica} by {owner}: {e}", key.rank_text());
+            let key = request.key.rank_text();
+            log::info!("load of {key} at {} by {owner}: {e}", request.replica);
             None
         }
     }
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -12,17 +12,20 @@
 use crate::decide::traffic::Wanted;
 use crate::names::BackendName;
 use crate::names::Timestamp;
+use crate::wire::relay::LoadRequest;
 
 /// Replicas that are tried for one load.
 const MAX_TARGETS: usize = 3;
-/// Longest time that one replica is given.
-const TARGET_LIMIT: Duration = Duration::from_millis(1200);
+/// Longest time for a load that nobody waits for.
+const LOAD_LIMIT: Duration = Duration::from_millis(2000);
 /// Longest time until a replica begins to load it.
 const START_LIMIT: Duration = Duration::from_millis(500);
 /// Pause after no replica could load it.
 const FAILED_PAUSE: Duration = Duration::from_millis(100);
 
-/// Has `key` loaded at the first of `targets` that can; returns when it is, or after `limit`.
+/// Has `key` loaded at one of `targets`; returns when it is, or after `limit`.
+///
+/// The first target that has a place loads it; if none has, it waits for one of the first.
 pub async fn load_somewhere(
     node: &Arc<Node>,
     key: &AdapterKey,
@@ -30,9 +33,11 @@
     limit: Duration,
 ) {
     let tried = async {
-        for target in targets.iter().take(MAX_TARGETS) {
-            if load_at(node, key, target, TARGET_LIMIT.min(limit)).await {
-                return;
+        for (queue, count) in [(false, MAX_TARGETS), (true, 1)] {
+            for target in targets.iter().take(count) {
+                if load_at(node, key, target, limit, queue).await {
+                    return;
+                }
             }
         }
         sleep(FAILED_PAUSE).await;
@@ -47,30 +52,19 @@
     let Some(key) = wanted.key.clone() else { return };
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        load_at(&node, &key, &target, TARGET_LIMIT).await;
+        load_at(&node, &key, &target, LOAD_LIMIT, false).await;
     });
 }
 
-/// Waits until a replica that this instance gives orders holds `key`; its version.
-pub async fn load_here(
-    node: &Node,
-    key: &AdapterKey,
-    replica: &BackendName,
-    limit: Duration,
-) -> Option<u64> {
+/// Waits until a replica that this instance gives orders holds an adapter; its version.
+pub async fn load_here(node: &Node, request: &LoadRequest) -> Option<u64> {
+    let LoadRequest { replica, key, wait_ms, queue } = request;
+    let limit = Duration::from_millis(*wait_ms);
     let mut changes = node.plan_changes.subscribe();
-    {
-        let now = node.now();
-        let mut owned = node.owned();
-        let owned = owned.get_mut(replica)?;
-        if !owned.lease.is_held() {
-            return None;
-        }
-        owned.plan.wish(now, key);
-    }
+    wish(node, replica, key, *queue)?;
     node.order_wake.notify_one();
     let deadline = node.now() + limit;
-    let start_by = node.now() + START_LIMIT.min(limit);
+    let start_by = node.now() + if *queue { limit } else { START_LIMIT };
     loop {
         let pause = match look(node, key, replica, start_by) {
             Progress::Held(version) => return Some(version),
@@ -115,16 +109,35 @@
     Progress::Coming(Some(start_by.since(now)))
 }
 
+/// Wishes for an adapter, unless it is there; `None` if that is in vain.
+fn wish(node: &Node, replica: &BackendName, key: &AdapterKey, queue: bool) -> Option<()> {
+    let now = node.now();
+    let config = node.current_config()?;
+    let service = node.replicas().get(replica).map(|known| known.entry.service.clone())?;
+    let engine = config.service(&service)?.engine.as_ref()?;
+    let mut all = node.owned();
+    let owned = all.get_mut(replica).filter(|owned| owned.lease.is_held())?;
+    let known = owned.plan.holds(now, key).is_some() || owned.plan.is_coming(key);
+    if !known && !queue && owned.plan.is_full(now, engine) {
+        return None;
+    }
+    owned.plan.wish(now, key);
+    Some(())
+}
+
 async fn load_at(
     node: &Arc<Node>,
     key: &AdapterKey,
     target: &BackendName,
     limit: Duration,
+    queue: bool,
 ) -> bool {
     let owner = node.peers().preferred(node.now(), target.as_str()).cloned();
+    let wait_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
+    let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, queue };
     let version = match owner {
-        Some(owner) if owner == node.settings.instance => load_here(node, key, target, limit).await,
-        Some(owner) => exchange::ask_load(node, &owner, key, target, limit).await,
+        Some(owner) if owner == node.settings.instance => load_here(node, &request).await,
+        Some(owner) => exchange::ask_load(node, &owner, &request).await,
         None => None,
     };
     let Some(version) = version else { return false };
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -54,6 +54,7 @@
             let stream = self.stream.as_mut()?;
             match read(&self.job, stream).await {
                 Piece::Data(data) => {
+                    stream.in_flight.on_heard();
                     if !self.has_event {
                         self.has_event = true;
                         stream.in_flight.on_event();
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -82,6 +82,8 @@
     pub key: AdapterKey,
     /// Longest time to wait, in ms.
     pub wait_ms: u64,
+    /// Whether to wait for a place if none is free.
+    pub queue: bool,
 }
 
 /// Answer to a [`LoadRequest`].
