Let four adapters at once come to a replica

Cause: with one at a time, and reports 200 ms late, a replica fetched 2 adapters a second while 2 to 3 were asked for; requests waited 1 s in the median.

--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -23,7 +23,7 @@
 /// Adapters that may be waiting for their last requests to be unloaded.
 const MAX_LEAVING: usize = 2;
 /// Adapters that may be on their way from the weight store to one replica.
-const MAX_FETCHED: usize = 1;
+const MAX_FETCHED: usize = 4;
 /// Time that a replica needs for an adapter that it held before.
 const WARM_LOAD: Duration = Duration::from_millis(30);
 /// Adapters that a replica keeps a copy of after they were unloaded.
