--- /dev/null
+++ b/tests/traffic/attempts.rs
@@ -0,0 +1,101 @@
+//! What may be sent after an attempt ended.
+
+use tamaracklead::decide::traffic::AttemptEnd;
+use tamaracklead::decide::traffic::Attempts;
+use tamaracklead::decide::traffic::FinalAnswer;
+use tamaracklead::decide::traffic::NextAttempt;
+use tamaracklead::decide::traffic::RouteKind;
+use tamaracklead::names::BackendName;
+
+const ENDS: [AttemptEnd; 4] =
+    [AttemptEnd::NotSent, AttemptEnd::NotRun, AttemptEnd::MaybeRan, AttemptEnd::RanAndFailed];
+
+fn sent(kind: RouteKind, max_runs: u32) -> Attempts {
+    let mut attempts = Attempts::new(kind, max_runs);
+    attempts.on_send(BackendName::new("one"));
+    attempts
+}
+
+#[test]
+fn a_request_that_may_have_run_is_sent_again_only_if_it_may_repeat() {
+    for kind in [RouteKind::AtMostOnce, RouteKind::Stream { resumable: false }] {
+        for end in [AttemptEnd::MaybeRan, AttemptEnd::RanAndFailed] {
+            let next = sent(kind, 3).on_end(end);
+            assert_eq!(next, NextAttempt::Final(FinalAnswer::Unknown), "{kind:?} {end:?}");
+        }
+    }
+    for kind in [RouteKind::Idempotent, RouteKind::Stream { resumable: true }] {
+        let next = sent(kind, 3).on_end(AttemptEnd::MaybeRan);
+        assert_eq!(next, NextAttempt::Another { is_retry: true }, "{kind:?}");
+    }
+}
+
+#[test]
+fn a_request_that_did_not_run_is_sent_again_also_if_it_runs_at_most_once() {
+    let next = sent(RouteKind::AtMostOnce, 1).on_end(AttemptEnd::NotRun);
+    assert_eq!(next, NextAttempt::Another { is_retry: true });
+    let next = sent(RouteKind::AtMostOnce, 1).on_end(AttemptEnd::NotSent);
+    assert_eq!(next, NextAttempt::Another { is_retry: false });
+}
+
+#[test]
+fn no_request_runs_on_more_replicas_than_its_route_allows() {
+    for max_runs in 1..4 {
+        let mut attempts = Attempts::new(RouteKind::Idempotent, max_runs);
+        let mut runs = 0;
+        loop {
+            attempts.on_send(BackendName::new(&format!("replica-{runs}")));
+            runs += 1;
+            match attempts.on_end(AttemptEnd::MaybeRan) {
+                NextAttempt::Another { .. } => {}
+                NextAttempt::Final(answer) => {
+                    assert_eq!(answer, FinalAnswer::Unknown);
+                    break;
+                }
+            }
+        }
+        assert_eq!(runs, max_runs);
+    }
+}
+
+#[test]
+fn not_run_is_never_said_after_a_request_may_have_run() {
+    for first in ENDS {
+        for second in ENDS {
+            let mut attempts = sent(RouteKind::Idempotent, 9);
+            let _ = attempts.on_end(first);
+            attempts.on_send(BackendName::new("two"));
+            let _ = attempts.on_end(second);
+            let ran = [first, second]
+                .iter()
+                .any(|end| matches!(end, AttemptEnd::MaybeRan | AttemptEnd::RanAndFailed));
+            let expected = if ran { FinalAnswer::Unknown } else { FinalAnswer::NotRun };
+            assert_eq!(attempts.final_answer(), expected, "{first:?} {second:?}");
+        }
+    }
+}
+
+#[test]
+fn refusals_without_end_are_not_followed_without_end() {
+    let mut attempts = Attempts::new(RouteKind::AtMostOnce, 1);
+    for sends in 1..10 {
+        attempts.on_send(BackendName::new(&format!("replica-{sends}")));
+        if attempts.on_end(AttemptEnd::NotRun) == NextAttempt::Final(FinalAnswer::NotRun) {
+            assert!(sends > 1);
+            return;
+        }
+    }
+    panic!("a refused request was sent ten times");
+}
+
+#[test]
+fn a_broken_stream_goes_on_only_where_it_resumes_and_runs_are_left() {
+    let broken = |resumable, max_runs| {
+        let mut attempts = sent(RouteKind::Stream { resumable }, max_runs);
+        attempts.on_answer_begun();
+        attempts.on_broken_stream()
+    };
+    assert_eq!(broken(true, 2), NextAttempt::Another { is_retry: true });
+    assert_eq!(broken(true, 1), NextAttempt::Final(FinalAnswer::Unknown));
+    assert_eq!(broken(false, 2), NextAttempt::Final(FinalAnswer::Unknown));
+}
--- /dev/null
+++ b/tests/traffic/config.rs
@@ -0,0 +1,52 @@
+//! Routes of the traffic configuration.
+
+use tamaracklead::decide::traffic::Route;
+use tamaracklead::decide::traffic::RouteKind;
+use tamaracklead::decide::traffic::TrafficConfig;
+use tamaracklead::names::RouteName;
+use tamaracklead::names::ServiceName;
+
+use crate::support::ms;
+
+fn route(name: &str, host: &str, prefix: &str, backends: &[(&str, u32)]) -> Route {
+    Route {
+        name: RouteName::new(name),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: ms(1000),
+        objective: ms(100),
+        priority: 0,
+        attempts: 1,
+        backends: backends.iter().map(|(name, weight)| (ServiceName::new(name), *weight)).collect(),
+    }
+}
+
+fn found<'a>(config: &'a TrafficConfig, host: &str, path: &str) -> Option<&'a str> {
+    config.route(host, path).map(|route| route.name.as_str())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("short", "one.example", "/a/", &[("s", 1)]),
+        route("long", "one.example", "/a/b/", &[("s", 1)]),
+        route("other", "two.example", "/a/b/c/", &[("s", 1)]),
+    ];
+    let config = TrafficConfig::new(1, 100, ms(1000), routes, Vec::new());
+    assert_eq!(found(&config, "one.example", "/a/b/c/d"), Some("long"));
+    assert_eq!(found(&config, "ONE.example", "/a/x"), Some("short"));
+    assert_eq!(found(&config, "one.example", "/ab/"), None);
+    assert_eq!(found(&config, "three.example", "/a/"), None);
+}
+
+#[test]
+fn requests_are_divided_by_weight_and_one_id_always_goes_the_same_way() {
+    let split = route("split", "h", "/", &[("big", 90), ("small", 10), ("none", 0)]);
+    let service = |id: &str| split.service_for(id).map(ToString::to_string).unwrap();
+    let ids: Vec<String> = (0..10_000).map(|id| format!("{id:x}")).collect();
+    let small = ids.iter().filter(|id| service(id) == "small").count();
+    assert!((700..1300).contains(&small), "{small} of 10000");
+    assert!(ids.iter().all(|id| service(id) != "none"));
+    assert!(ids.iter().all(|id| service(id) == service(id)));
+}
--- /dev/null
+++ b/tests/traffic/main.rs
@@ -0,0 +1,11 @@
+//! Decisions of the relay, driven without a network.
+
+mod attempts;
+mod config;
+mod order_lease;
+mod peers;
+mod replica_plan;
+mod replicas;
+mod small;
+mod stream;
+mod support;
--- /dev/null
+++ b/tests/traffic/order_lease.rs
@@ -0,0 +1,110 @@
+//! Which instance may give orders to a replica.
+
+use tamaracklead::decide::traffic::LeaseStep;
+use tamaracklead::decide::traffic::OrderLease;
+
+use crate::support::at;
+use crate::support::ms;
+
+const START: u64 = 77;
+const LEASE_MS: u64 = 3000;
+
+fn watching(count: u64) -> OrderLease {
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    assert_eq!(lease.step(at(0), true), LeaseStep::AskReport);
+    lease.on_report(at(0), START, count, 1);
+    lease
+}
+
+fn holding(count: u64) -> OrderLease {
+    let mut lease = watching(count);
+    lease.on_report(at(LEASE_MS + 1000), START, count, 9);
+    assert!(lease.is_held());
+    lease
+}
+
+#[test]
+fn nobody_orders_before_the_count_stood_still_for_the_lease() {
+    let mut lease = watching(5);
+    for now in (100..LEASE_MS).step_by(100) {
+        lease.on_report(at(now), START, 5, 1);
+        assert!(!lease.is_held(), "after {now} ms");
+        assert_ne!(lease.step(at(now), true), LeaseStep::Hold);
+    }
+    lease.on_report(at(LEASE_MS + 1000), START, 5, 9);
+    assert_eq!(lease.step(at(LEASE_MS + 1000), true), LeaseStep::Hold);
+    assert_eq!(lease.order_numbers(), Some((9, 5)));
+}
+
+#[test]
+fn an_order_of_somebody_else_starts_the_watch_anew() {
+    let mut lease = watching(5);
+    lease.on_report(at(LEASE_MS - 100), START, 6, 1);
+    lease.on_report(at(LEASE_MS + 1000), START, 6, 1);
+    assert!(!lease.is_held());
+    lease.on_report(at(2 * LEASE_MS + 1000), START, 6, 1);
+    assert!(lease.is_held());
+}
+
+#[test]
+fn a_holder_stands_back_when_the_count_moves_without_it() {
+    let mut lease = holding(5);
+    lease.on_accepted(at(LEASE_MS + 1001));
+    lease.on_report(at(LEASE_MS + 1500), START, 6, 0);
+    assert!(lease.is_held());
+    lease.on_report(at(LEASE_MS + 2500), START, 7, 0);
+    assert!(!lease.is_held());
+    assert_eq!(lease.order_numbers(), None);
+}
+
+#[test]
+fn a_report_older_than_the_last_order_does_not_end_the_lease() {
+    let mut lease = holding(5);
+    lease.on_accepted(at(LEASE_MS + 1001));
+    lease.on_report(at(LEASE_MS + 1010), START, 5, 0);
+    assert_eq!(lease.order_numbers(), Some((9, 6)));
+}
+
+#[test]
+fn a_restart_of_the_replica_keeps_the_lease_and_resets_the_count() {
+    let mut lease = holding(5);
+    lease.on_report(at(LEASE_MS + 2000), START + 1, 0, 0);
+    assert_eq!(lease.order_numbers(), Some((9, 0)));
+    let mut lease = holding(5);
+    lease.on_report(at(LEASE_MS + 2000), START + 1, 3, 0);
+    assert!(!lease.is_held(), "somebody else has ordered since the restart");
+}
+
+#[test]
+fn a_holder_asks_again_before_it_orders_after_a_quiet_time() {
+    let mut lease = holding(5);
+    let quiet = LEASE_MS + 1000 + LEASE_MS / 2;
+    assert_eq!(lease.step(at(quiet), true), LeaseStep::AskReport);
+    lease.on_report(at(quiet), START, 5, 0);
+    assert_eq!(lease.step(at(quiet), true), LeaseStep::Hold);
+}
+
+#[test]
+fn an_uncertain_order_or_a_pause_ends_the_lease_until_it_was_watched_for_again() {
+    let mut lease = holding(5);
+    lease.on_uncertain(at(LEASE_MS + 1100));
+    assert!(!lease.is_held());
+    lease.on_report(at(LEASE_MS + 1200), START, 6, 0);
+    assert!(!lease.is_held());
+    lease.on_report(at(2 * LEASE_MS + 2000), START, 6, 12);
+    assert_eq!(lease.order_numbers(), Some((12, 6)));
+}
+
+#[test]
+fn a_successor_by_handover_orders_after_one_report() {
+    let mut old = holding(5);
+    let (start, count, fence) = old.release().unwrap();
+    assert_eq!(old.step(at(LEASE_MS + 1100), false), LeaseStep::Standby);
+    assert!(old.release().is_none());
+    let mut new = OrderLease::new(ms(LEASE_MS));
+    new.on_handover(at(LEASE_MS + 1100), start, count, fence + 1);
+    assert_eq!(new.step(at(LEASE_MS + 1100), true), LeaseStep::AskReport);
+    new.on_report(at(LEASE_MS + 1105), START, 5, 0);
+    assert_eq!(new.step(at(LEASE_MS + 1105), true), LeaseStep::Hold);
+    assert_eq!(new.order_numbers(), Some((fence + 1, 5)));
+}
--- /dev/null
+++ b/tests/traffic/replica_plan.rs
@@ -0,0 +1,215 @@
+//! Which adapters a replica is ordered to hold.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tamaracklead::decide::traffic::AdapterKey;
+use tamaracklead::decide::traffic::DeclaredVersions;
+use tamaracklead::decide::traffic::Order;
+use tamaracklead::decide::traffic::ReplicaPlan;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::ModelName;
+
+use crate::support::MODEL;
+use crate::support::at;
+use crate::support::engine;
+use crate::support::held;
+use crate::support::key;
+
+fn user() -> InstanceName {
+    InstanceName::new("entry-1")
+}
+
+fn none() -> DeclaredVersions {
+    DeclaredVersions::default()
+}
+
+fn load(adapter: &str) -> Order {
+    Order::Load { key: key(adapter), version: None }
+}
+
+#[test]
+fn an_empty_replica_gets_its_model_first_and_only_once() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &[], &[]);
+    plan.wish(at(0), &key("a1"));
+    let order = plan.next_order(at(0), &engine(8), &none()).unwrap();
+    let model = AdapterKey::base(ModelName::new(MODEL));
+    assert_eq!(order, Order::Load { key: model, version: None });
+    plan.on_accepted(at(0), &order, false);
+    plan.on_report(at(500), &[], &[]);
+    assert_eq!(plan.next_order(at(500), &engine(8), &none()), None);
+    plan.on_report(at(1900), &held(&[]), &[]);
+    assert_eq!(plan.next_order(at(1900), &engine(8), &none()), Some(load("a1")));
+}
+
+#[test]
+fn an_adapter_in_use_is_never_chosen_to_make_room() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
+    plan.on_use(at(100), &user(), &key("a1"), 1);
+    plan.wish(at(2000), &key("a3"));
+    let order = plan.next_order(at(2000), &engine(2), &none());
+    assert_eq!(order, Some(Order::Unload { key: key("a2") }));
+    plan.on_use(at(2000), &user(), &key("a2"), 1);
+    assert_eq!(plan.next_order(at(2000), &engine(2), &none()), None);
+    assert!(plan.is_full(at(2000), &engine(2)));
+}
+
+#[test]
+fn the_least_used_adapter_makes_room() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
+    for _ in 0..5 {
+        plan.on_use(at(100), &user(), &key("a1"), 1);
+        plan.on_use(at(110), &user(), &key("a1"), 0);
+    }
+    plan.on_use(at(900), &user(), &key("a2"), 1);
+    plan.on_use(at(910), &user(), &key("a2"), 0);
+    plan.wish(at(2000), &key("a3"));
+    let order = plan.next_order(at(2000), &engine(2), &none());
+    assert_eq!(order, Some(Order::Unload { key: key("a2") }));
+}
+
+#[test]
+fn an_instance_that_vanished_does_not_keep_an_adapter_for_ever() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    plan.on_use(at(0), &user(), &key("a1"), 1);
+    plan.wish(at(1900), &key("a2"));
+    assert_eq!(plan.next_order(at(1900), &engine(1), &none()), None);
+    plan.wish(at(9000), &key("a2"));
+    let order = plan.next_order(at(9000), &engine(1), &none());
+    assert_eq!(order, Some(Order::Unload { key: key("a1") }));
+}
+
+#[test]
+fn a_copy_held_before_counts_as_loaded_after_a_short_time() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    plan.on_accepted(at(1000), &Order::Unload { key: key("a1") }, true);
+    assert_eq!(plan.holds(at(1000), &key("a1")), None);
+    plan.on_accepted(at(1001), &load("a1"), false);
+    assert_eq!(plan.holds(at(1002), &key("a1")), None);
+    assert_eq!(plan.holds(at(1100), &key("a1")), Some(1));
+    plan.on_accepted(at(1200), &load("a2"), false);
+    assert_eq!(plan.holds(at(1700), &key("a2")), None, "fetched, so only a report counts");
+}
+
+#[test]
+fn a_report_older_than_an_unload_does_not_bring_the_adapter_back() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    plan.on_accepted(at(1000), &Order::Unload { key: key("a1") }, true);
+    plan.on_report(at(1100), &held(&[("a1", 1)]), &[]);
+    assert_eq!(plan.holds(at(1100), &key("a1")), None);
+}
+
+#[test]
+fn a_declared_version_is_ordered_once_where_an_older_one_is_held() {
+    let mut plan = ReplicaPlan::default();
+    let mut versions = none();
+    plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
+    assert!(versions.on_declared(at(10), key("a1"), 2));
+    assert!(!versions.on_declared(at(11), key("a1"), 1), "an older one is not taken");
+    let order = plan.next_order(at(10), &engine(8), &versions).unwrap();
+    assert_eq!(order, Order::Load { key: key("a1"), version: Some(2) });
+    plan.on_accepted(at(10), &order, false);
+    plan.on_report(at(700), &held(&[("a1", 1), ("a2", 1)]), &[key("a1")]);
+    assert_eq!(plan.next_order(at(700), &engine(8), &versions), None);
+    plan.on_report(at(1200), &held(&[("a1", 2), ("a2", 1)]), &[]);
+    assert_eq!(plan.next_order(at(1200), &engine(8), &versions), None);
+}
+
+#[test]
+fn a_successor_knows_what_reports_do_not_show_yet() {
+    let mut old = ReplicaPlan::default();
+    old.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    old.on_accepted(at(1000), &load("a2"), false);
+    let mut new = ReplicaPlan::default();
+    new.on_handover(at(1010), old.handover());
+    new.on_report(at(1020), &held(&[("a1", 1)]), &[]);
+    new.wish(at(1020), &key("a3"));
+    assert_eq!(new.next_order(at(1020), &engine(2), &none()), None, "both places are taken");
+}
+
+/// A replica that crashes if it is ordered to hold too much; its reports lag.
+#[derive(Clone, Debug, Default)]
+struct Machine {
+    held: BTreeSet<String>,
+    coming: Vec<(String, u64)>,
+    reports: Vec<(u64, BTreeSet<String>, Vec<String>)>,
+}
+
+impl Machine {
+    fn settle(&mut self, now: u64) {
+        let (done, coming) = self.coming.clone().into_iter().partition(|(_, at)| *at <= now);
+        self.coming = coming;
+        let done: Vec<(String, u64)> = done;
+        self.held.extend(done.into_iter().map(|(name, _)| name));
+        let coming = self.coming.iter().map(|(name, _)| name.clone()).collect();
+        self.reports.push((now, self.held.clone(), coming));
+    }
+
+    fn order(&mut self, now: u64, order: &Order, slots: usize) -> bool {
+        let name = order.key().adapter.as_ref().unwrap().to_string();
+        match order {
+            Order::Load { .. } => {
+                if !self.held.contains(&name) {
+                    self.coming.push((name, now + 250));
+                }
+                let taken = self.held.len() + self.coming.len();
+                assert!(taken <= slots, "{taken} adapters in {slots} places at {now}");
+                false
+            }
+            Order::Unload { .. } => {
+                self.held.remove(&name);
+                true
+            }
+        }
+    }
+
+    fn report(&self, now: u64) -> Option<&(u64, BTreeSet<String>, Vec<String>)> {
+        self.reports.iter().rev().find(|(at, _, _)| at + 200 <= now)
+    }
+}
+
+#[test]
+fn a_replica_is_never_ordered_to_hold_more_than_it_has_places_for() {
+    const SLOTS: usize = 4;
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut machine = Machine::default();
+        let mut plan = ReplicaPlan::default();
+        plan.on_report(at(0), &held(&[]), &[]);
+        for now in (0..8000).step_by(20) {
+            machine.settle(now);
+            if rng.random_bool(0.4) {
+                let name = format!("a{}", rng.random_range(0..12));
+                plan.wish(at(now), &key(&name));
+            }
+            if rng.random_bool(0.3) {
+                let name = format!("a{}", rng.random_range(0..12));
+                plan.on_use(at(now), &user(), &key(&name), rng.random_range(0..2));
+            }
+            if rng.random_bool(0.3)
+                && let Some((_, names, coming)) = machine.report(now)
+            {
+                let names: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+                let coming: Vec<AdapterKey> = coming.iter().map(|name| key(name)).collect();
+                plan.on_report(at(now), &held(&names), &coming);
+            }
+            if rng.random_bool(0.02) {
+                let mut successor = ReplicaPlan::default();
+                successor.on_handover(at(now), plan.handover());
+                plan = successor;
+            }
+            while let Some(order) = plan.next_order(at(now), &engine(SLOTS), &none()) {
+                let done = machine.order(now, &order, SLOTS);
+                plan.on_accepted(at(now), &order, done);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/traffic/replicas.rs
@@ -0,0 +1,207 @@
+//! Which replica takes a request.
+
+use tamaracklead::decide::traffic::Choice;
+use tamaracklead::decide::traffic::DeclaredVersions;
+use tamaracklead::decide::traffic::ReplicaState;
+use tamaracklead::decide::traffic::Replicas;
+use tamaracklead::decide::traffic::Wanted;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::ServiceName;
+
+use crate::support::SERVICE;
+use crate::support::at;
+use crate::support::engine;
+use crate::support::entry;
+use crate::support::key;
+use crate::support::wanted;
+
+fn name(text: &str) -> BackendName {
+    BackendName::new(text)
+}
+
+fn fleet(names: &[&str]) -> Replicas {
+    let mut replicas = Replicas::default();
+    for name in names {
+        replicas.on_entry(at(0), entry(name, &[]));
+    }
+    replicas
+}
+
+fn choose(replicas: &Replicas, now: u64, wanted: &Wanted) -> Choice {
+    let versions = DeclaredVersions::default();
+    replicas.choose(at(now), &ServiceName::new(SERVICE), Some(&engine(8)), wanted, &[], &versions)
+}
+
+fn sent_to(choice: &Choice) -> Option<&str> {
+    match choice {
+        Choice::Send { replica, .. } => Some(replica.as_str()),
+        Choice::Load(_) | Choice::Nobody => None,
+    }
+}
+
+fn add_work(replicas: &mut Replicas, replica: &str, adapter: &str, count: u64, tokens: u64) {
+    let known = replicas.get_mut(&name(replica)).unwrap();
+    for _ in 0..count {
+        known.on_sent(at(0), wanted(adapter, tokens).load(0), Some(&key(adapter)));
+    }
+}
+
+/// Rare adapters on a heavy day: each load elsewhere is one more fetch from the weight store.
+#[test]
+fn a_rare_adapter_has_the_same_home_however_busy_its_home_is() {
+    let mut replicas = fleet(&["r1", "r2", "r3", "r4"]);
+    let Choice::Load(before) = choose(&replicas, 0, &wanted("rare", 1000)) else {
+        panic!("nobody holds it")
+    };
+    add_work(&mut replicas, before[0].as_str(), "other", 40, 9000);
+    assert_eq!(choose(&replicas, 0, &wanted("rare", 1000)), Choice::Load(before));
+}
+
+/// One adapter with a quarter of the traffic: its home alone would be late.
+#[test]
+fn a_hot_adapter_spreads_when_its_only_holder_is_busy() {
+    let mut replicas = fleet(&["r1", "r2", "r3"]);
+    replicas.on_entry(at(1), entry("r1", &[("hot", 1), ("cold", 1)]));
+    add_work(&mut replicas, "r1", "hot", 6, 9000);
+    let Choice::Send { replica, spread } = choose(&replicas, 10, &wanted("hot", 9000)) else {
+        panic!("r1 holds it")
+    };
+    assert_eq!(replica.as_str(), "r1");
+    assert!(spread.is_some_and(|target| target.as_str() != "r1"));
+    let Choice::Send { spread, .. } = choose(&replicas, 10, &wanted("cold", 900)) else {
+        panic!("r1 holds it")
+    };
+    assert_eq!(spread, None, "an adapter without requests isn't the cause");
+}
+
+#[test]
+fn among_holders_the_one_with_less_to_read_is_chosen() {
+    let mut replicas = fleet(&["r1", "r2"]);
+    replicas.on_entry(at(1), entry("r1", &[("a", 1)]));
+    replicas.on_entry(at(1), entry("r2", &[("a", 1)]));
+    add_work(&mut replicas, "r1", "a", 2, 9000);
+    assert_eq!(sent_to(&choose(&replicas, 10, &wanted("a", 900))), Some("r2"));
+}
+
+#[test]
+fn a_draining_replica_gets_nothing_also_after_a_late_entry_says_ready() {
+    let mut replicas = fleet(&["r1"]);
+    let mut draining = entry("r1", &[("a", 1)]);
+    draining.state = ReplicaState::Draining;
+    replicas.on_entry(at(1), draining);
+    assert_eq!(choose(&replicas, 10, &wanted("a", 900)), Choice::Nobody);
+    replicas.on_entry(at(20), entry("r1", &[("a", 1)]));
+    assert_eq!(choose(&replicas, 30, &wanted("a", 900)), Choice::Nobody);
+    let mut reborn = entry("r1", &[("a", 1)]);
+    reborn.started_ms = 2;
+    assert!(replicas.on_entry(at(40), reborn));
+    assert_eq!(sent_to(&choose(&replicas, 50, &wanted("a", 900))), Some("r1"));
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_changes_nothing() {
+    let mut replicas = fleet(&[]);
+    let mut second = entry("r1", &[("a", 1)]);
+    second.started_ms = 5;
+    replicas.on_entry(at(0), second);
+    let mut stale = entry("r1", &[("b", 1)]);
+    stale.state = ReplicaState::Draining;
+    assert!(!replicas.on_entry(at(1), stale));
+    assert_eq!(sent_to(&choose(&replicas, 10, &wanted("a", 900))), Some("r1"));
+}
+
+#[test]
+fn a_restart_forgets_what_was_held() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    let mut reborn = entry("r1", &[]);
+    reborn.started_ms = 2;
+    replicas.on_entry(at(10), reborn);
+    assert_eq!(choose(&replicas, 20, &wanted("a", 900)), Choice::Load(vec![name("r1")]));
+}
+
+#[test]
+fn a_removed_entry_ends_a_replica_and_one_lapsed_in_an_outage_stays_for_two_seconds() {
+    let mut replicas = fleet(&["r1", "r2"]);
+    replicas.on_removed(at(0), &name("r1"), false);
+    assert!(replicas.get(&name("r1")).is_none());
+    replicas.on_removed(at(0), &name("r2"), true);
+    replicas.drop_lapsed(at(1500));
+    assert!(replicas.get(&name("r2")).is_some());
+    replicas.drop_lapsed(at(2100));
+    assert!(replicas.get(&name("r2")).is_none());
+    let mut replicas = fleet(&["r3"]);
+    replicas.on_removed(at(0), &name("r3"), true);
+    replicas.on_entry(at(1000), entry("r3", &[]));
+    replicas.drop_lapsed(at(9000));
+    assert!(replicas.get(&name("r3")).is_some(), "its entry came back");
+}
+
+#[test]
+fn an_address_that_another_replica_has_gets_nothing() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    replicas.get_mut(&name("r1")).unwrap().on_other_instance();
+    assert_eq!(choose(&replicas, 10, &wanted("a", 900)), Choice::Nobody);
+}
+
+#[test]
+fn what_a_replica_says_it_lacks_is_loaded_again() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    replicas.get_mut(&name("r1")).unwrap().on_missing(at(10), &key("a"));
+    assert_eq!(choose(&replicas, 20, &wanted("a", 900)), Choice::Load(vec![name("r1")]));
+    replicas.get_mut(&name("r1")).unwrap().on_loaded(at(30), key("a"), 1);
+    assert_eq!(sent_to(&choose(&replicas, 40, &wanted("a", 900))), Some("r1"));
+}
+
+#[test]
+fn an_old_version_is_not_used_once_a_newer_one_is_known_for_a_while() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    let mut versions = DeclaredVersions::default();
+    versions.on_declared(at(0), key("a"), 2);
+    let service = ServiceName::new(SERVICE);
+    let choice =
+        |now| replicas.choose(at(now), &service, Some(&engine(8)), &wanted("a", 9), &[], &versions);
+    assert_eq!(sent_to(&choice(500)), Some("r1"));
+    assert_eq!(choice(4500), Choice::Load(vec![name("r1")]));
+}
+
+#[test]
+fn a_silent_replica_is_avoided_but_one_that_reads_long_prompts_is_not() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    add_work(&mut replicas, "r1", "a", 1, 100);
+    assert_eq!(choose(&replicas, 2000, &wanted("a", 900)), Choice::Nobody);
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    add_work(&mut replicas, "r1", "a", 4, 9000);
+    assert_eq!(sent_to(&choose(&replicas, 2000, &wanted("a", 900))), Some("r1"));
+}
+
+#[test]
+fn a_replica_that_refuses_connections_is_tried_again_soon() {
+    let mut replicas = fleet(&[]);
+    replicas.on_entry(at(0), entry("r1", &[("a", 1)]));
+    replicas.get_mut(&name("r1")).unwrap().on_unreachable(at(10));
+    assert_eq!(choose(&replicas, 100, &wanted("a", 900)), Choice::Nobody);
+    assert_eq!(sent_to(&choose(&replicas, 1000, &wanted("a", 900))), Some("r1"));
+}
+
+#[test]
+fn a_plain_service_uses_the_replica_with_most_free_slots() {
+    let mut replicas = Replicas::default();
+    for name in ["d1", "d2"] {
+        replicas.on_entry(at(0), entry(name, &[]));
+    }
+    let plain = Wanted { key: None, parts: Vec::new(), prompt_tokens: 0, output_tokens: 0 };
+    let known = replicas.get_mut(&name("d1")).unwrap();
+    known.on_sent(at(0), plain.load(0), None);
+    let versions = DeclaredVersions::default();
+    let service = ServiceName::new(SERVICE);
+    let choice = replicas.choose(at(10), &service, None, &plain, &[], &versions);
+    assert_eq!(sent_to(&choice), Some("d2"));
+    let choice = replicas.choose(at(10), &service, None, &plain, &[name("d2")], &versions);
+    assert_eq!(sent_to(&choice), Some("d1"));
+}
--- /dev/null
+++ b/tests/traffic/stream.rs
@@ -0,0 +1,38 @@
+//! Events of a stream are passed on whole.
+
+use tamaracklead::decide::traffic::EventSplitter;
+
+const STREAM: &[u8] = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
+
+#[test]
+fn a_stream_cut_anywhere_passes_on_whole_events_and_knows_the_last_one() {
+    for cut in 0..=STREAM.len() {
+        let mut splitter = EventSplitter::new(None);
+        let mut passed = splitter.push(&STREAM[..cut]).to_vec();
+        assert!(passed.is_empty() || passed.ends_with(b"\n\n"), "cut at {cut}");
+        let events = passed.windows(2).filter(|pair| *pair == b"\n\n").count();
+        let last = (events > 0).then(|| events.to_string());
+        assert_eq!(splitter.last_id(), last.as_deref(), "cut at {cut}");
+        assert_eq!(splitter.has_partial(), passed.len() < cut, "cut at {cut}");
+        passed.extend_from_slice(&splitter.push(&STREAM[cut..]));
+        assert_eq!(passed, STREAM, "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_stream_goes_on_after_the_callers_last_event_until_it_has_its_own() {
+    let mut splitter = EventSplitter::new(Some("7".to_owned()));
+    assert!(splitter.push(b"id: 8\ndata").is_empty());
+    assert_eq!(splitter.last_id(), Some("7"));
+    splitter.drop_partial();
+    assert!(!splitter.has_partial());
+    assert_eq!(splitter.push(b"id: 8\ndata: x\n\n").len(), 16);
+    assert_eq!(splitter.last_id(), Some("8"));
+}
+
+#[test]
+fn an_endless_event_is_noticed() {
+    let mut splitter = EventSplitter::new(None);
+    assert!(splitter.push(&vec![b'x'; 2 * 1024 * 1024]).is_empty());
+    assert!(splitter.is_overlong());
+}
