Count places right when an unload is followed by a load, and mix the exchange

Cause (found by the new tests): a report older than an unload showed an adapter that was loaded again as arrived, so it could be unloaded while it was coming and the replica ordered past its places; a wish that was repeated kept its first time and expired; all instances called the same peers in the same round.

--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -174,10 +174,13 @@
     }
 
     fn live_targets(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let live: Vec<&PeerRecord> = self.live(now).collect();
-        let count = live.len().min(FANOUT);
-        let start = (self.round as usize).wrapping_mul(FANOUT);
-        (0..count).map(|step| live[(start + step) % live.len()].addr).collect()
+        let mut live: Vec<&PeerRecord> = self.live(now).collect();
+        let round = self.round.to_string();
+        let order = |record: &&PeerRecord| {
+            rendezvous::score(&round, &format!("{}>{}", self.me.name, record.name))
+        };
+        live.sort_by_cached_key(order);
+        live.iter().take(FANOUT).map(|record| record.addr).collect()
     }
 
     /// A seed or silent instance that isn't known to be live, in turn.
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -86,6 +86,7 @@
 pub struct PlanHandover {
     held: Vec<(AdapterKey, u64)>,
     coming: Vec<AdapterKey>,
+    unloaded: Vec<AdapterKey>,
     had: Vec<(AdapterKey, u64)>,
 }
 
@@ -96,6 +97,7 @@
     coming: HashMap<AdapterKey, Coming>,
     leaving: HashMap<AdapterKey, Timestamp>,
     ordered: HashMap<AdapterKey, Timestamp>,
+    unloaded: HashMap<AdapterKey, Timestamp>,
     wishes: VecDeque<(AdapterKey, Timestamp)>,
     /// Requests in progress by what they use and whose they are.
     in_use: HashMap<AdapterKey, HashMap<InstanceName, (u32, Timestamp)>>,
@@ -110,6 +112,7 @@
         PlanHandover {
             held: self.held.iter().map(|(key, held)| (key.clone(), held.version)).collect(),
             coming: self.coming.keys().cloned().collect(),
+            unloaded: self.unloaded.keys().cloned().collect(),
             had: self.had.iter().cloned().collect(),
         }
     }
@@ -124,6 +127,7 @@
             self.ordered.insert(key.clone(), now);
             self.coming.insert(key, Coming { since: now, version: 0, is_warm: false });
         }
+        self.unloaded = handover.unloaded.into_iter().map(|key| (key, now)).collect();
         self.had = handover.had.into();
     }
 
@@ -138,6 +142,7 @@
             }
         }
         self.ordered.retain(|_, at| now.since(*at) < REPORT_LAG);
+        self.unloaded.retain(|_, at| now.since(*at) < REPORT_LAG);
         self.take_shown(now, &shown);
         for key in coming {
             if !self.ordered.contains_key(key) {
@@ -164,10 +169,13 @@
 
     /// Notes that requests wait for an adapter.
     pub fn wish(&mut self, now: Timestamp, key: &AdapterKey) {
-        let known = self.coming.contains_key(key) || self.wishes.iter().any(|(k, _)| k == key);
         let held = self.held.contains_key(key) && !self.leaving.contains_key(key);
-        if !known && !held {
-            self.wishes.push_back((key.clone(), now));
+        if held || self.coming.contains_key(key) {
+            return;
+        }
+        match self.wishes.iter_mut().find(|(wish, _)| wish == key) {
+            Some((_, since)) => *since = now,
+            None => self.wishes.push_back((key.clone(), now)),
         }
     }
 
@@ -317,6 +325,7 @@
                 self.coming.insert(key, Coming { since: now, version, is_warm });
             }
             Order::Unload { .. } if done => {
+                self.unloaded.insert(key.clone(), now);
                 self.held.remove(&key);
                 self.leaving.remove(&key);
             }
@@ -328,8 +337,10 @@
 
     fn take_shown(&mut self, now: Timestamp, shown: &HashMap<AdapterKey, u64>) {
         for (key, version) in shown {
-            let loading = self.coming.contains_key(key);
-            let just_unloaded = self.ordered.contains_key(key) && !loading;
+            if self.unloaded.contains_key(key) {
+                // The report may be older than the unload, also if a load followed it.
+                continue;
+            }
             if key.adapter.is_none() {
                 self.model_ordered = None;
             } else if self.had.back() != Some(&(key.clone(), *version)) {
@@ -337,7 +348,6 @@
             }
             match self.held.get_mut(key) {
                 Some(held) => held.version = *version,
-                None if just_unloaded && key.adapter.is_some() => continue,
                 None => {
                     let held = Held { version: *version, uses: 0.0, used: now };
                     self.held.insert(key.clone(), held);
