--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -21,6 +21,8 @@
 const PEER_LOAD_TIME: Duration = Duration::from_secs(2);
 /// Time without a byte, while work is unanswered, after which a replica counts as silent.
 const SILENT_AFTER: Duration = Duration::from_millis(900);
+/// Time without a byte, while answers are under way, after which a replica counts as mute.
+const MUTE_AFTER: Duration = Duration::from_secs(2);
 /// Time on top of it for each unread token of a prompt.
 const SILENT_PER_TOKEN: Duration = Duration::from_micros(60);
 /// Time for which a replica that refused a connection gets no work.
@@ -262,6 +264,11 @@
         score * (-half_lives).exp2()
     }
 
+    /// Whether the replica has work of this instance and has sent nothing for long.
+    pub fn is_mute(&self, now: Timestamp) -> bool {
+        self.own.requests > 0 && now.since(self.last_heard) >= MUTE_AFTER
+    }
+
     /// Whether the replica leaves work unanswered and sends nothing.
     pub fn is_silent(&self, now: Timestamp) -> bool {
         if self.unanswered == 0 {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -52,6 +52,8 @@
 const LOAD_LIMIT: Duration = Duration::from_millis(2500);
 /// Pause between looks at a replica that owes an answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
+/// How much longer than an answer's beginning a stream's is waited for.
+const STREAM_PATIENCE: u32 = 2;
 /// Time that a request needs on its way to the caller and back.
 const TRAVEL_TIME: Duration = Duration::from_millis(10);
 
@@ -321,6 +323,20 @@
         }
     }
 
+    /// Completes when the replica of a stream that can go on elsewhere sends nothing at all.
+    pub async fn muteness(&self, replica: &BackendName) {
+        if !self.route.kind.may_repeat() {
+            std::future::pending::<()>().await;
+        }
+        loop {
+            sleep(SILENCE_PAUSE).await;
+            let now = self.node.now();
+            if self.node.replicas().get(replica).is_some_and(|known| known.is_mute(now)) {
+                return;
+            }
+        }
+    }
+
     /// Completes when the replica has left a repeatable request unanswered for too long.
     fn silence(&self, replica: &BackendName) -> impl Future<Output = ()> + Send + use<> {
         let node = Arc::clone(&self.node);
@@ -335,10 +351,13 @@
                 sleep(patience).await;
                 return;
             }
+            let start = node.now();
             loop {
                 sleep(SILENCE_PAUSE).await;
                 let now = node.now();
-                if node.replicas().get(&replica).is_none_or(|known| known.is_silent(now)) {
+                let is_silent =
+                    node.replicas().get(&replica).is_none_or(|known| known.is_silent(now));
+                if is_silent || now.since(start) >= patience * STREAM_PATIENCE {
                     return;
                 }
             }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
@@ -36,6 +37,8 @@
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
+/// Time without a successful read after which an instance without peers counts as isolated.
+const ISOLATED_AFTER: Duration = Duration::from_secs(3);
 /// Fencing numbers of one millisecond, so that instances draw different ones.
 const FENCES_PER_MS: u64 = 1024;
 
@@ -188,6 +191,19 @@
             && self.joined.load(Ordering::Relaxed)
             && self.config.borrow().is_some()
             && knows_replicas
+            && !self.is_isolated()
+    }
+
+    /// Whether neither the published state nor any other instance can be reached.
+    fn is_isolated(&self) -> bool {
+        let now = self.now();
+        let had_peers = self.peers().remembered_count() > 1;
+        let hears_peers = self.peers().live(now).next().is_some();
+        let reads = |topic| {
+            let succeeded = self.topic(topic).succeeded;
+            succeeded.is_some_and(|at| now.since(at) < ISOLATED_AFTER)
+        };
+        had_peers && !hears_peers && !reads(Topic::Operator) && !reads(Topic::Replicas)
     }
 
     /// A fencing number above every one heard of, which no other instance draws.
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -119,9 +119,14 @@
 }
 
 async fn read(job: &Job, stream: &mut OpenStream) -> Piece {
+    let replica = &stream.origin.replica;
     let frame = tokio::select! {
         frame = stream.source.frame() => frame,
         () = job.deadline() => return Piece::TimedOut,
+        () = job.muteness(replica) => {
+            log::info!("request {}: {replica} sends nothing any more", job.call.id);
+            return Piece::Broken;
+        }
     };
     match frame {
         None => Piece::End,
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -205,3 +205,16 @@
     let choice = replicas.choose(at(10), &service, None, &plain, &[name("d2")], &versions);
     assert_eq!(sent_to(&choice), Some("d1"));
 }
+
+#[test]
+fn a_replica_is_mute_only_if_no_request_of_this_instance_hears_from_it() {
+    let mut replicas = fleet(&["r1"]);
+    let known = replicas.get_mut(&name("r1")).unwrap();
+    assert!(!known.is_mute(at(9000)), "it owes nothing");
+    known.on_sent(at(0), wanted("a", 900).load(0), Some(&key("a")));
+    known.on_answered(at(100));
+    assert!(!known.is_mute(at(1500)));
+    assert!(known.is_mute(at(2500)));
+    known.on_heard(at(2600));
+    assert!(!known.is_mute(at(2700)), "another answer of it goes on");
+}
