--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -49,6 +49,7 @@
 pub use replica_plan::Order;
 pub use replica_plan::PlanHandover;
 pub use replica_plan::ReplicaPlan;
+pub use replica_plan::UseNews;
 pub use replicas::Choice;
 pub use replicas::Replicas;
 pub use replicas::Wanted;
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -20,8 +20,8 @@
 
 /// Adapters that may be on their way to one replica at the same time.
 const MAX_COMING: usize = 4;
-/// Adapters that may be waiting for their last requests to be unloaded.
-const MAX_LEAVING: usize = 2;
+/// Time after a handover until the uses of all instances are known.
+const LEARN_USES: Duration = Duration::from_millis(900);
 /// Adapters that may be on their way from the weight store to one replica.
 const MAX_FETCHED: usize = 4;
 /// Time that a replica needs for an adapter that it held before.
@@ -81,6 +81,24 @@
     is_warm: bool,
 }
 
+/// How many requests of an instance use an adapter.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UseNews {
+    /// The instance.
+    pub user: InstanceName,
+    /// Its requests that use the adapter.
+    pub count: u32,
+    /// Grows with each news of the instance.
+    pub serial: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    count: u32,
+    serial: u64,
+    at: Timestamp,
+}
+
 /// What a holder of the orders tells its successor.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PlanHandover {
@@ -100,7 +118,9 @@
     unloaded: HashMap<AdapterKey, Timestamp>,
     wishes: VecDeque<(AdapterKey, Timestamp)>,
     /// Requests in progress by what they use and whose they are.
-    in_use: HashMap<AdapterKey, HashMap<InstanceName, (u32, Timestamp)>>,
+    in_use: HashMap<AdapterKey, HashMap<InstanceName, Use>>,
+    /// Until when the uses of other instances aren't known yet.
+    uses_unknown_until: Timestamp,
     /// Versions that the replica had before, the latest last.
     had: VecDeque<(AdapterKey, u64)>,
     model_ordered: Option<Timestamp>,
@@ -129,6 +149,7 @@
         }
         self.unloaded = handover.unloaded.into_iter().map(|key| (key, now)).collect();
         self.had = handover.had.into();
+        self.uses_unknown_until = now + LEARN_USES;
     }
 
     /// Takes what a report shows.
@@ -179,26 +200,38 @@
         }
     }
 
-    /// Notes how many requests of an instance use an adapter now.
-    pub fn on_use(&mut self, now: Timestamp, user: &InstanceName, key: &AdapterKey, count: u32) {
+    /// Notes how many requests of an instance use an adapter now; older news changes nothing.
+    pub fn on_use(&mut self, now: Timestamp, key: &AdapterKey, news: &UseNews) {
+        let users = self.in_use.entry(key.clone()).or_default();
+        let known = users.get(&news.user).copied();
+        if known.is_some_and(|known| known.serial > news.serial) {
+            return;
+        }
         if let Some(held) = self.held.get_mut(key) {
-            let known = self.in_use.get(key).and_then(|users| users.get(user));
-            let begun = count.saturating_sub(known.map_or(0, |(count, _)| *count));
+            let begun = news.count.saturating_sub(known.map_or(0, |known| known.count));
             held.uses = decayed(now, held) + f64::from(begun);
             held.used = now;
         }
+        let UseNews { user, count, serial } = news.clone();
         if count > 0 {
-            self.in_use.entry(key.clone()).or_default().insert(user.clone(), (count, now));
-        } else if let Some(users) = self.in_use.get_mut(key) {
-            users.remove(user);
-            if users.is_empty() {
-                self.in_use.remove(key);
-            }
+            users.insert(user, Use { count, serial, at: now });
+        } else {
+            users.remove(&user);
+        }
+        if users.is_empty() {
+            self.in_use.remove(key);
         }
     }
 
-    /// Notes all that an instance uses now.
-    pub fn on_all_uses(&mut self, now: Timestamp, user: &InstanceName, uses: &[(AdapterKey, u32)]) {
+    /// Notes all that an instance used when it had sent the news `serial`.
+    pub fn on_all_uses(
+        &mut self,
+        now: Timestamp,
+        user: &InstanceName,
+        serial: u64,
+        uses: &[(AdapterKey, u32)],
+    ) {
+        let news = |count| UseNews { user: user.clone(), count, serial };
         let ended: Vec<AdapterKey> = self
             .in_use
             .iter()
@@ -206,10 +239,10 @@
             .map(|(key, _)| key.clone())
             .collect();
         for key in ended {
-            self.on_use(now, user, &key, 0);
+            self.on_use(now, &key, &news(0));
         }
         for (key, count) in uses {
-            self.on_use(now, user, key, *count);
+            self.on_use(now, key, &news(*count));
         }
     }
 
@@ -287,6 +320,10 @@
         versions: &DeclaredVersions,
     ) -> Option<Order> {
         self.wishes.retain(|(_, since)| now.since(*since) < WISH_TIME);
+        if !self.leaving.is_empty() {
+            // The replica refuses orders until the runs that an unload waits for have ended.
+            return None;
+        }
         if let Some(order) = self.missing_model(now, engine) {
             return order;
         }
@@ -305,7 +342,7 @@
         if taken < engine.adapter_slots {
             return Some(Order::Load { version: versions.newest(&key), key });
         }
-        if self.leaving.len() >= MAX_LEAVING {
+        if now < self.uses_unknown_until {
             return None;
         }
         self.victim(now).map(|key| Order::Unload { key })
@@ -421,7 +458,7 @@
 
     fn is_in_use(&self, now: Timestamp, key: &AdapterKey) -> bool {
         let Some(users) = self.in_use.get(key) else { return false };
-        users.values().any(|(_, at)| now.since(*at) < USE_NEWS_TIME)
+        users.values().any(|known| now.since(known.at) < USE_NEWS_TIME)
     }
 
     /// Adapters that nobody waits for and that aren't used now.
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -15,6 +15,7 @@
 use super::orders;
 use super::published;
 use crate::decide::traffic::AdapterKey;
+use crate::decide::traffic::UseNews;
 use crate::edge::HttpCall;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -84,7 +85,7 @@
             let notice: UseNotice = decode(body)?;
             let now = node.now();
             if let Some(owned) = node.owned().get_mut(&notice.replica) {
-                owned.plan.on_use(now, &notice.user, &notice.key, notice.count);
+                owned.plan.on_use(now, &notice.key, &notice.news);
             }
             node.order_wake.notify_one();
             encode(&())
@@ -128,15 +129,16 @@
     let now = node.now();
     let owner = node.peers().preferred(now, replica.as_str()).cloned();
     let me = &node.settings.instance;
+    let news = UseNews { user: me.clone(), count, serial: node.next_use_serial() };
     let Some(owner) = owner.filter(|owner| owner != me) else {
         if let Some(owned) = node.owned().get_mut(replica) {
-            owned.plan.on_use(now, me, key, count);
+            owned.plan.on_use(now, key, &news);
         }
         node.order_wake.notify_one();
         return;
     };
     let Some(addr) = node.peers().addr_of(now, &owner) else { return };
-    let notice = UseNotice { user: me.clone(), replica: replica.clone(), key: key.clone(), count };
+    let notice = UseNotice { replica: replica.clone(), key: key.clone(), news };
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let told: Result<()> = call(&node, addr, USE_PATH, &notice, EXCHANGE_LIMIT).await;
@@ -192,6 +194,7 @@
             models: owned.plan.held_models(),
         })
         .collect();
+    let use_serial = node.use_serial();
     let loads = node
         .replicas()
         .all()
@@ -207,6 +210,7 @@
         fence: node.highest_fence(),
         owned,
         loads,
+        use_serial,
         strikes: node.crashes().news(now),
         revisions: Revisions {
             operator: node.topic(Topic::Operator).newest,
@@ -235,7 +239,7 @@
             known.on_owner_news(now, &owned.models);
         }
     }
-    take_loads(node, &sender.name, &news.loads);
+    take_loads(node, &sender.name, news.use_serial, &news.loads);
     for (fingerprint, count) in news.strikes {
         node.crashes().on_peer(now, fingerprint, count);
     }
@@ -249,7 +253,7 @@
     }
 }
 
-fn take_loads(node: &Node, peer: &InstanceName, loads: &[ReplicaLoad]) {
+fn take_loads(node: &Node, peer: &InstanceName, use_serial: u64, loads: &[ReplicaLoad]) {
     let now = node.now();
     let mut replicas = node.replicas();
     let mut owned = node.owned();
@@ -258,7 +262,7 @@
             known.on_peer_load(now, peer, load.load, load.in_use.clone());
         }
         if let Some(owned) = owned.get_mut(&load.replica) {
-            owned.plan.on_all_uses(now, peer, &load.in_use);
+            owned.plan.on_all_uses(now, peer, use_serial, &load.in_use);
         }
     }
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -64,6 +64,7 @@
     shutdown: OnceLock<Shutdown>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
+    use_serial: AtomicU64,
     replicas: Mutex<Replicas>,
     versions: Mutex<DeclaredVersions>,
     peers: Mutex<Peers>,
@@ -102,6 +103,7 @@
             shutdown: OnceLock::new(),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
+            use_serial: AtomicU64::new(0),
             replicas: Mutex::default(),
             versions: Mutex::default(),
             peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
@@ -227,6 +229,16 @@
         self.highest_fence.load(Ordering::Relaxed)
     }
 
+    /// A serial for news of what this instance uses.
+    pub fn next_use_serial(&self) -> u64 {
+        self.use_serial.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Serial of the last news of what this instance uses.
+    pub fn use_serial(&self) -> u64 {
+        self.use_serial.load(Ordering::Relaxed)
+    }
+
     /// Tells waiting requests that a plan changed.
     pub fn on_plan_changed(&self) {
         self.plan_changes.send_modify(|count| *count += 1);
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -9,8 +9,8 @@
 use crate::decide::traffic::Load;
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::PlanHandover;
+use crate::decide::traffic::UseNews;
 use crate::names::BackendName;
-use crate::names::InstanceName;
 
 /// Path of [`Exchange`].
 pub const EXCHANGE_PATH: &str = "/relay/v1/exchange";
@@ -67,6 +67,8 @@
     pub owned: Vec<OwnedNews>,
     /// Work that the sender has.
     pub loads: Vec<ReplicaLoad>,
+    /// Serial of the sender's last [`UseNotice`].
+    pub use_serial: u64,
     /// Requests suspected of crashing replicas, with their strikes.
     pub strikes: Vec<(u64, u32)>,
     /// Published changes that the sender has.
@@ -111,14 +113,12 @@
 /// Tells the instance that gives a replica its orders what the sender uses there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UseNotice {
-    /// The sender.
-    pub user: InstanceName,
     /// The replica.
     pub replica: BackendName,
     /// What is used.
     pub key: AdapterKey,
-    /// Requests of the sender that use it now.
-    pub count: u32,
+    /// How much.
+    pub news: UseNews,
 }
 
 /// Answer to a [`Handover`].
--- a/tests/traffic/replica_plan.rs
+++ b/tests/traffic/replica_plan.rs
@@ -9,6 +9,7 @@
 use tamaracklead::decide::traffic::DeclaredVersions;
 use tamaracklead::decide::traffic::Order;
 use tamaracklead::decide::traffic::ReplicaPlan;
+use tamaracklead::decide::traffic::UseNews;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::ModelName;
 
@@ -18,8 +19,8 @@
 use crate::support::held;
 use crate::support::key;
 
-fn user() -> InstanceName {
-    InstanceName::new("entry-1")
+fn used(count: u32, serial: u64) -> UseNews {
+    UseNews { user: InstanceName::new("entry-1"), count, serial }
 }
 
 fn none() -> DeclaredVersions {
@@ -49,25 +50,64 @@
 fn an_adapter_in_use_is_never_chosen_to_make_room() {
     let mut plan = ReplicaPlan::default();
     plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
-    plan.on_use(at(100), &user(), &key("a1"), 1);
+    plan.on_use(at(100), &key("a1"), &used(1, 100));
     plan.wish(at(2000), &key("a3"));
     let order = plan.next_order(at(2000), &engine(2), &none());
     assert_eq!(order, Some(Order::Unload { key: key("a2") }));
-    plan.on_use(at(2000), &user(), &key("a2"), 1);
+    plan.on_use(at(2000), &key("a2"), &used(1, 2000));
     assert_eq!(plan.next_order(at(2000), &engine(2), &none()), None);
     assert!(plan.is_full(at(2000), &engine(2)));
 }
 
+/// An order while another waits for its runs is refused, so this would stop all loads.
+#[test]
+fn older_news_of_uses_does_not_free_an_adapter_that_is_in_use() {
+    let mut plan = ReplicaPlan::default();
+    let user = InstanceName::new("entry-1");
+    plan.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    plan.on_use(at(10), &key("a1"), &used(1, 7));
+    plan.on_use(at(11), &key("a1"), &used(0, 6));
+    plan.on_all_uses(at(12), &user, 5, &[]);
+    plan.wish(at(2000), &key("a2"));
+    assert_eq!(plan.next_order(at(2000), &engine(1), &none()), None);
+    plan.on_all_uses(at(2001), &user, 7, &[]);
+    let order = plan.next_order(at(2300), &engine(1), &none());
+    assert_eq!(order, Some(Order::Unload { key: key("a1") }));
+}
+
+#[test]
+fn a_successor_unloads_nothing_until_it_can_know_what_is_in_use() {
+    let mut old = ReplicaPlan::default();
+    old.on_report(at(0), &held(&[("a1", 1)]), &[]);
+    let mut new = ReplicaPlan::default();
+    new.on_handover(at(5000), old.handover());
+    new.wish(at(5500), &key("a2"));
+    assert_eq!(new.next_order(at(5500), &engine(1), &none()), None);
+    assert!(new.next_order(at(6000), &engine(1), &none()).is_some());
+}
+
+#[test]
+fn an_order_waits_while_an_unload_waits_for_its_runs() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
+    plan.on_accepted(at(1000), &Order::Unload { key: key("a1") }, false);
+    plan.wish(at(1000), &key("a3"));
+    plan.on_report(at(1900), &held(&[("a1", 1), ("a2", 1)]), &[]);
+    assert_eq!(plan.next_order(at(1900), &engine(8), &none()), None);
+    plan.on_report(at(2500), &held(&[("a2", 1)]), &[]);
+    assert_eq!(plan.next_order(at(2500), &engine(8), &none()), Some(load("a3")));
+}
+
 #[test]
 fn the_least_used_adapter_makes_room() {
     let mut plan = ReplicaPlan::default();
     plan.on_report(at(0), &held(&[("a1", 1), ("a2", 1)]), &[]);
     for _ in 0..5 {
-        plan.on_use(at(100), &user(), &key("a1"), 1);
-        plan.on_use(at(110), &user(), &key("a1"), 0);
+        plan.on_use(at(100), &key("a1"), &used(1, 100));
+        plan.on_use(at(110), &key("a1"), &used(0, 110));
     }
-    plan.on_use(at(900), &user(), &key("a2"), 1);
-    plan.on_use(at(910), &user(), &key("a2"), 0);
+    plan.on_use(at(900), &key("a2"), &used(1, 900));
+    plan.on_use(at(910), &key("a2"), &used(0, 910));
     plan.wish(at(2000), &key("a3"));
     let order = plan.next_order(at(2000), &engine(2), &none());
     assert_eq!(order, Some(Order::Unload { key: key("a2") }));
@@ -77,7 +117,7 @@
 fn an_instance_that_vanished_does_not_keep_an_adapter_for_ever() {
     let mut plan = ReplicaPlan::default();
     plan.on_report(at(0), &held(&[("a1", 1)]), &[]);
-    plan.on_use(at(0), &user(), &key("a1"), 1);
+    plan.on_use(at(0), &key("a1"), &used(1, 0));
     plan.wish(at(1900), &key("a2"));
     assert_eq!(plan.next_order(at(1900), &engine(1), &none()), None);
     plan.wish(at(9000), &key("a2"));
@@ -192,7 +232,7 @@
             }
             if rng.random_bool(0.3) {
                 let name = format!("a{}", rng.random_range(0..12));
-                plan.on_use(at(now), &user(), &key(&name), rng.random_range(0..2));
+                plan.on_use(at(now), &key(&name), &used(rng.random_range(0..2), now));
             }
             if rng.random_bool(0.3)
                 && let Some((_, names, coming)) = machine.report(now)
