--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -255,13 +255,11 @@
 
 fn take_loads(node: &Node, peer: &InstanceName, use_serial: u64, loads: &[ReplicaLoad]) {
     let now = node.now();
-    let mut replicas = node.replicas();
-    let mut owned = node.owned();
     for load in loads {
-        if let Some(known) = replicas.get_mut(&load.replica) {
+        if let Some(known) = node.replicas().get_mut(&load.replica) {
             known.on_peer_load(now, peer, load.load, load.in_use.clone());
         }
-        if let Some(owned) = owned.get_mut(&load.replica) {
+        if let Some(owned) = node.owned().get_mut(&load.replica) {
             owned.plan.on_all_uses(now, peer, use_serial, &load.in_use);
         }
     }
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -182,6 +182,7 @@
     if owned.is_busy {
         return;
     }
+    note_own_uses(node, now, replica, owned);
     let lease_step = owned.lease.step(now, true);
     let order = match lease_step {
         LeaseStep::Hold => owned.plan.next_order(now, engine, &node.versions()),
@@ -210,6 +211,14 @@
     });
 }
 
+/// Other instances tell their uses again and again; this one's come from its own state.
+fn note_own_uses(node: &Node, now: Timestamp, replica: &BackendName, owned: &mut Owned) {
+    let replicas = node.replicas();
+    let Some(known) = replicas.get(replica) else { return };
+    let uses: Vec<_> = known.in_use().iter().map(|(key, count)| (key.clone(), *count)).collect();
+    owned.plan.on_all_uses(now, &node.settings.instance, node.use_serial(), &uses);
+}
+
 async fn ask_report(node: &Node, replica: &BackendName) {
     let call = node.protocol.report_call(replica);
     let report = match call_replica(node, replica, call).await {
