Write a closed list of events as JSON lines to standard output

Each decision that touches a request or changes a belief is one line with its id, inputs and outcome; a thread of its own writes, and drops lines when it can't keep up.

--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -67,6 +68,18 @@
     }
 }
 
+impl fmt::Display for Order {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Load { key, version: Some(version) } => {
+                write!(f, "load {}@{version}", key.rank_text())
+            }
+            Self::Load { key, version: None } => write!(f, "load {}", key.rank_text()),
+            Self::Unload { key } => write!(f, "unload {}", key.rank_text()),
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Held {
     version: u64,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -17,6 +17,9 @@
 
 use super::AnswerHead;
 use super::AttemptHead;
+use super::event::AttemptReason;
+use super::event::Event;
+use super::event::record;
 use super::exchange;
 use super::forward::Job;
 use super::node::Node;
@@ -169,7 +172,7 @@
         return AttemptOutcome::Ended(end);
     }
     if !is_genuine(job, &head, &read) {
-        log::warn!("request {}: answer of {replica} isn't its own", job.call.id);
+        ended(job, replica, AttemptReason::Foreign, "");
         return AttemptOutcome::Ended(AttemptEnd::MaybeRan);
     }
     note_prefix(job, replica);
@@ -183,7 +186,7 @@
     }
     let Some(body) = whole(source).await else {
         fail(job, replica, 1.0);
-        log::info!("request {}: answer of {replica} broke off", job.call.id);
+        ended(job, replica, AttemptReason::BrokenOff, "");
         return AttemptOutcome::Ended(AttemptEnd::MaybeRan);
     };
     release(node, &origin, &mut connection);
@@ -201,6 +204,12 @@
     }
 }
 
+/// Writes why an attempt brought no answer to pass on.
+pub fn ended(job: &Job, replica: &BackendName, reason: AttemptReason, detail: &str) {
+    let (id, replica) = (job.call.id.as_str(), replica.as_str());
+    record(&Event::AttemptFailed { id, replica, reason, detail });
+}
+
 /// Notes that a replica failed.
 pub fn fail(job: &Job, replica: &BackendName, weight: f64) {
     let now = job.node.now();
@@ -226,7 +235,7 @@
     match Upstream::connect(addr).await {
         Ok(connection) => Some(connection),
         Err(e) => {
-            log::info!("request {}: {replica} at {addr} can't be reached: {e}", job.call.id);
+            ended(job, replica, AttemptReason::Unreachable, &e.to_string());
             let now = job.node.now();
             if let Some(known) = job.node.replicas().get_mut(replica) {
                 known.on_unreachable(now);
@@ -248,7 +257,7 @@
         Err(mut failed) => {
             let unsent = failed.take_message().is_some();
             let error = failed.into_error();
-            log::info!("request {}: {replica} gave no answer: {error}", job.call.id);
+            ended(job, replica, AttemptReason::NoAnswer, &error.to_string());
             fail(job, replica, 1.0);
             if unsent {
                 return Err(AttemptEnd::NotSent);
@@ -302,7 +311,7 @@
             _ => known.on_failure(now, REFUSAL_WEIGHT),
         }
     }
-    log::info!("request {}: {replica} refused it with {}", job.call.id, head.status.as_u16());
+    ended(job, replica, AttemptReason::Refused, head.status.as_str());
     Some(AttemptEnd::NotRun)
 }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,6 +10,8 @@
 use tokio::time::sleep;
 
 use super::Topic;
+use super::event::Event;
+use super::event::record;
 use super::loads;
 use super::node::Node;
 use super::orders;
@@ -103,8 +105,8 @@
     match answer {
         Ok(answer) => answer.version,
         Err(e) => {
-            let key = request.key.rank_text();
-            log::info!("load of {key} at {} by {owner}: {e}", request.replica);
+            let subject = request.replica.as_str();
+            record(&Event::PeerFailed { what: "load", subject, detail: &e.to_string() });
             None
         }
     }
@@ -118,7 +120,8 @@
     match answer {
         Ok(answer) => answer.accepted,
         Err(e) => {
-            log::info!("orders of {}: handover to {heir}: {e}", handover.replica);
+            let subject = handover.replica.as_str();
+            record(&Event::PeerFailed { what: "handover", subject, detail: &e.to_string() });
             false
         }
     }
@@ -274,7 +277,10 @@
         call(&node, addr, PUBLISHED_PATH, &read, EXCHANGE_LIMIT).await;
     match answer {
         Ok(answer) => published::take_from_peer(&node, topic, answer),
-        Err(e) => log::info!("published state of {addr}: {e}"),
+        Err(e) => {
+            let (what, subject) = ("published state", addr.to_string());
+            record(&Event::PeerFailed { what, subject: &subject, detail: &e.to_string() });
+        }
     }
 }
 
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -29,6 +29,9 @@
 use super::attempt::AttemptOutcome;
 use super::attempt::ReplicaAnswer;
 use super::attempt::ReplicaBody;
+use super::event::AttemptReason;
+use super::event::Event;
+use super::event::record;
 use super::loads;
 use super::node::Node;
 use super::stream_relay::StreamRelay;
@@ -106,16 +109,21 @@
     let call = match node.protocol.read_call(&head) {
         Ok(call) => call,
         Err(fault) => {
-            log::info!("request can't be read: {fault}");
+            let (outcome, detail) = ("Malformed", fault.to_string());
+            record(&Event::RequestRefused { id: "", outcome, config: 0, detail: &detail });
             return Refusal::Malformed.answer(&*node.protocol, "");
         }
     };
     let id = call.id.clone();
+    let config = node.current_config();
+    let path = head.uri.path().to_owned();
     let protocol = Arc::clone(&node.protocol);
     match Job::accept(node, call, head, body, arrived, counted).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
-            log::info!("request {id}: refused, {refusal:?}");
+            let config = config.map_or(0, |config| config.version);
+            let outcome = format!("{refusal:?}");
+            record(&Event::RequestRefused { id: &id, outcome: &outcome, config, detail: &path });
             refusal.answer(&*protocol, &id)
         }
     }
@@ -142,7 +150,8 @@
         let now = node.now();
         let fingerprint = fingerprint(&head, &body);
         if node.crashes().refuses(now, fingerprint) {
-            log::warn!("request {}: not sent, it broke replicas before", call.id);
+            let (id, outcome, sends, waited_ms) = (call.id.as_str(), "Quarantined", 0, 0);
+            record(&Event::RequestEnded { id, outcome, sends, waited_ms });
             return Err(Refusal::NotRun);
         }
         node.retries().on_request(now, &service.name);
@@ -171,7 +180,9 @@
         let answer = match self.answer(resume_after.as_deref()).await {
             Ok(answer) => answer,
             Err(refusal) => {
-                log::info!("request {}: {refusal:?}, sent {}", self.call.id, self.attempts.sends());
+                let (id, outcome) = (self.call.id.as_str(), format!("{refusal:?}"));
+                let (sends, waited_ms) = (self.attempts.sends(), self.waited_ms());
+                record(&Event::RequestEnded { id, outcome: &outcome, sends, waited_ms });
                 return refusal.answer(&*self.node.protocol, &self.call.id);
             }
         };
@@ -243,7 +254,8 @@
     pub fn on_broken(&self, replica: &BackendName) {
         let now = self.node.now();
         let count = self.node.crashes().strike(now, self.fingerprint);
-        log::info!("request {}: connection to {replica} broke, strike {count}", self.call.id);
+        let (id, replica) = (self.call.id.as_str(), replica.as_str());
+        record(&Event::RequestStrike { id, replica, strikes: count });
     }
 
     /// Completes when the request's time is over, also if a new configuration shortens it.
@@ -295,11 +307,15 @@
         replica: &BackendName,
         resume_after: Option<&str>,
     ) -> Result<Option<ReplicaAnswer>, Refusal> {
+        self.record_send(replica);
         self.attempts.on_send(replica.clone());
         let outcome = tokio::select! {
             outcome = attempt::run(self, replica, resume_after) => Some(outcome),
             () = self.deadline() => None,
-            () = self.silence(replica) => Some(AttemptOutcome::Ended(AttemptEnd::MaybeRan)),
+            () = self.silence(replica) => {
+                attempt::ended(self, replica, AttemptReason::Silent, "");
+                Some(AttemptOutcome::Ended(AttemptEnd::MaybeRan))
+            }
         };
         match outcome {
             None => {
@@ -381,6 +397,8 @@
         let started = self.node.now();
         let limit = self.time_until_deadline().min(LOAD_LIMIT);
         let Some(key) = &self.call.wanted.key else { return Ok(()) };
+        let (id, adapter) = (self.call.id.as_str(), key.rank_text());
+        record(&Event::RequestWaits { id, adapter: &adapter, targets: targets.len() });
         loads::load_somewhere(&self.node, key, targets, limit).await;
         waited.for_load += self.node.now().since(started);
         if waited.for_load > LOAD_LIMIT {
@@ -389,6 +407,26 @@
         Ok(())
     }
 
+    fn waited_ms(&self) -> u128 {
+        self.node.now().since(self.arrived).as_millis()
+    }
+
+    fn record_send(&self, replica: &BackendName) {
+        let now = self.node.now();
+        let load = self.node.replicas().get(replica).map(|known| known.load(now));
+        let load = load.unwrap_or_default();
+        record(&Event::RequestSent {
+            id: &self.call.id,
+            route: self.route.name.as_str(),
+            replica: replica.as_str(),
+            config: self.node.current_config().map_or(0, |config| config.version),
+            sends: self.attempts.sends(),
+            waited_ms: self.waited_ms(),
+            busy: load.requests,
+            unread_tokens: load.unread_tokens,
+        });
+    }
+
     fn take_retry(&self) -> bool {
         let now = self.node.now();
         let instances = self.node.peers().remembered_count();
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -27,6 +27,8 @@
 use tokio::time::sleep;
 
 use super::answer::AnswerBody;
+use super::event::Event;
+use super::event::record;
 use super::exchange;
 use super::forward;
 use super::node::Node;
@@ -76,7 +78,7 @@
                 tokio::spawn(serve_connection(Arc::clone(&node), stream, audience));
             }
             Err(e) => {
-                log::warn!("connection can't be accepted: {e}");
+                record(&Event::AcceptFailed { detail: &e.to_string() });
                 sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -182,7 +184,7 @@
     let body = match Limited::new(req.into_body(), MAX_FRAME_BYTES).collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
-            log::info!("call of a peer can't be read: {e}");
+            record(&Event::PeerRefused { path: &path, detail: &e.to_string() });
             return answer(StatusCode::BAD_REQUEST, Bytes::new());
         }
     };
@@ -190,7 +192,7 @@
         Ok(bytes) => answer(StatusCode::OK, bytes),
         Err(e) if e.kind == ErrorKind::NotFound => answer(StatusCode::NOT_FOUND, Bytes::new()),
         Err(e) => {
-            log::info!("call of a peer to {path}: {e}");
+            record(&Event::PeerRefused { path: &path, detail: &e.to_string() });
             answer(StatusCode::BAD_REQUEST, Bytes::new())
         }
     }
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -6,6 +6,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::event::Event;
+use super::event::record;
 use super::exchange;
 use super::node::Node;
 use crate::decide::traffic::AdapterKey;
@@ -43,7 +45,7 @@
         sleep(FAILED_PAUSE).await;
     };
     if timeout(limit, tried).await.is_err() {
-        log::info!("load of {}: not done in time", key.rank_text());
+        record(&Event::LoadLate { adapter: &key.rank_text() });
     }
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod event;
 mod exchange;
 mod forward;
 mod listener;
@@ -20,6 +21,8 @@
 mod topic_state;
 mod upstream;
 
+pub use event::Event;
+pub use event::record;
 pub use protocol::AnswerHead;
 pub use protocol::AttemptHead;
 pub use protocol::Call;
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -10,6 +10,8 @@
 use super::OrderAnswer;
 use super::OrderCall;
 use super::ReplicaCall;
+use super::event::Event;
+use super::event::record;
 use super::exchange;
 use super::node::Node;
 use crate::decide::traffic::EngineSpec;
@@ -81,7 +83,11 @@
     owned.started_ms = handover.started_ms;
     owned.lease.on_handover(now, handover.started_ms, handover.orders, fence);
     owned.plan.on_handover(now, handover.plan);
-    log::info!("orders of {}: taken over, {} given", handover.replica, handover.orders);
+    record(&Event::OrdersTakenOver {
+        replica: handover.replica.as_str(),
+        orders: handover.orders,
+        fence,
+    });
     node.order_wake.notify_one();
     true
 }
@@ -108,7 +114,7 @@
     match clock_gettime(ClockId::CLOCK_BOOTTIME) {
         Ok(time) => Duration::from(time),
         Err(e) => {
-            log::error!("clock can't be read: {e}");
+            record(&Event::ClockFailed { detail: &e.to_string() });
             Duration::ZERO
         }
     }
@@ -116,7 +122,7 @@
 
 /// Others may have taken over meanwhile: every lease is watched for anew.
 fn on_pause(node: &Node, pause: Duration) {
-    log::warn!("process stood still for {} ms", pause.as_millis());
+    record(&Event::Paused { pause_ms: pause.as_millis() });
     let now = node.now();
     node.peers().on_pause(now);
     for owned in node.owned().values_mut() {
@@ -170,7 +176,11 @@
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let taken = exchange::hand_over(&node, &heir, &handover).await;
-        log::info!("orders of {}: handed over to {heir}, taken {taken}", handover.replica);
+        record(&Event::OrdersHandedOver {
+            replica: handover.replica.as_str(),
+            heir: heir.as_str(),
+            taken,
+        });
     });
 }
 
@@ -236,7 +246,7 @@
         Ok(report) => report,
         Err(reason) => {
             owned.next_report = now + FAILED_REPORTS;
-            log::info!("report of {replica}: {reason}");
+            record(&Event::ReplicaCallFailed { replica: replica.as_str(), detail: &reason });
             return;
         }
     };
@@ -249,7 +259,11 @@
     let fence = if was_held { 0 } else { node.next_fence() };
     owned.lease.on_report(now, report.started_ms, report.orders, fence);
     if owned.lease.is_held() != was_held {
-        log::info!("orders of {replica}: held {}, {} given", !was_held, report.orders);
+        record(&Event::OrdersHeld {
+            replica: replica.as_str(),
+            held: !was_held,
+            orders: report.orders,
+        });
     }
     owned.plan.on_report(now, &report.models, &report.coming);
     let held = owned.plan.held_models();
@@ -272,7 +286,13 @@
     let call = node.protocol.order_call(&call);
     let reply = call_replica(node, replica, call).await;
     let answer = reply.map(|reply| node.protocol.read_order_answer(reply.status));
-    log::info!("order {order:?} to {replica}, fence {fence}, after {expected}: {answer:?}");
+    record(&Event::OrderGiven {
+        replica: replica.as_str(),
+        order: &order.to_string(),
+        fence,
+        expected,
+        answer: &format!("{answer:?}"),
+    });
     on_order_answer(node, replica, order, answer);
     node.on_plan_changed();
 }
@@ -321,7 +341,8 @@
     match node.http.send(request, CALL_LIMIT).await {
         Ok(reply) => Some(reply),
         Err(failure) => {
-            log::info!("call to {replica}: {}", failure.detail);
+            let replica = replica.as_str();
+            record(&Event::ReplicaCallFailed { replica, detail: &failure.detail });
             None
         }
     }
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -136,6 +136,16 @@
     Replicas,
 }
 
+impl Topic {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Replicas => "replicas",
+        }
+    }
+}
+
 /// One published item.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedItem {
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -6,10 +6,13 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::DecodeFault;
 use super::PublishedEvent;
 use super::PublishedItem;
 use super::PublishedPage;
 use super::Topic;
+use super::event::Event;
+use super::event::record;
 use super::node::Node;
 use crate::edge::HttpCall;
 use crate::names::Timestamp;
@@ -81,7 +84,7 @@
 pub fn take_from_peer(node: &Node, topic: Topic, answer: PublishedAnswer) {
     let Some(as_of) = answer.as_of else { return };
     let items = answer.items.into_iter().map(|(key, value, rev)| PublishedItem { key, value, rev });
-    log::info!("published state: {topic:?} taken from a peer, as of {as_of}");
+    record(&Event::TakenFromPeer { topic: topic.name(), as_of });
     take_listing(node, topic, items.collect(), as_of);
 }
 
@@ -116,7 +119,7 @@
     if let Ok(code) = hyper::StatusCode::from_u16(status)
         && node.protocol.is_history_lost(code)
     {
-        log::warn!("published state: history of {topic:?} after {after} is lost, listing anew");
+        record(&Event::HistoryLost { topic: topic.name(), after });
         node.topic(topic).as_of = None;
         return Ok(false);
     }
@@ -173,22 +176,22 @@
             let version = config.version;
             let current = node.current_config().map_or(0, |current| current.version);
             if version > current || node.config.borrow().is_none() {
-                log::info!("configuration {version} in effect, after {current}");
+                record(&Event::ConfigTaken { version, before: current, rev: item.rev });
                 node.config.send_replace(Some(Arc::new(config)));
             }
         }
         Ok(None) => {}
-        Err(fault) => log::warn!("configuration {}: {fault}", item.key),
+        Err(fault) => undecodable(item, &fault),
     }
     match node.protocol.read_version(item) {
         Ok(Some((key, version))) => {
             let now = node.now();
-            log::info!("version {version} of {} declared", key.rank_text());
+            record(&Event::VersionDeclared { adapter: &key.rank_text(), version });
             node.versions().on_declared(now, key, version);
             node.order_wake.notify_one();
         }
         Ok(None) => {}
-        Err(fault) => log::warn!("declared version {}: {fault}", item.key),
+        Err(fault) => undecodable(item, &fault),
     }
 }
 
@@ -199,25 +202,31 @@
             Ok(entry) => {
                 let (name, state) = (entry.name.clone(), entry.state);
                 if node.replicas().on_entry(now, entry) {
-                    log::info!("replica {name}: known, {state:?}");
+                    let state = format!("{state:?}");
+                    let replica = name.as_str();
+                    record(&Event::ReplicaKnown { replica, state: &state, rev: item.rev });
                 }
             }
-            Err(fault) => log::info!("entry {}: {fault}", item.key),
+            Err(fault) => undecodable(item, &fault),
         },
         PublishedEvent::Removed { key, .. } => {
             let Some(name) = node.protocol.replica_of_key(key) else { return };
             let failed = node.topic(Topic::Replicas).failed;
             let after_outage = failed.is_some_and(|at| now.since(at) < OUTAGE_MEMORY);
-            log::info!("replica {name}: entry removed, after an outage {after_outage}");
+            record(&Event::ReplicaRemoved { replica: name.as_str(), after_outage });
             node.replicas().on_removed(now, &name, after_outage);
         }
     }
 }
 
+fn undecodable(item: &PublishedItem, fault: &DecodeFault) {
+    record(&Event::Undecodable { what: &item.key, detail: &fault.to_string() });
+}
+
 fn on_success(node: &Node, topic: Topic, now: Timestamp) {
     let mut state = node.topic(topic);
     if state.failed > state.succeeded {
-        log::info!("published state: {topic:?} can be read again");
+        record(&Event::PublishedRegained { topic: topic.name() });
     }
     state.succeeded = Some(now);
 }
@@ -225,7 +234,7 @@
 fn on_failure(node: &Node, topic: Topic, now: Timestamp, reason: &str) {
     let mut state = node.topic(topic);
     if state.failed <= state.succeeded {
-        log::warn!("published state: {topic:?} can't be read: {reason}");
+        record(&Event::PublishedLost { topic: topic.name(), detail: reason });
     }
     state.failed = Some(now);
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -14,6 +14,8 @@
 use super::Protocol;
 use super::RelaySettings;
 use super::Topic;
+use super::event::Event;
+use super::event::record;
 use super::exchange;
 use super::listener;
 use super::listener::Audience;
@@ -61,7 +63,8 @@
     tokio::spawn(exchange::run(Arc::clone(&node)));
     tokio::spawn(orders::run(Arc::clone(&node)));
     tokio::spawn(join_alone(Arc::clone(&node)));
-    log::info!("relay {} started, version {}", node.settings.instance, env!("CARGO_PKG_VERSION"));
+    let instance = node.settings.instance.as_str();
+    record(&Event::Started { instance, version: env!("CARGO_PKG_VERSION") });
     until_terminated(&node, path).await?;
     shut_down(&node).await;
     Ok(())
@@ -95,7 +98,7 @@
     let changed = match fs::read_to_string(path) {
         Ok(changed) => changed,
         Err(e) => {
-            log::warn!("settings can't be read: {e}");
+            record(&Event::SettingsRefused { detail: &e.to_string() });
             return;
         }
     };
@@ -104,21 +107,21 @@
     }
     match RelaySettings::parse(&changed) {
         Ok(settings) => {
-            log::info!("settings read again, {} seeds", settings.seeds.len());
+            record(&Event::SettingsTaken { seeds: settings.seeds.len() });
             node.peers().set_seeds(settings.seeds);
         }
-        Err(e) => log::warn!("settings not taken: {e}"),
+        Err(e) => record(&Event::SettingsRefused { detail: &e.to_string() }),
     }
     *text = changed;
 }
 
 async fn shut_down(node: &Node) {
     let shutdown = node.shut_down();
-    log::info!("shutting down, {} in progress", node.in_flight.load(Ordering::Relaxed));
+    record(&Event::Stopping { in_flight: node.in_flight.load(Ordering::Relaxed) });
     loop {
         let in_flight = node.in_flight.load(Ordering::Relaxed);
         if shutdown.is_over(node.now(), in_flight) {
-            log::info!("stopped, {in_flight} cut off");
+            record(&Event::Stopped { cut_off: in_flight });
             return;
         }
         sleep(SHUTDOWN_LOOK).await;
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -14,8 +14,11 @@
 use super::attempt;
 use super::attempt::OpenStream;
 use super::attempt::ReplicaBody;
+use super::event::Event;
+use super::event::record;
 use super::forward::Job;
 use crate::decide::traffic::EventSplitter;
+use crate::names::BackendName;
 
 /// A stream on its way from a replica to a caller.
 pub struct StreamRelay {
@@ -93,7 +96,7 @@
         }
         self.splitter.drop_partial();
         let last_id = self.splitter.last_id().map(str::to_owned);
-        log::info!("request {}: goes on after event {last_id:?}", self.job.call.id);
+        record(&Event::StreamResumes { id: &self.job.call.id, after: last_id.as_deref() });
         let Ok(answer) = self.job.answer(last_id.as_deref()).await else { return false };
         let ReplicaBody::Stream(stream) = answer.body else { return false };
         self.has_event = false;
@@ -102,7 +105,7 @@
     }
 
     fn break_off(&mut self, reason: &str) -> Result<Bytes, BrokenBody> {
-        log::info!("request {}: stream broken off, {reason}", self.job.call.id);
+        record(&Event::StreamCut { id: &self.job.call.id, reason });
         self.stream = None;
         Err(BrokenBody)
     }
@@ -118,20 +121,24 @@
     }
 }
 
+fn broke(job: &Job, replica: &BackendName, detail: &str) {
+    record(&Event::StreamBroke { id: &job.call.id, replica: replica.as_str(), detail });
+}
+
 async fn read(job: &Job, stream: &mut OpenStream) -> Piece {
     let replica = &stream.origin.replica;
     let frame = tokio::select! {
         frame = stream.source.frame() => frame,
         () = job.deadline() => return Piece::TimedOut,
         () = job.muteness(replica) => {
-            log::info!("request {}: {replica} sends nothing any more", job.call.id);
+            broke(job, replica, "silent");
             return Piece::Broken;
         }
     };
     match frame {
         None => Piece::End,
         Some(Err(e)) => {
-            log::info!("request {}: stream of {} broke: {e}", job.call.id, stream.origin.replica);
+            broke(job, &stream.origin.replica, &e.to_string());
             Piece::Broken
         }
         Some(Ok(frame)) => Piece::Data(frame.into_data().unwrap_or_default()),
