Choose no fencing number below the time of day at which the lease was acquired

The kept case of random steps is now a fixed one: 6 pairs of owners, 30 moments, 4 deliveries. Conclusion: mended but for clocks that differ by more than the time between two leases.

--- a/src/daemon/owner_calls.rs
+++ b/src/daemon/owner_calls.rs
@@ -8,6 +8,7 @@
 use super::engine_shard::EngineCall;
 use super::engine_shard::EngineShard;
 use super::leases;
+use crate::auth::wall_clock;
 use crate::decide::engine::EngineCore;
 use crate::decide::engine::EngineInput;
 use crate::decide::ownership::GroupId;
@@ -86,7 +87,7 @@
     };
     let (shard, is_new) = node.engines.get_or_insert(&engine.name, make);
     if is_new {
-        apply(node, &shard, OwnedEngine::on_acquired);
+        apply(node, &shard, |owned, now| owned.on_acquired(now, wall_clock()));
     }
     shard
 }
@@ -94,7 +95,7 @@
 /// The lease of a group was acquired: its engines are taken over.
 pub fn on_acquired(node: &Arc<Node>, group: &GroupId) {
     for shard in node.engines.all().into_iter().filter(|shard| &shard.group == group) {
-        apply(node, &shard, OwnedEngine::on_acquired);
+        apply(node, &shard, |owned, now| owned.on_acquired(now, wall_clock()));
     }
 }
 
--- a/src/decide/takeover/number.rs
+++ b/src/decide/takeover/number.rs
@@ -2,6 +2,7 @@
 
 use crate::names::Fencing;
 use crate::names::Incarnation;
+use crate::names::WallTime;
 
 /// Low bits of a fencing number that tell its owner; the rest counts takeovers.
 const OWNER_BITS: u32 = 20;
@@ -15,6 +16,14 @@
     Fencing((takeovers << OWNER_BITS) | owner_tag(owner))
 }
 
+/// A number that every later one exceeds, also after the engine has forgotten its highest.
+///
+/// Owners follow each other by at least a message, so a successor's clock is later than the one
+/// that its predecessor chose by, unless clocks differ by more than that.
+pub fn floor(wall: WallTime) -> Fencing {
+    Fencing(wall.0 << OWNER_BITS)
+}
+
 /// Whether `number` was chosen by `owner`.
 pub fn chosen_by(number: Fencing, owner: Incarnation) -> bool {
     number.0 % (1 << OWNER_BITS) == owner_tag(owner)
--- a/src/decide/takeover/owned.rs
+++ b/src/decide/takeover/owned.rs
@@ -18,6 +18,7 @@
 use crate::names::Incarnation;
 use crate::names::RequestId;
 use crate::names::Timestamp;
+use crate::names::WallTime;
 use crate::wire::engine::Report;
 use crate::wire::listing::FencingMode;
 
@@ -57,7 +58,8 @@
     }
 
     /// The lease was acquired.
-    pub fn on_acquired(&mut self, now: Timestamp) -> Vec<OwnedAction> {
+    pub fn on_acquired(&mut self, now: Timestamp, wall: WallTime) -> Vec<OwnedAction> {
+        self.takeover_state.raise(wall);
         let inputs = self.takeover_state.begin(now);
         let mut actions = self.apply(now, inputs);
         actions.extend(self.on_tick(now));
--- a/src/decide/takeover/takeover_state.rs
+++ b/src/decide/takeover/takeover_state.rs
@@ -5,13 +5,16 @@
 
 use super::FenceOutcome;
 use super::Query;
+
 use super::next_number;
+use super::number::floor;
 use crate::decide::engine::EngineInput;
 use crate::decide::engine::GuardInput;
 use crate::names::AdapterRef;
 use crate::names::Fencing;
 use crate::names::Incarnation;
 use crate::names::Timestamp;
+use crate::names::WallTime;
 use crate::wire::engine::Report;
 use crate::wire::listing::FencingMode;
 
@@ -104,6 +107,13 @@
         vec![EngineInput::Guard(GuardInput::Pause)]
     }
 
+    /// Chooses no number below the time of day at which the lease was acquired.
+    ///
+    /// An engine that restarted under another owner has forgotten its highest number.
+    pub fn raise(&mut self, wall: WallTime) {
+        self.chosen = self.chosen.max(floor(wall));
+    }
+
     /// The engine belongs to another instance.
     pub fn lose(&mut self) -> Vec<EngineInput> {
         self.phase = Phase::Foreign;
--- a/tests/ownership.rs
+++ b/tests/ownership.rs
@@ -23,6 +23,7 @@
 use tamaracklead::names::Incarnation;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::Timestamp;
+use tamaracklead::names::WallTime;
 use tamaracklead::wire::engine::Report;
 use tamaracklead::wire::listing::FencingMode;
 
@@ -63,7 +64,7 @@
 fn taken_over(mode: FencingMode, highest: u64) -> (OwnedEngine, Fencing) {
     let timing = LeaseTiming::default();
     let mut owned = OwnedEngine::new(EngineCore::new(1, 1), mode, timing.travel, OWNER);
-    let (call, _) = query(&owned.on_acquired(NOW));
+    let (call, _) = query(&owned.on_acquired(NOW, WallTime(0)));
     let (call, number) = query(&owned.on_report(NOW, call, &report(1, highest)));
     let settled = NOW + timing.travel;
     let (call, _) = query(&owned.on_fence(settled, call, FenceOutcome::Taken));
@@ -93,7 +94,7 @@
     let timing = LeaseTiming::default();
     let core = EngineCore::new(1, 1);
     let mut owned = OwnedEngine::new(core, FencingMode::Ignore, timing.travel, OWNER);
-    let (call, _) = query(&owned.on_acquired(NOW));
+    let (call, _) = query(&owned.on_acquired(NOW, WallTime(0)));
     let (call, _) = query(&owned.on_report(NOW, call, &report(1, 0)));
     assert_eq!(owned.on_fence(NOW, call, FenceOutcome::Taken), []);
     assert_eq!(owned.on_tick(NOW + timing.travel - Duration::from_millis(1)), []);
--- a/tests/ownership_model/node.rs
+++ b/tests/ownership_model/node.rs
@@ -27,6 +27,7 @@
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::RequestId;
 use tamaracklead::names::Timestamp;
+use tamaracklead::names::WallTime;
 use tamaracklead::wire::engine::EngineRefusal;
 
 use crate::engine::Answer;
@@ -63,6 +64,8 @@
     group: GroupId,
     pub panel: Vec<InstanceName>,
     pub wanted: bool,
+    /// Time of day on the instance's machine.
+    pub wall: WallTime,
     adapters: BTreeMap<RequestId, AdapterRef>,
     open: BTreeMap<u64, Open>,
     calls: u64,
@@ -85,6 +88,7 @@
             group: group.clone(),
             panel: Vec::new(),
             wanted: false,
+            wall: WallTime(0),
             adapters: BTreeMap::new(),
             open: BTreeMap::new(),
             calls: 0,
@@ -252,7 +256,7 @@
         for action in actions {
             match action {
                 LeaseAction::Acquired => {
-                    let actions = self.owned.on_acquired(now);
+                    let actions = self.owned.on_acquired(now, self.wall);
                     self.on_owned(actions);
                 }
                 LeaseAction::Lost => {
--- a/tests/ownership_model/regressions.rs
+++ b/tests/ownership_model/regressions.rs
@@ -155,3 +155,30 @@
     }
     assert_eq!(world.violations(), Vec::<String>::new());
 }
+
+/// Found by 9,872 fresh cases: a restarted engine has forgotten its highest number, and the new
+/// owner chose a lower one than its predecessor, whose unload was still under way.
+#[test]
+fn a_late_unload_of_an_earlier_owner_is_refused_also_after_a_restart_of_the_engine() {
+    let mut delayed_unloads = 0;
+    for (first, second) in [(0, 1), (1, 0), (0, 4), (4, 0), (2, 3), (3, 2)] {
+        for rounds in 0..30 {
+            let mut steps = vec![Step::HandOver { node: first }, Step::Run { ms: 20_000 }];
+            steps.extend([Step::Request { adapter: 0 }, Step::Run { ms: 2_000 }]);
+            steps.extend([Step::Finish { pick: 0 }, Step::Run { ms: 2_000 }]);
+            steps.extend([Step::Request { adapter: 1 }, Step::Rush { rounds }]);
+            steps.extend([Step::Flush { node: first }, Step::Delay { pick: 0 }]);
+            let before = play(FencingMode::Refuse, &steps);
+            delayed_unloads += usize::from(before.delays_unload());
+            steps.extend([Step::HandOver { node: second }, Step::RestartEngine]);
+            steps.push(Step::Run { ms: 20_000 });
+            steps.extend([Step::Request { adapter: 0 }, Step::Run { ms: 2_000 }]);
+            for pick in 0..4 {
+                let mut steps = steps.clone();
+                steps.push(Step::Deliver { pick });
+                play(FencingMode::Refuse, &steps);
+            }
+        }
+    }
+    assert!(delayed_unloads > 0, "no case held an unload up");
+}
--- a/tests/ownership_model/world.rs
+++ b/tests/ownership_model/world.rs
@@ -15,6 +15,7 @@
 use tamaracklead::names::RequestId;
 use tamaracklead::names::Timestamp;
 use tamaracklead::names::Version;
+use tamaracklead::names::WallTime;
 use tamaracklead::wire::listing::FencingMode;
 
 use crate::engine::Answer;
@@ -142,6 +143,11 @@
         }
     }
 
+    /// Whether an unload is held up in the network.
+    pub fn delays_unload(&self) -> bool {
+        self.messages.iter().any(|message| message.delayed && message.is_unload())
+    }
+
     /// Instances that may send something to the engine now.
     pub fn owners(&self) -> Vec<usize> {
         let believes = |index: &usize| self.places[*index].node.believes_owner(self.now(*index));
@@ -197,6 +203,7 @@
         if place.frozen {
             return;
         }
+        place.node.wall = WallTime(self.real_ms);
         act(&mut place.node, now);
         let life = place.life;
         for action in std::mem::take(&mut place.node.lease_actions) {
