--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -28,6 +28,10 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after changes of replicas, so that one watch brings several.
 const REPLICA_PAUSE: Duration = Duration::from_millis(250);
+/// Pause on top of it for each instance that reads them too.
+const REPLICA_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(10);
+/// Longest such pause; a leaving replica must be known well within its notice.
+const MAX_REPLICA_PAUSE: Duration = Duration::from_millis(1000);
 /// Time after a failed call for which lapsed entries may come back.
 const OUTAGE_MEMORY: Duration = Duration::from_millis(3500);
 /// Time without a successful call after which peers are asked instead.
@@ -46,7 +50,7 @@
             Ok(changed) => {
                 on_success(&node, topic, now);
                 if changed && topic == Topic::Replicas {
-                    sleep(REPLICA_PAUSE).await;
+                    sleep(replica_pause(&node)).await;
                 }
             }
             Err(reason) => {
@@ -57,6 +61,13 @@
     }
 }
 
+/// The store's calls are shared by all instances, so each reads less often in a larger fleet.
+fn replica_pause(node: &Node) -> Duration {
+    let instances = u32::try_from(node.peers().remembered_count()).unwrap_or(u32::MAX);
+    let pause = REPLICA_PAUSE + REPLICA_PAUSE_PER_INSTANCE.saturating_mul(instances);
+    pause.min(MAX_REPLICA_PAUSE)
+}
+
 /// Drops lapsed replicas and unused connections until the process ends.
 pub async fn tidy(node: Arc<Node>) {
     loop {
