--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -24,6 +24,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 /// Live instances that one round of exchanges reaches.
 const FANOUT: usize = 3;
+/// Instances whose starts are less than this apart have started together, in ms.
+const SAME_START_MS: u64 = 2000;
 /// Share of the recent fleet, itself included, that an instance must hear of to give orders.
 const MIN_VIEW: f64 = 0.25;
 
@@ -145,12 +147,16 @@
 
     /// The instance that should give orders to a replica.
     ///
-    /// One that has just started gets none while others are there, since taking over takes time.
+    /// One that has just started gets none while others are there, since taking over takes time;
+    /// those that started together are alike.
     pub fn preferred(&self, now: Timestamp, replica: &str) -> Option<&InstanceName> {
         let takers: Vec<&PeerRecord> =
             self.live(now).chain([&self.me]).filter(|record| !record.draining).collect();
-        let any_settled = takers.iter().any(|record| record.settled);
-        let names = takers.into_iter().filter(|record| record.settled || !any_settled);
+        let settled = takers.iter().filter(|record| record.settled);
+        let oldest = settled.map(|record| record.started_ms).min();
+        let names = takers.into_iter().filter(|record| {
+            record.settled || oldest.is_none_or(|at| record.started_ms < at + SAME_START_MS)
+        });
         names
             .map(|record| &record.name)
             .max_by_key(|name| (rendezvous::score(replica, name.as_str()), *name))
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -127,7 +127,7 @@
     let mut peers = Peers::new(record(0, 1), Vec::new());
     let mut leaving = record(1, 1);
     leaving.draining = true;
-    let mut young = record(2, 1);
+    let mut young = record(2, 60_000);
     young.settled = false;
     peers.on_records(now, vec![leaving, young]);
     for replica in ["r1", "r2", "r3", "r4", "r5", "r6"] {
@@ -155,3 +155,27 @@
     peers.on_pause(at(9000));
     assert_eq!(peers.live(at(9000)).count(), 2);
 }
+
+/// All instances start again at once; the first that settles must not take every replica's
+/// orders from those that have watched them since.
+#[test]
+fn instances_that_started_together_are_preferred_alike() {
+    let now = at(1000);
+    let mut me = record(0, 100_000);
+    me.settled = false;
+    let mut peers = Peers::new(me, Vec::new());
+    let mut others: Vec<PeerRecord> = (1..6).map(|index| record(index, 100_300)).collect();
+    for other in &mut others {
+        other.settled = false;
+    }
+    peers.on_records(now, others.clone());
+    let replicas: Vec<String> = (0..20).map(|index| format!("r{index}")).collect();
+    let chosen = |peers: &Peers| -> Vec<String> {
+        replicas.iter().map(|r| peers.preferred(now, r).unwrap().to_string()).collect()
+    };
+    let before = chosen(&peers);
+    others[0].settled = true;
+    others[0].beat += 1;
+    peers.on_records(now, others);
+    assert_eq!(chosen(&peers), before);
+}
