--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -15,6 +15,7 @@
 use hyper::http::response;
 
 use super::Protocol;
+use crate::decide::traffic::RETRY_AFTER;
 
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [HeaderName; 7] = [
@@ -61,9 +62,6 @@
     TimedOut,
 }
 
-/// Time after which a caller may come back.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
-
 impl Refusal {
     fn status(self) -> StatusCode {
         match self {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -41,18 +41,13 @@
 use crate::decide::traffic::Choice;
 use crate::decide::traffic::FinalAnswer;
 use crate::decide::traffic::NextAttempt;
+use crate::decide::traffic::Patience;
 use crate::decide::traffic::Route;
 use crate::decide::traffic::Service;
 use crate::decide::traffic::TrafficConfig;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
-/// Pause before replicas are looked at again when none takes work.
-const NOBODY_PAUSE: Duration = Duration::from_millis(40);
-/// Longest time for which a request waits for a replica that takes work.
-const NOBODY_LIMIT: Duration = Duration::from_millis(600);
-/// Longest time for which a request waits for its adapter.
-const LOAD_LIMIT: Duration = Duration::from_millis(2500);
 /// Pause between looks at a replica that owes an answer.
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
 /// How much longer than an answer's beginning a stream's is waited for.
@@ -204,15 +199,15 @@
     ///
     /// The final answer, if no replica's can be passed on.
     pub async fn answer(&mut self, resume_after: Option<&str>) -> Result<ReplicaAnswer, Refusal> {
-        let mut waited = Waited::default();
+        let mut patience = Patience::default();
         loop {
             let left = self.time_until_deadline();
             if left.is_zero() {
                 return Err(self.timed_out());
             }
             match self.choose() {
-                Choice::Nobody => self.wait_for_replica(&mut waited).await?,
-                Choice::Load(targets) => self.wait_for_load(&targets, &mut waited).await?,
+                Choice::Nobody => self.wait_for_replica(&mut patience).await?,
+                Choice::Load(targets) => self.wait_for_load(&targets, &mut patience).await?,
                 Choice::Send { replica, spread } => {
                     if let Some(target) = spread {
                         loads::spread(&self.node, &self.call.wanted, target);
@@ -380,30 +375,25 @@
         }
     }
 
-    async fn wait_for_replica(&self, waited: &mut Waited) -> Result<(), Refusal> {
-        waited.for_replica += NOBODY_PAUSE;
-        if waited.for_replica > NOBODY_LIMIT {
-            return Err(self.given_up());
-        }
-        sleep(NOBODY_PAUSE.min(self.time_until_deadline())).await;
+    async fn wait_for_replica(&self, patience: &mut Patience) -> Result<(), Refusal> {
+        let pause = patience.wait_for_replica(self.time_until_deadline());
+        sleep(pause.ok_or_else(|| self.given_up())?).await;
         Ok(())
     }
 
     async fn wait_for_load(
         &self,
         targets: &[BackendName],
-        waited: &mut Waited,
+        patience: &mut Patience,
     ) -> Result<(), Refusal> {
         let started = self.node.now();
-        let limit = self.time_until_deadline().min(LOAD_LIMIT);
+        let limit = patience.load_limit(self.time_until_deadline());
+        let limit = limit.ok_or_else(|| self.given_up())?;
         let Some(key) = &self.call.wanted.key else { return Ok(()) };
         let (id, adapter) = (self.call.id.as_str(), key.rank_text());
         record(&Event::RequestWaits { id, adapter: &adapter, targets: targets.len() });
         loads::load_somewhere(&self.node, key, targets, limit).await;
-        waited.for_load += self.node.now().since(started);
-        if waited.for_load > LOAD_LIMIT {
-            return Err(self.given_up());
-        }
+        patience.on_load_wait(self.node.now().since(started));
         Ok(())
     }
 
@@ -448,13 +438,6 @@
     }
 }
 
-/// Time that a request has waited before it was sent.
-#[derive(Debug, Default)]
-struct Waited {
-    for_replica: Duration,
-    for_load: Duration,
-}
-
 fn find(
     config: &TrafficConfig,
     call: &Call,
--- a/tests/traffic/small.rs
+++ b/tests/traffic/small.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use tamaracklead::decide::traffic::CrashGuard;
+use tamaracklead::decide::traffic::Patience;
 use tamaracklead::decide::traffic::PrefixMemory;
 use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::RetryShare;
@@ -97,3 +98,27 @@
         .filter(|id| memory.known_tokens(&key("a"), &[PromptPart { id: *id, tokens: 1 }]) > 0);
     assert!(known.count() <= 1024);
 }
+
+/// Every place for adapters in use: one second of waiting, not the caller's whole time.
+#[test]
+fn a_request_waits_for_its_adapter_for_a_second_in_all() {
+    let left = Duration::from_secs(6);
+    let mut patience = Patience::default();
+    assert_eq!(patience.load_limit(left), Some(Duration::from_secs(1)));
+    patience.on_load_wait(Duration::from_millis(700));
+    assert_eq!(patience.load_limit(left), Some(Duration::from_millis(300)));
+    assert_eq!(patience.load_limit(Duration::from_millis(10)), Some(Duration::from_millis(10)));
+    patience.on_load_wait(Duration::from_millis(300));
+    assert_eq!(patience.load_limit(left), None);
+    assert_eq!(Patience::default().load_limit(Duration::ZERO), None);
+}
+
+/// All replicas of a service gone: refused after a moment, so that the caller may come back.
+#[test]
+fn a_request_without_a_replica_is_given_up_soon() {
+    let mut patience = Patience::default();
+    let left = Duration::from_secs(6);
+    let pauses = std::iter::from_fn(|| patience.wait_for_replica(left));
+    let waited: Duration = pauses.take(1000).sum();
+    assert!(waited <= Duration::from_millis(600), "{waited:?}");
+}
