--- a/src/decide/takeover/takeover_state.rs
+++ b/src/decide/takeover/takeover_state.rs
@@ -5,7 +5,6 @@
 
 use super::FenceOutcome;
 use super::Query;
-
 use super::next_number;
 use super::number::floor;
 use crate::decide::engine::EngineInput;
--- a/src/decide/traffic/attempts.rs
+++ b/src/decide/traffic/attempts.rs
@@ -1,8 +1,7 @@
 //! The attempts of one request: what was sent, what is proven, what may follow.
 
-use crate::names::BackendName;
-
 use super::RouteKind;
+use crate::names::BackendName;
 
 /// Sends of one request, those that were refused without running included.
 const MAX_SENDS: u32 = 4;
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -119,11 +119,6 @@
         }
     }
 
-    /// Whether an instance is live.
-    pub fn is_live(&self, now: Timestamp, name: &InstanceName) -> bool {
-        self.known.get(name).is_some_and(|known| is_live(now, known))
-    }
-
     /// Address of a live instance.
     pub fn addr_of(&self, now: Timestamp, name: &InstanceName) -> Option<SocketAddr> {
         self.known.get(name).filter(|known| is_live(now, known)).map(|known| known.record.addr)
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -5,16 +5,16 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::fmt;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use super::AdapterKey;
+use super::AdapterUses;
 use super::DeclaredVersions;
 use super::EngineSpec;
 use super::HeldModel;
+use super::Order;
+use super::PlanHandover;
+use super::UseNews;
 use crate::names::InstanceName;
 use crate::names::ModelName;
 use crate::names::Timestamp;
@@ -37,49 +37,9 @@
 const WISH_TIME: Duration = Duration::from_secs(2);
 /// Time for which an adapter is kept after its last use.
 const KEEP_AFTER_USE: Duration = Duration::from_millis(200);
-/// Time for which an instance's word counts that it uses an adapter.
-const USE_NEWS_TIME: Duration = Duration::from_secs(4);
 /// Half-life of the memory of uses.
 const USE_HALF_LIFE: Duration = Duration::from_secs(8);
 
-/// One order to a replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Order {
-    /// Load a base model or adapter.
-    Load {
-        /// What to load.
-        key: AdapterKey,
-        /// Version of the adapter; `None` means the newest.
-        version: Option<u64>,
-    },
-    /// Unload an adapter.
-    Unload {
-        /// What to unload.
-        key: AdapterKey,
-    },
-}
-
-impl Order {
-    /// What the order is about.
-    pub fn key(&self) -> &AdapterKey {
-        match self {
-            Self::Load { key, .. } | Self::Unload { key } => key,
-        }
-    }
-}
-
-impl fmt::Display for Order {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Load { key, version: Some(version) } => {
-                write!(f, "load {}@{version}", key.rank_text())
-            }
-            Self::Load { key, version: None } => write!(f, "load {}", key.rank_text()),
-            Self::Unload { key } => write!(f, "unload {}", key.rank_text()),
-        }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Held {
     version: u64,
@@ -94,33 +54,6 @@
     is_warm: bool,
 }
 
-/// How many requests of an instance use an adapter.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UseNews {
-    /// The instance.
-    pub user: InstanceName,
-    /// Its requests that use the adapter.
-    pub count: u32,
-    /// Grows with each news of the instance.
-    pub serial: u64,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Use {
-    count: u32,
-    serial: u64,
-    at: Timestamp,
-}
-
-/// What a holder of the orders tells its successor.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PlanHandover {
-    held: Vec<(AdapterKey, u64)>,
-    coming: Vec<AdapterKey>,
-    unloaded: Vec<AdapterKey>,
-    had: Vec<(AdapterKey, u64)>,
-}
-
 /// The plan for one replica.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaPlan {
@@ -130,8 +63,7 @@
     ordered: HashMap<AdapterKey, Timestamp>,
     unloaded: HashMap<AdapterKey, Timestamp>,
     wishes: VecDeque<(AdapterKey, Timestamp)>,
-    /// Requests in progress by what they use and whose they are.
-    in_use: HashMap<AdapterKey, HashMap<InstanceName, Use>>,
+    uses: AdapterUses,
     /// Until when the uses of other instances aren't known yet.
     uses_unknown_until: Timestamp,
     /// Versions that the replica had before, the latest last.
@@ -215,25 +147,11 @@
 
     /// Notes how many requests of an instance use an adapter now; older news changes nothing.
     pub fn on_use(&mut self, now: Timestamp, key: &AdapterKey, news: &UseNews) {
-        let users = self.in_use.entry(key.clone()).or_default();
-        let known = users.get(&news.user).copied();
-        if known.is_some_and(|known| known.serial > news.serial) {
-            return;
-        }
+        let Some(begun) = self.uses.on_news(now, key, news) else { return };
         if let Some(held) = self.held.get_mut(key) {
-            let begun = news.count.saturating_sub(known.map_or(0, |known| known.count));
             held.uses = decayed(now, held) + f64::from(begun);
             held.used = now;
         }
-        let UseNews { user, count, serial } = news.clone();
-        if count > 0 {
-            users.insert(user, Use { count, serial, at: now });
-        } else {
-            users.remove(&user);
-        }
-        if users.is_empty() {
-            self.in_use.remove(key);
-        }
     }
 
     /// Notes all that an instance used when it had sent the news `serial`.
@@ -245,12 +163,7 @@
         uses: &[(AdapterKey, u32)],
     ) {
         let news = |count| UseNews { user: user.clone(), count, serial };
-        let ended: Vec<AdapterKey> = self
-            .in_use
-            .iter()
-            .filter(|(key, users)| users.contains_key(user) && !uses.iter().any(|(k, _)| k == *key))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let ended = self.uses.ended(user, uses);
         for key in ended {
             self.on_use(now, &key, &news(0));
         }
@@ -300,11 +213,6 @@
         !self.coming.is_empty() || !self.leaving.is_empty() || self.model_ordered.is_some()
     }
 
-    /// Whether anything is to be ordered.
-    pub fn has_wishes(&self) -> bool {
-        !self.wishes.is_empty()
-    }
-
     /// What the replica holds and keeps, to tell the other instances.
     pub fn held_models(&self) -> Vec<HeldModel> {
         let mut models: HashMap<&ModelName, HeldModel> = HashMap::new();
@@ -469,17 +377,12 @@
         held + coming
     }
 
-    fn is_in_use(&self, now: Timestamp, key: &AdapterKey) -> bool {
-        let Some(users) = self.in_use.get(key) else { return false };
-        users.values().any(|known| now.since(known.at) < USE_NEWS_TIME)
-    }
-
     /// Adapters that nobody waits for and that aren't used now.
     fn victims(&self, now: Timestamp) -> impl Iterator<Item = (&AdapterKey, &Held)> {
         self.held.iter().filter(move |(key, held)| {
             key.adapter.is_some()
                 && now.since(held.used) >= KEEP_AFTER_USE
-                && !self.is_in_use(now, key)
+                && !self.uses.is_in_use(now, key)
                 && !self.coming.contains_key(*key)
                 && !self.leaving.contains_key(*key)
         })
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -131,11 +131,6 @@
         self.known.values()
     }
 
-    /// Whether no replica is known.
-    pub fn is_empty(&self) -> bool {
-        self.known.is_empty()
-    }
-
     /// Chooses the replica for a request.
     pub fn choose(
         &self,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -21,7 +21,7 @@
 use super::event::Event;
 use super::event::record;
 use super::exchange;
-use super::forward::Job;
+use super::job::Job;
 use super::node::Node;
 use super::upstream::Connection;
 use super::upstream::Upstream;
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -1,90 +1,41 @@
-//! The way of a caller's request: route, attempts, answer.
+//! The way of a caller's request into the relay: its route and its body.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
-use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
-use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Call;
 use super::answer::AnswerBody;
 use super::answer::Refusal;
 use super::answer::end_to_end;
-use super::answer::forwarded;
-use super::answer::whole_body;
-use super::attempt;
-use super::attempt::AttemptOutcome;
-use super::attempt::ReplicaAnswer;
-use super::attempt::ReplicaBody;
-use super::event::AttemptReason;
 use super::event::Event;
 use super::event::record;
-use super::loads;
+use super::job::Job;
+use super::job::host_of;
 use super::node::Node;
-use super::stream_relay::StreamRelay;
-use crate::decide::traffic::AdapterKey;
-use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::Attempts;
-use crate::decide::traffic::Choice;
-use crate::decide::traffic::FinalAnswer;
-use crate::decide::traffic::NextAttempt;
-use crate::decide::traffic::Patience;
 use crate::decide::traffic::Route;
 use crate::decide::traffic::Service;
 use crate::decide::traffic::TrafficConfig;
-use crate::names::BackendName;
 use crate::names::Timestamp;
 
-/// Pause between looks at a replica that owes an answer.
-const SILENCE_PAUSE: Duration = Duration::from_millis(200);
-/// How much longer than an answer's beginning a stream's is waited for.
-const STREAM_PATIENCE: u32 = 2;
-/// Time that a request needs on its way to the caller and back.
-const TRAVEL_TIME: Duration = Duration::from_millis(10);
-
-/// One request of a caller.
-pub struct Job {
-    /// The relay.
-    pub node: Arc<Node>,
-    /// What is asked.
-    pub call: Call,
-    /// Head of the request.
-    pub head: request::Parts,
-    /// Headers of the request without those of its connection.
-    pub headers: HeaderMap,
-    /// Path and query.
-    pub path: Uri,
-    /// Body.
-    pub body: Bytes,
-    /// Whether the request declared a body.
-    pub has_length: bool,
-    /// Its route.
-    pub route: Arc<Route>,
-    service: Arc<Service>,
-    attempts: Attempts,
-    arrived: Timestamp,
-    fingerprint: u64,
-    _counted: Counted,
-}
-
 /// Counts a request until it is dropped.
-struct Counted(Arc<Node>);
+pub struct Counted(Arc<Node>);
 
 impl Counted {
-    fn new(node: &Arc<Node>) -> Self {
+    /// Counts a request.
+    pub fn new(node: &Arc<Node>) -> Self {
         node.in_flight.fetch_add(1, Ordering::Relaxed);
         Self(Arc::clone(node))
     }
@@ -113,7 +64,7 @@
     let config = node.current_config();
     let path = head.uri.path().to_owned();
     let protocol = Arc::clone(&node.protocol);
-    match Job::accept(node, call, head, body, arrived, counted).await {
+    match accept(node, call, head, body, arrived, counted).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             let config = config.map_or(0, |config| config.version);
@@ -124,318 +75,50 @@
     }
 }
 
-impl Job {
-    async fn accept(
-        node: Arc<Node>,
-        call: Call,
-        head: request::Parts,
-        body: Incoming,
-        arrived: Timestamp,
-        counted: Counted,
-    ) -> Result<Self, Refusal> {
-        if !node.takes_work() {
-            return Err(Refusal::NotRun);
-        }
-        let config = node.current_config().ok_or(Refusal::NotReady)?;
-        let (route, service) = find(&config, &call, &head)?;
-        let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
-            || head.headers.contains_key(header::TRANSFER_ENCODING);
-        let body = Limited::new(body, config.max_body_bytes).collect().await;
-        let body = body.map_err(|e| body_refusal(&*e))?.to_bytes();
-        let now = node.now();
-        let fingerprint = fingerprint(&head, &body);
-        if node.crashes().refuses(now, fingerprint) {
-            let (id, outcome, sends, waited_ms) = (call.id.as_str(), "Quarantined", 0, 0);
-            record(&Event::RequestEnded { id, outcome, sends, waited_ms });
-            return Err(Refusal::NotRun);
-        }
-        node.retries().on_request(now, &service.name);
-        let path = origin_form(&head);
-        let headers = end_to_end(&head.headers);
-        let attempts = Attempts::new(route.kind, route.attempts);
-        Ok(Self {
-            node,
-            call,
-            head,
-            headers,
-            path,
-            body,
-            has_length,
-            route,
-            service,
-            attempts,
-            arrived,
-            fingerprint,
-            _counted: counted,
-        })
-    }
-
-    async fn run(mut self) -> Response<AnswerBody> {
-        let resume_after = self.call.resume_after.clone();
-        let answer = match self.answer(resume_after.as_deref()).await {
-            Ok(answer) => answer,
-            Err(refusal) => {
-                let (id, outcome) = (self.call.id.as_str(), format!("{refusal:?}"));
-                let (sends, waited_ms) = (self.attempts.sends(), self.waited_ms());
-                record(&Event::RequestEnded { id, outcome: &outcome, sends, waited_ms });
-                return refusal.answer(&*self.node.protocol, &self.call.id);
-            }
-        };
-        match answer.body {
-            ReplicaBody::Whole(bytes) => {
-                let length = bytes.len();
-                forwarded(&answer.head, whole_body(bytes), Some(length))
-            }
-            ReplicaBody::Stream(stream) => {
-                let body = StreamRelay::new(self, *stream, resume_after).into_body();
-                forwarded(&answer.head, body, None)
-            }
-        }
-    }
-
-    /// Sends the request until there is an answer to pass on.
-    ///
-    /// # Errors
-    ///
-    /// The final answer, if no replica's can be passed on.
-    pub async fn answer(&mut self, resume_after: Option<&str>) -> Result<ReplicaAnswer, Refusal> {
-        let mut patience = Patience::default();
-        loop {
-            let left = self.time_until_deadline();
-            if left.is_zero() {
-                return Err(self.timed_out());
-            }
-            match self.choose() {
-                Choice::Nobody => self.wait_for_replica(&mut patience).await?,
-                Choice::Load(targets) => self.wait_for_load(&targets, &mut patience).await?,
-                Choice::Send { replica, spread } => {
-                    if let Some(target) = spread {
-                        loads::spread(&self.node, &self.call.wanted, target);
-                    }
-                    if let Some(answer) = self.attempt(&replica, resume_after).await? {
-                        return Ok(answer);
-                    }
-                }
-            }
-        }
-    }
-
-    /// What may follow a stream that broke off; `false` means nothing.
-    pub fn may_resume(&self) -> bool {
-        let next = self.attempts.on_broken_stream();
-        matches!(next, NextAttempt::Another { .. }) && self.take_retry()
-    }
-
-    /// Time until the caller's patience or the route's timeout ends.
-    pub fn time_until_deadline(&self) -> Duration {
-        self.time_limit().saturating_sub(self.node.now().since(self.arrived))
-    }
-
-    /// Time left for a replica, if there's any limit.
-    pub fn time_left(&self) -> Option<Duration> {
-        Some(self.time_until_deadline())
-    }
-
-    /// Version of an adapter that a replica must run it with.
-    pub fn required_version(&self, replica: &BackendName, key: &AdapterKey) -> Option<u64> {
-        key.adapter.as_ref()?;
-        let now = self.node.now();
-        let newest = self.node.versions().newest(key)?;
-        let held = self.node.replicas().get(replica)?.holds(now, key)?;
-        Some(held.min(newest).max(1)).filter(|_| held >= newest)
-    }
-
-    /// Notes that a connection broke while the request ran.
-    pub fn on_broken(&self, replica: &BackendName) {
-        let now = self.node.now();
-        let count = self.node.crashes().strike(now, self.fingerprint);
-        let (id, replica) = (self.call.id.as_str(), replica.as_str());
-        record(&Event::RequestStrike { id, replica, strikes: count });
-    }
-
-    /// Completes when the request's time is over, also if a new configuration shortens it.
-    pub async fn deadline(&self) {
-        let mut config = self.node.config.subscribe();
-        loop {
-            let left = self.time_until_deadline();
-            if left.is_zero() {
-                return;
-            }
-            tokio::select! {
-                () = sleep(left) => {}
-                changed = config.changed() => {
-                    if changed.is_err() {
-                        return;
-                    }
-                }
-            }
-        }
-    }
-
-    fn time_limit(&self) -> Duration {
-        let config = self.node.current_config();
-        let host = host_of(&self.head);
-        let current = config.as_ref().and_then(|c| c.route(host, self.path.path()));
-        let timeout = match current {
-            Some(route) if route.name == self.route.name => route.timeout.min(self.route.timeout),
-            _ => self.route.timeout,
-        };
-        let patience = self.call.patience.map(|patience| patience.saturating_sub(TRAVEL_TIME));
-        patience.map_or(timeout, |patience| patience.min(timeout))
-    }
-
-    fn choose(&self) -> Choice {
-        let now = self.node.now();
-        let versions = self.node.versions();
-        self.node.replicas().choose(
-            now,
-            &self.service.name,
-            self.service.engine.as_ref(),
-            &self.call.wanted,
-            self.attempts.tried(),
-            &versions,
-        )
-    }
-
-    async fn attempt(
-        &mut self,
-        replica: &BackendName,
-        resume_after: Option<&str>,
-    ) -> Result<Option<ReplicaAnswer>, Refusal> {
-        self.record_send(replica);
-        self.attempts.on_send(replica.clone());
-        let outcome = tokio::select! {
-            outcome = attempt::run(self, replica, resume_after) => Some(outcome),
-            () = self.deadline() => None,
-            () = self.silence(replica) => {
-                attempt::ended(self, replica, AttemptReason::Silent, "");
-                Some(AttemptOutcome::Ended(AttemptEnd::MaybeRan))
-            }
-        };
-        match outcome {
-            None => {
-                let _ = self.attempts.on_end(AttemptEnd::MaybeRan);
-                Err(Refusal::TimedOut)
-            }
-            Some(AttemptOutcome::Answer(answer)) => {
-                self.attempts.on_answer_begun();
-                Ok(Some(answer))
-            }
-            Some(AttemptOutcome::Failure(answer)) => {
-                let next = self.attempts.on_end(AttemptEnd::RanAndFailed);
-                let again = matches!(next, NextAttempt::Another { .. }) && self.take_retry();
-                Ok((!again).then_some(answer))
-            }
-            Some(AttemptOutcome::Ended(end)) => match self.attempts.on_end(end) {
-                NextAttempt::Another { is_retry: false } => Ok(None),
-                NextAttempt::Another { is_retry: true } if self.take_retry() => Ok(None),
-                NextAttempt::Another { .. } | NextAttempt::Final(_) => Err(self.given_up()),
-            },
-        }
-    }
-
-    /// Completes when the replica of a stream that can go on elsewhere sends nothing at all.
-    pub async fn muteness(&self, replica: &BackendName) {
-        if !self.route.kind.may_repeat() {
-            std::future::pending::<()>().await;
-        }
-        loop {
-            sleep(SILENCE_PAUSE).await;
-            let now = self.node.now();
-            if self.node.replicas().get(replica).is_some_and(|known| known.is_mute(now)) {
-                return;
-            }
-        }
-    }
-
-    /// Completes when the replica has left a repeatable request unanswered for too long.
-    fn silence(&self, replica: &BackendName) -> impl Future<Output = ()> + Send + use<> {
-        let node = Arc::clone(&self.node);
-        let kind = self.route.kind;
-        let replica = replica.clone();
-        let patience = self.route.objective * 2 + SILENCE_PAUSE;
-        async move {
-            if !kind.may_repeat() {
-                std::future::pending::<()>().await;
-            }
-            if !kind.is_stream() {
-                sleep(patience).await;
-                return;
-            }
-            let start = node.now();
-            loop {
-                sleep(SILENCE_PAUSE).await;
-                let now = node.now();
-                let is_silent =
-                    node.replicas().get(&replica).is_none_or(|known| known.is_silent(now));
-                if is_silent || now.since(start) >= patience * STREAM_PATIENCE {
-                    return;
-                }
-            }
-        }
-    }
-
-    async fn wait_for_replica(&self, patience: &mut Patience) -> Result<(), Refusal> {
-        let pause = patience.wait_for_replica(self.time_until_deadline());
-        sleep(pause.ok_or_else(|| self.given_up())?).await;
-        Ok(())
-    }
-
-    async fn wait_for_load(
-        &self,
-        targets: &[BackendName],
-        patience: &mut Patience,
-    ) -> Result<(), Refusal> {
-        let started = self.node.now();
-        let limit = patience.load_limit(self.time_until_deadline());
-        let limit = limit.ok_or_else(|| self.given_up())?;
-        let Some(key) = &self.call.wanted.key else { return Ok(()) };
-        let (id, adapter) = (self.call.id.as_str(), key.rank_text());
-        record(&Event::RequestWaits { id, adapter: &adapter, targets: targets.len() });
-        loads::load_somewhere(&self.node, key, targets, limit).await;
-        patience.on_load_wait(self.node.now().since(started));
-        Ok(())
-    }
-
-    fn waited_ms(&self) -> u128 {
-        self.node.now().since(self.arrived).as_millis()
-    }
-
-    fn record_send(&self, replica: &BackendName) {
-        let now = self.node.now();
-        let load = self.node.replicas().get(replica).map(|known| known.load(now));
-        let load = load.unwrap_or_default();
-        record(&Event::RequestSent {
-            id: &self.call.id,
-            route: self.route.name.as_str(),
-            replica: replica.as_str(),
-            config: self.node.current_config().map_or(0, |config| config.version),
-            sends: self.attempts.sends(),
-            waited_ms: self.waited_ms(),
-            busy: load.requests,
-            unread_tokens: load.unread_tokens,
-        });
-    }
-
-    fn take_retry(&self) -> bool {
-        let now = self.node.now();
-        let instances = self.node.peers().remembered_count();
-        self.node.retries().take(now, &self.service.name, instances)
-    }
-
-    fn given_up(&self) -> Refusal {
-        match self.attempts.final_answer() {
-            FinalAnswer::NotRun => Refusal::NotRun,
-            FinalAnswer::Unknown => Refusal::Unknown,
-        }
-    }
-
-    fn timed_out(&self) -> Refusal {
-        match self.attempts.final_answer() {
-            FinalAnswer::NotRun => Refusal::NotRun,
-            FinalAnswer::Unknown => Refusal::TimedOut,
-        }
-    }
+/// Reads a request and finds its route.
+async fn accept(
+    node: Arc<Node>,
+    call: Call,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Timestamp,
+    counted: Counted,
+) -> Result<Job, Refusal> {
+    if !node.takes_work() {
+        return Err(Refusal::NotRun);
+    }
+    let config = node.current_config().ok_or(Refusal::NotReady)?;
+    let (route, service) = find(&config, &call, &head)?;
+    let has_length = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    let body = Limited::new(body, config.max_body_bytes).collect().await;
+    let body = body.map_err(|e| body_refusal(&*e))?.to_bytes();
+    let now = node.now();
+    let fingerprint = fingerprint(&head, &body);
+    if node.crashes().refuses(now, fingerprint) {
+        let (id, outcome, sends, waited_ms) = (call.id.as_str(), "Quarantined", 0, 0);
+        record(&Event::RequestEnded { id, outcome, sends, waited_ms });
+        return Err(Refusal::NotRun);
+    }
+    node.retries().on_request(now, &service.name);
+    let path = origin_form(&head);
+    let headers = end_to_end(&head.headers);
+    let attempts = Attempts::new(route.kind, route.attempts);
+    Ok(Job {
+        node,
+        call,
+        head,
+        headers,
+        path,
+        body,
+        has_length,
+        route,
+        service,
+        attempts,
+        arrived,
+        fingerprint,
+        _counted: counted,
+    })
 }
 
 fn find(
@@ -449,11 +132,6 @@
     Ok((Arc::clone(route), Arc::clone(service)))
 }
 
-fn host_of(head: &request::Parts) -> &str {
-    let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
-    named.or_else(|| head.uri.host()).unwrap_or_default()
-}
-
 fn origin_form(head: &request::Parts) -> Uri {
     let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
     path.parse().unwrap_or_default()
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -9,6 +9,7 @@
 mod event;
 mod exchange;
 mod forward;
+mod job;
 mod listener;
 mod loads;
 mod node;
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -16,7 +16,7 @@
 use super::attempt::ReplicaBody;
 use super::event::Event;
 use super::event::record;
-use super::forward::Job;
+use super::job::Job;
 use crate::decide::traffic::EventSplitter;
 use crate::names::BackendName;
 
--- a/tests/house_style.rs
+++ b/tests/house_style.rs
@@ -4,7 +4,8 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-const SOURCE_DIRS: [&str; 4] = ["src", "lab/src", "tests", "lab/tests"];
+const SOURCE_DIRS: [&str; 6] =
+    ["src", "lab/src", "platform/src", "tests", "lab/tests", "platform/tests"];
 const IMPERATIVE_CLOCKS: [&str; 4] =
     ["Instant::now", "SystemTime::now", "rand::rng()", "thread_rng"];
 
