--- a/src/decide/traffic/crash_guard.rs
+++ b/src/decide/traffic/crash_guard.rs
@@ -1,8 +1,8 @@
 //! Requests that are suspected of crashing the replicas that run them.
 //!
 //! A request is known by a fingerprint of its path and body. Each connection that
-//! broke while it ran, at a replica that then was down, adds a strike; a request
-//! with too many strikes reaches no replica for a while.
+//! broke while it ran adds a strike; a request with too many strikes reaches no
+//! replica for a while.
 
 use std::collections::HashMap;
 use std::time::Duration;
