--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -1,7 +1,7 @@
 //! What a relay writes to its log: a closed list of events, one JSON line each.
 //!
 //! A line says what was decided, about what, and from which inputs. The writer
-//! behind it never blocks; it drops lines, and counts them, when it can't keep up.
+//! behind it never blocks; it drops lines when it can't keep up.
 
 use serde::Serialize;
 
