Ask a replica whether a load is done by giving the order again

Ruled out: sending the request itself early (its refusal counts as a retry) and a fixed prediction (loads slow down when many run). Replacements aren't asked about: they wait for their runs.

--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -9,6 +9,7 @@
 mod adapter_key;
 mod adapter_uses;
 mod attempts;
+mod coming;
 mod config;
 mod crash_guard;
 mod entry;
@@ -35,6 +36,7 @@
 pub use attempts::Attempts;
 pub use attempts::FinalAnswer;
 pub use attempts::NextAttempt;
+pub use coming::Coming;
 pub use config::EngineSpec;
 pub use config::ModelSpec;
 pub use config::Service;
--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -110,6 +110,13 @@
         }
     }
 
+    /// Notes that the replica answered an order that it doesn't count, since it holds already.
+    pub fn on_confirmed(&mut self, now: Timestamp) {
+        if let State::Holding { checked, .. } = &mut self.state {
+            *checked = now;
+        }
+    }
+
     /// Notes that an order was refused because the replica is busy or its count differs.
     pub fn on_conflict(&mut self) {
         if let State::Holding { checked, .. } = &mut self.state {
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -9,6 +9,7 @@
 
 use super::AdapterKey;
 use super::AdapterUses;
+use super::Coming;
 use super::DeclaredVersions;
 use super::EngineSpec;
 use super::HeldModel;
@@ -25,14 +26,12 @@
 const LEARN_USES: Duration = Duration::from_millis(900);
 /// Adapters that may be on their way from the weight store to one replica.
 const MAX_FETCHED: usize = 4;
-/// Time that a replica needs for an adapter that it held before.
-const WARM_LOAD: Duration = Duration::from_millis(30);
 /// Adapters that a replica keeps a copy of after they were unloaded.
 const WARM_COUNT: usize = 40;
 /// Time for which a report may be older than an order.
 const REPORT_LAG: Duration = Duration::from_millis(600);
-/// Time after which a load that no report shows is taken as failed.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after which a base model that no report shows is ordered again.
+const MODEL_LOAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time for which a wish is kept.
 const WISH_TIME: Duration = Duration::from_secs(2);
 /// Time for which an adapter is kept after its last use.
@@ -47,13 +46,6 @@
     used: Timestamp,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Coming {
-    since: Timestamp,
-    version: u64,
-    is_warm: bool,
-}
-
 /// The plan for one replica.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaPlan {
@@ -90,7 +82,7 @@
         }
         for key in handover.coming {
             self.ordered.insert(key.clone(), now);
-            self.coming.insert(key, Coming { since: now, version: 0, is_warm: false });
+            self.coming.insert(key, Coming::new(now, None, false));
         }
         self.unloaded = handover.unloaded.into_iter().map(|key| (key, now)).collect();
         self.had = handover.had.into();
@@ -112,16 +104,13 @@
         self.take_shown(now, &shown);
         for key in coming {
             if !self.ordered.contains_key(key) {
-                self.coming.entry(key.clone()).or_insert(Coming {
-                    since: now,
-                    version: 0,
-                    is_warm: false,
-                });
+                let coming = || Coming::new(now, None, false);
+                self.coming.entry(key.clone()).or_insert_with(coming);
             }
         }
         let ordered = &self.ordered;
         let still = |key: &AdapterKey| coming.contains(key) || ordered.contains_key(key);
-        self.coming.retain(|key, c| still(key) && now.since(c.since) < LOAD_TIMEOUT);
+        self.coming.retain(|key, c| still(key) && !c.is_overdue(now));
         self.held.retain(|key, _| shown.contains_key(key) || ordered.contains_key(key));
         self.leaving.retain(|key, _| shown.contains_key(key) || ordered.contains_key(key));
         let held = &self.held;
@@ -179,9 +168,8 @@
         }
         let held = self.held.get(key).map(|held| held.version);
         held.or_else(|| {
-            let coming = self.coming.get(key)?;
-            let arrived = coming.is_warm && now.since(coming.since) >= WARM_LOAD;
-            arrived.then_some(coming.version)
+            let coming = self.coming.get(key).filter(|coming| coming.must_have_arrived(now))?;
+            Some(coming.version.unwrap_or(0))
         })
     }
 
@@ -192,8 +180,12 @@
 
     /// Time until an adapter that is on its way must have arrived, if that is known.
     pub fn arrives_in(&self, now: Timestamp, key: &AdapterKey) -> Option<Duration> {
-        let coming = self.coming.get(key).filter(|coming| coming.is_warm)?;
-        Some(WARM_LOAD.saturating_sub(now.since(coming.since)))
+        self.coming.get(key)?.arrives_in(now)
+    }
+
+    /// Whether the replica has accepted an order before, so that it doesn't count it anew.
+    pub fn is_accepted(&self, order: &Order) -> bool {
+        matches!(order, Order::Load { key, .. } if self.coming.contains_key(key))
     }
 
     /// Whether every place is taken and none can be freed now.
@@ -251,6 +243,9 @@
         if let Some(order) = self.outdated(versions) {
             return Some(order);
         }
+        if let Some(order) = self.load_again(now) {
+            return Some(order);
+        }
         if self.coming.len() >= MAX_COMING {
             return None;
         }
@@ -275,13 +270,8 @@
         self.ordered.insert(key.clone(), now);
         match order {
             Order::Load { .. } if key.adapter.is_none() => self.model_ordered = Some(now),
-            Order::Load { version, .. } => {
-                self.wishes.retain(|(wish, _)| wish != &key);
-                let had = self.had_version(&key);
-                let is_warm = had.is_some() && version.is_none_or(|version| had == Some(version));
-                let version = version.or(had).unwrap_or(0);
-                self.coming.insert(key, Coming { since: now, version, is_warm });
-            }
+            Order::Load { version, .. } if done => self.on_arrived(now, key, *version),
+            Order::Load { version, .. } => self.on_coming(now, key, *version),
             Order::Unload { .. } if done => {
                 self.unloaded.insert(key.clone(), now);
                 self.held.remove(&key);
@@ -311,19 +301,46 @@
                     self.held.insert(key.clone(), held);
                 }
             }
-            if self.coming.get(key).is_some_and(|coming| *version >= coming.version) {
+            if self.coming.get(key).is_some_and(|c| *version >= c.version.unwrap_or(0)) {
                 self.coming.remove(key);
             }
         }
     }
 
+    fn on_coming(&mut self, now: Timestamp, key: AdapterKey, version: Option<u64>) {
+        if let Some(coming) = self.coming.get_mut(&key) {
+            coming.on_asked(now);
+            return;
+        }
+        self.wishes.retain(|(wish, _)| wish != &key);
+        let had = self.had_version(&key);
+        let is_warm = had.is_some() && version.is_none_or(|version| had == Some(version));
+        self.coming.insert(key, Coming::new(now, version.or(had), is_warm));
+    }
+
+    fn on_arrived(&mut self, now: Timestamp, key: AdapterKey, version: Option<u64>) {
+        self.wishes.retain(|(wish, _)| wish != &key);
+        let coming = self.coming.remove(&key).and_then(|coming| coming.version);
+        let version = version.or(coming);
+        let held = Held { version: version.unwrap_or(0), uses: 0.0, used: now };
+        let held = self.held.entry(key).or_insert(held);
+        held.version = version.unwrap_or(held.version);
+    }
+
+    /// A load that is under way and may be done by now; a replacement waits for its runs.
+    fn load_again(&self, now: Timestamp) -> Option<Order> {
+        let mut new = self.coming.iter().filter(|(key, _)| !self.held.contains_key(*key));
+        let (key, coming) = new.find(|(_, coming)| coming.asks(now))?;
+        Some(Order::Load { key: key.clone(), version: coming.version })
+    }
+
     /// `Some(None)` while a model is on its way, `Some(order)` if one has to be ordered.
     fn missing_model(&mut self, now: Timestamp, engine: &EngineSpec) -> Option<Option<Order>> {
         let has_any = self.held.keys().any(|key| key.adapter.is_none());
         if has_any {
             return None;
         }
-        if self.model_ordered.is_some_and(|at| now.since(at) < LOAD_TIMEOUT) {
+        if self.model_ordered.is_some_and(|at| now.since(at) < MODEL_LOAD_TIMEOUT) {
             return Some(None);
         }
         let wished = self.wishes.front().map(|(key, _)| key.model.clone());
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -304,13 +304,11 @@
     owned.next_report = now;
     let unloaded = match answer {
         Some(OrderAnswer::Accepted) => {
-            owned.lease.on_accepted(now);
-            owned.plan.on_accepted(now, order, false);
+            on_accepted(now, owned, order, false);
             matches!(order, Order::Unload { .. })
         }
         Some(OrderAnswer::Done) => {
-            owned.lease.on_accepted(now);
-            owned.plan.on_accepted(now, order, true);
+            on_accepted(now, owned, order, true);
             matches!(order, Order::Unload { .. })
         }
         Some(OrderAnswer::Conflict | OrderAnswer::Refused) => {
@@ -329,6 +327,16 @@
     }
 }
 
+fn on_accepted(now: Timestamp, owned: &mut Owned, order: &Order, done: bool) {
+    let holds_already = done && matches!(order, Order::Load { .. });
+    if holds_already || owned.plan.is_accepted(order) {
+        owned.lease.on_confirmed(now);
+    } else {
+        owned.lease.on_accepted(now);
+    }
+    owned.plan.on_accepted(now, order, done);
+}
+
 async fn call_replica(node: &Node, replica: &BackendName, call: ReplicaCall) -> Option<HttpReply> {
     let addr = node.replicas().get(replica).map(|known: &Replica| known.entry.addr)?;
     let request = HttpCall {
--- a/tests/traffic/order_lease.rs
+++ b/tests/traffic/order_lease.rs
@@ -65,6 +65,16 @@
     assert_eq!(lease.order_numbers(), Some((9, 6)));
 }
 
+#[test]
+fn a_load_that_is_given_again_is_not_counted_twice() {
+    let mut lease = holding(5);
+    lease.on_accepted(at(LEASE_MS + 1001));
+    lease.on_confirmed(at(LEASE_MS + 1200));
+    assert_eq!(lease.order_numbers(), Some((9, 6)));
+    lease.on_report(at(LEASE_MS + 1500), START, 6, 0);
+    assert_eq!(lease.order_numbers(), Some((9, 6)));
+}
+
 #[test]
 fn a_restart_of_the_replica_keeps_the_lease_and_resets_the_count() {
     let mut lease = holding(5);
--- a/tests/traffic/replica_plan.rs
+++ b/tests/traffic/replica_plan.rs
@@ -163,6 +163,51 @@
     assert_eq!(plan.next_order(at(1200), &engine(8), &versions), None);
 }
 
+/// Pattern: rare adapters, each of which is fetched while its request waits.
+#[test]
+fn a_load_is_given_again_until_the_replica_says_that_it_is_done() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[]), &[]);
+    plan.wish(at(0), &key("a1"));
+    let order = plan.next_order(at(0), &engine(8), &none()).unwrap();
+    assert!(!plan.is_accepted(&order));
+    plan.on_accepted(at(0), &order, false);
+    assert!(plan.is_accepted(&order), "the replica doesn't count it once more");
+    let mut asked = Vec::new();
+    for now in (0..300).step_by(10) {
+        if plan.next_order(at(now), &engine(8), &none()) == Some(order.clone()) {
+            asked.push(now);
+            plan.on_accepted(at(now), &order, false);
+        }
+    }
+    assert!(asked.first() >= Some(&100), "no load is that fast: {asked:?}");
+    assert!((3..8).contains(&asked.len()), "{asked:?}");
+    assert_eq!(plan.holds(at(300), &key("a1")), None);
+    plan.on_accepted(at(300), &order, true);
+    assert!(plan.holds(at(300), &key("a1")).is_some());
+    assert_eq!(plan.next_order(at(400), &engine(8), &none()), None);
+    plan.on_report(at(400), &held(&[]), &[key("a1")]);
+    assert!(plan.holds(at(400), &key("a1")).is_some(), "the report is older than the answer");
+}
+
+/// Pattern: a load that is stuck, on a busy weight store.
+#[test]
+fn a_slow_load_is_asked_about_less_and_less() {
+    let mut plan = ReplicaPlan::default();
+    plan.on_report(at(0), &held(&[]), &[]);
+    plan.wish(at(0), &key("a1"));
+    let order = plan.next_order(at(0), &engine(8), &none()).unwrap();
+    plan.on_accepted(at(0), &order, false);
+    let mut asked = 0;
+    for now in (0..4000).step_by(10) {
+        if plan.next_order(at(now), &engine(8), &none()).is_some() {
+            asked += 1;
+            plan.on_accepted(at(now), &order, false);
+        }
+    }
+    assert!(asked < 40, "asked {asked} times in 4 s");
+}
+
 #[test]
 fn a_successor_knows_what_reports_do_not_show_yet() {
     let mut old = ReplicaPlan::default();
@@ -196,8 +241,9 @@
     fn order(&mut self, now: u64, order: &Order, slots: usize) -> bool {
         let name = order.key().adapter.as_ref().unwrap().to_string();
         match order {
+            Order::Load { .. } if self.held.contains(&name) => true,
             Order::Load { .. } => {
-                if !self.held.contains(&name) {
+                if self.coming.iter().all(|(coming, _)| *coming != name) {
                     self.coming.push((name, now + 250));
                 }
                 let taken = self.held.len() + self.coming.len();
