--- a/src/decide/traffic/entry.rs
+++ b/src/decide/traffic/entry.rs
@@ -54,3 +54,15 @@
     /// Time until it is gone, if it was told.
     pub leaves_in: Option<Duration>,
 }
+
+impl ReplicaEntry {
+    /// Whether another entry differs from this one in nothing but adapters and time left.
+    pub fn is_alike(&self, other: &Self) -> bool {
+        let bare = |entry: &Self| {
+            let bare = |model: &HeldModel| (model.name.clone(), model.version);
+            let models: Vec<_> = entry.models.iter().map(bare).collect();
+            (entry.service.clone(), entry.addr, entry.state, entry.slots, entry.started_ms, models)
+        };
+        bare(self) == bare(other)
+    }
+}
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -6,12 +6,12 @@
 //! seeds, which may be out of date.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
-
+use super::PeerNews;
+use super::PeerRecord;
 use crate::decide::rendezvous;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
@@ -22,6 +22,12 @@
 const RECENT: Duration = Duration::from_secs(10);
 /// Time after which a silent instance is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
+/// Time for which a changed record is told whole.
+const TELL_CHANGED: Duration = Duration::from_millis(1500);
+/// Instances that read the published state for all.
+const READERS: usize = 5;
+/// Key under which instances are ranked as readers.
+const READER_KEY: &str = "reader";
 /// Live instances that one round of exchanges reaches.
 const FANOUT: usize = 3;
 /// Instances whose starts are less than this apart have started together, in ms.
@@ -29,27 +35,13 @@
 /// Share of the recent fleet, itself included, that an instance must hear of to give orders.
 const MIN_VIEW: f64 = 0.25;
 
-/// What one instance says of itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerRecord {
-    /// Its name.
-    pub name: InstanceName,
-    /// Address of its listener for peers.
-    pub addr: SocketAddr,
-    /// Unix milliseconds of its start.
-    pub started_ms: u64,
-    /// Grows while it lives.
-    pub beat: u64,
-    /// Whether it has run long enough to know the fleet.
-    pub settled: bool,
-    /// Whether it is shutting down.
-    pub draining: bool,
-}
-
 #[derive(Clone, Debug)]
 struct Known {
     record: PeerRecord,
+    tag: u32,
     heard: Timestamp,
+    /// When something other than the beat changed.
+    changed: Timestamp,
 }
 
 /// The instances that one instance knows of.
@@ -58,13 +50,16 @@
     me: PeerRecord,
     seeds: Vec<SocketAddr>,
     known: BTreeMap<InstanceName, Known>,
+    /// Names by the tags of their records.
+    tags: HashMap<u32, InstanceName>,
+    lacks: bool,
     round: u64,
 }
 
 impl Peers {
     /// An instance that knows of its seeds only.
     pub fn new(me: PeerRecord, seeds: Vec<SocketAddr>) -> Self {
-        Self { me, seeds, known: BTreeMap::new(), round: 0 }
+        Self { me, seeds, known: BTreeMap::new(), tags: HashMap::new(), lacks: true, round: 0 }
     }
 
     /// This instance's own record.
@@ -92,24 +87,39 @@
         self.me.beat += 1;
         self.round += 1;
         self.known.retain(|_, known| now.since(known.heard) < FORGET_AFTER);
+        self.tags.retain(|_, name| self.known.contains_key(name));
         let mut targets = self.live_targets(now);
         targets.extend(self.silent_target(now));
         targets
     }
 
-    /// Every record to tell others of, the own one first.
-    pub fn records(&self, now: Timestamp) -> Vec<PeerRecord> {
+    /// What to tell another instance; all records if it lacks some.
+    pub fn news(&self, now: Timestamp, whole: bool) -> PeerNews {
         let heard = self.known.values().filter(|known| now.since(known.heard) < SILENT_AFTER);
-        std::iter::once(self.me.clone()).chain(heard.map(|known| known.record.clone())).collect()
+        let (full, rest): (Vec<&Known>, Vec<&Known>) =
+            heard.partition(|known| whole || now.since(known.changed) < TELL_CHANGED);
+        let records = full.into_iter().map(|known| known.record.clone());
+        PeerNews {
+            records: std::iter::once(self.me.clone()).chain(records).collect(),
+            beats: rest.into_iter().map(|known| (known.tag, known.record.beat)).collect(),
+            lacks: self.lacks,
+        }
     }
 
-    /// Takes records that another instance sent.
-    pub fn on_records(&mut self, now: Timestamp, records: Vec<PeerRecord>) {
-        for record in records {
+    /// Takes what another instance tells.
+    pub fn on_news(&mut self, now: Timestamp, news: PeerNews) {
+        for record in news.records {
             if record.name != self.me.name {
                 self.on_record(now, record);
             }
         }
+        let own = self.me.tag();
+        self.lacks = false;
+        for (tag, beat) in news.beats {
+            if tag != own {
+                self.lacks |= !self.on_beat(now, tag, beat);
+            }
+        }
     }
 
     /// Takes what happened as heard now: this process stood still and heard nobody meanwhile.
@@ -157,6 +167,15 @@
             .max_by_key(|name| (rendezvous::score(replica, name.as_str()), *name))
     }
 
+    /// Whether this instance is one of the few that read the published state for all.
+    pub fn reads_published(&self, now: Timestamp) -> bool {
+        let rank =
+            |name: &InstanceName| (rendezvous::score(READER_KEY, name.as_str()), name.clone());
+        let own = rank(&self.me.name);
+        let before = self.live(now).filter(|record| !record.draining && rank(&record.name) > own);
+        before.take(READERS).count() < READERS
+    }
+
     /// Whether enough of the recent fleet is heard of to give orders.
     pub fn has_view(&self, now: Timestamp) -> bool {
         let live = 1 + self.live(now).count();
@@ -165,13 +184,29 @@
 
     fn on_record(&mut self, now: Timestamp, record: PeerRecord) {
         let age = |record: &PeerRecord| (record.started_ms, record.beat);
-        match self.known.get_mut(&record.name) {
-            Some(known) if age(&record) <= age(&known.record) => {}
-            Some(known) => *known = Known { record, heard: now },
-            None => {
-                self.known.insert(record.name.clone(), Known { record, heard: now });
-            }
+        let known = self.known.get(&record.name);
+        if known.is_some_and(|known| age(&record) <= age(&known.record)) {
+            return;
+        }
+        let tag = record.tag();
+        let changed = known.filter(|known| known.tag == tag).map_or(now, |known| known.changed);
+        if let Some(known) = known.filter(|known| known.tag != tag) {
+            self.tags.remove(&known.tag);
+        }
+        self.tags.insert(tag, record.name.clone());
+        self.known.insert(record.name.clone(), Known { record, tag, heard: now, changed });
+    }
+
+    /// Takes a beat; returns whether the record that it belongs to is known.
+    fn on_beat(&mut self, now: Timestamp, tag: u32, beat: u64) -> bool {
+        let Some(known) = self.tags.get(&tag).and_then(|name| self.known.get_mut(name)) else {
+            return false;
+        };
+        if beat > known.record.beat {
+            known.record.beat = beat;
+            known.heard = now;
         }
+        true
     }
 
     fn live_targets(&self, now: Timestamp) -> Vec<SocketAddr> {
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -15,6 +15,8 @@
 
 /// Time for which the word of the instance that gives the orders counts.
 const OWNER_NEWS_TIME: Duration = Duration::from_secs(4);
+/// Time for which the word counts that a replica holds an adapter.
+const HELD_TIME: Duration = Duration::from_millis(1500);
 /// Time for which a replica's word counts that it doesn't hold something.
 const MISSING_TIME: Duration = Duration::from_millis(1500);
 /// Time for which another instance's work counts without news of it.
@@ -32,6 +34,13 @@
 /// Half-life of the memory of failures.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
+/// Something that a replica holds, by the last word of it.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    version: u64,
+    at: Timestamp,
+}
+
 /// Work that another instance has at a replica.
 #[derive(Clone, Debug)]
 struct PeerWork {
@@ -51,7 +60,7 @@
     pub own: Load,
     /// When its entry lapsed while the published state was out of reach.
     pub lapsed: Option<Timestamp>,
-    held: HashMap<AdapterKey, u64>,
+    held: HashMap<AdapterKey, Held>,
     owner_news: Option<Timestamp>,
     missing: HashMap<AdapterKey, Timestamp>,
     had: HashMap<AdapterKey, Timestamp>,
@@ -68,7 +77,7 @@
 impl Replica {
     /// A replica that was just published.
     pub fn new(now: Timestamp, entry: ReplicaEntry) -> Self {
-        let held = held_of(&entry.models);
+        let held = held_of(now, &entry.models);
         Self {
             entry,
             prefixes: PrefixMemory::default(),
@@ -93,7 +102,7 @@
     pub fn update(&mut self, now: Timestamp, entry: ReplicaEntry) {
         let owner_news_counts = self.owner_news.is_some_and(|at| now.since(at) < OWNER_NEWS_TIME);
         if !owner_news_counts {
-            self.set_held(now, held_of(&entry.models));
+            self.set_held(now, held_of(now, &entry.models));
         }
         self.lapsed = None;
         let was_draining = self.entry.state == ReplicaState::Draining;
@@ -105,7 +114,7 @@
 
     /// Takes the word of the instance that gives this replica its orders.
     pub fn on_owner_news(&mut self, now: Timestamp, models: &[HeldModel]) {
-        self.set_held(now, held_of(models));
+        self.set_held(now, held_of(now, models));
         self.owner_news = Some(now);
     }
 
@@ -113,7 +122,7 @@
     pub fn on_loaded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
         self.missing.remove(&key);
         self.had.insert(key.clone(), now);
-        self.held.insert(key, version);
+        self.held.insert(key, Held { version, at: now });
     }
 
     /// Notes that the replica is about to drop something.
@@ -128,7 +137,7 @@
         self.prefixes.forget(key);
     }
 
-    fn set_held(&mut self, now: Timestamp, held: HashMap<AdapterKey, u64>) {
+    fn set_held(&mut self, now: Timestamp, held: HashMap<AdapterKey, Held>) {
         for key in held.keys() {
             self.had.insert(key.clone(), now);
         }
@@ -137,14 +146,14 @@
     }
 
     /// Version of something that the replica holds.
+    ///
+    /// Adapters come and go, so the word of one counts for a while only, unless requests of
+    /// this instance keep it there.
     pub fn holds(&self, now: Timestamp, key: &AdapterKey) -> Option<u64> {
         let missing = self.missing.get(key).is_some_and(|at| now.since(*at) < MISSING_TIME);
-        if missing { None } else { self.held.get(key).copied() }
-    }
-
-    /// Everything that the replica is believed to hold.
-    pub fn held(&self) -> &HashMap<AdapterKey, u64> {
-        &self.held
+        let held = self.held.get(key).filter(|_| !missing)?;
+        let is_kept = key.adapter.is_none() || self.in_use.contains_key(key);
+        (is_kept || now.since(held.at) < HELD_TIME).then_some(held.version)
     }
 
     /// Whether the replica may get new work.
@@ -280,12 +289,14 @@
     }
 }
 
-fn held_of(models: &[HeldModel]) -> HashMap<AdapterKey, u64> {
+fn held_of(now: Timestamp, models: &[HeldModel]) -> HashMap<AdapterKey, Held> {
     let mut held = HashMap::new();
     for model in models {
-        held.insert(AdapterKey::base(model.name.clone()), model.version);
+        let base = Held { version: model.version, at: now };
+        held.insert(AdapterKey::base(model.name.clone()), base);
         for (adapter, version) in &model.adapters {
-            held.insert(AdapterKey::adapter(model.name.clone(), adapter.clone()), *version);
+            let key = AdapterKey::adapter(model.name.clone(), adapter.clone());
+            held.insert(key, Held { version: *version, at: now });
         }
     }
     held
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -85,6 +85,11 @@
 }
 
 impl Replicas {
+    /// Whether other instances need to know an entry; who holds which adapter they ask.
+    pub fn is_news(&self, entry: &ReplicaEntry) -> bool {
+        self.known.get(&entry.name).is_none_or(|known| !known.entry.is_alike(entry))
+    }
+
     /// Takes an entry; returns whether the replica has started anew since the last one.
     pub fn on_entry(&mut self, now: Timestamp, entry: ReplicaEntry) -> bool {
         match self.known.get_mut(&entry.name) {
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -278,6 +278,10 @@
         topic: &'a str,
         /// Revision that it stands for.
         as_of: u64,
+        /// Whether everything was taken anew.
+        whole: bool,
+        /// Changes.
+        count: usize,
     },
 }
 
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -18,6 +18,7 @@
 use super::published;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::UseNews;
+use crate::decide::traffic::ViewChanges;
 use crate::edge::HttpCall;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -36,15 +37,17 @@
 use crate::wire::relay::LoadRequest;
 use crate::wire::relay::OwnedNews;
 use crate::wire::relay::PUBLISHED_PATH;
-use crate::wire::relay::PublishedAnswer;
+use crate::wire::relay::PublishedPart;
 use crate::wire::relay::PublishedRead;
 use crate::wire::relay::ReplicaLoad;
-use crate::wire::relay::Revisions;
 use crate::wire::relay::USE_PATH;
 use crate::wire::relay::UseNotice;
+use crate::wire::relay::Views;
 
 /// Time between rounds of exchanges.
 const ROUND: Duration = Duration::from_millis(350);
+/// Least time between rounds, if there's news of the published state.
+const MIN_ROUND: Duration = Duration::from_millis(50);
 /// Longest wait for a peer's answer.
 const EXCHANGE_LIMIT: Duration = Duration::from_millis(600);
 /// Time on top of a load's own limit.
@@ -58,7 +61,11 @@
         for addr in targets {
             tokio::spawn(exchange_with(Arc::clone(&node), addr));
         }
-        sleep(ROUND).await;
+        sleep(MIN_ROUND).await;
+        tokio::select! {
+            () = sleep(ROUND - MIN_ROUND) => {}
+            () = node.published_news.notified() => {}
+        }
     }
 }
 
@@ -71,8 +78,9 @@
     match path {
         EXCHANGE_PATH => {
             let news: Exchange = decode(body)?;
+            let lacks = news.peers.lacks;
             take(node, news, None);
-            encode(&own_news(node))
+            encode(&own_news(node, lacks))
         }
         LOAD_PATH => {
             let request: LoadRequest = decode(body)?;
@@ -92,7 +100,7 @@
             node.order_wake.notify_one();
             encode(&())
         }
-        PUBLISHED_PATH => encode(&published_answer(node, decode(body)?)),
+        PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
     }
 }
@@ -152,7 +160,7 @@
 }
 
 async fn exchange_with(node: Arc<Node>, addr: SocketAddr) {
-    let news = own_news(&node);
+    let news = own_news(&node, false);
     let answer: Result<Exchange> = call(&node, addr, EXCHANGE_PATH, &news, EXCHANGE_LIMIT).await;
     match answer {
         Ok(news) => {
@@ -185,7 +193,7 @@
     tokio::time::timeout(limit, exchange).await.unwrap_or_else(|_| Err(late()))
 }
 
-fn own_news(node: &Node) -> Exchange {
+fn own_news(node: &Node, all_peers: bool) -> Exchange {
     let now = node.now();
     let owned = node
         .owned()
@@ -209,15 +217,15 @@
         })
         .collect();
     Exchange {
-        records: node.peers().records(now),
+        peers: node.peers().news(now, all_peers),
         fence: node.highest_fence(),
         owned,
         loads,
         use_serial,
         strikes: node.crashes().news(now),
-        revisions: Revisions {
-            operator: node.topic(Topic::Operator).newest,
-            replicas: node.topic(Topic::Replicas).newest,
+        views: Views {
+            operator: node.topic(Topic::Operator).news(now),
+            replicas: node.topic(Topic::Replicas).news(now),
         },
     }
 }
@@ -225,11 +233,11 @@
 /// Takes news; `from` is an address that more can be asked at.
 fn take(node: &Arc<Node>, news: Exchange, from: Option<SocketAddr>) {
     let now = node.now();
-    let Some(sender) = news.records.first().cloned() else { return };
+    let Some(sender) = news.peers.records.first().cloned() else { return };
     if sender.name == node.settings.instance {
         return;
     }
-    node.peers().on_records(now, news.records);
+    node.peers().on_news(now, news.peers);
     node.on_fence_heard(news.fence);
     for owned in &news.owned {
         let preferred = node.peers().preferred(now, owned.replica.as_str()).cloned();
@@ -247,10 +255,11 @@
         node.crashes().on_peer(now, fingerprint, count);
     }
     let addr = from.unwrap_or(sender.addr);
-    for (topic, revision) in
-        [(Topic::Operator, news.revisions.operator), (Topic::Replicas, news.revisions.replicas)]
+    for (topic, view) in
+        [(Topic::Operator, news.views.operator), (Topic::Replicas, news.views.replicas)]
     {
-        if published::is_behind(node, topic, revision) {
+        let reads = node.peers().reads_published(now);
+        if node.topic(topic).on_peer(now, &view, reads) {
             tokio::spawn(read_published(Arc::clone(node), topic, addr));
         }
     }
@@ -269,14 +278,15 @@
 }
 
 async fn read_published(node: Arc<Node>, topic: Topic, addr: SocketAddr) {
-    let read = match topic {
-        Topic::Operator => PublishedRead::Operator,
-        Topic::Replicas => PublishedRead::Replicas,
+    let part = match topic {
+        Topic::Operator => PublishedPart::Operator,
+        Topic::Replicas => PublishedPart::Replicas,
     };
-    let answer: Result<PublishedAnswer> =
+    let read = PublishedRead { part, after: node.topic(topic).as_of() };
+    let answer: Result<ViewChanges> =
         call(&node, addr, PUBLISHED_PATH, &read, EXCHANGE_LIMIT).await;
     match answer {
-        Ok(answer) => published::take_from_peer(&node, topic, answer),
+        Ok(changes) => published::take_from_peer(&node, topic, changes),
         Err(e) => {
             let (what, subject) = ("published state", addr.to_string());
             record(&Event::PeerFailed { what, subject: &subject, detail: &e.to_string() });
@@ -284,15 +294,13 @@
     }
 }
 
-fn published_answer(node: &Node, read: PublishedRead) -> PublishedAnswer {
-    let topic = match read {
-        PublishedRead::Operator => Topic::Operator,
-        PublishedRead::Replicas => Topic::Replicas,
+fn published_changes(node: &Node, read: PublishedRead) -> ViewChanges {
+    let topic = match read.part {
+        PublishedPart::Operator => Topic::Operator,
+        PublishedPart::Replicas => Topic::Replicas,
     };
-    let state = node.topic(topic);
-    let items = state.items.values();
-    PublishedAnswer {
-        as_of: state.as_of,
-        items: items.map(|i| (i.key.clone(), i.value.clone(), i.rev)).collect(),
-    }
+    let now = node.now();
+    let after_outage = published::had_outage(node, topic, now);
+    let changes = node.topic(topic).changes_after(now, read.after);
+    ViewChanges { after_outage, ..changes }
 }
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -14,6 +14,7 @@
 use crate::decide::traffic::Wanted;
 use crate::names::BackendName;
 use crate::names::Timestamp;
+use crate::wire::relay::LoadMode;
 use crate::wire::relay::LoadRequest;
 
 /// Replicas that are tried for one load.
@@ -27,7 +28,8 @@
 
 /// Has `key` loaded at one of `targets`; returns when it is, or after `limit`.
 ///
-/// The first target that has a place loads it; if none has, it waits for one of the first.
+/// A target that holds it already is used; else the first that has a place loads it. If none
+/// has, it waits for one of the first.
 pub async fn load_somewhere(
     node: &Arc<Node>,
     key: &AdapterKey,
@@ -35,9 +37,14 @@
     limit: Duration,
 ) {
     let tried = async {
-        for (queue, count) in [(false, MAX_TARGETS), (true, 1)] {
+        let steps = [
+            (LoadMode::IfKnown, MAX_TARGETS),
+            (LoadMode::IfFree, MAX_TARGETS),
+            (LoadMode::Queue, 1),
+        ];
+        for (mode, count) in steps {
             for target in targets.iter().take(count) {
-                if load_at(node, key, target, limit, queue).await {
+                if load_at(node, key, target, limit, mode).await {
                     return;
                 }
             }
@@ -54,19 +61,23 @@
     let Some(key) = wanted.key.clone() else { return };
     let node = Arc::clone(node);
     tokio::spawn(async move {
-        load_at(&node, &key, &target, LOAD_LIMIT, false).await;
+        load_at(&node, &key, &target, LOAD_LIMIT, LoadMode::IfFree).await;
     });
 }
 
 /// Waits until a replica that this instance gives orders holds an adapter; its version.
 pub async fn load_here(node: &Node, request: &LoadRequest) -> Option<u64> {
-    let LoadRequest { replica, key, wait_ms, queue } = request;
+    let LoadRequest { replica, key, wait_ms, mode } = request;
     let limit = Duration::from_millis(*wait_ms);
     let mut changes = node.plan_changes.subscribe();
-    wish(node, replica, key, *queue)?;
+    wish(node, replica, key, *mode)?;
     node.order_wake.notify_one();
     let deadline = node.now() + limit;
-    let start_by = node.now() + if *queue { limit } else { START_LIMIT };
+    let start_limit = match mode {
+        LoadMode::Queue => limit,
+        LoadMode::IfKnown | LoadMode::IfFree => START_LIMIT,
+    };
+    let start_by = node.now() + start_limit;
     loop {
         let pause = match look(node, key, replica, start_by) {
             Progress::Held(version) => return Some(version),
@@ -112,7 +123,7 @@
 }
 
 /// Wishes for an adapter, unless it is there; `None` if that is in vain.
-fn wish(node: &Node, replica: &BackendName, key: &AdapterKey, queue: bool) -> Option<()> {
+fn wish(node: &Node, replica: &BackendName, key: &AdapterKey, mode: LoadMode) -> Option<()> {
     let now = node.now();
     let config = node.current_config()?;
     let service = node.replicas().get(replica).map(|known| known.entry.service.clone())?;
@@ -120,7 +131,12 @@
     let mut all = node.owned();
     let owned = all.get_mut(replica).filter(|owned| owned.lease.is_held())?;
     let known = owned.plan.holds(now, key).is_some() || owned.plan.is_coming(key);
-    if !known && !queue && owned.plan.is_full(now, engine) {
+    let in_vain = match mode {
+        LoadMode::IfKnown => true,
+        LoadMode::IfFree => owned.plan.is_full(now, engine),
+        LoadMode::Queue => false,
+    };
+    if !known && in_vain {
         return None;
     }
     owned.plan.wish(now, key);
@@ -132,11 +148,11 @@
     key: &AdapterKey,
     target: &BackendName,
     limit: Duration,
-    queue: bool,
+    mode: LoadMode,
 ) -> bool {
     let owner = node.peers().preferred(node.now(), target.as_str()).cloned();
     let wait_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-    let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, queue };
+    let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, mode };
     let version = match owner {
         Some(owner) if owner == node.settings.instance => load_here(node, &request).await,
         Some(owner) => exchange::ask_load(node, &owner, &request).await,
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,7 +19,6 @@
 mod run;
 mod settings;
 mod stream_relay;
-mod topic_state;
 mod upstream;
 
 pub use event::Event;
@@ -31,8 +30,6 @@
 pub use protocol::OrderAnswer;
 pub use protocol::OrderCall;
 pub use protocol::Protocol;
-pub use protocol::PublishedEvent;
-pub use protocol::PublishedItem;
 pub use protocol::PublishedPage;
 pub use protocol::ReplicaCall;
 pub use protocol::Report;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -21,7 +21,6 @@
 use super::RelaySettings;
 use super::Topic;
 use super::orders::Owned;
-use super::topic_state::TopicState;
 use super::upstream::Upstream;
 use crate::daemon::Clock;
 use crate::decide::rendezvous;
@@ -29,6 +28,7 @@
 use crate::decide::traffic::DeclaredVersions;
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::Peers;
+use crate::decide::traffic::PublishedView;
 use crate::decide::traffic::Replicas;
 use crate::decide::traffic::RetryShare;
 use crate::decide::traffic::Shutdown;
@@ -56,6 +56,8 @@
     pub config: watch::Sender<Option<Arc<TrafficConfig>>>,
     /// Wakes the task that gives orders.
     pub order_wake: Notify,
+    /// Wakes the exchange when there's news of the published state.
+    pub published_news: Notify,
     /// Raised whenever the plan of a replica changes.
     pub plan_changes: watch::Sender<u64>,
     /// Requests of callers in progress.
@@ -71,8 +73,8 @@
     retries: Mutex<RetryShare>,
     crashes: Mutex<CrashGuard>,
     owned: Mutex<HashMap<BackendName, Owned>>,
-    operator_topic: Mutex<TopicState>,
-    replica_topic: Mutex<TopicState>,
+    operator_topic: Mutex<PublishedView>,
+    replica_topic: Mutex<PublishedView>,
 }
 
 impl Node {
@@ -97,6 +99,7 @@
             upstream: Upstream::default(),
             config: watch::Sender::new(None),
             order_wake: Notify::new(),
+            published_news: Notify::new(),
             plan_changes: watch::Sender::new(0),
             in_flight: AtomicUsize::new(0),
             clock: Clock::start(),
@@ -152,7 +155,7 @@
     }
 
     /// Published items of a topic.
-    pub fn topic(&self, topic: Topic) -> MutexGuard<'_, TopicState> {
+    pub fn topic(&self, topic: Topic) -> MutexGuard<'_, PublishedView> {
         match topic {
             Topic::Operator => lock(&self.operator_topic),
             Topic::Replicas => lock(&self.replica_topic),
@@ -188,7 +191,7 @@
 
     /// Whether the instance takes work of callers.
     pub fn is_ready(&self) -> bool {
-        let knows_replicas = self.topic(Topic::Replicas).as_of.is_some();
+        let knows_replicas = self.topic(Topic::Replicas).as_of().is_some();
         !self.is_draining()
             && self.joined.load(Ordering::Relaxed)
             && self.config.borrow().is_some()
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -13,6 +13,8 @@
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::HeldModel;
 use crate::decide::traffic::Order;
+use crate::decide::traffic::PublishedEvent;
+use crate::decide::traffic::PublishedItem;
 use crate::decide::traffic::ReplicaEntry;
 use crate::decide::traffic::TrafficConfig;
 use crate::decide::traffic::Wanted;
@@ -146,31 +148,6 @@
     }
 }
 
-/// One published item.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PublishedItem {
-    /// Its key.
-    pub key: String,
-    /// Its value, as it was written.
-    pub value: Bytes,
-    /// Revision of its last change.
-    pub rev: u64,
-}
-
-/// One change of the published state.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PublishedEvent {
-    /// An item was written.
-    Written(PublishedItem),
-    /// An item was removed.
-    Removed {
-        /// Its key.
-        key: String,
-        /// Revision of the removal.
-        rev: u64,
-    },
-}
-
 /// One page of items or events.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PublishedPage {
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -7,19 +7,19 @@
 use tokio::time::timeout;
 
 use super::DecodeFault;
-use super::PublishedEvent;
-use super::PublishedItem;
 use super::PublishedPage;
 use super::Topic;
 use super::event::Event;
 use super::event::record;
 use super::node::Node;
+use crate::decide::traffic::PublishedEvent;
+use crate::decide::traffic::PublishedItem;
+use crate::decide::traffic::ViewChanges;
 use crate::edge::HttpCall;
 use crate::names::Timestamp;
-use crate::wire::relay::PublishedAnswer;
 
 /// Longest time that one watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Time on top of a watch's wait after which it counts as lost.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// Longest wait for a page of a listing.
@@ -28,19 +28,19 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after changes of replicas, so that one watch brings several.
 const REPLICA_PAUSE: Duration = Duration::from_millis(250);
-/// Pause on top of it for each instance that reads them too.
-const REPLICA_PAUSE_PER_INSTANCE: Duration = Duration::from_millis(10);
-/// Longest such pause; a leaving replica must be known well within its notice.
-const MAX_REPLICA_PAUSE: Duration = Duration::from_millis(1000);
+/// Pause between looks whether this instance has to read.
+const READER_LOOK: Duration = Duration::from_millis(100);
 /// Time after a failed call for which lapsed entries may come back.
 const OUTAGE_MEMORY: Duration = Duration::from_millis(3500);
-/// Time without a successful call after which peers are asked instead.
-const PEERS_AFTER: Duration = Duration::from_millis(2700);
 
 /// Follows one topic until the process ends.
 pub async fn follow(node: Arc<Node>, topic: Topic) {
     loop {
-        let as_of = node.topic(topic).as_of;
+        if !must_read(&node, topic) {
+            sleep(READER_LOOK).await;
+            continue;
+        }
+        let as_of = node.topic(topic).as_of();
         let step = match as_of {
             None => list(&node, topic).await,
             Some(as_of) => watch(&node, topic, as_of).await,
@@ -50,7 +50,7 @@
             Ok(changed) => {
                 on_success(&node, topic, now);
                 if changed && topic == Topic::Replicas {
-                    sleep(replica_pause(&node)).await;
+                    sleep(REPLICA_PAUSE).await;
                 }
             }
             Err(reason) => {
@@ -61,11 +61,13 @@
     }
 }
 
-/// The store's calls are shared by all instances, so each reads less often in a larger fleet.
-fn replica_pause(node: &Node) -> Duration {
-    let instances = u32::try_from(node.peers().remembered_count()).unwrap_or(u32::MAX);
-    let pause = REPLICA_PAUSE + REPLICA_PAUSE_PER_INSTANCE.saturating_mul(instances);
-    pause.min(MAX_REPLICA_PAUSE)
+/// Whether this instance reads a topic itself: it is one of the readers, or it has had no
+/// news of others for too long.
+fn must_read(node: &Node, topic: Topic) -> bool {
+    let now = node.now();
+    let reads = node.peers().reads_published(now);
+    let state = node.topic(topic);
+    reads || state.as_of().is_none() || !state.is_current(now)
 }
 
 /// Drops lapsed replicas and unused connections until the process ends.
@@ -78,25 +80,35 @@
     }
 }
 
-/// Whether a peer has changes that this instance can't read itself.
-pub fn is_behind(node: &Node, topic: Topic, revision: u64) -> bool {
+/// Takes a peer's changes of a topic.
+pub fn take_from_peer(node: &Node, topic: Topic, changes: ViewChanges) {
+    let Some(as_of) = changes.as_of else { return };
     let now = node.now();
-    let state = node.topic(topic);
-    let out_of_touch = match (state.succeeded, state.failed) {
-        (None, _) => true,
-        (Some(succeeded), failed) => {
-            failed.is_some_and(|failed| failed > succeeded) || now.since(succeeded) >= PEERS_AFTER
-        }
+    let count = changes.events.len();
+    record(&Event::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
+    let events = if changes.whole {
+        let items = changes.events.into_iter().filter_map(written);
+        node.topic(topic).changes_to(items.collect(), as_of)
+    } else {
+        changes.events
     };
-    out_of_touch && revision > state.newest
+    let after_outage = changes.after_outage || had_outage(node, topic, now);
+    apply(node, topic, &events, after_outage);
+    let age = changes.age_ms.map_or(Duration::MAX, Duration::from_millis);
+    node.topic(topic).on_complete(as_of, now - age);
+}
+
+/// Whether the published state was out of reach lately, so that items may have lapsed.
+pub fn had_outage(node: &Node, topic: Topic, now: Timestamp) -> bool {
+    let failed = node.topic(topic).failed;
+    failed.is_some_and(|at| now.since(at) < OUTAGE_MEMORY)
 }
 
-/// Takes what a peer has of a topic.
-pub fn take_from_peer(node: &Node, topic: Topic, answer: PublishedAnswer) {
-    let Some(as_of) = answer.as_of else { return };
-    let items = answer.items.into_iter().map(|(key, value, rev)| PublishedItem { key, value, rev });
-    record(&Event::TakenFromPeer { topic: topic.name(), as_of });
-    take_listing(node, topic, items.collect(), as_of);
+fn written(event: PublishedEvent) -> Option<PublishedItem> {
+    match event {
+        PublishedEvent::Written(item) => Some(item),
+        PublishedEvent::Removed { .. } => None,
+    }
 }
 
 async fn list(node: &Node, topic: Topic) -> Result<bool, String> {
@@ -112,10 +124,7 @@
         let page = node.protocol.read_list(&body).map_err(|e| e.to_string())?;
         as_of.get_or_insert(page.as_of);
         let more = page.more && !page.events.is_empty();
-        items.extend(page.events.into_iter().filter_map(|event| match event {
-            PublishedEvent::Written(item) => Some(item),
-            PublishedEvent::Removed { .. } => None,
-        }));
+        items.extend(page.events.into_iter().filter_map(written));
         if !more {
             break;
         }
@@ -131,7 +140,7 @@
         && node.protocol.is_history_lost(code)
     {
         record(&Event::HistoryLost { topic: topic.name(), after });
-        node.topic(topic).as_of = None;
+        node.topic(topic).on_history_lost();
         return Ok(false);
     }
     if status != 200 {
@@ -153,35 +162,44 @@
 }
 
 fn take_listing(node: &Node, topic: Topic, items: Vec<PublishedItem>, as_of: u64) {
+    let now = node.now();
     let events = node.topic(topic).changes_to(items, as_of);
-    apply(node, topic, &events);
-    let mut state = node.topic(topic);
-    state.as_of = Some(state.as_of.unwrap_or_default().max(as_of));
+    apply(node, topic, &events, had_outage(node, topic, now));
+    node.topic(topic).on_complete(as_of, now);
 }
 
 fn take_page(node: &Node, topic: Topic, page: &PublishedPage) -> bool {
-    apply(node, topic, &page.events);
-    let mut state = node.topic(topic);
-    if state.as_of.is_some_and(|as_of| page.as_of > as_of) {
-        state.as_of = Some(page.as_of);
-    }
+    let now = node.now();
+    apply(node, topic, &page.events, had_outage(node, topic, now));
+    node.topic(topic).on_complete(page.as_of, now);
     !page.events.is_empty()
 }
 
-fn apply(node: &Node, topic: Topic, events: &[PublishedEvent]) {
+fn apply(node: &Node, topic: Topic, events: &[PublishedEvent], after_outage: bool) {
+    let mut news = false;
     for event in events {
         if !node.topic(topic).take(event) {
             continue;
         }
-        match topic {
+        let matters = match topic {
             Topic::Operator => apply_operator(node, event),
-            Topic::Replicas => apply_replica(node, event),
+            Topic::Replicas => apply_replica(node, event, after_outage),
+        };
+        if let PublishedEvent::Written(item) = event
+            && matters
+        {
+            node.topic(topic).on_news(&item.key);
         }
+        news |= matters;
+    }
+    if news {
+        node.published_news.notify_one();
     }
 }
 
-fn apply_operator(node: &Node, event: &PublishedEvent) {
-    let PublishedEvent::Written(item) = event else { return };
+/// Takes a change of the operator's items, all of which others need to know.
+fn apply_operator(node: &Node, event: &PublishedEvent) -> bool {
+    let PublishedEvent::Written(item) = event else { return true };
     match node.protocol.read_config(item) {
         Ok(Some(config)) => {
             let version = config.version;
@@ -204,28 +222,35 @@
         Ok(None) => {}
         Err(fault) => undecodable(item, &fault),
     }
+    true
 }
 
-fn apply_replica(node: &Node, event: &PublishedEvent) {
+/// Takes a change of a replica's entry; returns whether others need to know it.
+fn apply_replica(node: &Node, event: &PublishedEvent, after_outage: bool) -> bool {
     let now = node.now();
     match event {
         PublishedEvent::Written(item) => match node.protocol.read_replica(item) {
             Ok(entry) => {
                 let (name, state) = (entry.name.clone(), entry.state);
-                if node.replicas().on_entry(now, entry) {
+                let mut replicas = node.replicas();
+                let matters = replicas.is_news(&entry);
+                if replicas.on_entry(now, entry) {
                     let state = format!("{state:?}");
                     let replica = name.as_str();
                     record(&Event::ReplicaKnown { replica, state: &state, rev: item.rev });
                 }
+                matters
+            }
+            Err(fault) => {
+                undecodable(item, &fault);
+                true
             }
-            Err(fault) => undecodable(item, &fault),
         },
         PublishedEvent::Removed { key, .. } => {
-            let Some(name) = node.protocol.replica_of_key(key) else { return };
-            let failed = node.topic(Topic::Replicas).failed;
-            let after_outage = failed.is_some_and(|at| now.since(at) < OUTAGE_MEMORY);
+            let Some(name) = node.protocol.replica_of_key(key) else { return true };
             record(&Event::ReplicaRemoved { replica: name.as_str(), after_outage });
             node.replicas().on_removed(now, &name, after_outage);
+            true
         }
     }
 }
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -1,15 +1,15 @@
 //! Messages between relays.
 
-use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::HeldModel;
 use crate::decide::traffic::Load;
-use crate::decide::traffic::PeerRecord;
+use crate::decide::traffic::PeerNews;
 use crate::decide::traffic::PlanHandover;
 use crate::decide::traffic::UseNews;
+use crate::decide::traffic::ViewNews;
 use crate::names::BackendName;
 
 /// Path of [`Exchange`].
@@ -47,20 +47,20 @@
     pub in_use: Vec<(AdapterKey, u32)>,
 }
 
-/// Revisions of the newest published changes that the sender has.
+/// How far the sender's views of the published state go.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revisions {
+pub struct Views {
     /// Of the operator's items.
-    pub operator: u64,
+    pub operator: ViewNews,
     /// Of the replicas' entries.
-    pub replicas: u64,
+    pub replicas: ViewNews,
 }
 
 /// What instances tell each other; the answer is one too.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Exchange {
-    /// Instances that the sender knows of, itself first.
-    pub records: Vec<PeerRecord>,
+    /// Instances that the sender knows of.
+    pub peers: PeerNews,
     /// Highest fencing number that the sender has heard of.
     pub fence: u64,
     /// Replicas that the sender gives orders.
@@ -71,8 +71,8 @@
     pub use_serial: u64,
     /// Requests suspected of crashing replicas, with their strikes.
     pub strikes: Vec<(u64, u32)>,
-    /// Published changes that the sender has.
-    pub revisions: Revisions,
+    /// How far the sender's views of the published state go.
+    pub views: Views,
 }
 
 /// Asks the instance that gives a replica its orders for a load.
@@ -84,8 +84,19 @@
     pub key: AdapterKey,
     /// Longest time to wait, in ms.
     pub wait_ms: u64,
-    /// Whether to wait for a place if none is free.
-    pub queue: bool,
+    /// What to do if it isn't loaded.
+    pub mode: LoadMode,
+}
+
+/// What is done for a [`LoadRequest`] if the adapter isn't loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LoadMode {
+    /// Nothing, unless it is on its way.
+    IfKnown,
+    /// It is loaded if there's a place.
+    IfFree,
+    /// It waits for a place.
+    Queue,
 }
 
 /// Answer to a [`LoadRequest`].
@@ -128,20 +139,22 @@
     pub accepted: bool,
 }
 
-/// Asks for all published items of a topic.
+/// A part of the published state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PublishedRead {
+pub enum PublishedPart {
     /// The operator's items.
     Operator,
     /// The replicas' entries.
     Replicas,
 }
 
-/// Answer to a [`PublishedRead`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PublishedAnswer {
-    /// Revision that the items stand for; `None` if the sender has none.
-    pub as_of: Option<u64>,
-    /// Key, value and revision of each item.
-    pub items: Vec<(String, Bytes, u64)>,
+/// Asks for changes of the published state; the answer is [`ViewChanges`].
+///
+/// [`ViewChanges`]: crate::decide::traffic::ViewChanges
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedRead {
+    /// Which part.
+    pub part: PublishedPart,
+    /// Revision up to which the sender has all; `None` if it has nothing.
+    pub after: Option<u64>,
 }
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod order_lease;
 mod peers;
+mod published_view;
 mod replica_plan;
 mod replicas;
 mod small;
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use tamaracklead::decide::traffic::PeerNews;
 use tamaracklead::decide::traffic::PeerRecord;
 use tamaracklead::decide::traffic::Peers;
 use tamaracklead::names::InstanceName;
@@ -26,8 +27,13 @@
     }
 }
 
+fn told(records: Vec<PeerRecord>) -> PeerNews {
+    PeerNews { records, beats: Vec::new(), lacks: false }
+}
+
 struct Fleet {
     peers: Vec<Peers>,
+    bytes: usize,
     down: BTreeSet<usize>,
     now: u64,
 }
@@ -36,7 +42,7 @@
     fn new(size: usize) -> Self {
         let seeds = vec![addr(0), addr(1)];
         let peers = (0..size).map(|index| Peers::new(record(index, 1), seeds.clone())).collect();
-        Self { peers, down: BTreeSet::new(), now: 0 }
+        Self { peers, bytes: 0, down: BTreeSet::new(), now: 0 }
     }
 
     fn run(&mut self, rounds: u64) {
@@ -57,10 +63,13 @@
             if other == index || other >= self.peers.len() || self.down.contains(&other) {
                 continue;
             }
-            let asked = self.peers[index].records(now);
-            self.peers[other].on_records(now, asked);
-            let answer = self.peers[other].records(now);
-            self.peers[index].on_records(now, answer);
+            let asked = self.peers[index].news(now, false);
+            let lacks = asked.lacks;
+            self.bytes += rmp_serde::to_vec_named(&asked).unwrap().len();
+            self.peers[other].on_news(now, asked);
+            let answer = self.peers[other].news(now, lacks);
+            self.bytes += rmp_serde::to_vec_named(&answer).unwrap().len();
+            self.peers[index].on_news(now, answer);
         }
     }
 
@@ -129,7 +138,7 @@
     leaving.draining = true;
     let mut young = record(2, 60_000);
     young.settled = false;
-    peers.on_records(now, vec![leaving, young]);
+    peers.on_news(now, told(vec![leaving, young]));
     for replica in ["r1", "r2", "r3", "r4", "r5", "r6"] {
         assert_eq!(peers.preferred(now, replica).unwrap().as_str(), "entry-0");
     }
@@ -140,17 +149,17 @@
     let mut peers = Peers::new(record(0, 1), Vec::new());
     let mut other = record(1, 5);
     other.beat = 10;
-    peers.on_records(at(0), vec![other.clone()]);
+    peers.on_news(at(0), told(vec![other.clone()]));
     let mut older = record(1, 4);
     older.beat = 99;
-    peers.on_records(at(3000), vec![older, other]);
+    peers.on_news(at(3000), told(vec![older, other]));
     assert_eq!(peers.live(at(3000)).count(), 0);
 }
 
 #[test]
 fn a_pause_does_not_make_the_others_look_gone() {
     let mut peers = Peers::new(record(0, 1), Vec::new());
-    peers.on_records(at(0), vec![record(1, 1), record(2, 1)]);
+    peers.on_news(at(0), told(vec![record(1, 1), record(2, 1)]));
     assert_eq!(peers.live(at(9000)).count(), 0);
     peers.on_pause(at(9000));
     assert_eq!(peers.live(at(9000)).count(), 2);
@@ -168,7 +177,7 @@
     for other in &mut others {
         other.settled = false;
     }
-    peers.on_records(now, others.clone());
+    peers.on_news(now, told(others.clone()));
     let replicas: Vec<String> = (0..20).map(|index| format!("r{index}")).collect();
     let chosen = |peers: &Peers| -> Vec<String> {
         replicas.iter().map(|r| peers.preferred(now, r).unwrap().to_string()).collect()
@@ -176,6 +185,69 @@
     let before = chosen(&peers);
     others[0].settled = true;
     others[0].beat += 1;
-    peers.on_records(now, others);
+    peers.on_news(now, told(others));
     assert_eq!(chosen(&peers), before);
 }
+
+/// Beats alone keep a fleet together, and a message stays small.
+#[test]
+fn a_settled_fleet_tells_beats_instead_of_records() {
+    const SIZE: usize = 90;
+    const MESSAGES: usize = 6;
+    let mut fleet = Fleet::new(SIZE);
+    fleet.run(20);
+    fleet.bytes = 0;
+    fleet.run(20);
+    assert!((0..SIZE).all(|index| fleet.live(index) == SIZE - 1));
+    let each = fleet.bytes / (20 * MESSAGES * SIZE);
+    assert!(each < 20 * SIZE, "{each} bytes a message");
+}
+
+#[test]
+fn one_that_meets_a_beat_of_somebody_unknown_asks_for_all_records() {
+    let mut peers = Peers::new(record(0, 1), Vec::new());
+    peers.on_news(at(0), told(vec![record(1, 1)]));
+    assert!(!peers.news(at(0), false).lacks);
+    let beats = vec![(record(2, 1).tag(), 7)];
+    let news = PeerNews { records: vec![record(1, 1)], beats, lacks: false };
+    peers.on_news(at(10), news);
+    assert!(peers.news(at(10), false).lacks);
+    assert_eq!(peers.live(at(10)).count(), 1);
+    let mut other = Peers::new(record(1, 1), Vec::new());
+    other.on_news(at(0), told(vec![record(2, 1)]));
+    assert_eq!(other.news(at(1900), false).records.len(), 1, "others are told by their beats");
+    peers.on_news(at(1900), other.news(at(1900), true));
+    assert!(!peers.news(at(1900), false).lacks);
+    assert_eq!(peers.live(at(1900)).count(), 2);
+}
+
+#[test]
+fn an_instance_that_started_anew_is_not_kept_alive_by_its_old_beats() {
+    let mut peers = Peers::new(record(0, 1), Vec::new());
+    peers.on_news(at(0), told(vec![record(1, 1)]));
+    let old = (record(1, 1).tag(), 99);
+    peers.on_news(at(100), told(vec![record(1, 60_000)]));
+    let news = PeerNews { records: vec![record(2, 1)], beats: vec![old], lacks: false };
+    peers.on_news(at(3000), news);
+    assert_eq!(peers.live(at(3000)).count(), 1, "only the sender is heard of");
+}
+
+/// A few read the published state, in any fleet, and others step in for those that leave.
+#[test]
+fn few_instances_read_the_published_state() {
+    let mut fleet = Fleet::new(60);
+    fleet.run(14);
+    let readers = |fleet: &Fleet| -> Vec<usize> {
+        let all = (0..60).filter(|index| !fleet.down.contains(index));
+        all.filter(|index| fleet.peers[*index].reads_published(at(fleet.now))).collect()
+    };
+    let first = readers(&fleet);
+    assert!((3..=6).contains(&first.len()), "{first:?}");
+    fleet.down.extend(first.iter().copied());
+    fleet.run(14);
+    let next = readers(&fleet);
+    assert!((3..=6).contains(&next.len()), "{next:?}");
+    let mut alone = Fleet::new(1);
+    alone.run(1);
+    assert!(alone.peers[0].reads_published(at(alone.now)));
+}
--- /dev/null
+++ b/tests/traffic/published_view.rs
@@ -0,0 +1,151 @@
+//! The published state, read by few instances and passed on to the others.
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use tamaracklead::decide::traffic::PublishedEvent;
+use tamaracklead::decide::traffic::PublishedItem;
+use tamaracklead::decide::traffic::PublishedView;
+use tamaracklead::decide::traffic::ViewChanges;
+
+use crate::support::at;
+
+fn item(key: &str, rev: u64) -> PublishedItem {
+    PublishedItem { key: key.to_owned(), value: Bytes::from(rev.to_string()), rev }
+}
+
+fn written(key: &str, rev: u64) -> PublishedEvent {
+    PublishedEvent::Written(item(key, rev))
+}
+
+fn removed(key: &str, rev: u64) -> PublishedEvent {
+    PublishedEvent::Removed { key: key.to_owned(), rev }
+}
+
+fn take(view: &mut PublishedView, event: &PublishedEvent) {
+    if view.take(event)
+        && let PublishedEvent::Written(item) = event
+    {
+        view.on_news(&item.key);
+    }
+}
+
+/// Brings a view up to date by another's answer.
+fn catch_up(now: u64, view: &mut PublishedView, changes: ViewChanges) {
+    let as_of = changes.as_of.unwrap();
+    let events = if changes.whole {
+        let items = changes.events.into_iter().map(|event| match event {
+            PublishedEvent::Written(item) => item,
+            PublishedEvent::Removed { .. } => panic!("a whole view has no removals"),
+        });
+        view.changes_to(items.collect(), as_of)
+    } else {
+        changes.events
+    };
+    for event in &events {
+        take(view, event);
+    }
+    view.on_complete(as_of, at(now));
+}
+
+fn keys(view: &PublishedView) -> Vec<(String, u64)> {
+    let all = view.changes_after(at(0), None);
+    let key = |event| match event {
+        PublishedEvent::Written(item) => (item.key, item.rev),
+        PublishedEvent::Removed { key, rev } => (key, rev),
+    };
+    let mut keys: Vec<_> = all.events.into_iter().map(key).collect();
+    keys.sort();
+    keys
+}
+
+#[test]
+fn a_view_that_takes_changes_from_another_becomes_the_same() {
+    for seed in 0..100 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+        reader.on_complete(1, at(0));
+        for rev in 2..300 {
+            let key = format!("k{}", rng.random_range(0..12));
+            let event = if rng.random_bool(0.3) { removed(&key, rev) } else { written(&key, rev) };
+            take(&mut reader, &event);
+            reader.on_complete(rev, at(rev));
+            if rng.random_bool(0.1) {
+                let changes = reader.changes_after(at(rev), other.as_of());
+                catch_up(rev, &mut other, changes);
+                assert_eq!(keys(&reader), keys(&other), "seed {seed}, revision {rev}");
+            }
+        }
+    }
+}
+
+#[test]
+fn only_what_changed_is_passed_on() {
+    let mut reader = PublishedView::default();
+    reader.on_complete(1, at(0));
+    for rev in 2..50 {
+        take(&mut reader, &written(&format!("k{rev}"), rev));
+        reader.on_complete(rev, at(rev));
+    }
+    take(&mut reader, &removed("k2", 50));
+    reader.on_complete(50, at(50));
+    let changes = reader.changes_after(at(50), Some(47));
+    assert!(!changes.whole);
+    let expected = [written("k48", 48), written("k49", 49), removed("k2", 50)];
+    assert_eq!(changes.events, expected);
+}
+
+#[test]
+fn a_view_too_old_for_the_remembered_removals_is_brought_everything() {
+    let mut reader = PublishedView::default();
+    reader.on_complete(1, at(0));
+    take(&mut reader, &written("stays", 2));
+    for rev in (3..2003).step_by(2) {
+        take(&mut reader, &written("k", rev));
+        take(&mut reader, &removed("k", rev + 1));
+        reader.on_complete(rev + 1, at(rev));
+    }
+    let changes = reader.changes_after(at(3000), Some(10));
+    assert!(changes.whole);
+    assert_eq!(changes.events, [written("stays", 2)]);
+    let mut other = PublishedView::default();
+    take(&mut other, &written("k", 9));
+    other.on_complete(10, at(0));
+    catch_up(3000, &mut other, changes);
+    assert_eq!(keys(&other), [("stays".to_owned(), 2)]);
+}
+
+#[test]
+fn a_view_is_asked_for_changes_only_if_it_has_some() {
+    let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+    take(&mut reader, &written("a", 5));
+    reader.on_complete(9, at(0));
+    assert!(other.on_peer(at(10), &reader.news(at(10)), false));
+    assert!(!other.on_peer(at(20), &reader.news(at(20)), false), "an answer is awaited");
+    let changes = reader.changes_after(at(20), None);
+    catch_up(20, &mut other, changes);
+    assert!(!other.on_peer(at(2000), &reader.news(at(2000)), false));
+    reader.take(&written("a", 12));
+    reader.on_complete(12, at(2500));
+    assert!(!other.on_peer(at(2600), &reader.news(at(2600)), false), "nobody needs that change");
+    assert_eq!(other.as_of(), Some(12));
+    take(&mut reader, &written("a", 13));
+    reader.on_complete(13, at(2700));
+    assert!(other.on_peer(at(2800), &reader.news(at(2800)), false));
+}
+
+#[test]
+fn one_that_nobody_brings_news_reads_for_itself() {
+    let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+    reader.on_complete(5, at(0));
+    other.on_complete(5, at(0));
+    for now in (500..6000).step_by(500) {
+        reader.on_complete(5, at(now));
+        other.on_peer(at(now + 100), &reader.news(at(now + 100)), false);
+        assert!(other.is_current(at(now + 100)), "at {now}");
+    }
+    let stale = reader.news(at(9000));
+    other.on_peer(at(9000), &stale, false);
+    assert!(!other.is_current(at(9000)), "old news doesn't become new on its way");
+}
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -218,3 +218,30 @@
     known.on_heard(at(2600));
     assert!(!known.is_mute(at(2700)), "another answer of it goes on");
 }
+
+/// Another instance may have had the adapter unloaded since; the one that orders knows.
+#[test]
+fn the_word_that_a_replica_holds_an_adapter_counts_for_a_while_or_as_long_as_it_is_used() {
+    let mut replicas = fleet(&["r1"]);
+    replicas.get_mut(&name("r1")).unwrap().on_loaded(at(0), key("a"), 1);
+    assert!(matches!(choose(&replicas, 1000, &wanted("a", 10)), Choice::Send { .. }));
+    assert!(matches!(choose(&replicas, 4000, &wanted("a", 10)), Choice::Load(_)));
+    replicas.get_mut(&name("r1")).unwrap().on_loaded(at(4000), key("a"), 1);
+    let replica = replicas.get_mut(&name("r1")).unwrap();
+    replica.on_sent(at(4000), wanted("a", 10).load(0), Some(&key("a")));
+    replica.on_answered(at(4100));
+    assert!(matches!(choose(&replicas, 9000, &wanted("a", 10)), Choice::Send { .. }));
+}
+
+#[test]
+fn others_need_to_know_of_a_replica_but_not_of_its_adapters() {
+    let replicas = fleet(&["r1"]);
+    assert!(!replicas.is_news(&entry("r1", &[("a", 1)])));
+    let mut draining = entry("r1", &[]);
+    draining.state = ReplicaState::Draining;
+    assert!(replicas.is_news(&draining));
+    let mut reborn = entry("r1", &[]);
+    reborn.started_ms += 1;
+    assert!(replicas.is_news(&reborn));
+    assert!(replicas.is_news(&entry("r2", &[])));
+}
