Give an adapter as many homes as its requests need, whoever sends them

One adapter has a fifth of the requests, but each of 91 instances sees too few of them to call it hot, so it stayed at one replica. The instance that orders a replica knows all uses; it says with each answer whether the adapter is crowded there. Requests then look at two of its homes at random, whose number doubles while both are crowded and halves after 4 s; instances tell it to each other with these calls. Uses of instances that are gone end at once, so the word of the others counts for 10 s instead of 4 (long streams lost their adapter).

--- a/src/decide/traffic/adapter_uses.rs
+++ b/src/decide/traffic/adapter_uses.rs
@@ -9,7 +9,7 @@
 use crate::names::Timestamp;
 
 /// Time for which an instance's word counts that it uses an adapter.
-const NEWS_TIME: Duration = Duration::from_secs(4);
+const NEWS_TIME: Duration = Duration::from_secs(10);
 
 #[derive(Clone, Copy, Debug)]
 struct Use {
@@ -51,9 +51,32 @@
         ended.map(|(key, _)| key.clone()).collect()
     }
 
+    /// Drops what instances use that aren't there any more.
+    pub fn retain_users(&mut self, is_there: impl Fn(&InstanceName) -> bool) {
+        self.users.retain(|_, users| {
+            users.retain(|user, _| is_there(user));
+            !users.is_empty()
+        });
+    }
+
+    /// Requests that use an adapter, as far as is known.
+    pub fn count(&self, now: Timestamp, key: &AdapterKey) -> u32 {
+        self.users.get(key).map_or(0, |users| count_of(now, users))
+    }
+
+    /// Requests that use any adapter, as far as is known.
+    pub fn total(&self, now: Timestamp) -> u32 {
+        self.users.values().map(|users| count_of(now, users)).sum()
+    }
+
     /// Whether requests use an adapter now.
     pub fn is_in_use(&self, now: Timestamp, key: &AdapterKey) -> bool {
         let Some(users) = self.users.get(key) else { return false };
         users.values().any(|known| now.since(known.at) < NEWS_TIME)
     }
 }
+
+fn count_of(now: Timestamp, users: &HashMap<InstanceName, Use>) -> u32 {
+    let fresh = users.values().filter(|known| now.since(known.at) < NEWS_TIME);
+    fresh.map(|known| known.count).sum()
+}
--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -6,6 +6,7 @@
 //! [`OrderLease`] which instance may order them, and [`Peers`] which instances
 //! there are.
 
+mod adapter_homes;
 mod adapter_key;
 mod adapter_uses;
 mod attempts;
@@ -14,6 +15,7 @@
 mod crash_guard;
 mod entry;
 mod event_splitter;
+mod hot_adapter;
 mod load;
 mod order;
 mod order_lease;
@@ -33,6 +35,7 @@
 mod use_news;
 mod versions;
 
+pub use adapter_homes::AdapterHomes;
 pub use adapter_key::AdapterKey;
 pub use adapter_uses::AdapterUses;
 pub use attempts::AttemptEnd;
@@ -49,6 +52,8 @@
 pub use entry::ReplicaEntry;
 pub use entry::ReplicaState;
 pub use event_splitter::EventSplitter;
+use hot_adapter::is_hot;
+use hot_adapter::is_on_busy_replica;
 pub use load::Load;
 pub use order::Order;
 pub use order_lease::LeaseStep;
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -134,6 +134,11 @@
         self.known.get(name).filter(|known| is_live(now, known)).map(|known| known.record.addr)
     }
 
+    /// Whether an instance is heard of.
+    pub fn is_live(&self, now: Timestamp, name: &InstanceName) -> bool {
+        self.known.get(name).is_some_and(|known| is_live(now, known))
+    }
+
     /// Live instances besides this one.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
         let live = self.known.values().filter(move |known| is_live(now, known));
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -10,6 +10,7 @@
 use super::PrefixMemory;
 use super::ReplicaEntry;
 use super::ReplicaState;
+use super::is_hot;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
 
@@ -17,6 +18,8 @@
 const OWNER_NEWS_TIME: Duration = Duration::from_secs(4);
 /// Time for which the word counts that a replica holds an adapter.
 const HELD_TIME: Duration = Duration::from_millis(1500);
+/// The same, if other replicas should be considered soon.
+const CROWDED_TIME: Duration = Duration::from_millis(50);
 /// Time for which a replica's word counts that it doesn't hold something.
 const MISSING_TIME: Duration = Duration::from_millis(1500);
 /// Time for which another instance's work counts without news of it.
@@ -39,6 +42,7 @@
 struct Held {
     version: u64,
     at: Timestamp,
+    counts_for: Duration,
 }
 
 /// Work that another instance has at a replica.
@@ -120,9 +124,19 @@
 
     /// Notes that the replica holds something now.
     pub fn on_loaded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
+        self.on_held(now, key, Held { version, at: now, counts_for: HELD_TIME });
+    }
+
+    /// Notes that the replica holds something, but has so much work with it that the next
+    /// request should ask again.
+    pub fn on_crowded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
+        self.on_held(now, key, Held { version, at: now, counts_for: CROWDED_TIME });
+    }
+
+    fn on_held(&mut self, now: Timestamp, key: AdapterKey, held: Held) {
         self.missing.remove(&key);
         self.had.insert(key.clone(), now);
-        self.held.insert(key, Held { version, at: now });
+        self.held.insert(key, held);
     }
 
     /// Notes that the replica is about to drop something.
@@ -152,8 +166,9 @@
     pub fn holds(&self, now: Timestamp, key: &AdapterKey) -> Option<u64> {
         let missing = self.missing.get(key).is_some_and(|at| now.since(*at) < MISSING_TIME);
         let held = self.held.get(key).filter(|_| !missing)?;
-        let is_kept = key.adapter.is_none() || self.in_use.contains_key(key);
-        (is_kept || now.since(held.at) < HELD_TIME).then_some(held.version)
+        let is_kept = held.counts_for == HELD_TIME && self.in_use.contains_key(key);
+        let counts = key.adapter.is_none() || is_kept || now.since(held.at) < held.counts_for;
+        counts.then_some(held.version)
     }
 
     /// Whether the replica may get new work.
@@ -191,6 +206,11 @@
         own + others.map(|(_, count)| count).sum::<u32>()
     }
 
+    /// Whether an adapter has so large a part of the replica's work that another should hold it.
+    pub fn is_crowded(&self, now: Timestamp, key: &AdapterKey) -> bool {
+        is_hot(self.uses_of(now, key), self.load(now).requests)
+    }
+
     /// Whether the replica held something lately, so that it loads it fast.
     pub fn had(&self, now: Timestamp, key: &AdapterKey) -> bool {
         self.had.get(key).is_some_and(|at| now.since(*at) < HAD_TIME)
@@ -292,11 +312,11 @@
 fn held_of(now: Timestamp, models: &[HeldModel]) -> HashMap<AdapterKey, Held> {
     let mut held = HashMap::new();
     for model in models {
-        let base = Held { version: model.version, at: now };
-        held.insert(AdapterKey::base(model.name.clone()), base);
+        let of = |version| Held { version, at: now, counts_for: HELD_TIME };
+        held.insert(AdapterKey::base(model.name.clone()), of(model.version));
         for (adapter, version) in &model.adapters {
             let key = AdapterKey::adapter(model.name.clone(), adapter.clone());
-            held.insert(key, Held { version: *version, at: now });
+            held.insert(key, of(*version));
         }
     }
     held
--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -16,6 +16,8 @@
 use super::Order;
 use super::PlanHandover;
 use super::UseNews;
+use super::is_hot;
+use super::is_on_busy_replica;
 use crate::names::InstanceName;
 use crate::names::ModelName;
 use crate::names::Timestamp;
@@ -161,6 +163,23 @@
         }
     }
 
+    /// Drops the uses of instances that aren't there any more.
+    pub fn retain_users(&mut self, is_there: impl Fn(&InstanceName) -> bool) {
+        self.uses.retain_users(is_there);
+    }
+
+    /// Requests of all instances at the replica, as far as is known.
+    pub fn requests(&self, now: Timestamp) -> u32 {
+        self.uses.total(now)
+    }
+
+    /// Whether an adapter has so much of the replica's work that another should hold it too;
+    /// replicas have `typical` requests.
+    pub fn is_crowded(&self, now: Timestamp, key: &AdapterKey, typical: f64) -> bool {
+        let (uses, requests) = (self.uses.count(now, key), self.uses.total(now));
+        is_hot(uses, requests) || is_on_busy_replica(uses, requests, typical)
+    }
+
     /// Version of an adapter that is held and stays, or that must have arrived by now.
     pub fn holds(&self, now: Timestamp, key: &AdapterKey) -> Option<u64> {
         if self.leaving.contains_key(key) {
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -31,10 +31,6 @@
 const SLOT_WAIT_MS: f64 = 40.0;
 /// Delay from which on another replica should hold the adapter too, in ms.
 const SPREAD_FROM_MS: f64 = 250.0;
-/// Requests of one adapter at a replica from which on another one should hold it too.
-const SPREAD_FROM_USES: u32 = 4;
-/// Share of a replica's requests that such an adapter has at least.
-const SPREAD_FROM_SHARE: f64 = 0.25;
 /// Age of a declared version from which on older ones are not used.
 const OLD_VERSION_TIME: Duration = Duration::from_millis(2500);
 
@@ -161,7 +157,7 @@
         let Some((best_delay, best)) = best else {
             return load_targets(now, &usable, key);
         };
-        let spread = if best_delay >= SPREAD_FROM_MS && is_hot(now, best, key) {
+        let spread = if best_delay >= SPREAD_FROM_MS && best.is_crowded(now, key) {
             spread_target(now, &usable, key, best, &delay)
         } else {
             None
@@ -216,13 +212,6 @@
         + replica.failure_score(now) * FAILURE_MS
 }
 
-/// Whether an adapter is a good part of a replica's work.
-fn is_hot(now: Timestamp, replica: &Replica, key: &AdapterKey) -> bool {
-    let uses = replica.uses_of(now, key);
-    let share = f64::from(uses) / f64::from(replica.load(now).requests.max(1));
-    uses >= SPREAD_FROM_USES && share >= SPREAD_FROM_SHARE
-}
-
 /// Replicas that could load an adapter, in its rendezvous order.
 ///
 /// The order doesn't depend on the load: a replica loads again fast, and without the
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -67,14 +67,16 @@
         /// Prompt tokens that they still have to read.
         unread_tokens: u64,
     },
-    /// A request waits for its adapter.
-    RequestWaits {
+    /// A request has waited for its adapter.
+    RequestWaited {
         /// Id of the request.
         id: &'a str,
         /// The adapter.
         adapter: &'a str,
         /// Replicas that could load it.
         targets: usize,
+        /// How long, in ms.
+        waited_ms: u128,
     },
     /// A request was refused or failed without an answer of a replica.
     RequestEnded {
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -61,6 +61,7 @@
         for addr in targets {
             tokio::spawn(exchange_with(Arc::clone(&node), addr));
         }
+        forget_gone_users(&node);
         sleep(MIN_ROUND).await;
         tokio::select! {
             () = sleep(ROUND - MIN_ROUND) => {}
@@ -84,8 +85,7 @@
         }
         LOAD_PATH => {
             let request: LoadRequest = decode(body)?;
-            let version = loads::load_here(node, &request).await;
-            encode(&LoadAnswer { version })
+            encode(&loads::load_here(node, &request).await)
         }
         HANDOVER_PATH => {
             let accepted = orders::take_over(node, decode(body)?);
@@ -105,17 +105,17 @@
     }
 }
 
-/// Asks the instance that gives a replica its orders for a load; the version it holds then.
-pub async fn ask_load(node: &Node, owner: &InstanceName, request: &LoadRequest) -> Option<u64> {
-    let addr = node.peers().addr_of(node.now(), owner)?;
+/// Asks the instance that gives a replica its orders for a load.
+pub async fn ask_load(node: &Node, owner: &InstanceName, request: &LoadRequest) -> LoadAnswer {
+    let Some(addr) = node.peers().addr_of(node.now(), owner) else { return LoadAnswer::default() };
     let limit = Duration::from_millis(request.wait_ms) + LOAD_MARGIN;
     let answer: Result<LoadAnswer> = call(node, addr, LOAD_PATH, request, limit).await;
     match answer {
-        Ok(answer) => answer.version,
+        Ok(answer) => answer,
         Err(e) => {
             let subject = request.replica.as_str();
             record(&Event::PeerFailed { what: "load", subject, detail: &e.to_string() });
-            None
+            LoadAnswer::default()
         }
     }
 }
@@ -159,6 +159,15 @@
     });
 }
 
+/// What instances used that are gone is free again.
+fn forget_gone_users(node: &Node) {
+    let now = node.now();
+    let peers = node.peers();
+    for owned in node.owned().values_mut() {
+        owned.plan.retain_users(|user| *user == peers.me().name || peers.is_live(now, user));
+    }
+}
+
 async fn exchange_with(node: Arc<Node>, addr: SocketAddr) {
     let news = own_news(&node, false);
     let answer: Result<Exchange> = call(&node, addr, EXCHANGE_PATH, &news, EXCHANGE_LIMIT).await;
--- a/src/relay/job.rs
+++ b/src/relay/job.rs
@@ -11,6 +11,7 @@
 use hyper::header;
 use hyper::http::request;
 use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Call;
 use super::answer::AnswerBody;
@@ -44,6 +45,8 @@
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
 /// How much longer than an answer's beginning a stream's is waited for.
 const STREAM_PATIENCE: u32 = 2;
+/// Least wait for an adapter that is logged.
+const LOGGED_WAIT: Duration = Duration::from_millis(10);
 /// Time that a request needs on its way to the caller and back.
 const TRAVEL_TIME: Duration = Duration::from_millis(10);
 
@@ -299,10 +302,15 @@
         let limit = patience.load_limit(self.time_until_deadline());
         let limit = limit.ok_or_else(|| self.given_up())?;
         let Some(key) = &self.call.wanted.key else { return Ok(()) };
-        let (id, adapter) = (self.call.id.as_str(), key.rank_text());
-        record(&Event::RequestWaits { id, adapter: &adapter, targets: targets.len() });
-        loads::load_somewhere(&self.node, key, targets, limit).await;
-        patience.on_load_wait(self.node.now().since(started));
+        let pick = xxh3_64(self.call.id.as_bytes());
+        loads::load_somewhere(&self.node, key, targets, limit, pick).await;
+        let waited = self.node.now().since(started);
+        patience.on_load_wait(waited);
+        if waited >= LOGGED_WAIT {
+            let (id, adapter) = (self.call.id.as_str(), key.rank_text());
+            let (targets, waited_ms) = (targets.len(), waited.as_millis());
+            record(&Event::RequestWaited { id, adapter: &adapter, targets, waited_ms });
+        }
         Ok(())
     }
 
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -14,6 +14,7 @@
 use crate::decide::traffic::Wanted;
 use crate::names::BackendName;
 use crate::names::Timestamp;
+use crate::wire::relay::LoadAnswer;
 use crate::wire::relay::LoadMode;
 use crate::wire::relay::LoadRequest;
 
@@ -29,20 +30,19 @@
 /// Has `key` loaded at one of `targets`; returns when it is, or after `limit`.
 ///
 /// A target that holds it already is used; else the first that has a place loads it. If none
-/// has, it waits for one of the first.
+/// has, it waits for one of the first. `pick` is a random number.
 pub async fn load_somewhere(
     node: &Arc<Node>,
     key: &AdapterKey,
     targets: &[BackendName],
     limit: Duration,
+    pick: u64,
 ) {
     let tried = async {
-        let steps = [
-            (LoadMode::IfKnown, MAX_TARGETS),
-            (LoadMode::IfFree, MAX_TARGETS),
-            (LoadMode::Queue, 1),
-        ];
-        for (mode, count) in steps {
+        if use_holder(node, key, targets, limit, pick).await {
+            return;
+        }
+        for (mode, count) in [(LoadMode::IfFree, MAX_TARGETS), (LoadMode::Queue, 1)] {
             for target in targets.iter().take(count) {
                 if load_at(node, key, target, limit, mode).await {
                     return;
@@ -56,18 +56,78 @@
     }
 }
 
+/// Finds a target that holds `key`; returns whether there's one.
+///
+/// If all that are looked at are crowded with it, the least busy one is used, and a further
+/// replica is to load it for later requests.
+async fn use_holder(
+    node: &Arc<Node>,
+    key: &AdapterKey,
+    targets: &[BackendName],
+    limit: Duration,
+    pick: u64,
+) -> bool {
+    let looks = node.homes().looks(node.now(), key, targets.len(), pick);
+    let mut crowded: Option<(&BackendName, LoadAnswer)> = None;
+    let mut without = None;
+    for target in looks.into_iter().filter_map(|rank| targets.get(rank)) {
+        let answer = ask(node, key, target, limit, LoadMode::IfKnown).await;
+        match answer.version {
+            Some(version) if !answer.crowded => {
+                on_loaded(node, target, key, version);
+                return true;
+            }
+            Some(_) if crowded.is_none_or(|(_, least)| answer.requests < least.requests) => {
+                crowded = Some((target, answer));
+            }
+            Some(_) => {}
+            None => without = without.or(Some(target)),
+        }
+    }
+    let Some((target, answer)) = crowded else { return false };
+    let now = node.now();
+    if let (Some(known), Some(version)) = (node.replicas().get_mut(target), answer.version) {
+        known.on_crowded(now, key.clone(), version);
+    }
+    let further = node.homes().widen(now, key, targets.len(), pick);
+    if let Some(without) = without.or(targets.get(further)) {
+        load_for_later(node, key.clone(), without.clone());
+    }
+    true
+}
+
 /// Has another replica load what the busy ones hold; nobody waits for it.
 pub fn spread(node: &Arc<Node>, wanted: &Wanted, target: BackendName) {
-    let Some(key) = wanted.key.clone() else { return };
+    if let Some(key) = wanted.key.clone() {
+        load_for_later(node, key, target);
+    }
+}
+
+fn load_for_later(node: &Arc<Node>, key: AdapterKey, target: BackendName) {
     let node = Arc::clone(node);
     tokio::spawn(async move {
         load_at(&node, &key, &target, LOAD_LIMIT, LoadMode::IfFree).await;
     });
 }
 
-/// Waits until a replica that this instance gives orders holds an adapter; its version.
-pub async fn load_here(node: &Node, request: &LoadRequest) -> Option<u64> {
-    let LoadRequest { replica, key, wait_ms, mode } = request;
+/// Waits until a replica that this instance gives orders holds an adapter.
+pub async fn load_here(node: &Node, request: &LoadRequest) -> LoadAnswer {
+    let version = wait_here(node, request).await;
+    let now = node.now();
+    let mut homes = node.homes();
+    homes.on_peer(now, &request.key, request.width);
+    let all = node.owned();
+    let Some(owned) = all.get(&request.replica) else { return LoadAnswer::default() };
+    LoadAnswer {
+        version,
+        crowded: owned.plan.is_crowded(now, &request.key, homes.typical_requests()),
+        requests: owned.plan.requests(now),
+        width: homes.width(now, &request.key),
+    }
+}
+
+async fn wait_here(node: &Node, request: &LoadRequest) -> Option<u64> {
+    let LoadRequest { replica, key, wait_ms, mode, .. } = request;
     let limit = Duration::from_millis(*wait_ms);
     let mut changes = node.plan_changes.subscribe();
     wish(node, replica, key, *mode)?;
@@ -150,17 +210,38 @@
     limit: Duration,
     mode: LoadMode,
 ) -> bool {
+    let Some(version) = ask(node, key, target, limit, mode).await.version else { return false };
+    on_loaded(node, target, key, version);
+    true
+}
+
+fn on_loaded(node: &Node, target: &BackendName, key: &AdapterKey, version: u64) {
+    let now = node.now();
+    if let Some(known) = node.replicas().get_mut(target) {
+        known.on_loaded(now, key.clone(), version);
+    }
+}
+
+async fn ask(
+    node: &Node,
+    key: &AdapterKey,
+    target: &BackendName,
+    limit: Duration,
+    mode: LoadMode,
+) -> LoadAnswer {
     let owner = node.peers().preferred(node.now(), target.as_str()).cloned();
     let wait_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
-    let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, mode };
-    let version = match owner {
+    let width = node.homes().width(node.now(), key);
+    let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, mode, width };
+    let answer = match owner {
         Some(owner) if owner == node.settings.instance => load_here(node, &request).await,
         Some(owner) => exchange::ask_load(node, &owner, &request).await,
-        None => None,
+        None => LoadAnswer::default(),
     };
-    let Some(version) = version else { return false };
-    if let Some(known) = node.replicas().get_mut(target) {
-        known.on_loaded(node.now(), key.clone(), version);
+    let mut homes = node.homes();
+    homes.on_peer(node.now(), key, answer.width);
+    if answer.version.is_some() {
+        homes.on_requests(answer.requests);
     }
-    true
+    answer
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -24,6 +24,7 @@
 use super::upstream::Upstream;
 use crate::daemon::Clock;
 use crate::decide::rendezvous;
+use crate::decide::traffic::AdapterHomes;
 use crate::decide::traffic::CrashGuard;
 use crate::decide::traffic::DeclaredVersions;
 use crate::decide::traffic::PeerRecord;
@@ -72,6 +73,7 @@
     peers: Mutex<Peers>,
     retries: Mutex<RetryShare>,
     crashes: Mutex<CrashGuard>,
+    homes: Mutex<AdapterHomes>,
     owned: Mutex<HashMap<BackendName, Owned>>,
     operator_topic: Mutex<PublishedView>,
     replica_topic: Mutex<PublishedView>,
@@ -112,6 +114,7 @@
             peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
             retries: Mutex::new(retries),
             crashes: Mutex::default(),
+            homes: Mutex::default(),
             owned: Mutex::default(),
             operator_topic: Mutex::default(),
             replica_topic: Mutex::default(),
@@ -149,6 +152,11 @@
         lock(&self.crashes)
     }
 
+    /// How many replicas should hold each adapter.
+    pub fn homes(&self) -> MutexGuard<'_, AdapterHomes> {
+        lock(&self.homes)
+    }
+
     /// Replicas that this instance gives orders, or is about to.
     pub fn owned(&self) -> MutexGuard<'_, HashMap<BackendName, Owned>> {
         lock(&self.owned)
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -86,6 +86,8 @@
     pub wait_ms: u64,
     /// What to do if it isn't loaded.
     pub mode: LoadMode,
+    /// Replicas that should hold it, as far as the sender knows.
+    pub width: usize,
 }
 
 /// What is done for a [`LoadRequest`] if the adapter isn't loaded.
@@ -100,10 +102,16 @@
 }
 
 /// Answer to a [`LoadRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadAnswer {
     /// Version that is loaded; `None` if it isn't.
     pub version: Option<u64>,
+    /// Whether it has so large a part of the replica's work that another should hold it too.
+    pub crowded: bool,
+    /// Requests at the replica.
+    pub requests: u32,
+    /// Replicas that should hold it, as far as the sender knows.
+    pub width: usize,
 }
 
 /// The sender gives a replica no orders any more; the receiver is to.
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the relay, driven without a network.
 
+mod adapter_homes;
 mod attempts;
 mod config;
 mod order_lease;
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -245,3 +245,14 @@
     assert!(replicas.is_news(&reborn));
     assert!(replicas.is_news(&entry("r2", &[])));
 }
+
+#[test]
+fn after_a_crowded_answer_the_next_request_asks_again() {
+    let mut replicas = fleet(&["r1"]);
+    let replica = replicas.get_mut(&name("r1")).unwrap();
+    replica.on_crowded(at(0), key("hot"), 1);
+    replica.on_sent(at(0), wanted("hot", 10).load(0), Some(&key("hot")));
+    replica.on_answered(at(1));
+    assert!(matches!(choose(&replicas, 10, &wanted("hot", 10)), Choice::Send { .. }));
+    assert!(matches!(choose(&replicas, 200, &wanted("hot", 10)), Choice::Load(_)));
+}
