Serve metrics as text, and count the log lines that are dropped

Cause: on call there were only logs; the users ask for counters and histograms on the metrics address of the settings, and dropped lines weren't known. Requests by kind and end, refusals by reason, attempts and failures by replica, time to the first byte, longest pause of a stream, wait for an adapter, age of what is believed. A taken address is logged and ends nothing.

--- a/src/relay/answer.rs
+++ b/src/relay/answer.rs
@@ -15,6 +15,7 @@
 use hyper::http::response;
 
 use super::Protocol;
+use super::metrics::Outcome;
 use crate::decide::traffic::RETRY_AFTER;
 
 /// Headers that concern one connection only.
@@ -63,6 +64,30 @@
 }
 
 impl Refusal {
+    /// Its name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "Malformed",
+            Self::NoRoute => "NoRoute",
+            Self::TooLarge => "TooLarge",
+            Self::NotReady => "NotReady",
+            Self::NotRun => "NotRun",
+            Self::Unknown => "Unknown",
+            Self::TimedOut => "TimedOut",
+        }
+    }
+
+    /// How the request counts in the metrics.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Self::Unknown => Outcome::Unknown,
+            Self::TimedOut => Outcome::TimedOut,
+            Self::Malformed | Self::NoRoute | Self::TooLarge | Self::NotReady | Self::NotRun => {
+                Outcome::Refused
+            }
+        }
+    }
+
     fn status(self) -> StatusCode {
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -206,6 +206,7 @@
 
 /// Writes why an attempt brought no answer to pass on.
 pub fn ended(job: &Job, replica: &BackendName, reason: AttemptReason, detail: &str) {
+    job.node.metrics.on_attempt_failed(replica, reason);
     let (id, replica) = (job.call.id.as_str(), replica.as_str());
     record(&Event::AttemptFailed { id, replica, reason, detail });
 }
--- a/src/relay/event.rs
+++ b/src/relay/event.rs
@@ -3,6 +3,7 @@
 //! A line says what was decided, about what, and from which inputs. The writer
 //! behind it never blocks; it drops lines when it can't keep up.
 
+use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
 
 use super::node::unix_ms;
@@ -43,6 +44,16 @@
         /// Length of the pause, in ms.
         pause_ms: u128,
     },
+    /// Log lines were dropped, as they couldn't be written fast enough.
+    LogLinesDropped {
+        /// Since the process started.
+        total: usize,
+    },
+    /// The listener for metrics can't be opened; everything else goes on.
+    MetricsOff {
+        /// What was seen.
+        detail: &'a str,
+    },
     /// A clock can't be read.
     ClockFailed {
         /// What was seen.
@@ -288,7 +299,7 @@
 }
 
 /// Why an attempt brought no answer to pass on.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, EncodeLabelValue)]
 #[serde(rename_all = "snake_case")]
 pub enum AttemptReason {
     /// No connection could be made; nothing was sent.
@@ -305,6 +316,18 @@
     Silent,
 }
 
+impl AttemptReason {
+    /// Every reason.
+    pub const ALL: [Self; 6] = [
+        Self::Unreachable,
+        Self::NoAnswer,
+        Self::Refused,
+        Self::Foreign,
+        Self::BrokenOff,
+        Self::Silent,
+    ];
+}
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u64,
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -57,19 +57,21 @@
         Err(fault) => {
             let (outcome, detail) = ("Malformed", fault.to_string());
             record(&Event::RequestRefused { id: "", outcome, config: 0, detail: &detail });
+            node.metrics.on_refusal(outcome);
             return Refusal::Malformed.answer(&*node.protocol, "");
         }
     };
     let id = call.id.clone();
     let config = node.current_config();
     let path = head.uri.path().to_owned();
-    let protocol = Arc::clone(&node.protocol);
+    let (protocol, kept) = (Arc::clone(&node.protocol), Arc::clone(&node));
     match accept(node, call, head, body, arrived, counted).await {
         Ok(job) => job.run().await,
         Err(refusal) => {
             let config = config.map_or(0, |config| config.version);
-            let outcome = format!("{refusal:?}");
-            record(&Event::RequestRefused { id: &id, outcome: &outcome, config, detail: &path });
+            let outcome = refusal.name();
+            record(&Event::RequestRefused { id: &id, outcome, config, detail: &path });
+            kept.metrics.on_refusal(outcome);
             refusal.answer(&*protocol, &id)
         }
     }
--- a/src/relay/job.rs
+++ b/src/relay/job.rs
@@ -27,6 +27,7 @@
 use super::event::record;
 use super::forward::Counted;
 use super::loads;
+use super::metrics::Outcome;
 use super::node::Node;
 use super::stream_relay::StreamRelay;
 use crate::decide::traffic::AdapterKey;
@@ -87,14 +88,21 @@
         let answer = match self.answer(resume_after.as_deref()).await {
             Ok(answer) => answer,
             Err(refusal) => {
-                let (id, outcome) = (self.call.id.as_str(), format!("{refusal:?}"));
+                let (id, outcome) = (self.call.id.as_str(), refusal.name());
                 let (sends, waited_ms) = (self.attempts.sends(), self.waited_ms());
-                record(&Event::RequestEnded { id, outcome: &outcome, sends, waited_ms });
+                record(&Event::RequestEnded { id, outcome, sends, waited_ms });
+                self.node.metrics.on_refusal(outcome);
+                self.node.metrics.on_end(self.route.kind, refusal.outcome());
                 return refusal.answer(&*self.node.protocol, &self.call.id);
             }
         };
+        let (kind, waited) = (self.route.kind, self.node.now().since(self.arrived));
+        self.node.metrics.on_first_byte(kind, waited);
         match answer.body {
             ReplicaBody::Whole(bytes) => {
+                let failed = answer.head.status.is_server_error();
+                let outcome = if failed { Outcome::Failed } else { Outcome::Answered };
+                self.node.metrics.on_end(kind, outcome);
                 let length = bytes.len();
                 forwarded(&answer.head, whole_body(bytes), Some(length))
             }
@@ -306,6 +314,7 @@
         loads::load_somewhere(&self.node, key, targets, limit, pick).await;
         let waited = self.node.now().since(started);
         patience.on_load_wait(waited);
+        self.node.metrics.on_load_wait(waited);
         if waited >= LOGGED_WAIT {
             let (id, adapter) = (self.call.id.as_str(), key.rank_text());
             let (targets, waited_ms) = (targets.len(), waited.as_millis());
@@ -322,6 +331,7 @@
         let now = self.node.now();
         let load = self.node.replicas().get(replica).map(|known| known.load(now));
         let load = load.unwrap_or_default();
+        self.node.metrics.on_sent(replica);
         record(&Event::RequestSent {
             id: &self.call.id,
             route: self.route.name.as_str(),
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -44,6 +45,10 @@
 const DEFAULT_IDLE: Duration = Duration::from_secs(15);
 /// Time after the start of a shutdown at which idle connections are closed.
 const DRAIN_IDLE: Duration = Duration::from_secs(3);
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Their format.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Pause between looks at an idle connection.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
 
@@ -56,6 +61,8 @@
     Peers,
     /// Questions whether the instance takes work.
     Ready,
+    /// Readers of metrics.
+    Metrics,
 }
 
 /// Binds a listener.
@@ -161,6 +168,7 @@
         Audience::Callers => forward::serve(Arc::clone(node), req).await,
         Audience::Peers => serve_peer(node, req).await,
         Audience::Ready => serve_ready(node, &req),
+        Audience::Metrics => serve_metrics(node, &req),
     };
     if node.is_draining() {
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -179,6 +187,23 @@
     answer(status, Bytes::new())
 }
 
+fn serve_metrics(node: &Node, req: &Request<Incoming>) -> Response<AnswerBody> {
+    if req.uri().path() != METRICS_PATH {
+        return answer(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let in_flight = node.in_flight.load(Ordering::Relaxed);
+    let text = match node.metrics.text(node, in_flight) {
+        Ok(text) => text,
+        Err(e) => {
+            record(&Event::MetricsOff { detail: &e.to_string() });
+            return answer(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+        }
+    };
+    let mut answer = answer(StatusCode::OK, Bytes::from(text));
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+    answer
+}
+
 async fn serve_peer(node: &Arc<Node>, req: Request<Incoming>) -> Response<AnswerBody> {
     let path = req.uri().path().to_owned();
     let body = match Limited::new(req.into_body(), MAX_FRAME_BYTES).collect().await {
--- /dev/null
+++ b/src/relay/metrics.rs
@@ -0,0 +1,247 @@
+//! Counters and histograms of one relay, as text in the OpenMetrics format.
+
+use std::fmt;
+use std::time::Duration;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::EncodeLabelValue;
+use prometheus_client::encoding::LabelValueEncoder;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use super::Topic;
+use super::event::AttemptReason;
+use super::node::Node;
+use crate::decide::traffic::RouteKind;
+use crate::names::BackendName;
+
+/// Bounds of the histograms, in seconds.
+const BOUNDS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// Kind of a route, as a label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+enum Kind {
+    Idempotent,
+    AtMostOnce,
+    Stream,
+}
+
+impl From<RouteKind> for Kind {
+    fn from(kind: RouteKind) -> Self {
+        match kind {
+            RouteKind::Idempotent => Self::Idempotent,
+            RouteKind::AtMostOnce => Self::AtMostOnce,
+            RouteKind::Stream { .. } => Self::Stream,
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum Outcome {
+    /// A replica's answer was passed on.
+    Answered,
+    /// A replica's failure was passed on.
+    Failed,
+    /// It was refused and hasn't run.
+    Refused,
+    /// It may have run.
+    Unknown,
+    /// Its time was over.
+    TimedOut,
+    /// A stream was broken off midway.
+    Cut,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    kind: Kind,
+    outcome: Outcome,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: Kind,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RefusalLabels {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReplicaLabels {
+    replica: ReplicaLabel,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    replica: ReplicaLabel,
+    reason: AttemptReason,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct ReplicaLabel(BackendName);
+
+impl EncodeLabelValue for ReplicaLabel {
+    fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> fmt::Result {
+        EncodeLabelValue::encode(&self.0.as_str(), encoder)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TopicLabels {
+    topic: &'static str,
+}
+
+/// Counters and histograms of one relay.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    refusals: Family<RefusalLabels, Counter>,
+    first_byte: Family<KindLabels, Histogram>,
+    longest_pause: Family<KindLabels, Histogram>,
+    load_wait: Histogram,
+    sent: Family<ReplicaLabels, Counter>,
+    attempts_failed: Family<AttemptLabels, Counter>,
+    in_flight: Gauge,
+    replicas: Gauge,
+    peers: Gauge,
+    config_version: Gauge,
+    published_age: Family<TopicLabels, Gauge>,
+    log_lines_dropped: Gauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(BOUNDS);
+        let mut metrics = Self {
+            registry: Registry::with_prefix("relay"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            first_byte: Family::new_with_constructor(histogram),
+            longest_pause: Family::new_with_constructor(histogram),
+            load_wait: histogram(),
+            sent: Family::default(),
+            attempts_failed: Family::default(),
+            in_flight: Gauge::default(),
+            replicas: Gauge::default(),
+            peers: Gauge::default(),
+            config_version: Gauge::default(),
+            published_age: Family::default(),
+            log_lines_dropped: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register("requests", "Requests by kind and end", self.requests.clone());
+        r.register("refusals", "Requests without an answer, by reason", self.refusals.clone());
+        let help = "Time until an answer's head";
+        r.register_with_unit("first_byte", help, Unit::Seconds, self.first_byte.clone());
+        let help = "Longest time without data in a stream";
+        r.register_with_unit("longest_pause", help, Unit::Seconds, self.longest_pause.clone());
+        let help = "Time that a request waited for its adapter";
+        r.register_with_unit("load_wait", help, Unit::Seconds, self.load_wait.clone());
+        r.register("sent", "Requests sent to a replica", self.sent.clone());
+        let help = "Attempts without an answer to pass on";
+        r.register("attempts_failed", help, self.attempts_failed.clone());
+        r.register("in_flight", "Requests in progress", self.in_flight.clone());
+        r.register("replicas", "Replicas that are known", self.replicas.clone());
+        r.register("peers", "Other instances that are heard of", self.peers.clone());
+        r.register("config_version", "Configuration in effect", self.config_version.clone());
+        let help = "Age of the view of the published state, in ms; -1 if nothing was read";
+        r.register("published_age_ms", help, self.published_age.clone());
+        let help = "Log lines that were dropped";
+        r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
+    }
+
+    /// Counts the end of a request.
+    pub fn on_end(&self, kind: RouteKind, outcome: Outcome) {
+        self.requests.get_or_create(&RequestLabels { kind: kind.into(), outcome }).inc();
+    }
+
+    /// Counts a request that got no answer of a replica; `reason` is from a closed list.
+    pub fn on_refusal(&self, reason: &'static str) {
+        self.refusals.get_or_create(&RefusalLabels { reason }).inc();
+    }
+
+    /// Notes the time until an answer's head.
+    pub fn on_first_byte(&self, kind: RouteKind, time: Duration) {
+        let labels = KindLabels { kind: kind.into() };
+        self.first_byte.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Notes the longest time without data in a stream.
+    pub fn on_longest_pause(&self, kind: RouteKind, time: Duration) {
+        let labels = KindLabels { kind: kind.into() };
+        self.longest_pause.get_or_create(&labels).observe(time.as_secs_f64());
+    }
+
+    /// Notes how long a request waited for its adapter.
+    pub fn on_load_wait(&self, time: Duration) {
+        self.load_wait.observe(time.as_secs_f64());
+    }
+
+    /// Counts a request that is sent.
+    pub fn on_sent(&self, replica: &BackendName) {
+        let replica = ReplicaLabel(replica.clone());
+        self.sent.get_or_create(&ReplicaLabels { replica }).inc();
+    }
+
+    /// Counts an attempt without an answer to pass on.
+    pub fn on_attempt_failed(&self, replica: &BackendName, reason: AttemptReason) {
+        let replica = ReplicaLabel(replica.clone());
+        self.attempts_failed.get_or_create(&AttemptLabels { replica, reason }).inc();
+    }
+
+    /// Forgets a replica that is gone.
+    pub fn on_replica_gone(&self, replica: &BackendName) {
+        let replica = ReplicaLabel(replica.clone());
+        self.sent.remove(&ReplicaLabels { replica: replica.clone() });
+        for reason in AttemptReason::ALL {
+            self.attempts_failed.remove(&AttemptLabels { replica: replica.clone(), reason });
+        }
+    }
+
+    /// Notes how many log lines were dropped so far.
+    pub fn on_lines_dropped(&self, count: usize) {
+        self.log_lines_dropped.set(gauge(count));
+    }
+
+    /// Everything as text.
+    ///
+    /// # Errors
+    ///
+    /// A value can't be encoded.
+    pub fn text(&self, node: &Node, in_flight: usize) -> Result<String, fmt::Error> {
+        let now = node.now();
+        self.in_flight.set(gauge(in_flight));
+        self.replicas.set(gauge(node.replicas().all().count()));
+        self.peers.set(gauge(node.peers().live(now).count()));
+        let version = node.current_config().map_or(0, |config| config.version);
+        self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        for topic in [Topic::Operator, Topic::Replicas] {
+            let age = node.topic(topic).news(now).age_ms;
+            let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+            self.published_age.get_or_create(&TopicLabels { topic: topic.name() }).set(age);
+        }
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
+
+fn gauge(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -20,6 +20,7 @@
 use super::Protocol;
 use super::RelaySettings;
 use super::Topic;
+use super::metrics::Metrics;
 use super::orders::Owned;
 use super::upstream::Upstream;
 use crate::daemon::Clock;
@@ -55,6 +56,8 @@
     pub upstream: Upstream,
     /// Traffic configuration in effect; `None` until one is known.
     pub config: watch::Sender<Option<Arc<TrafficConfig>>>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
     /// Wakes the task that gives orders.
     pub order_wake: Notify,
     /// Wakes the exchange when there's news of the published state.
@@ -100,6 +103,7 @@
             http: HttpClient::new(),
             upstream: Upstream::default(),
             config: watch::Sender::new(None),
+            metrics: Metrics::default(),
             order_wake: Notify::new(),
             published_news: Notify::new(),
             plan_changes: watch::Sender::new(0),
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -250,6 +250,7 @@
             let Some(name) = node.protocol.replica_of_key(key) else { return true };
             record(&Event::ReplicaRemoved { replica: name.as_str(), after_outage });
             node.replicas().on_removed(now, &name, after_outage);
+            node.metrics.on_replica_gone(&name);
             true
         }
     }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -1,6 +1,7 @@
 //! The life of a relay: listeners, tasks, signals, shutdown.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -32,21 +33,31 @@
 const SETTLE_TIME: Duration = Duration::from_millis(2000);
 /// Pause between looks at the work in progress of a shutdown.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
+/// Pause between looks at the log lines that were dropped.
+const LOG_LOOK: Duration = Duration::from_secs(2);
 /// Pause between looks at the settings file.
 const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
+/// Tells how many log lines were dropped since the process started.
+pub type LogDrops = Box<dyn Fn() -> usize + Send>;
+
 /// Runs a relay with the settings in `path` until it has shut down.
 ///
 /// # Errors
 ///
 /// `Malformed` for faults in the settings, `Internal` if it can't be started.
-pub fn run(path: &Path, protocol: Arc<dyn Protocol>) -> Result<()> {
+pub fn run(path: &Path, protocol: Arc<dyn Protocol>, log_drops: LogDrops) -> Result<()> {
     let settings = RelaySettings::load(path)?;
     let runtime = Builder::new_current_thread().enable_all().build().map_err(|e| internal(&e))?;
-    runtime.block_on(serve(path, settings, protocol))
+    runtime.block_on(serve(path, settings, protocol, log_drops))
 }
 
-async fn serve(path: &Path, settings: RelaySettings, protocol: Arc<dyn Protocol>) -> Result<()> {
+async fn serve(
+    path: &Path,
+    settings: RelaySettings,
+    protocol: Arc<dyn Protocol>,
+    log_drops: LogDrops,
+) -> Result<()> {
     let listen = settings.listen.clone();
     let node = Arc::new(Node::new(settings, protocol));
     for (addr, audience) in [
@@ -57,6 +68,10 @@
         let listener = listener::bind(addr).map_err(|e| internal(&e))?;
         tokio::spawn(listener::run(Arc::clone(&node), listener, audience));
     }
+    if let Some(addr) = listen.metrics {
+        serve_metrics(&node, addr);
+    }
+    tokio::spawn(watch_log(Arc::clone(&node), log_drops));
     tokio::spawn(published::follow(Arc::clone(&node), Topic::Operator));
     tokio::spawn(published::follow(Arc::clone(&node), Topic::Replicas));
     tokio::spawn(published::tidy(Arc::clone(&node)));
@@ -70,6 +85,30 @@
     Ok(())
 }
 
+/// Nothing else depends on the metrics, so a taken address ends nothing.
+fn serve_metrics(node: &Arc<Node>, addr: SocketAddr) {
+    match listener::bind(addr) {
+        Ok(listener) => {
+            tokio::spawn(listener::run(Arc::clone(node), listener, Audience::Metrics));
+        }
+        Err(e) => record(&Event::MetricsOff { detail: &format!("{addr}: {e}") }),
+    }
+}
+
+/// Reports the log lines that were dropped.
+async fn watch_log(node: Arc<Node>, log_drops: LogDrops) {
+    let mut reported = 0;
+    loop {
+        sleep(LOG_LOOK).await;
+        let total = log_drops();
+        node.metrics.on_lines_dropped(total);
+        if total > reported {
+            reported = total;
+            record(&Event::LogLinesDropped { total });
+        }
+    }
+}
+
 async fn join_alone(node: Arc<Node>) {
     sleep(JOIN_LIMIT).await;
     node.set_joined();
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -23,6 +23,8 @@
     pub ready: SocketAddr,
     /// For other entry instances.
     pub peer: SocketAddr,
+    /// For metrics, if they are wanted.
+    pub metrics: Option<SocketAddr>,
 }
 
 /// Settings of a relay.
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -3,6 +3,8 @@
 //! Whole events are passed on as they come. If the replica breaks off, another one
 //! goes on after the last event, where the route allows it.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use futures_util::stream;
 use http_body_util::BodyExt;
@@ -17,8 +19,10 @@
 use super::event::Event;
 use super::event::record;
 use super::job::Job;
+use super::metrics::Outcome;
 use crate::decide::traffic::EventSplitter;
 use crate::names::BackendName;
+use crate::names::Timestamp;
 
 /// A stream on its way from a replica to a caller.
 pub struct StreamRelay {
@@ -26,6 +30,8 @@
     stream: Option<OpenStream>,
     splitter: EventSplitter,
     has_event: bool,
+    last_data: Timestamp,
+    longest_pause: Duration,
 }
 
 /// What came from the replica.
@@ -40,7 +46,10 @@
     /// A stream whose head has come.
     pub fn new(job: Job, stream: OpenStream, resume_after: Option<String>) -> Self {
         let splitter = EventSplitter::new(resume_after);
-        Self { job, stream: Some(stream), splitter, has_event: false }
+        let last_data = job.node.now();
+        let longest_pause = Duration::ZERO;
+        let stream = Some(stream);
+        Self { job, stream, splitter, has_event: false, last_data, longest_pause }
     }
 
     /// The stream as an answer's body.
@@ -58,6 +67,9 @@
             match read(&self.job, stream).await {
                 Piece::Data(data) => {
                     stream.in_flight.on_heard();
+                    let now = self.job.node.now();
+                    self.longest_pause = self.longest_pause.max(now.since(self.last_data));
+                    self.last_data = now;
                     if !self.has_event {
                         self.has_event = true;
                         stream.in_flight.on_event();
@@ -106,12 +118,20 @@
 
     fn break_off(&mut self, reason: &str) -> Result<Bytes, BrokenBody> {
         record(&Event::StreamCut { id: &self.job.call.id, reason });
+        self.count(Outcome::Cut);
         self.stream = None;
         Err(BrokenBody)
     }
 
+    fn count(&self, outcome: Outcome) {
+        let (metrics, kind) = (&self.job.node.metrics, self.job.route.kind);
+        metrics.on_longest_pause(kind, self.longest_pause);
+        metrics.on_end(kind, outcome);
+    }
+
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
+        self.count(Outcome::Answered);
         let OpenStream { origin, connection, in_flight, .. } = stream;
         drop(in_flight);
         if let Some(limit) = origin.keeps {
