--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -16,7 +16,6 @@
 use super::Order;
 use super::PlanHandover;
 use super::UseNews;
-use super::is_hot;
 use super::is_on_busy_replica;
 use crate::names::InstanceName;
 use crate::names::ModelName;
@@ -177,7 +176,7 @@
     /// replicas have `typical` requests.
     pub fn is_crowded(&self, now: Timestamp, key: &AdapterKey, typical: f64) -> bool {
         let (uses, requests) = (self.uses.count(now, key), self.uses.total(now));
-        is_hot(uses, requests) || is_on_busy_replica(uses, requests, typical)
+        is_on_busy_replica(uses, requests, typical)
     }
 
     /// Version of an adapter that is held and stays, or that must have arrived by now.
