Send long prompts to a replica one after the other

An engine reads prompts in pieces between the tokens of other answers; two prompts of 9,000 tokens that nobody has read are five pieces in a row, in which an event of five tokens takes longer. The instance that orders a replica gives turns: a prompt of 2,000 tokens or more waits until those before it are read (at most 10,000 tokens at a time), or 600 ms. A turn ends with the first event, with the request, or after 1.5 s.

--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -234,17 +234,18 @@
             self.unanswered_since = now;
         }
         self.unanswered += 1;
-        let Some(key) = key else { return 0 };
+        key.map_or(0, |key| self.begin_use(key))
+    }
+
+    /// Notes that a request uses something or is about to; returns how many do now.
+    pub fn begin_use(&mut self, key: &AdapterKey) -> u32 {
         let count = self.in_use.entry(key.clone()).or_default();
         *count += 1;
         *count
     }
 
-    /// Notes that a request is over, with the work that is still counted for it; returns how
-    /// many use `key` now.
-    pub fn on_over(&mut self, load: Load, key: Option<&AdapterKey>) -> u32 {
-        self.own.remove(load);
-        let Some(key) = key else { return 0 };
+    /// Notes that a use is over; returns how many are left.
+    pub fn end_use(&mut self, key: &AdapterKey) -> u32 {
         let Some(count) = self.in_use.get_mut(key) else { return 0 };
         *count -= 1;
         let left = *count;
@@ -254,6 +255,13 @@
         left
     }
 
+    /// Notes that a request is over, with the work that is still counted for it; returns how
+    /// many use `key` now.
+    pub fn on_over(&mut self, load: Load, key: Option<&AdapterKey>) -> u32 {
+        self.own.remove(load);
+        key.map_or(0, |key| self.end_use(key))
+    }
+
     /// Requests of this instance in progress, by what they use.
     pub fn in_use(&self) -> &HashMap<AdapterKey, u32> {
         &self.in_use
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -23,6 +23,7 @@
 use super::exchange;
 use super::job::Job;
 use super::node::Node;
+use super::turns::PromptTurn;
 use super::upstream::Connection;
 use super::upstream::Upstream;
 use crate::decide::traffic::AdapterKey;
@@ -44,17 +45,24 @@
     load: Load,
     key: Option<AdapterKey>,
     answered: bool,
+    turn: Option<PromptTurn>,
 }
 
 impl InFlight {
-    fn start(node: &Arc<Node>, replica: &BackendName, load: Load, key: Option<AdapterKey>) -> Self {
+    fn start(
+        node: &Arc<Node>,
+        replica: &BackendName,
+        load: Load,
+        key: Option<AdapterKey>,
+        turn: Option<PromptTurn>,
+    ) -> Self {
         let now = node.now();
         let uses =
             node.replicas().get_mut(replica).map(|known| known.on_sent(now, load, key.as_ref()));
         if let (Some(1), Some(key)) = (uses, &key) {
             exchange::tell_use(node, replica, key, 1);
         }
-        Self { node: Arc::clone(node), replica: replica.clone(), load, key, answered: false }
+        Self { node: Arc::clone(node), replica: replica.clone(), load, key, answered: false, turn }
     }
 
     /// Notes that the answer has begun.
@@ -79,6 +87,7 @@
         let now = self.node.now();
         let read = Load { unread_tokens: self.load.unread_tokens, ..Load::default() };
         self.load.unread_tokens = 0;
+        self.turn = None;
         if let Some(known) = self.node.replicas().get_mut(&self.replica) {
             known.own.remove(read);
             known.on_heard(now);
@@ -150,13 +159,20 @@
 }
 
 /// Sends the request of `job` to `replica`.
-pub async fn run(job: &Job, replica: &BackendName, resume_after: Option<&str>) -> AttemptOutcome {
+///
+/// The turn of a long prompt ends when the prompt has been read.
+pub async fn run(
+    job: &Job,
+    replica: &BackendName,
+    resume_after: Option<&str>,
+    turn: Option<PromptTurn>,
+) -> AttemptOutcome {
     let node = &job.node;
     let Some((addr, known)) = read_state(job, replica) else {
         return AttemptOutcome::Ended(AttemptEnd::NotSent);
     };
     let load = job.call.wanted.load(known);
-    let mut in_flight = InFlight::start(node, replica, load, job.call.wanted.key.clone());
+    let mut in_flight = InFlight::start(node, replica, load, job.call.wanted.key.clone(), turn);
     let Some(connection) = connect(job, replica, addr).await else {
         return AttemptOutcome::Ended(AttemptEnd::NotSent);
     };
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -16,6 +16,7 @@
 use super::node::Node;
 use super::orders;
 use super::published;
+use super::turns;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::UseNews;
 use crate::decide::traffic::ViewChanges;
@@ -40,6 +41,10 @@
 use crate::wire::relay::PublishedPart;
 use crate::wire::relay::PublishedRead;
 use crate::wire::relay::ReplicaLoad;
+use crate::wire::relay::TURN_END_PATH;
+use crate::wire::relay::TURN_PATH;
+use crate::wire::relay::TurnEnd;
+use crate::wire::relay::TurnRequest;
 use crate::wire::relay::USE_PATH;
 use crate::wire::relay::UseNotice;
 use crate::wire::relay::Views;
@@ -100,6 +105,11 @@
             node.order_wake.notify_one();
             encode(&())
         }
+        TURN_PATH => encode(&turns::wait_here(node, &decode(body)?).await),
+        TURN_END_PATH => {
+            turns::end_here(node, &decode(body)?);
+            encode(&())
+        }
         PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
     }
@@ -120,6 +130,29 @@
     }
 }
 
+/// Asks the instance that gives a replica its orders for the turn of a long prompt.
+pub async fn ask_turn(node: &Node, owner: &InstanceName, request: &TurnRequest, wait: Duration) {
+    let Some(addr) = node.peers().addr_of(node.now(), owner) else { return };
+    let limit = wait + LOAD_MARGIN;
+    let answer: Result<bool> = call(node, addr, TURN_PATH, request, limit).await;
+    if let Err(e) = answer {
+        let subject = request.turn.replica.as_str();
+        record(&Event::PeerFailed { what: "turn", subject, detail: &e.to_string() });
+    }
+}
+
+/// Tells the instance that gives a replica its orders that a turn is over.
+pub fn tell_turn_end(node: &Arc<Node>, owner: InstanceName, end: TurnEnd) {
+    let Some(addr) = node.peers().addr_of(node.now(), &owner) else { return };
+    let node = Arc::clone(node);
+    tokio::spawn(async move {
+        let told: Result<()> = call(&node, addr, TURN_END_PATH, &end, EXCHANGE_LIMIT).await;
+        if let Err(e) = told {
+            log::debug!("end of a turn at {} told to {owner}: {e}", end.replica);
+        }
+    });
+}
+
 /// Hands the orders of a replica over to another instance; returns whether it took them.
 pub async fn hand_over(node: &Node, heir: &InstanceName, handover: &Handover) -> bool {
     let Some(addr) = node.peers().addr_of(node.now(), heir) else { return false };
--- a/src/relay/job.rs
+++ b/src/relay/job.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Call;
+use super::adapter_use::AdapterUse;
 use super::answer::AnswerBody;
 use super::answer::Refusal;
 use super::answer::forwarded;
@@ -30,6 +31,8 @@
 use super::metrics::Outcome;
 use super::node::Node;
 use super::stream_relay::StreamRelay;
+use super::turns;
+use super::turns::PromptTurn;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::Attempts;
@@ -222,10 +225,13 @@
         replica: &BackendName,
         resume_after: Option<&str>,
     ) -> Result<Option<ReplicaAnswer>, Refusal> {
+        let _use =
+            self.call.wanted.key.as_ref().map(|key| AdapterUse::new(&self.node, replica, key));
+        let turn = self.take_turn(replica).await;
         self.record_send(replica);
         self.attempts.on_send(replica.clone());
         let outcome = tokio::select! {
-            outcome = attempt::run(self, replica, resume_after) => Some(outcome),
+            outcome = attempt::run(self, replica, resume_after, turn) => Some(outcome),
             () = self.deadline() => None,
             () = self.silence(replica) => {
                 attempt::ended(self, replica, AttemptReason::Silent, "");
@@ -323,6 +329,17 @@
         Ok(())
     }
 
+    /// The turn of a long prompt; others need none.
+    async fn take_turn(&self, replica: &BackendName) -> Option<PromptTurn> {
+        let wanted = &self.call.wanted;
+        let key = wanted.key.as_ref()?;
+        let read = {
+            let replicas = self.node.replicas();
+            replicas.get(replica)?.prefixes.known_tokens(key, &wanted.parts)
+        };
+        turns::take(&self.node, replica, wanted.prompt_tokens.saturating_sub(read)).await
+    }
+
     fn waited_ms(&self) -> u128 {
         self.node.now().since(self.arrived).as_millis()
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -4,6 +4,7 @@
 //! decides nothing; [`crate::decide::traffic`] does. [`run`] joins both with
 //! listeners, connections and the exchange with other instances.
 
+mod adapter_use;
 mod answer;
 mod attempt;
 mod event;
@@ -20,6 +21,7 @@
 mod run;
 mod settings;
 mod stream_relay;
+mod turns;
 mod upstream;
 
 pub use event::Event;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -64,6 +64,8 @@
     pub published_news: Notify,
     /// Raised whenever the plan of a replica changes.
     pub plan_changes: watch::Sender<u64>,
+    /// Raised whenever a turn of a long prompt ends.
+    pub turn_changes: watch::Sender<u64>,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
@@ -107,6 +109,7 @@
             order_wake: Notify::new(),
             published_news: Notify::new(),
             plan_changes: watch::Sender::new(0),
+            turn_changes: watch::Sender::new(0),
             in_flight: AtomicUsize::new(0),
             clock: Clock::start(),
             shutdown: OnceLock::new(),
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -18,6 +18,7 @@
 use crate::decide::traffic::LeaseStep;
 use crate::decide::traffic::Order;
 use crate::decide::traffic::OrderLease;
+use crate::decide::traffic::PromptTurns;
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::ReplicaPlan;
 use crate::decide::traffic::Service;
@@ -48,6 +49,8 @@
     pub lease: OrderLease,
     /// What it should hold.
     pub plan: ReplicaPlan,
+    /// Long prompts that it reads.
+    pub turns: PromptTurns,
     /// Unix milliseconds of the replica's start.
     pub started_ms: u64,
     is_busy: bool,
@@ -60,6 +63,7 @@
         Self {
             lease: OrderLease::new(lease),
             plan: ReplicaPlan::default(),
+            turns: PromptTurns::default(),
             started_ms: 0,
             is_busy: false,
             next_report: now,
--- /dev/null
+++ b/src/relay/turns.rs
@@ -0,0 +1,85 @@
+//! Turns of long prompts at a replica, given by the instance that gives it orders.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::exchange;
+use super::node::Node;
+use crate::decide::traffic::PromptTurns;
+use crate::decide::traffic::TurnTicket;
+use crate::names::BackendName;
+use crate::names::InstanceName;
+use crate::wire::relay::TurnEnd;
+use crate::wire::relay::TurnRequest;
+
+/// Longest wait for a turn; then the prompt is sent without one.
+const TURN_WAIT: Duration = Duration::from_millis(600);
+
+/// A turn of a long prompt; it ends when this is dropped.
+pub struct PromptTurn {
+    node: Arc<Node>,
+    owner: InstanceName,
+    end: TurnEnd,
+}
+
+impl Drop for PromptTurn {
+    fn drop(&mut self) {
+        if self.owner == self.node.settings.instance {
+            end_here(&self.node, &self.end);
+        } else {
+            exchange::tell_turn_end(&self.node, self.owner.clone(), self.end.clone());
+        }
+    }
+}
+
+/// Waits for the turn of a prompt of which `tokens` have to be read; short ones need none.
+pub async fn take(node: &Arc<Node>, replica: &BackendName, tokens: u64) -> Option<PromptTurn> {
+    if !PromptTurns::is_needed(tokens) {
+        return None;
+    }
+    let owner = node.peers().preferred(node.now(), replica.as_str()).cloned()?;
+    let me = node.settings.instance.clone();
+    let ticket = TurnTicket { user: me.clone(), serial: node.next_use_serial() };
+    let end = TurnEnd { replica: replica.clone(), ticket };
+    let turn = PromptTurn { node: Arc::clone(node), owner: owner.clone(), end: end.clone() };
+    let request = TurnRequest { turn: end, tokens };
+    if owner == me {
+        wait_here(node, &request).await;
+    } else {
+        exchange::ask_turn(node, &owner, &request, TURN_WAIT).await;
+    }
+    Some(turn)
+}
+
+/// Waits for a turn at a replica that this instance gives orders; returns whether it came.
+pub async fn wait_here(node: &Node, request: &TurnRequest) -> bool {
+    let mut changes = node.turn_changes.subscribe();
+    let deadline = node.now() + TURN_WAIT;
+    loop {
+        let now = node.now();
+        let TurnEnd { replica, ticket } = &request.turn;
+        let Some(granted) =
+            node.owned().get_mut(replica).map(|owned| owned.turns.ask(now, ticket, request.tokens))
+        else {
+            return false;
+        };
+        let left = deadline.since(now);
+        if granted || left.is_zero() {
+            return granted;
+        }
+        tokio::select! {
+            changed = changes.changed() => if changed.is_err() { return false },
+            () = sleep(left) => {}
+        }
+    }
+}
+
+/// Ends a turn at a replica that this instance gives orders.
+pub fn end_here(node: &Node, end: &TurnEnd) {
+    if let Some(owned) = node.owned().get_mut(&end.replica) {
+        owned.turns.end(&end.ticket);
+    }
+    node.turn_changes.send_modify(|count| *count += 1);
+}
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -8,6 +8,7 @@
 use crate::decide::traffic::Load;
 use crate::decide::traffic::PeerNews;
 use crate::decide::traffic::PlanHandover;
+use crate::decide::traffic::TurnTicket;
 use crate::decide::traffic::UseNews;
 use crate::decide::traffic::ViewNews;
 use crate::names::BackendName;
@@ -25,6 +26,12 @@
 /// Path of [`UseNotice`].
 pub const USE_PATH: &str = "/relay/v1/use";
 
+/// Path of [`TurnRequest`].
+pub const TURN_PATH: &str = "/relay/v1/turn";
+
+/// Path of [`TurnEnd`].
+pub const TURN_END_PATH: &str = "/relay/v1/turn-end";
+
 /// What a replica holds, by the instance that gives it orders.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnedNews {
@@ -140,6 +147,24 @@
     pub news: UseNews,
 }
 
+/// Asks for the turn of a long prompt; the answer is whether it came.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnRequest {
+    /// The turn.
+    pub turn: TurnEnd,
+    /// Tokens that have to be read.
+    pub tokens: u64,
+}
+
+/// Ends the turn of a long prompt, or the wait for it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnEnd {
+    /// The replica.
+    pub replica: BackendName,
+    /// The prompt.
+    pub ticket: TurnTicket,
+}
+
 /// Answer to a [`Handover`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HandoverAnswer {
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod order_lease;
 mod peers;
+mod prompt_turns;
 mod published_view;
 mod replica_plan;
 mod replicas;
--- a/tests/traffic/replica_plan.rs
+++ b/tests/traffic/replica_plan.rs
@@ -142,17 +142,20 @@
     for user in 0..3 {
         used_by(&mut plan, "hot", user);
     }
-    assert!(!plan.is_crowded(at(20), &key("hot"), 3.0), "three requests aren't many");
-    used_by(&mut plan, "hot", 3);
-    assert!(plan.is_crowded(at(20), &key("hot"), 3.0));
-    for user in 0..10 {
+    for user in 0..9 {
         used_by(&mut plan, "a", user);
     }
+    assert!(!plan.is_crowded(at(20), &key("hot"), 14.0), "three requests aren't many");
+    used_by(&mut plan, "hot", 3);
+    assert!(plan.is_crowded(at(20), &key("hot"), 11.0), "a good part of a busy replica's work");
+    assert!(!plan.is_crowded(at(20), &key("hot"), 13.0), "others are as busy");
     for user in 0..2 {
         used_by(&mut plan, "b", user);
     }
-    assert!(plan.is_crowded(at(20), &key("b"), 4.0), "the replica is busier than others");
-    assert!(!plan.is_crowded(at(20), &key("b"), 14.0), "all replicas are as busy");
+    used_by(&mut plan, "c", 0);
+    assert!(plan.is_crowded(at(20), &key("b"), 4.0), "the replica is much busier than others");
+    assert!(!plan.is_crowded(at(20), &key("b"), 11.0), "it isn't much busier");
+    assert!(!plan.is_crowded(at(20), &key("c"), 4.0), "one request isn't worth another place");
     assert_eq!(plan.requests(at(20)), 16);
 }
 
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -256,3 +256,15 @@
     assert!(matches!(choose(&replicas, 10, &wanted("hot", 10)), Choice::Send { .. }));
     assert!(matches!(choose(&replicas, 200, &wanted("hot", 10)), Choice::Load(_)));
 }
+
+/// A request that waits for its prompt's turn must not lose its adapter meanwhile.
+#[test]
+fn a_request_that_is_about_to_be_sent_counts_as_a_use() {
+    let mut replicas = fleet(&["r1"]);
+    let replica = replicas.get_mut(&name("r1")).unwrap();
+    assert_eq!(replica.begin_use(&key("a")), 1);
+    assert_eq!(replica.on_sent(at(0), wanted("a", 10).load(0), Some(&key("a"))), 2);
+    assert_eq!(replica.end_use(&key("a")), 1);
+    assert_eq!(replica.on_over(wanted("a", 10).load(0), Some(&key("a"))), 0);
+    assert!(replica.in_use().is_empty());
+}
