Give turns by what a replica has read, and prompts that begin alike the same home

A request for a turn carries the parts; the giver remembers what was read, until the adapter is unloaded or the replica restarts. The home is drawn by the shared parts.

--- a/src/decide/traffic/prefix_memory.rs
+++ b/src/decide/traffic/prefix_memory.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::AdapterKey;
 use crate::names::Timestamp;
 
@@ -9,7 +12,7 @@
 const CAPACITY: usize = 512;
 
 /// One part of a prompt; requests share parts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PromptPart {
     /// Id of the part.
     pub id: u64,
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::AdapterKey;
 use super::DeclaredVersions;
 use super::EngineSpec;
@@ -48,6 +50,14 @@
 }
 
 impl Wanted {
+    /// A number that requests have in common whose prompts begin alike; `None` if no part of
+    /// the prompt is shared. The last part is the request's own.
+    pub fn shared_prefix(&self) -> Option<u64> {
+        let (_, shared) = self.parts.split_last()?;
+        let ids: Vec<u8> = shared.iter().flat_map(|part| part.id.to_le_bytes()).collect();
+        (!shared.is_empty()).then(|| xxh3_64(&ids))
+    }
+
     /// The work that this request is at a replica that has read `known` tokens of it.
     pub fn load(&self, known: u64) -> Load {
         Load {
--- a/src/relay/job.rs
+++ b/src/relay/job.rs
@@ -32,7 +32,6 @@
 use super::node::Node;
 use super::stream_relay::StreamRelay;
 use super::turns;
-use super::turns::PromptTurn;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::Attempts;
@@ -227,7 +226,7 @@
     ) -> Result<Option<ReplicaAnswer>, Refusal> {
         let _use =
             self.call.wanted.key.as_ref().map(|key| AdapterUse::new(&self.node, replica, key));
-        let turn = self.take_turn(replica).await;
+        let turn = turns::take(&self.node, replica, &self.call.wanted).await;
         self.record_send(replica);
         self.attempts.on_send(replica.clone());
         let outcome = tokio::select! {
@@ -316,7 +315,9 @@
         let limit = patience.load_limit(self.time_until_deadline());
         let limit = limit.ok_or_else(|| self.given_up())?;
         let Some(key) = &self.call.wanted.key else { return Ok(()) };
-        let pick = xxh3_64(self.call.id.as_bytes());
+        // The same home for prompts that begin alike, since it has read their beginning.
+        let shared = self.call.wanted.shared_prefix();
+        let pick = shared.unwrap_or_else(|| xxh3_64(self.call.id.as_bytes()));
         loads::load_somewhere(&self.node, key, targets, limit, pick).await;
         let waited = self.node.now().since(started);
         patience.on_load_wait(waited);
@@ -329,17 +330,6 @@
         Ok(())
     }
 
-    /// The turn of a long prompt; others need none.
-    async fn take_turn(&self, replica: &BackendName) -> Option<PromptTurn> {
-        let wanted = &self.call.wanted;
-        let key = wanted.key.as_ref()?;
-        let read = {
-            let replicas = self.node.replicas();
-            replicas.get(replica)?.prefixes.known_tokens(key, &wanted.parts)
-        };
-        turns::take(&self.node, replica, wanted.prompt_tokens.saturating_sub(read)).await
-    }
-
     fn waited_ms(&self) -> u128 {
         self.node.now().since(self.arrived).as_millis()
     }
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -18,6 +18,7 @@
 use crate::decide::traffic::LeaseStep;
 use crate::decide::traffic::Order;
 use crate::decide::traffic::OrderLease;
+use crate::decide::traffic::PrefixMemory;
 use crate::decide::traffic::PromptTurns;
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::ReplicaPlan;
@@ -51,6 +52,8 @@
     pub plan: ReplicaPlan,
     /// Long prompts that it reads.
     pub turns: PromptTurns,
+    /// Parts of long prompts that it has read.
+    pub prefixes: PrefixMemory,
     /// Unix milliseconds of the replica's start.
     pub started_ms: u64,
     is_busy: bool,
@@ -64,6 +67,7 @@
             lease: OrderLease::new(lease),
             plan: ReplicaPlan::default(),
             turns: PromptTurns::default(),
+            prefixes: PrefixMemory::default(),
             started_ms: 0,
             is_busy: false,
             next_report: now,
@@ -257,6 +261,8 @@
     owned.next_report = now + UNSETTLED_REPORTS;
     if owned.started_ms != report.started_ms {
         owned.plan.clear();
+        owned.prefixes.clear();
+        owned.turns = PromptTurns::default();
         owned.started_ms = report.started_ms;
     }
     let was_held = owned.lease.is_held();
@@ -325,6 +331,9 @@
             false
         }
     };
+    if unloaded {
+        owned.prefixes.forget(order.key());
+    }
     drop(all);
     if unloaded && let Some(known) = node.replicas().get_mut(replica) {
         known.on_unloaded(order.key());
--- a/src/relay/turns.rs
+++ b/src/relay/turns.rs
@@ -9,8 +9,10 @@
 use super::node::Node;
 use crate::decide::traffic::PromptTurns;
 use crate::decide::traffic::TurnTicket;
+use crate::decide::traffic::Wanted;
 use crate::names::BackendName;
 use crate::names::InstanceName;
+use crate::names::Timestamp;
 use crate::wire::relay::TurnEnd;
 use crate::wire::relay::TurnRequest;
 
@@ -34,9 +36,10 @@
     }
 }
 
-/// Waits for the turn of a prompt of which `tokens` have to be read; short ones need none.
-pub async fn take(node: &Arc<Node>, replica: &BackendName, tokens: u64) -> Option<PromptTurn> {
-    if !PromptTurns::is_needed(tokens) {
+/// Waits for the turn of a prompt; short ones need none.
+pub async fn take(node: &Arc<Node>, replica: &BackendName, wanted: &Wanted) -> Option<PromptTurn> {
+    let key = wanted.key.clone()?;
+    if !PromptTurns::is_needed(wanted.prompt_tokens) {
         return None;
     }
     let owner = node.peers().preferred(node.now(), replica.as_str()).cloned()?;
@@ -44,7 +47,8 @@
     let ticket = TurnTicket { user: me.clone(), serial: node.next_use_serial() };
     let end = TurnEnd { replica: replica.clone(), ticket };
     let turn = PromptTurn { node: Arc::clone(node), owner: owner.clone(), end: end.clone() };
-    let request = TurnRequest { turn: end, tokens };
+    let (parts, tokens) = (wanted.parts.clone(), wanted.prompt_tokens);
+    let request = TurnRequest { turn: end, key, parts, tokens };
     if owner == me {
         wait_here(node, &request).await;
     } else {
@@ -59,12 +63,8 @@
     let deadline = node.now() + TURN_WAIT;
     loop {
         let now = node.now();
-        let TurnEnd { replica, ticket } = &request.turn;
-        let Some(granted) =
-            node.owned().get_mut(replica).map(|owned| owned.turns.ask(now, ticket, request.tokens))
-        else {
-            return false;
-        };
+        let granted = ask_here(node, now, request);
+        let Some(granted) = granted else { return false };
         let left = deadline.since(now);
         if granted || left.is_zero() {
             return granted;
@@ -76,6 +76,19 @@
     }
 }
 
+/// Asks for a turn; `None` if this instance doesn't give the replica orders.
+fn ask_here(node: &Node, now: Timestamp, request: &TurnRequest) -> Option<bool> {
+    let TurnRequest { turn, key, parts, tokens } = request;
+    let mut all = node.owned();
+    let owned = all.get_mut(&turn.replica)?;
+    let unread = tokens.saturating_sub(owned.prefixes.known_tokens(key, parts));
+    let granted = owned.turns.ask(now, &turn.ticket, unread);
+    if granted {
+        owned.prefixes.on_read(now, key, parts);
+    }
+    Some(granted)
+}
+
 /// Ends a turn at a replica that this instance gives orders.
 pub fn end_here(node: &Node, end: &TurnEnd) {
     if let Some(owned) = node.owned().get_mut(&end.replica) {
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -8,6 +8,7 @@
 use crate::decide::traffic::Load;
 use crate::decide::traffic::PeerNews;
 use crate::decide::traffic::PlanHandover;
+use crate::decide::traffic::PromptPart;
 use crate::decide::traffic::TurnTicket;
 use crate::decide::traffic::UseNews;
 use crate::decide::traffic::ViewNews;
@@ -152,7 +153,11 @@
 pub struct TurnRequest {
     /// The turn.
     pub turn: TurnEnd,
-    /// Tokens that have to be read.
+    /// What the prompt is for.
+    pub key: AdapterKey,
+    /// Parts of the prompt.
+    pub parts: Vec<PromptPart>,
+    /// Tokens of the prompt.
     pub tokens: u64,
 }
 
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -2,6 +2,7 @@
 
 use tamaracklead::decide::traffic::Choice;
 use tamaracklead::decide::traffic::DeclaredVersions;
+use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::ReplicaState;
 use tamaracklead::decide::traffic::Replicas;
 use tamaracklead::decide::traffic::Wanted;
@@ -268,3 +269,16 @@
     assert_eq!(replica.on_over(wanted("a", 10).load(0), Some(&key("a"))), 0);
     assert!(replica.in_use().is_empty());
 }
+
+#[test]
+fn prompts_that_begin_alike_have_a_number_in_common() {
+    let part = |id| PromptPart { id, tokens: 100 };
+    let prefix = |parts: &[u64]| {
+        let parts = parts.iter().map(|id| part(*id)).collect();
+        Wanted { parts, ..wanted("a", 10) }.shared_prefix()
+    };
+    assert_eq!(prefix(&[1, 2, 7]), prefix(&[1, 2, 8]));
+    assert_ne!(prefix(&[1, 2, 7]), prefix(&[1, 3, 7]));
+    assert_eq!(prefix(&[7]), None, "the last part is the request's own");
+    assert_eq!(prefix(&[]), None);
+}
