--- a/src/bin/tamaracklead/app.rs
+++ b/src/bin/tamaracklead/app.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use clap::ArgMatches;
+use clap::error::ErrorKind;
 use clap_complete::Shell;
 use clap_complete::generate;
 use tamaracklead::cli::Access;
@@ -17,7 +18,6 @@
 use tamaracklead::names::AdapterName;
 use tamaracklead::names::Generation;
 use tamaracklead::names::PresetName;
-use tamaracklead::names::RequestId;
 use tamaracklead::names::Version;
 use tamaracklead::wire::caller::CompletionRequest;
 use tamaracklead::wire::caller::VersionChoice;
@@ -63,10 +63,7 @@
             access: operator(matches),
         },
         ("status", _, matches) => Command::Status { access: operator(matches) },
-        ("explain", _, matches) => Command::Explain {
-            request_id: *matches.get_one::<RequestId>("request").expect("clap requires it"),
-            access: operator(matches),
-        },
+        ("explain", _, matches) => explain(matches),
         ("ask", _, matches) => Command::Ask {
             request: completion_request(matches),
             prompt: match text(matches, "prompt") {
@@ -76,10 +73,7 @@
             access: caller(matches),
         },
         ("submit", _, matches) => Command::Submit {
-            body: match text(matches, "file") {
-                STDIN => Input::Stdin,
-                file => Input::File(PathBuf::from(file)),
-            },
+            body: input(text(matches, "file")),
             attempts: *matches.get_one::<u32>("attempts").expect("has a default"),
             access: caller(matches),
         },
@@ -91,6 +85,28 @@
     }
 }
 
+fn explain(matches: &ArgMatches) -> Command {
+    let request = text(matches, "request");
+    if let Some(logs) = matches.get_many::<String>("log") {
+        let logs = logs.map(|log| input(log)).collect();
+        return Command::ExplainLog { request: request.to_owned(), logs };
+    }
+    match request.parse() {
+        Ok(request_id) => Command::Explain { request_id, access: operator(matches) },
+        Err(e) => {
+            let fault = format!("invalid value '{request}' for '<REQUEST>': {e}");
+            clap_app::build_app().error(ErrorKind::ValueValidation, fault).exit()
+        }
+    }
+}
+
+fn input(name: &str) -> Input {
+    match name {
+        STDIN => Input::Stdin,
+        file => Input::File(PathBuf::from(file)),
+    }
+}
+
 fn nested(matches: &ArgMatches) -> (&str, &str, &ArgMatches) {
     let (group, matches) = matches.subcommand().expect("clap requires a command");
     match matches.subcommand() {
--- a/src/bin/tamaracklead/clap_app.rs
+++ b/src/bin/tamaracklead/clap_app.rs
@@ -9,7 +9,6 @@
 use clap::value_parser;
 use clap_complete::Shell;
 use tamaracklead::decide::audit::SlotBudget;
-use tamaracklead::names::RequestId;
 
 const FLEET_SLOTS_HELP: &str = "Operator listener, to count what the fleet holds now";
 
@@ -106,13 +105,19 @@
 
 fn explain() -> Command {
     let explain = Command::new("explain").about("Show where one request went and why").arg(
-        Arg::new("request")
-            .value_name("REQUEST")
-            .required(true)
-            .value_parser(value_parser!(RequestId))
-            .help("Value of the answer's X-Request-Id header"),
+        Arg::new("request").value_name("REQUEST").required(true).help(
+            "Value of the answer's X-Request-Id header; with --log the id that its caller sent",
+        ),
     );
-    operator(explain)
+    let log = Arg::new("log")
+        .long("log")
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .conflicts_with_all(["operator", "operator-key"])
+        .help("Log of a relay, or - for stdin; repeat it to name others");
+    operator(explain.arg(log))
+        .mut_arg("operator", |arg| arg.required(false).required_unless_present("log"))
+        .mut_arg("operator-key", |arg| arg.required(false).required_unless_present("log"))
 }
 
 fn ask() -> Command {
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -61,6 +61,13 @@
         /// Operator listeners.
         access: Access,
     },
+    /// Shows what the logs of relays say of one request.
+    ExplainLog {
+        /// Id of the request, as its caller sent it.
+        request: String,
+        /// The logs.
+        logs: Vec<Input>,
+    },
     /// Asks for a completion and streams it.
     Ask {
         /// The request, without its prompt.
--- a/src/cli/input.rs
+++ b/src/cli/input.rs
@@ -21,6 +21,15 @@
 }
 
 impl Input {
+    /// Its name for messages.
+    pub(super) fn name(&self) -> String {
+        match self {
+            Self::Stdin => STDIN_NAME.to_owned(),
+            Self::File(path) => path.display().to_string(),
+            Self::Text(_) => "command line".to_owned(),
+        }
+    }
+
     /// Reads all of it.
     pub(super) fn read(&self) -> Result<String, Failure> {
         match self {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -11,9 +11,11 @@
 mod config_check;
 mod exit;
 mod explain;
+mod explain_log;
 mod failure;
 mod input;
 mod instances;
+mod log_story;
 mod outcome;
 mod preset_diff;
 mod preset_wait;
@@ -33,6 +35,9 @@
 pub use exit::Exit;
 pub use failure::Failure;
 pub use input::Input;
+pub use log_story::About;
+pub use log_story::LogLines;
+pub use log_story::LogStep;
 use report::Output;
 pub use table::Table;
 use tokio::runtime::Builder;
@@ -56,6 +61,7 @@
         Command::Explain { request_id, access } => {
             block_on(explain::run(*request_id, access, &mut output))
         }
+        Command::ExplainLog { request, logs } => explain_log::run(request, logs, &mut output),
         Command::Ask { request, prompt, access } => {
             block_on(ask::run(request, prompt, access, &mut output))
         }
--- /dev/null
+++ b/tests/log_story.rs
@@ -0,0 +1,115 @@
+//! `tamaracklead explain` from the logs of relays, through the real program.
+
+use std::fs;
+use std::io::Write;
+use std::path::Path;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+use tamaracklead::cli::About;
+use tamaracklead::cli::LogLines;
+
+const ENTRY_1: &str = r#"
+{"at_ms":1000,"event":"started","instance":"entry-1","version":"0.1.0"}
+{"at_ms":9000,"event":"config_taken","version":7,"before":4,"rev":41}
+{"at_ms":10000,"event":"request_waited","id":"r1","adapter":"base/a1","targets":9,"waited_ms":310}
+{"at_ms":10001,"event":"request_sent","id":"r1","route":"draft","replica":"i-1","config":7,"sends":0,"waited_ms":311,"busy":3,"unread_tokens":0}
+{"at_ms":10002,"event":"request_sent","id":"r2","route":"draft","replica":"i-2","config":7,"sends":0,"waited_ms":0,"busy":0,"unread_tokens":0}
+{"at_ms":10500,"event":"attempt_failed","id":"r1","replica":"i-1","reason":"no_answer","detail":"connection reset"}
+{"at_ms":10500,"event":"request_ended","id":"r1","outcome":"Unknown","sends":1,"waited_ms":810}
+not a line of the log
+{"half a line
+"#;
+
+const ENTRY_2: &str = r#"
+  9.6 entry-2 {"at_ms":9650,"event":"order_given","replica":"i-1","order":"load base/a1@1","fence":9,"expected":4,"answer":"Accepted"}
+  9.7 entry-2 {"at_ms":9700,"event":"order_given","replica":"i-1","order":"load base/a11@1","fence":9,"expected":5,"answer":"Accepted"}
+ 10.6 entry-2 {"at_ms":10600,"event":"replica_removed","replica":"i-1","after_outage":false}
+ 10.6 entry-2 {"at_ms":10600,"event":"replica_removed","replica":"i-2","after_outage":false}
+ 99.0 entry-2 {"at_ms":99000,"event":"replica_known","replica":"i-1","state":"Ready","rev":99}
+"#;
+
+fn explain(args: &[&str], stdin: &str) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_tamaracklead"))
+        .args(args)
+        .env("COLUMNS", "160")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut pipe = child.stdin.take().unwrap();
+    // A program that doesn't read its input has closed it.
+    let _ = pipe.write_all(stdin.as_bytes());
+    drop(pipe);
+    child.wait_with_output().unwrap()
+}
+
+fn file(name: &str, text: &str) -> String {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("log-{name}"));
+    fs::write(&path, text).unwrap();
+    path.display().to_string()
+}
+
+#[test]
+fn a_story_joins_the_request_with_its_adapter_replicas_and_instances() {
+    let mut lines = LogLines::default();
+    lines.add("one", ENTRY_1);
+    lines.add("two", ENTRY_2);
+    let told: Vec<(u64, String, About, String)> = lines
+        .story("r1")
+        .into_iter()
+        .map(|step| (step.at_ms, step.instance, step.about, step.event))
+        .collect();
+    let step = |at_ms, instance: &str, about, event: &str| {
+        (at_ms, instance.to_owned(), about, event.to_owned())
+    };
+    let expected = [
+        step(9000, "entry-1", About::Instance, "config_taken"),
+        step(9650, "entry-2", About::Adapter, "order_given"),
+        step(10_000, "entry-1", About::Request, "request_waited"),
+        step(10_001, "entry-1", About::Request, "request_sent"),
+        step(10_500, "entry-1", About::Request, "attempt_failed"),
+        step(10_500, "entry-1", About::Request, "request_ended"),
+        step(10_600, "entry-2", About::Replica, "replica_removed"),
+    ];
+    assert_eq!(told, expected);
+    assert_eq!(lines.unreadable(), 1);
+}
+
+#[test]
+fn logs_are_read_from_files_and_from_standard_input() {
+    let one = file("one", ENTRY_1);
+    let run = explain(&["explain", "r1", "--log", &one, "--log", "-"], ENTRY_2);
+    assert!(run.status.success(), "{run:?}");
+    let text = String::from_utf8(run.stdout).unwrap();
+    assert!(text.contains("replica_removed") && text.contains("outcome=Unknown"), "{text}");
+    assert!(text.contains("1 lines aren't events"), "{text}");
+    let run = explain(&["--json", "explain", "r1", "--log", &one], "");
+    let story: serde_json::Value = serde_json::from_slice(&run.stdout).unwrap();
+    assert_eq!(story["request"], "r1");
+    assert_eq!(story["steps"][1]["event"], "request_waited");
+}
+
+#[test]
+fn a_request_that_no_line_names_and_a_missing_file_are_clear_errors() {
+    let one = file("other", ENTRY_1);
+    let run = explain(&["explain", "r9", "--log", &one], "");
+    assert!(!run.status.success());
+    let text = String::from_utf8(run.stderr).unwrap();
+    assert!(text.contains("no line of request r9"), "{text}");
+    let run = explain(&["explain", "r1", "--log", "no-such-file"], "");
+    assert!(!run.status.success());
+    assert!(String::from_utf8(run.stderr).unwrap().contains("no-such-file"));
+}
+
+#[test]
+fn without_logs_an_operator_listener_and_a_request_id_are_required() {
+    let run = explain(&["explain", "r1"], "");
+    assert!(String::from_utf8(run.stderr).unwrap().contains("--operator"));
+    let args = ["explain", "r1", "--operator", "127.0.0.1:1", "--operator-key", "key"];
+    let run = explain(&args, "");
+    assert!(!run.status.success());
+    assert!(String::from_utf8(run.stderr).unwrap().contains("invalid value 'r1'"));
+}
