--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -12,7 +12,9 @@
 use super::Coming;
 use super::DeclaredVersions;
 use super::EngineSpec;
+use super::HeldAdapter;
 use super::HeldModel;
+use super::KeptCopies;
 use super::Order;
 use super::PlanHandover;
 use super::UseNews;
@@ -27,8 +29,6 @@
 const LEARN_USES: Duration = Duration::from_millis(900);
 /// Adapters that may be on their way from the weight store to one replica.
 const MAX_FETCHED: usize = 4;
-/// Adapters that a replica keeps a copy of after they were unloaded.
-const WARM_COUNT: usize = 40;
 /// Time for which a report may be older than an order.
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which a base model that no report shows is ordered again.
@@ -37,20 +37,11 @@
 const WISH_TIME: Duration = Duration::from_secs(2);
 /// Time for which an adapter is kept after its last use.
 const KEEP_AFTER_USE: Duration = Duration::from_millis(200);
-/// Half-life of the memory of uses.
-const USE_HALF_LIFE: Duration = Duration::from_secs(8);
-
-#[derive(Clone, Copy, Debug)]
-struct Held {
-    version: u64,
-    uses: f64,
-    used: Timestamp,
-}
 
 /// The plan for one replica.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicaPlan {
-    held: HashMap<AdapterKey, Held>,
+    held: HashMap<AdapterKey, HeldAdapter>,
     coming: HashMap<AdapterKey, Coming>,
     leaving: HashMap<AdapterKey, Timestamp>,
     ordered: HashMap<AdapterKey, Timestamp>,
@@ -60,7 +51,7 @@
     /// Until when the uses of other instances aren't known yet.
     uses_unknown_until: Timestamp,
     /// Versions that the replica had before, the latest last.
-    had: VecDeque<(AdapterKey, u64)>,
+    had: KeptCopies,
     model_ordered: Option<Timestamp>,
 }
 
@@ -71,7 +62,7 @@
             held: self.held.iter().map(|(key, held)| (key.clone(), held.version)).collect(),
             coming: self.coming.keys().cloned().collect(),
             unloaded: self.unloaded.keys().cloned().collect(),
-            had: self.had.iter().cloned().collect(),
+            had: self.had.all(),
         }
     }
 
@@ -79,14 +70,14 @@
     pub fn on_handover(&mut self, now: Timestamp, handover: PlanHandover) {
         for (key, version) in handover.held {
             self.ordered.insert(key.clone(), now);
-            self.held.insert(key, Held { version, uses: 0.0, used: now });
+            self.held.insert(key, HeldAdapter::new(now, version));
         }
         for key in handover.coming {
             self.ordered.insert(key.clone(), now);
             self.coming.insert(key, Coming::new(now, None, false));
         }
         self.unloaded = handover.unloaded.into_iter().map(|key| (key, now)).collect();
-        self.had = handover.had.into();
+        self.had = KeptCopies::of(handover.had);
         self.uses_unknown_until = now + LEARN_USES;
     }
 
@@ -139,7 +130,7 @@
     pub fn on_use(&mut self, now: Timestamp, key: &AdapterKey, news: &UseNews) {
         let Some(begun) = self.uses.on_news(now, key, news) else { return };
         if let Some(held) = self.held.get_mut(key) {
-            held.uses = decayed(now, held) + f64::from(begun);
+            held.uses = held.uses_now(now) + f64::from(begun);
             held.used = now;
         }
     }
@@ -269,7 +260,8 @@
         }
         let fetched = self.coming.values().filter(|coming| !coming.is_warm).count();
         let may_load = |key: &AdapterKey| {
-            self.has_model(key) && (fetched < MAX_FETCHED || self.is_warm(key, versions))
+            self.has_model(key)
+                && (fetched < MAX_FETCHED || self.had.has(key, versions.newest(key)))
         };
         let (key, _) = self.wishes.iter().find(|(key, _)| may_load(key))?.clone();
         let taken = self.adapters_taken();
@@ -309,13 +301,13 @@
             }
             if key.adapter.is_none() {
                 self.model_ordered = None;
-            } else if self.had.back() != Some(&(key.clone(), *version)) {
-                self.note_had(key, *version);
+            } else {
+                self.had.on_held(key, *version);
             }
             match self.held.get_mut(key) {
                 Some(held) => held.version = *version,
                 None => {
-                    let held = Held { version: *version, uses: 0.0, used: now };
+                    let held = HeldAdapter::new(now, *version);
                     self.held.insert(key.clone(), held);
                 }
             }
@@ -331,8 +323,8 @@
             return;
         }
         self.wishes.retain(|(wish, _)| wish != &key);
-        let had = self.had_version(&key);
-        let is_warm = had.is_some() && version.is_none_or(|version| had == Some(version));
+        let had = self.had.version(&key);
+        let is_warm = self.had.has(&key, version);
         self.coming.insert(key, Coming::new(now, version.or(had), is_warm));
     }
 
@@ -340,7 +332,7 @@
         self.wishes.retain(|(wish, _)| wish != &key);
         let coming = self.coming.remove(&key).and_then(|coming| coming.version);
         let version = version.or(coming);
-        let held = Held { version: version.unwrap_or(0), uses: 0.0, used: now };
+        let held = HeldAdapter::new(now, version.unwrap_or(0));
         let held = self.held.entry(key).or_insert(held);
         held.version = version.unwrap_or(held.version);
     }
@@ -368,7 +360,7 @@
 
     /// A held adapter of which a newer version was declared.
     fn outdated(&self, versions: &DeclaredVersions) -> Option<Order> {
-        let is_old = |key: &AdapterKey, held: &Held| {
+        let is_old = |key: &AdapterKey, held: &HeldAdapter| {
             versions.newest(key).is_some_and(|newest| held.version < newest)
         };
         let idle = |key: &AdapterKey| {
@@ -383,24 +375,6 @@
         Some(Order::Load { key: key.clone(), version: versions.newest(key) })
     }
 
-    fn had_version(&self, key: &AdapterKey) -> Option<u64> {
-        self.had.iter().find(|(had, _)| had == key).map(|(_, version)| *version)
-    }
-
-    /// Whether the replica has a copy of the version that would be loaded.
-    fn is_warm(&self, key: &AdapterKey, versions: &DeclaredVersions) -> bool {
-        let Some(had) = self.had_version(key) else { return false };
-        versions.newest(key).is_none_or(|newest| newest == had)
-    }
-
-    fn note_had(&mut self, key: &AdapterKey, version: u64) {
-        self.had.retain(|(had, _)| had != key);
-        self.had.push_back((key.clone(), version));
-        if self.had.len() > WARM_COUNT {
-            self.had.pop_front();
-        }
-    }
-
     fn has_model(&self, key: &AdapterKey) -> bool {
         self.held.contains_key(&AdapterKey::base(key.model.clone()))
     }
@@ -413,7 +387,7 @@
     }
 
     /// Adapters that nobody waits for and that aren't used now.
-    fn victims(&self, now: Timestamp) -> impl Iterator<Item = (&AdapterKey, &Held)> {
+    fn victims(&self, now: Timestamp) -> impl Iterator<Item = (&AdapterKey, &HeldAdapter)> {
         self.held.iter().filter(move |(key, held)| {
             key.adapter.is_some()
                 && now.since(held.used) >= KEEP_AFTER_USE
@@ -426,13 +400,8 @@
     /// The least used adapter that can make room.
     fn victim(&self, now: Timestamp) -> Option<AdapterKey> {
         let least = self.victims(now).min_by(|a, b| {
-            decayed(now, a.1).total_cmp(&decayed(now, b.1)).then_with(|| a.0.cmp(b.0))
+            a.1.uses_now(now).total_cmp(&b.1.uses_now(now)).then_with(|| a.0.cmp(b.0))
         });
         least.map(|(key, _)| key.clone())
     }
 }
-
-fn decayed(now: Timestamp, held: &Held) -> f64 {
-    let half_lives = now.since(held.used).as_secs_f64() / USE_HALF_LIFE.as_secs_f64();
-    held.uses * (-half_lives).exp2()
-}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt: a request is sent to one replica and its answer awaited.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,15 +19,13 @@
 use super::event::AttemptReason;
 use super::event::Event;
 use super::event::record;
-use super::exchange;
+use super::in_flight::InFlight;
 use super::job::Job;
 use super::node::Node;
 use super::turns::PromptTurn;
 use super::upstream::Connection;
 use super::upstream::Upstream;
-use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::AttemptEnd;
-use crate::decide::traffic::Load;
 use crate::names::BackendName;
 
 /// Largest answer that is read whole, in bytes.
@@ -38,77 +35,6 @@
 /// Weight of a failure that the replica answered with.
 const ANSWERED_FAILURE_WEIGHT: f64 = 0.3;
 
-/// A request in progress at a replica, counted until it is dropped.
-pub struct InFlight {
-    node: Arc<Node>,
-    replica: BackendName,
-    load: Load,
-    key: Option<AdapterKey>,
-    answered: bool,
-    turn: Option<PromptTurn>,
-}
-
-impl InFlight {
-    fn start(
-        node: &Arc<Node>,
-        replica: &BackendName,
-        load: Load,
-        key: Option<AdapterKey>,
-        turn: Option<PromptTurn>,
-    ) -> Self {
-        let now = node.now();
-        let uses =
-            node.replicas().get_mut(replica).map(|known| known.on_sent(now, load, key.as_ref()));
-        if let (Some(1), Some(key)) = (uses, &key) {
-            exchange::tell_use(node, replica, key, 1);
-        }
-        Self { node: Arc::clone(node), replica: replica.clone(), load, key, answered: false, turn }
-    }
-
-    /// Notes that the answer has begun.
-    pub fn on_answered(&mut self) {
-        let now = self.node.now();
-        self.answered = true;
-        if let Some(known) = self.node.replicas().get_mut(&self.replica) {
-            known.on_answered(now);
-        }
-    }
-
-    /// Notes that bytes of the answer have come.
-    pub fn on_heard(&self) {
-        let now = self.node.now();
-        if let Some(known) = self.node.replicas().get_mut(&self.replica) {
-            known.on_heard(now);
-        }
-    }
-
-    /// Notes that the first event has come, so the prompt has been read.
-    pub fn on_event(&mut self) {
-        let now = self.node.now();
-        let read = Load { unread_tokens: self.load.unread_tokens, ..Load::default() };
-        self.load.unread_tokens = 0;
-        self.turn = None;
-        if let Some(known) = self.node.replicas().get_mut(&self.replica) {
-            known.own.remove(read);
-            known.on_heard(now);
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        let uses = self.node.replicas().get_mut(&self.replica).map(|known| {
-            if !self.answered {
-                known.on_unanswered_end();
-            }
-            known.on_over(self.load, self.key.as_ref())
-        });
-        if let (Some(0), Some(key)) = (uses, &self.key) {
-            exchange::tell_use(&self.node, &self.replica, key, 0);
-        }
-    }
-}
-
 /// The body of a replica's answer.
 pub enum ReplicaBody {
     /// Read to its end.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod event;
 mod exchange;
 mod forward;
+mod in_flight;
 mod job;
 mod listener;
 mod loads;
