A submission waits again for its permission after a pause is detected late

The 503: a resumed process refuses new work until its peers have answered, and the wait for that happened once, before the connection to the desk; a pause detected between that check and the one before the send ended the submission as not run. The run at the desk after both callers were told "outcome unknown": ruled out as a fault of the daemon. SIGSTOP takes effect on each thread only when the kernel next returns to it, so on a busy machine the issuer could still run the submission after kill() had returned; its answer then got stuck, and "outcome unknown" was true, with one run. The fixture now waits until every thread of the process has stopped (/proc), so the test checks what it says; its assertions are as they were.

--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -9,11 +9,15 @@
 use std::process::Stdio;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+/// Interval between checks whether a paused process has stopped.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// A child process, killed on drop.
 #[derive(Debug)]
 pub struct Process {
@@ -60,6 +64,35 @@
         let _ = kill(pid, signal);
     }
 
+    /// Pauses the process with SIGSTOP; returns once all of its threads have stopped, which takes
+    /// a while on a busy machine.
+    ///
+    /// # Errors
+    ///
+    /// The process has ended.
+    pub async fn pause(&self) -> Result<(), String> {
+        self.signal(Signal::SIGSTOP);
+        while !self.is_stopped()? {
+            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    fn is_stopped(&self) -> Result<bool, String> {
+        let threads = format!("/proc/{}/task", self.child.id());
+        let ended = |e: std::io::Error| format!("{} has ended: {e}", self.name);
+        for thread in std::fs::read_dir(&threads).map_err(ended)? {
+            let stat = thread.map_err(ended)?.path().join("stat");
+            // A thread that is listed but gone meanwhile no longer runs.
+            let Ok(text) = std::fs::read_to_string(stat) else { continue };
+            let state = text.rsplit_once(") ").and_then(|(_, fields)| fields.chars().next());
+            if !matches!(state, Some('T' | 't' | 'Z' | 'X')) {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     /// Waits until the process exits.
     ///
     /// # Errors
--- a/lab/tests/config_faults.rs
+++ b/lab/tests/config_faults.rs
@@ -104,7 +104,7 @@
 fn a_resumed_instance_is_ready_only_with_the_generation_of_its_peers() {
     fleet::runtime().unwrap().block_on(async {
         let mut fleet = start().await;
-        fleet.entries[2].process.signal(Signal::SIGSTOP);
+        fleet.entries[2].process.pause().await.unwrap();
         fleet.publish(Generation(2), "ordinary").await.unwrap();
         let until = Instant::now() + WAIT_TIMEOUT;
         for entry in 0..2 {
--- a/lab/tests/ownership.rs
+++ b/lab/tests/ownership.rs
@@ -75,7 +75,7 @@
         let fleet = start(&runtime, one_engine(fencing));
         runtime.block_on(async {
             complete_all_adapters(&fleet, &non_owners(&fleet)).await;
-            fleet.entries[0].process.signal(Signal::SIGSTOP);
+            fleet.entries[0].process.pause().await.unwrap();
             complete_all_adapters(&fleet, &non_owners(&fleet)).await;
             fleet.entries[0].process.signal(Signal::SIGCONT);
             let all: Vec<SocketAddr> = fleet.entries.iter().map(|entry| entry.addr).collect();
--- a/lab/tests/submissions.rs
+++ b/lab/tests/submissions.rs
@@ -151,7 +151,7 @@
 fn a_paused_issuer_runs_the_submission_once_when_resumed() {
     with_fleet(0, async |fleet: Fleet| {
         let ticket = ticket(&fleet, 0).await;
-        fleet.entries[0].process.signal(Signal::SIGSTOP);
+        fleet.entries[0].process.pause().await.unwrap();
         let sends = [spawn_submit(&fleet, 1, &ticket), spawn_submit(&fleet, 2, &ticket)];
         for send in sends {
             assert_unknown(send.await.unwrap());
@@ -170,7 +170,7 @@
         let ticket = ticket(&fleet, 0).await;
         let first = spawn_submit(&fleet, 1, &ticket);
         running_desk(&fleet).await;
-        fleet.entries[0].process.signal(Signal::SIGSTOP);
+        fleet.entries[0].process.pause().await.unwrap();
         assert_unknown(submit(&fleet, 2, &ticket).await);
         assert_unknown(first.await.unwrap());
         fleet.entries[0].process.signal(Signal::SIGCONT);
--- a/src/daemon/submissions/attempt.rs
+++ b/src/daemon/submissions/attempt.rs
@@ -12,6 +12,8 @@
 use crate::decide::submissions::AfterSend;
 use crate::decide::submissions::Attempt;
 use crate::decide::submissions::Outcome;
+use crate::decide::submissions::PermissionStep;
+use crate::decide::submissions::PermissionWait;
 use crate::decide::submissions::SendPermit;
 use crate::decide::submissions::Verdict;
 use crate::edge::CallFailure;
@@ -24,10 +26,6 @@
 use crate::wire::desk::DeskSubmission;
 use crate::wire::listing::ListedBackend;
 
-/// Longest wait of a submission until any replica may get new work.
-const PERMISSION_WAIT: Duration = Duration::from_secs(2);
-/// Interval between checks whether a replica may get new work.
-const PERMISSION_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of a desk's response after the submission was sent.
 const DESK_TIMEOUT: Duration = Duration::from_secs(10);
 /// Replicas that one attempt may try to reach, each within the connect timeout.
@@ -65,11 +63,11 @@
 }
 
 async fn run(node: &Node, mut attempt: Attempt, submission: &DeskSubmission) -> Outcome {
-    let ranked_replicas = ranked_replicas(node, attempt.id());
-    wait_for_permission(node, &ranked_replicas).await;
+    let wait = PermissionWait::start(node.now());
+    let ranked_replicas = permitted_replicas(node, attempt.id(), &wait).await;
     for (number, desk) in ranked_replicas.iter().enumerate() {
         let has_more_replicas = number + 1 < ranked_replicas.len();
-        match try_replica(node, attempt, desk, submission, has_more_replicas).await {
+        match try_replica(node, attempt, desk, submission, has_more_replicas, &wait).await {
             AfterSend::TryAnother(next_attempt) => {
                 node.metrics.count(Counter::Retried);
                 attempt = next_attempt;
@@ -80,12 +78,19 @@
     node.submissions.table().give_up(attempt, ErrorKind::NoBackend)
 }
 
-/// Waits while no replica may get new work: after a pause, this process asks its peers first.
-async fn wait_for_permission(node: &Node, ranked_replicas: &[ListedBackend]) {
-    let until = node.now() + PERMISSION_WAIT;
-    let refused = |desk: &ListedBackend| node.check_dispatch(&desk.name).is_err();
-    while node.now() < until && ranked_replicas.iter().all(refused) {
-        tokio::time::sleep(PERMISSION_POLL_INTERVAL).await;
+/// Replicas of the desk, best first; waits while none of them may get new work.
+async fn permitted_replicas(
+    node: &Node,
+    id: RequestId,
+    wait: &PermissionWait,
+) -> Vec<ListedBackend> {
+    loop {
+        let ranked = ranked_replicas(node, id);
+        let is_permitted = ranked.iter().any(|desk| node.check_dispatch(&desk.name).is_ok());
+        match wait.step(node.now(), is_permitted) {
+            PermissionStep::Proceed | PermissionStep::GiveUp => return ranked,
+            PermissionStep::Wait(pause) => tokio::time::sleep(pause).await,
+        }
     }
 }
 
@@ -103,6 +108,7 @@
     desk: &ListedBackend,
     submission: &DeskSubmission,
     has_more_replicas: bool,
+    wait: &PermissionWait,
 ) -> AfterSend {
     let connection = match node.clients.desk.connect(desk.addr).await {
         Ok(connection) => connection,
@@ -115,6 +121,8 @@
             );
         }
     };
+    // A pause may have been detected since the last check.
+    permitted_replicas(node, attempt.id(), wait).await;
     if let Err(error) = node.check_dispatch(&desk.name) {
         log::info!("desk {}: not sending the submission: {error}", desk.name);
         let end = DispatchFailure::ResetBeforeSend;
--- a/tests/submissions.rs
+++ b/tests/submissions.rs
@@ -13,6 +13,8 @@
 use tamaracklead::decide::submissions::MAX_RECEIPT_BYTES;
 use tamaracklead::decide::submissions::OUTCOME_MEMORY;
 use tamaracklead::decide::submissions::Outcome;
+use tamaracklead::decide::submissions::PermissionStep;
+use tamaracklead::decide::submissions::PermissionWait;
 use tamaracklead::decide::submissions::SubmissionTable;
 use tamaracklead::decide::submissions::SubmissionTableLimits;
 use tamaracklead::decide::submissions::TICKET_LIFETIME;
@@ -284,3 +286,25 @@
     assert_eq!(route(&other, 1, true), TicketRoute::Forward(own));
     assert_eq!(route(&other, 1, false), TicketRoute::Gone);
 }
+
+/// Guards against a submission that ends as not run since a pause of the process was detected
+/// between the check before its connection and the one before its send.
+#[test]
+fn a_permission_that_is_lost_after_connecting_is_waited_for_again() {
+    let wait = PermissionWait::start(START);
+    assert_eq!(wait.step(START, true), PermissionStep::Proceed);
+    let lost = START + Duration::from_millis(30);
+    let PermissionStep::Wait(pause) = wait.step(lost, false) else { panic!("time is left") };
+    assert_eq!(wait.step(lost + pause, true), PermissionStep::Proceed);
+}
+
+#[test]
+fn a_submission_that_never_gets_its_permission_is_given_up_in_time() {
+    let wait = PermissionWait::start(START);
+    let mut now = START;
+    while let PermissionStep::Wait(pause) = wait.step(now, false) {
+        now = now + pause;
+    }
+    assert_eq!(wait.step(now, false), PermissionStep::GiveUp);
+    assert!(now.since(START) <= Duration::from_secs(5), "callers wait 14 s for the outcome");
+}
