Elect a replica's owner once for each set of candidates

Every tick of the control loop, 25 a second and one for each notice, ranked all live instances for every replica: 195 x 156 hashes and as many list entries. The owners are kept now until the candidates change.

--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -28,6 +28,7 @@
 mod load_in_progress;
 mod order;
 mod order_lease;
+mod owner_election;
 mod peer_gossip;
 mod peers;
 mod plan_handover;
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -15,6 +15,7 @@
 
 use super::PeerGossip;
 use super::PeerRecord;
+use super::owner_election::OwnerElection;
 use crate::decide::rendezvous;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
@@ -58,6 +59,9 @@
     tags: HashMap<u32, InstanceName>,
     needs_all_records: bool,
     round: u64,
+    election: OwnerElection,
+    /// When the candidates of the election were checked last; `None` if a record changed since.
+    candidates_checked_at: Option<Timestamp>,
 }
 
 impl Peers {
@@ -70,6 +74,8 @@
             tags: HashMap::new(),
             needs_all_records: true,
             round: 0,
+            election: OwnerElection::default(),
+            candidates_checked_at: None,
         }
     }
 
@@ -86,11 +92,13 @@
     /// Marks this instance as shutting down, for the others to know.
     pub fn set_draining(&mut self) {
         self.me.draining = true;
+        self.candidates_checked_at = None;
     }
 
     /// Marks this instance as settled, for the others to know: it has learned the fleet.
     pub fn set_settled(&mut self) {
         self.me.settled = true;
+        self.candidates_checked_at = None;
     }
 
     /// Starts a round of gossip: increases the heartbeat and returns the addresses to call.
@@ -126,6 +134,7 @@
                 self.on_record(now, record);
             }
         }
+        self.candidates_checked_at = None;
         let own = self.me.tag();
         self.needs_all_records = false;
         for (tag, heartbeat) in gossip.heartbeats {
@@ -140,6 +149,7 @@
         for known in self.known.values_mut() {
             known.last_heard = now;
         }
+        self.candidates_checked_at = None;
     }
 
     /// Address of an instance; `None` unless it is live.
@@ -172,23 +182,32 @@
     ///
     /// One that has just started is passed over while settled ones are there, since taking over
     /// takes time, unless it started together with them. `None` if all are draining.
-    pub fn preferred_owner(&self, now: Timestamp, replica: &str) -> Option<&InstanceName> {
-        let candidates: Vec<&PeerRecord> =
-            self.live(now).chain([&self.me]).filter(|record| !record.draining).collect();
-        let settled = candidates.iter().filter(|record| record.settled);
+    pub fn preferred_owner(&mut self, now: Timestamp, replica: &str) -> Option<InstanceName> {
+        if self.candidates_checked_at != Some(now) {
+            self.candidates_checked_at = Some(now);
+            let candidates = self.owner_candidates(now);
+            self.election.set_candidates(candidates);
+        }
+        self.election.owner(replica)
+    }
+
+    /// Instances that may own replicas, sorted by name.
+    fn owner_candidates(&self, now: Timestamp) -> Vec<InstanceName> {
+        let all = || self.live(now).chain([&self.me]).filter(|record| !record.draining);
+        let settled = all().filter(|record| record.settled);
         let oldest = settled.map(|record| record.started_ms).min();
-        let names = candidates.into_iter().filter(|record| {
+        let may_own = all().filter(|record| {
             record.settled || oldest.is_none_or(|at| record.started_ms < at + SAME_START_MS)
         });
+        let mut names: Vec<InstanceName> = may_own.map(|record| record.name.clone()).collect();
+        names.sort_unstable();
         names
-            .map(|record| &record.name)
-            .max_by_key(|name| (rendezvous::score(replica, name.as_str()), *name))
     }
 
     /// Whether this instance is one of the few readers of the published state.
     pub fn reads_published(&self, now: Timestamp) -> bool {
-        let rank =
-            |name: &InstanceName| (rendezvous::score(READER_KEY, name.as_str()), name.clone());
+        let ranking = rendezvous::Ranking::new(READER_KEY);
+        let rank = |name: &InstanceName| ranking.score(name.as_str());
         let own = rank(&self.me.name);
         let before = self.live(now).filter(|record| !record.draining && rank(&record.name) > own);
         before.take(READER_COUNT).count() < READER_COUNT
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -195,7 +195,7 @@
 /// waiting for the call.
 pub fn notify_owner_of_use(node: &Arc<Node>, replica: &BackendName, key: &AdapterKey, count: u32) {
     let now = node.now();
-    let owner = node.peers().preferred_owner(now, replica.as_str()).cloned();
+    let owner = node.peers().preferred_owner(now, replica.as_str());
     let me = &node.settings.instance;
     let update = UseUpdate { user: me.clone(), count, serial: node.next_use_serial() };
     let Some(owner) = owner.filter(|owner| owner != me) else {
@@ -309,7 +309,7 @@
     node.peers().on_gossip(now, received.peers);
     node.on_fence_seen(received.fence);
     for owned in &received.owned {
-        let preferred_owner = node.peers().preferred_owner(now, owned.replica.as_str()).cloned();
+        let preferred_owner = node.peers().preferred_owner(now, owned.replica.as_str());
         if preferred_owner.as_ref() != Some(&sender.name) {
             continue;
         }
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -248,7 +248,7 @@
     limit: Duration,
     mode: LoadMode,
 ) -> LoadReply {
-    let owner = node.peers().preferred_owner(node.now(), target.as_str()).cloned();
+    let owner = node.peers().preferred_owner(node.now(), target.as_str());
     let wait_ms = u64::try_from(limit.as_millis()).unwrap_or(u64::MAX);
     let width = node.homes().width(node.now(), key);
     let request = LoadRequest { replica: target.clone(), key: key.clone(), wait_ms, mode, width };
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -164,7 +164,7 @@
     node.owned().retain(|name, _| candidates.iter().any(|(known, _)| known == name));
     for (replica, service) in candidates {
         let Some(engine) = &service.engine else { continue };
-        let preferred_owner = node.peers().preferred_owner(now, replica.as_str()).cloned();
+        let preferred_owner = node.peers().preferred_owner(now, replica.as_str());
         if may_own && preferred_owner.as_ref() == Some(&node.settings.instance) {
             advance_ownership(node, &replica, engine, tick_time);
         } else {
--- a/src/relay/turns.rs
+++ b/src/relay/turns.rs
@@ -55,7 +55,7 @@
     if !PromptTurns::is_needed(needs.prompt_tokens) {
         return None;
     }
-    let owner = node.peers().preferred_owner(node.now(), replica.as_str()).cloned()?;
+    let owner = node.peers().preferred_owner(node.now(), replica.as_str())?;
     let me = node.settings.instance.clone();
     let id = TurnId { user: me.clone(), serial: node.next_use_serial() };
     let turn_ref = TurnRef { replica: replica.clone(), ticket: id };
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -77,7 +77,7 @@
         self.peers[index].live(at(self.now)).count()
     }
 
-    fn preferred_owner(&self, index: usize, replica: &str) -> String {
+    fn preferred_owner(&mut self, index: usize, replica: &str) -> String {
         self.peers[index].preferred_owner(at(self.now), replica).unwrap().to_string()
     }
 }
@@ -179,14 +179,14 @@
     }
     peers.on_gossip(now, gossip_of(others.clone()));
     let replicas: Vec<String> = (0..20).map(|index| format!("r{index}")).collect();
-    let chosen = |peers: &Peers| -> Vec<String> {
+    let chosen = |peers: &mut Peers| -> Vec<String> {
         replicas.iter().map(|r| peers.preferred_owner(now, r).unwrap().to_string()).collect()
     };
-    let before = chosen(&peers);
+    let before = chosen(&mut peers);
     others[0].settled = true;
     others[0].heartbeat += 1;
     peers.on_gossip(now, gossip_of(others));
-    assert_eq!(chosen(&peers), before);
+    assert_eq!(chosen(&mut peers), before);
 }
 
 /// Guards against messages that grow with whole records: heartbeats alone keep a settled fleet
