Gossip one byte for each instance, and workloads only where they are heard

Now instances that know the same live instances (a hash tells) send the lowest byte of each heartbeat; where they don't, five bytes with the tag. Beyond 16 live instances two of three calls of a round stay in the data centre, of the third at most 40 a round leave each data centre, owned replicas and workloads are left out, and owners are told directly every 3 s what is in use. Older processes get and send the older form; both keep each other live (test).

--- a/src/decide/traffic/peer_gossip.rs
+++ b/src/decide/traffic/peer_gossip.rs
@@ -3,13 +3,20 @@
 //! Heartbeats change all the time, the rest of a record hardly ever. So a message has whole
 //! records only of instances that are new or changed, and of the others a tag, which is a hash
 //! of the record, and the heartbeat. A receiver that doesn't know a tag asks for all records.
+//!
+//! Instances that know the same live instances need no tags: the heartbeats follow in the order
+//! of the tags, one byte each, and a hash of all tags, the roster, tells whether that holds. Of a
+//! heartbeat the lowest byte is enough, since it advances by less than half of that range before
+//! its instance is forgotten.
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::names::DataCentre;
 use crate::names::InstanceName;
 
 /// Record that an instance spreads about itself.
@@ -28,6 +35,12 @@
     pub settled: bool,
     /// Whether it is shutting down.
     pub draining: bool,
+    /// Data centre that it runs in; `None` if a process that doesn't say so passed the record on.
+    #[serde(default)]
+    pub data_centre: Option<DataCentre>,
+    /// Whether it reads [`PeerGossip::beats`]; older processes don't.
+    #[serde(default)]
+    pub reads_beats: bool,
 }
 
 impl PeerRecord {
@@ -50,4 +63,65 @@
     /// Whether the sender was sent a tag that it doesn't know, or no message at all yet.
     #[serde(rename = "lacks")]
     pub needs_all_records: bool,
+    /// Hash of the tags of all instances that are live to the sender; 0 if it isn't told.
+    #[serde(default)]
+    pub roster: u64,
+    /// Heartbeats of these instances.
+    #[serde(default, rename = "low_beats")]
+    pub beats: Beats,
+}
+
+/// Lowest bytes of heartbeats.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Beats {
+    /// None are told.
+    #[default]
+    None,
+    /// One byte for each instance of the roster, in the order of the tags.
+    ByRoster(Bytes),
+    /// For each instance its tag, as four bytes with the lowest first, and its byte.
+    ByTag(Bytes),
+}
+
+/// Bytes of one instance in [`Beats::ByTag`].
+const TAGGED_BEAT_BYTES: usize = 5;
+
+impl Beats {
+    /// Heartbeats of the roster, in the order of the tags.
+    pub fn by_roster(beats: impl Iterator<Item = u64>) -> Self {
+        Self::ByRoster(beats.map(|heartbeat| heartbeat as u8).collect())
+    }
+
+    /// Heartbeats with the tags that they belong to.
+    pub fn by_tag(beats: impl Iterator<Item = (u32, u64)>) -> Self {
+        let mut bytes = Vec::new();
+        for (tag, heartbeat) in beats {
+            bytes.extend_from_slice(&tag.to_le_bytes());
+            bytes.push(heartbeat as u8);
+        }
+        Self::ByTag(bytes.into())
+    }
+
+    /// Tags and lowest bytes of the heartbeats; `roster` are the receiver's own tags, in their
+    /// order, and count only if `is_same_roster`.
+    pub fn decode(&self, roster: &[u32], is_same_roster: bool) -> Vec<(u32, u8)> {
+        match self {
+            Self::ByRoster(bytes) if is_same_roster && bytes.len() == roster.len() => {
+                roster.iter().copied().zip(bytes.iter().copied()).collect()
+            }
+            Self::ByTag(bytes) => bytes
+                .chunks_exact(TAGGED_BEAT_BYTES)
+                .map(|entry| {
+                    (u32::from_le_bytes([entry[0], entry[1], entry[2], entry[3]]), entry[4])
+                })
+                .collect(),
+            Self::None | Self::ByRoster(_) => Vec::new(),
+        }
+    }
+}
+
+/// The heartbeat that a lowest byte stands for, next to the known one; `None` if it is no later.
+pub fn advance_heartbeat(known: u64, lowest: u8) -> Option<u64> {
+    let step = lowest.wrapping_sub(known as u8);
+    (step > 0 && step < 128).then(|| known + u64::from(step))
 }
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -10,12 +10,17 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::PeerGossip;
 use super::PeerRecord;
 use super::owner_election::OwnerElection;
+use super::peer_gossip::Beats;
+use super::peer_gossip::advance_heartbeat;
 use crate::decide::rendezvous;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
@@ -34,6 +39,24 @@
 const READER_KEY: &str = "reader";
 /// Live instances that are called in one round of gossip.
 const FANOUT: usize = 3;
+/// Of these, in a large fleet, those in other data centres.
+const REMOTE_FANOUT: usize = 1;
+/// Calls of all instances of a data centre to others in one round from which on each instance makes
+/// one in some rounds only.
+const REMOTE_CALLS_PER_ROUND: usize = 40;
+/// Live instances up to which a fleet is small: each hears of every other one in most rounds, so
+/// data centres don't matter, and an instance can tell all others what it does.
+const SMALL_FLEET: usize = 16;
+/// In a large fleet, an instance that isn't live is called once in so many rounds.
+const OFFLINE_CALL_ROUNDS: u64 = 3;
+/// Least time between two increases of the heartbeat, so that its lowest byte is enough.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which the roster must be unchanged for others to be expected to know the same one.
+const ROSTER_SETTLED_TIME: Duration = Duration::from_millis(1500);
+/// Time for which collected heartbeats are sent.
+const BEATS_MAX_AGE: Duration = Duration::from_millis(30);
+/// Most changed records that one message has, unless all are asked for.
+const MAX_CHANGED_RECORDS: usize = 24;
 /// Time between starts, in ms, below which instances have started together.
 const SAME_START_MS: u64 = 2000;
 /// Least share of the recent fleet, itself included, that must be live for an instance to give
@@ -49,6 +72,41 @@
     last_changed: Timestamp,
 }
 
+/// Heartbeats of the live instances, which several messages share.
+#[derive(Clone, Debug, Default)]
+struct LiveBeats {
+    /// When they were collected; `None` if a record changed since.
+    collected_at: Option<Timestamp>,
+    /// Tags and heartbeats of the live instances and this one, by tag.
+    beats: Vec<(u32, u64)>,
+    /// Hash of the tags.
+    roster: u64,
+    /// Since when the hash is the same.
+    same_since: Timestamp,
+}
+
+/// What is known of the instance that a message is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Receiver {
+    /// Whether it reads the compact form of heartbeats.
+    pub reads_beats: bool,
+    /// Hash of the tags that it knows, if it has just told.
+    pub roster: Option<u64>,
+    /// Whether it asked for the records of all instances.
+    pub needs_all_records: bool,
+}
+
+impl Receiver {
+    /// The sender of a message, for the reply to it.
+    pub fn replying_to(gossip: &PeerGossip) -> Self {
+        Self {
+            reads_beats: gossip.records.first().is_some_and(|sender| sender.reads_beats),
+            roster: Some(gossip.roster).filter(|roster| *roster != 0),
+            needs_all_records: gossip.needs_all_records,
+        }
+    }
+}
+
 /// The instances that one instance knows.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -60,6 +118,8 @@
     needs_all_records: bool,
     round: u64,
     election: OwnerElection,
+    last_heartbeat: Option<Timestamp>,
+    live_beats: LiveBeats,
     /// When the candidates of the election were checked last; `None` if a record changed since.
     candidates_checked_at: Option<Timestamp>,
 }
@@ -76,6 +136,8 @@
             round: 0,
             election: OwnerElection::default(),
             candidates_checked_at: None,
+            last_heartbeat: None,
+            live_beats: LiveBeats::default(),
         }
     }
 
@@ -92,18 +154,23 @@
     /// Marks this instance as shutting down, for the others to know.
     pub fn set_draining(&mut self) {
         self.me.draining = true;
+        self.live_beats.collected_at = None;
         self.candidates_checked_at = None;
     }
 
     /// Marks this instance as settled, for the others to know: it has learned the fleet.
     pub fn set_settled(&mut self) {
         self.me.settled = true;
+        self.live_beats.collected_at = None;
         self.candidates_checked_at = None;
     }
 
     /// Starts a round of gossip: increases the heartbeat and returns the addresses to call.
     pub fn next_round(&mut self, now: Timestamp) -> Vec<SocketAddr> {
-        self.me.heartbeat += 1;
+        if self.last_heartbeat.is_none_or(|at| now.since(at) >= HEARTBEAT_INTERVAL) {
+            self.me.heartbeat += 1;
+            self.last_heartbeat = Some(now);
+        }
         self.round += 1;
         self.known.retain(|_, known| now.since(known.last_heard) < FORGET_AFTER);
         self.tags.retain(|_, name| self.known.contains_key(name));
@@ -112,23 +179,65 @@
         targets
     }
 
-    /// The message to another instance; it has the whole records of all live instances if `whole`,
-    /// otherwise of those that changed lately.
-    pub fn gossip(&self, now: Timestamp, whole: bool) -> PeerGossip {
+    /// Whether every instance hears of every other one in most rounds.
+    pub fn is_small_fleet(&self, now: Timestamp) -> bool {
+        self.live(now).take(SMALL_FLEET).count() < SMALL_FLEET
+    }
+
+    /// Whether the instance that listens on `addr` reads the compact form of heartbeats.
+    pub fn reads_beats(&self, now: Timestamp, addr: SocketAddr) -> bool {
+        self.live(now).any(|record| record.addr == addr && record.reads_beats)
+    }
+
+    /// The message to another instance, in the form that it reads; with the whole records of all
+    /// live instances if it needs them, otherwise of those that changed lately.
+    pub fn gossip(&mut self, now: Timestamp, to: &Receiver) -> PeerGossip {
         let live =
             self.known.values().filter(|known| now.since(known.last_heard) < LIVENESS_TIMEOUT);
-        let (full, rest): (Vec<&KnownPeer>, Vec<&KnownPeer>) =
-            live.partition(|known| whole || now.since(known.last_changed) < SEND_WHOLE_TIME);
-        let records = full.into_iter().map(|known| known.record.clone());
-        PeerGossip {
+        let mut full: Vec<&KnownPeer> = live
+            .filter(|known| to.needs_all_records || now.since(known.last_changed) < SEND_WHOLE_TIME)
+            .collect();
+        if !to.needs_all_records && full.len() > MAX_CHANGED_RECORDS {
+            full.sort_by_key(|known| std::cmp::Reverse(known.last_changed));
+            full.truncate(MAX_CHANGED_RECORDS);
+        }
+        let records: Vec<PeerRecord> = full.iter().map(|known| known.record.clone()).collect();
+        let mut gossip = PeerGossip {
             records: std::iter::once(self.me.clone()).chain(records).collect(),
-            heartbeats: rest.into_iter().map(|known| (known.tag, known.record.heartbeat)).collect(),
+            heartbeats: Vec::new(),
             needs_all_records: self.needs_all_records,
+            roster: 0,
+            beats: Beats::None,
+        };
+        self.collect_beats(now);
+        let live = &self.live_beats;
+        if to.reads_beats {
+            gossip.roster = live.roster;
+            gossip.beats = live.in_form_for(now, to);
+        } else {
+            let sent: Vec<u32> = gossip.records.iter().map(PeerRecord::tag).collect();
+            let unsent = live.beats.iter().filter(|(tag, _)| !sent.contains(tag));
+            gossip.heartbeats = unsent.copied().collect();
+        }
+        gossip
+    }
+
+    /// Collects the heartbeats of the live instances anew if they are out of date.
+    fn collect_beats(&mut self, now: Timestamp) {
+        if self.live_beats.collected_at.is_some_and(|at| now.since(at) < BEATS_MAX_AGE) {
+            return;
         }
+        let live = self.known.values().filter(|known| is_live(now, known));
+        let mut beats: Vec<(u32, u64)> =
+            live.map(|known| (known.tag, known.record.heartbeat)).collect();
+        beats.push((self.me.tag(), self.me.heartbeat));
+        beats.sort_unstable();
+        self.live_beats.replace(now, beats);
     }
 
     /// Merges the message of another instance.
     pub fn on_gossip(&mut self, now: Timestamp, gossip: PeerGossip) {
+        let beats = self.decode_beats(now, &gossip);
         for record in gossip.records {
             if record.name != self.me.name {
                 self.on_record(now, record);
@@ -139,9 +248,21 @@
         self.needs_all_records = false;
         for (tag, heartbeat) in gossip.heartbeats {
             if tag != own {
-                self.needs_all_records |= !self.on_heartbeat(now, tag, heartbeat);
+                self.needs_all_records |= !self.on_heartbeat(now, tag, |_| Some(heartbeat));
             }
         }
+        for (tag, lowest) in beats {
+            if tag != own {
+                let advance = |known| advance_heartbeat(known, lowest);
+                self.needs_all_records |= !self.on_heartbeat(now, tag, advance);
+            }
+        }
+    }
+
+    fn decode_beats(&mut self, now: Timestamp, gossip: &PeerGossip) -> Vec<(u32, u8)> {
+        self.collect_beats(now);
+        let roster: Vec<u32> = self.live_beats.beats.iter().map(|(tag, _)| *tag).collect();
+        gossip.beats.decode(&roster, gossip.roster == self.live_beats.roster)
     }
 
     /// Counts all instances as heard now: this process was paused and heard nobody meanwhile.
@@ -219,29 +340,43 @@
         live as f64 >= MIN_LIVE_SHARE * self.recent_count(now) as f64
     }
 
-    fn on_record(&mut self, now: Timestamp, record: PeerRecord) {
+    fn on_record(&mut self, now: Timestamp, mut record: PeerRecord) {
         let recency = |record: &PeerRecord| (record.started_ms, record.heartbeat);
         let known = self.known.get(&record.name);
         if known.is_some_and(|known| recency(&record) <= recency(&known.record)) {
             return;
         }
         let tag = record.tag();
+        if let Some(known) = known.filter(|known| known.tag == tag) {
+            // An older process that passes a record on leaves these out.
+            record.reads_beats |= known.record.reads_beats;
+            record.data_centre = record.data_centre.or_else(|| known.record.data_centre.clone());
+        }
         let last_changed =
             known.filter(|known| known.tag == tag).map_or(now, |known| known.last_changed);
         if let Some(known) = known.filter(|known| known.tag != tag) {
             self.tags.remove(&known.tag);
         }
+        self.live_beats.collected_at = None;
         self.tags.insert(tag, record.name.clone());
         self.known
             .insert(record.name.clone(), KnownPeer { record, tag, last_heard: now, last_changed });
     }
 
-    /// Applies a heartbeat; returns whether the record that it belongs to is known.
-    fn on_heartbeat(&mut self, now: Timestamp, tag: u32, heartbeat: u64) -> bool {
+    /// Applies the heartbeat that `next` gives for the known one; returns whether the record that
+    /// it belongs to is known.
+    fn on_heartbeat(
+        &mut self,
+        now: Timestamp,
+        tag: u32,
+        next: impl Fn(u64) -> Option<u64>,
+    ) -> bool {
         let Some(known) = self.tags.get(&tag).and_then(|name| self.known.get_mut(name)) else {
             return false;
         };
-        if heartbeat > known.record.heartbeat {
+        if let Some(heartbeat) = next(known.record.heartbeat)
+            && heartbeat > known.record.heartbeat
+        {
             known.record.heartbeat = heartbeat;
             known.last_heard = now;
         }
@@ -250,17 +385,33 @@
 
     fn live_targets(&self, now: Timestamp) -> Vec<SocketAddr> {
         let mut live: Vec<&PeerRecord> = self.live(now).collect();
-        let round = self.round.to_string();
-        let order = |record: &&PeerRecord| {
-            rendezvous::score(&round, &format!("{}>{}", self.me.name, record.name))
-        };
-        live.sort_by_cached_key(order);
-        live.iter().take(FANOUT).map(|record| record.addr).collect()
+        let ranking = rendezvous::Ranking::new(&format!("{} {}", self.round, self.me.name));
+        live.sort_by_cached_key(|record| ranking.score(record.name.as_str()));
+        if live.len() < SMALL_FLEET || self.me.data_centre.is_none() {
+            return live.iter().take(FANOUT).map(|record| record.addr).collect();
+        }
+        let (near, far): (Vec<&PeerRecord>, Vec<&PeerRecord>) =
+            live.into_iter().partition(|record| record.data_centre == self.me.data_centre);
+        let near_count = (FANOUT - REMOTE_FANOUT).min(near.len());
+        let calls_far = self.calls_other_data_centres(&ranking, near.len() + 1);
+        let far_count = FANOUT - near_count - usize::from(!calls_far) * REMOTE_FANOUT;
+        let chosen = near.iter().take(near_count).chain(far.iter().take(far_count));
+        chosen.map(|record| record.addr).collect()
+    }
+
+    /// Whether this instance calls another data centre in this round: with many instances in its
+    /// own, only some do.
+    fn calls_other_data_centres(&self, ranking: &rendezvous::Ranking, own_count: usize) -> bool {
+        let draw = ranking.score("far") as usize % own_count.max(1);
+        draw < REMOTE_CALLS_PER_ROUND
     }
 
     /// A seed or known instance that isn't live, in turn.
     fn offline_target(&self, now: Timestamp) -> Option<SocketAddr> {
-        let live: Vec<SocketAddr> = self.live(now).map(|record| record.addr).collect();
+        if self.round % OFFLINE_CALL_ROUNDS != 0 && !self.is_small_fleet(now) {
+            return None;
+        }
+        let live: HashSet<SocketAddr> = self.live(now).map(|record| record.addr).collect();
         let offline = self.known.values().map(|known| known.record.addr);
         let mut all: Vec<SocketAddr> = self.seeds.iter().copied().chain(offline).collect();
         all.retain(|addr| *addr != self.me.addr && !live.contains(addr));
@@ -269,6 +420,30 @@
     }
 }
 
+impl LiveBeats {
+    fn replace(&mut self, now: Timestamp, beats: Vec<(u32, u64)>) {
+        let roster = roster_hash(&beats);
+        let same_since = if roster == self.roster { self.same_since } else { now };
+        *self = Self { collected_at: Some(now), beats, roster, same_since };
+    }
+
+    /// The heartbeats in the shortest form that the receiver is expected to read.
+    fn in_form_for(&self, now: Timestamp, to: &Receiver) -> Beats {
+        let is_settled = now.since(self.same_since) >= ROSTER_SETTLED_TIME;
+        if to.roster.map_or(is_settled, |known| known == self.roster) {
+            Beats::by_roster(self.beats.iter().map(|(_, heartbeat)| *heartbeat))
+        } else {
+            Beats::by_tag(self.beats.iter().copied())
+        }
+    }
+}
+
+/// Hash of the tags of a roster; never 0.
+fn roster_hash(beats: &[(u32, u64)]) -> u64 {
+    let tags: Vec<u8> = beats.iter().flat_map(|(tag, _)| tag.to_le_bytes()).collect();
+    xxh3_64(&tags).max(1)
+}
+
 fn is_live(now: Timestamp, known: &KnownPeer) -> bool {
     now.since(known.last_heard) < LIVENESS_TIMEOUT
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,6 +10,7 @@
 //! for loads, turns of long prompts and notices of adapter uses. A handover goes to the next
 //! owner.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,6 +29,8 @@
 use super::published;
 use super::turns;
 use crate::decide::traffic::AdapterKey;
+use crate::decide::traffic::Receiver;
+use crate::decide::traffic::Replica;
 use crate::decide::traffic::UseUpdate;
 use crate::decide::traffic::ViewChanges;
 use crate::edge::HttpCall;
@@ -50,6 +53,8 @@
 use crate::wire::relay::PUBLISHED_PATH;
 use crate::wire::relay::PublishedPart;
 use crate::wire::relay::PublishedRequest;
+use crate::wire::relay::REPEATED_USES_PATH;
+use crate::wire::relay::RepeatedUses;
 use crate::wire::relay::ReplicaWorkload;
 use crate::wire::relay::TURN_END_PATH;
 use crate::wire::relay::TURN_PATH;
@@ -63,6 +68,8 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(350);
 /// Shortest interval between rounds, for changes of the published state.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which owners are told again which adapters are in use; they forget after 10 s.
+const REPEAT_USES_INTERVAL: Duration = Duration::from_secs(3);
 /// Timeout of a call in which the peer has nothing to wait for.
 const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time by which a call outlasts the load or turn that the peer waits for.
@@ -94,9 +101,9 @@
     match path {
         EXCHANGE_PATH => {
             let received: Exchange = decode(body)?;
-            let needs_all_records = received.peers.needs_all_records;
+            let receiver = Receiver::replying_to(&received.peers);
             apply_exchange(node, received, None);
-            encode(&build_exchange(node, needs_all_records))
+            encode(&build_exchange(node, &receiver))
         }
         LOAD_PATH => {
             let request: LoadRequest = decode(body)?;
@@ -115,6 +122,11 @@
             node.order_wake.notify_one();
             encode(&())
         }
+        REPEATED_USES_PATH => {
+            let RepeatedUses { user, use_serial, loads } = decode(body)?;
+            apply_peer_workloads(node, &user, use_serial, &loads);
+            encode(&())
+        }
         TURN_PATH => encode(&turns::wait_as_owner(node, &decode(body)?).await),
         TURN_END_PATH => {
             turns::end_as_owner(node, &decode(body)?);
@@ -216,6 +228,39 @@
     });
 }
 
+/// Repeats to the owners of replicas which adapters this instance's requests use there, in a fleet
+/// in which exchanges don't tell them; until the process ends.
+pub async fn repeat_uses(node: Arc<Node>) {
+    loop {
+        sleep(REPEAT_USES_INTERVAL).await;
+        let now = node.now();
+        if node.peers().is_small_fleet(now) {
+            continue;
+        }
+        let mut by_owner: HashMap<InstanceName, Vec<ReplicaWorkload>> = HashMap::new();
+        for work in own_workloads(&node) {
+            let owner = node.peers().preferred_owner(now, work.replica.as_str());
+            if let Some(owner) = owner.filter(|owner| *owner != node.settings.instance) {
+                by_owner.entry(owner).or_default().push(work);
+            }
+        }
+        for (owner, loads) in by_owner {
+            let user = node.settings.instance.clone();
+            let repeated = RepeatedUses { user, use_serial: node.use_serial(), loads };
+            tokio::spawn(send_repeated_uses(Arc::clone(&node), owner, repeated));
+        }
+    }
+}
+
+async fn send_repeated_uses(node: Arc<Node>, owner: InstanceName, repeated: RepeatedUses) {
+    let Some(addr) = node.peers().addr_of(node.now(), &owner) else { return };
+    let sent: Result<()> =
+        call_peer(&node, addr, REPEATED_USES_PATH, &repeated, PEER_CALL_TIMEOUT).await;
+    if let Err(e) = sent {
+        log::debug!("adapter uses not repeated to {owner}, left to the next time: {e}");
+    }
+}
+
 /// Drops the adapter uses of instances that are gone, so that they keep no adapter loaded.
 fn drop_uses_of_dead_peers(node: &Node) {
     let now = node.now();
@@ -226,7 +271,11 @@
 }
 
 async fn exchange_with(node: Arc<Node>, addr: SocketAddr) {
-    let message = build_exchange(&node, false);
+    let receiver = {
+        let reads_beats = node.peers().reads_beats(node.now(), addr);
+        Receiver { reads_beats, ..Receiver::default() }
+    };
+    let message = build_exchange(&node, &receiver);
     let reply: Result<Exchange> =
         call_peer(&node, addr, EXCHANGE_PATH, &message, PEER_CALL_TIMEOUT).await;
     match reply {
@@ -260,35 +309,15 @@
     tokio::time::timeout(limit, exchange).await.unwrap_or_else(|_| Err(late()))
 }
 
-fn build_exchange(node: &Node, all_peers: bool) -> Exchange {
+fn build_exchange(node: &Node, receiver: &Receiver) -> Exchange {
     let now = node.now();
-    let owned = node
-        .owned()
-        .iter()
-        .filter(|(_, owned)| owned.lease.is_held())
-        .map(|(replica, owned)| OwnedReplica {
-            replica: replica.clone(),
-            started_ms: owned.started_ms,
-            models: owned.plan.held_models(),
-        })
-        .collect();
-    let use_serial = node.use_serial();
-    let loads = node
-        .replicas()
-        .all()
-        .filter(|replica| replica.own_workload.requests > 0)
-        .map(|replica| ReplicaWorkload {
-            replica: replica.entry.name.clone(),
-            load: replica.own_workload,
-            in_use: replica.in_use().iter().map(|(key, count)| (key.clone(), *count)).collect(),
-        })
-        .collect();
+    let tells_all = node.peers().is_small_fleet(now);
     Exchange {
-        peers: node.peers().gossip(now, all_peers),
+        peers: node.peers().gossip(now, receiver),
         fence: node.highest_fence(),
-        owned,
-        loads,
-        use_serial,
+        owned: if tells_all { owned_replicas(node) } else { Vec::new() },
+        loads: if tells_all { own_workloads(node) } else { Vec::new() },
+        use_serial: node.use_serial(),
         strikes: node.crash_guard().active_strikes(now),
         views: ViewDigests {
             operator: node.view(PublishedTopic::Operator).digest(now),
@@ -298,6 +327,33 @@
     }
 }
 
+/// Replicas that this instance owns, and what they hold.
+fn owned_replicas(node: &Node) -> Vec<OwnedReplica> {
+    let all = node.owned();
+    let held = all.iter().filter(|(_, owned)| owned.lease.is_held());
+    held.map(|(replica, owned)| OwnedReplica {
+        replica: replica.clone(),
+        started_ms: owned.started_ms,
+        models: owned.plan.held_models(),
+    })
+    .collect()
+}
+
+/// Work of this instance's requests, by replica.
+fn own_workloads(node: &Node) -> Vec<ReplicaWorkload> {
+    let replicas = node.replicas();
+    replicas.all().filter_map(own_workload).collect()
+}
+
+/// Work of this instance's requests at a replica; `None` if there is none.
+fn own_workload(replica: &Replica) -> Option<ReplicaWorkload> {
+    (replica.own_workload.requests > 0).then(|| ReplicaWorkload {
+        replica: replica.entry.name.clone(),
+        load: replica.own_workload,
+        in_use: replica.in_use().iter().map(|(key, count)| (key.clone(), *count)).collect(),
+    })
+}
+
 /// Applies what a peer knows. `from` is the address at which the peer was called; `None` if it was
 /// the peer that called.
 fn apply_exchange(node: &Arc<Node>, received: Exchange, from: Option<SocketAddr>) {
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -96,6 +96,8 @@
             heartbeat: 0,
             settled: false,
             draining: false,
+            data_centre: Some(settings.data_centre.clone()),
+            reads_beats: true,
         };
         let retry_share = RetryShare::new(
             settings.retry_ratio,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -85,6 +85,7 @@
     tokio::spawn(published::follow(Arc::clone(&node), PublishedTopic::Replicas));
     tokio::spawn(published::expire_unused(Arc::clone(&node)));
     tokio::spawn(exchange::run(Arc::clone(&node)));
+    tokio::spawn(exchange::repeat_uses(Arc::clone(&node)));
     tokio::spawn(orders::run(Arc::clone(&node)));
     tokio::spawn(join_and_settle(Arc::clone(&node)));
     let instance = node.settings.instance.as_str();
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -17,6 +17,7 @@
 use crate::decide::traffic::ViewDigest;
 use crate::decide::traffic::Workload;
 use crate::names::BackendName;
+use crate::names::InstanceName;
 
 /// Path of [`Exchange`].
 pub const EXCHANGE_PATH: &str = "/relay/v1/exchange";
@@ -31,6 +32,9 @@
 /// Path of [`UseNotice`].
 pub const USE_PATH: &str = "/relay/v1/use";
 
+/// Path of [`RepeatedUses`].
+pub const REPEATED_USES_PATH: &str = "/relay/v1/uses";
+
 /// Path of [`TurnRequest`].
 pub const TURN_PATH: &str = "/relay/v1/turn";
 
@@ -156,6 +160,18 @@
     pub news: UseUpdate,
 }
 
+/// Repeats to the owner of replicas what the sender's requests use there; older processes answer
+/// that they don't know the path.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RepeatedUses {
+    /// The sender.
+    pub user: InstanceName,
+    /// Serial number of the sender's last [`UseNotice`].
+    pub use_serial: u64,
+    /// Work of the sender's requests, by replica.
+    pub loads: Vec<ReplicaWorkload>,
+}
+
 /// Asks the owner of a replica for a turn to send a long prompt; the reply is whether it was
 /// granted in time.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -3,9 +3,12 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use tamaracklead::decide::traffic::Beats;
 use tamaracklead::decide::traffic::PeerGossip;
 use tamaracklead::decide::traffic::PeerRecord;
 use tamaracklead::decide::traffic::Peers;
+use tamaracklead::decide::traffic::Receiver;
+use tamaracklead::names::DataCentre;
 use tamaracklead::names::InstanceName;
 
 use crate::support::at;
@@ -24,25 +27,52 @@
         heartbeat: 0,
         settled: true,
         draining: false,
+        data_centre: None,
+        reads_beats: true,
     }
 }
 
 fn gossip_of(records: Vec<PeerRecord>) -> PeerGossip {
-    PeerGossip { records, heartbeats: Vec::new(), needs_all_records: false }
+    PeerGossip {
+        records,
+        heartbeats: Vec::new(),
+        needs_all_records: false,
+        roster: 0,
+        beats: Beats::None,
+    }
+}
+
+fn all(needs_all_records: bool) -> Receiver {
+    Receiver { reads_beats: true, roster: None, needs_all_records }
 }
 
 struct Fleet {
     peers: Vec<Peers>,
     bytes: usize,
+    /// Calls between data centres.
+    far_calls: usize,
     down: BTreeSet<usize>,
+    /// Instances that reach only each other.
+    cut: BTreeSet<usize>,
     now: u64,
 }
 
 impl Fleet {
     fn new(size: usize) -> Self {
+        Self::of((0..size).map(|index| record(index, 1)).collect())
+    }
+
+    /// A fleet in which each instance is in one of `data_centres`.
+    fn in_data_centres(size: usize, data_centres: usize) -> Self {
+        let place = |index: usize| Some(DataCentre::new(&format!("dc-{}", index % data_centres)));
+        let with_place = |index| PeerRecord { data_centre: place(index), ..record(index, 1) };
+        Self::of((0..size).map(with_place).collect())
+    }
+
+    fn of(records: Vec<PeerRecord>) -> Self {
         let seeds = vec![addr(0), addr(1)];
-        let peers = (0..size).map(|index| Peers::new(record(index, 1), seeds.clone())).collect();
-        Self { peers, bytes: 0, down: BTreeSet::new(), now: 0 }
+        let peers = records.into_iter().map(|r| Peers::new(r, seeds.clone())).collect();
+        Self { peers, bytes: 0, far_calls: 0, down: BTreeSet::new(), cut: BTreeSet::new(), now: 0 }
     }
 
     fn run(&mut self, rounds: u64) {
@@ -63,11 +93,18 @@
             if other == index || other >= self.peers.len() || self.down.contains(&other) {
                 continue;
             }
-            let request = self.peers[index].gossip(now, false);
-            let needs_all_records = request.needs_all_records;
+            if self.cut.contains(&index) != self.cut.contains(&other) {
+                continue;
+            }
+            let place = |index: usize| self.peers[index].me().data_centre.clone();
+            self.far_calls += usize::from(place(index) != place(other));
+            let reads_beats = self.peers[index].reads_beats(now, target);
+            let receiver = Receiver { reads_beats, ..Receiver::default() };
+            let request = self.peers[index].gossip(now, &receiver);
+            let sender = Receiver::replying_to(&request);
             self.bytes += rmp_serde::to_vec_named(&request).unwrap().len();
             self.peers[other].on_gossip(now, request);
-            let reply = self.peers[other].gossip(now, needs_all_records);
+            let reply = self.peers[other].gossip(now, &sender);
             self.bytes += rmp_serde::to_vec_named(&reply).unwrap().len();
             self.peers[index].on_gossip(now, reply);
         }
@@ -208,21 +245,21 @@
 fn an_instance_that_gets_an_unknown_tag_asks_for_all_records() {
     let mut peers = Peers::new(record(0, 1), Vec::new());
     peers.on_gossip(at(0), gossip_of(vec![record(1, 1)]));
-    assert!(!peers.gossip(at(0), false).needs_all_records);
+    assert!(!peers.gossip(at(0), &all(false)).needs_all_records);
     let heartbeats = vec![(record(2, 1).tag(), 7)];
-    let gossip = PeerGossip { records: vec![record(1, 1)], heartbeats, needs_all_records: false };
+    let gossip = PeerGossip { heartbeats, ..gossip_of(vec![record(1, 1)]) };
     peers.on_gossip(at(10), gossip);
-    assert!(peers.gossip(at(10), false).needs_all_records);
+    assert!(peers.gossip(at(10), &all(false)).needs_all_records);
     assert_eq!(peers.live(at(10)).count(), 1);
     let mut other = Peers::new(record(1, 1), Vec::new());
     other.on_gossip(at(0), gossip_of(vec![record(2, 1)]));
     assert_eq!(
-        other.gossip(at(1900), false).records.len(),
+        other.gossip(at(1900), &all(false)).records.len(),
         1,
         "the other is sent by its tag and heartbeat"
     );
-    peers.on_gossip(at(1900), other.gossip(at(1900), true));
-    assert!(!peers.gossip(at(1900), false).needs_all_records);
+    peers.on_gossip(at(1900), other.gossip(at(1900), &all(true)));
+    assert!(!peers.gossip(at(1900), &all(false)).needs_all_records);
     assert_eq!(peers.live(at(1900)).count(), 2);
 }
 
@@ -232,8 +269,7 @@
     peers.on_gossip(at(0), gossip_of(vec![record(1, 1)]));
     let old = (record(1, 1).tag(), 99);
     peers.on_gossip(at(100), gossip_of(vec![record(1, 60_000)]));
-    let gossip =
-        PeerGossip { records: vec![record(2, 1)], heartbeats: vec![old], needs_all_records: false };
+    let gossip = PeerGossip { heartbeats: vec![old], ..gossip_of(vec![record(2, 1)]) };
     peers.on_gossip(at(3000), gossip);
     assert_eq!(peers.live(at(3000)).count(), 1, "only the sender is live");
 }
@@ -258,3 +294,110 @@
     alone.run(1);
     assert!(alone.peers[0].reads_published(at(alone.now)));
 }
+
+/// Guards against control traffic that grows with the fleet faster than one byte an instance.
+#[test]
+fn a_settled_fleet_of_hundreds_sends_one_byte_for_each_instance() {
+    const SIZE: usize = 420;
+    let mut fleet = Fleet::in_data_centres(SIZE, 5);
+    fleet.run(14);
+    assert!((0..SIZE).all(|index| fleet.live(index) == SIZE - 1));
+    (fleet.bytes, fleet.far_calls) = (0, 0);
+    fleet.run(6);
+    assert!((0..SIZE).all(|index| fleet.live(index) == SIZE - 1));
+    let calls = 6 * SIZE * 3;
+    assert!(fleet.bytes < 2 * calls * (SIZE + 300), "{} bytes", fleet.bytes);
+    assert!(fleet.far_calls < 6 * 5 * 60, "{} calls between data centres", fleet.far_calls);
+}
+
+#[test]
+fn the_loss_of_most_instances_at_once_is_known_to_all_others_in_time() {
+    const SIZE: usize = 195;
+    let mut fleet = Fleet::in_data_centres(SIZE, 6);
+    fleet.run(20);
+    fleet.down.extend((0..SIZE).filter(|index| index % 5 < 3));
+    // The last heartbeats of the lost ones spread for up to five rounds, and count for 2 s.
+    fleet.run(11);
+    let left: Vec<usize> = (0..SIZE).filter(|index| !fleet.down.contains(index)).collect();
+    for index in &left {
+        assert_eq!(fleet.live(*index), left.len() - 1, "entry-{index}");
+    }
+    let owners: BTreeSet<String> = left.iter().map(|i| fleet.preferred_owner(*i, "r1")).collect();
+    assert_eq!(owners.len(), 1);
+}
+
+#[test]
+fn a_data_centre_that_was_cut_off_is_found_again() {
+    const SIZE: usize = 120;
+    let mut fleet = Fleet::in_data_centres(SIZE, 4);
+    fleet.run(20);
+    fleet.cut.extend((0..SIZE).filter(|index| index % 4 == 1));
+    fleet.run(30);
+    assert_eq!((fleet.live(1), fleet.live(0)), (29, 89));
+    fleet.cut.clear();
+    fleet.run(12);
+    assert!((0..SIZE).all(|index| fleet.live(index) == SIZE - 1));
+}
+
+#[test]
+fn no_instance_is_taken_for_lost_while_hundreds_live() {
+    const SIZE: usize = 195;
+    let mut fleet = Fleet::in_data_centres(SIZE, 6);
+    fleet.run(16);
+    for _ in 0..25 {
+        fleet.run(1);
+        let lost: usize = (0..SIZE).map(|index| SIZE - 1 - fleet.live(index)).sum();
+        assert_eq!(lost, 0);
+    }
+}
+
+/// Guards against a rollout in which older processes, which read no compact heartbeats, take the
+/// newer ones for lost, or the other way round.
+#[test]
+fn older_and_newer_processes_keep_each_other_live() {
+    const SIZE: usize = 60;
+    let older = |index: usize| index % 2 == 0;
+    let records =
+        (0..SIZE).map(|index| PeerRecord { reads_beats: !older(index), ..record(index, 1) });
+    let mut fleet = Fleet::of(records.collect());
+    fleet.run(20);
+    for _ in 0..20 {
+        fleet.run(1);
+        assert!((0..SIZE).all(|index| fleet.live(index) == SIZE - 1));
+    }
+    let to_older = fleet.peers[1].gossip(at(fleet.now), &Receiver::default());
+    assert_eq!((to_older.roster, &to_older.beats), (0, &Beats::None));
+    assert!(!to_older.heartbeats.is_empty());
+}
+
+#[test]
+fn a_message_of_an_older_process_can_be_read() {
+    #[derive(serde::Serialize)]
+    struct OlderRecord {
+        name: &'static str,
+        addr: SocketAddr,
+        started_ms: u64,
+        beat: u64,
+        settled: bool,
+        draining: bool,
+    }
+    #[derive(serde::Serialize)]
+    struct OlderGossip {
+        records: Vec<OlderRecord>,
+        beats: Vec<(u32, u64)>,
+        lacks: bool,
+    }
+    let addr = addr(1);
+    let sender = OlderRecord {
+        name: "entry-1",
+        addr,
+        started_ms: 1,
+        beat: 4,
+        settled: true,
+        draining: false,
+    };
+    let gossip = OlderGossip { records: vec![sender], beats: vec![(7, 9)], lacks: true };
+    let bytes = rmp_serde::to_vec_named(&gossip).unwrap();
+    let read: PeerGossip = rmp_serde::from_slice(&bytes).unwrap();
+    assert_eq!((read.heartbeats.as_slice(), read.beats), ([(7, 9)].as_slice(), Beats::None));
+}
