Tell callers of a replica's pause also when it was the one that was tried; test the signals

The tests of the real program found it: with one replica, the caller of the first refusal was told one second instead of the 9.5 that the replica asked for.

--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -103,6 +103,8 @@
     Paused {
         /// Time until the first pause is over.
         left: Duration,
+        /// Whether the request may go to that replica then, as it wasn't sent there yet.
+        may_wait: bool,
     },
 }
 
@@ -242,9 +244,9 @@
             .filter(|r| !tried.contains(&r.entry.name))
             .collect();
         if usable.is_empty()
-            && let Some(left) = self.shortest_pause(now, service, tried)
+            && let Some((left, replica)) = self.shortest_pause(now, service)
         {
-            return ReplicaChoice::Paused { left };
+            return ReplicaChoice::Paused { left, may_wait: !tried.contains(replica) };
         }
         let (Some(engine), Some(key)) = (engine, &needs.key) else {
             return choose_for_plain_service(now, &usable);
@@ -264,16 +266,25 @@
         ReplicaChoice::Send { replica: best.entry.name.clone(), spread }
     }
 
-    /// Time until the first of a service's replicas no longer pauses; `None` if none pauses.
+    /// Time until a service has a replica that accepts requests, if each one that is there asked
+    /// for a pause; otherwise `None`.
+    pub fn service_pause(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
+        let accepts = |r: &Replica| r.entry.service == *service && r.accepts_requests(now);
+        if self.known.values().any(accepts) {
+            return None;
+        }
+        self.shortest_pause(now, service).map(|(left, _)| left)
+    }
+
+    /// Shortest pause of a service's replicas, and whose it is; `None` if none pauses.
     fn shortest_pause(
         &self,
         now: Timestamp,
         service: &ServiceName,
-        tried: &[BackendName],
-    ) -> Option<Duration> {
+    ) -> Option<(Duration, &BackendName)> {
         let of_service = self.known.values().filter(|r| r.entry.service == *service);
-        let paused = of_service.filter(|r| r.is_paused(now) && !tried.contains(&r.entry.name));
-        paused.map(|r| r.pause.left(now)).min()
+        let paused = of_service.filter(|r| r.is_paused(now));
+        paused.map(|r| (r.pause.left(now), &r.entry.name)).min()
     }
 }
 
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -139,8 +139,8 @@
             }
             match self.choose() {
                 ReplicaChoice::NoReplica => self.wait_for_replica(&mut wait_budget).await?,
-                ReplicaChoice::Paused { left } => {
-                    self.wait_for_pause(left, &mut wait_budget).await?
+                ReplicaChoice::Paused { left, may_wait } => {
+                    self.wait_for_pause(left, may_wait, &mut wait_budget).await?
                 }
                 ReplicaChoice::Load(targets) => {
                     self.wait_for_load(&targets, &mut wait_budget).await?
@@ -332,9 +332,10 @@
     async fn wait_for_pause(
         &self,
         left: Duration,
+        may_wait: bool,
         wait_budget: &mut WaitBudget,
     ) -> Result<(), LocalResponse> {
-        if wait_budget.charge_pause(left, self.time_until_deadline()) {
+        if may_wait && wait_budget.charge_pause(left, self.time_until_deadline()) {
             sleep(left).await;
             return Ok(());
         }
@@ -343,12 +344,12 @@
 
     /// Refusal of a request that can't be served before `wait` has passed.
     fn not_yet(&self, wait: Duration) -> LocalResponse {
-        match self.final_response() {
-            LocalResponse::NotRun => {
+        match self.attempts.final_outcome() {
+            FinalOutcome::NotRun => {
                 let spread = xxh3_64(self.head.id.as_bytes());
                 LocalResponse::NotYet(WaitBudget::retry_after(wait, spread))
             }
-            other => other,
+            FinalOutcome::Unknown => LocalResponse::Unknown,
         }
     }
 
@@ -410,9 +411,12 @@
     }
 
     fn final_response(&self) -> LocalResponse {
-        match self.attempts.final_outcome() {
-            FinalOutcome::NotRun => LocalResponse::NotRun,
-            FinalOutcome::Unknown => LocalResponse::Unknown,
+        let now = self.node.now();
+        let pause = self.node.replicas().service_pause(now, &self.service.name);
+        match (self.attempts.final_outcome(), pause) {
+            (FinalOutcome::NotRun, Some(pause)) => self.not_yet(pause),
+            (FinalOutcome::NotRun, None) => LocalResponse::NotRun,
+            (FinalOutcome::Unknown, _) => LocalResponse::Unknown,
         }
     }
 
--- a/tests/traffic/replica_signals.rs
+++ b/tests/traffic/replica_signals.rs
@@ -99,7 +99,8 @@
     let mut replicas = fleet(&["r1", "r2"]);
     pause(&mut replicas, 0, "r1", ms(5000));
     pause(&mut replicas, 0, "r2", ms(3000));
-    assert_eq!(choose(&replicas, 1000), ReplicaChoice::Paused { left: ms(2000) });
+    assert_eq!(choose(&replicas, 1000), ReplicaChoice::Paused { left: ms(2000), may_wait: true });
+    assert_eq!(replicas.service_pause(at(1000), &ServiceName::new(SERVICE)), Some(ms(2000)));
     let mut budget = WaitBudget::default();
     assert!(!budget.charge_pause(ms(2000), ms(10_000)), "refused at once");
     assert!(WaitBudget::default().charge_pause(ms(200), ms(10_000)), "a short pause is waited for");
