Tell work within the data centre again, avoid replicas that fail, be patient by the owner's word

Two things: instances no longer heard of each other's work, and a replica that resets its requests looks idle. Change: work and owned replicas are told within the data centre in large fleets, to all in small ones; failures are reported to the owner, and homes that fail come last; a replica isn't taken for unresponsive while it reads what its owner says is waiting.

Also: LiveBeats, Receiver and the notices to owners have files of their own.

--- a/src/decide/traffic/home_choice.rs
+++ b/src/decide/traffic/home_choice.rs
@@ -3,6 +3,9 @@
 //! A home that holds the adapter comes first. If none does, every home costs the same load from the
 //! weight store, so the least loaded one takes it, unless one has a copy in its own memory. Rare
 //! adapters spread by this over replicas that have time for them.
+//!
+//! A replica that fails its requests at once always looks idle, so homes with recent failures come
+//! last.
 
 use std::time::Duration;
 
@@ -14,6 +17,12 @@
 const STORE_LOAD_DELAY: Duration = Duration::from_millis(400);
 /// Delay that stands for waiting until an adapter slot is free.
 const FULL_DELAY: Duration = Duration::from_millis(500);
+/// Delay that stands for one recent failure.
+const DELAY_PER_FAILURE: Duration = Duration::from_millis(150);
+/// Score of recent failures from which on a home is avoided, even if it holds the adapter.
+const FAILING_SCORE: f64 = 1.5;
+/// Highest score of failures that counts.
+const MAX_FAILURE_SCORE: f64 = 100.0;
 /// Delay that each request that waits for a slot adds.
 const DELAY_PER_WAITING_LOAD: Duration = Duration::from_millis(150);
 
@@ -32,7 +41,7 @@
 }
 
 /// State of one home, as its owner answers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HomeState {
     /// Whether it holds the adapter.
     pub presence: Presence,
@@ -46,13 +55,17 @@
     pub is_full: bool,
     /// Requests that wait there for other adapters.
     pub waiting_loads: u32,
+    /// Decayed count of recent failures there.
+    pub failure_score: f64,
 }
 
 impl HomeState {
     /// Time that a request is expected to wait there before its prompt is read.
     pub fn expected_delay(&self) -> Duration {
         let reading = Duration::from_millis(self.backlog_tokens / PREFILL_TOKENS_PER_MS);
-        let delay = reading + DELAY_PER_REQUEST * self.requests;
+        let failures = self.failure_score.clamp(0.0, MAX_FAILURE_SCORE);
+        let delay =
+            reading + DELAY_PER_REQUEST * self.requests + DELAY_PER_FAILURE.mul_f64(failures);
         match self.presence {
             Presence::Held(_) => delay,
             Presence::Loading => delay + STORE_LOAD_DELAY / 2,
@@ -63,7 +76,12 @@
 
     /// Whether the request can be served there without another load.
     pub fn serves_now(&self) -> bool {
-        matches!(self.presence, Presence::Held(_)) && !self.crowded
+        matches!(self.presence, Presence::Held(_)) && !self.crowded && !self.is_failing()
+    }
+
+    /// Whether the replica has failed so many requests lately that it is avoided.
+    pub fn is_failing(&self) -> bool {
+        self.failure_score >= FAILING_SCORE
     }
 
     fn slot_delay(&self) -> Duration {
@@ -73,13 +91,14 @@
 }
 
 /// Orders homes by preference: those that hold or load the adapter, then the others, each by the
-/// expected delay; equal ones stay in their order. Returns indexes into `homes`.
+/// expected delay; those that fail come last, and equal ones stay in their order. Returns indexes
+/// into `homes`.
 pub fn preferred_homes(homes: &[HomeState]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..homes.len()).collect();
     order.sort_by_key(|index| {
         let home = &homes[*index];
         let needs_load = matches!(home.presence, Presence::Copy | Presence::Absent);
-        (needs_load, home.expected_delay())
+        (home.is_failing(), needs_load, home.expected_delay())
     });
     order
 }
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -14,10 +14,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::PeerGossip;
 use super::PeerRecord;
+use super::Receiver;
+use super::live_beats::LiveBeats;
 use super::owner_election::OwnerElection;
 use super::peer_gossip::Beats;
 use super::peer_gossip::advance_heartbeat;
@@ -51,10 +51,6 @@
 const OFFLINE_CALL_ROUNDS: u64 = 3;
 /// Least time between two increases of the heartbeat, so that its lowest byte is enough.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
-/// Time for which the roster must be unchanged for others to be expected to know the same one.
-const ROSTER_SETTLED_TIME: Duration = Duration::from_millis(1500);
-/// Time for which collected heartbeats are sent.
-const BEATS_MAX_AGE: Duration = Duration::from_millis(30);
 /// Most changed records that one message has, unless all are asked for.
 const MAX_CHANGED_RECORDS: usize = 24;
 /// Time between starts, in ms, below which instances have started together.
@@ -72,41 +68,6 @@
     last_changed: Timestamp,
 }
 
-/// Heartbeats of the live instances, which several messages share.
-#[derive(Clone, Debug, Default)]
-struct LiveBeats {
-    /// When they were collected; `None` if a record changed since.
-    collected_at: Option<Timestamp>,
-    /// Tags and heartbeats of the live instances and this one, by tag.
-    beats: Vec<(u32, u64)>,
-    /// Hash of the tags.
-    roster: u64,
-    /// Since when the hash is the same.
-    same_since: Timestamp,
-}
-
-/// What is known of the instance that a message is for.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Receiver {
-    /// Whether it reads the compact form of heartbeats.
-    pub reads_beats: bool,
-    /// Hash of the tags that it knows, if it has just told.
-    pub roster: Option<u64>,
-    /// Whether it asked for the records of all instances.
-    pub needs_all_records: bool,
-}
-
-impl Receiver {
-    /// The sender of a message, for the reply to it.
-    pub fn replying_to(gossip: &PeerGossip) -> Self {
-        Self {
-            reads_beats: gossip.records.first().is_some_and(|sender| sender.reads_beats),
-            roster: Some(gossip.roster).filter(|roster| *roster != 0),
-            needs_all_records: gossip.needs_all_records,
-        }
-    }
-}
-
 /// The instances that one instance knows.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -154,14 +115,14 @@
     /// Marks this instance as shutting down, for the others to know.
     pub fn set_draining(&mut self) {
         self.me.draining = true;
-        self.live_beats.collected_at = None;
+        self.live_beats.on_record_changed();
         self.candidates_checked_at = None;
     }
 
     /// Marks this instance as settled, for the others to know: it has learned the fleet.
     pub fn set_settled(&mut self) {
         self.me.settled = true;
-        self.live_beats.collected_at = None;
+        self.live_beats.on_record_changed();
         self.candidates_checked_at = None;
     }
 
@@ -184,9 +145,35 @@
         self.live(now).take(SMALL_FLEET).count() < SMALL_FLEET
     }
 
-    /// Whether the instance that listens on `addr` reads the compact form of heartbeats.
-    pub fn reads_beats(&self, now: Timestamp, addr: SocketAddr) -> bool {
-        self.live(now).any(|record| record.addr == addr && record.reads_beats)
+    /// What is known of the live instance that listens on `addr`.
+    pub fn receiver_at(&self, now: Timestamp, addr: SocketAddr) -> Receiver {
+        let known = self.live(now).find(|record| record.addr == addr);
+        Receiver {
+            reads_beats: known.is_some_and(|record| record.reads_beats),
+            is_near: known.is_some_and(|record| self.is_near(record)),
+            ..Receiver::default()
+        }
+    }
+
+    /// The sender of a message, as the receiver of the reply.
+    pub fn sender_of(&self, gossip: &PeerGossip) -> Receiver {
+        let sender = gossip.records.first();
+        Receiver {
+            reads_beats: sender.is_some_and(|record| record.reads_beats),
+            is_near: sender.is_some_and(|record| self.is_near(record)),
+            roster: Some(gossip.roster).filter(|roster| *roster != 0),
+            needs_all_records: gossip.needs_all_records,
+        }
+    }
+
+    /// Whether an instance is told of this instance's work: in a small fleet each is, in a large
+    /// one those in the same data centre, which hear of half of each other within two seconds.
+    pub fn hears_work(&self, now: Timestamp, to: &Receiver) -> bool {
+        to.is_near || self.is_small_fleet(now)
+    }
+
+    fn is_near(&self, record: &PeerRecord) -> bool {
+        record.data_centre.is_some() && record.data_centre == self.me.data_centre
     }
 
     /// The message to another instance, in the form that it reads; with the whole records of all
@@ -212,11 +199,11 @@
         self.collect_beats(now);
         let live = &self.live_beats;
         if to.reads_beats {
-            gossip.roster = live.roster;
+            gossip.roster = live.roster();
             gossip.beats = live.in_form_for(now, to);
         } else {
             let sent: Vec<u32> = gossip.records.iter().map(PeerRecord::tag).collect();
-            let unsent = live.beats.iter().filter(|(tag, _)| !sent.contains(tag));
+            let unsent = live.all().iter().filter(|(tag, _)| !sent.contains(tag));
             gossip.heartbeats = unsent.copied().collect();
         }
         gossip
@@ -224,7 +211,7 @@
 
     /// Collects the heartbeats of the live instances anew if they are out of date.
     fn collect_beats(&mut self, now: Timestamp) {
-        if self.live_beats.collected_at.is_some_and(|at| now.since(at) < BEATS_MAX_AGE) {
+        if !self.live_beats.are_outdated(now) {
             return;
         }
         let live = self.known.values().filter(|known| is_live(now, known));
@@ -261,8 +248,7 @@
 
     fn decode_beats(&mut self, now: Timestamp, gossip: &PeerGossip) -> Vec<(u32, u8)> {
         self.collect_beats(now);
-        let roster: Vec<u32> = self.live_beats.beats.iter().map(|(tag, _)| *tag).collect();
-        gossip.beats.decode(&roster, gossip.roster == self.live_beats.roster)
+        gossip.beats.decode(&self.live_beats.tags(), gossip.roster == self.live_beats.roster())
     }
 
     /// Counts all instances as heard now: this process was paused and heard nobody meanwhile.
@@ -357,7 +343,7 @@
         if let Some(known) = known.filter(|known| known.tag != tag) {
             self.tags.remove(&known.tag);
         }
-        self.live_beats.collected_at = None;
+        self.live_beats.on_record_changed();
         self.tags.insert(tag, record.name.clone());
         self.known
             .insert(record.name.clone(), KnownPeer { record, tag, last_heard: now, last_changed });
@@ -408,7 +394,7 @@
 
     /// A seed or known instance that isn't live, in turn.
     fn offline_target(&self, now: Timestamp) -> Option<SocketAddr> {
-        if self.round % OFFLINE_CALL_ROUNDS != 0 && !self.is_small_fleet(now) {
+        if !self.round.is_multiple_of(OFFLINE_CALL_ROUNDS) && !self.is_small_fleet(now) {
             return None;
         }
         let live: HashSet<SocketAddr> = self.live(now).map(|record| record.addr).collect();
@@ -420,30 +406,6 @@
     }
 }
 
-impl LiveBeats {
-    fn replace(&mut self, now: Timestamp, beats: Vec<(u32, u64)>) {
-        let roster = roster_hash(&beats);
-        let same_since = if roster == self.roster { self.same_since } else { now };
-        *self = Self { collected_at: Some(now), beats, roster, same_since };
-    }
-
-    /// The heartbeats in the shortest form that the receiver is expected to read.
-    fn in_form_for(&self, now: Timestamp, to: &Receiver) -> Beats {
-        let is_settled = now.since(self.same_since) >= ROSTER_SETTLED_TIME;
-        if to.roster.map_or(is_settled, |known| known == self.roster) {
-            Beats::by_roster(self.beats.iter().map(|(_, heartbeat)| *heartbeat))
-        } else {
-            Beats::by_tag(self.beats.iter().copied())
-        }
-    }
-}
-
-/// Hash of the tags of a roster; never 0.
-fn roster_hash(beats: &[(u32, u64)]) -> u64 {
-    let tags: Vec<u8> = beats.iter().flat_map(|(tag, _)| tag.to_le_bytes()).collect();
-    xxh3_64(&tags).max(1)
-}
-
 fn is_live(now: Timestamp, known: &KnownPeer) -> bool {
     now.since(known.last_heard) < LIVENESS_TIMEOUT
 }
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -38,6 +38,8 @@
 const STOPPED_SENDING_AFTER: Duration = Duration::from_secs(2);
 /// Time added to [`UNRESPONSIVE_AFTER`] for each prompt token that the replica has yet to read.
 const UNRESPONSIVE_PER_TOKEN: Duration = Duration::from_micros(60);
+/// Time for which the owner's word on unread prompts counts.
+const BACKLOG_TTL: Duration = Duration::from_secs(4);
 /// Time for which a replica that couldn't be connected to gets no requests.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(400);
 /// Time for which a replica keeps a copy of an adapter that it held.
@@ -88,6 +90,8 @@
     unanswered_since: Timestamp,
     in_use: HashMap<AdapterKey, u32>,
     is_replaced: bool,
+    /// Tokens of long prompts that the owner said are yet to be read, and when.
+    owner_backlog: (u64, Timestamp),
 }
 
 impl Replica {
@@ -113,6 +117,7 @@
             unanswered_since: now,
             in_use: HashMap::new(),
             is_replaced: false,
+            owner_backlog: (0, now),
         }
     }
 
@@ -138,6 +143,11 @@
         self.owner_updated_at = Some(now);
     }
 
+    /// Records how many tokens of long prompts it has yet to read, as its owner says.
+    pub fn on_owner_backlog(&mut self, now: Timestamp, tokens: u64) {
+        self.owner_backlog = (tokens, now);
+    }
+
     /// Records that the replica holds an adapter or model now.
     pub fn on_loaded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
         self.on_held(now, key, HeldVersion { version, confirmed_at: now, valid_for: HELD_TTL });
@@ -356,7 +366,11 @@
             return false;
         }
         let since = self.last_byte_at.max(self.unanswered_since);
-        let unread = u32::try_from(self.workload(now).unread_tokens).unwrap_or(u32::MAX);
+        let (backlog, told_at) = self.owner_backlog;
+        let backlog = if now.since(told_at) < BACKLOG_TTL { backlog } else { 0 };
+        let unread =
+            self.workload(now).unread_tokens.max(backlog + self.own_workload.unread_tokens);
+        let unread = u32::try_from(unread).unwrap_or(u32::MAX);
         now.since(since) >= UNRESPONSIVE_AFTER + UNRESPONSIVE_PER_TOKEN * unread
     }
 }
--- a/src/relay/adapter_use.rs
+++ b/src/relay/adapter_use.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use super::exchange;
 use super::node::Node;
+use super::notices;
 use crate::decide::traffic::AdapterKey;
 use crate::names::BackendName;
 
@@ -19,7 +19,7 @@
     pub fn new(node: &Arc<Node>, replica: &BackendName, key: &AdapterKey) -> Self {
         let uses = node.replicas().get_mut(replica).map(|known| known.begin_use(key));
         if uses == Some(1) {
-            exchange::notify_owner_of_use(node, replica, key, 1);
+            notices::notify_owner_of_use(node, replica, key, 1);
         }
         Self { node: Arc::clone(node), replica: replica.clone(), key: key.clone() }
     }
@@ -31,7 +31,7 @@
         let left = replicas.get_mut(&self.replica).map(|known| known.end_use(&self.key));
         drop(replicas);
         if left == Some(0) {
-            exchange::notify_owner_of_use(&self.node, &self.replica, &self.key, 0);
+            notices::notify_owner_of_use(&self.node, &self.replica, &self.key, 0);
         }
     }
 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -28,6 +28,7 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::notices;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::replica_signals;
 use super::turns::PromptTurn;
@@ -172,6 +173,7 @@
     if let Some(known) = request.node.replicas().get_mut(replica) {
         known.on_failure(now, weight);
     }
+    notices::notify_owner_of_failure(&request.node, replica, weight);
 }
 
 /// Address and start time of a replica, and tokens of the prompt that it has read before; `None`
@@ -205,6 +207,7 @@
             if let Some(known) = request.node.replicas().get_mut(replica) {
                 known.on_unreachable(now);
             }
+            notices::notify_owner_of_failure(&request.node, replica, 1.0);
             None
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -10,7 +10,6 @@
 //! for loads, turns of long prompts and notices of adapter uses. A handover goes to the next
 //! owner.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,21 +27,20 @@
 use super::orders;
 use super::published;
 use super::turns;
-use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
-use crate::decide::traffic::UseUpdate;
 use crate::decide::traffic::ViewChanges;
 use crate::edge::HttpCall;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
-use crate::names::BackendName;
 use crate::names::InstanceName;
 use crate::wire::frame::decode;
 use crate::wire::frame::encode;
 use crate::wire::relay::EXCHANGE_PATH;
 use crate::wire::relay::Exchange;
+use crate::wire::relay::FAILURE_PATH;
+use crate::wire::relay::FailureNotice;
 use crate::wire::relay::HANDOVER_PATH;
 use crate::wire::relay::Handover;
 use crate::wire::relay::HandoverReply;
@@ -58,7 +56,6 @@
 use crate::wire::relay::ReplicaWorkload;
 use crate::wire::relay::TURN_END_PATH;
 use crate::wire::relay::TURN_PATH;
-use crate::wire::relay::TurnRef;
 use crate::wire::relay::TurnRequest;
 use crate::wire::relay::USE_PATH;
 use crate::wire::relay::UseNotice;
@@ -68,10 +65,8 @@
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(350);
 /// Shortest interval between rounds, for changes of the published state.
 const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which owners are told again which adapters are in use; they forget after 10 s.
-const REPEAT_USES_INTERVAL: Duration = Duration::from_secs(3);
 /// Timeout of a call in which the peer has nothing to wait for.
-const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+pub const PEER_CALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Time by which a call outlasts the load or turn that the peer waits for.
 const WAIT_MARGIN: Duration = Duration::from_millis(100);
 
@@ -101,7 +96,7 @@
     match path {
         EXCHANGE_PATH => {
             let received: Exchange = decode(body)?;
-            let receiver = Receiver::replying_to(&received.peers);
+            let receiver = node.peers().sender_of(&received.peers);
             apply_exchange(node, received, None);
             encode(&build_exchange(node, &receiver))
         }
@@ -122,6 +117,15 @@
             node.order_wake.notify_one();
             encode(&())
         }
+        FAILURE_PATH => {
+            let FailureNotice { replica, weight } = decode(body)?;
+            let now = node.now();
+            if let Some(known) = node.replicas().get_mut(&replica) {
+                known
+                    .on_failure(now, if weight.is_finite() { weight.clamp(0.0, 1.0) } else { 0.0 });
+            }
+            encode(&())
+        }
         REPEATED_USES_PATH => {
             let RepeatedUses { user, use_serial, loads } = decode(body)?;
             apply_peer_workloads(node, &user, use_serial, &loads);
@@ -174,22 +178,6 @@
     }
 }
 
-/// Tells the owner of a replica that a turn is over, without waiting for the call.
-pub fn notify_owner_of_turn_end(node: &Arc<Node>, owner: InstanceName, turn_ref: TurnRef) {
-    let Some(addr) = node.peers().addr_of(node.now(), &owner) else { return };
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let sent: Result<()> =
-            call_peer(&node, addr, TURN_END_PATH, &turn_ref, PEER_CALL_TIMEOUT).await;
-        if let Err(e) = sent {
-            log::debug!(
-                "end of a turn at {} not reported to {owner}, where it expires by itself: {e}",
-                turn_ref.replica
-            );
-        }
-    });
-}
-
 /// Hands the ownership of a replica over to `successor`; returns whether it accepted.
 pub async fn hand_over(node: &Node, successor: &InstanceName, handover: &Handover) -> bool {
     let Some(addr) = node.peers().addr_of(node.now(), successor) else { return false };
@@ -205,64 +193,6 @@
     }
 }
 
-/// Tells the owner of `replica` how many of this instance's requests use `key` there, without
-/// waiting for the call.
-pub fn notify_owner_of_use(node: &Arc<Node>, replica: &BackendName, key: &AdapterKey, count: u32) {
-    let now = node.now();
-    let owner = node.peers().preferred_owner(now, replica.as_str());
-    let me = &node.settings.instance;
-    let update = UseUpdate { user: me.clone(), count, serial: node.next_use_serial() };
-    let Some(owner) = owner.filter(|owner| owner != me) else {
-        if let Some(owned) = node.owned().get_mut(replica) {
-            owned.plan.on_use(now, key, &update);
-        }
-        node.order_wake.notify_one();
-        return;
-    };
-    let Some(addr) = node.peers().addr_of(now, &owner) else { return };
-    let notice = UseNotice { replica: replica.clone(), key: key.clone(), news: update };
-    let node = Arc::clone(node);
-    tokio::spawn(async move {
-        let sent: Result<()> = call_peer(&node, addr, USE_PATH, &notice, PEER_CALL_TIMEOUT).await;
-        if let Err(e) = sent {
-            log::debug!("adapter use at {} not reported to {owner}: {e}", notice.replica);
-        }
-    });
-}
-
-/// Repeats to the owners of replicas which adapters this instance's requests use there, in a fleet
-/// in which exchanges don't tell them; until the process ends.
-pub async fn repeat_uses(node: Arc<Node>) {
-    loop {
-        sleep(REPEAT_USES_INTERVAL).await;
-        let now = node.now();
-        if node.peers().is_small_fleet(now) {
-            continue;
-        }
-        let mut by_owner: HashMap<InstanceName, Vec<ReplicaWorkload>> = HashMap::new();
-        for work in own_workloads(&node) {
-            let owner = node.peers().preferred_owner(now, work.replica.as_str());
-            if let Some(owner) = owner.filter(|owner| *owner != node.settings.instance) {
-                by_owner.entry(owner).or_default().push(work);
-            }
-        }
-        for (owner, loads) in by_owner {
-            let user = node.settings.instance.clone();
-            let repeated = RepeatedUses { user, use_serial: node.use_serial(), loads };
-            tokio::spawn(send_repeated_uses(Arc::clone(&node), owner, repeated));
-        }
-    }
-}
-
-async fn send_repeated_uses(node: Arc<Node>, owner: InstanceName, repeated: RepeatedUses) {
-    let Some(addr) = node.peers().addr_of(node.now(), &owner) else { return };
-    let sent: Result<()> =
-        call_peer(&node, addr, REPEATED_USES_PATH, &repeated, PEER_CALL_TIMEOUT).await;
-    if let Err(e) = sent {
-        log::debug!("adapter uses not repeated to {owner}, left to the next time: {e}");
-    }
-}
-
 /// Drops the adapter uses of instances that are gone, so that they keep no adapter loaded.
 fn drop_uses_of_dead_peers(node: &Node) {
     let now = node.now();
@@ -273,10 +203,7 @@
 }
 
 async fn exchange_with(node: Arc<Node>, addr: SocketAddr) {
-    let receiver = {
-        let reads_beats = node.peers().reads_beats(node.now(), addr);
-        Receiver { reads_beats, ..Receiver::default() }
-    };
+    let receiver = node.peers().receiver_at(node.now(), addr);
     let message = build_exchange(&node, &receiver);
     let reply: Result<Exchange> =
         call_peer(&node, addr, EXCHANGE_PATH, &message, PEER_CALL_TIMEOUT).await;
@@ -289,7 +216,12 @@
     }
 }
 
-async fn call_peer<M: Serialize, R: DeserializeOwned>(
+/// Calls another instance; the reply must be complete within `limit`.
+///
+/// # Errors
+///
+/// `PeerUnreachable` if there is no complete reply in time, `Malformed` if it can't be decoded.
+pub async fn call_peer<M: Serialize, R: DeserializeOwned>(
     node: &Node,
     addr: SocketAddr,
     path: &str,
@@ -313,12 +245,12 @@
 
 fn build_exchange(node: &Node, receiver: &Receiver) -> Exchange {
     let now = node.now();
-    let tells_all = node.peers().is_small_fleet(now);
+    let hears_work = node.peers().hears_work(now, receiver);
     Exchange {
         peers: node.peers().gossip(now, receiver),
         fence: node.highest_fence(),
-        owned: if tells_all { owned_replicas(node) } else { Vec::new() },
-        loads: if tells_all { own_workloads(node) } else { Vec::new() },
+        owned: if hears_work { owned_replicas(node) } else { Vec::new() },
+        loads: if hears_work { own_workloads(node) } else { Vec::new() },
         use_serial: node.use_serial(),
         strikes: node.crash_guard().active_strikes(now),
         views: ViewDigests {
@@ -342,7 +274,7 @@
 }
 
 /// Work of this instance's requests, by replica.
-fn own_workloads(node: &Node) -> Vec<ReplicaWorkload> {
+pub fn own_workloads(node: &Node) -> Vec<ReplicaWorkload> {
     let replicas = node.replicas();
     replicas.all().filter_map(own_workload).collect()
 }
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -137,8 +137,9 @@
 ) -> bool {
     let now = node.now();
     let holders = homes.iter().filter(|home| home.reply.version.is_some());
+    let sound = holders.filter(|home| !home.reply.home_state().is_failing());
     let delay = |home: &&Home<'_>| home.reply.home_state().expected_delay();
-    let best = holders.min_by_key(|home| (home.reply.crowded, delay(home)));
+    let best = sound.min_by_key(|home| (home.reply.crowded, delay(home)));
     let Some((best, version)) = best.and_then(|home| Some((home, home.reply.version?))) else {
         return false;
     };
@@ -188,6 +189,8 @@
     let key = &request.key;
     let engine = engine_of(node, &request.replica);
     let newest = node.versions().newest(key);
+    let failure_score =
+        node.replicas().get(&request.replica).map_or(0.0, |known| known.failure_score(now));
     let mut homes = node.homes();
     homes.on_peer_width(now, key, request.width);
     let all = node.owned();
@@ -218,6 +221,7 @@
         is_full: engine.is_none_or(|engine| owned.plan.is_full(now, &engine)),
         waiting_loads: u32::try_from(owned.plan.waiting_loads()).unwrap_or(u32::MAX),
         orders_in_ms: Some(0),
+        failure_score,
     }
 }
 
@@ -351,8 +355,12 @@
         Some(owner) => exchange::ask_owner_to_load(node, &owner, &request).await,
         None => LoadReply::unavailable(),
     };
+    let now = node.now();
+    if let Some(known) = node.replicas().get_mut(target) {
+        known.on_owner_backlog(now, reply.backlog_tokens);
+    }
     let mut homes = node.homes();
-    homes.on_peer_width(node.now(), key, reply.width);
+    homes.on_peer_width(now, key, reply.width);
     if reply.version.is_some() {
         homes.on_replica_requests(reply.requests);
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -17,6 +17,7 @@
 mod log_event;
 mod metrics;
 mod node;
+mod notices;
 mod orders;
 mod protocol;
 mod published;
--- a/src/relay/replica_request_guard.rs
+++ b/src/relay/replica_request_guard.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use super::exchange;
 use super::node::Node;
+use super::notices;
 use super::turns::PromptTurn;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Workload;
@@ -35,7 +35,7 @@
             .get_mut(replica)
             .map(|known| known.on_sent(now, workload, key.as_ref()));
         if let (Some(1), Some(key)) = (uses, &key) {
-            exchange::notify_owner_of_use(node, replica, key, 1);
+            notices::notify_owner_of_use(node, replica, key, 1);
         }
         Self {
             node: Arc::clone(node),
@@ -87,7 +87,7 @@
             known.on_request_ended(self.workload, self.key.as_ref())
         });
         if let (Some(0), Some(key)) = (uses, &self.key) {
-            exchange::notify_owner_of_use(&self.node, &self.replica, key, 0);
+            notices::notify_owner_of_use(&self.node, &self.replica, key, 0);
         }
     }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -24,6 +24,7 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::notices;
 use super::orders;
 use super::published;
 use crate::error::Error;
@@ -85,7 +86,7 @@
     tokio::spawn(published::follow(Arc::clone(&node), PublishedTopic::Replicas));
     tokio::spawn(published::expire_unused(Arc::clone(&node)));
     tokio::spawn(exchange::run(Arc::clone(&node)));
-    tokio::spawn(exchange::repeat_uses(Arc::clone(&node)));
+    tokio::spawn(notices::repeat_uses(Arc::clone(&node)));
     tokio::spawn(orders::run(Arc::clone(&node)));
     tokio::spawn(join_and_settle(Arc::clone(&node)));
     let instance = node.settings.instance.as_str();
--- a/src/relay/turns.rs
+++ b/src/relay/turns.rs
@@ -10,6 +10,7 @@
 
 use super::exchange;
 use super::node::Node;
+use super::notices;
 use crate::decide::traffic::PromptTurns;
 use crate::decide::traffic::RequestNeeds;
 use crate::decide::traffic::TurnId;
@@ -34,7 +35,7 @@
         if self.owner == self.node.settings.instance {
             end_as_owner(&self.node, &self.turn_ref);
         } else {
-            exchange::notify_owner_of_turn_end(
+            notices::notify_owner_of_turn_end(
                 &self.node,
                 self.owner.clone(),
                 self.turn_ref.clone(),
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -34,6 +34,9 @@
 /// Path of [`UseNotice`].
 pub const USE_PATH: &str = "/relay/v1/use";
 
+/// Path of [`FailureNotice`].
+pub const FAILURE_PATH: &str = "/relay/v1/failure";
+
 /// Path of [`RepeatedUses`].
 pub const REPEATED_USES_PATH: &str = "/relay/v1/uses";
 
@@ -126,7 +129,7 @@
 }
 
 /// Reply to a [`LoadRequest`].
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadReply {
     /// Loaded version; `None` if none is loaded.
     pub version: Option<u64>,
@@ -154,6 +157,9 @@
     /// Time until the owner may order loads, in ms; `None` if it isn't known.
     #[serde(default)]
     pub orders_in_ms: Option<u64>,
+    /// Decayed count of recent failures at the replica.
+    #[serde(default)]
+    pub failure_score: f64,
 }
 
 impl LoadReply {
@@ -177,6 +183,7 @@
             backlog_tokens: self.backlog_tokens,
             is_full: self.is_full,
             waiting_loads: self.waiting_loads,
+            failure_score: self.failure_score,
         }
     }
 }
@@ -207,6 +214,16 @@
     pub news: UseUpdate,
 }
 
+/// Tells the owner of a replica that a request of the sender failed there; older processes answer
+/// that they don't know the path.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FailureNotice {
+    /// The replica.
+    pub replica: BackendName,
+    /// Weight of the failure; 1 is a broken connection.
+    pub weight: f64,
+}
+
 /// Repeats to the owner of replicas what the sender's requests use there; older processes answer
 /// that they don't know the path.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/tests/traffic/home_choice.rs
+++ b/tests/traffic/home_choice.rs
@@ -53,6 +53,19 @@
     assert_eq!(best(&[queue(3), queue(1)]), 1, "the shorter queue if all are full");
 }
 
+/// Guards against replicas that refuse or reset all requests and so draw more and more of them.
+#[test]
+fn a_replica_that_fails_its_requests_is_avoided_although_it_is_idle() {
+    let failing = HomeState { failure_score: 3.0, ..absent(0, 0) };
+    assert_eq!(best(&[failing, absent(8, 12_000)]), 1);
+    let holder = HomeState { presence: Presence::Held(1), ..failing };
+    assert!(!holder.serves_now());
+    assert_eq!(best(&[holder, absent(8, 12_000)]), 1);
+    assert_eq!(best(&[failing, holder]), 1, "if all fail, the holder is tried");
+    let recovered = HomeState { failure_score: 0.4, ..holder };
+    assert!(recovered.serves_now());
+}
+
 /// Longest queue, in prompts, that builds up when each prompt goes to the home that `choose` takes.
 fn longest_queue(choose: impl Fn(&[HomeState]) -> usize) -> u64 {
     const REPLICAS: usize = 40;
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -43,7 +43,7 @@
 }
 
 fn all(needs_all_records: bool) -> Receiver {
-    Receiver { reads_beats: true, roster: None, needs_all_records }
+    Receiver { reads_beats: true, needs_all_records, ..Receiver::default() }
 }
 
 struct Fleet {
@@ -98,10 +98,9 @@
             }
             let place = |index: usize| self.peers[index].me().data_centre.clone();
             self.far_calls += usize::from(place(index) != place(other));
-            let reads_beats = self.peers[index].reads_beats(now, target);
-            let receiver = Receiver { reads_beats, ..Receiver::default() };
+            let receiver = self.peers[index].receiver_at(now, target);
             let request = self.peers[index].gossip(now, &receiver);
-            let sender = Receiver::replying_to(&request);
+            let sender = self.peers[other].sender_of(&request);
             self.bytes += rmp_serde::to_vec_named(&request).unwrap().len();
             self.peers[other].on_gossip(now, request);
             let reply = self.peers[other].gossip(now, &sender);
@@ -356,7 +355,7 @@
 #[test]
 fn older_and_newer_processes_keep_each_other_live() {
     const SIZE: usize = 60;
-    let older = |index: usize| index % 2 == 0;
+    let older = |index: usize| index.is_multiple_of(2);
     let records =
         (0..SIZE).map(|index| PeerRecord { reads_beats: !older(index), ..record(index, 1) });
     let mut fleet = Fleet::of(records.collect());
@@ -401,3 +400,18 @@
     let read: PeerGossip = rmp_serde::from_slice(&bytes).unwrap();
     assert_eq!((read.heartbeats.as_slice(), read.beats), ([(7, 9)].as_slice(), Beats::None));
 }
+
+#[test]
+fn a_large_fleet_tells_its_work_within_data_centres_and_a_small_one_to_all() {
+    for (size, far_hears) in [(9, true), (60, false)] {
+        let mut fleet = Fleet::in_data_centres(size, 3);
+        fleet.run(14);
+        let now = at(fleet.now);
+        let hears = |other: usize| {
+            let receiver = fleet.peers[0].receiver_at(now, addr(other));
+            fleet.peers[0].hears_work(now, &receiver)
+        };
+        assert!(hears(3), "entry-3 is in the same data centre");
+        assert_eq!(hears(1), far_hears, "{size} instances");
+    }
+}
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -285,3 +285,16 @@
     assert_eq!(prefix(&[7]), None, "the last part is the request's own");
     assert_eq!(prefix(&[]), None);
 }
+
+/// Guards against streams that are given up and read again elsewhere, although their replica only
+/// reads the long prompts of other instances first.
+#[test]
+fn a_replica_is_not_taken_for_unresponsive_while_it_reads_prompts_that_its_owner_knows_of() {
+    let mut replicas = fleet(&["r1"]);
+    let known = replicas.get_mut(&name("r1")).unwrap();
+    known.on_sent(at(0), needs("a", 1000).workload(0), Some(&key("a")));
+    assert!(known.is_unresponsive(at(1100)));
+    known.on_owner_backlog(at(0), 30_000);
+    assert!(!known.is_unresponsive(at(2500)));
+    assert!(known.is_unresponsive(at(4100)), "the word of the owner is too old");
+}
