--- a/src/decide/traffic/home_choice.rs
+++ b/src/decide/traffic/home_choice.rs
@@ -19,8 +19,8 @@
 const FULL_DELAY: Duration = Duration::from_millis(500);
 /// Delay that stands for one recent failure.
 const DELAY_PER_FAILURE: Duration = Duration::from_millis(150);
-/// Score of recent failures from which on a replica is avoided, even if it holds the adapter.
-pub const FAILING_SCORE: f64 = 1.5;
+/// Score of recent failures from which on a home is avoided, even if it holds the adapter.
+const FAILING_SCORE: f64 = 1.5;
 /// Highest score of failures that counts.
 const MAX_FAILURE_SCORE: f64 = 100.0;
 /// Delay that each request that waits for a slot adds.
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -15,7 +15,6 @@
 use super::ReplicaPause;
 use super::ReplicaState;
 use super::Workload;
-use super::home_choice::FAILING_SCORE;
 use super::is_hot;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
@@ -348,18 +347,6 @@
         self.failures = (self.failure_score(now) + weight, now);
     }
 
-    /// Takes over the sum of failures that the replica's owner knows of, if it is higher.
-    pub fn on_owner_failures(&mut self, now: Timestamp, score: f64) {
-        if score > self.failure_score(now) {
-            self.failures = (score, now);
-        }
-    }
-
-    /// Whether the replica has failed so many requests lately that others are preferred.
-    pub fn is_failing(&self, now: Timestamp) -> bool {
-        self.failure_score(now) >= FAILING_SCORE
-    }
-
     /// Sum of the weights of failures, decayed exponentially with their age.
     pub fn failure_score(&self, now: Timestamp) -> f64 {
         let (score, at) = self.failures;
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -253,8 +253,6 @@
         };
         let holders =
             usable.iter().copied().filter(|r| holds_current_version(now, r, key, versions));
-        let has_sound_replica = usable.iter().any(|r| !r.is_failing(now));
-        let holders = holders.filter(|r| !has_sound_replica || !r.is_failing(now));
         let delay = |r: &Replica| expected_delay_ms(now, r, engine, needs, key);
         let best = holders.map(|r| (delay(r), r)).min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((best_delay, best)) = best else {
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -358,7 +358,6 @@
     let now = node.now();
     if let Some(known) = node.replicas().get_mut(target) {
         known.on_owner_backlog(now, reply.backlog_tokens);
-        known.on_owner_failures(now, reply.failure_score);
     }
     let mut homes = node.homes();
     homes.on_peer_width(now, key, reply.width);
