--- a/src/decide/traffic/home_choice.rs
+++ b/src/decide/traffic/home_choice.rs
@@ -4,8 +4,7 @@
 //! weight store, so the least loaded one takes it, unless one has a copy in its own memory. Rare
 //! adapters spread by this over replicas that have time for them.
 //!
-//! A replica that fails its requests at once always looks idle, so homes with recent failures come
-//! last.
+//! A replica that fails its requests at once always looks idle, so recent failures count as delay.
 
 use std::time::Duration;
 
@@ -19,10 +18,9 @@
 const FULL_DELAY: Duration = Duration::from_millis(500);
 /// Delay that stands for one recent failure.
 const DELAY_PER_FAILURE: Duration = Duration::from_millis(150);
-/// Score of recent failures from which on a home is avoided, even if it holds the adapter.
-const FAILING_SCORE: f64 = 1.5;
-/// Highest score of failures that counts.
-const MAX_FAILURE_SCORE: f64 = 100.0;
+/// Highest score of failures that counts; when many replicas fail a few requests each, none of them
+/// is to be avoided at any price.
+const MAX_FAILURE_SCORE: f64 = 3.0;
 /// Delay that each request that waits for a slot adds.
 const DELAY_PER_WAITING_LOAD: Duration = Duration::from_millis(150);
 
@@ -76,12 +74,7 @@
 
     /// Whether the request can be served there without another load.
     pub fn serves_now(&self) -> bool {
-        matches!(self.presence, Presence::Held(_)) && !self.crowded && !self.is_failing()
-    }
-
-    /// Whether the replica has failed so many requests lately that it is avoided.
-    pub fn is_failing(&self) -> bool {
-        self.failure_score >= FAILING_SCORE
+        matches!(self.presence, Presence::Held(_)) && !self.crowded
     }
 
     fn slot_delay(&self) -> Duration {
@@ -91,14 +84,13 @@
 }
 
 /// Orders homes by preference: those that hold or load the adapter, then the others, each by the
-/// expected delay; those that fail come last, and equal ones stay in their order. Returns indexes
-/// into `homes`.
+/// expected delay; equal ones stay in their order. Returns indexes into `homes`.
 pub fn preferred_homes(homes: &[HomeState]) -> Vec<usize> {
     let mut order: Vec<usize> = (0..homes.len()).collect();
     order.sort_by_key(|index| {
         let home = &homes[*index];
         let needs_load = matches!(home.presence, Presence::Copy | Presence::Absent);
-        (home.is_failing(), needs_load, home.expected_delay())
+        (needs_load, home.expected_delay())
     });
     order
 }
--- a/src/decide/traffic/wait_budget.rs
+++ b/src/decide/traffic/wait_budget.rs
@@ -20,6 +20,7 @@
 pub struct WaitBudget {
     waited_for_replica: Duration,
     waited_for_load: Duration,
+    loads: u32,
 }
 
 impl WaitBudget {
@@ -50,8 +51,15 @@
         (!limit.is_zero()).then_some(limit)
     }
 
-    /// Charges a wait for a load.
-    pub fn charge_load_wait(&mut self, waited: Duration) {
-        self.waited_for_load += waited;
+    /// Charges a wait for a load; returns the pause before the replicas are looked at again.
+    ///
+    /// The first look follows at once. If the replica that is said to hold the adapter isn't chosen
+    /// then, since it holds an older version or fails, asking on without a pause would only cost
+    /// processor time.
+    pub fn charge_load_wait(&mut self, waited: Duration) -> Duration {
+        let pause = if self.loads == 0 { Duration::ZERO } else { REPLICA_CHECK_INTERVAL };
+        self.loads += 1;
+        self.waited_for_load += waited + pause;
+        pause
     }
 }
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -373,7 +373,7 @@
             sleep(wait).await;
         }
         let waited = self.node.now().since(started);
-        wait_budget.charge_load_wait(waited);
+        sleep(wait_budget.charge_load_wait(waited)).await;
         self.node.metrics.on_load_wait(waited);
         if waited >= MIN_LOGGED_WAIT {
             let (id, adapter) = (self.head.id.as_str(), key.label());
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -137,9 +137,8 @@
 ) -> bool {
     let now = node.now();
     let holders = homes.iter().filter(|home| home.reply.version.is_some());
-    let sound = holders.filter(|home| !home.reply.home_state().is_failing());
     let delay = |home: &&Home<'_>| home.reply.home_state().expected_delay();
-    let best = sound.min_by_key(|home| (home.reply.crowded, delay(home)));
+    let best = holders.min_by_key(|home| (home.reply.crowded, delay(home)));
     let Some((best, version)) = best.and_then(|home| Some((home, home.reply.version?))) else {
         return false;
     };
--- a/tests/traffic/replica_signals.rs
+++ b/tests/traffic/replica_signals.rs
@@ -177,3 +177,17 @@
     replicas.drop_expired(at(1900));
     assert!(replicas.get(&name("r2")).is_none(), "whenever its removal was learned");
 }
+
+/// Guards against requests that ask on without a pause for an adapter that a replica holds, but in
+/// a version that isn't to be used: a few of them took an instance's whole processor share.
+#[test]
+fn a_request_asks_for_its_adapter_again_only_after_a_pause_and_not_forever() {
+    let mut budget = WaitBudget::default();
+    assert_eq!(budget.charge_load_wait(ms(0)), ms(0), "the first look follows at once");
+    let mut rounds = 0;
+    while budget.load_wait_limit(ms(60_000)).is_some() {
+        assert!(budget.charge_load_wait(ms(0)) >= ms(10));
+        rounds += 1;
+        assert!(rounds <= 100);
+    }
+}
