--- a/tests/traffic/replica_signals.rs
+++ b/tests/traffic/replica_signals.rs
@@ -10,25 +10,14 @@
 use tamaracklead::decide::traffic::RequestNeeds;
 use tamaracklead::decide::traffic::RetryAfter;
 use tamaracklead::decide::traffic::WaitBudget;
-use tamaracklead::names::BackendName;
 use tamaracklead::names::ServiceName;
 
 use crate::support::SERVICE;
 use crate::support::at;
 use crate::support::entry;
+use crate::support::fleet;
 use crate::support::ms;
-
-fn name(text: &str) -> BackendName {
-    BackendName::new(text)
-}
-
-fn fleet(names: &[&str]) -> Replicas {
-    let mut replicas = Replicas::default();
-    for name in names {
-        replicas.on_entry(at(0), entry(name, &[]));
-    }
-    replicas
-}
+use crate::support::name;
 
 /// Chooses the replica of a request to a plain service.
 fn choose(replicas: &Replicas, now: u64) -> ReplicaChoice {
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -6,28 +6,17 @@
 use tamaracklead::decide::traffic::ReplicaState;
 use tamaracklead::decide::traffic::Replicas;
 use tamaracklead::decide::traffic::RequestNeeds;
-use tamaracklead::names::BackendName;
 use tamaracklead::names::ServiceName;
 
 use crate::support::SERVICE;
 use crate::support::at;
 use crate::support::engine;
 use crate::support::entry;
+use crate::support::fleet;
 use crate::support::key;
+use crate::support::name;
 use crate::support::needs;
 
-fn name(text: &str) -> BackendName {
-    BackendName::new(text)
-}
-
-fn fleet(names: &[&str]) -> Replicas {
-    let mut replicas = Replicas::default();
-    for name in names {
-        replicas.on_entry(at(0), entry(name, &[]));
-    }
-    replicas
-}
-
 fn choose(replicas: &Replicas, now: u64, needs: &RequestNeeds) -> ReplicaChoice {
     let versions = DeclaredVersions::default();
     replicas.choose(at(now), &ServiceName::new(SERVICE), Some(&engine(8)), needs, &[], &versions)
--- a/tests/traffic/store_era.rs
+++ b/tests/traffic/store_era.rs
@@ -284,14 +284,21 @@
     assert!(accepts(&instance, 250, "r2") && accepts(&instance, 250, "r3"));
 }
 
-#[test]
-fn a_replica_that_the_copy_lacks_is_served_until_it_could_have_written_again() {
+/// A store that was restored from a copy without `r1`, and an instance that knows `r1` and has read
+/// the store since, at 200 ms.
+fn restored_without_r1() -> (Store, Instance) {
     let (mut store, mut instance) = listed(&["r0"]);
     store.take_copy();
     store.write("r1", "ready");
     instance.read(at(100), &store);
     store.restore();
     instance.read(at(200), &store);
+    (store, instance)
+}
+
+#[test]
+fn a_replica_that_the_copy_lacks_is_served_until_it_could_have_written_again() {
+    let (mut store, mut instance) = restored_without_r1();
     assert!(accepts(&instance, 250, "r1"));
     store.write("r1", "ready");
     instance.read(at(1200), &store);
@@ -301,12 +308,7 @@
 
 #[test]
 fn a_replica_that_the_copy_lacks_and_that_stays_away_is_gone_two_seconds_later() {
-    let (mut store, mut instance) = listed(&["r0"]);
-    store.take_copy();
-    store.write("r1", "ready");
-    instance.read(at(100), &store);
-    store.restore();
-    instance.read(at(200), &store);
+    let (_, mut instance) = restored_without_r1();
     instance.replicas.drop_expired(at(2100));
     assert!(instance.replicas.get(&BackendName::new("r1")).is_none());
 }
--- a/tests/traffic/support.rs
+++ b/tests/traffic/support.rs
@@ -8,6 +8,7 @@
 use tamaracklead::decide::traffic::ModelSpec;
 use tamaracklead::decide::traffic::ReplicaEntry;
 use tamaracklead::decide::traffic::ReplicaState;
+use tamaracklead::decide::traffic::Replicas;
 use tamaracklead::decide::traffic::RequestNeeds;
 use tamaracklead::names::AdapterName;
 use tamaracklead::names::BackendName;
@@ -68,3 +69,16 @@
 pub fn needs(adapter: &str, prompt_tokens: u64) -> RequestNeeds {
     RequestNeeds { key: Some(key(adapter)), parts: Vec::new(), prompt_tokens, output_tokens: 50 }
 }
+
+pub fn name(text: &str) -> BackendName {
+    BackendName::new(text)
+}
+
+/// Replicas that hold nothing.
+pub fn fleet(names: &[&str]) -> Replicas {
+    let mut replicas = Replicas::default();
+    for name in names {
+        replicas.on_entry(at(0), entry(name, &[]));
+    }
+    replicas
+}
