Wait out the lease when a replica's orders come back to an earlier holder

An instance that shuts down hands over at once, by design, and the earlier holder didn't look at its own orders. It now waits until its own last order is longer ago than the lease, and tells callers meanwhile when loads can begin.

--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -40,6 +40,8 @@
         count: u64,
         last_checked: Timestamp,
         last_ordered: Timestamp,
+        /// When the first order may be given.
+        orders_from: Timestamp,
     },
 }
 
@@ -75,6 +77,7 @@
             State::Holding { last_checked, .. } if now.since(last_checked) >= self.lease / 2 => {
                 LeaseStep::AskReport
             }
+            State::Holding { orders_from, .. } if now < orders_from => LeaseStep::Wait,
             State::Holding { .. } => LeaseStep::Hold,
         }
     }
@@ -95,6 +98,7 @@
                         count,
                         last_checked: now,
                         last_ordered: now,
+                        orders_from: now,
                     };
                 }
             }
@@ -155,9 +159,27 @@
     }
 
     /// Takes the lease over from a holder that gives no more orders; a report is due.
-    pub fn on_handover(&mut self, now: Timestamp, started_ms: u64, count: u64, fence: u64) {
+    ///
+    /// `earlier_order` is when this instance itself ordered the replica last; the first order waits
+    /// until that is longer ago than the lease, as holders must not take turns within it.
+    pub fn on_handover(
+        &mut self,
+        now: Timestamp,
+        started_ms: u64,
+        count: u64,
+        fence: u64,
+        earlier_order: Option<Timestamp>,
+    ) {
         let last_checked = Timestamp::ZERO;
-        self.state = State::Holding { fence, started_ms, count, last_checked, last_ordered: now };
+        let orders_from = earlier_order.map_or(now, |at| now.max(at + self.watch_time()));
+        self.state = State::Holding {
+            fence,
+            started_ms,
+            count,
+            last_checked,
+            last_ordered: now,
+            orders_from,
+        };
     }
 
     /// Releases the lease; returns the replica's start time in Unix milliseconds, its order count
@@ -177,16 +199,16 @@
         }
     }
 
-    /// Time until the lease is held if nothing comes in between: zero if it is, `None` if another
-    /// instance should hold it.
-    pub fn held_in(&self, now: Timestamp) -> Option<Duration> {
+    /// Time until orders may be given if nothing comes in between: zero if they may, `None` if
+    /// another instance should give them.
+    pub fn orders_in(&self, now: Timestamp) -> Option<Duration> {
         match self.state {
             State::Standby => None,
             State::Watching { seen: None, .. } => Some(self.watch_time()),
             State::Watching { since, .. } => {
                 Some(self.watch_time().saturating_sub(now.since(since)))
             }
-            State::Holding { .. } => Some(Duration::ZERO),
+            State::Holding { orders_from, .. } => Some(orders_from.since(now)),
         }
     }
 
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -196,7 +196,7 @@
     let Some(owned) = all.get(&request.replica) else { return LoadReply::unavailable() };
     if !owned.lease.is_held() {
         // Nobody gives orders while the lease is waited for, so what the last report showed holds.
-        let orders_in = owned.lease.held_in(now);
+        let orders_in = owned.lease.orders_in(now);
         return LoadReply {
             version: owned.plan.held_version(now, key),
             requests: owned.plan.requests(now),
@@ -219,7 +219,10 @@
         backlog_tokens: owned.turns.backlog_tokens(),
         is_full: engine.is_none_or(|engine| owned.plan.is_full(now, &engine)),
         waiting_loads: u32::try_from(owned.plan.waiting_loads()).unwrap_or(u32::MAX),
-        orders_in_ms: Some(0),
+        orders_in_ms: owned
+            .lease
+            .orders_in(now)
+            .and_then(|wait| u64::try_from(wait.as_millis()).ok()),
         failure_score,
     }
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -28,6 +28,7 @@
 use crate::decide::traffic::AdapterHomes;
 use crate::decide::traffic::CrashGuard;
 use crate::decide::traffic::DeclaredVersions;
+use crate::decide::traffic::OwnOrders;
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::Peers;
 use crate::decide::traffic::PublishedView;
@@ -84,6 +85,7 @@
     retry_share: Mutex<RetryShare>,
     crash_guard: Mutex<CrashGuard>,
     homes: Mutex<AdapterHomes>,
+    own_orders: Mutex<OwnOrders>,
     owned: Mutex<HashMap<BackendName, ReplicaOwnership>>,
     operator_view: Mutex<PublishedView>,
     replica_view: Mutex<PublishedView>,
@@ -129,6 +131,7 @@
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             homes: Mutex::default(),
+            own_orders: Mutex::default(),
             owned: Mutex::default(),
             operator_view: Mutex::default(),
             replica_view: Mutex::default(),
@@ -171,6 +174,11 @@
         lock(&self.homes)
     }
 
+    /// When this instance last ordered each replica.
+    pub fn own_orders(&self) -> MutexGuard<'_, OwnOrders> {
+        lock(&self.own_orders)
+    }
+
     /// Replicas that this instance owns or is about to own: it gives them their orders.
     pub fn owned(&self) -> MutexGuard<'_, HashMap<BackendName, ReplicaOwnership>> {
         lock(&self.owned)
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -97,7 +97,8 @@
         all.entry(handover.replica.clone()).or_insert_with(|| ReplicaOwnership::new(now, lease));
     owned.taken_over_at = now;
     owned.started_ms = handover.started_ms;
-    owned.lease.on_handover(now, handover.started_ms, handover.orders, fence);
+    let earlier_order = node.own_orders().last(&handover.replica);
+    owned.lease.on_handover(now, handover.started_ms, handover.orders, fence, earlier_order);
     owned.plan.on_handover(now, handover.plan);
     record(&LogEvent::OrdersTakenOver {
         replica: handover.replica.as_str(),
@@ -316,7 +317,9 @@
     let holder = node.settings.instance.as_str();
     let fenced = FencedOrder { order, replica, holder, fence, expected };
     let call = node.protocol.order_call(&fenced);
+    node.own_orders().on_order(node.now(), replica);
     let reply = call_replica(node, replica, call).await;
+    node.own_orders().on_order(node.now(), replica);
     let answer = reply.map(|reply| node.protocol.order_answer(reply.status));
     record(&LogEvent::OrderGiven {
         replica: replica.as_str(),
