Call every instance that isn't live in turn, also in large fleets

Every third round calls one, drawn by the number of the round, so with a multiple of three of them only every third was ever called. Found on reading the change; nothing was seen of it. The test fails before.

--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -369,6 +369,8 @@
         true
     }
 
+    /// Live instances to call in this round: in a small fleet any, in a large one mostly those of
+    /// the same data centre.
     fn live_targets(&self, now: Timestamp) -> Vec<SocketAddr> {
         let mut live: Vec<&PeerRecord> = self.live(now).collect();
         let ranking = rendezvous::Ranking::new(&format!("{} {}", self.round, self.me.name));
@@ -394,7 +396,8 @@
 
     /// A seed or known instance that isn't live, in turn.
     fn offline_target(&self, now: Timestamp) -> Option<SocketAddr> {
-        if !self.round.is_multiple_of(OFFLINE_CALL_ROUNDS) && !self.is_small_fleet(now) {
+        let rounds_between = if self.is_small_fleet(now) { 1 } else { OFFLINE_CALL_ROUNDS };
+        if !self.round.is_multiple_of(rounds_between) {
             return None;
         }
         let live: HashSet<SocketAddr> = self.live(now).map(|record| record.addr).collect();
@@ -402,7 +405,8 @@
         let mut all: Vec<SocketAddr> = self.seeds.iter().copied().chain(offline).collect();
         all.retain(|addr| *addr != self.me.addr && !live.contains(addr));
         all.dedup();
-        if all.is_empty() { None } else { Some(all[self.round as usize % all.len()]) }
+        let turn = (self.round / rounds_between) as usize;
+        if all.is_empty() { None } else { Some(all[turn % all.len()]) }
     }
 }
 
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -415,3 +415,19 @@
         assert_eq!(hears(1), far_hears, "{size} instances");
     }
 }
+
+/// Guards against instances that are never called again, since only every third round calls one and
+/// their number is a multiple of three.
+#[test]
+fn a_large_fleet_calls_each_instance_that_is_not_live_in_turn() {
+    let mut fleet = Fleet::in_data_centres(40, 4);
+    fleet.run(14);
+    fleet.down.extend([5, 6, 7]);
+    fleet.run(12);
+    let mut called = BTreeSet::new();
+    for _ in 0..12 {
+        fleet.run(1);
+        called.extend(fleet.peers[0].clone().next_round(at(fleet.now)));
+    }
+    assert!([5, 6, 7].iter().all(|index| called.contains(&addr(*index))), "{called:?}");
+}
