Log for how long a new owner holds its orders back

With the log alone it can't be told whether an owner that takes a replica's orders over knows of its own earlier ones. orders_taken_over now has wait_ms, the rest of the wait that follows from them; 0 tells that it knows of none. No decision changes.

--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -197,6 +197,8 @@
         orders: u64,
         /// Fencing number of the new lease.
         fence: u64,
+        /// Time for which no order is given, in ms, as this instance ordered the replica lately.
+        wait_ms: u128,
     },
     /// This instance handed over a replica's orders to another one.
     OrdersHandedOver {
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -99,11 +99,13 @@
     owned.started_ms = handover.started_ms;
     let earlier_order = node.own_orders().last(&handover.replica);
     owned.lease.on_handover(now, handover.started_ms, handover.orders, fence, earlier_order);
+    let wait = owned.lease.orders_in(now).unwrap_or_default();
     owned.plan.on_handover(now, handover.plan);
     record(&LogEvent::OrdersTakenOver {
         replica: handover.replica.as_str(),
         orders: handover.orders,
         fence,
+        wait_ms: wait.as_millis(),
     });
     node.order_wake.notify_one();
     true
