Hand the recent holders of a replica's orders on with the lease

Cause: after a handover the wait of an earlier holder hung on that process's own memory. A process that was killed and started again remembers nothing, takes the replica back from the next owner that shuts down, and orders at once. The class: what must be known about an instance's earlier process was kept in that process only.

Each handover now names the instances that ordered the replica within the lease, with the rest of their waits; durations, as clocks of processes can't be compared, so a late message only lengthens a wait. An owner that finds itself there waits, whatever its process knows. It no longer waits if nobody else has ordered in between, so replicas that only pass through an owner are served sooner. From processes of the version before, which name nobody, an owner waits for its own last order as before.

--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -8,7 +8,8 @@
 //!
 //! Each replica has one owner, the entry instance that orders its adapter loads and unloads.
 //! [`Peers`] tracks the live instances by gossip and ranks them for a replica by rendezvous
-//! hashing; [`OrderLease`] is the owner's lease; [`ReplicaPlan`] decides which adapters the
+//! hashing; [`OrderLease`] is the owner's lease, and [`HolderHistory`] keeps earlier holders from
+//! taking turns; [`ReplicaPlan`] decides which adapters the
 //! replica holds, and [`AdapterHomes`] how many replicas should hold an adapter.
 //!
 //! [`PublishedView`] is an instance's copy of the published state, which it reads itself or
@@ -24,13 +25,14 @@
 mod entry;
 mod event_splitter;
 mod held_adapter;
+mod holder_history;
+mod holder_wait;
 mod home_choice;
 mod hot_adapter;
 mod live_beats;
 mod load_in_progress;
 mod order;
 mod order_lease;
-mod own_orders;
 mod owner_election;
 mod peer_gossip;
 mod peers;
@@ -70,6 +72,8 @@
 pub use entry::ReplicaState;
 pub use event_splitter::EventSplitter;
 pub use held_adapter::HeldAdapter;
+pub use holder_history::HolderHistory;
+pub use holder_wait::HolderWait;
 pub use home_choice::HomeState;
 pub use home_choice::Presence;
 pub use home_choice::preferred_homes;
@@ -79,7 +83,6 @@
 pub use order::Order;
 pub use order_lease::LeaseStep;
 pub use order_lease::OrderLease;
-pub use own_orders::OwnOrders;
 pub use peer_gossip::Beats;
 pub use peer_gossip::PeerGossip;
 pub use peer_gossip::PeerRecord;
--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -160,25 +160,24 @@
 
     /// Takes the lease over from a holder that gives no more orders; a report is due.
     ///
-    /// `earlier_order` is when this instance itself ordered the replica last; the first order waits
-    /// until that is longer ago than the lease, as holders must not take turns within it.
+    /// The first order is given after `wait`, the time for which this instance, as an earlier
+    /// holder, must not take another turn.
     pub fn on_handover(
         &mut self,
         now: Timestamp,
         started_ms: u64,
         count: u64,
         fence: u64,
-        earlier_order: Option<Timestamp>,
+        wait: Duration,
     ) {
         let last_checked = Timestamp::ZERO;
-        let orders_from = earlier_order.map_or(now, |at| now.max(at + self.watch_time()));
         self.state = State::Holding {
             fence,
             started_ms,
             count,
             last_checked,
             last_ordered: now,
-            orders_from,
+            orders_from: now + wait,
         };
     }
 
@@ -217,7 +216,8 @@
         matches!(self.state, State::Holding { .. })
     }
 
-    fn watch_time(&self) -> Duration {
+    /// Time for which the order count must be unchanged before the lease is acquired.
+    pub fn watch_time(&self) -> Duration {
         self.lease + REPORT_LAG
     }
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -28,7 +28,8 @@
 use crate::decide::traffic::AdapterHomes;
 use crate::decide::traffic::CrashGuard;
 use crate::decide::traffic::DeclaredVersions;
-use crate::decide::traffic::OwnOrders;
+use crate::decide::traffic::HolderHistory;
+use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::Peers;
 use crate::decide::traffic::PublishedView;
@@ -85,7 +86,7 @@
     retry_share: Mutex<RetryShare>,
     crash_guard: Mutex<CrashGuard>,
     homes: Mutex<AdapterHomes>,
-    own_orders: Mutex<OwnOrders>,
+    holder_history: Mutex<HolderHistory>,
     owned: Mutex<HashMap<BackendName, ReplicaOwnership>>,
     operator_view: Mutex<PublishedView>,
     replica_view: Mutex<PublishedView>,
@@ -104,6 +105,7 @@
             data_centre: Some(settings.data_centre.clone()),
             reads_beats: true,
         };
+        let holder_wait = OrderLease::new(settings.order_lease()).watch_time();
         let retry_share = RetryShare::new(
             settings.retry_ratio,
             settings.retry_allowance,
@@ -131,7 +133,7 @@
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             homes: Mutex::default(),
-            own_orders: Mutex::default(),
+            holder_history: Mutex::new(HolderHistory::new(holder_wait)),
             owned: Mutex::default(),
             operator_view: Mutex::default(),
             replica_view: Mutex::default(),
@@ -174,9 +176,9 @@
         lock(&self.homes)
     }
 
-    /// When this instance last ordered each replica.
-    pub fn own_orders(&self) -> MutexGuard<'_, OwnOrders> {
-        lock(&self.own_orders)
+    /// Recent holders of replicas' orders.
+    pub fn holder_history(&self) -> MutexGuard<'_, HolderHistory> {
+        lock(&self.holder_history)
     }
 
     /// Replicas that this instance owns or is about to own: it gives them their orders.
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -97,9 +97,8 @@
         all.entry(handover.replica.clone()).or_insert_with(|| ReplicaOwnership::new(now, lease));
     owned.taken_over_at = now;
     owned.started_ms = handover.started_ms;
-    let earlier_order = node.own_orders().last(&handover.replica);
-    owned.lease.on_handover(now, handover.started_ms, handover.orders, fence, earlier_order);
-    let wait = owned.lease.orders_in(now).unwrap_or_default();
+    let wait = wait_as_earlier_holder(node, now, &handover);
+    owned.lease.on_handover(now, handover.started_ms, handover.orders, fence, wait);
     owned.plan.on_handover(now, handover.plan);
     record(&LogEvent::OrdersTakenOver {
         replica: handover.replica.as_str(),
@@ -111,6 +110,19 @@
     true
 }
 
+/// How long this instance has to wait before it orders a replica that it is handed.
+fn wait_as_earlier_holder(node: &Node, now: Timestamp, handover: &Handover) -> Duration {
+    let mut history = node.holder_history();
+    let (replica, me) = (&handover.replica, &node.settings.instance);
+    match &handover.recent_holders {
+        Some(waits) => {
+            history.on_handover(now, replica, waits);
+            history.wait(now, replica, me)
+        }
+        None => history.full_wait(now, replica, me),
+    }
+}
+
 /// Runs the control loop until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut last_tick = boot_time();
@@ -194,7 +206,9 @@
     all.remove(replica);
     drop(all);
     let (Some((started_ms, orders, fence)), Some(successor)) = (held, successor) else { return };
-    let handover = Handover { replica: replica.clone(), started_ms, orders, fence, plan };
+    let recent_holders = Some(node.holder_history().waits(now, replica));
+    let replica = replica.clone();
+    let handover = Handover { replica, started_ms, orders, fence, plan, recent_holders };
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let taken = exchange::hand_over(&node, &successor, &handover).await;
@@ -319,9 +333,9 @@
     let holder = node.settings.instance.as_str();
     let fenced = FencedOrder { order, replica, holder, fence, expected };
     let call = node.protocol.order_call(&fenced);
-    node.own_orders().on_order(node.now(), replica);
+    node.holder_history().on_order(node.now(), replica, &node.settings.instance);
     let reply = call_replica(node, replica, call).await;
-    node.own_orders().on_order(node.now(), replica);
+    node.holder_history().on_order(node.now(), replica, &node.settings.instance);
     let answer = reply.map(|reply| node.protocol.order_answer(reply.status));
     record(&LogEvent::OrderGiven {
         replica: replica.as_str(),
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -9,6 +9,7 @@
 
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::HeldModel;
+use crate::decide::traffic::HolderWait;
 use crate::decide::traffic::HomeState;
 use crate::decide::traffic::PeerGossip;
 use crate::decide::traffic::PlanHandover;
@@ -201,6 +202,9 @@
     pub fence: u64,
     /// The sender's record of what the replica holds and loads.
     pub plan: PlanHandover,
+    /// Instances that ordered the replica lately; `None` from older processes, which don't say.
+    #[serde(default)]
+    pub recent_holders: Option<Vec<HolderWait>>,
 }
 
 /// Tells the owner of a replica how many of the sender's requests use an adapter there.
