Count the adapter uses of an instance that was just restarted

What callers could see: after an entry instance was killed and started again within 2 s, owners of replicas ignored which adapters its requests used, until its serial numbers passed those of the process before. They could unload an adapter in use, or count up to 10 s of uses that had ended.

Cause: owners remember the last serial number by the instance's name, which it keeps over restarts, while each process began its numbers at 0. Owners forget an instance only when it counts as gone, after 2 s.

Evidence: with the start of the numbers moved into serial_at_start but still 0, the three tests in tests/traffic/use_serials.rs failed ("requests of the new process: left: 3, right: 1"; "assertion failed: !known.is_in_use(at(500), &key("a1"))"; "assertion failed: known.is_in_use(at(100), &key("a1"))"), and so did the one with the real program in platform/tests/relay/restart.rs ("0 after the restart, 2 before it"). They pass with this change.

Why it works: a process begins at its start time in Unix milliseconds times 1,024, above all that an earlier one can have drawn unless the clock was set back or it drew more than 1,024 a millisecond. Turns of long prompts draw from the same numbers, so theirs don't come twice either. The messages are unchanged, and processes of the version before accept the higher numbers.

--- a/src/decide/traffic/use_update.rs
+++ b/src/decide/traffic/use_update.rs
@@ -12,6 +12,7 @@
     pub user: InstanceName,
     /// Its requests in progress that use the adapter.
     pub count: u32,
-    /// Increases with each update of the instance, so that older ones are recognised.
+    /// Increases with each update of the instance, also over its restarts, so that older ones are
+    /// recognised.
     pub serial: u64,
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -37,6 +37,7 @@
 use crate::decide::traffic::RetryShare;
 use crate::decide::traffic::Shutdown;
 use crate::decide::traffic::TrafficConfig;
+use crate::decide::traffic::serial_at_start;
 use crate::edge::HttpClient;
 use crate::names::BackendName;
 use crate::names::Timestamp;
@@ -95,10 +96,11 @@
 impl Node {
     /// State at the start: no configuration, no replicas, and no peers but the seeds.
     pub fn new(settings: RelaySettings, protocol: Arc<dyn Protocol>) -> Self {
+        let started_ms = unix_ms();
         let me = PeerRecord {
             name: settings.instance.clone(),
             addr: settings.listen.peer,
-            started_ms: unix_ms(),
+            started_ms,
             heartbeat: 0,
             settled: false,
             draining: false,
@@ -126,7 +128,7 @@
             shutdown: OnceLock::new(),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
-            use_serial: AtomicU64::new(0),
+            use_serial: AtomicU64::new(serial_at_start(started_ms)),
             replicas: Mutex::default(),
             versions: Mutex::default(),
             peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -16,3 +16,4 @@
 mod store_era;
 mod stream;
 mod support;
+mod use_serials;
