Let lower serial numbers of uses count once the last one is too old

What callers could see: after an entry instance was killed and started again within 2 s with its clock set back, or as a process of a version that numbers its uses from 0, owners of replicas ignored its uses as long as it was live, so that they could unload adapters in use.

Cause: an update stops counting after 10 s, but its serial number went on to refuse lower ones.

Evidence: lower_serial_numbers_count_once_the_last_update_is_too_old_to_count failed before: "assertion `left == right` failed: requests begun, left: None, right: Some(1)". It passes now.

Why it works: the number guards against updates that arrive late, and calls between instances end after 600 ms; an update that no longer counts has nothing left to guard. Within the 10 s the rule is as before.

--- a/src/decide/traffic/adapter_uses.rs
+++ b/src/decide/traffic/adapter_uses.rs
@@ -18,6 +18,12 @@
     updated_at: Timestamp,
 }
 
+impl UseCount {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        now.since(self.updated_at) < USE_TTL
+    }
+}
+
 /// Number of requests in progress at one replica, by adapter and instance.
 #[derive(Clone, Debug, Default)]
 pub struct AdapterUses {
@@ -26,7 +32,7 @@
 
 impl AdapterUses {
     /// Applies an update; returns how many requests have begun since the last one, or `None` if a
-    /// newer update is known.
+    /// newer update is known that still counts.
     pub fn on_update(
         &mut self,
         now: Timestamp,
@@ -34,6 +40,7 @@
         update: &UseUpdate,
     ) -> Option<u32> {
         let known = self.users.get(key).and_then(|users| users.get(&update.user)).copied();
+        let known = known.filter(|known| known.is_fresh(now));
         if known.is_some_and(|known| known.serial > update.serial) {
             return None;
         }
@@ -82,11 +89,11 @@
     /// Whether any instance uses an adapter, as far as is known.
     pub fn is_in_use(&self, now: Timestamp, key: &AdapterKey) -> bool {
         let Some(users) = self.users.get(key) else { return false };
-        users.values().any(|known| now.since(known.updated_at) < USE_TTL)
+        users.values().any(|known| known.is_fresh(now))
     }
 }
 
 fn fresh_count(now: Timestamp, users: &HashMap<InstanceName, UseCount>) -> u32 {
-    let fresh = users.values().filter(|known| now.since(known.updated_at) < USE_TTL);
+    let fresh = users.values().filter(|known| known.is_fresh(now));
     fresh.map(|known| known.count).sum()
 }
--- a/tests/traffic/use_serials.rs
+++ b/tests/traffic/use_serials.rs
@@ -50,3 +50,14 @@
     known.on_update(at(100), &key("a1"), &uses(0, serial_at_start(STARTED_MS) + DRAWN));
     assert!(known.is_in_use(at(100), &key("a1")));
 }
+
+/// Guards against an owner that ignores an instance's uses without end, since its clock was set
+/// back over a restart or it was set back to a version that begins at lower numbers.
+#[test]
+fn lower_serial_numbers_count_once_the_last_update_is_too_old_to_count() {
+    let mut known = AdapterUses::default();
+    known.on_update(at(0), &key("a1"), &uses(3, serial_at_start(STARTED_MS) + DRAWN));
+    assert_eq!(known.on_update(at(9_900), &key("a1"), &uses(1, 1)), None, "it may be late");
+    assert_eq!(known.on_update(at(10_000), &key("a1"), &uses(1, 2)), Some(1), "requests begun");
+    assert_eq!(known.count(at(10_000), &key("a1")), 1);
+}
