End waits for turns that nobody ends, such as those of a killed instance

What callers would see: after an instance was killed while one of its long prompts waited for a turn at a replica, no long prompt got a turn there any more. Each waited 600 ms in vain and was then sent without one, so that several were read at once and outputs in progress stalled, until the replica restarted or had another owner. A lost notice of a turn's end did the same. The replica also counted as busy with the tokens of the prompts that were gone, when the home of an adapter was chosen.

Cause: the owner remembers the waits of an instance, but only that process ends them; of turns and waits, only turns timed out, and those still counted as backlog until the next long prompt came.

Why it works: a wait ends 2.1 s after it began: no instance waits longer than 600 ms, and the prompt that it then sends without a turn keeps its place as long as a turn would last. The backlog leaves out what has timed out; so a prompt that is read for longer than its turn leaves the backlog with it, not with the next long prompt.

--- a/src/decide/traffic/prompt_turns.rs
+++ b/src/decide/traffic/prompt_turns.rs
@@ -20,6 +20,9 @@
 const MAX_TOKENS_READ_AT_ONCE: u64 = 10_000;
 /// Time after which a turn ends even if nobody ends it.
 const TURN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after which a wait ends even if nobody ends it: the longest wait, and the turn's time for a
+/// prompt that was then sent without one.
+const WAIT_TIMEOUT: Duration = Duration::from_millis(2100);
 
 /// Identifies one prompt's turn.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -30,10 +33,12 @@
     pub serial: u64,
 }
 
+/// A turn, or the wait for it.
 #[derive(Clone, Debug)]
 struct Turn {
     id: TurnId,
     tokens: u64,
+    /// When the turn, or the wait, began.
     since: Timestamp,
 }
 
@@ -41,7 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PromptTurns {
     reading: Vec<Turn>,
-    waiting: VecDeque<(TurnId, u64)>,
+    waiting: VecDeque<Turn>,
 }
 
 impl PromptTurns {
@@ -53,13 +58,14 @@
     /// Takes a turn for a prompt with `tokens` unread tokens; returns `false` if it isn't its turn
     /// yet. The prompt then keeps its place in the queue and has to try again.
     pub fn try_take_turn(&mut self, now: Timestamp, id: &TurnId, tokens: u64) -> bool {
-        self.reading.retain(|turn| now.since(turn.since) < TURN_TIMEOUT);
-        if !self.waiting.iter().any(|(waiting, _)| waiting == id) {
-            self.waiting.push_back((id.clone(), tokens));
+        self.reading.retain(|turn| is_read(now, turn));
+        self.waiting.retain(|turn| is_waited_for(now, turn));
+        if !self.waiting.iter().any(|waiting| waiting.id == *id) {
+            self.waiting.push_back(Turn { id: id.clone(), tokens, since: now });
         }
         let read: u64 = self.reading.iter().map(|turn| turn.tokens).sum();
         let fits = self.reading.is_empty() || read + tokens <= MAX_TOKENS_READ_AT_ONCE;
-        if !fits || self.waiting.front().is_none_or(|(first, _)| first != id) {
+        if !fits || self.waiting.front().is_none_or(|first| first.id != *id) {
             return false;
         }
         self.waiting.pop_front();
@@ -68,15 +74,23 @@
     }
 
     /// Tokens that are being read and that wait to be read.
-    pub fn backlog_tokens(&self) -> u64 {
-        let reading: u64 = self.reading.iter().map(|turn| turn.tokens).sum();
-        let waiting: u64 = self.waiting.iter().map(|(_, tokens)| tokens).sum();
-        reading + waiting
+    pub fn backlog_tokens(&self, now: Timestamp) -> u64 {
+        let reading = self.reading.iter().filter(|turn| is_read(now, turn));
+        let waiting = self.waiting.iter().filter(|turn| is_waited_for(now, turn));
+        reading.chain(waiting).map(|turn| turn.tokens).sum()
     }
 
     /// Ends a turn, or gives up waiting for it.
     pub fn end(&mut self, id: &TurnId) {
-        self.waiting.retain(|(waiting, _)| waiting != id);
+        self.waiting.retain(|waiting| waiting.id != *id);
         self.reading.retain(|turn| turn.id != *id);
     }
 }
+
+fn is_read(now: Timestamp, turn: &Turn) -> bool {
+    now.since(turn.since) < TURN_TIMEOUT
+}
+
+fn is_waited_for(now: Timestamp, turn: &Turn) -> bool {
+    now.since(turn.since) < WAIT_TIMEOUT
+}
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -216,7 +216,7 @@
         width: homes.width(now, key),
         is_loading: presence == Presence::Loading,
         has_copy: presence == Presence::Copy,
-        backlog_tokens: owned.turns.backlog_tokens(),
+        backlog_tokens: owned.turns.backlog_tokens(now),
         is_full: engine.is_none_or(|engine| owned.plan.is_full(now, &engine)),
         waiting_loads: u32::try_from(owned.plan.waiting_loads()).unwrap_or(u32::MAX),
         orders_in_ms: owned
--- a/tests/traffic/prompt_turns.rs
+++ b/tests/traffic/prompt_turns.rs
@@ -67,3 +67,27 @@
     assert!(turns.try_take_turn(at(2), &turn(2), 2000));
     assert!(!turns.try_take_turn(at(3), &turn(3), 50_000));
 }
+
+/// Guards against a replica whose long prompts get no turn any more, since the first that waits
+/// is of an instance that was killed.
+#[test]
+fn a_wait_that_nobody_ends_expires() {
+    let mut turns = PromptTurns::default();
+    assert!(turns.try_take_turn(at(0), &turn(1), LONG));
+    assert!(!turns.try_take_turn(at(10), &turn(2), LONG), "its instance is killed now");
+    turns.end(&turn(1));
+    assert!(!turns.try_take_turn(at(1000), &turn(3), LONG), "turn 2 was asked for before");
+    turns.end(&turn(3));
+    assert!(turns.try_take_turn(at(3000), &turn(4), LONG), "turn 2 was asked for long ago");
+}
+
+/// Guards against a replica that counts as busy for long prompts without end, since the instance
+/// whose prompts they were was killed.
+#[test]
+fn turns_and_waits_that_nobody_ends_are_no_backlog_for_long() {
+    let mut turns = PromptTurns::default();
+    assert!(turns.try_take_turn(at(0), &turn(1), LONG));
+    assert!(!turns.try_take_turn(at(10), &turn(2), LONG));
+    assert_eq!(turns.backlog_tokens(at(20)), 2 * LONG);
+    assert_eq!(turns.backlog_tokens(at(3000)), 0);
+}
