Decide on giving up and on the wait after a handover in decide/traffic

No change of behaviour. When giving a replica up is put off, and how long an instance waits after a handover, were decided in src/relay/orders.rs beside its I/O, where no test in virtual time reaches them.

--- a/src/decide/traffic/holder_history.rs
+++ b/src/decide/traffic/holder_history.rs
@@ -41,6 +41,24 @@
         }
     }
 
+    /// How long `holder` has to wait before it orders a replica that is handed to it with these
+    /// holders; `None` from older processes, which don't say.
+    pub fn wait_after_handover(
+        &mut self,
+        now: Timestamp,
+        replica: &BackendName,
+        holder: &InstanceName,
+        recent_holders: Option<&[HolderWait]>,
+    ) -> Duration {
+        match recent_holders {
+            Some(waits) => {
+                self.on_handover(now, replica, waits);
+                self.wait(now, replica, holder)
+            }
+            None => self.full_wait(now, replica, holder),
+        }
+    }
+
     /// Holders of a replica whose waits aren't over, for its next owner.
     pub fn waits(&self, now: Timestamp, replica: &BackendName) -> Vec<HolderWait> {
         let holders = self.holders.get(replica).into_iter().flatten();
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -22,6 +22,7 @@
 use super::node::Node;
 use super::replica_signals;
 use crate::decide::traffic::EngineSpec;
+use crate::decide::traffic::GivingUp;
 use crate::decide::traffic::LeaseStep;
 use crate::decide::traffic::Order;
 use crate::decide::traffic::OrderLease;
@@ -45,8 +46,6 @@
 const REPLICA_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval between reports while orders are pending, and after a refused order.
 const PENDING_REPORT_INTERVAL: Duration = Duration::from_millis(60);
-/// Time on top of the lease for which a replica taken over isn't handed over again.
-const HANDOVER_MARGIN: Duration = Duration::from_secs(1);
 /// Delay after a failed report.
 const FAILED_REPORT_DELAY: Duration = Duration::from_millis(400);
 
@@ -97,7 +96,13 @@
         all.entry(handover.replica.clone()).or_insert_with(|| ReplicaOwnership::new(now, lease));
     owned.taken_over_at = now;
     owned.started_ms = handover.started_ms;
-    let wait = wait_as_earlier_holder(node, now, &handover);
+    let recent_holders = handover.recent_holders.as_deref();
+    let wait = node.holder_history().wait_after_handover(
+        now,
+        &handover.replica,
+        &node.settings.instance,
+        recent_holders,
+    );
     owned.lease.on_handover(now, handover.started_ms, handover.orders, fence, wait);
     owned.plan.on_handover(now, handover.plan);
     record(&LogEvent::OrdersTakenOver {
@@ -110,19 +115,6 @@
     true
 }
 
-/// How long this instance has to wait before it orders a replica that it is handed.
-fn wait_as_earlier_holder(node: &Node, now: Timestamp, handover: &Handover) -> Duration {
-    let mut history = node.holder_history();
-    let (replica, me) = (&handover.replica, &node.settings.instance);
-    match &handover.recent_holders {
-        Some(waits) => {
-            history.on_handover(now, replica, waits);
-            history.wait(now, replica, me)
-        }
-        None => history.full_wait(now, replica, me),
-    }
-}
-
 /// Runs the control loop until the process ends.
 pub async fn run(node: Arc<Node>) {
     let mut last_tick = boot_time();
@@ -188,17 +180,21 @@
     }
 }
 
-/// Gives up the ownership of a replica and hands it over to `successor`, if there is one.
-///
-/// With a successor and a held lease, this is put off while a call to the replica is pending and,
-/// unless this instance shuts down, while the replica was taken over only just now.
+/// Gives up the ownership of a replica and hands it over to `successor`, if there is one; may be
+/// put off.
 fn give_up_ownership(node: &Arc<Node>, replica: &BackendName, successor: Option<InstanceName>) {
     let now = node.now();
     let mut all = node.owned();
     let Some(owned) = all.get_mut(replica) else { return };
-    let lasted = now.since(owned.taken_over_at) >= node.settings.order_lease() + HANDOVER_MARGIN;
-    let may_hand_over = lasted || node.is_draining();
-    if successor.is_some() && owned.lease.is_held() && (owned.has_pending_call || !may_hand_over) {
+    let giving_up = GivingUp {
+        lease: node.settings.order_lease(),
+        owned_for: now.since(owned.taken_over_at),
+        is_held: owned.lease.is_held(),
+        has_successor: successor.is_some(),
+        has_pending_call: owned.has_pending_call,
+        is_draining: node.is_draining(),
+    };
+    if giving_up.is_put_off() {
         return;
     }
     let held = owned.lease.release();
