Test that a polled load keeps watchers from a takeover, known red

What is seen: two instances order a replica in turn within the lease. The holder X polls a long load by ordering it again, which the replica answers 202 without counting. An instance Y that watches the count (it takes X for gone, while X isn't) sees it unchanged for 3.4 s and takes over; X polls on.

The new test fails: "the load is in progress, 3400 ms". OrderLease::on_report is given whether the report shows loads in progress, and ignores it so far.

--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -82,9 +82,16 @@
         }
     }
 
-    /// Applies the start time and order count that the replica reports; `fence` is the fencing
-    /// number for the case that this acquires the lease.
-    pub fn on_report(&mut self, now: Timestamp, started_ms: u64, count: u64, fence: u64) {
+    /// Applies the start time and order count that the replica reports, and whether it shows loads
+    /// in progress; `fence` is the fencing number for the case that this acquires the lease.
+    pub fn on_report(
+        &mut self,
+        now: Timestamp,
+        started_ms: u64,
+        count: u64,
+        _is_loading: bool,
+        fence: u64,
+    ) {
         match &mut self.state {
             State::Standby => {}
             State::Watching { since, seen } => {
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -301,7 +301,8 @@
     }
     let was_held = owned.lease.is_held();
     let fence = if was_held { 0 } else { node.next_fence() };
-    owned.lease.on_report(now, report.started_ms, report.accepted_orders, fence);
+    let is_loading = !report.loading.is_empty();
+    owned.lease.on_report(now, report.started_ms, report.accepted_orders, is_loading, fence);
     if owned.lease.is_held() != was_held {
         record(&LogEvent::OrdersHeld {
             replica: replica.as_str(),
--- a/tests/traffic/holder_history.rs
+++ b/tests/traffic/holder_history.rs
@@ -12,6 +12,8 @@
 use crate::support::ms;
 
 const LEASE_MS: u64 = 3000;
+/// A report without loads in progress.
+const IDLE: bool = false;
 /// The lease, and the time by which reports lag.
 const WAIT_MS: u64 = 3400;
 
@@ -48,14 +50,14 @@
     assert_eq!(wait, ms(800));
     let mut lease = OrderLease::new(ms(LEASE_MS));
     lease.on_handover(at(3100), 1, 9, 7, wait);
-    lease.on_report(at(3110), 1, 9, 7);
+    lease.on_report(at(3110), 1, 9, IDLE, 7);
     assert_eq!(lease.step(at(3120), true), LeaseStep::Wait);
     assert_eq!(lease.orders_in(at(3120)), Some(ms(780)));
-    lease.on_report(at(3850), 1, 9, 7);
+    lease.on_report(at(3850), 1, 9, IDLE, 7);
     assert_eq!(lease.step(at(3900), true), LeaseStep::Hold);
     let mut first = OrderLease::new(ms(LEASE_MS));
     first.on_handover(at(3100), 1, 9, 7, ms(0));
-    first.on_report(at(3110), 1, 9, 7);
+    first.on_report(at(3110), 1, 9, IDLE, 7);
     assert_eq!(first.step(at(3120), true), LeaseStep::Hold, "a first handover needs no wait");
 }
 
--- a/tests/traffic/order_lease.rs
+++ b/tests/traffic/order_lease.rs
@@ -8,17 +8,21 @@
 
 const START: u64 = 77;
 const LEASE_MS: u64 = 3000;
+/// A report without loads in progress.
+const IDLE: bool = false;
+/// A report of a load in progress.
+const LOADING: bool = true;
 
 fn watching(count: u64) -> OrderLease {
     let mut lease = OrderLease::new(ms(LEASE_MS));
     assert_eq!(lease.step(at(0), true), LeaseStep::AskReport);
-    lease.on_report(at(0), START, count, 1);
+    lease.on_report(at(0), START, count, IDLE, 1);
     lease
 }
 
 fn holding(count: u64) -> OrderLease {
     let mut lease = watching(count);
-    lease.on_report(at(LEASE_MS + 1000), START, count, 9);
+    lease.on_report(at(LEASE_MS + 1000), START, count, IDLE, 9);
     assert!(lease.is_held());
     lease
 }
@@ -27,11 +31,11 @@
 fn the_lease_is_acquired_only_after_the_count_was_unchanged_for_the_lease_time() {
     let mut lease = watching(5);
     for now in (100..LEASE_MS).step_by(100) {
-        lease.on_report(at(now), START, 5, 1);
+        lease.on_report(at(now), START, 5, IDLE, 1);
         assert!(!lease.is_held(), "after {now} ms");
         assert_ne!(lease.step(at(now), true), LeaseStep::Hold);
     }
-    lease.on_report(at(LEASE_MS + 1000), START, 5, 9);
+    lease.on_report(at(LEASE_MS + 1000), START, 5, IDLE, 9);
     assert_eq!(lease.step(at(LEASE_MS + 1000), true), LeaseStep::Hold);
     assert_eq!(lease.fence_and_count(), Some((9, 5)));
 }
@@ -39,10 +43,10 @@
 #[test]
 fn an_order_of_another_instance_restarts_the_wait() {
     let mut lease = watching(5);
-    lease.on_report(at(LEASE_MS - 100), START, 6, 1);
-    lease.on_report(at(LEASE_MS + 1000), START, 6, 1);
+    lease.on_report(at(LEASE_MS - 100), START, 6, IDLE, 1);
+    lease.on_report(at(LEASE_MS + 1000), START, 6, IDLE, 1);
     assert!(!lease.is_held());
-    lease.on_report(at(2 * LEASE_MS + 1000), START, 6, 1);
+    lease.on_report(at(2 * LEASE_MS + 1000), START, 6, IDLE, 1);
     assert!(lease.is_held());
 }
 
@@ -50,9 +54,9 @@
 fn a_holder_loses_the_lease_when_the_count_changes_without_its_orders() {
     let mut lease = holding(5);
     lease.on_accepted(at(LEASE_MS + 1001));
-    lease.on_report(at(LEASE_MS + 1500), START, 6, 0);
+    lease.on_report(at(LEASE_MS + 1500), START, 6, IDLE, 0);
     assert!(lease.is_held());
-    lease.on_report(at(LEASE_MS + 2500), START, 7, 0);
+    lease.on_report(at(LEASE_MS + 2500), START, 7, IDLE, 0);
     assert!(!lease.is_held());
     assert_eq!(lease.fence_and_count(), None);
 }
@@ -61,7 +65,7 @@
 fn a_report_older_than_the_last_order_does_not_end_the_lease() {
     let mut lease = holding(5);
     lease.on_accepted(at(LEASE_MS + 1001));
-    lease.on_report(at(LEASE_MS + 1010), START, 5, 0);
+    lease.on_report(at(LEASE_MS + 1010), START, 5, IDLE, 0);
     assert_eq!(lease.fence_and_count(), Some((9, 6)));
 }
 
@@ -71,17 +75,17 @@
     lease.on_accepted(at(LEASE_MS + 1001));
     lease.on_confirmed(at(LEASE_MS + 1200));
     assert_eq!(lease.fence_and_count(), Some((9, 6)));
-    lease.on_report(at(LEASE_MS + 1500), START, 6, 0);
+    lease.on_report(at(LEASE_MS + 1500), START, 6, IDLE, 0);
     assert_eq!(lease.fence_and_count(), Some((9, 6)));
 }
 
 #[test]
 fn a_restart_of_the_replica_keeps_the_lease_and_resets_the_count() {
     let mut lease = holding(5);
-    lease.on_report(at(LEASE_MS + 2000), START + 1, 0, 0);
+    lease.on_report(at(LEASE_MS + 2000), START + 1, 0, IDLE, 0);
     assert_eq!(lease.fence_and_count(), Some((9, 0)));
     let mut lease = holding(5);
-    lease.on_report(at(LEASE_MS + 2000), START + 1, 3, 0);
+    lease.on_report(at(LEASE_MS + 2000), START + 1, 3, IDLE, 0);
     assert!(!lease.is_held(), "another instance has ordered since the restart");
 }
 
@@ -90,7 +94,7 @@
     let mut lease = holding(5);
     let quiet = LEASE_MS + 1000 + LEASE_MS / 2;
     assert_eq!(lease.step(at(quiet), true), LeaseStep::AskReport);
-    lease.on_report(at(quiet), START, 5, 0);
+    lease.on_report(at(quiet), START, 5, IDLE, 0);
     assert_eq!(lease.step(at(quiet), true), LeaseStep::Hold);
 }
 
@@ -99,9 +103,9 @@
     let mut lease = holding(5);
     lease.on_uncertain(at(LEASE_MS + 1100));
     assert!(!lease.is_held());
-    lease.on_report(at(LEASE_MS + 1200), START, 6, 0);
+    lease.on_report(at(LEASE_MS + 1200), START, 6, IDLE, 0);
     assert!(!lease.is_held());
-    lease.on_report(at(2 * LEASE_MS + 2000), START, 6, 12);
+    lease.on_report(at(2 * LEASE_MS + 2000), START, 6, IDLE, 12);
     assert_eq!(lease.fence_and_count(), Some((12, 6)));
 }
 
@@ -114,7 +118,7 @@
     let mut new = OrderLease::new(ms(LEASE_MS));
     new.on_handover(at(LEASE_MS + 1100), start, count, fence + 1, ms(0));
     assert_eq!(new.step(at(LEASE_MS + 1100), true), LeaseStep::AskReport);
-    new.on_report(at(LEASE_MS + 1105), START, 5, 0);
+    new.on_report(at(LEASE_MS + 1105), START, 5, IDLE, 0);
     assert_eq!(new.step(at(LEASE_MS + 1105), true), LeaseStep::Hold);
     assert_eq!(new.fence_and_count(), Some((fence + 1, 5)));
 }
@@ -126,10 +130,29 @@
     assert_eq!(lease.orders_in(at(0)), None);
     lease.step(at(0), true);
     assert_eq!(lease.orders_in(at(10)), Some(ms(3400)), "no report yet");
-    lease.on_report(at(100), 1, 5, 7);
+    lease.on_report(at(100), 1, 5, IDLE, 7);
     assert_eq!(lease.orders_in(at(1100)), Some(ms(2400)));
-    lease.on_report(at(1100), 1, 6, 7);
+    lease.on_report(at(1100), 1, 6, IDLE, 7);
     assert_eq!(lease.orders_in(at(1200)), Some(ms(3300)), "another holder was seen");
-    lease.on_report(at(4500), 1, 6, 7);
+    lease.on_report(at(4500), 1, 6, IDLE, 7);
     assert_eq!(lease.orders_in(at(4500)), Some(ms(0)));
 }
+
+/// Guards against two holders that take turns: a watcher took over, as the count stood still, while
+/// the holder polled a long load by orders that the replica doesn't count.
+#[test]
+fn the_lease_is_not_acquired_within_a_lease_of_a_load_that_the_holder_may_poll() {
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    assert_eq!(lease.step(at(0), true), LeaseStep::AskReport);
+    for now in (0..5000).step_by(100) {
+        lease.on_report(at(now), START, 5, LOADING, 9);
+        assert!(!lease.is_held(), "the load is in progress, {now} ms");
+    }
+    assert_eq!(lease.step(at(4990), true), LeaseStep::AskReport, "its end has to be seen");
+    lease.on_report(at(5000), START, 5, IDLE, 9);
+    assert_eq!(lease.step(at(5000), true), LeaseStep::Wait);
+    lease.on_report(at(5000 + LEASE_MS), START, 5, IDLE, 9);
+    assert!(!lease.is_held(), "the load has only just ended");
+    lease.on_report(at(5400 + LEASE_MS), START, 5, IDLE, 9);
+    assert!(lease.is_held());
+}
