--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -6,6 +6,7 @@
 mod holder_history;
 mod home_choice;
 mod order_lease;
+mod order_turns;
 mod peers;
 mod prompt_turns;
 mod published_view;
