Begin no watch of a replica's orders while loads are in progress

What was seen: two instances ordered a replica in turn within the lease, as a watcher took over while the holder polled a long load (the two red tests).

Cause: a poll repeats the load order; the replica answers 202 and doesn't count it. The count that stands still for the lease and the reports' lag was taken for the absence of a holder.

Why the fix works: a report that shows loads in progress begins no watch; the watcher asks again (at most each 60 ms) and begins with the first report without. Each load that starts later is counted, so from then on an unchanged count means that nothing is polled: the last poll is at least the lease ago at the takeover. A takeover comes later by the rest of the loads, and at most by 6 s after the count last changed, 9.4 s in all, so that a load that never ends leaves no replica without an owner. What remains possible: a holder that polls one load for more than 6 s while another instance takes it for gone.

--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -34,6 +34,7 @@
 mod load_in_progress;
 mod order;
 mod order_lease;
+mod order_watch;
 mod owner_election;
 mod peer_gossip;
 mod peers;
--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -2,13 +2,15 @@
 //!
 //! The replica counts the orders that it accepts. An instance that should give orders first
 //! waits until that count has not changed for the lease time, so that an earlier holder has
-//! either stopped or been noticed. It then holds the lease until it no longer should, or until
-//! the count changes by orders of another instance. A holder that leaves hands the lease over,
-//! so that its successor need not wait. Replicas need not check fencing numbers; those of
-//! later holders are higher all the same.
+//! either stopped or been noticed. While loads are in progress, which a holder may poll by orders
+//! that aren't counted, the wait doesn't begin. The instance then holds the lease until it no
+//! longer should, or until the count changes by orders of another instance. A holder that leaves
+//! hands the lease over, so that its successor need not wait. Replicas need not check fencing
+//! numbers; those of later holders are higher all the same.
 
 use std::time::Duration;
 
+use super::order_watch::OrderWatch;
 use crate::names::Timestamp;
 
 /// Longest time by which a replica's report lags behind its state.
@@ -30,10 +32,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
     Standby,
-    Watching {
-        since: Timestamp,
-        seen: Option<(u64, u64)>,
-    },
+    Watching(OrderWatch),
     Holding {
         fence: u64,
         started_ms: u64,
@@ -63,17 +62,19 @@
         if !should_hold {
             self.state = State::Standby;
         }
+        let watch_time = self.watch_time();
         match self.state {
             State::Standby if should_hold => {
-                self.state = State::Watching { since: now, seen: None };
+                self.state = State::Watching(OrderWatch::default());
                 LeaseStep::AskReport
             }
             State::Standby => LeaseStep::Standby,
-            State::Watching { seen: None, .. } => LeaseStep::AskReport,
-            State::Watching { since, .. } if now.since(since) >= self.watch_time() => {
-                LeaseStep::AskReport
+            State::Watching(watch)
+                if watch.quiet_for(now).is_some_and(|quiet| quiet < watch_time) =>
+            {
+                LeaseStep::Wait
             }
-            State::Watching { .. } => LeaseStep::Wait,
+            State::Watching(_) => LeaseStep::AskReport,
             State::Holding { last_checked, .. } if now.since(last_checked) >= self.lease / 2 => {
                 LeaseStep::AskReport
             }
@@ -89,16 +90,15 @@
         now: Timestamp,
         started_ms: u64,
         count: u64,
-        _is_loading: bool,
+        is_loading: bool,
         fence: u64,
     ) {
+        let watch_time = self.watch_time();
         match &mut self.state {
             State::Standby => {}
-            State::Watching { since, seen } => {
-                if *seen != Some((started_ms, count)) {
-                    *seen = Some((started_ms, count));
-                    *since = now;
-                } else if now.since(*since) >= self.lease + REPORT_LAG {
+            State::Watching(watch) => {
+                watch.on_report(now, (started_ms, count), is_loading);
+                if watch.quiet_for(now).is_some_and(|quiet| quiet >= watch_time) {
                     self.state = State::Holding {
                         fence,
                         started_ms,
@@ -126,8 +126,9 @@
                     *known = 0;
                     *last_checked = now;
                 } else {
-                    let seen = Some((started_ms, count));
-                    self.state = State::Watching { since: now, seen };
+                    let mut watch = OrderWatch::default();
+                    watch.on_report(now, (started_ms, count), is_loading);
+                    self.state = State::Watching(watch);
                 }
             }
         }
@@ -159,9 +160,9 @@
     }
 
     /// Records that an order may or may not have been accepted, which ends the lease.
-    pub fn on_uncertain(&mut self, now: Timestamp) {
+    pub fn on_uncertain(&mut self) {
         if self.state != State::Standby {
-            self.state = State::Watching { since: now, seen: None };
+            self.state = State::Watching(OrderWatch::default());
         }
     }
 
@@ -201,7 +202,7 @@
     pub fn fence_and_count(&self) -> Option<(u64, u64)> {
         match self.state {
             State::Holding { fence, count, .. } => Some((fence, count)),
-            State::Standby | State::Watching { .. } => None,
+            State::Standby | State::Watching(_) => None,
         }
     }
 
@@ -210,9 +211,8 @@
     pub fn orders_in(&self, now: Timestamp) -> Option<Duration> {
         match self.state {
             State::Standby => None,
-            State::Watching { seen: None, .. } => Some(self.watch_time()),
-            State::Watching { since, .. } => {
-                Some(self.watch_time().saturating_sub(now.since(since)))
+            State::Watching(watch) => {
+                Some(self.watch_time().saturating_sub(watch.quiet_for(now).unwrap_or_default()))
             }
             State::Holding { orders_from, .. } => Some(orders_from.since(now)),
         }
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -149,7 +149,7 @@
     let now = node.now();
     node.peers().on_pause(now);
     for owned in node.owned().values_mut() {
-        owned.lease.on_uncertain(now);
+        owned.lease.on_uncertain();
     }
 }
 
@@ -365,7 +365,7 @@
             false
         }
         Some(OrderAnswer::OtherInstance) | None => {
-            owned.lease.on_uncertain(now);
+            owned.lease.on_uncertain();
             false
         }
     };
--- a/tests/traffic/order_lease.rs
+++ b/tests/traffic/order_lease.rs
@@ -101,7 +101,7 @@
 #[test]
 fn an_order_with_unknown_outcome_ends_the_lease_until_it_is_acquired_again() {
     let mut lease = holding(5);
-    lease.on_uncertain(at(LEASE_MS + 1100));
+    lease.on_uncertain();
     assert!(!lease.is_held());
     lease.on_report(at(LEASE_MS + 1200), START, 6, IDLE, 0);
     assert!(!lease.is_held());
@@ -156,3 +156,31 @@
     lease.on_report(at(5400 + LEASE_MS), START, 5, IDLE, 9);
     assert!(lease.is_held());
 }
+
+/// Guards against replicas that stay without an owner because a load never ends.
+#[test]
+fn a_load_that_never_ends_puts_the_lease_off_for_a_bounded_time_only() {
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    lease.step(at(0), true);
+    for now in (0..9400).step_by(100) {
+        lease.on_report(at(now), START, 5, LOADING, 9);
+        assert!(!lease.is_held(), "after {now} ms");
+    }
+    lease.on_report(at(9400), START, 5, LOADING, 9);
+    assert_eq!(lease.step(at(9400), true), LeaseStep::Hold);
+}
+
+#[test]
+fn a_new_order_seen_during_a_load_restarts_the_time_for_which_it_is_waited_for() {
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    lease.step(at(0), true);
+    for now in (0..5000).step_by(100) {
+        lease.on_report(at(now), START, 5, LOADING, 9);
+    }
+    for now in (5000..14_400).step_by(100) {
+        lease.on_report(at(now), START, 6, LOADING, 9);
+        assert!(!lease.is_held(), "after {now} ms");
+    }
+    lease.on_report(at(14_400), START, 6, LOADING, 9);
+    assert!(lease.is_held());
+}
--- a/tests/traffic/order_turns/instance.rs
+++ b/tests/traffic/order_turns/instance.rs
@@ -120,7 +120,7 @@
         if now - self.last_tick > MAX_PROCESS_PAUSE_MS
             && let Some(owned) = &mut self.owned
         {
-            owned.lease.on_uncertain(at(now));
+            owned.lease.on_uncertain();
         }
         self.last_tick = now;
         let preferred = self.candidates.iter().position(|candidate| *candidate);
@@ -216,7 +216,7 @@
         owned.has_pending_call = false;
         owned.next_report = now;
         match answer {
-            None => owned.lease.on_uncertain(at(now)),
+            None => owned.lease.on_uncertain(),
             Some(Answer::Conflict) => {
                 owned.lease.on_conflict();
                 owned.next_report = now + PENDING_REPORT_INTERVAL_MS;
