Wait for a restarted holder's earlier orders if a handover names nobody

What would be seen: two instances order a replica in turn while a fleet is updated. A holder is killed and back at once with this version, and a process of the version before, to which it had handed the replica over, hands it back.

Cause: processes of the version before name no recent holders. The wait is then that of the own earlier orders, of which a process that has just started remembers none.

The new unit test failed before: "its earlier process may have ordered until it ended, left: 0ns, right: 3.1s".

Why the fix works: an order of the earlier process was given before this one started, so the lease and the reports' lag after the start are enough. It costs a wait only for handovers by the version before in the first 3.4 s of a process. What remains possible: the version before in between two processes of this one loses the holders that it was told of.

--- a/src/decide/traffic/holder_history.rs
+++ b/src/decide/traffic/holder_history.rs
@@ -18,14 +18,16 @@
 /// Recent holders of replicas' orders, with the ends of their waits.
 #[derive(Clone, Debug)]
 pub struct HolderHistory {
+    started: Timestamp,
     wait: Duration,
     holders: HashMap<BackendName, HashMap<InstanceName, Timestamp>>,
 }
 
 impl HolderHistory {
-    /// An empty history; a holder whose turn ends has to wait for `wait` after its last order.
-    pub fn new(wait: Duration) -> Self {
-        Self { wait, holders: HashMap::new() }
+    /// The empty history of a process that has started at `started`; a holder whose turn ends has
+    /// to wait for `wait` after its last order.
+    pub fn new(started: Timestamp, wait: Duration) -> Self {
+        Self { started, wait, holders: HashMap::new() }
     }
 
     /// Records that `holder` gives a replica an order, or that one was on its way until now.
@@ -75,8 +77,8 @@
         if was_followed { own.since(now) } else { Duration::ZERO }
     }
 
-    /// How long `holder` has to wait if it isn't known whether others have ordered the replica
-    /// since.
+    /// How long `holder`, which this process runs as, has to wait if it isn't known whether others
+    /// have ordered the replica since; a process before this one may have ordered it too.
     pub fn full_wait(
         &self,
         now: Timestamp,
@@ -84,7 +86,8 @@
         holder: &InstanceName,
     ) -> Duration {
         let own = self.holders.get(replica).and_then(|holders| holders.get(holder));
-        own.map_or(Duration::ZERO, |until| until.since(now))
+        let of_earlier_process = self.started + self.wait;
+        own.copied().unwrap_or_default().max(of_earlier_process).since(now)
     }
 
     fn record(
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -135,7 +135,7 @@
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             homes: Mutex::default(),
-            holder_history: Mutex::new(HolderHistory::new(holder_wait)),
+            holder_history: Mutex::new(HolderHistory::new(Timestamp::ZERO, holder_wait)),
             owned: Mutex::default(),
             operator_view: Mutex::default(),
             replica_view: Mutex::default(),
--- a/tests/traffic/holder_history.rs
+++ b/tests/traffic/holder_history.rs
@@ -18,7 +18,7 @@
 const WAIT_MS: u64 = 3400;
 
 fn history() -> HolderHistory {
-    HolderHistory::new(ms(WAIT_MS))
+    HolderHistory::new(Timestamp::ZERO, ms(WAIT_MS))
 }
 
 fn replica() -> BackendName {
@@ -113,3 +113,17 @@
     history.on_handover(at(5000), &replica, &[too_long]);
     assert_eq!(history.full_wait(at(5000), &replica, &a), ms(WAIT_MS));
 }
+
+/// Guards against two holders that take turns while a fleet is updated: a holder restarts with this
+/// version and is handed the replica back by a process of the version before, which names nobody.
+#[test]
+fn a_holder_that_has_just_restarted_waits_after_a_handover_that_names_no_holders() {
+    let (replica, a) = (replica(), instance("a"));
+    let mut restarted = HolderHistory::new(at(1000), ms(WAIT_MS));
+    let wait = restarted.wait_after_handover(at(1300), &replica, &a, None);
+    assert_eq!(wait, ms(WAIT_MS - 300), "its earlier process may have ordered until it ended");
+    let wait = restarted.wait_after_handover(at(1300), &replica, &a, Some(&[]));
+    assert_eq!(wait, ms(0), "nobody has ordered the replica lately");
+    let wait = restarted.wait_after_handover(at(1000 + WAIT_MS), &replica, &a, None);
+    assert_eq!(wait, ms(0));
+}
--- a/tests/traffic/order_turns/instance.rs
+++ b/tests/traffic/order_turns/instance.rs
@@ -111,7 +111,7 @@
             is_draining: false,
             candidates,
             last_tick: now,
-            history: HolderHistory::new(ms(WAIT_MS)),
+            history: HolderHistory::new(at(now), ms(WAIT_MS)),
             owned: None,
         }
     }
