Quarantine prompt parts that crash the replicas that begin to respond to them

Cause: what crashes replicas was known by the whole request alone, by a hash of path and body. Here no two requests are alike; they share one part of their prompts. So each counted one or two strikes, never three, and was even sent once more. The class: a guard that recognises its case only if it comes back exactly as before, and that keeps the highest count of any instance instead of adding up.

PromptGuard suspects the shared parts of prompts that were at a replica when it crashed, adds up the crashes over all instances as a set, clears parts whose responses outlive their beginning, and quarantines the fewest parts that explain the crashes. Requests with such a part are refused at once with the time that is left; those that wait are refused before they are sent, and nothing with a part that was never sound and was at two crashes is sent again.

--- a/src/cli/relay_logs.rs
+++ b/src/cli/relay_logs.rs
@@ -24,7 +24,7 @@
     "orders_handed_over",
 ];
 /// Events of an instance that can affect the requests in progress there.
-const INSTANCE_EVENTS: [&str; 9] = [
+const INSTANCE_EVENTS: [&str; 10] = [
     "started",
     "stopping",
     "stopped",
@@ -34,6 +34,7 @@
     "history_lost",
     "config_taken",
     "log_lines_dropped",
+    "prompt_part_quarantine",
 ];
 
 /// Subject of a step in a timeline.
--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -4,7 +4,7 @@
 //! For each request, [`TrafficConfig`] finds the route and [`Route`] the service, [`Replicas`]
 //! picks the replica by expected delay, and [`Attempts`] decides whether another attempt may
 //! follow a failed one. [`WaitBudget`] and [`RetryShare`] bound waits and retries, and
-//! [`CrashGuard`] quarantines requests that crash replicas.
+//! [`CrashGuard`] quarantines requests that crash replicas, and [`PromptGuard`] parts of prompts.
 //!
 //! Each replica has one owner, the entry instance that orders its adapter loads and unloads.
 //! [`Peers`] tracks the live instances by gossip and ranks them for a replica by rendezvous
@@ -20,6 +20,7 @@
 mod adapter_uses;
 mod attempts;
 mod config;
+mod crash_evidence;
 mod crash_guard;
 mod departed;
 mod entry;
@@ -40,9 +41,11 @@
 mod peers;
 mod plan_handover;
 mod prefix_tracker;
+mod prompt_guard;
 mod prompt_turns;
 mod published_item;
 mod published_view;
+mod quarantine_change;
 mod receiver;
 mod replica;
 mod replica_pause;
@@ -52,6 +55,8 @@
 mod retry_share;
 mod route;
 mod shutdown;
+mod sound_part;
+mod suspect_part;
 mod use_serials;
 mod use_update;
 mod versions;
@@ -70,6 +75,7 @@
 pub use config::ModelSpec;
 pub use config::Service;
 pub use config::TrafficConfig;
+pub use crash_evidence::CrashEvidence;
 pub use crash_guard::CrashGuard;
 pub use entry::HeldModel;
 pub use entry::ReplicaEntry;
@@ -95,6 +101,8 @@
 pub use plan_handover::PlanHandover;
 pub use prefix_tracker::PrefixTracker;
 pub use prefix_tracker::PromptPart;
+pub use prompt_guard::PromptGuard;
+pub use prompt_guard::Quarantine;
 pub use prompt_turns::PromptTurns;
 pub use prompt_turns::TurnId;
 pub use published_item::PublishedEvent;
@@ -103,6 +111,7 @@
 pub use published_view::PublishedView;
 pub use published_view::ViewChanges;
 pub use published_view::ViewDigest;
+pub use quarantine_change::QuarantineChange;
 pub use receiver::Receiver;
 pub use replica::Replica;
 pub use replica_pause::ReplicaPause;
@@ -116,6 +125,8 @@
 pub use route::Route;
 pub use route::RouteKind;
 pub use shutdown::Shutdown;
+pub use sound_part::SoundPart;
+use suspect_part::SuspectPart;
 pub use use_serials::serial_at_start;
 pub use use_update::UseUpdate;
 pub use versions::DeclaredVersions;
--- /dev/null
+++ b/src/decide/traffic/suspect_part.rs
@@ -0,0 +1,129 @@
+//! Crashes of replicas that had requests with one prompt part.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use super::CrashEvidence;
+use crate::names::Timestamp;
+
+/// Weight of a crash for the parts of a response that had just begun.
+pub const BEGUN_WEIGHT: u32 = 2;
+/// Weight of a crash for the parts of a request that was still waiting.
+const WAITING_WEIGHT: u32 = 1;
+/// Crashes within this time may have one cause from outside, and count once.
+const SAME_CAUSE_SPAN: Duration = Duration::from_millis(200);
+/// Most crashes that are remembered for one part.
+const MAX_CRASHES: usize = 64;
+/// First quarantine of a part, after its last crash; it doubles with each relapse.
+pub const QUARANTINE_TIME: Duration = Duration::from_secs(60);
+/// Most doublings of a quarantine.
+const MAX_RELAPSES: u32 = 5;
+
+/// One crash, as this instance knows it.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    id: u64,
+    begun: bool,
+    at: Timestamp,
+    learned_at: Timestamp,
+}
+
+/// A prompt part that replicas had when they crashed, by its crashes in order of time.
+#[derive(Clone, Debug, Default)]
+pub struct SuspectPart {
+    position: u32,
+    crashes: Vec<Crash>,
+}
+
+impl SuspectPart {
+    /// Adds a crash at `at`; returns whether this is news.
+    pub fn add(&mut self, now: Timestamp, at: Timestamp, evidence: &CrashEvidence) -> bool {
+        self.position = evidence.position;
+        let CrashEvidence { crash: id, begun, .. } = *evidence;
+        if let Some(known) = self.crashes.iter_mut().find(|known| known.id == id) {
+            let is_news = begun && !known.begun;
+            known.begun |= begun;
+            if is_news {
+                known.learned_at = now;
+            }
+            return is_news;
+        }
+        self.crashes.push(Crash { id, begun, at, learned_at: now });
+        self.crashes.sort_by_key(|crash| crash.at);
+        if self.crashes.len() > MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        true
+    }
+
+    /// Drops the crashes up to `at`.
+    pub fn drop_until(&mut self, at: Timestamp) {
+        self.crashes.retain(|crash| crash.at > at);
+    }
+
+    /// Whether no crash is left.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty()
+    }
+
+    /// Position of the part in its prompt.
+    pub fn position(&self) -> u32 {
+        self.position
+    }
+
+    /// Time of the last crash.
+    pub fn last_crash(&self) -> Timestamp {
+        self.crashes.last().map_or(Timestamp::ZERO, |crash| crash.at)
+    }
+
+    /// Ids of the crashes.
+    pub fn crash_ids(&self) -> impl Iterator<Item = u64> {
+        self.crashes.iter().map(|crash| crash.id)
+    }
+
+    /// Weight of the crashes that aren't in `explained`.
+    pub fn score(&self, explained: &HashSet<u64>) -> u32 {
+        let mut total = 0;
+        let mut group: Option<(Timestamp, u32)> = None;
+        for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
+            let weight = if crash.begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
+            group = match group {
+                Some((since, counted)) if crash.at.since(since) < SAME_CAUSE_SPAN => {
+                    total += weight.saturating_sub(counted);
+                    Some((since, counted.max(weight)))
+                }
+                _ => {
+                    total += weight;
+                    Some((crash.at, weight))
+                }
+            };
+        }
+        total
+    }
+
+    /// End of the quarantine that follows from the crashes.
+    pub fn quarantined_until(&self) -> Timestamp {
+        let pairs = self.crashes.iter().zip(self.crashes.iter().skip(1));
+        let relapses = pairs.filter(|(one, next)| next.at.since(one.at) >= QUARANTINE_TIME);
+        let doublings = (relapses.count() as u32).min(MAX_RELAPSES);
+        self.last_crash() + QUARANTINE_TIME * 2u32.pow(doublings)
+    }
+
+    /// The newest crashes, at most `most`, that this instance has learned of since `since`.
+    pub fn evidence(
+        &self,
+        now: Timestamp,
+        part: u64,
+        since: Timestamp,
+        most: usize,
+    ) -> Vec<CrashEvidence> {
+        let news = self.crashes.iter().rev().filter(|crash| crash.learned_at >= since);
+        news.take(most).map(|crash| self.encode(now, part, crash)).collect()
+    }
+
+    fn encode(&self, now: Timestamp, part: u64, crash: &Crash) -> CrashEvidence {
+        let age_ms = u64::try_from(now.since(crash.at).as_millis()).unwrap_or(u64::MAX);
+        let Crash { id, begun, .. } = *crash;
+        CrashEvidence { part, position: self.position, crash: id, begun, age_ms }
+    }
+}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -29,6 +29,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::notices;
+use super::prompt_quarantine;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::replica_signals;
 use super::turns::PromptTurn;
@@ -72,6 +73,8 @@
     pub replica: BackendName,
     /// Address that it was reached at.
     pub addr: SocketAddr,
+    /// When it started, in Unix milliseconds.
+    pub started_ms: u64,
     /// Time for which the connection may be reused; `None` if the replica closes it.
     pub keep_alive: Option<Duration>,
 }
@@ -115,9 +118,14 @@
     };
     let (mut connection, response) = match send(request, replica, connection, resume_after).await {
         Ok(sent) => sent,
-        Err(end) => return AttemptOutcome::NoResponse(end),
+        Err(end) => {
+            if end == AttemptEnd::MaybeRan {
+                prompt_quarantine::on_crash(request, replica, started_ms, false);
+            }
+            return AttemptOutcome::NoResponse(end);
+        }
     };
-    let progress = ResponseProgress::new(node.now());
+    let mut progress = ResponseProgress::new(node.now());
     in_flight.on_response_begun();
     let (head, source) = response.into_parts();
     let parsed = node.protocol.decode_response_head(head.status, &head.headers);
@@ -131,7 +139,8 @@
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     }
     remember_prefix(request, replica);
-    let origin = Origin { replica: replica.clone(), addr, keep_alive: keep_alive_time(&head) };
+    let keep_alive = keep_alive_time(&head);
+    let origin = Origin { replica: replica.clone(), addr, started_ms, keep_alive };
     if request.route.kind.is_stream() && head.status == StatusCode::OK {
         let stream = OpenStream { source, origin, in_flight, progress, connection };
         return AttemptOutcome::Response(ReplicaResponse {
@@ -140,11 +149,15 @@
         });
     }
     let Some(body) = read_whole(source).await else {
+        prompt_quarantine::on_crash(request, replica, started_ms, progress.may_have_crashed());
         record_replica_failure(request, replica, 1.0);
         record_failed_attempt(request, replica, AttemptFailure::BrokenOff, "");
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     };
     on_response_read(node, &origin, &mut connection);
+    if progress.on_end() {
+        prompt_quarantine::on_sound(request);
+    }
     drop(in_flight);
     if let Some(limit) = origin.keep_alive {
         node.connection_pool.put_idle(node.now(), replica, addr, connection, Some(limit));
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -25,6 +25,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::orders;
+use super::prompt_quarantine;
 use super::published;
 use super::turns;
 use crate::decide::traffic::Receiver;
@@ -246,6 +247,7 @@
 fn build_exchange(node: &Node, receiver: &Receiver) -> Exchange {
     let now = node.now();
     let hears_work = node.peers().hears_work(now, receiver);
+    let (crash_evidence, sound_parts) = node.prompt_guard().share(now);
     Exchange {
         peers: node.peers().gossip(now, receiver),
         fence: node.highest_fence(),
@@ -258,6 +260,8 @@
             replicas: node.view(PublishedTopic::Replicas).digest(now),
         },
         leaving: node.replicas().recently_leaving(now),
+        crash_evidence,
+        sound_parts,
     }
 }
 
@@ -316,6 +320,7 @@
             record(&LogEvent::ReplicaLeaving { replica, by });
         }
     }
+    prompt_quarantine::on_peer_evidence(node, &received.crash_evidence, &received.sound_parts);
     for (fingerprint, count) in received.strikes {
         node.crash_guard().on_peer_count(now, fingerprint, count);
     }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -25,6 +25,8 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::prompt_quarantine;
+use super::prompt_quarantine::QuarantineCheck;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::end_to_end_headers;
@@ -106,6 +108,10 @@
         record(&LogEvent::RequestEnded { id, outcome, sends, waited_ms });
         return Err(LocalResponse::NotRun);
     }
+    let check = prompt_quarantine::check(&node, now, &head.id, head.needs.shared_parts());
+    if let QuarantineCheck::Refused(left) = check {
+        return Err(LocalResponse::NotYet(left));
+    }
     node.retry_share().on_request(now, &service.name);
     let path = origin_form(&parts);
     let headers = end_to_end_headers(&parts.headers);
@@ -122,6 +128,7 @@
         service,
         attempts,
         arrived,
+        is_probe: check == QuarantineCheck::Probe,
         fingerprint,
         _caller_request_guard: counted,
     })
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -33,6 +33,8 @@
 use super::log_event::record;
 use super::metrics::Outcome;
 use super::node::Node;
+use super::prompt_quarantine;
+use super::prompt_quarantine::QuarantineCheck;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::forwarded_response;
@@ -84,6 +86,8 @@
     pub attempts: Attempts,
     /// Time of arrival.
     pub arrived: Timestamp,
+    /// Whether it may be sent although a part of its prompt is quarantined.
+    pub is_probe: bool,
     /// Hash of path and body, by which the crash guard knows the request.
     pub fingerprint: u64,
     /// Counts it among the requests in progress.
@@ -161,7 +165,7 @@
     /// not resume elsewhere.
     pub fn try_take_stream_retry(&self) -> bool {
         let next = self.attempts.on_broken_stream();
-        matches!(next, NextAttempt::Another { .. }) && self.try_take_retry()
+        matches!(next, NextAttempt::Another { .. }) && self.may_retry() && self.try_take_retry()
     }
 
     /// Time until the caller's or the route's timeout ends; zero afterwards.
@@ -247,6 +251,7 @@
         let _use =
             self.head.needs.key.as_ref().map(|key| AdapterUse::new(&self.node, replica, key));
         let turn = turns::acquire(&self.node, replica, &self.head.needs).await;
+        self.check_quarantine()?;
         self.record_send(replica);
         self.attempts.on_send(replica.clone());
         let outcome = tokio::select! {
@@ -268,17 +273,40 @@
             }
             Some(AttemptOutcome::ServerError(response)) => {
                 let next = self.attempts.on_end(AttemptEnd::RanAndFailed);
-                let again = matches!(next, NextAttempt::Another { .. }) && self.try_take_retry();
+                let again = matches!(next, NextAttempt::Another { .. })
+                    && self.may_retry()
+                    && self.try_take_retry();
                 Ok((!again).then_some(response))
             }
             Some(AttemptOutcome::NoResponse(end)) => match self.attempts.on_end(end) {
                 NextAttempt::Another { is_retry: false } => Ok(None),
-                NextAttempt::Another { is_retry: true } if self.try_take_retry() => Ok(None),
+                NextAttempt::Another { is_retry: true }
+                    if self.may_retry() && self.try_take_retry() =>
+                {
+                    Ok(None)
+                }
                 NextAttempt::Another { .. } | NextAttempt::Final(_) => Err(self.final_response()),
             },
         }
     }
 
+    /// Refuses the request if a part of its prompt is quarantined.
+    fn check_quarantine(&self) -> Result<(), LocalResponse> {
+        if self.is_probe {
+            return Ok(());
+        }
+        let (now, id, parts) = (self.node.now(), &self.head.id, self.head.needs.shared_parts());
+        match prompt_quarantine::check(&self.node, now, id, parts) {
+            QuarantineCheck::Free | QuarantineCheck::Probe => Ok(()),
+            QuarantineCheck::Refused(left) => Err(self.not_yet(left)),
+        }
+    }
+
+    /// Whether no part of the prompt is suspected of having crashed the last replica.
+    fn may_retry(&self) -> bool {
+        self.node.prompt_guard().may_retry(self.head.needs.shared_parts())
+    }
+
     /// Completes when the replica of a stream that may resume elsewhere has stopped sending at all.
     pub async fn until_stopped_sending(&self, replica: &BackendName) {
         if !self.route.kind.may_repeat() {
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -131,6 +131,31 @@
         /// Strikes against the request so far.
         strikes: u32,
     },
+    /// A request wasn't sent, since a part of its prompt is quarantined.
+    RequestQuarantined {
+        /// Id of the request.
+        id: &'a str,
+        /// Id of the part, in hexadecimal.
+        part: &'a str,
+        /// Time until the caller should come back, in ms.
+        left_ms: u128,
+    },
+    /// A request is sent although a part of its prompt is quarantined, to probe that part.
+    PromptPartProbed {
+        /// Id of the request.
+        id: &'a str,
+        /// Id of the part, in hexadecimal.
+        part: &'a str,
+    },
+    /// A prompt part was quarantined, or released.
+    PromptPartQuarantine {
+        /// Id of the part, in hexadecimal.
+        part: &'a str,
+        /// Whether it is quarantined now.
+        quarantined: bool,
+        /// Weight of the crashes at which replicas had it.
+        score: u32,
+    },
     /// A replica broke a stream off or stopped sending it.
     StreamBroke {
         /// Id of the request.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -115,6 +115,7 @@
     replicas: Gauge,
     peers: Gauge,
     config_version: Gauge,
+    quarantined_parts: Gauge,
     published_age: Family<TopicLabels, Gauge>,
     log_lines_dropped: Gauge,
 }
@@ -135,6 +136,7 @@
             replicas: Gauge::default(),
             peers: Gauge::default(),
             config_version: Gauge::default(),
+            quarantined_parts: Gauge::default(),
             published_age: Family::default(),
             log_lines_dropped: Gauge::default(),
         };
@@ -161,6 +163,8 @@
         r.register("replicas", "Replicas that are known", self.replicas.clone());
         r.register("peers", "Other instances that are heard of", self.peers.clone());
         r.register("config_version", "Configuration in effect", self.config_version.clone());
+        let help = "Prompt parts that are quarantined";
+        r.register("quarantined_prompt_parts", help, self.quarantined_parts.clone());
         let help = "Age of the view of the published state, in ms; -1 if nothing was read";
         r.register("published_age_ms", help, self.published_age.clone());
         let help = "Log lines that were dropped";
@@ -232,6 +236,7 @@
         self.peers.set(gauge_value(node.peers().live(now).count()));
         let version = node.current_config().map_or(0, |config| config.version);
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.quarantined_parts.set(gauge_value(node.prompt_guard().quarantined_count()));
         for topic in [PublishedTopic::Operator, PublishedTopic::Replicas] {
             let age = node.view(topic).digest(now).age_ms;
             let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -19,6 +19,7 @@
 mod node;
 mod notices;
 mod orders;
+mod prompt_quarantine;
 mod protocol;
 mod published;
 mod replica_request_guard;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -32,6 +32,7 @@
 use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::Peers;
+use crate::decide::traffic::PromptGuard;
 use crate::decide::traffic::PublishedView;
 use crate::decide::traffic::Replicas;
 use crate::decide::traffic::RetryShare;
@@ -86,6 +87,7 @@
     peers: Mutex<Peers>,
     retry_share: Mutex<RetryShare>,
     crash_guard: Mutex<CrashGuard>,
+    prompt_guard: Mutex<PromptGuard>,
     homes: Mutex<AdapterHomes>,
     holder_history: Mutex<HolderHistory>,
     owned: Mutex<HashMap<BackendName, ReplicaOwnership>>,
@@ -134,6 +136,7 @@
             peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
+            prompt_guard: Mutex::default(),
             homes: Mutex::default(),
             holder_history: Mutex::new(HolderHistory::new(Timestamp::ZERO, holder_wait)),
             owned: Mutex::default(),
@@ -173,6 +176,11 @@
         lock(&self.crash_guard)
     }
 
+    /// Prompt parts that are suspected of crashing replicas.
+    pub fn prompt_guard(&self) -> MutexGuard<'_, PromptGuard> {
+        lock(&self.prompt_guard)
+    }
+
     /// How many replicas should hold each adapter.
     pub fn homes(&self) -> MutexGuard<'_, AdapterHomes> {
         lock(&self.homes)
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -14,11 +14,13 @@
 
 use super::attempt;
 use super::attempt::OpenStream;
+use super::attempt::Origin;
 use super::attempt::ReplicaBody;
 use super::forwarded_request::ForwardedRequest;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::metrics::Outcome;
+use super::prompt_quarantine;
 use super::response::AbortedBody;
 use super::response::ResponseBody;
 use crate::decide::traffic::EventSplitter;
@@ -39,6 +41,7 @@
     Data(Bytes),
     End,
     Broken,
+    Silent,
     TimedOut,
 }
 
@@ -68,11 +71,18 @@
     async fn next(&mut self) -> Option<Result<Bytes, AbortedBody>> {
         loop {
             let stream = self.stream.as_mut()?;
-            match read_item(&self.request, stream).await {
+            let item = read_item(&self.request, stream).await;
+            if self.is_broken_off(&item) {
+                self.on_crash();
+            }
+            let stream = self.stream.as_mut()?;
+            match item {
                 StreamItem::Data(data) => {
                     stream.in_flight.on_bytes_received();
                     let now = self.request.node.now();
-                    stream.progress.on_data(now);
+                    if stream.progress.on_data(now) {
+                        prompt_quarantine::on_sound(&self.request);
+                    }
                     self.longest_pause = self.longest_pause.max(now.since(self.last_data));
                     self.last_data = now;
                     if !self.has_event {
@@ -87,11 +97,11 @@
                         return Some(Ok(events));
                     }
                 }
-                StreamItem::End if !self.splitter.has_partial() => {
+                StreamItem::End if !self.is_broken_off(&item) => {
                     self.finish();
                     return None;
                 }
-                StreamItem::End | StreamItem::Broken => {
+                StreamItem::End | StreamItem::Broken | StreamItem::Silent => {
                     if !self.resume().await {
                         return Some(self.abort("its replica broke off"));
                     }
@@ -101,6 +111,24 @@
         }
     }
 
+    /// Whether the replica ended the connection before the end of the stream.
+    fn is_broken_off(&self, item: &StreamItem) -> bool {
+        match item {
+            StreamItem::Broken => true,
+            StreamItem::End => self.splitter.has_partial(),
+            StreamItem::Data(_) | StreamItem::Silent | StreamItem::TimedOut => false,
+        }
+    }
+
+    /// Suspects the parts of the prompt, unless the replica went on for a while with the response.
+    fn on_crash(&self) {
+        let Some(stream) = &self.stream else { return };
+        if stream.progress.may_have_crashed() {
+            let Origin { replica, started_ms, .. } = &stream.origin;
+            prompt_quarantine::on_crash(&self.request, replica, *started_ms, true);
+        }
+    }
+
     /// Resumes the stream at another replica; returns whether one sends it now.
     async fn resume(&mut self) -> bool {
         let Some(stream) = self.stream.take() else { return false };
@@ -139,8 +167,11 @@
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
         self.count_end(Outcome::Answered);
-        let OpenStream { origin, connection, in_flight, .. } = stream;
+        let OpenStream { origin, connection, in_flight, mut progress, .. } = stream;
         drop(in_flight);
+        if progress.on_end() {
+            prompt_quarantine::on_sound(&self.request);
+        }
         if let Some(limit) = origin.keep_alive {
             let node = &self.request.node;
             node.connection_pool.put_idle(
@@ -170,7 +201,7 @@
         () = request.until_deadline() => return StreamItem::TimedOut,
         () = request.until_stopped_sending(replica) => {
             record_stream_break(request, stream, "silent");
-            return StreamItem::Broken;
+            return StreamItem::Silent;
         }
     };
     match frame {
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::decide::traffic::AdapterKey;
+use crate::decide::traffic::CrashEvidence;
 use crate::decide::traffic::HeldModel;
 use crate::decide::traffic::HolderWait;
 use crate::decide::traffic::HomeState;
@@ -15,6 +16,7 @@
 use crate::decide::traffic::PlanHandover;
 use crate::decide::traffic::Presence;
 use crate::decide::traffic::PromptPart;
+use crate::decide::traffic::SoundPart;
 use crate::decide::traffic::TurnId;
 use crate::decide::traffic::UseUpdate;
 use crate::decide::traffic::ViewDigest;
@@ -99,6 +101,12 @@
     /// since the Unix epoch.
     #[serde(default)]
     pub leaving: Vec<(BackendName, u64)>,
+    /// Prompt parts that replicas had when they crashed.
+    #[serde(default)]
+    pub crash_evidence: Vec<CrashEvidence>,
+    /// Suspected prompt parts that didn't crash a replica.
+    #[serde(default)]
+    pub sound_parts: Vec<SoundPart>,
 }
 
 /// Asks the owner of a replica to load an adapter or a base model.
