Take a stream that ends with its connection before any event as broken off

A caller got an empty stream with a last chunk, so one that looked complete, if its replica's head arrived and the connection then closed: what a replica that fails right after its head leaves behind. That also ended a resumed stream as complete in its middle, and added no strike and no failure.

Cause: the end of the body counted as the stream's end if no unfinished event was buffered, and before the first event none is.

Without a length and chunks, the end of the connection now counts as the stream's end only after a whole event from this replica; blank lines and comments are none. Otherwise the stream resumes or is aborted as after any break, with failure and strike. A length or a last chunk, which a failed replica can't have sent, still ends an empty stream as complete; a test holds that. EventSplitter decides it.

An empty answer to a resumed request, if nothing was left to send, looks the same without a length and chunks, so it is also taken as broken off: the caller may ask again, and never misses a piece.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -14,12 +14,13 @@
 pub struct EventSplitter {
     buf: BytesMut,
     last_id: Option<String>,
+    has_event: bool,
 }
 
 impl EventSplitter {
     /// A stream that resumes after the event `last_id`; `None` if it starts from the beginning.
     pub fn new(last_id: Option<String>) -> Self {
-        Self { buf: BytesMut::new(), last_id }
+        Self { buf: BytesMut::new(), last_id, has_event: false }
     }
 
     /// Buffers `bytes` and returns the events that are complete now.
@@ -27,6 +28,7 @@
         self.buf.extend_from_slice(bytes);
         let Some(end) = last_event_end(&self.buf) else { return Bytes::new() };
         let whole = self.buf.split_to(end).freeze();
+        self.has_event |= contains_event(&whole);
         if let Some(id) = last_event_id(&whole) {
             self.last_id = Some(id);
         }
@@ -43,14 +45,24 @@
         !self.buf.is_empty()
     }
 
+    /// Whether a replica that sends nothing more has sent its stream to the end.
+    ///
+    /// An end inside an event is none. Neither is the end of the connection before the first
+    /// event, since the replica may have failed after the head; `has_marked_end` tells that the
+    /// length or the last chunk proves the end.
+    pub fn is_complete(&self, has_marked_end: bool) -> bool {
+        !self.has_partial() && (has_marked_end || self.has_event)
+    }
+
     /// Whether the unfinished event is longer than 1 MiB, so that the stream has to be cut off.
     pub fn is_overlong(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
     }
 
-    /// Discards the unfinished event, which another replica sends again.
+    /// Discards the unfinished event, as another replica sends the stream from there on.
     pub fn drop_partial(&mut self) {
         self.buf.clear();
+        self.has_event = false;
     }
 }
 
@@ -60,6 +72,12 @@
     lf.max(crlf)
 }
 
+/// Whether there is a line that is neither blank nor a comment.
+fn contains_event(events: &[u8]) -> bool {
+    let mut lines = events.split(|byte| matches!(byte, b'\r' | b'\n'));
+    lines.any(|line| line.first().is_some_and(|first| *first != b':'))
+}
+
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
     let id = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -56,6 +56,8 @@
 pub struct OpenStream {
     /// The part of the body that is still to be read.
     pub source: Incoming,
+    /// Whether its length or a last chunk marks its end, rather than that of the connection.
+    pub has_marked_end: bool,
     /// Replica that sends it.
     pub origin: Origin,
     /// Counts the request in the replica's workload.
@@ -142,7 +144,8 @@
     let keep_alive = keep_alive_time(&head);
     let origin = Origin { replica: replica.clone(), addr, started_ms, keep_alive };
     if request.route.kind.is_stream() && head.status == StatusCode::OK {
-        let stream = OpenStream { source, origin, in_flight, progress, connection };
+        let has_marked_end = has_marked_end(&head);
+        let stream = OpenStream { source, has_marked_end, origin, in_flight, progress, connection };
         return AttemptOutcome::Response(ReplicaResponse {
             head,
             body: ReplicaBody::Stream(Box::new(stream)),
@@ -351,6 +354,14 @@
     }
 }
 
+/// Whether a response has a length or chunks, so that its end is told from a closed connection.
+fn has_marked_end(head: &response::Parts) -> bool {
+    match head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+        Some(codings) => codings.as_bytes().to_ascii_lowercase().ends_with(b"chunked"),
+        None => head.headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 /// Time for which a connection may be reused after a response; `None` if the replica closes it.
 fn keep_alive_time(head: &response::Parts) -> Option<Duration> {
     let closes = head
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -115,11 +115,17 @@
     fn is_broken_off(&self, item: &StreamItem) -> bool {
         match item {
             StreamItem::Broken => true,
-            StreamItem::End => self.splitter.has_partial(),
+            StreamItem::End => !self.is_complete(),
             StreamItem::Data(_) | StreamItem::Silent | StreamItem::TimedOut => false,
         }
     }
 
+    /// Whether the replica has sent its stream to the end, if it sends nothing more.
+    fn is_complete(&self) -> bool {
+        let has_marked_end = self.stream.as_ref().is_some_and(|stream| stream.has_marked_end);
+        self.splitter.is_complete(has_marked_end)
+    }
+
     /// Suspects the parts of the prompt, unless the replica went on for a while with the response.
     fn on_crash(&self) {
         let Some(stream) = &self.stream else { return };
--- a/tests/traffic/stream.rs
+++ b/tests/traffic/stream.rs
@@ -36,3 +36,37 @@
     assert!(splitter.push(&vec![b'x'; 2 * 1024 * 1024]).is_empty());
     assert!(splitter.is_overlong());
 }
+
+// Guards against a stream without any event that counted as complete when its connection ended.
+#[test]
+fn a_stream_is_complete_after_an_event_or_if_its_end_is_marked() {
+    for (bytes, by_connection, by_mark) in [
+        ("", false, true),
+        (": comment\n\n", false, true),
+        (":\r\n\r\n", false, true),
+        ("\n\n", false, true),
+        ("data: one\n\n", true, true),
+        ("data: one\r\n\r\n", true, true),
+        (": comment\n\ndata\n\n", true, true),
+        ("data: one\n\nda", false, false),
+        ("data: one\n", false, false),
+        ("d", false, false),
+    ] {
+        let mut splitter = EventSplitter::new(Some("7".to_owned()));
+        splitter.push(bytes.as_bytes());
+        assert_eq!(splitter.is_complete(false), by_connection, "{bytes:?}");
+        assert_eq!(splitter.is_complete(true), by_mark, "{bytes:?}");
+    }
+}
+
+// Guards against a resumed stream that counted as complete by an event of its earlier replica.
+#[test]
+fn an_event_of_the_earlier_replica_does_not_make_a_resumed_stream_complete() {
+    let mut splitter = EventSplitter::new(None);
+    splitter.push(b"id: 1\ndata: one\n\nid: 2");
+    splitter.drop_partial();
+    assert!(!splitter.is_complete(false));
+    assert!(splitter.is_complete(true));
+    splitter.push(b"id: 2\ndata: two\n\n");
+    assert!(splitter.is_complete(false));
+}
