Keep a stream complete if a blank line comes after its last event

A complete stream was taken as broken off if further line ends came in a packet after that of its last event: aborted on a route that may not be repeated, with a failure and a strike, else sent for again.

Cause: whatever follows the last event's end counted as an unfinished event, a lone line end too.

Line ends alone hold no field of an event, so the splitter no longer counts them as one. A single other byte still does.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -40,9 +40,9 @@
         self.last_id.as_deref()
     }
 
-    /// Whether an unfinished event is buffered.
+    /// Whether an unfinished event is buffered; line ends alone are none.
     pub fn has_partial(&self) -> bool {
-        !self.buf.is_empty()
+        self.buf.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// Whether a replica that sends nothing more has sent its stream to the end.
--- a/tests/traffic/stream.rs
+++ b/tests/traffic/stream.rs
@@ -70,3 +70,17 @@
     splitter.push(b"id: 2\ndata: two\n\n");
     assert!(splitter.is_complete(false));
 }
+
+// Guards against a complete stream that counted as ending inside an event, as a blank line came
+// after its last one.
+#[test]
+fn line_ends_after_the_last_event_are_no_unfinished_event() {
+    for line_ends in ["\n", "\r\n", "\r"] {
+        let mut splitter = EventSplitter::new(None);
+        splitter.push(b"data: one\n\n");
+        splitter.push(line_ends.as_bytes());
+        assert!(splitter.is_complete(false), "{line_ends:?}");
+        splitter.push(b"data: two\n");
+        assert!(!splitter.is_complete(true), "{line_ends:?}");
+    }
+}
