Reset a caller's connection if a stream without chunks breaks off

A caller of HTTP/1.0 got a stream that looked complete though it had broken off: such a response has no chunks and ends with its connection, which was closed as after a complete one.

Cause: an aborted body only makes the connection close, which tells a broken stream from a complete one only where the last chunk is missed.

Evidence: a_stream_to_a_caller_without_chunks_that_breaks_off_is_reset failed before ("assertion `left == right` failed: /once/part: Ok(173)": the end was read without an error).

If a connection fails on a request of HTTP/1.0, its linger time is set to zero before it is closed, so that the caller's reading ends with an error. Callers of HTTP/1.1 see no change. The connection is no longer pinned, since its socket is taken from it; hyper's type allows that.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -4,7 +4,7 @@
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -18,12 +18,14 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -91,11 +93,13 @@
     }
 }
 
-/// When a connection was last used, and how many requests are in progress on it.
+/// When a connection was last used, how many requests are in progress on it, and whether its
+/// responses have no chunks, so that a body without a length ends with the connection.
 #[derive(Debug)]
 struct Activity {
     requests: u32,
     last_used: Timestamp,
+    lacks_chunks: bool,
 }
 
 async fn serve_connection(node: Arc<Node>, stream: TcpStream, audience: Audience) {
@@ -104,21 +108,22 @@
             "connection of {audience:?}: TCP_NODELAY can't be set, going on without it: {e}"
         );
     }
-    let activity = Arc::new(Mutex::new(Activity { requests: 0, last_used: node.now() }));
+    let activity =
+        Arc::new(Mutex::new(Activity { requests: 0, last_used: node.now(), lacks_chunks: false }));
     let service = {
         let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
         service_fn(move |req| {
             let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
             async move {
                 track_request(&node, &activity, true);
+                on_version(&activity, req.version());
                 let response = serve(&node, req, audience).await;
                 track_request(&node, &activity, false);
                 Ok::<_, Infallible>(response)
             }
         })
     };
-    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     loop {
         // Only callers' connections are closed as idle; the others need no timer.
         let idle_check = async {
@@ -127,17 +132,20 @@
                 Audience::Peers | Audience::Ready | Audience::Metrics => pending().await,
             }
         };
-        tokio::select! {
-            end = connection.as_mut() => {
-                if let Err(e) = end {
-                    log::debug!("connection of {audience:?} ended: {e}");
-                }
-                return;
+        let end = tokio::select! {
+            end = &mut connection => Some(end),
+            () = idle_check => None,
+        };
+        match end {
+            None if is_idle_expired(&node, &activity) => {
+                Pin::new(&mut connection).graceful_shutdown();
             }
-            () = idle_check => {
-                if is_idle_expired(&node, &activity) {
-                    connection.as_mut().graceful_shutdown();
-                }
+            None => {}
+            Some(Ok(())) => return,
+            Some(Err(e)) => {
+                log::debug!("connection of {audience:?} ended: {e}");
+                reset_without_chunks(&activity, connection.into_parts().io.inner());
+                return;
             }
         }
     }
@@ -153,6 +161,21 @@
     }
 }
 
+fn on_version(activity: &Mutex<Activity>, version: Version) {
+    let mut activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
+    activity.lacks_chunks = version < Version::HTTP_11;
+}
+
+/// Makes a failed connection close by a reset if its client would take its end as that of a body.
+fn reset_without_chunks(activity: &Mutex<Activity>, stream: &TcpStream) {
+    let activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
+    if activity.lacks_chunks
+        && let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO))
+    {
+        log::debug!("connection can't be reset: {e}");
+    }
+}
+
 /// Whether a caller's connection is to be closed as idle.
 fn is_idle_expired(node: &Node, activity: &Mutex<Activity>) -> bool {
     let limit = if node.is_draining() {
