--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -8,6 +8,7 @@
 mod order_lease;
 mod order_turns;
 mod peers;
+mod prompt_guard;
 mod prompt_turns;
 mod published_view;
 mod replica_plan;
--- /dev/null
+++ b/tests/traffic/prompt_guard.rs
@@ -0,0 +1,328 @@
+//! Quarantine of prompt parts that crash replicas, and the progress of a response.
+
+use tamaracklead::decide::traffic::PromptGuard;
+use tamaracklead::decide::traffic::PromptPart;
+use tamaracklead::decide::traffic::QuarantineChange;
+use tamaracklead::decide::traffic::ResponseProgress;
+use tamaracklead::names::Timestamp;
+
+use crate::support::at;
+use crate::support::ms;
+use crate::support::name;
+
+/// The first part of all prompts.
+const FIRST: u64 = 1;
+/// The part that crashes replicas.
+const BAD: u64 = 2;
+/// A part of other prompts.
+const OTHER: u64 = 7;
+/// Most items of one kind in a message.
+const MAX_SHARED: usize = 64;
+
+fn parts(ids: &[u64]) -> Vec<PromptPart> {
+    ids.iter().map(|id| PromptPart { id: *id, tokens: 10 }).collect()
+}
+
+/// A crash of the replica `r<millis>` at this time.
+fn crash(guard: &mut PromptGuard, millis: u64, ids: &[u64], begun: bool) -> Vec<QuarantineChange> {
+    crash_at(guard, at(millis), &format!("r{millis}"), ids, begun)
+}
+
+fn crash_at(
+    guard: &mut PromptGuard,
+    now: Timestamp,
+    replica: &str,
+    ids: &[u64],
+    begun: bool,
+) -> Vec<QuarantineChange> {
+    guard.on_crash(now, &name(replica), 1, &parts(ids), begun)
+}
+
+/// Tells `to` what `from` knows; their clocks may differ.
+fn tell(from: &PromptGuard, from_now: Timestamp, to: &mut PromptGuard, to_now: Timestamp) {
+    let (evidence, sound) = from.share(from_now);
+    to.on_peer_evidence(to_now, &evidence, &sound);
+}
+
+fn culprit(guard: &PromptGuard, millis: u64, ids: &[u64]) -> Option<u64> {
+    guard.quarantine(at(millis), &parts(ids)).map(|quarantine| quarantine.part)
+}
+
+/// A guard that saw three crashes under `BAD`, at 0, 1 and 2 s.
+fn guard_with_quarantine() -> PromptGuard {
+    let mut guard = PromptGuard::default();
+    for millis in [0, 1000, 2000] {
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+    }
+    guard
+}
+
+/// Guards against a quarantine that comes too late, or that takes in the first part of all prompts.
+#[test]
+fn a_part_at_three_crashes_is_quarantined_and_a_first_part_sound_in_between_is_not() {
+    let mut guard = PromptGuard::default();
+    crash(&mut guard, 0, &[FIRST, BAD], true);
+    crash(&mut guard, 400, &[FIRST, BAD], true);
+    assert_eq!(culprit(&guard, 500, &[FIRST, BAD]), None, "two crashes aren't enough");
+    guard.on_sound(at(600), &parts(&[FIRST, OTHER]));
+    let changes = crash(&mut guard, 800, &[FIRST, BAD], true);
+    assert_eq!(changes, [QuarantineChange { part: BAD, quarantined: true, score: 6 }]);
+    assert_eq!(culprit(&guard, 900, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 900, &[FIRST, OTHER]), None);
+}
+
+/// Guards against all requests of a caller being refused because of one part.
+#[test]
+fn a_first_part_that_was_never_seen_sound_is_not_blamed_for_the_more_specific_part() {
+    let guard = guard_with_quarantine();
+    assert_eq!(culprit(&guard, 2100, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 2100, &[FIRST, OTHER]), None);
+}
+
+/// Guards against the first part being blamed because more of the requests at a crash had it.
+#[test]
+fn a_first_part_that_weighs_more_than_the_culprit_is_not_blamed_once_it_was_sound() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    for millis in [1000, 1300, 1600, 1900, 2200] {
+        crash(&mut guard, millis, &[FIRST, BAD], false);
+        crash(&mut guard, millis, &[FIRST, OTHER + millis], true);
+    }
+    guard.on_sound(at(2300), &parts(&[FIRST, OTHER]));
+    assert_eq!(culprit(&guard, 2400, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 2400, &[FIRST, OTHER]), None);
+}
+
+/// Guards against an instance that waits until it has seen enough crashes by itself.
+#[test]
+fn crashes_that_several_instances_saw_add_up() {
+    let mut guards = [PromptGuard::default(), PromptGuard::default(), PromptGuard::default()];
+    for (guard, millis) in guards.iter_mut().zip([0, 300, 600]) {
+        crash(guard, millis, &[FIRST, BAD], true);
+        assert_eq!(culprit(guard, millis, &[FIRST, BAD]), None);
+    }
+    let mut other = PromptGuard::default();
+    for guard in &guards {
+        tell(guard, at(650), &mut other, at(660));
+        tell(guard, at(650), &mut other, at(661));
+    }
+    assert_eq!(culprit(&other, 670, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&other, 670, &[FIRST, OTHER]), None);
+}
+
+/// Guards against one crash that counts once for each instance that saw it.
+#[test]
+fn one_crash_that_several_instances_saw_counts_once() {
+    let mut other = PromptGuard::default();
+    for delay in [0, 4, 9, 300, 700] {
+        let mut guard = PromptGuard::default();
+        crash_at(&mut guard, at(delay), "r", &[FIRST, BAD], true);
+        tell(&guard, at(delay), &mut other, at(delay));
+    }
+    assert_eq!(culprit(&other, 800, &[FIRST, BAD]), None);
+}
+
+/// Guards against requests that only shared a replica with the crashing ones being refused.
+#[test]
+fn bystanders_are_released_when_the_evidence_of_the_culprit_arrives() {
+    let mut guard = PromptGuard::default();
+    let mut peer = PromptGuard::default();
+    for (millis, begun) in [(0, true), (1000, true), (2000, false)] {
+        crash(&mut guard, millis, &[FIRST, OTHER], begun);
+        crash(&mut peer, millis, &[FIRST, BAD], true);
+    }
+    assert_eq!(culprit(&guard, 2010, &[FIRST, OTHER]), Some(OTHER), "all that is known so far");
+    tell(&peer, at(2010), &mut guard, at(2020));
+    assert_eq!(culprit(&guard, 2030, &[FIRST, OTHER]), None);
+    assert_eq!(culprit(&guard, 2030, &[FIRST, BAD]), Some(BAD));
+}
+
+/// Guards against a bystander that was sound before being blamed instead of the culprit.
+#[test]
+fn of_parts_at_the_same_crashes_the_one_that_was_never_sound_is_blamed() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    for millis in [1000, 2000, 3000] {
+        crash(&mut guard, millis, &[FIRST, OTHER], true);
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+    }
+    assert_eq!(culprit(&guard, 3010, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 3010, &[FIRST, OTHER]), None);
+}
+
+/// Guards against a quarantine of whatever ran on a rack that lost its power.
+#[test]
+fn replicas_that_all_fail_within_200_ms_count_once() {
+    let mut guard = PromptGuard::default();
+    for millis in [0, 20, 50, 120, 150, 199] {
+        crash(&mut guard, millis, &[FIRST, OTHER], true);
+    }
+    assert_eq!(culprit(&guard, 250, &[FIRST, OTHER]), None);
+    assert!(guard.may_retry(&parts(&[FIRST, OTHER])));
+}
+
+/// Guards against a part that stays quarantined although a replica goes on with it.
+#[test]
+fn a_part_is_released_at_all_instances_as_soon_as_a_response_with_it_goes_on() {
+    let mut guard = guard_with_quarantine();
+    let mut peer = PromptGuard::default();
+    tell(&guard, at(2100), &mut peer, at(2110));
+    assert_eq!(culprit(&peer, 2120, &[FIRST, BAD]), Some(BAD));
+    let changes = guard.on_sound(at(2500), &parts(&[FIRST, BAD]));
+    assert!(changes.contains(&QuarantineChange { part: BAD, quarantined: false, score: 0 }));
+    assert_eq!(culprit(&guard, 2510, &[FIRST, BAD]), None);
+    tell(&guard, at(2510), &mut peer, at(2520));
+    assert_eq!(culprit(&peer, 2530, &[FIRST, BAD]), None);
+    tell(&peer, at(2540), &mut guard, at(2550));
+    assert_eq!(culprit(&guard, 2560, &[FIRST, BAD]), None, "no echo of the older crashes");
+}
+
+/// Guards against an instance that sends crashing requests again because it has restarted.
+#[test]
+fn a_restarted_instance_learns_of_crashes_older_than_its_process() {
+    let guard = guard_with_quarantine();
+    let mut restarted = PromptGuard::default();
+    let its_now = Timestamp::from_millis(20);
+    tell(&guard, at(32_000), &mut restarted, its_now);
+    let quarantine = restarted.quarantine(its_now, &parts(&[FIRST, BAD])).unwrap();
+    assert_eq!(quarantine.part, BAD);
+    assert_eq!(quarantine.left, ms(30_000));
+    assert_eq!(restarted.quarantine(its_now, &parts(&[FIRST, OTHER])), None);
+    let mut third = PromptGuard::default();
+    tell(&restarted, its_now + ms(10_000), &mut third, Timestamp::ZERO);
+    let left = third.quarantine(Timestamp::ZERO, &parts(&[BAD])).map(|quarantine| quarantine.left);
+    assert_eq!(left, Some(ms(20_000)), "it passes the crashes on");
+}
+
+/// Guards against rare crashes of other causes that add up over hours.
+#[test]
+fn crashes_more_than_a_minute_apart_do_not_add_up() {
+    let mut guard = PromptGuard::default();
+    for millis in [0, 1000, 61_500, 62_500, 123_000] {
+        crash(&mut guard, millis, &[FIRST, OTHER], true);
+        assert_eq!(culprit(&guard, millis, &[FIRST, OTHER]), None, "at {millis} ms");
+    }
+}
+
+/// Guards against more than one request that is sent to find out whether a part still crashes
+/// replicas.
+#[test]
+fn one_probe_may_be_sent_after_the_quarantine() {
+    let mut guard = guard_with_quarantine();
+    let bad = parts(&[FIRST, BAD]);
+    assert_eq!(guard.quarantine(at(61_990), &bad).map(|q| q.left), Some(ms(10)));
+    assert_eq!(guard.quarantine(at(62_000), &bad).map(|q| q.left), Some(ms(0)));
+    assert!(guard.try_probe(at(62_000), BAD));
+    assert!(!guard.try_probe(at(62_001), BAD));
+    assert!(!guard.try_probe(at(121_999), BAD));
+    assert!(guard.try_probe(at(122_001), BAD), "the first one may have been lost");
+}
+
+/// Guards against a part that crashes a replica each minute from then on.
+#[test]
+fn a_relapse_doubles_the_quarantine() {
+    let mut guard = guard_with_quarantine();
+    let bad = parts(&[FIRST, BAD]);
+    crash(&mut guard, 62_600, &[FIRST, BAD], true);
+    assert_eq!(guard.quarantine(at(62_600), &bad).map(|q| q.left), Some(ms(120_000)));
+    crash(&mut guard, 182_700, &[FIRST, BAD], true);
+    assert_eq!(guard.quarantine(at(182_700), &bad).map(|q| q.left), Some(ms(240_000)));
+}
+
+/// Guards against crashing requests that are never known, since no head of a response arrives.
+#[test]
+fn a_part_is_quarantined_if_all_its_requests_were_still_waiting() {
+    let mut guard = PromptGuard::default();
+    for millis in [0, 500, 1000, 1500, 2000] {
+        assert_eq!(culprit(&guard, millis, &[FIRST, BAD]), None);
+        crash(&mut guard, millis, &[FIRST, BAD], false);
+        guard.on_sound(at(millis + 100), &parts(&[FIRST, OTHER]));
+    }
+    assert_eq!(culprit(&guard, 2200, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 2200, &[FIRST, OTHER]), None);
+}
+
+/// Guards against requests that are sent again and crash a second replica.
+#[test]
+fn a_request_with_a_part_at_two_crashes_is_not_sent_again() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    crash(&mut guard, 500, &[FIRST, BAD], true);
+    assert!(guard.may_retry(&parts(&[FIRST, BAD])));
+    crash(&mut guard, 1000, &[FIRST, BAD], true);
+    assert!(!guard.may_retry(&parts(&[FIRST, BAD])));
+    assert!(guard.may_retry(&parts(&[FIRST, OTHER])));
+}
+
+/// Guards against gossip that costs bytes when nothing happens.
+#[test]
+fn nothing_is_shared_while_no_replica_crashes() {
+    let mut guard = PromptGuard::default();
+    assert_eq!(guard.share(at(0)), (Vec::new(), Vec::new()));
+    for id in 0..1000 {
+        guard.on_sound(at(id), &parts(&[FIRST, id]));
+    }
+    assert_eq!(guard.share(at(1000)), (Vec::new(), Vec::new()));
+}
+
+/// Guards against messages that grow with the number of requests at crashed replicas.
+#[test]
+fn what_is_shared_is_bounded() {
+    let mut guard = PromptGuard::default();
+    for id in 100..400 {
+        guard.on_sound(at(0), &parts(&[id]));
+    }
+    for millis in [1000, 1300, 1600] {
+        for id in 100..400 {
+            crash(&mut guard, millis, &[FIRST, id], true);
+        }
+    }
+    let (evidence, sound) = guard.share(at(1700));
+    assert_eq!((evidence.len(), sound.len()), (MAX_SHARED, MAX_SHARED));
+}
+
+/// Guards against a culprit that is forgotten since many other parts are suspected.
+#[test]
+fn hundreds_of_suspects_do_not_hide_a_new_culprit() {
+    let mut guard = PromptGuard::default();
+    for id in 1000..1400 {
+        crash(&mut guard, id, &[FIRST, id], true);
+    }
+    guard.on_sound(at(2000), &parts(&[FIRST]));
+    for millis in [3000, 3500, 4000] {
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+    }
+    assert_eq!(culprit(&guard, 4100, &[FIRST, BAD]), Some(BAD));
+}
+
+/// Guards against proof of life from data that was buffered while this process was paused.
+#[test]
+fn one_late_read_after_a_pause_does_not_show_that_the_replica_lives() {
+    let mut progress = ResponseProgress::new(at(0));
+    assert!(!progress.on_data(at(50)));
+    assert!(!progress.on_data(at(2050)), "buffered during the pause");
+    assert!(!progress.on_data(at(2051)), "buffered during the pause");
+    assert!(!progress.on_data(at(2249)));
+    assert!(progress.on_data(at(2251)));
+    assert!(!progress.on_data(at(2500)), "said once");
+    assert!(!progress.on_end(), "said once");
+}
+
+/// Guards against a response that ends soon but whose prompt stays suspected.
+#[test]
+fn the_end_of_a_response_shows_that_its_replica_lives() {
+    let mut progress = ResponseProgress::new(at(0));
+    assert!(!progress.on_data(at(50)));
+    assert!(progress.on_end());
+}
+
+/// Guards against a crash that is put down to a request whose response had gone on for long.
+#[test]
+fn only_a_response_that_has_just_begun_may_have_crashed_its_replica() {
+    let mut progress = ResponseProgress::new(at(0));
+    assert!(progress.may_have_crashed());
+    progress.on_data(at(499));
+    assert!(progress.may_have_crashed());
+    progress.on_data(at(500));
+    assert!(!progress.may_have_crashed());
+}
