Tell restarted instances the crashes from which a quarantine follows

Crashes now add up within any span of one minute, and those that make up the quarantine are shared all the time, with relapses and the last. Two tests failed before and pass.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -25,6 +25,7 @@
 use super::SoundPart;
 use super::SuspectPart;
 use super::suspect_part::BEGUN_WEIGHT;
+use super::suspect_part::EVIDENCE_TIME;
 use super::suspect_part::QUARANTINE_TIME;
 use crate::names::BackendName;
 use crate::names::Timestamp;
@@ -33,14 +34,10 @@
 const QUARANTINE_SCORE: u32 = 2 * BEGUN_WEIGHT + 1;
 /// Weight of crashes from which on requests with a part that was never sound aren't sent again.
 const RETRY_SCORE: u32 = 2 * BEGUN_WEIGHT;
-/// Time for which a crash counts against a part that isn't quarantined.
-const EVIDENCE_TIME: Duration = Duration::from_secs(60);
 /// Time after its last crash at which a quarantined part is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(3600);
 /// Time for which news are shared.
 const SHARE_TIME: Duration = Duration::from_secs(3);
-/// Crashes of a quarantined part that are shared all the time, for instances that have restarted.
-const STANDING_CRASHES: usize = 3;
 /// Most items of one kind in a message.
 const MAX_SHARED: usize = 64;
 /// Most suspected parts; a further one takes the place of that whose last crash is the oldest.
@@ -59,13 +56,21 @@
     pub left: Duration,
 }
 
+/// What follows from the crashes of a quarantined part.
+#[derive(Clone, Debug)]
+struct Culprit {
+    until: Timestamp,
+    /// Crashes that are shared all the time, for instances that have restarted.
+    standing: Vec<u64>,
+}
+
 /// Suspected, quarantined and sound prompt parts.
 #[derive(Clone, Debug, Default)]
 pub struct PromptGuard {
     suspects: HashMap<u64, SuspectPart>,
     sound: HashMap<u64, Timestamp>,
     cleared: HashMap<u64, Timestamp>,
-    quarantined: HashMap<u64, Timestamp>,
+    quarantined: HashMap<u64, Culprit>,
     probed: HashMap<u64, Timestamp>,
 }
 
@@ -125,12 +130,8 @@
         let news_since = now - SHARE_TIME;
         let mut evidence = Vec::new();
         for (part, suspect) in &self.suspects {
-            evidence.extend(suspect.evidence(now, *part, news_since, MAX_SHARED));
-            if self.quarantined.contains_key(part) {
-                let mut standing = suspect.evidence(now, *part, Timestamp::ZERO, STANDING_CRASHES);
-                standing.retain(|item| !is_listed(&evidence, item));
-                evidence.extend(standing);
-            }
+            let standing = self.quarantined.get(part).map_or(&[][..], |known| &known.standing);
+            evidence.extend(suspect.evidence(now, *part, news_since, standing));
         }
         evidence.sort_by_key(|item| (!self.quarantined.contains_key(&item.part), item.age_ms));
         evidence.truncate(MAX_SHARED);
@@ -149,8 +150,9 @@
             return None;
         }
         let now = now + TIME_BEFORE_START;
-        let ends = parts.iter().filter_map(|part| Some((self.quarantined.get(&part.id)?, part.id)));
-        ends.max().map(|(until, part)| Quarantine { part, left: until.since(now) })
+        let end = |part: &PromptPart| Some((self.quarantined.get(&part.id)?.until, part.id));
+        let last = parts.iter().filter_map(end).max();
+        last.map(|(until, part)| Quarantine { part, left: until.since(now) })
     }
 
     /// Number of parts that are quarantined.
@@ -217,15 +219,16 @@
     /// Drops what is too old and works the quarantine out anew.
     fn update(&mut self, now: Timestamp) -> Vec<QuarantineChange> {
         self.cleared.retain(|_, at| now.since(*at) < SHARE_TIME);
+        self.suspects.retain(|_, suspect| now.since(suspect.last_crash()) < FORGET_TIME);
+        let before = std::mem::take(&mut self.quarantined);
+        self.quarantined = self.culprits();
         let quarantined = &self.quarantined;
         self.suspects.retain(|part, suspect| {
             if !quarantined.contains_key(part) {
                 suspect.drop_until(now - EVIDENCE_TIME);
             }
-            !suspect.is_empty() && now.since(suspect.last_crash()) < FORGET_TIME
+            !suspect.is_empty()
         });
-        let before = std::mem::take(&mut self.quarantined);
-        self.quarantined = self.culprits();
         self.probed.retain(|part, _| before.contains_key(part));
         let change = |part: &u64, quarantined| QuarantineChange {
             part: *part,
@@ -239,7 +242,7 @@
     }
 
     /// The fewest parts that explain the crashes, with the ends of their quarantines.
-    fn culprits(&self) -> HashMap<u64, Timestamp> {
+    fn culprits(&self) -> HashMap<u64, Culprit> {
         let mut culprits = HashMap::new();
         let mut explained = HashSet::new();
         loop {
@@ -253,12 +256,9 @@
             };
             let worst = over.max_by_key(|(score, part, suspect)| rank(*score, *part, suspect));
             let Some((_, part, suspect)) = worst else { return culprits };
-            culprits.insert(part, suspect.quarantined_until());
+            let standing = suspect.standing_crashes(&explained, QUARANTINE_SCORE);
+            culprits.insert(part, Culprit { until: suspect.quarantined_until(), standing });
             explained.extend(suspect.crash_ids());
         }
     }
 }
-
-fn is_listed(evidence: &[CrashEvidence], item: &CrashEvidence) -> bool {
-    evidence.iter().any(|listed| listed.part == item.part && listed.crash == item.crash)
-}
--- a/src/decide/traffic/suspect_part.rs
+++ b/src/decide/traffic/suspect_part.rs
@@ -12,6 +12,8 @@
 const WAITING_WEIGHT: u32 = 1;
 /// Crashes within this time may have one cause from outside, and count once.
 const SAME_CAUSE_SPAN: Duration = Duration::from_millis(200);
+/// Time within which crashes add up.
+pub const EVIDENCE_TIME: Duration = Duration::from_secs(60);
 /// Most crashes that are remembered for one part.
 const MAX_CRASHES: usize = 64;
 /// First quarantine of a part, after its last crash; it doubles with each relapse.
@@ -81,44 +83,62 @@
         self.crashes.iter().map(|crash| crash.id)
     }
 
-    /// Weight of the crashes that aren't in `explained`.
+    /// Weight of the crashes that aren't in `explained`, within the heaviest [`EVIDENCE_TIME`].
     pub fn score(&self, explained: &HashSet<u64>) -> u32 {
-        let mut total = 0;
-        let mut group: Option<(Timestamp, u32)> = None;
-        for crash in self.crashes.iter().filter(|crash| !explained.contains(&crash.id)) {
-            let weight = if crash.begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
-            group = match group {
-                Some((since, counted)) if crash.at.since(since) < SAME_CAUSE_SPAN => {
-                    total += weight.saturating_sub(counted);
-                    Some((since, counted.max(weight)))
-                }
-                _ => {
-                    total += weight;
-                    Some((crash.at, weight))
-                }
-            };
+        let weights = self.spans(explained).filter_map(|span| weigh(&span).last().copied());
+        weights.map(|(_, total)| total).max().unwrap_or(0)
+    }
+
+    /// Ids of crashes from which the quarantine follows for whoever knows no others: the first ones
+    /// that weigh `enough`, the relapses and the last one.
+    pub fn standing_crashes(&self, explained: &HashSet<u64>, enough: u32) -> Vec<u64> {
+        let weighed = self.spans(explained).map(|span| weigh(&span));
+        let first = weighed.into_iter().find(|span| span.last().is_some_and(|l| l.1 >= enough));
+        let first = first.unwrap_or_default();
+        let needed = 1 + first.iter().take_while(|(_, total)| *total < enough).count();
+        let mut ids: Vec<u64> = first.iter().take(needed).map(|(id, _)| *id).collect();
+        let newest_relapses = self.relapses().rev().take(MAX_RELAPSES as usize);
+        for crash in newest_relapses.chain(self.crashes.last()) {
+            if !ids.contains(&crash.id) {
+                ids.push(crash.id);
+            }
         }
-        total
+        ids
     }
 
     /// End of the quarantine that follows from the crashes.
     pub fn quarantined_until(&self) -> Timestamp {
-        let pairs = self.crashes.iter().zip(self.crashes.iter().skip(1));
-        let relapses = pairs.filter(|(one, next)| next.at.since(one.at) >= QUARANTINE_TIME);
-        let doublings = (relapses.count() as u32).min(MAX_RELAPSES);
+        let doublings = (self.relapses().count() as u32).min(MAX_RELAPSES);
         self.last_crash() + QUARANTINE_TIME * 2u32.pow(doublings)
     }
 
-    /// The newest crashes, at most `most`, that this instance has learned of since `since`.
+    /// The crashes that this instance has learned of since `since`, and those in `standing`.
     pub fn evidence(
         &self,
         now: Timestamp,
         part: u64,
         since: Timestamp,
-        most: usize,
-    ) -> Vec<CrashEvidence> {
-        let news = self.crashes.iter().rev().filter(|crash| crash.learned_at >= since);
-        news.take(most).map(|crash| self.encode(now, part, crash)).collect()
+        standing: &[u64],
+    ) -> impl Iterator<Item = CrashEvidence> {
+        let is_shared =
+            move |crash: &&Crash| crash.learned_at >= since || standing.contains(&crash.id);
+        self.crashes.iter().filter(is_shared).map(move |crash| self.encode(now, part, crash))
+    }
+
+    /// Crashes after the time of a quarantine.
+    fn relapses(&self) -> impl DoubleEndedIterator<Item = &Crash> {
+        let pairs = self.crashes.iter().zip(self.crashes.iter().skip(1));
+        pairs.filter(|(one, next)| next.at.since(one.at) >= QUARANTINE_TIME).map(|(_, next)| next)
+    }
+
+    /// For each crash that isn't in `explained`, it and those within [`EVIDENCE_TIME`] after it.
+    fn spans(&self, explained: &HashSet<u64>) -> impl Iterator<Item = Vec<Crash>> {
+        let open = self.crashes.iter().filter(|crash| !explained.contains(&crash.id));
+        let open: Vec<Crash> = open.copied().collect();
+        (0..open.len()).map(move |start| {
+            let is_near = |crash: &&Crash| crash.at.since(open[start].at) < EVIDENCE_TIME;
+            open[start..].iter().take_while(is_near).copied().collect()
+        })
     }
 
     fn encode(&self, now: Timestamp, part: u64, crash: &Crash) -> CrashEvidence {
@@ -127,3 +147,21 @@
         CrashEvidence { part, position: self.position, crash: id, begun, age_ms }
     }
 }
+
+/// Ids of the crashes that add weight, each with the weight up to it.
+fn weigh(crashes: &[Crash]) -> Vec<(u64, u32)> {
+    let mut weighed = Vec::new();
+    let mut total = 0;
+    let mut group: Option<(Timestamp, u32)> = None;
+    for crash in crashes {
+        let weight = if crash.begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
+        let same = group.filter(|(since, _)| crash.at.since(*since) < SAME_CAUSE_SPAN);
+        let (since, counted) = same.unwrap_or((crash.at, 0));
+        if weight > counted {
+            total += weight - counted;
+            weighed.push((crash.id, total));
+        }
+        group = Some((since, counted.max(weight)));
+    }
+    weighed
+}
--- a/tests/traffic/prompt_guard.rs
+++ b/tests/traffic/prompt_guard.rs
@@ -194,6 +194,24 @@
     assert_eq!(left, Some(ms(20_000)), "it passes the crashes on");
 }
 
+/// Guards against an instance that restarts more than a minute after the first crashes, or after a
+/// relapse, and sends the part again.
+#[test]
+fn a_restarted_instance_learns_of_crashes_older_than_a_minute() {
+    let mut guard = guard_with_quarantine();
+    let bad = parts(&[FIRST, BAD]);
+    for millis in [61_900, 70_000, 3_000_000] {
+        let mut restarted = PromptGuard::default();
+        tell(&guard, at(millis), &mut restarted, Timestamp::ZERO);
+        assert!(restarted.quarantine(Timestamp::ZERO, &bad).is_some(), "at {millis} ms");
+    }
+    crash(&mut guard, 62_500, &[FIRST, BAD], true);
+    let mut restarted = PromptGuard::default();
+    tell(&guard, at(100_000), &mut restarted, Timestamp::ZERO);
+    let left = restarted.quarantine(Timestamp::ZERO, &bad).map(|quarantine| quarantine.left);
+    assert_eq!(left, Some(ms(82_500)));
+}
+
 /// Guards against rare crashes of other causes that add up over hours.
 #[test]
 fn crashes_more_than_a_minute_apart_do_not_add_up() {
@@ -227,6 +245,10 @@
     assert_eq!(guard.quarantine(at(62_600), &bad).map(|q| q.left), Some(ms(120_000)));
     crash(&mut guard, 182_700, &[FIRST, BAD], true);
     assert_eq!(guard.quarantine(at(182_700), &bad).map(|q| q.left), Some(ms(240_000)));
+    let mut restarted = PromptGuard::default();
+    tell(&guard, at(190_000), &mut restarted, Timestamp::ZERO);
+    let left = restarted.quarantine(Timestamp::ZERO, &bad).map(|q| q.left);
+    assert_eq!(left, Some(ms(232_700)), "and a restarted instance knows it");
 }
 
 /// Guards against crashing requests that are never known, since no head of a response arrives.
