Let a waiting request explain no more of a crash than its weight

Two parts that crash replicas at the same time are at each other's crashes, mostly waiting. A culprit now explains as much of a crash as it weighs there, and a part that was never sound stays quarantined if other culprits leave it the weight of more than one crash.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -14,7 +14,6 @@
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -32,6 +31,8 @@
 
 /// Weight of crashes from which on a part is quarantined: three responses that had just begun.
 const QUARANTINE_SCORE: u32 = 2 * BEGUN_WEIGHT + 1;
+/// Weight that other quarantined parts must leave unexplained if the part was never sound.
+const REST_SCORE: u32 = BEGUN_WEIGHT + 1;
 /// Weight of crashes from which on requests with a part that was never sound aren't sent again.
 const RETRY_SCORE: u32 = 2 * BEGUN_WEIGHT;
 /// Time after its last crash at which a quarantined part is forgotten.
@@ -172,7 +173,7 @@
 
     /// Whether a request with these parts may be sent again after its replica crashed.
     pub fn may_retry(&self, parts: &[PromptPart]) -> bool {
-        let none = HashSet::new();
+        let none = HashMap::new();
         let is_suspect = |part: &PromptPart| {
             !self.sound.contains_key(&part.id)
                 && self.suspects.get(&part.id).is_some_and(|s| s.score(&none) >= RETRY_SCORE)
@@ -233,7 +234,7 @@
         let change = |part: &u64, quarantined| QuarantineChange {
             part: *part,
             quarantined,
-            score: self.suspects.get(part).map_or(0, |s| s.score(&HashSet::new())),
+            score: self.suspects.get(part).map_or(0, |s| s.score(&HashMap::new())),
         };
         let begun = self.quarantined.keys().filter(|part| !before.contains_key(*part));
         let ended = before.keys().filter(|part| !self.quarantined.contains_key(*part));
@@ -244,11 +245,16 @@
     /// The fewest parts that explain the crashes, with the ends of their quarantines.
     fn culprits(&self) -> HashMap<u64, Culprit> {
         let mut culprits = HashMap::new();
-        let mut explained = HashSet::new();
+        let mut explained = HashMap::new();
         loop {
             let rest = self.suspects.iter().filter(|(part, _)| !culprits.contains_key(*part));
             let scored = rest.map(|(part, suspect)| (suspect.score(&explained), *part, suspect));
-            let over = scored.filter(|(score, ..)| *score >= QUARANTINE_SCORE);
+            let over = scored.filter(|(score, part, suspect)| {
+                *score >= QUARANTINE_SCORE
+                    || *score >= REST_SCORE
+                        && !self.sound.contains_key(part)
+                        && suspect.score(&HashMap::new()) >= QUARANTINE_SCORE
+            });
             // Of parts that were at the same crashes, one that was never sound goes first, then the
             // one that fewer prompts share.
             let rank = |score: u32, part: u64, suspect: &SuspectPart| {
@@ -258,7 +264,10 @@
             let Some((_, part, suspect)) = worst else { return culprits };
             let standing = suspect.standing_crashes(&explained, QUARANTINE_SCORE);
             culprits.insert(part, Culprit { until: suspect.quarantined_until(), standing });
-            explained.extend(suspect.crash_ids());
+            for (crash, weight) in suspect.weights() {
+                let known: &mut u32 = explained.entry(crash).or_default();
+                *known = weight.max(*known);
+            }
         }
     }
 }
--- a/src/decide/traffic/suspect_part.rs
+++ b/src/decide/traffic/suspect_part.rs
@@ -1,6 +1,6 @@
 //! Crashes of replicas that had requests with one prompt part.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use super::CrashEvidence;
@@ -30,6 +30,12 @@
     learned_at: Timestamp,
 }
 
+impl Crash {
+    fn weight(&self) -> u32 {
+        if self.begun { BEGUN_WEIGHT } else { WAITING_WEIGHT }
+    }
+}
+
 /// A prompt part that replicas had when they crashed, by its crashes in order of time.
 #[derive(Clone, Debug, Default)]
 pub struct SuspectPart {
@@ -78,20 +84,20 @@
         self.crashes.last().map_or(Timestamp::ZERO, |crash| crash.at)
     }
 
-    /// Ids of the crashes.
-    pub fn crash_ids(&self) -> impl Iterator<Item = u64> {
-        self.crashes.iter().map(|crash| crash.id)
+    /// Ids and weights of the crashes.
+    pub fn weights(&self) -> impl Iterator<Item = (u64, u32)> {
+        self.crashes.iter().map(|crash| (crash.id, crash.weight()))
     }
 
-    /// Weight of the crashes that aren't in `explained`, within the heaviest [`EVIDENCE_TIME`].
-    pub fn score(&self, explained: &HashSet<u64>) -> u32 {
+    /// Weight of the crashes within the heaviest [`EVIDENCE_TIME`], less the weights in `explained`.
+    pub fn score(&self, explained: &HashMap<u64, u32>) -> u32 {
         let weights = self.spans(explained).filter_map(|span| weigh(&span).last().copied());
         weights.map(|(_, total)| total).max().unwrap_or(0)
     }
 
     /// Ids of crashes from which the quarantine follows for whoever knows no others: the first ones
     /// that weigh `enough`, the relapses and the last one.
-    pub fn standing_crashes(&self, explained: &HashSet<u64>, enough: u32) -> Vec<u64> {
+    pub fn standing_crashes(&self, explained: &HashMap<u64, u32>, enough: u32) -> Vec<u64> {
         let weighed = self.spans(explained).map(|span| weigh(&span));
         let first = weighed.into_iter().find(|span| span.last().is_some_and(|l| l.1 >= enough));
         let first = first.unwrap_or_default();
@@ -131,12 +137,18 @@
         pairs.filter(|(one, next)| next.at.since(one.at) >= QUARANTINE_TIME).map(|(_, next)| next)
     }
 
-    /// For each crash that isn't in `explained`, it and those within [`EVIDENCE_TIME`] after it.
-    fn spans(&self, explained: &HashSet<u64>) -> impl Iterator<Item = Vec<Crash>> {
-        let open = self.crashes.iter().filter(|crash| !explained.contains(&crash.id));
-        let open: Vec<Crash> = open.copied().collect();
+    /// For each crash that `explained` leaves a weight, it and those within [`EVIDENCE_TIME`] after
+    /// it, with these weights.
+    fn spans(&self, explained: &HashMap<u64, u32>) -> impl Iterator<Item = Vec<(Crash, u32)>> {
+        let left = |crash: &Crash| {
+            let weight = crash.weight();
+            (*crash, weight - weight.min(explained.get(&crash.id).copied().unwrap_or(0)))
+        };
+        let open = self.crashes.iter().map(left).filter(|(_, weight)| *weight > 0);
+        let open: Vec<(Crash, u32)> = open.collect();
         (0..open.len()).map(move |start| {
-            let is_near = |crash: &&Crash| crash.at.since(open[start].at) < EVIDENCE_TIME;
+            let is_near =
+                |(crash, _): &&(Crash, u32)| crash.at.since(open[start].0.at) < EVIDENCE_TIME;
             open[start..].iter().take_while(is_near).copied().collect()
         })
     }
@@ -149,12 +161,12 @@
 }
 
 /// Ids of the crashes that add weight, each with the weight up to it.
-fn weigh(crashes: &[Crash]) -> Vec<(u64, u32)> {
+fn weigh(crashes: &[(Crash, u32)]) -> Vec<(u64, u32)> {
     let mut weighed = Vec::new();
     let mut total = 0;
     let mut group: Option<(Timestamp, u32)> = None;
-    for crash in crashes {
-        let weight = if crash.begun { BEGUN_WEIGHT } else { WAITING_WEIGHT };
+    for (crash, weight) in crashes {
+        let weight = *weight;
         let same = group.filter(|(since, _)| crash.at.since(*since) < SAME_CAUSE_SPAN);
         let (since, counted) = same.unwrap_or((crash.at, 0));
         if weight > counted {
--- a/tests/traffic/prompt_guard.rs
+++ b/tests/traffic/prompt_guard.rs
@@ -137,6 +137,26 @@
     assert_eq!(culprit(&guard, 2030, &[FIRST, BAD]), Some(BAD));
 }
 
+/// Guards against two crashing parts that are blamed for each other's crashes, so that each in turn
+/// is released.
+#[test]
+fn two_crashing_parts_stay_quarantined_together() {
+    let mut guard = PromptGuard::default();
+    let second = BAD + 1;
+    for millis in [0, 1000, 2000] {
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+        crash(&mut guard, millis, &[FIRST, second], false);
+        guard.on_sound(at(millis + 100), &parts(&[FIRST]));
+    }
+    crash(&mut guard, 3000, &[FIRST, BAD], false);
+    for millis in [3000, 4000, 5000] {
+        crash(&mut guard, millis, &[FIRST, second], true);
+        assert_eq!(culprit(&guard, millis, &[BAD]), Some(BAD), "at {millis} ms");
+    }
+    assert_eq!(culprit(&guard, 5000, &[second]), Some(second));
+    assert_eq!(culprit(&guard, 5000, &[FIRST, OTHER]), None);
+}
+
 /// Guards against a bystander that was sound before being blamed instead of the culprit.
 #[test]
 fn of_parts_at_the_same_crashes_the_one_that_was_never_sound_is_blamed() {
