--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -31,8 +31,8 @@
 
 /// Weight of crashes from which on a part is quarantined: three responses that had just begun.
 const QUARANTINE_SCORE: u32 = 2 * BEGUN_WEIGHT + 1;
-/// Weight that other quarantined parts must leave unexplained if the part was never sound.
-const REST_SCORE: u32 = BEGUN_WEIGHT + 1;
+/// Crashes that other quarantined parts must leave partly unexplained if the part was never sound.
+const REST_CRASHES: usize = 3;
 /// Weight of crashes from which on requests with a part that was never sound aren't sent again.
 const RETRY_SCORE: u32 = 2 * BEGUN_WEIGHT;
 /// Time after its last crash at which a quarantined part is forgotten.
@@ -251,14 +251,15 @@
             let scored = rest.map(|(part, suspect)| (suspect.score(&explained), *part, suspect));
             let over = scored.filter(|(score, part, suspect)| {
                 *score >= QUARANTINE_SCORE
-                    || *score >= REST_SCORE
+                    || suspect.crashes_beside(&explained) >= REST_CRASHES
                         && !self.sound.contains_key(part)
                         && suspect.score(&HashMap::new()) >= QUARANTINE_SCORE
             });
-            // Of parts that were at the same crashes, one that was never sound goes first, then the
-            // one that fewer prompts share.
+            // A part that was never sound goes first. Of parts that were at the same crashes, it is
+            // the one that was sound the longest time ago, then the one that fewer prompts share.
             let rank = |score: u32, part: u64, suspect: &SuspectPart| {
-                (score, Reverse(self.sound.get(&part).copied()), suspect.position(), part)
+                let sound = self.sound.get(&part).copied();
+                (sound.is_none(), score, Reverse(sound), suspect.position(), part)
             };
             let worst = over.max_by_key(|(score, part, suspect)| rank(*score, *part, suspect));
             let Some((_, part, suspect)) = worst else { return culprits };
--- a/src/decide/traffic/suspect_part.rs
+++ b/src/decide/traffic/suspect_part.rs
@@ -95,21 +95,31 @@
         weights.map(|(_, total)| total).max().unwrap_or(0)
     }
 
+    /// Most crashes within [`EVIDENCE_TIME`] that `explained` leaves a weight.
+    pub fn crashes_beside(&self, explained: &HashMap<u64, u32>) -> usize {
+        self.spans(explained).map(|span| weigh(&span).len()).max().unwrap_or(0)
+    }
+
     /// Ids of crashes from which the quarantine follows for whoever knows no others: the first ones
-    /// that weigh `enough`, the relapses and the last one.
+    /// that weigh `enough`, the first ones that weigh this or as much as there is without what is
+    /// `explained`, the relapses and the last one.
     pub fn standing_crashes(&self, explained: &HashMap<u64, u32>, enough: u32) -> Vec<u64> {
-        let weighed = self.spans(explained).map(|span| weigh(&span));
-        let first = weighed.into_iter().find(|span| span.last().is_some_and(|l| l.1 >= enough));
+        let mut ids = self.first_crashes(&HashMap::new(), enough);
+        ids.extend(self.first_crashes(explained, enough.min(self.score(explained))));
+        ids.extend(self.relapses().rev().take(MAX_RELAPSES as usize).map(|crash| crash.id));
+        ids.extend(self.crashes.last().map(|crash| crash.id));
+        ids.sort_unstable();
+        ids.dedup();
+        ids
+    }
+
+    /// The first crashes that weigh `enough` without what is `explained`.
+    fn first_crashes(&self, explained: &HashMap<u64, u32>, enough: u32) -> Vec<u64> {
+        let mut spans = self.spans(explained).map(|span| weigh(&span));
+        let first = spans.find(|span| span.last().is_some_and(|(_, total)| *total >= enough));
         let first = first.unwrap_or_default();
         let needed = 1 + first.iter().take_while(|(_, total)| *total < enough).count();
-        let mut ids: Vec<u64> = first.iter().take(needed).map(|(id, _)| *id).collect();
-        let newest_relapses = self.relapses().rev().take(MAX_RELAPSES as usize);
-        for crash in newest_relapses.chain(self.crashes.last()) {
-            if !ids.contains(&crash.id) {
-                ids.push(crash.id);
-            }
-        }
-        ids
+        first.iter().take(needed).map(|(id, _)| *id).collect()
     }
 
     /// End of the quarantine that follows from the crashes.
--- a/tests/traffic/prompt_guard.rs
+++ b/tests/traffic/prompt_guard.rs
@@ -157,6 +157,55 @@
     assert_eq!(culprit(&guard, 5000, &[FIRST, OTHER]), None);
 }
 
+/// Guards against a bystander that weighs more, since heads of the culprit's responses were lost.
+#[test]
+fn a_part_that_was_sound_is_not_blamed_for_weighing_more_than_the_culprit() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    for (millis, begun) in [(1000, true), (1300, false), (1600, true)] {
+        crash(&mut guard, millis, &[FIRST, OTHER], true);
+        crash(&mut guard, millis, &[FIRST, BAD], begun);
+    }
+    assert_eq!(culprit(&guard, 1700, &[BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 1700, &[FIRST, OTHER]), None);
+}
+
+/// Guards against a rare part that stays quarantined since a stream with it broke off once more
+/// after the culprit was known.
+#[test]
+fn a_bystander_that_was_never_sound_is_not_blamed_for_one_more_crash() {
+    let mut guard = guard_with_quarantine();
+    crash(&mut guard, 0, &[FIRST, OTHER], true);
+    crash(&mut guard, 2500, &[FIRST, BAD], false);
+    crash(&mut guard, 2500, &[FIRST, OTHER], true);
+    guard.on_sound(at(3000), &parts(&[FIRST]));
+    crash(&mut guard, 9000, &[FIRST, OTHER], true);
+    assert_eq!(culprit(&guard, 9100, &[FIRST, OTHER]), None);
+    assert_eq!(culprit(&guard, 9100, &[BAD]), Some(BAD));
+}
+
+/// Guards against a restarted instance that learns of one of two parts that crash replicas at the
+/// same time.
+#[test]
+fn a_restarted_instance_learns_of_two_parts_that_share_crashes() {
+    let mut guard = PromptGuard::default();
+    let second = BAD + 1;
+    for millis in [0, 1000, 2000] {
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+        crash(&mut guard, millis, &[FIRST, second], false);
+    }
+    for millis in [3000, 4000, 5000] {
+        crash(&mut guard, millis, &[FIRST, second], true);
+        guard.on_sound(at(millis + 100), &parts(&[FIRST]));
+    }
+    let mut restarted = PromptGuard::default();
+    tell(&guard, at(100_000), &mut restarted, Timestamp::ZERO);
+    for part in [BAD, second] {
+        assert_eq!(culprit(&guard, 100_000, &[part]), Some(part));
+        assert!(restarted.quarantine(Timestamp::ZERO, &parts(&[part])).is_some(), "{part}");
+    }
+}
+
 /// Guards against a bystander that was sound before being blamed instead of the culprit.
 #[test]
 fn of_parts_at_the_same_crashes_the_one_that_was_never_sound_is_blamed() {
