--- a/tests/traffic/prompt_guard.rs
+++ b/tests/traffic/prompt_guard.rs
@@ -1,9 +1,8 @@
-//! Quarantine of prompt parts that crash replicas, and the progress of a response.
+//! Quarantine of prompt parts that crash replicas.
 
 use tamaracklead::decide::traffic::PromptGuard;
 use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::QuarantineChange;
-use tamaracklead::decide::traffic::ResponseProgress;
 use tamaracklead::names::Timestamp;
 
 use crate::support::at;
@@ -11,24 +10,27 @@
 use crate::support::name;
 
 /// The first part of all prompts.
-const FIRST: u64 = 1;
+pub const FIRST: u64 = 1;
 /// The part that crashes replicas.
-const BAD: u64 = 2;
+pub const BAD: u64 = 2;
 /// A part of other prompts.
-const OTHER: u64 = 7;
-/// Most items of one kind in a message.
-const MAX_SHARED: usize = 64;
+pub const OTHER: u64 = 7;
 
-fn parts(ids: &[u64]) -> Vec<PromptPart> {
+pub fn parts(ids: &[u64]) -> Vec<PromptPart> {
     ids.iter().map(|id| PromptPart { id: *id, tokens: 10 }).collect()
 }
 
 /// A crash of the replica `r<millis>` at this time.
-fn crash(guard: &mut PromptGuard, millis: u64, ids: &[u64], begun: bool) -> Vec<QuarantineChange> {
+pub fn crash(
+    guard: &mut PromptGuard,
+    millis: u64,
+    ids: &[u64],
+    begun: bool,
+) -> Vec<QuarantineChange> {
     crash_at(guard, at(millis), &format!("r{millis}"), ids, begun)
 }
 
-fn crash_at(
+pub fn crash_at(
     guard: &mut PromptGuard,
     now: Timestamp,
     replica: &str,
@@ -44,7 +46,7 @@
     to.on_peer_evidence(to_now, &evidence, &sound);
 }
 
-fn culprit(guard: &PromptGuard, millis: u64, ids: &[u64]) -> Option<u64> {
+pub fn culprit(guard: &PromptGuard, millis: u64, ids: &[u64]) -> Option<u64> {
     guard.quarantine(at(millis), &parts(ids)).map(|quarantine| quarantine.part)
 }
 
@@ -344,120 +346,3 @@
     assert!(!guard.may_retry(&parts(&[FIRST, BAD])));
     assert!(guard.may_retry(&parts(&[FIRST, OTHER])));
 }
-
-/// Guards against gossip that costs bytes when nothing happens.
-#[test]
-fn nothing_is_shared_while_no_replica_crashes() {
-    let mut guard = PromptGuard::default();
-    assert_eq!(guard.share(at(0)), (Vec::new(), Vec::new()));
-    for id in 0..1000 {
-        guard.on_sound(at(id), &parts(&[FIRST, id]));
-    }
-    assert_eq!(guard.share(at(1000)), (Vec::new(), Vec::new()));
-}
-
-/// Guards against messages that grow with the number of requests at crashed replicas.
-#[test]
-fn what_is_shared_is_bounded() {
-    let mut guard = PromptGuard::default();
-    for id in 100..400 {
-        guard.on_sound(at(0), &parts(&[id]));
-    }
-    for millis in [1000, 1300, 1600] {
-        for id in 100..400 {
-            crash(&mut guard, millis, &[FIRST, id], true);
-        }
-    }
-    let (evidence, sound) = guard.share(at(1700));
-    assert_eq!((evidence.len(), sound.len()), (MAX_SHARED, MAX_SHARED));
-}
-
-/// Guards against a culprit that is forgotten since many other parts are suspected.
-#[test]
-fn hundreds_of_suspects_do_not_hide_a_new_culprit() {
-    let mut guard = PromptGuard::default();
-    for id in 1000..1400 {
-        crash(&mut guard, id, &[FIRST, id], true);
-    }
-    guard.on_sound(at(2000), &parts(&[FIRST]));
-    for millis in [3000, 3500, 4000] {
-        crash(&mut guard, millis, &[FIRST, BAD], true);
-    }
-    assert_eq!(culprit(&guard, 4100, &[FIRST, BAD]), Some(BAD));
-}
-
-/// Guards against a culprit that is forgotten when a rack fails between its crashes.
-#[test]
-fn hundreds_of_newer_suspects_do_not_hide_a_culprit() {
-    let mut guard = PromptGuard::default();
-    for millis in [0, 2000, 4000] {
-        crash(&mut guard, millis, &[FIRST, BAD], true);
-        guard.on_sound(at(millis + 100), &parts(&[FIRST]));
-        for id in 0..300 {
-            let replica = format!("rack {millis} {}", id % 12);
-            crash_at(&mut guard, at(millis + 200), &replica, &[1000 + millis + id], true);
-        }
-    }
-    assert_eq!(culprit(&guard, 4300, &[FIRST, BAD]), Some(BAD));
-}
-
-/// Guards against news of a culprit that no peer gets when a rack fails soon after its crash.
-#[test]
-fn hundreds_of_newer_suspects_do_not_keep_news_of_a_culprit_from_peers() {
-    let mut guard = PromptGuard::default();
-    for millis in [0, 300] {
-        crash(&mut guard, millis, &[FIRST, BAD], true);
-    }
-    for id in 0..300 {
-        crash_at(&mut guard, at(310), &format!("rack {}", id % 12), &[1000 + id], true);
-    }
-    let (evidence, _) = guard.share(at(320));
-    let about_culprit = evidence.iter().filter(|item| item.part == BAD).count();
-    assert_eq!(about_culprit, 2);
-}
-
-/// Guards against runs with equal seeds that differ, by the order in which a map is read.
-#[test]
-fn guards_that_know_the_same_share_the_same() {
-    let shared = || {
-        let mut guard = PromptGuard::default();
-        for id in 0..300 {
-            guard.on_sound(at(0), &parts(&[1000 + id]));
-            crash_at(&mut guard, at(310), &format!("rack {}", id % 12), &[1000 + id], true);
-        }
-        guard.share(at(320))
-    };
-    assert_eq!(shared(), shared());
-}
-
-/// Guards against proof of life from data that was buffered while this process was paused.
-#[test]
-fn one_late_read_after_a_pause_does_not_show_that_the_replica_lives() {
-    let mut progress = ResponseProgress::new(at(0));
-    assert!(!progress.on_data(at(50)));
-    assert!(!progress.on_data(at(2050)), "buffered during the pause");
-    assert!(!progress.on_data(at(2051)), "buffered during the pause");
-    assert!(!progress.on_data(at(2249)));
-    assert!(progress.on_data(at(2251)));
-    assert!(!progress.on_data(at(2500)), "said once");
-    assert!(!progress.on_end(), "said once");
-}
-
-/// Guards against a response that ends soon but whose prompt stays suspected.
-#[test]
-fn the_end_of_a_response_shows_that_its_replica_lives() {
-    let mut progress = ResponseProgress::new(at(0));
-    assert!(!progress.on_data(at(50)));
-    assert!(progress.on_end());
-}
-
-/// Guards against a crash that is put down to a request whose response had gone on for long.
-#[test]
-fn only_a_response_that_has_just_begun_may_have_crashed_its_replica() {
-    let mut progress = ResponseProgress::new(at(0));
-    assert!(progress.may_have_crashed());
-    progress.on_data(at(499));
-    assert!(progress.may_have_crashed());
-    progress.on_data(at(500));
-    assert!(!progress.may_have_crashed());
-}
