Share the soundness of suspected parts for three seconds, not for a minute

What instances tell each other of sound parts stayed in each message for as long as a part was suspected, a minute after its last crash. Three seconds reach all.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -142,7 +142,8 @@
             (is_other, Reverse(score), item.age_ms, item.part, item.crash)
         });
         evidence.truncate(MAX_SHARED);
-        let suspected = self.suspects.keys().filter_map(|part| Some((part, self.sound.get(part)?)));
+        let suspected = self.suspects.iter().filter(|(_, suspect)| suspect.has_news(news_since));
+        let suspected = suspected.filter_map(|(part, _)| Some((part, self.sound.get(part)?)));
         let cleared = self.cleared.iter().filter(|(_, at)| **at >= news_since);
         let mut sound: Vec<(u64, Timestamp)> =
             suspected.chain(cleared).map(|(part, at)| (*part, *at)).collect();
--- a/src/decide/traffic/suspect_part.rs
+++ b/src/decide/traffic/suspect_part.rs
@@ -74,6 +74,11 @@
         self.crashes.is_empty()
     }
 
+    /// Whether this instance has learned of a crash since `since`.
+    pub fn has_news(&self, since: Timestamp) -> bool {
+        self.crashes.iter().any(|crash| crash.learned_at >= since)
+    }
+
     /// Position of the part in its prompt.
     pub fn position(&self) -> u32 {
         self.position
--- a/tests/traffic/prompt_evidence.rs
+++ b/tests/traffic/prompt_evidence.rs
@@ -24,6 +24,19 @@
     assert_eq!(guard.share(at(1000)), (Vec::new(), Vec::new()));
 }
 
+/// Guards against gossip that costs bytes for a minute after each crash: only the crashes of
+/// culprits are shared for longer than three seconds.
+#[test]
+fn parts_that_were_sound_are_shared_for_three_seconds_after_a_crash() {
+    let mut guard = PromptGuard::default();
+    for id in 100..200 {
+        guard.on_sound(at(0), &parts(&[id]));
+        crash(&mut guard, 1000, &[FIRST, id], true);
+    }
+    assert_eq!(guard.share(at(3900)).1.len(), MAX_SHARED);
+    assert_eq!(guard.share(at(4100)), (Vec::new(), Vec::new()));
+}
+
 /// Guards against messages that grow with the number of requests at crashed replicas.
 #[test]
 fn what_is_shared_is_bounded() {
--- a/tests/traffic/prompt_storm/record.rs
+++ b/tests/traffic/prompt_storm/record.rs
@@ -54,6 +54,9 @@
     /// Total and number in the last seconds of the run.
     pub late_total: usize,
     pub late_messages: usize,
+    /// Items in these.
+    pub late_crashes: usize,
+    pub late_sound: usize,
 }
 
 /// Everything that the checks need.
@@ -133,6 +136,8 @@
         if at + WINDOW_US > self.run_us {
             self.bytes.late_total += size;
             self.bytes.late_messages += 1;
+            self.bytes.late_crashes += evidence.len();
+            self.bytes.late_sound += sound.len();
         }
     }
 
