Share a single strike for five seconds instead of two minutes

A single strike reaches all instances within a second or two and is then only repeated. Those with two strikes or more are still shared, for instances that have restarted; what an instance remembers is unchanged. The test failed before ("for instances that have restarted": 1,000 strikes instead of one) and passes.

--- a/src/decide/traffic/crash_guard.rs
+++ b/src/decide/traffic/crash_guard.rs
@@ -13,6 +13,8 @@
 const MAX_STRIKES: u32 = 3;
 /// Time after the last strike at which all strikes of a request expire.
 const STRIKE_TTL: Duration = Duration::from_secs(120);
+/// Time for which a single strike is shared; it reaches all instances within a second or two.
+const SINGLE_STRIKE_SHARE_TIME: Duration = Duration::from_secs(5);
 /// Most fingerprints with strikes; beyond that, new strikes aren't recorded.
 const CAPACITY: usize = 4096;
 
@@ -48,10 +50,15 @@
         self.count(now, fingerprint) >= MAX_STRIKES
     }
 
-    /// Fingerprints with strikes that haven't expired, and how many, to share with peers.
+    /// Fingerprints with strikes that haven't expired, and how many, to share with peers; those with
+    /// a single strike only while it is new, as most of these come from failures of other causes.
     pub fn active_strikes(&self, now: Timestamp) -> Vec<(u64, u32)> {
-        let fresh = self.strikes.iter().filter(|(_, s)| now.since(s.last) < STRIKE_TTL);
-        fresh.map(|(fingerprint, s)| (*fingerprint, s.count)).collect()
+        let is_shared = |s: &Strikes| {
+            let ttl = if s.count > 1 { STRIKE_TTL } else { SINGLE_STRIKE_SHARE_TIME };
+            now.since(s.last) < ttl
+        };
+        let shared = self.strikes.iter().filter(|(_, s)| is_shared(s));
+        shared.map(|(fingerprint, s)| (*fingerprint, s.count)).collect()
     }
 
     fn count(&self, now: Timestamp, fingerprint: u64) -> u32 {
--- a/tests/traffic/small.rs
+++ b/tests/traffic/small.rs
@@ -46,6 +46,19 @@
     assert_eq!(retries_granted(&mut share, 10_001, 2), first);
 }
 
+/// Guards against messages that grow with every connection that broke in the last two minutes.
+#[test]
+fn single_strikes_are_shared_for_some_seconds_only() {
+    let mut guard = CrashGuard::default();
+    for request in 0..1000 {
+        guard.strike(at(0), request);
+    }
+    guard.strike(at(100), 7);
+    assert_eq!(guard.active_strikes(at(2000)).len(), 1000);
+    assert_eq!(guard.active_strikes(at(10_000)), [(7, 2)], "for instances that have restarted");
+    assert_eq!(guard.strike(at(10_000), 8), 2, "it is remembered all the same");
+}
+
 #[test]
 fn a_request_that_broke_three_connections_is_refused_on_all_instances() {
     let mut guard = CrashGuard::default();
