Let strikes expire at all instances by their age

What callers would see: a request that was refused for its strikes stayed refused as long as the fleet lived, also if its strikes came from failures of other causes. An instance whose strikes had expired adopted them anew from one that learned of them a moment later, with a new time, and the other way round.

Strikes now go with their age, in a field that older processes leave out; from these they count as new, as before. The test failed before, with the ages left out of the decision: "after 120 s, left: true". It passes, and the test of three broken connections is unchanged but for the type of its messages.

--- a/src/decide/traffic/crash_guard.rs
+++ b/src/decide/traffic/crash_guard.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::Strikes;
 use crate::names::Timestamp;
 
 /// Strikes from which on a request is refused.
@@ -19,29 +20,31 @@
 const CAPACITY: usize = 4096;
 
 #[derive(Clone, Copy, Debug)]
-struct Strikes {
+struct Record {
     count: u32,
-    last: Timestamp,
+    expires: Timestamp,
 }
 
 /// Strikes by fingerprint.
 #[derive(Clone, Debug, Default)]
 pub struct CrashGuard {
-    strikes: HashMap<u64, Strikes>,
+    strikes: HashMap<u64, Record>,
 }
 
 impl CrashGuard {
     /// Adds a strike; returns how many there are now.
     pub fn strike(&mut self, now: Timestamp, fingerprint: u64) -> u32 {
         let count = self.count(now, fingerprint) + 1;
-        self.set(now, fingerprint, count);
+        self.set(now, fingerprint, count, STRIKE_TTL);
         count
     }
 
-    /// Adopts a peer's count of strikes if it is higher.
-    pub fn on_peer_count(&mut self, now: Timestamp, fingerprint: u64, count: u32) {
+    /// Adopts a peer's strikes if they are more, with their age, so that they expire everywhere.
+    pub fn on_peer_strikes(&mut self, now: Timestamp, strikes: &Strikes) {
+        let Strikes { fingerprint, count, age_ms } = *strikes;
+        let left = STRIKE_TTL.saturating_sub(Duration::from_millis(age_ms));
         if count > self.count(now, fingerprint) {
-            self.set(now, fingerprint, count);
+            self.set(now, fingerprint, count, left);
         }
     }
 
@@ -52,26 +55,33 @@
 
     /// Fingerprints with strikes that haven't expired, and how many, to share with peers; those with
     /// a single strike only while it is new, as most of these come from failures of other causes.
-    pub fn active_strikes(&self, now: Timestamp) -> Vec<(u64, u32)> {
-        let is_shared = |s: &Strikes| {
-            let ttl = if s.count > 1 { STRIKE_TTL } else { SINGLE_STRIKE_SHARE_TIME };
-            now.since(s.last) < ttl
+    pub fn active_strikes(&self, now: Timestamp) -> Vec<Strikes> {
+        let age = |record: &Record| STRIKE_TTL.saturating_sub(record.expires.since(now));
+        let is_shared = |record: &Record| {
+            let ttl = if record.count > 1 { STRIKE_TTL } else { SINGLE_STRIKE_SHARE_TIME };
+            age(record) < ttl
         };
-        let shared = self.strikes.iter().filter(|(_, s)| is_shared(s));
-        shared.map(|(fingerprint, s)| (*fingerprint, s.count)).collect()
+        let shared = self.strikes.iter().filter(|(_, record)| is_shared(record));
+        shared
+            .map(|(fingerprint, record)| Strikes {
+                fingerprint: *fingerprint,
+                count: record.count,
+                age_ms: u64::try_from(age(record).as_millis()).unwrap_or(u64::MAX),
+            })
+            .collect()
     }
 
     fn count(&self, now: Timestamp, fingerprint: u64) -> u32 {
-        let strikes = self.strikes.get(&fingerprint);
-        strikes.filter(|s| now.since(s.last) < STRIKE_TTL).map_or(0, |s| s.count)
+        let record = self.strikes.get(&fingerprint);
+        record.filter(|record| now < record.expires).map_or(0, |record| record.count)
     }
 
-    fn set(&mut self, now: Timestamp, fingerprint: u64, count: u32) {
+    fn set(&mut self, now: Timestamp, fingerprint: u64, count: u32, left: Duration) {
         if self.strikes.len() >= CAPACITY {
-            self.strikes.retain(|_, s| now.since(s.last) < STRIKE_TTL);
+            self.strikes.retain(|_, record| now < record.expires);
         }
         if self.strikes.len() < CAPACITY {
-            self.strikes.insert(fingerprint, Strikes { count, last: now });
+            self.strikes.insert(fingerprint, Record { count, expires: now + left });
         }
     }
 }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -30,6 +30,7 @@
 use super::turns;
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
+use crate::decide::traffic::Strikes;
 use crate::decide::traffic::ViewChanges;
 use crate::edge::HttpCall;
 use crate::error::Error;
@@ -247,6 +248,7 @@
 fn build_exchange(node: &Node, receiver: &Receiver) -> Exchange {
     let now = node.now();
     let hears_work = node.peers().hears_work(now, receiver);
+    let strikes = node.crash_guard().active_strikes(now);
     let (crash_evidence, sound_parts) = node.prompt_guard().share(now);
     Exchange {
         peers: node.peers().gossip(now, receiver),
@@ -254,7 +256,8 @@
         owned: if hears_work { owned_replicas(node) } else { Vec::new() },
         loads: if hears_work { own_workloads(node) } else { Vec::new() },
         use_serial: node.use_serial(),
-        strikes: node.crash_guard().active_strikes(now),
+        strikes: strikes.iter().map(|s| (s.fingerprint, s.count)).collect(),
+        strike_ages_ms: strikes.iter().map(|s| s.age_ms).collect(),
         views: ViewDigests {
             operator: node.view(PublishedTopic::Operator).digest(now),
             replicas: node.view(PublishedTopic::Replicas).digest(now),
@@ -321,8 +324,9 @@
         }
     }
     prompt_quarantine::on_peer_evidence(node, &received.crash_evidence, &received.sound_parts);
-    for (fingerprint, count) in received.strikes {
-        node.crash_guard().on_peer_count(now, fingerprint, count);
+    let ages_ms = received.strike_ages_ms.into_iter().chain(std::iter::repeat(0));
+    for ((fingerprint, count), age_ms) in received.strikes.into_iter().zip(ages_ms) {
+        node.crash_guard().on_peer_strikes(now, &Strikes { fingerprint, count, age_ms });
     }
     let addr = from.unwrap_or(sender.addr);
     for (topic, digest) in [
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -95,6 +95,9 @@
     pub use_serial: u64,
     /// Fingerprints of requests that are suspected of crashing replicas, with their strikes.
     pub strikes: Vec<(u64, u32)>,
+    /// Time since the last strike of each of these, in milliseconds; empty from older processes.
+    #[serde(default)]
+    pub strike_ages_ms: Vec<u64>,
     /// Up to where the sender has read the published state.
     pub views: ViewDigests,
     /// Replicas that said lately that they are leaving, with their start times in milliseconds
--- a/tests/traffic/small.rs
+++ b/tests/traffic/small.rs
@@ -7,6 +7,7 @@
 use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::RetryShare;
 use tamaracklead::decide::traffic::Shutdown;
+use tamaracklead::decide::traffic::Strikes;
 use tamaracklead::decide::traffic::WaitBudget;
 use tamaracklead::names::ServiceName;
 
@@ -46,6 +47,26 @@
     assert_eq!(retries_granted(&mut share, 10_001, 2), first);
 }
 
+/// Guards against strikes that never expire, since instances tell them to each other in turn.
+#[test]
+fn strikes_that_instances_share_expire_at_all_of_them() {
+    let (mut one, mut two) = (CrashGuard::default(), CrashGuard::default());
+    for _ in 0..3 {
+        one.strike(at(0), 7);
+    }
+    for second in 1..130 {
+        let now = at(second * 1000);
+        for strike in one.active_strikes(now) {
+            two.on_peer_strikes(now, &strike);
+        }
+        for strike in two.active_strikes(now) {
+            one.on_peer_strikes(now, &strike);
+        }
+        assert_eq!(two.refuses(now, 7), second < 120, "after {second} s");
+    }
+    assert!(!one.refuses(at(130_000), 7));
+}
+
 /// Guards against messages that grow with every connection that broke in the last two minutes.
 #[test]
 fn single_strikes_are_shared_for_some_seconds_only() {
@@ -55,7 +76,9 @@
     }
     guard.strike(at(100), 7);
     assert_eq!(guard.active_strikes(at(2000)).len(), 1000);
-    assert_eq!(guard.active_strikes(at(10_000)), [(7, 2)], "for instances that have restarted");
+    let shared = guard.active_strikes(at(10_000));
+    let repeated = Strikes { fingerprint: 7, count: 2, age_ms: 9900 };
+    assert_eq!(shared, [repeated], "for instances that have restarted");
     assert_eq!(guard.strike(at(10_000), 8), 2, "it is remembered all the same");
 }
 
@@ -69,11 +92,11 @@
     assert!(guard.refuses(at(4), 7));
     assert!(!guard.refuses(at(4), 8));
     let mut other = CrashGuard::default();
-    for (fingerprint, count) in guard.active_strikes(at(5)) {
-        other.on_peer_count(at(5), fingerprint, count);
+    for strikes in guard.active_strikes(at(5)) {
+        other.on_peer_strikes(at(5), &strikes);
     }
     assert!(other.refuses(at(6), 7));
-    other.on_peer_count(at(7), 7, 1);
+    other.on_peer_strikes(at(7), &Strikes { fingerprint: 7, count: 1, age_ms: 0 });
     assert!(other.refuses(at(8), 7), "a lower count of a peer lowers nothing");
     assert!(!other.refuses(at(200_000), 7));
 }
