Leave empty fields of evidence out of exchanges

Three fields for rare events stood in every message between instances, with their names, also while nothing happens. The test failed before ("strike_ages_ms" is there) and passes; processes of the version before leave the fields out too, so both decode.

--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -96,7 +96,7 @@
     /// Fingerprints of requests that are suspected of crashing replicas, with their strikes.
     pub strikes: Vec<(u64, u32)>,
     /// Time since the last strike of each of these, in milliseconds; empty from older processes.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub strike_ages_ms: Vec<u64>,
     /// Up to where the sender has read the published state.
     pub views: ViewDigests,
@@ -105,10 +105,10 @@
     #[serde(default)]
     pub leaving: Vec<(BackendName, u64)>,
     /// Prompt parts that replicas had when they crashed.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crash_evidence: Vec<CrashEvidence>,
     /// Suspected prompt parts that didn't crash a replica.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sound_parts: Vec<SoundPart>,
 }
 
--- a/tests/traffic/prompt_evidence.rs
+++ b/tests/traffic/prompt_evidence.rs
@@ -1,6 +1,12 @@
 //! What a guard of prompt parts keeps and tells others when much happens at once.
 
+use tamaracklead::decide::traffic::Beats;
+use tamaracklead::decide::traffic::PeerGossip;
 use tamaracklead::decide::traffic::PromptGuard;
+use tamaracklead::wire::frame::decode;
+use tamaracklead::wire::frame::encode;
+use tamaracklead::wire::relay::Exchange;
+use tamaracklead::wire::relay::ViewDigests;
 
 use crate::prompt_guard::BAD;
 use crate::prompt_guard::FIRST;
@@ -110,3 +116,34 @@
     };
     assert_eq!(shared(), shared());
 }
+
+/// Guards against bytes in every message of a fleet in which nothing crashes.
+#[test]
+fn an_exchange_without_evidence_is_as_long_as_one_of_an_older_process() {
+    let peers = PeerGossip {
+        records: Vec::new(),
+        heartbeats: Vec::new(),
+        needs_all_records: false,
+        roster: 0,
+        beats: Beats::None,
+    };
+    let idle = Exchange {
+        peers,
+        fence: 0,
+        owned: Vec::new(),
+        loads: Vec::new(),
+        use_serial: 0,
+        strikes: Vec::new(),
+        strike_ages_ms: Vec::new(),
+        views: ViewDigests::default(),
+        leaving: Vec::new(),
+        crash_evidence: Vec::new(),
+        sound_parts: Vec::new(),
+    };
+    let bytes = encode(&idle).unwrap();
+    for field in ["strike_ages_ms", "crash_evidence", "sound_parts"] {
+        let is_there = bytes.windows(field.len()).any(|window| window == field.as_bytes());
+        assert!(!is_there, "{field}");
+    }
+    assert_eq!(decode::<Exchange>(&bytes).unwrap(), idle);
+}
