Tell an instance that suspects a sound part, also if nobody else suspects it

Callers at an instance that had been cut off from its peers for some seconds could be refused for ever: it blamed the first part of all prompts for streams that broke meanwhile, and refused what would have cleared that part. Peers that knew the part as sound dropped its evidence without an answer.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -71,6 +71,7 @@
 pub struct PromptGuard {
     suspects: HashMap<u64, SuspectPart>,
     sound: HashMap<u64, Timestamp>,
+    /// Parts whose soundness peers are told, and since when.
     cleared: HashMap<u64, Timestamp>,
     quarantined: HashMap<u64, Culprit>,
     probed: HashMap<u64, Timestamp>,
@@ -144,7 +145,8 @@
         evidence.truncate(MAX_SHARED);
         let suspected = self.suspects.iter().filter(|(_, suspect)| suspect.has_news(news_since));
         let suspected = suspected.filter_map(|(part, _)| Some((part, self.sound.get(part)?)));
-        let cleared = self.cleared.iter().filter(|(_, at)| **at >= news_since);
+        let cleared = self.cleared.iter().filter(|(_, since)| **since >= news_since);
+        let cleared = cleared.filter_map(|(part, _)| Some((part, self.sound.get(part)?)));
         let mut sound: Vec<(u64, Timestamp)> =
             suspected.chain(cleared).map(|(part, at)| (*part, *at)).collect();
         sound.sort_unstable_by_key(|(part, at)| (Reverse(*at), *part));
@@ -195,6 +197,7 @@
     fn add_crash(&mut self, now: Timestamp, item: &CrashEvidence) -> bool {
         let at = now - Duration::from_millis(item.age_ms);
         if self.sound.get(&item.part).is_some_and(|sound| *sound >= at) {
+            self.tell_sound(now, item.part);
             return false;
         }
         if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&item.part) {
@@ -216,10 +219,18 @@
         }
         let Some(suspect) = self.suspects.get_mut(&item.part) else { return false };
         suspect.drop_until(at);
-        self.cleared.insert(item.part, at);
+        self.tell_sound(now, item.part);
         true
     }
 
+    /// Has peers told that a part is sound, as some of them may suspect it.
+    fn tell_sound(&mut self, now: Timestamp, part: u64) {
+        if self.cleared.len() >= MAX_SUSPECTS {
+            self.cleared.retain(|_, since| now.since(*since) < SHARE_TIME);
+        }
+        self.cleared.insert(part, now);
+    }
+
     fn drop_least_suspect(&mut self) {
         let free = self.suspects.iter().filter(|(part, _)| !self.quarantined.contains_key(*part));
         let rank = |suspect: &SuspectPart| (suspect.total_weight(), suspect.last_crash());
@@ -231,7 +242,6 @@
 
     /// Drops what is too old and works the quarantine out anew.
     fn update(&mut self, now: Timestamp) -> Vec<QuarantineChange> {
-        self.cleared.retain(|_, at| now.since(*at) < SHARE_TIME);
         self.suspects.retain(|_, suspect| now.since(suspect.last_crash()) < FORGET_TIME);
         let before = std::mem::take(&mut self.quarantined);
         self.quarantined = self.culprits();
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod prompt_evidence;
 mod prompt_guard;
+mod prompt_release;
 mod prompt_storm;
 mod prompt_turns;
 mod published_view;
--- a/tests/traffic/prompt_guard.rs
+++ b/tests/traffic/prompt_guard.rs
@@ -41,7 +41,7 @@
 }
 
 /// Tells `to` what `from` knows; their clocks may differ.
-fn tell(from: &PromptGuard, from_now: Timestamp, to: &mut PromptGuard, to_now: Timestamp) {
+pub fn tell(from: &PromptGuard, from_now: Timestamp, to: &mut PromptGuard, to_now: Timestamp) {
     let (evidence, sound) = from.share(from_now);
     to.on_peer_evidence(to_now, &evidence, &sound);
 }
--- /dev/null
+++ b/tests/traffic/prompt_release.rs
@@ -0,0 +1,27 @@
+//! Release of prompt parts that were quarantined wrongly.
+
+use tamaracklead::decide::traffic::PromptGuard;
+
+use crate::prompt_guard::FIRST;
+use crate::prompt_guard::OTHER;
+use crate::prompt_guard::crash;
+use crate::prompt_guard::culprit;
+use crate::prompt_guard::parts;
+use crate::prompt_guard::tell;
+use crate::support::at;
+
+/// Guards against an instance that blames the first part of all prompts while it hears of nobody,
+/// refuses all requests, and can't find out that the part is sound.
+#[test]
+fn an_instance_that_was_cut_off_is_told_that_a_part_is_sound() {
+    let (mut cut_off, mut other) = (PromptGuard::default(), PromptGuard::default());
+    for millis in [0, 300, 600] {
+        crash(&mut cut_off, millis, &[FIRST, OTHER + millis], true);
+    }
+    assert_eq!(culprit(&cut_off, 700, &[FIRST, OTHER]), Some(FIRST));
+    other.on_sound(at(1000), &parts(&[FIRST, OTHER]));
+    tell(&cut_off, at(1500), &mut other, at(1510));
+    tell(&other, at(1600), &mut cut_off, at(1610));
+    assert_eq!(culprit(&cut_off, 1700, &[FIRST, OTHER]), None);
+    assert_eq!(culprit(&other, 1700, &[FIRST, OTHER]), None);
+}
