Hold nothing of an explained crash against a part that was sound

Requests of a caller could be refused for a minute because of the first part of their prompts, although it was sound a moment ago: if the heads of the crashing requests' responses are lost, the culprit weighs less at its crashes than bystanders whose responses had begun, and the rest of five crashes was enough to quarantine the first part beside it. The test failed before ("left: Some(1), right: None") and passes; parts that were never sound are judged as before.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -268,11 +268,16 @@
     fn culprits(&self) -> HashMap<u64, Culprit> {
         let mut culprits = HashMap::new();
         let mut explained = HashMap::new();
+        // Of a crash at which a culprit was, nothing counts against a part that was sound.
+        let mut settled = HashMap::new();
         loop {
             let rest = self.suspects.iter().filter(|(part, suspect)| {
                 suspect.total_weight() >= QUARANTINE_SCORE && !culprits.contains_key(*part)
             });
-            let scored = rest.map(|(part, suspect)| (suspect.score(&explained), *part, suspect));
+            let scored = rest.map(|(part, suspect)| {
+                let known = if self.sound.contains_key(part) { &settled } else { &explained };
+                (suspect.score(known), *part, suspect)
+            });
             let over = scored.filter(|(score, part, suspect)| {
                 *score >= QUARANTINE_SCORE
                     || suspect.crashes_beside(&explained) >= REST_CRASHES
@@ -292,6 +297,7 @@
             for (crash, weight) in suspect.weights() {
                 let known: &mut u32 = explained.entry(crash).or_default();
                 *known = weight.max(*known);
+                settled.insert(crash, BEGUN_WEIGHT);
             }
         }
     }
--- a/tests/traffic/prompt_release.rs
+++ b/tests/traffic/prompt_release.rs
@@ -2,6 +2,7 @@
 
 use tamaracklead::decide::traffic::PromptGuard;
 
+use crate::prompt_guard::BAD;
 use crate::prompt_guard::FIRST;
 use crate::prompt_guard::OTHER;
 use crate::prompt_guard::crash;
@@ -25,3 +26,17 @@
     assert_eq!(culprit(&cut_off, 1700, &[FIRST, OTHER]), None);
     assert_eq!(culprit(&other, 1700, &[FIRST, OTHER]), None);
 }
+
+/// Guards against the first part being blamed for what is left of crashes that the culprit explains
+/// in part, as its responses' heads were lost.
+#[test]
+fn a_part_that_was_sound_is_not_blamed_for_crashes_that_another_part_explains() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    for millis in [1000, 1300, 1600, 1900, 2200] {
+        crash(&mut guard, millis, &[FIRST, BAD], false);
+        crash(&mut guard, millis, &[FIRST, OTHER + millis], true);
+    }
+    assert_eq!(culprit(&guard, 2400, &[FIRST, BAD]), Some(BAD));
+    assert_eq!(culprit(&guard, 2400, &[FIRST, OTHER]), None);
+}
