Probe a part that was sound every two seconds, at each instance

A part that was sound can hardly crash replicas, so it is tried again after two seconds by whoever has a request with it, and its first good response releases it everywhere. Parts that were never sound wait for a minute as before. The test failed before ("left: Some(59.9s), right: Some(1.9s)") and passes.

--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -313,11 +313,16 @@
 
     /// Whether this instance is one of the few readers of the published state.
     pub fn reads_published(&self, now: Timestamp) -> bool {
-        let ranking = rendezvous::Ranking::new(READER_KEY);
+        self.is_among_first(now, READER_KEY, READER_COUNT)
+    }
+
+    /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`.
+    pub fn is_among_first(&self, now: Timestamp, key: &str, count: usize) -> bool {
+        let ranking = rendezvous::Ranking::new(key);
         let rank = |name: &InstanceName| ranking.score(name.as_str());
         let own = rank(&self.me.name);
         let before = self.live(now).filter(|record| !record.draining && rank(&record.name) > own);
-        before.take(READER_COUNT).count() < READER_COUNT
+        before.take(count).count() < count
     }
 
     /// Whether enough of the recent fleet is live for this instance to give orders.
--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -10,7 +10,7 @@
 //!
 //! The quarantine follows from the evidence alone, so instances that know the same decide alike,
 //! and a part that was suspected wrongly is released as soon as it is cleared or its crashes are
-//! explained. After the time of the quarantine one instance sends a single request as a probe.
+//! explained. After the time of the quarantine one instance sends a single request as a probe. A part that was sound before is probed after two seconds already.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -35,6 +35,8 @@
 const REST_CRASHES: usize = 3;
 /// Weight of crashes from which on requests with a part that was never sound aren't sent again.
 const RETRY_SCORE: u32 = 2 * BEGUN_WEIGHT;
+/// Time after its last crash, and between probes, for which a part that was sound is quarantined.
+const SOUND_PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Time after its last crash at which a quarantined part is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(3600);
 /// Time for which news are shared.
@@ -56,6 +58,8 @@
     pub part: u64,
     /// Time left; zero if a probe may be sent.
     pub left: Duration,
+    /// Number of instances that may send a probe now.
+    pub probers: usize,
 }
 
 /// What follows from the crashes of a quarantined part.
@@ -166,7 +170,22 @@
         let now = now + TIME_BEFORE_START;
         let end = |part: &PromptPart| Some((self.quarantined.get(&part.id)?.until, part.id));
         let last = parts.iter().filter_map(end).max();
-        last.map(|(until, part)| Quarantine { part, left: until.since(now) })
+        last.map(|(until, part)| Quarantine {
+            part,
+            left: until.since(now),
+            probers: self.probers(now, part, until),
+        })
+    }
+
+    /// Number of instances that may send a probe of a part: all if it was sound, else one.
+    fn probers(&self, now: Timestamp, part: u64, until: Timestamp) -> usize {
+        if now < until {
+            return 0;
+        }
+        if self.sound.contains_key(&part) {
+            return usize::MAX;
+        }
+        1
     }
 
     /// Number of parts that are quarantined.
@@ -174,10 +193,12 @@
         self.quarantined.len()
     }
 
-    /// Whether a request may be sent as the probe of a part whose quarantine is over. Only one
-    /// instance should ask; a probe without an outcome is repeated after a while.
+    /// Whether a request may be sent as the probe of a part whose quarantine is over. Only its
+    /// probers should ask; a probe without an outcome is repeated after a while.
     pub fn try_probe(&mut self, now: Timestamp, part: u64) -> bool {
-        if self.probed.get(&part).is_some_and(|at| now.since(*at) < QUARANTINE_TIME) {
+        let was_sound = self.sound.contains_key(&part);
+        let interval = if was_sound { SOUND_PROBE_INTERVAL } else { QUARANTINE_TIME };
+        if self.probed.get(&part).is_some_and(|at| now.since(*at) < interval) {
             return false;
         }
         self.probed.insert(part, now);
@@ -293,7 +314,12 @@
             let worst = over.max_by_key(|(score, part, suspect)| rank(*score, *part, suspect));
             let Some((_, part, suspect)) = worst else { return culprits };
             let standing = suspect.standing_crashes(&explained, QUARANTINE_SCORE);
-            culprits.insert(part, Culprit { until: suspect.quarantined_until(), standing });
+            let until = if self.sound.contains_key(&part) {
+                suspect.last_crash() + SOUND_PROBE_INTERVAL
+            } else {
+                suspect.quarantined_until()
+            };
+            culprits.insert(part, Culprit { until, standing });
             for (crash, weight) in suspect.weights() {
                 let known: &mut u32 = explained.entry(crash).or_default();
                 *known = weight.max(*known);
--- a/src/relay/prompt_quarantine.rs
+++ b/src/relay/prompt_quarantine.rs
@@ -35,7 +35,8 @@
         return QuarantineCheck::Free;
     };
     let part = format!("{:x}", quarantine.part);
-    let may_probe = quarantine.left.is_zero() && is_prober(node, now, &part);
+    let key = format!("prompt part {part}");
+    let may_probe = node.peers().is_among_first(now, &key, quarantine.probers);
     if may_probe && node.prompt_guard().try_probe(now, quarantine.part) {
         record(&LogEvent::PromptPartProbed { id, part: &part });
         return QuarantineCheck::Probe;
@@ -45,12 +46,6 @@
     QuarantineCheck::Refused(left)
 }
 
-/// Whether this instance is the one that probes a part whose quarantine is over.
-fn is_prober(node: &Node, now: Timestamp, part: &str) -> bool {
-    let prober = node.peers().preferred_owner(now, &format!("prompt part {part}"));
-    prober.as_ref() == Some(&node.settings.instance)
-}
-
 /// Records that a replica crashed while `request` was there; `begun` is whether its response had
 /// just begun.
 pub fn on_crash(request: &ForwardedRequest, replica: &BackendName, started_ms: u64, begun: bool) {
--- a/tests/traffic/prompt_release.rs
+++ b/tests/traffic/prompt_release.rs
@@ -10,6 +10,7 @@
 use crate::prompt_guard::parts;
 use crate::prompt_guard::tell;
 use crate::support::at;
+use crate::support::ms;
 
 /// Guards against an instance that blames the first part of all prompts while it hears of nobody,
 /// refuses all requests, and can't find out that the part is sound.
@@ -40,3 +41,20 @@
     assert_eq!(culprit(&guard, 2400, &[FIRST, BAD]), Some(BAD));
     assert_eq!(culprit(&guard, 2400, &[FIRST, OTHER]), None);
 }
+
+/// Guards against a caller whose requests are all refused for a minute, since the first part of
+/// their prompts was at crashes of other causes.
+#[test]
+fn a_part_that_was_sound_is_tried_again_every_two_seconds() {
+    let mut guard = PromptGuard::default();
+    guard.on_sound(at(0), &parts(&[FIRST, OTHER]));
+    for millis in [1000, 1300, 1600] {
+        crash(&mut guard, millis, &[FIRST, OTHER + millis], true);
+    }
+    let first = parts(&[FIRST, OTHER]);
+    assert_eq!(guard.quarantine(at(1700), &first).map(|q| q.left), Some(ms(1900)));
+    assert_eq!(guard.quarantine(at(3600), &first).map(|q| q.left), Some(ms(0)));
+    assert!(guard.try_probe(at(3600), FIRST));
+    assert!(!guard.try_probe(at(5500), FIRST));
+    assert!(guard.try_probe(at(5700), FIRST));
+}
--- a/tests/traffic/prompt_storm/world.rs
+++ b/tests/traffic/prompt_storm/world.rs
@@ -249,18 +249,17 @@
         let Some(found) = guard.quarantine(local, &self.requests[request].parts) else {
             return true;
         };
-        found.left.is_zero()
-            && self.prober(found.part) == Some(instance)
+        self.is_prober(instance, found.part, found.probers)
             && self.instances[instance].guard.try_probe(local, found.part)
     }
 
-    /// The instance that probes a part.
-    fn prober(&self, part: u64) -> Option<usize> {
+    /// Whether an instance is one of the first `count` that may probe a part.
+    fn is_prober(&self, instance: usize, part: u64, count: usize) -> bool {
         let rank = |i: usize| (i as u64 ^ part).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let all = 0..self.instances.len();
-        let serving =
-            all.filter(|i| self.instances[*i].serves && self.instances[*i].is_in_touch(self.now));
-        serving.max_by_key(|i| rank(*i))
+        let is_serving =
+            |i: &usize| self.instances[*i].serves && self.instances[*i].is_in_touch(self.now);
+        let serving = (0..self.instances.len()).filter(is_serving);
+        serving.filter(|i| rank(*i) > rank(instance)).take(count).count() < count
     }
 
     fn is_current(&self, request: usize, attempt: u32) -> bool {
