Let more instances probe a prompt part the longer its quarantine is over

Only the first instance by rendezvous could send the probe that releases a part which was suspected wrongly; in a fleet of 420 it sees one of 420 requests with it, so a part that is asked for once a second stayed refused for seven minutes on the mean (arithmetic in the review). The number of probers now doubles every ten seconds. The test has no figure before: the number of probers is new.

--- a/src/decide/traffic/prompt_guard.rs
+++ b/src/decide/traffic/prompt_guard.rs
@@ -10,7 +10,8 @@
 //!
 //! The quarantine follows from the evidence alone, so instances that know the same decide alike,
 //! and a part that was suspected wrongly is released as soon as it is cleared or its crashes are
-//! explained. After the time of the quarantine one instance sends a single request as a probe. A part that was sound before is probed after two seconds already.
+//! explained. After the time of the quarantine one instance sends a single request as a probe, and
+//! more may the longer that takes. A part that was sound before is probed after two seconds already.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -37,6 +38,10 @@
 const RETRY_SCORE: u32 = 2 * BEGUN_WEIGHT;
 /// Time after its last crash, and between probes, for which a part that was sound is quarantined.
 const SOUND_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after the end of a quarantine in which twice as many instances may send a probe.
+const PROBER_DOUBLING_TIME: Duration = Duration::from_secs(10);
+/// Most doublings of the number of probers.
+const MAX_PROBER_DOUBLINGS: u128 = 16;
 /// Time after its last crash at which a quarantined part is forgotten.
 const FORGET_TIME: Duration = Duration::from_secs(3600);
 /// Time for which news are shared.
@@ -177,7 +182,7 @@
         })
     }
 
-    /// Number of instances that may send a probe of a part: all if it was sound, else one.
+    /// Number of instances that may send a probe of a part: all if it was sound, else one at first.
     fn probers(&self, now: Timestamp, part: u64, until: Timestamp) -> usize {
         if now < until {
             return 0;
@@ -185,7 +190,8 @@
         if self.sound.contains_key(&part) {
             return usize::MAX;
         }
-        1
+        let over = now.since(until).as_millis() / PROBER_DOUBLING_TIME.as_millis();
+        1 << over.min(MAX_PROBER_DOUBLINGS)
     }
 
     /// Number of parts that are quarantined.
--- a/tests/traffic/prompt_release.rs
+++ b/tests/traffic/prompt_release.rs
@@ -58,3 +58,19 @@
     assert!(!guard.try_probe(at(5500), FIRST));
     assert!(guard.try_probe(at(5700), FIRST));
 }
+
+/// Guards against a part that hardly anybody may probe: in a large fleet the first prober may not get
+/// a request with it for long.
+#[test]
+fn more_instances_may_probe_the_longer_a_quarantine_is_over() {
+    let mut guard = PromptGuard::default();
+    for millis in [0, 1000, 2000] {
+        crash(&mut guard, millis, &[FIRST, BAD], true);
+    }
+    let bad = parts(&[FIRST, BAD]);
+    let probers = |now| guard.quarantine(at(now), &bad).map(|q| q.probers);
+    assert_eq!(probers(61_000), Some(0));
+    assert_eq!(probers(62_000), Some(1));
+    assert_eq!(probers(72_000), Some(2));
+    assert_eq!(probers(142_000), Some(256));
+}
