Take an early end without a length or chunks for no proof that a part is sound

A replica that crashes just after it has begun a response can end the connection after a whole event; the response then looks complete, and it cleared the parts that crashed the replica at all instances. Such an end now clears the parts only if the response has outlasted the time in which a crash comes. The test failed before ("assertion failed: !early.on_end(false)") and passes; the other tests pass the new argument.

--- a/src/decide/traffic/response_progress.rs
+++ b/src/decide/traffic/response_progress.rs
@@ -40,10 +40,12 @@
         self.is_sound
     }
 
-    /// Records that the response is complete; returns `true` unless its replica is known already to
-    /// have outlived the beginning.
-    pub fn on_end(&mut self) -> bool {
-        !std::mem::replace(&mut self.is_sound, true)
+    /// Records that the response has ended, as its length or last chunk marks or else with its
+    /// connection; returns `true` if that shows that its replica has outlived the beginning, unless
+    /// that is known already.
+    pub fn on_end(&mut self, is_marked: bool) -> bool {
+        let is_proof = is_marked || !self.may_have_crashed();
+        is_proof && !std::mem::replace(&mut self.is_sound, true)
     }
 
     /// Time from the head of the response to its last data.
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -158,7 +158,7 @@
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     };
     on_response_read(node, &origin, &mut connection);
-    if head.status.is_success() && progress.on_end() {
+    if head.status.is_success() && progress.on_end(has_marked_end(&head)) {
         prompt_quarantine::on_sound(request);
     }
     drop(in_flight);
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -173,9 +173,9 @@
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
         self.count_end(Outcome::Answered);
-        let OpenStream { origin, connection, in_flight, mut progress, .. } = stream;
+        let OpenStream { has_marked_end, origin, connection, in_flight, mut progress, .. } = stream;
         drop(in_flight);
-        if progress.on_end() {
+        if progress.on_end(has_marked_end) {
             prompt_quarantine::on_sound(&self.request);
         }
         if let Some(limit) = origin.keep_alive {
--- a/tests/traffic/prompt_storm/world.rs
+++ b/tests/traffic/prompt_storm/world.rs
@@ -341,7 +341,7 @@
                 false
             }
             (Sent::Data, Some(progress)) => progress.on_data(local),
-            (Sent::End, Some(progress)) => progress.on_end(),
+            (Sent::End, Some(progress)) => progress.on_end(true),
             (Sent::Break, _) => return self.on_break(request, place),
             (Sent::Data | Sent::End, None) => false,
         };
--- a/tests/traffic/response_progress.rs
+++ b/tests/traffic/response_progress.rs
@@ -14,7 +14,7 @@
     assert!(!progress.on_data(at(2249)));
     assert!(progress.on_data(at(2251)));
     assert!(!progress.on_data(at(2500)), "said once");
-    assert!(!progress.on_end(), "said once");
+    assert!(!progress.on_end(true), "said once");
 }
 
 /// Guards against a response that ends soon but whose prompt stays suspected.
@@ -22,7 +22,7 @@
 fn the_end_of_a_response_shows_that_its_replica_lives() {
     let mut progress = ResponseProgress::new(at(0));
     assert!(!progress.on_data(at(50)));
-    assert!(progress.on_end());
+    assert!(progress.on_end(true));
 }
 
 /// Guards against a crash that is put down to a request whose response had gone on for long.
@@ -35,3 +35,16 @@
     progress.on_data(at(500));
     assert!(!progress.may_have_crashed());
 }
+
+/// Guards against a crash that is taken for the end of a response without a length or chunks.
+#[test]
+fn an_early_end_that_nothing_marks_does_not_show_that_the_replica_lives() {
+    let mut early = ResponseProgress::new(at(0));
+    early.on_data(at(60));
+    assert!(!early.on_end(false));
+    assert!(early.may_have_crashed());
+    let mut late = ResponseProgress::new(at(0));
+    late.on_data(at(60));
+    late.on_data(at(600));
+    assert!(late.on_end(false));
+}
