Measure the beginning of a response from its first data

A response whose head came long before its first data, as while a prompt is read, counted as outlived when its replica crashed on the first token, so the crash counted against nobody. The test failed before ("assertion failed: progress.may_have_crashed()") and passes. One older test of the same window now has its first data at the beginning; its bounds are the same.

--- a/src/decide/traffic/response_progress.rs
+++ b/src/decide/traffic/response_progress.rs
@@ -16,7 +16,9 @@
 /// Times of one response.
 #[derive(Clone, Copy, Debug)]
 pub struct ResponseProgress {
+    /// When the first data arrived, or the head if there is none yet.
     begun: Timestamp,
+    has_data: bool,
     last_data: Timestamp,
     outlasted: Option<Timestamp>,
     is_sound: bool,
@@ -25,12 +27,16 @@
 impl ResponseProgress {
     /// A response whose head arrives now.
     pub fn new(now: Timestamp) -> Self {
-        Self { begun: now, last_data: now, outlasted: None, is_sound: false }
+        Self { begun: now, has_data: false, last_data: now, outlasted: None, is_sound: false }
     }
 
     /// Records that data has arrived; returns `true` once, when the replica has outlived the
     /// beginning of the response.
     pub fn on_data(&mut self, now: Timestamp) -> bool {
+        if !self.has_data {
+            self.has_data = true;
+            self.begun = now;
+        }
         self.last_data = now;
         if self.is_sound || now.since(self.begun) < CRASH_WINDOW {
             return false;
@@ -48,7 +54,7 @@
         is_proof && !std::mem::replace(&mut self.is_sound, true)
     }
 
-    /// Time from the head of the response to its last data.
+    /// Time from the first data of the response to the last.
     pub fn lasted(&self) -> Duration {
         self.last_data.since(self.begun)
     }
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -164,7 +164,7 @@
         replica: &'a str,
         /// Ids of the parts that its prompt shares with others, in hexadecimal.
         parts: &'a [String],
-        /// Time from the head of the response to its last data, in ms.
+        /// Time from the first data of the response to the last, in ms.
         lasted_ms: u128,
         /// The error; `silent` if the replica stopped sending.
         detail: &'a str,
--- a/tests/traffic/response_progress.rs
+++ b/tests/traffic/response_progress.rs
@@ -30,6 +30,7 @@
 fn only_a_response_that_has_just_begun_may_have_crashed_its_replica() {
     let mut progress = ResponseProgress::new(at(0));
     assert!(progress.may_have_crashed());
+    progress.on_data(at(0));
     progress.on_data(at(499));
     assert!(progress.may_have_crashed());
     progress.on_data(at(500));
@@ -48,3 +49,12 @@
     late.on_data(at(600));
     assert!(late.on_end(false));
 }
+
+/// Guards against a crashing request that is cleared since its prompt was read for long after the head.
+#[test]
+fn a_crash_soon_after_the_first_data_counts_however_long_the_head_was_there() {
+    let mut progress = ResponseProgress::new(at(0));
+    assert!(!progress.on_data(at(3000)));
+    progress.on_data(at(3075));
+    assert!(progress.may_have_crashed());
+}
