Draw another fencing number when a replica has seen a higher one

Nothing was loaded at such a replica any more: its owner took 412 for a passing conflict, asked for a report and ordered again with the same number, on and on. It comes about where replicas check fencing numbers and a clock was set back, or another instance drew a higher one. The owner now gives the lease up and watches the replica anew, as after an order without an answer, and then draws a new number.

--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -364,7 +364,7 @@
             owned.next_report = now + PENDING_REPORT_INTERVAL;
             false
         }
-        Some(OrderAnswer::OtherInstance) | None => {
+        Some(OrderAnswer::OtherInstance | OrderAnswer::FenceTooLow) | None => {
             owned.lease.on_uncertain();
             false
         }
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -116,8 +116,10 @@
     Accepted,
     /// There is nothing left to do for the order.
     Done,
-    /// Another order was accepted meanwhile, or a higher fencing number was seen.
+    /// Another order was accepted meanwhile, or is in progress.
     Conflict,
+    /// The replica has seen a higher fencing number.
+    FenceTooLow,
     /// Another replica has the address now.
     OtherInstance,
     /// The order was refused as invalid.
