Send no order during the wait after a handover, also one that was decided before

A tick decides on an order, then a handover with a wait arrives, and the order took the numbers of the new lease and was sent at once: a way around the wait of an earlier holder that needs both within a moment. The numbers are now given only when orders may be. The test failed with the condition taken out ("left: Some((12, 5)), right: None").

--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -198,11 +198,13 @@
     }
 
     /// Fencing number and expected order count to send with an order; `None` unless the lease is
-    /// held.
-    pub fn fence_and_count(&self) -> Option<(u64, u64)> {
+    /// held and orders may be given.
+    pub fn fence_and_count(&self, now: Timestamp) -> Option<(u64, u64)> {
         match self.state {
-            State::Holding { fence, count, .. } => Some((fence, count)),
-            State::Standby | State::Watching(_) => None,
+            State::Holding { fence, count, orders_from, .. } if now >= orders_from => {
+                Some((fence, count))
+            }
+            State::Standby | State::Watching(_) | State::Holding { .. } => None,
         }
     }
 
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -321,7 +321,8 @@
 }
 
 async fn give_order(node: &Node, replica: &BackendName, order: &Order, tick_time: Duration) {
-    let numbers = node.owned().get(replica).and_then(|owned| owned.lease.fence_and_count());
+    let now = node.now();
+    let numbers = node.owned().get(replica).and_then(|owned| owned.lease.fence_and_count(now));
     let Some((fence, expected)) = numbers else { return };
     if boot_time().saturating_sub(tick_time) > MAX_PROCESS_PAUSE {
         // The process was paused since the tick; another instance may have taken over.
--- a/tests/traffic/order_lease.rs
+++ b/tests/traffic/order_lease.rs
@@ -37,7 +37,7 @@
     }
     lease.on_report(at(LEASE_MS + 1000), START, 5, IDLE, 9);
     assert_eq!(lease.step(at(LEASE_MS + 1000), true), LeaseStep::Hold);
-    assert_eq!(lease.fence_and_count(), Some((9, 5)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((9, 5)));
 }
 
 #[test]
@@ -58,7 +58,7 @@
     assert!(lease.is_held());
     lease.on_report(at(LEASE_MS + 2500), START, 7, IDLE, 0);
     assert!(!lease.is_held());
-    assert_eq!(lease.fence_and_count(), None);
+    assert_eq!(lease.fence_and_count(at(100_000)), None);
 }
 
 #[test]
@@ -66,7 +66,7 @@
     let mut lease = holding(5);
     lease.on_accepted(at(LEASE_MS + 1001));
     lease.on_report(at(LEASE_MS + 1010), START, 5, IDLE, 0);
-    assert_eq!(lease.fence_and_count(), Some((9, 6)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((9, 6)));
 }
 
 #[test]
@@ -74,16 +74,16 @@
     let mut lease = holding(5);
     lease.on_accepted(at(LEASE_MS + 1001));
     lease.on_confirmed(at(LEASE_MS + 1200));
-    assert_eq!(lease.fence_and_count(), Some((9, 6)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((9, 6)));
     lease.on_report(at(LEASE_MS + 1500), START, 6, IDLE, 0);
-    assert_eq!(lease.fence_and_count(), Some((9, 6)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((9, 6)));
 }
 
 #[test]
 fn a_restart_of_the_replica_keeps_the_lease_and_resets_the_count() {
     let mut lease = holding(5);
     lease.on_report(at(LEASE_MS + 2000), START + 1, 0, IDLE, 0);
-    assert_eq!(lease.fence_and_count(), Some((9, 0)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((9, 0)));
     let mut lease = holding(5);
     lease.on_report(at(LEASE_MS + 2000), START + 1, 3, IDLE, 0);
     assert!(!lease.is_held(), "another instance has ordered since the restart");
@@ -106,7 +106,7 @@
     lease.on_report(at(LEASE_MS + 1200), START, 6, IDLE, 0);
     assert!(!lease.is_held());
     lease.on_report(at(2 * LEASE_MS + 2000), START, 6, IDLE, 12);
-    assert_eq!(lease.fence_and_count(), Some((12, 6)));
+    assert_eq!(lease.fence_and_count(at(100_000)), Some((12, 6)));
 }
 
 #[test]
@@ -120,7 +120,7 @@
     assert_eq!(new.step(at(LEASE_MS + 1100), true), LeaseStep::AskReport);
     new.on_report(at(LEASE_MS + 1105), START, 5, IDLE, 0);
     assert_eq!(new.step(at(LEASE_MS + 1105), true), LeaseStep::Hold);
-    assert_eq!(new.fence_and_count(), Some((fence + 1, 5)));
+    assert_eq!(new.fence_and_count(at(100_000)), Some((fence + 1, 5)));
 }
 
 /// Guards against callers that are told to come back before anything can be loaded for them.
@@ -184,3 +184,13 @@
     lease.on_report(at(14_400), START, 6, LOADING, 9);
     assert!(lease.is_held());
 }
+
+/// Guards against an order that was decided on just before a handover and is sent during the wait
+/// that follows from it.
+#[test]
+fn no_order_can_be_sent_during_the_wait_after_a_handover() {
+    let mut lease = holding(5);
+    lease.on_handover(at(3100), START, 5, 12, ms(800));
+    assert_eq!(lease.fence_and_count(at(3200)), None);
+    assert_eq!(lease.fence_and_count(at(3900)), Some((12, 5)));
+}
--- a/tests/traffic/order_turns/instance.rs
+++ b/tests/traffic/order_turns/instance.rs
@@ -141,7 +141,7 @@
             if step == LeaseStep::Hold { owned.next_order(now, demand, max_loads) } else { None };
         if let Some(key) = order {
             owned.has_pending_call = true;
-            let (_, expected) = owned.lease.fence_and_count()?;
+            let (_, expected) = owned.lease.fence_and_count(at(now))?;
             self.history.on_order(at(now), &name("r"), &instance(self.id));
             return Some(Step::Order { expected, key });
         }
