Spread the return of callers whose prompt part is quarantined

Requests refused on arrival were all told the same time, the end of the quarantine, so that callers came back together; those refused later were spread already. Both now are.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -34,6 +34,7 @@
 use crate::decide::traffic::Route;
 use crate::decide::traffic::Service;
 use crate::decide::traffic::TrafficConfig;
+use crate::decide::traffic::WaitBudget;
 use crate::names::Timestamp;
 
 /// Counts a caller's request as in progress until this guard is dropped.
@@ -110,7 +111,8 @@
     }
     let check = prompt_quarantine::check(&node, now, &head.id, head.needs.shared_parts());
     if let QuarantineCheck::Refused(left) = check {
-        return Err(LocalResponse::NotYet(left));
+        let spread = xxh3_64(head.id.as_bytes());
+        return Err(LocalResponse::NotYet(WaitBudget::retry_after(left, spread)));
     }
     node.retry_share().on_request(now, &service.name);
     let path = origin_form(&parts);
