--- a/tests/traffic/prompt_storm/mod.rs
+++ b/tests/traffic/prompt_storm/mod.rs
@@ -21,7 +21,7 @@
 const CI_SEED: u64 = 0;
 const CI_CASES: u64 = 22;
 /// Run in which an instance is killed while its crashing requests are under way.
-const KILLED_WITNESS_SEED: u64 = 130;
+const KILLED_SENDER_SEED: u64 = 130;
 /// Lines of the trace that a failure shows.
 const SHOWN_LINES: usize = 120;
 
@@ -77,7 +77,7 @@
 /// was killed, so that nobody knows the culprit of these.
 #[test]
 fn a_bystander_is_released_although_the_instance_of_the_crashing_requests_was_killed() {
-    let record = play(Plan::draw(KILLED_WITNESS_SEED));
+    let record = play(Plan::draw(KILLED_SENDER_SEED));
     assert!(record.faults.is_empty(), "{:?}", record.faults);
 }
 
