Log which time limit ended a request, and under which configuration

On call, a response that was cut at its deadline could not be told from one that a change of the configuration had cut: neither the limit nor the configuration stood in a line. deadline_passed names both. No change of behaviour.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -128,6 +128,7 @@
         has_length,
         route,
         service,
+        accepted_under: config.version,
         attempts,
         arrived,
         is_probe: check == QuarantineCheck::Probe,
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -82,6 +82,8 @@
     pub route: Arc<Route>,
     /// Service that its route leads to.
     pub service: Arc<Service>,
+    /// Version of the configuration that the route is from.
+    pub accepted_under: u64,
     /// Attempts so far.
     pub attempts: Attempts,
     /// Time of arrival.
@@ -139,6 +141,7 @@
         loop {
             let left = self.time_until_deadline();
             if left.is_zero() {
+                self.record_deadline();
                 return Err(self.timeout_response());
             }
             match self.choose() {
@@ -173,6 +176,17 @@
         self.time_limit().saturating_sub(self.node.now().since(self.arrived))
     }
 
+    /// Logs that the time limit is over, with the limit and the configurations that it may be from.
+    pub fn record_deadline(&self) {
+        record(&LogEvent::DeadlinePassed {
+            id: &self.head.id,
+            waited_ms: self.waited_ms(),
+            limit_ms: self.time_limit().as_millis(),
+            accepted_under: self.accepted_under,
+            config: self.node.current_config().map_or(0, |config| config.version),
+        });
+    }
+
     /// Time limit to send to a replica; never `None`, since every route has a timeout.
     pub fn time_left(&self) -> Option<Duration> {
         Some(self.time_until_deadline())
@@ -265,6 +279,7 @@
         match outcome {
             None => {
                 let _ = self.attempts.on_end(AttemptEnd::MaybeRan);
+                self.record_deadline();
                 Err(LocalResponse::TimedOut)
             }
             Some(AttemptOutcome::Response(response)) => {
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -111,6 +111,19 @@
         /// Path of the request, or the error in its head.
         detail: &'a str,
     },
+    /// The time limit of a request was over before its response was complete.
+    DeadlinePassed {
+        /// Id of the request.
+        id: &'a str,
+        /// Time since its arrival, in ms.
+        waited_ms: u128,
+        /// The limit, by its caller or its route, in ms.
+        limit_ms: u128,
+        /// Version of the configuration under which it was accepted.
+        accepted_under: u64,
+        /// Version of the configuration in effect; 0 if none.
+        config: u64,
+    },
     /// An attempt ended without a response to forward.
     AttemptFailed {
         /// Id of the request.
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -106,7 +106,10 @@
                         return Some(self.abort("its replica broke off"));
                     }
                 }
-                StreamItem::TimedOut => return Some(self.abort("its time is over")),
+                StreamItem::TimedOut => {
+                    self.request.record_deadline();
+                    return Some(self.abort("its time is over"));
+                }
             }
         }
     }
