Keep an attempt open while its replica is silent, and try another one beside it

Callers saw 502, or a stream that was aborted after its first events, although the replica that had the request was sound and responded a few seconds later.

Cause: silence ended the attempt. Without a retry left, or with one that was refused or broke off, the request had no response at all.

Now silence only starts another attempt, where attempts and retry budget allow it; all attempts stay open, and the first response wins (AttemptRace). A pending attempt counts as one that may have run, so no more replicas run a request than before. A silent stream is read on while another replica is asked to resume it; whichever sends first goes on. Silence is no strike against a request any more, and data that has arrived goes before a timer that has run out.

--- a/src/decide/traffic/attempts.rs
+++ b/src/decide/traffic/attempts.rs
@@ -2,7 +2,8 @@
 //! another attempt may follow.
 //!
 //! A request that is proven not to have run may always be sent again; one that may have run,
-//! only if its route allows repeats.
+//! only if its route allows repeats. An attempt that has no response yet counts as one that may
+//! have run; where repeats are allowed, another one may be started beside it.
 
 use super::RouteKind;
 use crate::names::BackendName;
@@ -51,30 +52,48 @@
     max_runs: u32,
     sends: u32,
     runs: u32,
+    /// Attempts that have neither a response nor an end yet.
+    pending: u32,
     tried: Vec<BackendName>,
 }
 
 impl Attempts {
     /// A request that may run `max_runs` times, but at least once.
     pub fn new(kind: RouteKind, max_runs: u32) -> Self {
-        Self { kind, max_runs: max_runs.max(1), sends: 0, runs: 0, tried: Vec::new() }
+        Self { kind, max_runs: max_runs.max(1), sends: 0, runs: 0, pending: 0, tried: Vec::new() }
     }
 
     /// Records a send to `replica`.
     pub fn on_send(&mut self, replica: BackendName) {
         self.sends += 1;
+        self.pending += 1;
         if !self.tried.contains(&replica) {
             self.tried.push(replica);
         }
     }
 
-    /// Records that a replica's response has begun, which counts as a run.
+    /// Records that a replica's response has begun, which counts as a run. All other attempts are
+    /// given up; they may have run too.
     pub fn on_response_begun(&mut self) {
-        self.runs += 1;
+        self.runs += self.pending.max(1);
+        self.pending = 0;
+    }
+
+    /// Records that all pending attempts are given up, since an earlier response goes on.
+    pub fn on_given_up(&mut self) {
+        self.runs += self.pending;
+        self.pending = 0;
+    }
+
+    /// Decides whether another attempt may be started beside the pending ones, which have had no
+    /// response for long.
+    pub fn on_silence(&self) -> NextAttempt {
+        self.next(true)
     }
 
     /// Records how an attempt ended and decides what may follow.
     pub fn on_end(&mut self, end: AttemptEnd) -> NextAttempt {
+        self.pending = self.pending.saturating_sub(1);
         match end {
             AttemptEnd::NotSent | AttemptEnd::NotRun => {}
             AttemptEnd::MaybeRan | AttemptEnd::RanAndFailed => self.runs += 1,
@@ -99,12 +118,17 @@
 
     /// What the caller is told if no further attempt is made.
     pub fn final_outcome(&self) -> FinalOutcome {
-        if self.runs > 0 { FinalOutcome::Unknown } else { FinalOutcome::NotRun }
+        if self.possible_runs() > 0 { FinalOutcome::Unknown } else { FinalOutcome::NotRun }
+    }
+
+    fn possible_runs(&self) -> u32 {
+        self.runs + self.pending
     }
 
     fn next(&self, was_sent: bool) -> NextAttempt {
-        let repeatable = self.runs == 0 || self.kind.may_repeat();
-        if !repeatable || self.runs >= self.max_runs || self.sends >= MAX_SENDS {
+        let runs = self.possible_runs();
+        let repeatable = runs == 0 || self.kind.may_repeat();
+        if !repeatable || runs >= self.max_runs || self.sends >= MAX_SENDS {
             return NextAttempt::Final(self.final_outcome());
         }
         NextAttempt::Another { is_retry: was_sent || self.sends > 1 }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -187,6 +187,13 @@
     record(&LogEvent::AttemptFailed { id, replica, reason, detail });
 }
 
+/// Logs and counts that a replica hasn't responded for long; the attempt stays open.
+pub fn record_silence(request: &ForwardedRequest, replica: &BackendName, tries_another: bool) {
+    request.node.metrics.on_attempt_failed(replica, AttemptFailure::Silent);
+    let (id, replica, waited_ms) = (&request.head.id, replica.as_str(), request.waited_ms());
+    record(&LogEvent::ReplicaSilent { id, replica, waited_ms, tries_another });
+}
+
 /// Adds a failure of this weight to a replica's score.
 pub fn record_replica_failure(request: &ForwardedRequest, replica: &BackendName, weight: f64) {
     let now = request.node.now();
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -5,6 +5,7 @@
 //! too large, and if it is suspected of crashing replicas.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -129,7 +130,7 @@
         route,
         service,
         accepted_under: config.version,
-        attempts,
+        attempts: Mutex::new(attempts),
         arrived,
         is_probe: check == QuarantineCheck::Probe,
         fingerprint,
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -111,6 +111,24 @@
         /// Path of the request, or the error in its head.
         detail: &'a str,
     },
+    /// A replica hasn't sent anything for long; its attempt or stream stays open.
+    ReplicaSilent {
+        /// Id of the request.
+        id: &'a str,
+        /// The replica.
+        replica: &'a str,
+        /// Time since the request arrived, in ms.
+        waited_ms: u128,
+        /// Whether another replica is tried beside it.
+        tries_another: bool,
+    },
+    /// A silent replica went on with its stream before another one could resume it.
+    StreamWentOn {
+        /// Id of the request.
+        id: &'a str,
+        /// The replica.
+        replica: &'a str,
+    },
     /// The time limit of a request was over before its response was complete.
     DeadlinePassed {
         /// Id of the request.
@@ -169,7 +187,7 @@
         /// Weight of the crashes at which replicas had it.
         score: u32,
     },
-    /// A replica broke a stream off or stopped sending it.
+    /// A replica broke a stream off.
     StreamBroke {
         /// Id of the request.
         id: &'a str,
@@ -179,7 +197,7 @@
         parts: &'a [String],
         /// Time from the first data of the response to the last, in ms.
         lasted_ms: u128,
-        /// The error; `silent` if the replica stopped sending.
+        /// The error.
         detail: &'a str,
     },
     /// A stream is to resume at another replica.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod adapter_use;
 mod attempt;
+mod attempt_race;
 mod connection_pool;
 mod exchange;
 mod forward;
@@ -23,10 +24,12 @@
 mod protocol;
 mod published;
 mod replica_request_guard;
+mod replica_search;
 mod replica_signals;
 mod response;
 mod run;
 mod settings;
+mod silence;
 mod stream_relay;
 mod turns;
 
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -1,9 +1,11 @@
 //! Forwards a stream of server-sent events from a replica to a caller.
 //!
-//! Only whole events are forwarded, as soon as they are complete. If the replica breaks off or
-//! stops sending, the stream resumes at another replica after the last event, where the route and
-//! the retry budget allow it; otherwise the response to the caller is aborted.
+//! Only whole events are forwarded, as soon as they are complete. If the replica breaks off, the
+//! stream resumes at another replica after the last event, where the route and the retry budget
+//! allow it; otherwise the response to the caller is aborted. If the replica falls silent, another
+//! one is asked to resume the stream beside it: whichever sends first goes on with the stream.
 
+use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,13 +18,16 @@
 use super::attempt::OpenStream;
 use super::attempt::Origin;
 use super::attempt::ReplicaBody;
+use super::attempt::ReplicaResponse;
 use super::forwarded_request::ForwardedRequest;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::metrics::Outcome;
 use super::prompt_quarantine;
 use super::response::AbortedBody;
+use super::response::LocalResponse;
 use super::response::ResponseBody;
+use super::silence;
 use crate::decide::traffic::EventSplitter;
 use crate::names::Timestamp;
 
@@ -34,6 +39,8 @@
     has_event: bool,
     last_data: Timestamp,
     longest_pause: Duration,
+    /// Whether its silence is watched for; not after another replica was looked for in vain.
+    watches_silence: bool,
 }
 
 /// What came from the replica, or didn't come in time.
@@ -43,6 +50,14 @@
     Broken,
     Silent,
     TimedOut,
+    /// It broke off, and no other replica resumes the stream.
+    Lost,
+}
+
+/// Which of a silent replica and another one sent first.
+enum FirstToSend {
+    Silent(StreamItem),
+    Other { response: Result<ReplicaResponse, LocalResponse>, silent_broke: bool },
 }
 
 impl StreamRelay {
@@ -56,7 +71,15 @@
         let last_data = request.node.now();
         let longest_pause = Duration::ZERO;
         let stream = Some(stream);
-        Self { request, stream, splitter, has_event: false, last_data, longest_pause }
+        Self {
+            request,
+            stream,
+            splitter,
+            has_event: false,
+            last_data,
+            longest_pause,
+            watches_silence: true,
+        }
     }
 
     /// The stream as the body of the response to the caller.
@@ -71,41 +94,29 @@
     async fn next(&mut self) -> Option<Result<Bytes, AbortedBody>> {
         loop {
             let stream = self.stream.as_mut()?;
-            let item = read_item(&self.request, stream).await;
-            if self.is_broken_off(&item) {
-                self.on_crash();
+            let mut item = read_item(&self.request, stream, self.watches_silence).await;
+            if matches!(item, StreamItem::Silent) {
+                match self.resume_beside().await {
+                    Some(sent) => item = sent,
+                    None => continue,
+                }
             }
-            let stream = self.stream.as_mut()?;
             match item {
-                StreamItem::Data(data) => {
-                    stream.in_flight.on_bytes_received();
-                    let now = self.request.node.now();
-                    if stream.progress.on_data(now) {
-                        prompt_quarantine::on_sound(&self.request);
-                    }
-                    self.longest_pause = self.longest_pause.max(now.since(self.last_data));
-                    self.last_data = now;
-                    if !self.has_event {
-                        self.has_event = true;
-                        stream.in_flight.on_event();
-                    }
-                    let events = self.splitter.push(&data);
-                    if self.splitter.is_overlong() {
-                        return Some(self.abort("an event is too long"));
-                    }
-                    if !events.is_empty() {
-                        return Some(Ok(events));
-                    }
-                }
-                StreamItem::End if !self.is_broken_off(&item) => {
+                StreamItem::Data(data) => match self.on_data(&data) {
+                    Ok(events) if events.is_empty() => {}
+                    forwarded => return Some(forwarded),
+                },
+                StreamItem::End if self.is_complete() => {
                     self.finish();
                     return None;
                 }
-                StreamItem::End | StreamItem::Broken | StreamItem::Silent => {
+                StreamItem::End | StreamItem::Broken => {
                     if !self.resume().await {
                         return Some(self.abort("its replica broke off"));
                     }
                 }
+                StreamItem::Lost => return Some(self.abort("its replica broke off")),
+                StreamItem::Silent => {}
                 StreamItem::TimedOut => {
                     self.request.record_deadline();
                     return Some(self.abort("its time is over"));
@@ -114,13 +125,27 @@
         }
     }
 
-    /// Whether the replica ended the connection before the end of the stream.
-    fn is_broken_off(&self, item: &StreamItem) -> bool {
-        match item {
-            StreamItem::Broken => true,
-            StreamItem::End => !self.is_complete(),
-            StreamItem::Data(_) | StreamItem::Silent | StreamItem::TimedOut => false,
+    /// Buffers data and returns the events that are complete now.
+    fn on_data(&mut self, data: &Bytes) -> Result<Bytes, AbortedBody> {
+        let now = self.request.node.now();
+        if let Some(stream) = &mut self.stream {
+            stream.in_flight.on_bytes_received();
+            if stream.progress.on_data(now) {
+                prompt_quarantine::on_sound(&self.request);
+            }
+            if !self.has_event {
+                self.has_event = true;
+                stream.in_flight.on_event();
+            }
+        }
+        self.watches_silence = true;
+        self.longest_pause = self.longest_pause.max(now.since(self.last_data));
+        self.last_data = now;
+        let events = self.splitter.push(data);
+        if self.splitter.is_overlong() {
+            return self.abort("an event is too long");
         }
+        Ok(events)
     }
 
     /// Whether the replica has sent its stream to the end, if it sends nothing more.
@@ -138,8 +163,10 @@
         }
     }
 
-    /// Resumes the stream at another replica; returns whether one sends it now.
+    /// Resumes the stream at another replica after its own broke off; returns whether one sends it
+    /// now.
     async fn resume(&mut self) -> bool {
+        self.on_crash();
         let Some(stream) = self.stream.take() else { return false };
         let replica = stream.origin.replica.clone();
         drop(stream);
@@ -148,14 +175,84 @@
         if !self.request.try_take_stream_retry() {
             return false;
         }
-        self.splitter.drop_partial();
+        let last_id = self.record_resumption();
+        let response = self.request.obtain_response(last_id.as_deref()).await;
+        self.switch_to(response)
+    }
+
+    /// Looks for another replica that resumes the stream, while the silent one may still go on.
+    ///
+    /// Returns what the silent one sends if that comes first, and `None` if another replica sends
+    /// the stream now or none does yet.
+    async fn resume_beside(&mut self) -> Option<StreamItem> {
+        self.watches_silence = false;
+        let replica = self.stream.as_ref()?.origin.replica.clone();
+        let tries_another = self.request.try_take_stream_retry();
+        attempt::record_silence(&self.request, &replica, tries_another);
+        if !tries_another {
+            return None;
+        }
+        let last_id = self.record_resumption();
+        match self.first_to_send(last_id.as_deref()).await? {
+            FirstToSend::Silent(item) => {
+                self.request.attempts().on_given_up();
+                let (id, replica) = (self.request.head.id.as_str(), replica.as_str());
+                record(&LogEvent::StreamWentOn { id, replica });
+                Some(item)
+            }
+            FirstToSend::Other { response, silent_broke } => {
+                if silent_broke {
+                    self.on_crash();
+                    self.request.on_broken_connection(&replica);
+                }
+                let is_resumed = self.switch_to(response);
+                if is_resumed || silent_broke {
+                    attempt::record_replica_failure(&self.request, &replica, 1.0);
+                }
+                (silent_broke && !is_resumed).then_some(StreamItem::Lost)
+            }
+        }
+    }
+
+    /// Reads from the silent replica and looks for another one at the same time; `None` without a
+    /// stream.
+    async fn first_to_send(&mut self, last_id: Option<&str>) -> Option<FirstToSend> {
+        let Self { request, stream, splitter, .. } = self;
+        let stream = stream.as_mut()?;
+        let mut other = pin!(request.obtain_response(last_id));
+        let item = tokio::select! {
+            biased;
+            item = read_item(request, stream, false) => item,
+            response = &mut other => {
+                return Some(FirstToSend::Other { response, silent_broke: false });
+            }
+        };
+        let silent_broke = match item {
+            StreamItem::Broken => true,
+            StreamItem::End => !splitter.is_complete(stream.has_marked_end),
+            _ => false,
+        };
+        if silent_broke {
+            return Some(FirstToSend::Other { response: other.await, silent_broke });
+        }
+        Some(FirstToSend::Silent(item))
+    }
+
+    /// Logs that the stream is to resume, and returns the event after which it does.
+    fn record_resumption(&self) -> Option<String> {
         let last_id = self.splitter.last_id().map(str::to_owned);
         record(&LogEvent::StreamResumes { id: &self.request.head.id, after: last_id.as_deref() });
-        let Ok(response) = self.request.obtain_response(last_id.as_deref()).await else {
+        last_id
+    }
+
+    /// Goes on with the stream of another replica; returns whether `response` is one.
+    fn switch_to(&mut self, response: Result<ReplicaResponse, LocalResponse>) -> bool {
+        let Ok(ReplicaResponse { body: ReplicaBody::Stream(stream), .. }) = response else {
             return false;
         };
-        let ReplicaBody::Stream(stream) = response.body else { return false };
+        self.splitter.drop_partial();
         self.has_event = false;
+        self.watches_silence = true;
         self.stream = Some(*stream);
         true
     }
@@ -203,13 +300,17 @@
     record(&LogEvent::StreamBroke { id, replica, parts: &parts, lasted_ms, detail });
 }
 
-async fn read_item(request: &ForwardedRequest, stream: &mut OpenStream) -> StreamItem {
+async fn read_item(
+    request: &ForwardedRequest,
+    stream: &mut OpenStream,
+    watches_silence: bool,
+) -> StreamItem {
     let replica = &stream.origin.replica;
     let frame = tokio::select! {
+        biased;
         frame = stream.source.frame() => frame,
         () = request.until_deadline() => return StreamItem::TimedOut,
-        () = request.until_stopped_sending(replica) => {
-            record_stream_break(request, stream, "silent");
+        () = silence::within_stream(request, replica), if watches_silence => {
             return StreamItem::Silent;
         }
     };
--- a/tests/traffic/attempts.rs
+++ b/tests/traffic/attempts.rs
@@ -99,3 +99,41 @@
     assert_eq!(broken(true, 1), NextAttempt::Final(FinalOutcome::Unknown));
     assert_eq!(broken(false, 2), NextAttempt::Final(FinalOutcome::Unknown));
 }
+
+// Guards against attempts beside a silent one that run on more replicas than the route allows.
+#[test]
+fn an_attempt_without_a_response_counts_as_one_that_may_have_run() {
+    for kind in [RouteKind::Idempotent, RouteKind::Stream { resumable: true }] {
+        let mut attempts = sent(kind, 2);
+        assert_eq!(attempts.on_silence(), NextAttempt::Another { is_retry: true }, "{kind:?}");
+        assert_eq!(attempts.final_outcome(), FinalOutcome::Unknown, "{kind:?}");
+        attempts.on_send(BackendName::new("two"));
+        assert_eq!(attempts.on_silence(), NextAttempt::Final(FinalOutcome::Unknown), "{kind:?}");
+        let next = attempts.on_end(AttemptEnd::NotRun);
+        assert_eq!(next, NextAttempt::Another { is_retry: true }, "{kind:?}");
+    }
+    for kind in [RouteKind::AtMostOnce, RouteKind::Stream { resumable: false }] {
+        let attempts = sent(kind, 3);
+        assert_eq!(attempts.on_silence(), NextAttempt::Final(FinalOutcome::Unknown), "{kind:?}");
+    }
+}
+
+#[test]
+fn attempts_that_another_response_overtook_count_as_runs() {
+    let mut attempts = sent(RouteKind::Stream { resumable: true }, 3);
+    attempts.on_send(BackendName::new("two"));
+    attempts.on_response_begun();
+    assert_eq!(attempts.on_broken_stream(), NextAttempt::Another { is_retry: true });
+    attempts.on_send(BackendName::new("three"));
+    attempts.on_given_up();
+    assert_eq!(attempts.on_broken_stream(), NextAttempt::Final(FinalOutcome::Unknown));
+}
+
+#[test]
+fn a_request_whose_attempts_all_ended_without_running_has_not_run() {
+    let mut attempts = sent(RouteKind::Idempotent, 2);
+    attempts.on_send(BackendName::new("two"));
+    attempts.on_end(AttemptEnd::NotRun);
+    attempts.on_end(AttemptEnd::NotSent);
+    assert_eq!(attempts.final_outcome(), FinalOutcome::NotRun);
+}
