--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -14,6 +14,7 @@
 mod forward;
 mod forwarded_request;
 mod listener;
+mod listing;
 mod loads;
 mod log_event;
 mod metrics;
@@ -30,6 +31,7 @@
 mod run;
 mod settings;
 mod silence;
+mod store_call;
 mod stream_relay;
 mod turns;
 
