A stream counts as in progress on its connection until its last byte

Cause: the listener stopped counting a request when the head of its response was ready. During a stream longer than the idle timeout the connection counted as idle, so keep-alive was turned off without `connection: close`, and the connection was closed right at the stream's end. A caller that sent its next request on it at once got no response. A lowered idle timeout makes this reach every stream that lasts longer than the new one.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -36,6 +37,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::response::ResponseBody;
+use super::tracked_body::TrackedBody;
 use crate::error::ErrorKind;
 use crate::names::Timestamp;
 use crate::wire::frame::MAX_FRAME_BYTES;
@@ -102,6 +104,31 @@
     lacks_chunks: bool,
 }
 
+/// Counts a request as in progress on its connection until its response has been sent.
+struct ActiveRequestGuard {
+    node: Arc<Node>,
+    activity: Arc<Mutex<Activity>>,
+}
+
+impl ActiveRequestGuard {
+    fn new(node: &Arc<Node>, activity: &Arc<Mutex<Activity>>) -> Self {
+        lock(activity).requests += 1;
+        Self { node: Arc::clone(node), activity: Arc::clone(activity) }
+    }
+}
+
+impl Drop for ActiveRequestGuard {
+    fn drop(&mut self) {
+        let mut activity = lock(&self.activity);
+        activity.requests -= 1;
+        activity.last_used = self.node.now();
+    }
+}
+
+fn lock(activity: &Mutex<Activity>) -> MutexGuard<'_, Activity> {
+    activity.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 async fn serve_connection(node: Arc<Node>, stream: TcpStream, audience: Audience) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(
@@ -115,11 +142,10 @@
         service_fn(move |req| {
             let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
             async move {
-                track_request(&node, &activity, true);
+                let guard = ActiveRequestGuard::new(&node, &activity);
                 on_version(&activity, req.version());
                 let response = serve(&node, req, audience).await;
-                track_request(&node, &activity, false);
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, guard)))
             }
         })
     };
@@ -151,24 +177,13 @@
     }
 }
 
-fn track_request(node: &Node, activity: &Mutex<Activity>, is_start: bool) {
-    let mut activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
-    activity.last_used = node.now();
-    if is_start {
-        activity.requests += 1;
-    } else {
-        activity.requests -= 1;
-    }
-}
-
 fn on_version(activity: &Mutex<Activity>, version: Version) {
-    let mut activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
-    activity.lacks_chunks = version < Version::HTTP_11;
+    lock(activity).lacks_chunks = version < Version::HTTP_11;
 }
 
 /// Makes a failed connection close by a reset if its client would take its end as that of a body.
 fn reset_without_chunks(activity: &Mutex<Activity>, stream: &TcpStream) {
-    let activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
+    let activity = lock(activity);
     if activity.lacks_chunks
         && let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO))
     {
@@ -183,7 +198,7 @@
     } else {
         node.current_config().map_or(DEFAULT_IDLE_TIMEOUT, |config| config.idle_timeout)
     };
-    let activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
+    let activity = lock(activity);
     activity.requests == 0 && node.now().since(activity.last_used) > limit
 }
 
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,6 +31,7 @@
 mod settings;
 mod silence;
 mod stream_relay;
+mod tracked_body;
 mod turns;
 
 pub use log_event::LogEvent;
