An idle connection is read once more before it is closed

Cause: when the check of the idle time was due, a connection was closed without being read, though a request may have arrived on it. After a lowered idle timeout all connections that have been idle for longer are closed at the next check, and after a pause of the process too; a request that is there by then got no response.

So an idle connection is found so twice, 10 ms apart, and read in between. A request that arrives between that read and the close may still be lost, as with any HTTP/1.1 connection that is closed as idle.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -54,6 +54,8 @@
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which a connection's idle time is checked.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after that check in which a request that has arrived already is read; chosen.
+const LAST_READ_TIME: Duration = Duration::from_millis(10);
 
 /// Kind of client that a listener serves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -150,23 +152,26 @@
         })
     };
     let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let mut is_found_idle = false;
     loop {
         // Only callers' connections are closed as idle; the others need no timer.
+        let interval = if is_found_idle { LAST_READ_TIME } else { IDLE_CHECK_INTERVAL };
         let idle_check = async {
             match audience {
-                Audience::Callers => sleep(IDLE_CHECK_INTERVAL).await,
+                Audience::Callers => sleep(interval).await,
                 Audience::Peers | Audience::Ready | Audience::Metrics => pending().await,
             }
         };
         let end = tokio::select! {
+            // A request that has arrived is read before the connection may count as idle.
+            biased;
             end = &mut connection => Some(end),
             () = idle_check => None,
         };
         match end {
-            None if is_idle_expired(&node, &activity) => {
-                Pin::new(&mut connection).graceful_shutdown();
-            }
-            None => {}
+            None if !is_idle_expired(&node, &activity) => is_found_idle = false,
+            None if !is_found_idle => is_found_idle = true,
+            None => Pin::new(&mut connection).graceful_shutdown(),
             Some(Ok(())) => return,
             Some(Err(e)) => {
                 log::debug!("connection of {audience:?} ended: {e}");
