--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -33,6 +33,7 @@
 mod silence;
 mod store_call;
 mod stream_relay;
+mod tracked_body;
 mod turns;
 
 pub use log_event::LogEvent;
