Go on loading an adapter whose service a new configuration no longer has

A request that waited for its adapter got 503 after the longest wait for a load, though the replica had loaded it: with the service gone from the configuration, the replica's owner dropped its plan and nobody followed the load.

A configuration remembers the services of earlier ones for orders and loads; routes and admission never see them.

--- a/src/decide/traffic/config.rs
+++ b/src/decide/traffic/config.rs
@@ -61,6 +61,8 @@
     pub idle_timeout: Duration,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
+    /// Services of earlier versions that this one doesn't have.
+    former_services: HashMap<ServiceName, Arc<Service>>,
 }
 
 impl TrafficConfig {
@@ -80,7 +82,20 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        Self { version, max_body_bytes, idle_timeout, routes: by_host, services }
+        let former_services = HashMap::new();
+        Self { version, max_body_bytes, idle_timeout, routes: by_host, services, former_services }
+    }
+
+    /// Remembers the services that `earlier` has and this version doesn't, for requests that were
+    /// accepted before.
+    #[must_use]
+    pub fn after(mut self, earlier: &Self) -> Self {
+        for (name, service) in earlier.former_services.iter().chain(&earlier.services) {
+            if !self.services.contains_key(name) {
+                self.former_services.insert(name.clone(), Arc::clone(service));
+            }
+        }
+        self
     }
 
     /// The route of `host`, in any case, with the longest prefix that begins `path`.
@@ -94,6 +109,11 @@
         self.services.get(name)
     }
 
+    /// The service of this name, also if only an earlier version had it.
+    pub fn service_or_former(&self, name: &ServiceName) -> Option<&Arc<Service>> {
+        self.service(name).or_else(|| self.former_services.get(name))
+    }
+
     /// All services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
         self.services.values()
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -54,7 +54,7 @@
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which a connection's idle time is checked.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after that check in which a request that has arrived already is read; chosen.
+/// Time after that check in which a request that has arrived already is read.
 const LAST_READ_TIME: Duration = Duration::from_millis(10);
 
 /// Kind of client that a listener serves.
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -231,7 +231,7 @@
 fn engine_of(node: &Node, replica: &BackendName) -> Option<EngineSpec> {
     let config = node.current_config()?;
     let service = node.replicas().get(replica).map(|known| known.entry.service.clone())?;
-    config.service(&service)?.engine.clone()
+    config.service_or_former(&service)?.engine.clone()
 }
 
 async fn wait_as_owner(node: &Node, request: &LoadRequest) -> Option<u64> {
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -163,7 +163,7 @@
         .all()
         .filter(|replica| replica.accepts_orders())
         .filter_map(|replica| {
-            let service = config.service(&replica.entry.service)?;
+            let service = config.service_or_former(&replica.entry.service)?;
             service.engine.as_ref()?;
             Some((replica.entry.name.clone(), Arc::clone(service)))
         })
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -246,9 +246,14 @@
     match node.protocol.decode_config(item) {
         Ok(Some(config)) => {
             let version = config.version;
-            let current = node.current_config().map_or(0, |current| current.version);
-            if version > current || node.config.borrow().is_none() {
-                record(&LogEvent::ConfigTaken { version, before: current, rev: item.rev });
+            let current = node.current_config();
+            let before = current.as_ref().map_or(0, |current| current.version);
+            if version > before || current.is_none() {
+                record(&LogEvent::ConfigTaken { version, before, rev: item.rev });
+                let config = match current {
+                    Some(current) => config.after(&current),
+                    None => config,
+                };
                 node.config.send_replace(Some(Arc::new(config)));
             }
         }
--- a/tests/traffic/config.rs
+++ b/tests/traffic/config.rs
@@ -2,6 +2,7 @@
 
 use tamaracklead::decide::traffic::Route;
 use tamaracklead::decide::traffic::RouteKind;
+use tamaracklead::decide::traffic::Service;
 use tamaracklead::decide::traffic::TrafficConfig;
 use tamaracklead::names::RouteName;
 use tamaracklead::names::ServiceName;
@@ -70,3 +71,23 @@
         assert_eq!(accepted.timeout_of_accepted(Some(&current)), ms(timeout), "{current:?}");
     }
 }
+
+// Guards against an adapter that nobody goes on loading, as the request that waits for it was
+// accepted before its service was removed.
+#[test]
+fn a_removed_service_is_remembered_for_requests_that_were_accepted_before() {
+    let service =
+        |name: &str| Service { name: ServiceName::new(name), max_connections: 1, engine: None };
+    let config = |version, names: &[&str]| {
+        let services = names.iter().map(|name| service(name)).collect();
+        TrafficConfig::new(version, 100, ms(1000), Vec::new(), services)
+    };
+    let third = config(3, &["b"]).after(&config(2, &["c"]).after(&config(1, &["a", "b"])));
+    let name = ServiceName::new;
+    assert!(third.service(&name("a")).is_none() && third.service(&name("c")).is_none());
+    assert!(third.service_or_former(&name("a")).is_some());
+    assert!(third.service_or_former(&name("c")).is_some());
+    assert!(third.service_or_former(&name("d")).is_none());
+    let back = config(4, &["a"]).after(&third);
+    assert_eq!(back.service(&name("a")), back.service_or_former(&name("a")));
+}
