Leave the end of a request that isn't acknowledged to its own time limit

The limit of the connection is 60 s now. a_long_body_outlasts_a_replica_that_reads_nothing_for_eighteen_seconds: 502 before.

--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -27,7 +27,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which sent bytes may stay unacknowledged before the connection fails. A replica that
 /// reads nothing for a while is none that has gone; its requests have time limits of their own.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(60);
 /// Longest time for which an idle connection is kept.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Idle connections kept to one replica; further ones are closed.
