Keep what an open attempt may still bring: errors, later replicas, shutdown, timeouts

Found in the review of the silence fix, each by a test that failed before (platform/tests/relay/suspicion.rs): - With attempts open until the time limit, a shutdown ended the process, and all four kinds of request of a mute replica got nothing. Now they get a response of the relay's own 0.3 s before that (502 or 504; 503 only if nothing may have run). - A longer timeout that was taken back again ended requests that had lasted longer than the first: the longest since admission counts now. - Another replica's error ended the attempt at a silent one; it is forwarded now if nothing better comes, also where a retry after it brought nothing (502 before). - After a search in vain beside an open attempt no replica was looked for again. - Silence spent retries where no other replica was found; 70 silent requests left none for a real break (502). - stream_went_on was logged at a deadline; crash evidence of a silent replica that broke waited for the other one. Two tests of the review land known red: a response that is written slowly is cut by a shutdown (as before these changes).

--- a/src/decide/traffic/shutdown.rs
+++ b/src/decide/traffic/shutdown.rs
@@ -10,6 +10,8 @@
 const ACCEPT_TIME: Duration = Duration::from_millis(2600);
 /// Time before the limit at which the process ends even if requests are in flight.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// Time before that end at which requests without a response get one.
+const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
 /// A shutdown that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +31,12 @@
         now.since(self.started) < ACCEPT_TIME.min(self.limit)
     }
 
+    /// Time until requests that no replica has responded to get a response of the relay's own.
+    pub fn time_until_last_responses(&self, now: Timestamp) -> Duration {
+        let elapsed = now.since(self.started);
+        self.limit.saturating_sub(LAST_RESPONSE_MARGIN).saturating_sub(elapsed)
+    }
+
     /// Whether the process ends now; `in_flight` is the number of requests in progress.
     pub fn is_over(&self, now: Timestamp, in_flight: usize) -> bool {
         let elapsed = now.since(self.started);
--- a/src/relay/attempt_race.rs
+++ b/src/relay/attempt_race.rs
@@ -3,15 +3,19 @@
 //! An attempt stays open until it has ended by itself: its response is worth more than the
 //! suspicion that there won't be one. When a replica is silent for long and [`Attempts`] and the
 //! retry budget allow it, the request is sent to another replica too. The first response that can
-//! be forwarded wins, and the other attempts are given up.
+//! be forwarded wins, and the other attempts are given up; an error of a replica is forwarded only
+//! if nothing better comes.
 //!
 //! [`Attempts`]: crate::decide::traffic::Attempts
 
 use std::future::Future;
 use std::pin::Pin;
+use std::pin::pin;
+use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use tokio::time::sleep;
 
 use super::attempt;
 use super::attempt::AttemptOutcome;
@@ -28,14 +32,19 @@
 use crate::names::BackendName;
 
 type OpenAttempt<'a> = Pin<Box<dyn Future<Output = AttemptOutcome> + Send + 'a>>;
-type Silence = Pin<Box<dyn Future<Output = ()> + Send>>;
+type Pause = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// Time after a search in vain until replicas are searched once more beside the open attempts.
+const SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What the race does while its attempts are open.
 enum Phase {
-    /// Looks for another replica.
-    Searching,
+    /// Looks for another replica, for which a retry is taken from the budget once it is found.
+    Searching { owes_retry: bool },
     /// Waits for a response or until this replica has been silent for long.
-    Watching(BackendName, Silence),
+    Watching(BackendName, Pause),
+    /// Waits for a response or until it is time to look for another replica once more.
+    Resting(Pause),
     /// Waits for a response only, since no further attempt is allowed.
     Waiting,
 }
@@ -44,7 +53,10 @@
 enum Event {
     Ended(AttemptOutcome),
     Found(Result<FoundReplica, LocalResponse>),
+    /// The replica that is watched is silent.
     Silent,
+    /// It is time to search once more.
+    Rested,
 }
 
 /// The attempts of one request until a replica responds.
@@ -54,49 +66,63 @@
     search: ReplicaSearch<'a>,
     open: FuturesUnordered<OpenAttempt<'a>>,
     phase: Phase,
+    /// Error of a replica, which is forwarded if no other response comes.
+    server_error: Option<ReplicaResponse>,
 }
 
 impl<'a> AttemptRace<'a> {
     /// A race without any attempt yet; a stream resumes after the event `resume_after`.
     pub fn new(request: &'a ForwardedRequest, resume_after: Option<&'a str>) -> Self {
-        let search = ReplicaSearch::new(request);
         Self {
             request,
             resume_after,
-            search,
+            search: ReplicaSearch::new(request),
             open: FuturesUnordered::new(),
-            phase: Phase::Searching,
+            phase: Phase::Searching { owes_retry: false },
+            server_error: None,
         }
     }
 
-    /// Sends the request to replicas until one sends a response that can be forwarded.
+    /// Sends the request to replicas until one sends a response that can be forwarded, or the time
+    /// limit is over.
     ///
     /// # Errors
     ///
     /// The relay's own response, if no replica's can be forwarded.
     pub async fn run(mut self) -> Result<ReplicaResponse, LocalResponse> {
+        let mut time_over = pin!(self.request.until_response_is_due());
         loop {
-            match self.next_event().await {
-                Event::Found(Ok(found)) => self.send(found),
-                Event::Found(Err(local_response)) => self.stop_searching(local_response)?,
+            let event = tokio::select! {
+                biased;
+                event = self.next_event() => event,
+                () = &mut time_over => {
+                    let response = self.request.timeout_response();
+                    return self.server_error.take().ok_or(response);
+                }
+            };
+            match event {
+                Event::Found(Ok(found)) => self.on_found(found)?,
+                Event::Found(Err(local_response)) => self.on_search_failed(local_response)?,
                 Event::Silent => self.on_silence(),
+                Event::Rested => {
+                    self.search = ReplicaSearch::new(self.request);
+                    self.phase = Phase::Searching { owes_retry: true };
+                }
                 Event::Ended(AttemptOutcome::Response(response)) => {
                     self.request.attempts().on_response_begun();
                     return Ok(response);
                 }
                 Event::Ended(AttemptOutcome::ServerError(response)) => {
-                    if !self.may_go_on(AttemptEnd::RanAndFailed) {
-                        return Ok(response);
-                    }
-                    self.phase = Phase::Searching;
-                }
-                Event::Ended(AttemptOutcome::NoResponse(end)) => {
-                    if self.may_go_on(end) {
-                        self.phase = Phase::Searching;
-                    } else {
-                        self.stop_searching(self.request.final_response())?;
-                    }
+                    self.server_error = Some(response);
+                    self.on_end(AttemptEnd::RanAndFailed)?;
                 }
+                Event::Ended(AttemptOutcome::NoResponse(end)) => self.on_end(end)?,
+            }
+            if self.open.is_empty()
+                && !matches!(self.phase, Phase::Searching { .. })
+                && let Some(response) = self.server_error.take()
+            {
+                return Ok(response);
             }
         }
     }
@@ -104,7 +130,7 @@
     async fn next_event(&mut self) -> Event {
         let Self { search, open, phase, .. } = self;
         match phase {
-            Phase::Searching => tokio::select! {
+            Phase::Searching { .. } => tokio::select! {
                 biased;
                 Some(outcome) = open.next() => Event::Ended(outcome),
                 found = search.find() => Event::Found(found),
@@ -114,6 +140,11 @@
                 Some(outcome) = open.next() => Event::Ended(outcome),
                 () = silence => Event::Silent,
             },
+            Phase::Resting(rest) => tokio::select! {
+                biased;
+                Some(outcome) = open.next() => Event::Ended(outcome),
+                () = rest => Event::Rested,
+            },
             Phase::Waiting => match open.next().await {
                 Some(outcome) => Event::Ended(outcome),
                 None => Event::Found(Err(self.request.final_response())),
@@ -121,7 +152,16 @@
         }
     }
 
-    fn send(&mut self, found: FoundReplica) {
+    /// Sends the request to a replica, unless the retry that it takes isn't granted.
+    ///
+    /// # Errors
+    ///
+    /// The relay's own response, if the retry isn't granted and no attempt is open.
+    fn on_found(&mut self, found: FoundReplica) -> Result<(), LocalResponse> {
+        let owes_retry = matches!(self.phase, Phase::Searching { owes_retry: true });
+        if owes_retry && !self.request.try_take_retry() {
+            return self.stop();
+        }
         let (request, resume_after) = (self.request, self.resume_after);
         record_send(request, &found.replica);
         request.attempts().on_send(found.replica.clone());
@@ -133,6 +173,7 @@
             drop(adapter_use);
             outcome
         }));
+        Ok(())
     }
 
     /// Looks for another replica beside the silent one, if that is allowed.
@@ -140,36 +181,53 @@
         let phase = std::mem::replace(&mut self.phase, Phase::Waiting);
         let Phase::Watching(replica, _) = phase else { return };
         let next = self.request.attempts().on_silence();
-        let is_allowed = matches!(next, NextAttempt::Another { .. });
-        let tries_another = is_allowed && self.request.try_take_retry();
+        let tries_another = matches!(next, NextAttempt::Another { .. });
         attempt::record_silence(self.request, &replica, tries_another);
         if tries_another {
-            self.phase = Phase::Searching;
+            self.phase = Phase::Searching { owes_retry: true };
         }
     }
 
-    /// Whether another attempt follows one that has ended. A search that goes on already has taken
-    /// its retry from the budget.
-    fn may_go_on(&self, end: AttemptEnd) -> bool {
+    /// Looks for another replica after an attempt has ended, if that is allowed.
+    ///
+    /// # Errors
+    ///
+    /// The relay's own response, if it isn't and no attempt is open.
+    fn on_end(&mut self, end: AttemptEnd) -> Result<(), LocalResponse> {
         let next = self.request.attempts().on_end(end);
-        match next {
-            NextAttempt::Another { is_retry: false } => true,
-            NextAttempt::Another { is_retry: true } => {
-                matches!(self.phase, Phase::Searching) || self.request.try_take_retry()
-            }
-            NextAttempt::Final(_) => false,
+        let NextAttempt::Another { is_retry } = next else { return self.stop() };
+        if matches!(self.phase, Phase::Searching { .. }) {
+            return Ok(());
+        }
+        if is_retry && !self.request.try_take_retry() {
+            return self.stop();
         }
+        self.phase = Phase::Searching { owes_retry: false };
+        Ok(())
     }
 
-    /// Waits for the open attempts only.
+    /// Searches once more later if attempts are open.
     ///
     /// # Errors
     ///
-    /// `local_response`, if none is open.
-    fn stop_searching(&mut self, local_response: LocalResponse) -> Result<(), LocalResponse> {
-        if self.open.is_empty() {
+    /// `local_response`, if none is open and no replica's error can be forwarded.
+    fn on_search_failed(&mut self, local_response: LocalResponse) -> Result<(), LocalResponse> {
+        if self.open.is_empty() && self.server_error.is_none() {
             return Err(local_response);
         }
+        self.phase = Phase::Resting(Box::pin(sleep(SEARCH_INTERVAL)));
+        Ok(())
+    }
+
+    /// Waits for the open attempts only.
+    ///
+    /// # Errors
+    ///
+    /// The relay's own response, if none is open and no replica's error can be forwarded.
+    fn stop(&mut self) -> Result<(), LocalResponse> {
+        if self.open.is_empty() && self.server_error.is_none() {
+            return Err(self.request.final_response());
+        }
         self.phase = Phase::Waiting;
         Ok(())
     }
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -130,6 +130,7 @@
         route,
         service,
         accepted_under: config.version,
+        longest_timeout: Mutex::default(),
         attempts: Mutex::new(attempts),
         arrived,
         is_probe: check == QuarantineCheck::Probe,
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -68,6 +68,8 @@
     pub service: Arc<Service>,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
+    /// Longest timeout of its route since it was accepted.
+    pub longest_timeout: Mutex<Duration>,
     /// Attempts so far.
     pub attempts: Mutex<Attempts>,
     /// Time of arrival.
@@ -114,14 +116,15 @@
         &self,
         resume_after: Option<&str>,
     ) -> Result<ReplicaResponse, LocalResponse> {
-        let race = AttemptRace::new(self, resume_after);
+        AttemptRace::new(self, resume_after).run().await
+    }
+
+    /// Completes when a response is due at last: at the time limit, or shortly before a shutdown
+    /// ends the process.
+    pub async fn until_response_is_due(&self) {
         tokio::select! {
-            biased;
-            result = race.run() => result,
-            () = self.until_deadline() => {
-                self.record_deadline();
-                Err(self.timeout_response())
-            }
+            () = self.until_deadline() => self.record_deadline(),
+            () = self.node.until_last_responses() => {}
         }
     }
 
@@ -237,16 +240,24 @@
     }
 
     fn time_limit(&self) -> Duration {
-        let config = self.node.current_config();
-        let host = host_of(&self.parts);
-        let current = config.as_ref().and_then(|c| c.route(host, self.path.path()));
-        let timeout = self.route.timeout_of_accepted(current.map(Arc::as_ref));
+        let timeout = self.route_timeout();
         let caller_timeout =
             self.head.caller_timeout.map(|timeout| timeout.saturating_sub(CALLER_ROUND_TRIP));
         caller_timeout.map_or(timeout, |limit| limit.min(timeout))
     }
 
-    fn timeout_response(&self) -> LocalResponse {
+    /// Timeout of its route; the longest one since it was accepted.
+    fn route_timeout(&self) -> Duration {
+        let config = self.node.current_config();
+        let host = host_of(&self.parts);
+        let current = config.as_ref().and_then(|c| c.route(host, self.path.path()));
+        let mut longest = self.longest_timeout.lock().unwrap_or_else(PoisonError::into_inner);
+        *longest = (*longest).max(self.route.timeout_of_accepted(current.map(Arc::as_ref)));
+        *longest
+    }
+
+    /// Response once its time is over.
+    pub fn timeout_response(&self) -> LocalResponse {
         match self.attempts().final_outcome() {
             FinalOutcome::NotRun => LocalResponse::NotRun,
             FinalOutcome::Unknown => LocalResponse::TimedOut,
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
-use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
@@ -16,6 +15,7 @@
 
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use super::Protocol;
 use super::PublishedTopic;
@@ -78,7 +78,7 @@
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
-    shutdown: OnceLock<Shutdown>,
+    shutdown: watch::Sender<Option<Shutdown>>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
     use_serial: AtomicU64,
@@ -127,7 +127,7 @@
             turn_changes: watch::Sender::new(0),
             in_flight: AtomicUsize::new(0),
             clock: Clock::start(),
-            shutdown: OnceLock::new(),
+            shutdown: watch::Sender::new(None),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
             use_serial: AtomicU64::new(serial_at_start(started_ms)),
@@ -211,19 +211,41 @@
 
     /// Whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.shutdown.get().is_some()
+        self.shutdown.borrow().is_some()
     }
 
     /// Whether new requests are accepted, as they still are for a while after a shutdown began.
     pub fn accepts_requests(&self) -> bool {
-        self.shutdown.get().is_none_or(|shutdown| shutdown.accepts_requests(self.now()))
+        self.shutdown.borrow().is_none_or(|shutdown| shutdown.accepts_requests(self.now()))
     }
 
     /// Begins the shutdown, of which peers are told, or returns the one that has begun.
     pub fn shut_down(&self) -> Shutdown {
         self.peers().set_draining();
         let limit = self.settings.shutdown_limit();
-        *self.shutdown.get_or_init(|| Shutdown::new(self.now(), limit))
+        let begun = Shutdown::new(self.now(), limit);
+        self.shutdown.send_if_modified(|shutdown| {
+            let is_first = shutdown.is_none();
+            shutdown.get_or_insert(begun);
+            is_first
+        });
+        self.shutdown.borrow().unwrap_or(begun)
+    }
+
+    /// Completes when a shutdown has begun.
+    pub async fn until_shutdown(&self) -> Shutdown {
+        let mut shutdown = self.shutdown.subscribe();
+        let begun = shutdown.wait_for(Option::is_some).await.ok().and_then(|begun| *begun);
+        match begun {
+            Some(begun) => begun,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Completes shortly before a shutdown ends the process, in time for last responses.
+    pub async fn until_last_responses(&self) {
+        let begun = self.until_shutdown().await;
+        sleep(begun.time_until_last_responses(self.now())).await;
     }
 
     /// Notes that a peer has replied, or that the time to wait for one is over.
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -154,20 +154,11 @@
         self.splitter.is_complete(has_marked_end)
     }
 
-    /// Suspects the parts of the prompt, unless the replica went on for a while with the response.
-    fn on_crash(&self) {
-        let Some(stream) = &self.stream else { return };
-        if stream.progress.may_have_crashed() {
-            let Origin { replica, started_ms, .. } = &stream.origin;
-            prompt_quarantine::on_crash(&self.request, replica, *started_ms, true);
-        }
-    }
-
     /// Resumes the stream at another replica after its own broke off; returns whether one sends it
     /// now.
     async fn resume(&mut self) -> bool {
-        self.on_crash();
         let Some(stream) = self.stream.take() else { return false };
+        on_crash(&self.request, &stream);
         let replica = stream.origin.replica.clone();
         drop(stream);
         attempt::record_replica_failure(&self.request, &replica, 1.0);
@@ -196,15 +187,13 @@
         match self.first_to_send(last_id.as_deref()).await? {
             FirstToSend::Silent(item) => {
                 self.request.attempts().on_given_up();
-                let (id, replica) = (self.request.head.id.as_str(), replica.as_str());
-                record(&LogEvent::StreamWentOn { id, replica });
+                if matches!(item, StreamItem::Data(_) | StreamItem::End) {
+                    let (id, replica) = (self.request.head.id.as_str(), replica.as_str());
+                    record(&LogEvent::StreamWentOn { id, replica });
+                }
                 Some(item)
             }
             FirstToSend::Other { response, silent_broke } => {
-                if silent_broke {
-                    self.on_crash();
-                    self.request.on_broken_connection(&replica);
-                }
                 let is_resumed = self.switch_to(response);
                 if is_resumed || silent_broke {
                     attempt::record_replica_failure(&self.request, &replica, 1.0);
@@ -233,6 +222,8 @@
             _ => false,
         };
         if silent_broke {
+            on_crash(request, stream);
+            request.on_broken_connection(&stream.origin.replica);
             return Some(FirstToSend::Other { response: other.await, silent_broke });
         }
         Some(FirstToSend::Silent(item))
@@ -291,6 +282,14 @@
     }
 }
 
+/// Suspects the parts of the prompt, unless the replica went on for a while with the response.
+fn on_crash(request: &ForwardedRequest, stream: &OpenStream) {
+    if stream.progress.may_have_crashed() {
+        let Origin { replica, started_ms, .. } = &stream.origin;
+        prompt_quarantine::on_crash(request, replica, *started_ms, true);
+    }
+}
+
 fn record_stream_break(request: &ForwardedRequest, stream: &OpenStream, detail: &str) {
     let replica = stream.origin.replica.as_str();
     let parts = request.head.needs.shared_parts().iter();
