Let other tasks run while a replica sends bytes without end

hyper goes on parsing for as long as bytes are buffered or arrive if what it reads has no result: interim responses (1xx) and the zeros before a chunk's length. A connection that sends these as fast as the socket takes them kept the only thread of the relay busy: timers, deadlines and all other requests stood still.

The connections to replicas, peers, the store and desks now yield after 64 KiB, with the waker deferred until timers and sockets were polled.

--- a/src/edge/desk_client.rs
+++ b/src/edge/desk_client.rs
@@ -23,6 +23,7 @@
 use tokio::time::timeout;
 
 use super::CallFailure;
+use super::FairStream;
 use crate::decide::dispatch_failure::DispatchFailure;
 use crate::wire::desk::DeskReceipt;
 use crate::wire::desk::DeskSubmission;
@@ -49,7 +50,7 @@
             Ok(Err(e)) => return Err(refused(format!("no connection to {addr}: {e}"))),
             Err(_) => return Err(refused(format!("no connection to {addr} in time"))),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::handshake(TokioIo::new(FairStream::new(stream)))
             .await
             .map_err(|e| refused(format!("no connection to {addr}: {e}")))?;
         tokio::spawn(async move {
--- /dev/null
+++ b/src/edge/fair_connector.rs
@@ -0,0 +1,44 @@
+//! Opens the connections of [`HttpClient`](super::HttpClient).
+
+use std::error::Error;
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper::Uri;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioIo;
+use tower_service::Service;
+
+use super::FairStream;
+
+type ConnectResult = Result<TokioIo<FairStream>, Box<dyn Error + Send + Sync>>;
+
+/// Connector whose connections are read in turns with other tasks.
+#[derive(Clone, Debug)]
+pub struct FairConnector {
+    http: HttpConnector,
+}
+
+impl FairConnector {
+    /// Connects as `http` does.
+    pub fn new(http: HttpConnector) -> Self {
+        Self { http }
+    }
+}
+
+impl Service<Uri> for FairConnector {
+    type Response = TokioIo<FairStream>;
+    type Error = Box<dyn Error + Send + Sync>;
+    type Future = Pin<Box<dyn Future<Output = ConnectResult> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.http.poll_ready(cx).map_err(Into::into)
+    }
+
+    fn call(&mut self, target: Uri) -> Self::Future {
+        let connecting = self.http.call(target);
+        Box::pin(async move { Ok(TokioIo::new(FairStream::new(connecting.await?.into_inner()))) })
+    }
+}
--- /dev/null
+++ b/src/edge/fair_stream.rs
@@ -0,0 +1,104 @@
+//! TCP stream that lets other tasks run after some bytes, however quickly more arrive.
+//!
+//! A parser that skips what it reads, such as interim responses or the zeros before a chunk's
+//! length, goes on for as long as its peer sends. Without a pause nothing else on the same thread
+//! would run, not even the timeout of the call.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::pin::pin;
+use std::task::Context;
+use std::task::Poll;
+
+use hyper_util::client::legacy::connect::Connected;
+use hyper_util::client::legacy::connect::Connection;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::task::yield_now;
+
+/// Bytes read after which other tasks run.
+const BYTES_PER_TURN: usize = 64 * 1024;
+
+/// TCP stream that is read in turns with other tasks.
+#[derive(Debug)]
+pub struct FairStream {
+    stream: TcpStream,
+    read_in_turn: usize,
+}
+
+impl FairStream {
+    /// Wraps a connected stream.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, read_in_turn: 0 }
+    }
+
+    /// The wrapped stream.
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+}
+
+/// Continues only after other tasks, timers and sockets have had their turn.
+fn yield_turn<T>(cx: &mut Context<'_>) -> Poll<T> {
+    let _ = pin!(yield_now()).poll(cx);
+    Poll::Pending
+}
+
+impl AsyncRead for FairStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.read_in_turn >= BYTES_PER_TURN {
+            self.read_in_turn = 0;
+            return yield_turn(cx);
+        }
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        match read {
+            Poll::Ready(_) => self.read_in_turn += buf.filled().len() - before,
+            Poll::Pending => self.read_in_turn = 0,
+        }
+        read
+    }
+}
+
+impl AsyncWrite for FairStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+impl Connection for FairStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
+}
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::TokioTimer;
 use tokio::time::timeout;
 
+use super::fair_connector::FairConnector;
 use crate::decide::dispatch_failure::DispatchFailure;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -145,8 +146,8 @@
 /// HTTP client with a connection pool that its clones share.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    pooled: Client<HttpConnector, Full<Bytes>>,
-    unpooled: Client<HttpConnector, Full<Bytes>>,
+    pooled: Client<FairConnector, Full<Bytes>>,
+    unpooled: Client<FairConnector, Full<Bytes>>,
 }
 
 impl Default for HttpClient {
@@ -166,6 +167,7 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let connector = FairConnector::new(connector);
         let pooled = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(idle_timeout)
             .pool_timer(TokioTimer::new())
@@ -202,7 +204,7 @@
     }
 
     async fn run(
-        client: &Client<HttpConnector, Full<Bytes>>,
+        client: &Client<FairConnector, Full<Bytes>>,
         call: HttpCall,
         wait: Duration,
     ) -> Result<HttpReply, CallFailure> {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,8 @@
 mod config_client;
 mod desk_client;
 mod engine_client;
+mod fair_connector;
+mod fair_stream;
 mod http_client;
 mod http_server;
 mod listing_client;
@@ -25,6 +27,7 @@
 pub use engine_client::EngineClient;
 pub use engine_client::EngineFailure;
 pub use engine_client::EngineStream;
+pub use fair_stream::FairStream;
 pub use http_client::CallFailure;
 pub use http_client::HttpCall;
 pub use http_client::HttpClient;
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::edge::FairStream;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
@@ -80,8 +81,9 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(FairStream::new(stream)))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("connection to {addr} ended: {e}");
