Bound the time and size for draining a refusal

The body of a refusal (not run, or 421) was read to its end before the retry, up to 16 MiB and until the request's deadline: a replica whose refusal dripped, or whose chunk length never ended, held a request up that provably hadn't run, and the request then counted as timed out.

The body is now read for at most 50 ms and 64 KiB; otherwise the connection is closed instead of being reused.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -18,6 +18,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::response;
+use tokio::time::timeout;
 
 use super::AttemptHeaderValues;
 use super::ResponseHead;
@@ -39,6 +40,10 @@
 
 /// Largest response body that is read whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// Largest body of a refusal that is read to its end, in bytes.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+/// Time for reading the body of a refusal, by which it may delay the retry.
+const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 /// Weight of a refusal in a replica's failure score; a broken connection weighs 1.
 const REFUSAL_WEIGHT: f64 = 0.5;
 /// Weight of a server error response in a replica's failure score.
@@ -151,7 +156,7 @@
             body: ReplicaBody::Stream(Box::new(stream)),
         });
     }
-    let Some(body) = read_whole(source).await else {
+    let Some(body) = read_whole(source, MAX_RESPONSE_BYTES).await else {
         prompt_quarantine::on_crash(request, replica, started_ms, progress.may_have_crashed());
         record_replica_failure(request, replica, 1.0);
         record_failed_attempt(request, replica, AttemptFailure::BrokenOff, "");
@@ -307,7 +312,8 @@
     Some(AttemptEnd::NotRun)
 }
 
-/// Reads the body of a refusal to its end, so that the connection can be reused.
+/// Reads the body of a refusal to its end, so that the connection can be reused; closes the
+/// connection if the body is too large or late.
 async fn drain_refusal(
     request: &ForwardedRequest,
     replica: &BackendName,
@@ -316,7 +322,9 @@
     source: Incoming,
     head: &response::Parts,
 ) {
-    if let (Some(limit), Some(_)) = (keep_alive_time(head), read_whole(source).await) {
+    let Some(limit) = keep_alive_time(head) else { return };
+    let body = read_whole(source, MAX_REFUSAL_BYTES);
+    if let Ok(Some(_)) = timeout(REFUSAL_DRAIN_TIMEOUT, body).await {
         request.node.connection_pool.put_idle(
             request.node.now(),
             replica,
@@ -383,11 +391,11 @@
 }
 
 /// Reads the whole body; `None` if it broke off or is too large.
-async fn read_whole(mut source: Incoming) -> Option<Bytes> {
+async fn read_whole(mut source: Incoming, max_bytes: usize) -> Option<Bytes> {
     let mut buf = BytesMut::new();
     while let Some(frame) = source.frame().await {
         let Ok(data) = frame.ok()?.into_data() else { continue };
-        if buf.len() + data.len() > MAX_RESPONSE_BYTES {
+        if buf.len() + data.len() > max_bytes {
             return None;
         }
         buf.extend_from_slice(&data);
