Bound the time for reading a report

The body of a replica's report had no time limit. While it dripped, the replica's owner counted a call as pending and gave neither orders nor asked for another report, until the replica closed the connection.

The body must now be complete 900 ms after the head, like the head after the call.

--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -87,6 +87,18 @@
         }
     }
 
+    /// Reads the whole body into memory, which must take no longer than `wait`.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if it does, and as for [`Self::read_body`].
+    pub async fn read_body_within(self, wait: Duration) -> Result<Bytes, CallFailure> {
+        timeout(wait, self.read_body()).await.unwrap_or_else(|_| {
+            let detail = format!("response isn't complete in {} ms", wait.as_millis());
+            Err(CallFailure { end: DispatchFailure::TimedOut, detail })
+        })
+    }
+
     /// Reads the whole body into memory.
     ///
     /// # Errors
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -42,7 +42,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two ticks above which this process counts as having been paused.
 const MAX_PROCESS_PAUSE: Duration = Duration::from_millis(600);
-/// Timeout of a call to a replica for a report or order.
+/// Timeout of a call to a replica for a report or order, and again of a report's body.
 const REPLICA_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval between reports while orders are pending, and after a refused order.
 const PENDING_REPORT_INTERVAL: Duration = Duration::from_millis(60);
@@ -274,10 +274,12 @@
 async fn ask_report(node: &Node, replica: &BackendName) {
     let call = node.protocol.report_call(replica);
     let report = match call_replica(node, replica, call).await {
-        Some(reply) if reply.status.is_success() => match reply.read_body().await {
-            Ok(body) => node.protocol.decode_report(&body).map_err(|e| e.to_string()),
-            Err(failure) => Err(failure.detail),
-        },
+        Some(reply) if reply.status.is_success() => {
+            match reply.read_body_within(REPLICA_CALL_TIMEOUT).await {
+                Ok(body) => node.protocol.decode_report(&body).map_err(|e| e.to_string()),
+                Err(failure) => Err(failure.detail),
+            }
+        }
         Some(reply) => Err(format!("status {}", reply.status)),
         None => Err("no answer".to_owned()),
     };
