Bound a listing in size and time

A listing of the store was read page after page for as long as each one named another: kept in memory without a limit, for ever, and also if a page repeated the keys of the one before.

A listing now fails, and is begun anew, if its pages exceed 16 MiB or 30 s together or if their keys don't advance. Reading it has a module of its own, since published.rs has other work.

--- /dev/null
+++ b/src/relay/listing.rs
@@ -0,0 +1,92 @@
+//! Reads all pages of a listing of the published state.
+//!
+//! A store in trouble may send pages without end, so a listing is bounded in size and time, and
+//! the keys of each page must come after those of the page before.
+
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::PublishedTopic;
+use super::node::Node;
+use super::store_call;
+use super::store_call::StoreResponse;
+use crate::decide::traffic::EraCheck;
+use crate::decide::traffic::PublishedEvent;
+use crate::decide::traffic::PublishedItem;
+
+/// Timeout for one page.
+const PAGE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Timeout for all pages.
+const LISTING_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest size of all pages together, in bytes.
+const MAX_LISTING_BYTES: usize = 16 * 1024 * 1024;
+
+/// All items of a topic.
+pub struct Listing {
+    /// The items, by key.
+    pub items: Vec<PublishedItem>,
+    /// Revision of the published state that the first page reflects.
+    pub as_of: u64,
+    /// Era of that revision; 0 if the store names none.
+    pub era: u64,
+}
+
+/// Lists a topic; with `may_be_old` the listing may be some seconds old.
+///
+/// # Errors
+///
+/// Why the listing isn't complete.
+pub async fn read(node: &Node, topic: PublishedTopic, may_be_old: bool) -> Result<Listing, String> {
+    let pages = read_pages(node, topic, may_be_old);
+    let late = || Err(format!("the listing isn't complete in {} s", LISTING_TIMEOUT.as_secs()));
+    timeout(LISTING_TIMEOUT, pages).await.unwrap_or_else(|_| late())
+}
+
+async fn read_pages(
+    node: &Node,
+    topic: PublishedTopic,
+    may_be_old: bool,
+) -> Result<Listing, String> {
+    let mut items: Vec<PublishedItem> = Vec::new();
+    let mut as_of = None;
+    let mut listed_era = None;
+    let mut size = 0;
+    loop {
+        let after = items.last().map(|item| item.key.clone());
+        let path = node.protocol.list_path(topic, after.as_deref(), may_be_old);
+        let StoreResponse { status, era, body } = store_call::get(node, path, PAGE_TIMEOUT).await?;
+        if status != 200 {
+            return Err(format!("listing returned status {status}"));
+        }
+        if node.view(topic).on_store_era(era) == EraCheck::Older
+            || *listed_era.get_or_insert(era) != era
+        {
+            return Err("the store was restored during the listing".to_owned());
+        }
+        size += body.len();
+        if size > MAX_LISTING_BYTES {
+            return Err(format!("the listing exceeds {MAX_LISTING_BYTES} bytes"));
+        }
+        let page = node.protocol.decode_list(&body).map_err(|e| e.to_string())?;
+        as_of.get_or_insert(page.as_of);
+        let more = page.has_more && !page.events.is_empty();
+        items.extend(page.events.into_iter().filter_map(written_item));
+        if !more {
+            break;
+        }
+        if items.last().map(|item| &item.key) <= after.as_ref() {
+            return Err("the keys of the listing don't advance".to_owned());
+        }
+    }
+    let era = listed_era.flatten().unwrap_or_default();
+    Ok(Listing { items, as_of: as_of.unwrap_or_default(), era })
+}
+
+/// The item that was written; `None` for a removal.
+pub fn written_item(event: PublishedEvent) -> Option<PublishedItem> {
+    match event {
+        PublishedEvent::Written(item) => Some(item),
+        PublishedEvent::Removed { .. } => None,
+    }
+}
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod forward;
 mod forwarded_request;
 mod listener;
+mod listing;
 mod loads;
 mod log_event;
 mod metrics;
@@ -27,6 +28,7 @@
 mod response;
 mod run;
 mod settings;
+mod store_call;
 mod stream_relay;
 mod turns;
 
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -8,28 +8,29 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use super::DecodeError;
 use super::PublishedPage;
 use super::PublishedTopic;
+use super::listing;
+use super::listing::Listing;
+use super::listing::written_item;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::store_call;
+use super::store_call::StoreResponse;
 use crate::decide::rendezvous;
 use crate::decide::traffic::EraCheck;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
 use crate::decide::traffic::ViewChanges;
-use crate::edge::HttpCall;
 use crate::names::Timestamp;
 
 /// Longest time for which one long poll waits for a change.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Time on top of that wait after which a long poll counts as failed.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// Timeout for one page of a listing.
-const LIST_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 /// Delay after changes of replicas, so that one long poll returns several; also the interval at
@@ -147,41 +148,11 @@
     is_restored
 }
 
-fn written_item(event: PublishedEvent) -> Option<PublishedItem> {
-    match event {
-        PublishedEvent::Written(item) => Some(item),
-        PublishedEvent::Removed { .. } => None,
-    }
-}
-
 async fn list(node: &Node, topic: PublishedTopic) -> Result<bool, String> {
     // The watch that follows brings an old listing up to date.
     let may_be_old = !node.view(topic).was_listed();
-    let mut items: Vec<PublishedItem> = Vec::new();
-    let mut as_of = None;
-    let mut listed_era = None;
-    loop {
-        let after = items.last().map(|item| item.key.clone());
-        let path = node.protocol.list_path(topic, after.as_deref(), may_be_old);
-        let StoreResponse { status, era, body } = get(node, path, LIST_TIMEOUT).await?;
-        if status != 200 {
-            return Err(format!("listing returned status {status}"));
-        }
-        if node.view(topic).on_store_era(era) == EraCheck::Older
-            || *listed_era.get_or_insert(era) != era
-        {
-            return Err("the store was restored during the listing".to_owned());
-        }
-        let page = node.protocol.decode_list(&body).map_err(|e| e.to_string())?;
-        as_of.get_or_insert(page.as_of);
-        let more = page.has_more && !page.events.is_empty();
-        items.extend(page.events.into_iter().filter_map(written_item));
-        if !more {
-            break;
-        }
-    }
-    let era = listed_era.flatten().unwrap_or_default();
-    apply_listing(node, topic, items, as_of.unwrap_or_default(), era);
+    let Listing { items, as_of, era } = listing::read(node, topic, may_be_old).await?;
+    apply_listing(node, topic, items, as_of, era);
     if may_be_old {
         node.view(topic).on_old_listing();
     }
@@ -190,7 +161,8 @@
 
 async fn watch(node: &Node, topic: PublishedTopic, after: u64) -> Result<bool, String> {
     let path = node.protocol.watch_path(topic, after, WATCH_WAIT);
-    let StoreResponse { status, era, body } = get(node, path, WATCH_WAIT + WATCH_MARGIN).await?;
+    let StoreResponse { status, era, body } =
+        store_call::get(node, path, WATCH_WAIT + WATCH_MARGIN).await?;
     let era_check = node.view(topic).on_store_era(era);
     match era_check {
         EraCheck::Older => return Err("response from before the store was restored".to_owned()),
@@ -221,28 +193,6 @@
     sleep(Duration::from_millis(score % MAX_RELIST_DELAY_MS)).await;
 }
 
-/// Response of the store.
-struct StoreResponse {
-    status: u16,
-    /// Era of its revisions; `None` if it names none.
-    era: Option<u64>,
-    body: bytes::Bytes,
-}
-
-async fn get(node: &Node, path: String, limit: Duration) -> Result<StoreResponse, String> {
-    let call = HttpCall::get(node.settings.published, path);
-    let response = async {
-        let reply = node.http.send(call, limit).await.map_err(|f| f.detail)?;
-        let status = reply.status.as_u16();
-        let era = node.protocol.store_era(reply.headers());
-        let body = reply.read_body().await.map_err(|f| f.detail)?;
-        Ok(StoreResponse { status, era, body })
-    };
-    timeout(limit, response)
-        .await
-        .unwrap_or_else(|_| Err("no complete response in time".to_owned()))
-}
-
 fn apply_listing(
     node: &Node,
     topic: PublishedTopic,
