Give up calls of peers whose heads or bodies never end

A peer's call had no time limit: its head and its body were awaited for as long as the peer kept dripping. And a chunk length of zeros without end, sent fast, kept the only thread of the relay busy.

The body must now be complete 2 s after the head, and the head 30 s after the end of the call before it, which is longer than peers keep idle connections. Accepted connections of all kinds are read in turns with other tasks, as connections to replicas are.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -25,10 +25,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::exchange;
 use super::forward;
@@ -36,6 +38,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::response::ResponseBody;
+use crate::edge::FairStream;
 use crate::error::ErrorKind;
 use crate::names::Timestamp;
 use crate::wire::frame::MAX_FRAME_BYTES;
@@ -48,6 +51,11 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Idle timeout of callers' connections during a shutdown.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout for the head of a peer's call, from the end of the call before it; longer than peers
+/// keep idle connections.
+const PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Timeout for the body of a peer's call.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 const METRICS_PATH: &str = "/metrics";
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which a connection's idle time is checked.
@@ -123,7 +131,8 @@
             }
         })
     };
-    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let io = TokioIo::new(FairStream::new(stream));
+    let mut connection = connection_builder(audience).serve_connection(io, service);
     loop {
         // Only callers' connections are closed as idle; the others need no timer.
         let idle_check = async {
@@ -144,13 +153,22 @@
             Some(Ok(())) => return,
             Some(Err(e)) => {
                 log::debug!("connection of {audience:?} ended: {e}");
-                reset_without_chunks(&activity, connection.into_parts().io.inner());
+                reset_without_chunks(&activity, connection.into_parts().io.inner().stream());
                 return;
             }
         }
     }
 }
 
+/// Callers' connections have an idle timeout of their own.
+fn connection_builder(audience: Audience) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    if audience == Audience::Peers {
+        builder.timer(TokioTimer::new()).header_read_timeout(PEER_HEAD_TIMEOUT);
+    }
+    builder
+}
+
 fn track_request(node: &Node, activity: &Mutex<Activity>, is_start: bool) {
     let mut activity = activity.lock().unwrap_or_else(PoisonError::into_inner);
     activity.last_used = node.now();
@@ -236,10 +254,10 @@
 
 async fn serve_peer(node: &Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     let path = req.uri().path().to_owned();
-    let body = match Limited::new(req.into_body(), MAX_FRAME_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            record(&LogEvent::PeerRefused { path: &path, detail: &e.to_string() });
+    let body = match read_peer_body(req).await {
+        Ok(body) => body,
+        Err(detail) => {
+            record(&LogEvent::PeerRefused { path: &path, detail: &detail });
             return response(StatusCode::BAD_REQUEST, Bytes::new());
         }
     };
@@ -253,6 +271,15 @@
     }
 }
 
+async fn read_peer_body(req: Request<Incoming>) -> Result<Bytes, String> {
+    let body = Limited::new(req.into_body(), MAX_FRAME_BYTES).collect();
+    match timeout(PEER_BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(_) => Err("no complete body in time".to_owned()),
+    }
+}
+
 fn response(status: StatusCode, body: Bytes) -> Response<ResponseBody> {
     let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
     let mut response = Response::new(body);
