Search an unfinished event only where it is new

The splitter searched all that it had buffered of an unfinished event for its end with each piece that arrived. For an event without end in chunks of one byte that is quadratic: 5 * 10^11 bytes until the limit of 1 MiB aborts the stream, on the only thread of the relay.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -9,6 +9,9 @@
 /// Most bytes of an unfinished event.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Most bytes that mark the end of an event.
+const MAX_EVENT_END_BYTES: usize = 4;
+
 /// Buffer for the unfinished event of one stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -25,8 +28,11 @@
 
     /// Buffers `bytes` and returns the events that are complete now.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        // What was buffered before holds no end of an event, at most the beginning of one.
+        let unsearched = self.buf.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
         self.buf.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buf) else { return Bytes::new() };
+        let end = last_event_end(&self.buf[unsearched..]).map(|end| unsearched + end);
+        let Some(end) = end else { return Bytes::new() };
         let whole = self.buf.split_to(end).freeze();
         self.has_event |= contains_event(&whole);
         if let Some(id) = last_event_id(&whole) {
--- a/tests/traffic/stream.rs
+++ b/tests/traffic/stream.rs
@@ -1,7 +1,12 @@
 //! Streams are forwarded in whole events and resume after the last one.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use tamaracklead::decide::traffic::EventSplitter;
 
+/// Time within which an event of the greatest length in pieces of one byte must be read.
+const SMALL_PIECES_LIMIT: Duration = Duration::from_secs(20);
 const STREAM: &[u8] = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\ndata: three\n\n";
 
 #[test]
@@ -84,3 +89,32 @@
         assert!(!splitter.is_complete(true), "{line_ends:?}");
     }
 }
+
+// Guards against a long unfinished event that was searched from its start with each small piece of
+// it, which took hours for one in pieces of one byte.
+#[test]
+fn an_unfinished_event_in_small_pieces_is_not_searched_anew_with_each() {
+    let start = Instant::now();
+    let mut splitter = EventSplitter::new(None);
+    while !splitter.is_overlong() {
+        assert!(splitter.push(b"x").is_empty());
+        assert!(start.elapsed() < SMALL_PIECES_LIMIT);
+    }
+}
+
+// Guards against a search that overlooks the end of an event that is split over several pieces.
+#[test]
+fn events_in_pieces_of_one_byte_are_found() {
+    for line_end in ["\n", "\r\n"] {
+        let mut splitter = EventSplitter::new(None);
+        let event = format!("id: 1{line_end}data: one{line_end}{line_end}");
+        for _ in 0..3 {
+            let pushed: Vec<_> = event
+                .bytes()
+                .map(|byte| splitter.push(&[byte]))
+                .filter(|e| !e.is_empty())
+                .collect();
+            assert_eq!(pushed, [event.as_bytes()], "{line_end:?}");
+        }
+    }
+}
