Bound the time for the bodies that the daemon reads

Reports, states and refusals of engines, the configuration, the list of instances and replies of peers were read without a time limit once their heads had come: a server that dripped held the call for ever. Each body now has a limit (1 s for engines, 60 s for the reply to an order, whose head has the same, 5 s for configuration, 2 s for the list, that of the call for peers), by the same read as a replica's report.

The decoder of an engine's events searched an unfinished event anew with each piece, like the relay's splitter; it goes on where it stopped.

--- a/src/edge/config_client.rs
+++ b/src/edge/config_client.rs
@@ -16,6 +16,8 @@
 
 /// Time limit for a read that doesn't wait for a change.
 const READ_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time limit for the body of a response.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time that a watch may take beyond the wait that it asks for.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
 
@@ -71,9 +73,10 @@
         let reply =
             self.http.send(call, wait).await.map_err(|failure| failure.into_error(unreachable))?;
         match reply.status {
-            StatusCode::OK | StatusCode::NO_CONTENT => {
-                reply.read_body().await.map_err(|failure| failure.into_error(unreachable))
-            }
+            StatusCode::OK | StatusCode::NO_CONTENT => reply
+                .read_body_within(BODY_TIMEOUT)
+                .await
+                .map_err(|failure| failure.into_error(unreachable)),
             StatusCode::NOT_FOUND => {
                 Err(Error::new(ErrorKind::NotFound, format!("configuration service has no {path}")))
             }
--- a/src/edge/engine_client.rs
+++ b/src/edge/engine_client.rs
@@ -23,8 +23,10 @@
 
 /// Time limit for an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for an order, long enough for a load from a slow weight store.
+/// Time limit for an order, and again for the body of its response, long enough for a load from a slow weight store.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time limit for the body of a response, which comes with its head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a call to an engine failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -113,7 +115,7 @@
         if !reply.status.is_success() {
             return Err(read_failure(reply).await);
         }
-        from_json(&reply.read_body().await?)
+        from_json(&reply.read_body_within(ORDER_TIMEOUT).await?)
     }
 
     /// Reads the engine's report, which may be out of date.
@@ -139,7 +141,7 @@
         if !reply.status.is_success() {
             return Err(read_failure(reply).await);
         }
-        from_json(&reply.read_body().await?)
+        from_json(&reply.read_body_within(BODY_TIMEOUT).await?)
     }
 }
 
@@ -173,7 +175,7 @@
 
 async fn read_failure(reply: HttpReply) -> EngineFailure {
     let status = reply.status;
-    let body = match reply.read_body().await {
+    let body = match reply.read_body_within(BODY_TIMEOUT).await {
         Ok(body) => body,
         Err(failure) => return failure.into(),
     };
--- a/src/edge/listing_client.rs
+++ b/src/edge/listing_client.rs
@@ -43,7 +43,10 @@
         if !reply.status.is_success() {
             return Err(Error::new(unreachable, format!("instance list: status {}", reply.status)));
         }
-        let body = reply.read_body().await.map_err(|failure| failure.into_error(unreachable))?;
+        let body = reply
+            .read_body_within(READ_TIMEOUT)
+            .await
+            .map_err(|failure| failure.into_error(unreachable))?;
         serde_json::from_slice(&body).map_err(|e| {
             Error::new(ErrorKind::Malformed, format!("instance list can't be parsed: {e}"))
         })
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -70,7 +70,7 @@
     ) -> std::result::Result<Result<R>, CallFailure> {
         let reply = self.send(peer, path, message, wait).await?;
         let succeeded = reply.http.status.is_success();
-        let body = self.read_verified(reply).await?;
+        let body = self.read_verified(reply, wait).await?;
         Ok(if succeeded { frame::decode(&body) } else { Err(parse_problem(&body)) })
     }
 
@@ -87,7 +87,7 @@
         let wait = Duration::from_millis(message.deadline_ms) + DISPATCH_MARGIN;
         let reply = self.send(peer, PeerPath::Dispatch, message, wait).await?;
         if !reply.http.status.is_success() {
-            return Ok(Err(parse_problem(&self.read_verified(reply).await?)));
+            return Ok(Err(parse_problem(&self.read_verified(reply, wait).await?)));
         }
         let header = reply.http.header(RESPONSE_SIGNATURE_HEADER);
         self.verify(&reply.request_signature, reply.http.status, None, header)?;
@@ -124,10 +124,14 @@
     }
 
     /// Reads the body and verifies the signature.
-    async fn read_verified(&self, reply: PeerReply) -> std::result::Result<Bytes, CallFailure> {
+    async fn read_verified(
+        &self,
+        reply: PeerReply,
+        wait: Duration,
+    ) -> std::result::Result<Bytes, CallFailure> {
         let status = reply.http.status;
         let header = reply.http.header(RESPONSE_SIGNATURE_HEADER).map(str::to_owned);
-        let body = reply.http.read_body().await?;
+        let body = reply.http.read_body_within(wait).await?;
         self.verify(&reply.request_signature, status, Some(&body), header.as_deref())?;
         Ok(body)
     }
--- a/src/wire/sse.rs
+++ b/src/wire/sse.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Default)]
 pub struct EventDecoder {
     buf: BytesMut,
+    /// Bytes of the buffer that hold no end of an event.
+    searched: usize,
 }
 
 impl EventDecoder {
@@ -66,13 +68,16 @@
     ///
     /// `Malformed` if the event is too long or isn't UTF-8.
     pub fn next_event(&mut self) -> Result<Option<Event>> {
-        let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") else {
+        let from = self.searched.saturating_sub(1);
+        let Some(end) = self.buf[from..].windows(2).position(|pair| pair == b"\n\n") else {
+            self.searched = self.buf.len();
             if self.buf.len() > MAX_EVENT_BYTES {
                 return Err(Error::new(ErrorKind::Malformed, "event exceeds one megabyte"));
             }
             return Ok(None);
         };
-        let raw = self.buf.split_to(end + 2);
+        self.searched = 0;
+        let raw = self.buf.split_to(from + end + 2);
         let text = std::str::from_utf8(&raw)
             .map_err(|_| Error::new(ErrorKind::Malformed, "event is not UTF-8"))?;
         Ok(Some(Self::parse_lines(text)))
