End a dispatch whose frame is too long or can't be decoded

The reader of an owner's response to a dispatch went on after a frame that the decoder refused, and kept all further bytes: a peer that named a length above the limit could fill the memory until the caller left. A frame that doesn't decode was skipped, so a part of the answer would have been lacking without a sign. Both now end the dispatch as lost.

Before, the new test failed: 64 MiB of one frame were read, all that its server sends.

--- a/src/edge/engine_client.rs
+++ b/src/edge/engine_client.rs
@@ -23,7 +23,8 @@
 
 /// Time limit for an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time limit for an order, and again for the body of its response, long enough for a load from a slow weight store.
+/// Time limit for an order, and again for the body of its response, long enough for a load from a
+/// slow weight store.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time limit for the body of a response, which comes with its head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -168,14 +168,19 @@
 async fn forward_events(mut reply: HttpReply, tx: mpsc::Sender<DispatchEvent>) {
     let mut decoder = FrameDecoder::default();
     let mut ended = false;
-    while !ended {
+    'chunks: while !ended {
         let chunk = tokio::select! {
             chunk = reply.chunk() => chunk,
             () = tx.closed() => return,
         };
         let Ok(Some(data)) = chunk else { break };
         decoder.push(&data);
-        while let Ok(Some(event)) = decoder.next_message() {
+        loop {
+            let event = match decoder.next_message() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => break 'chunks,
+            };
             ended = matches!(event, DispatchEvent::Done { .. } | DispatchEvent::Failed { .. });
             if tx.send(event).await.is_err() {
                 return;
@@ -184,10 +189,8 @@
     }
     if !ended {
         let kind = DispatchFailure::OwnerLost.completion_kind();
-        let error = Error::new(
-            kind,
-            "the connection to the engine's owner broke before the response was complete",
-        );
+        let error =
+            Error::new(kind, "the response of the engine's owner broke off or can't be decoded");
         let _ = tx.send(DispatchEvent::Failed { error }).await;
     }
 }
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -13,7 +13,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use tamaracklead::auth::PeerSignature;
 use tamaracklead::auth::PeerSigner;
+use tamaracklead::auth::RESPONSE_SIGNATURE_HEADER;
+use tamaracklead::auth::SIGNATURE_HEADER;
+use tamaracklead::auth::SignedResponse;
 use tamaracklead::edge::ConfigClient;
 use tamaracklead::edge::EngineClient;
 use tamaracklead::edge::HttpClient;
@@ -21,8 +25,16 @@
 use tamaracklead::edge::PeerClient;
 use tamaracklead::edge::PeerPath;
 use tamaracklead::edge::PeerTarget;
+use tamaracklead::names::AdapterName;
+use tamaracklead::names::AdapterRef;
+use tamaracklead::names::BackendName;
+use tamaracklead::names::Generation;
 use tamaracklead::names::InstanceName;
+use tamaracklead::names::RequestId;
+use tamaracklead::names::Version;
 use tamaracklead::settings::Key;
+use tamaracklead::wire::peer::Dispatch;
+use tamaracklead::wire::peer::DispatchEvent;
 use tamaracklead::wire::sse::EventDecoder;
 use tokio::runtime::Runtime;
 use tokio::time::timeout;
@@ -32,6 +44,8 @@
 const CALL_LIMIT: Duration = Duration::from_secs(8);
 /// Pause between two bytes of a dripping body.
 const DRIP_INTERVAL: Duration = Duration::from_millis(50);
+/// Most bytes of a frame without end that are sent.
+const MAX_FRAME_SENT: usize = 64 * 1024 * 1024;
 /// Time within which an event of the greatest length in pieces of one byte must be read.
 const SMALL_PIECES_LIMIT: Duration = Duration::from_secs(20);
 
@@ -112,6 +126,53 @@
     }
 }
 
+/// Sends the response to a dispatch with a good signature, and a frame without end.
+fn send_overlong_frame(mut stream: TcpStream, key: &Key) -> std::io::Result<()> {
+    let mut request = [0; 4096];
+    let length = stream.read(&mut request)?;
+    let text = String::from_utf8_lossy(&request[..length]).into_owned();
+    let line = text.lines().find_map(|line| line.strip_prefix(SIGNATURE_HEADER)).unwrap();
+    let request_signature: PeerSignature = line.trim_start_matches(": ").parse().unwrap();
+    let signed = SignedResponse { request_signature: &request_signature, status: 200, body: None };
+    let (name, value) = (RESPONSE_SIGNATURE_HEADER, signed.sign(key));
+    stream.write_all(format!("HTTP/1.1 200 X\r\n{name}: {value}\r\n\r\n").as_bytes())?;
+    stream.write_all(&u32::MAX.to_be_bytes())?;
+    let block = [0; 64 * 1024];
+    for _ in 0..MAX_FRAME_SENT / block.len() {
+        stream.write_all(&block)?;
+    }
+    Ok(())
+}
+
+// Guards against a peer's frame without end that was kept in memory without a limit.
+#[test]
+fn a_frame_that_exceeds_the_limit_ends_a_dispatch() {
+    let key = Key::new(b"a-key-of-16-bytes-or-more");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let peer = PeerTarget { name: InstanceName::new("b"), addr: listener.local_addr().unwrap() };
+    let signing_key = key.clone();
+    let server =
+        thread::spawn(move || send_overlong_frame(listener.accept().unwrap().0, &signing_key));
+    let client = PeerClient::new(HttpClient::new(), PeerSigner::new(key, InstanceName::new("a")));
+    let message = Dispatch {
+        request_id: RequestId(1),
+        engine: BackendName::new("e"),
+        adapter: AdapterRef::new(AdapterName::new("x"), Version(1)),
+        generation: Generation(1),
+        prompt: String::new(),
+        max_tokens: 1,
+        priority: 1,
+        deadline_ms: 60_000,
+        traceparent: None,
+    };
+    Runtime::new().unwrap().block_on(async {
+        let mut events = client.dispatch(&peer, &message).await.unwrap().unwrap();
+        let event = timeout(CALL_LIMIT, events.recv()).await.unwrap();
+        assert!(matches!(event, Some(DispatchEvent::Failed { .. })), "{event:?}");
+    });
+    assert!(server.join().unwrap().is_err(), "all of it was read");
+}
+
 // Guards against a long unfinished event that was searched from its start with each small piece of
 // it, which took hours for one in pieces of one byte.
 #[test]
