--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -70,7 +70,7 @@
     ) -> std::result::Result<Result<R>, CallFailure> {
         let reply = self.send(peer, path, message, wait).await?;
         let succeeded = reply.http.status.is_success();
-        let body = self.read_verified(reply).await?;
+        let body = self.read_verified(reply, wait).await?;
         Ok(if succeeded { frame::decode(&body) } else { Err(parse_problem(&body)) })
     }
 
@@ -87,7 +87,7 @@
         let wait = Duration::from_millis(message.deadline_ms) + DISPATCH_MARGIN;
         let reply = self.send(peer, PeerPath::Dispatch, message, wait).await?;
         if !reply.http.status.is_success() {
-            return Ok(Err(parse_problem(&self.read_verified(reply).await?)));
+            return Ok(Err(parse_problem(&self.read_verified(reply, wait).await?)));
         }
         let header = reply.http.header(RESPONSE_SIGNATURE_HEADER);
         self.verify(&reply.request_signature, reply.http.status, None, header)?;
@@ -124,10 +124,14 @@
     }
 
     /// Reads the body and verifies the signature.
-    async fn read_verified(&self, reply: PeerReply) -> std::result::Result<Bytes, CallFailure> {
+    async fn read_verified(
+        &self,
+        reply: PeerReply,
+        wait: Duration,
+    ) -> std::result::Result<Bytes, CallFailure> {
         let status = reply.http.status;
         let header = reply.http.header(RESPONSE_SIGNATURE_HEADER).map(str::to_owned);
-        let body = reply.http.read_body().await?;
+        let body = reply.http.read_body_within(wait).await?;
         self.verify(&reply.request_signature, status, Some(&body), header.as_deref())?;
         Ok(body)
     }
@@ -164,14 +168,19 @@
 async fn forward_events(mut reply: HttpReply, tx: mpsc::Sender<DispatchEvent>) {
     let mut decoder = FrameDecoder::default();
     let mut ended = false;
-    while !ended {
+    'chunks: while !ended {
         let chunk = tokio::select! {
             chunk = reply.chunk() => chunk,
             () = tx.closed() => return,
         };
         let Ok(Some(data)) = chunk else { break };
         decoder.push(&data);
-        while let Ok(Some(event)) = decoder.next_message() {
+        loop {
+            let event = match decoder.next_message() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(_) => break 'chunks,
+            };
             ended = matches!(event, DispatchEvent::Done { .. } | DispatchEvent::Failed { .. });
             if tx.send(event).await.is_err() {
                 return;
@@ -180,10 +189,8 @@
     }
     if !ended {
         let kind = DispatchFailure::OwnerLost.completion_kind();
-        let error = Error::new(
-            kind,
-            "the connection to the engine's owner broke before the response was complete",
-        );
+        let error =
+            Error::new(kind, "the response of the engine's owner broke off or can't be decoded");
         let _ = tx.send(DispatchEvent::Failed { error }).await;
     }
 }
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -26,10 +26,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
 use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::exchange;
 use super::forward;
@@ -38,6 +40,7 @@
 use super::node::Node;
 use super::response::ResponseBody;
 use super::tracked_body::TrackedBody;
+use crate::edge::FairStream;
 use crate::error::ErrorKind;
 use crate::names::Timestamp;
 use crate::wire::frame::MAX_FRAME_BYTES;
@@ -50,6 +53,11 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Idle timeout of callers' connections during a shutdown.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Timeout for the head of a peer's call, from the end of the call before it; longer than peers
+/// keep idle connections.
+const PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Timeout for the body of a peer's call.
+const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 const METRICS_PATH: &str = "/metrics";
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which a connection's idle time is checked.
@@ -151,7 +159,8 @@
             }
         })
     };
-    let mut connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    let io = TokioIo::new(FairStream::new(stream));
+    let mut connection = connection_builder(audience).serve_connection(io, service);
     let mut is_found_idle = false;
     loop {
         // Only callers' connections are closed as idle; the others need no timer.
@@ -175,13 +184,22 @@
             Some(Ok(())) => return,
             Some(Err(e)) => {
                 log::debug!("connection of {audience:?} ended: {e}");
-                reset_without_chunks(&activity, connection.into_parts().io.inner());
+                reset_without_chunks(&activity, connection.into_parts().io.inner().stream());
                 return;
             }
         }
     }
 }
 
+/// Callers' connections have an idle timeout of their own.
+fn connection_builder(audience: Audience) -> http1::Builder {
+    let mut builder = http1::Builder::new();
+    if audience == Audience::Peers {
+        builder.timer(TokioTimer::new()).header_read_timeout(PEER_HEAD_TIMEOUT);
+    }
+    builder
+}
+
 fn on_version(activity: &Mutex<Activity>, version: Version) {
     lock(activity).lacks_chunks = version < Version::HTTP_11;
 }
@@ -256,10 +274,10 @@
 
 async fn serve_peer(node: &Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
     let path = req.uri().path().to_owned();
-    let body = match Limited::new(req.into_body(), MAX_FRAME_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            record(&LogEvent::PeerRefused { path: &path, detail: &e.to_string() });
+    let body = match read_peer_body(req).await {
+        Ok(body) => body,
+        Err(detail) => {
+            record(&LogEvent::PeerRefused { path: &path, detail: &detail });
             return response(StatusCode::BAD_REQUEST, Bytes::new());
         }
     };
@@ -273,6 +291,15 @@
     }
 }
 
+async fn read_peer_body(req: Request<Incoming>) -> Result<Bytes, String> {
+    let body = Limited::new(req.into_body(), MAX_FRAME_BYTES).collect();
+    match timeout(PEER_BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(_) => Err("no complete body in time".to_owned()),
+    }
+}
+
 fn response(status: StatusCode, body: Bytes) -> Response<ResponseBody> {
     let body = Full::new(body).map_err(|never| match never {}).boxed_unsync();
     let mut response = Response::new(body);
