Software versions of replicas and streams: types and the choice of a replica

- `RequestNeeds.software` is the version that must serve a request.
`Replicas::choose` filters by it, so that first choices, retries, loads and extra copies obey alike, and answers `VersionGone` if no replica of it may come to accept requests.
An attempt checks it once more before it sends, as the replica may have restarted with another version.
- `StreamOrigins`, `OriginKnowledge`, `StreamVersion`, `Peers::witnesses`: who remembers where a stream began, and at which version it may go on.
- `RequestNeeds` and `ReplicaChoice` have files of their own.

The relay treats `VersionGone` like `NoReplica` for now; nothing sets `software` yet.

--- a/src/decide/traffic/entry.rs
+++ b/src/decide/traffic/entry.rs
@@ -11,6 +11,7 @@
 use crate::names::DataCentre;
 use crate::names::ModelName;
 use crate::names::ServiceName;
+use crate::names::SoftwareVersion;
 
 /// Whether a replica accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +40,8 @@
     pub name: BackendName,
     /// Service that it belongs to.
     pub service: ServiceName,
+    /// Version of its software; empty if the entry names none.
+    pub software: SoftwareVersion,
     /// Address that it serves on.
     pub addr: SocketAddr,
     /// Data centre that it runs in.
@@ -61,7 +64,8 @@
         let bare = |entry: &Self| {
             let bare = |model: &HeldModel| (model.name.clone(), model.version);
             let models: Vec<_> = entry.models.iter().map(bare).collect();
-            (entry.service.clone(), entry.addr, entry.state, entry.slots, entry.started_ms, models)
+            let program = (entry.service.clone(), entry.software.clone(), entry.started_ms);
+            (program, entry.addr, entry.state, entry.slots, models)
         };
         bare(self) == bare(other)
     }
--- a/src/decide/traffic/mod.rs
+++ b/src/decide/traffic/mod.rs
@@ -12,6 +12,10 @@
 //! taking turns; [`ReplicaPlan`] decides which adapters the
 //! replica holds, and [`AdapterHomes`] how many replicas should hold an adapter.
 //!
+//! A stream goes on only at the software version that began it: [`StreamOrigins`] remembers where
+//! streams began, [`StreamVersion`] decides from what several instances know, and [`Replicas`]
+//! chooses among the replicas of that version.
+//!
 //! [`PublishedView`] is an instance's copy of the published state, which it reads itself or
 //! gets from its peers.
 
@@ -25,6 +29,7 @@
 mod departed;
 mod entry;
 mod event_splitter;
+mod former_versions;
 mod giving_up;
 mod held_adapter;
 mod holder_history;
@@ -36,6 +41,7 @@
 mod order;
 mod order_lease;
 mod order_watch;
+mod origin_knowledge;
 mod owner_election;
 mod peer_gossip;
 mod peers;
@@ -48,14 +54,19 @@
 mod quarantine_change;
 mod receiver;
 mod replica;
+mod replica_choice;
 mod replica_pause;
 mod replica_plan;
 mod replicas;
+mod request_needs;
 mod response_progress;
 mod retry_share;
 mod route;
 mod shutdown;
 mod sound_part;
+mod stream_key;
+mod stream_origins;
+mod stream_version;
 mod strikes;
 mod suspect_part;
 mod use_serials;
@@ -95,9 +106,12 @@
 pub use order::Order;
 pub use order_lease::LeaseStep;
 pub use order_lease::OrderLease;
+pub use origin_knowledge::OriginKnowledge;
 pub use peer_gossip::Beats;
 pub use peer_gossip::PeerGossip;
 pub use peer_gossip::PeerRecord;
+pub use peers::ORIGIN_LOOKUPS;
+pub use peers::ORIGIN_WITNESSES;
 pub use peers::Peers;
 pub use plan_handover::PlanHandover;
 pub use prefix_tracker::PrefixTracker;
@@ -115,18 +129,22 @@
 pub use quarantine_change::QuarantineChange;
 pub use receiver::Receiver;
 pub use replica::Replica;
+pub use replica_choice::ReplicaChoice;
 pub use replica_pause::ReplicaPause;
 pub use replica_pause::RetryAfter;
 pub use replica_plan::ReplicaPlan;
-pub use replicas::ReplicaChoice;
 pub use replicas::Replicas;
-pub use replicas::RequestNeeds;
+pub use request_needs::RequestNeeds;
 pub use response_progress::ResponseProgress;
 pub use retry_share::RetryShare;
 pub use route::Route;
 pub use route::RouteKind;
 pub use shutdown::Shutdown;
 pub use sound_part::SoundPart;
+pub use stream_key::StreamKey;
+pub use stream_origins::STREAM_MEMORY_TIME;
+pub use stream_origins::StreamOrigins;
+pub use stream_version::StreamVersion;
 pub use strikes::Strikes;
 use suspect_part::SuspectPart;
 pub use use_serials::serial_at_start;
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -17,6 +17,7 @@
 use super::PeerGossip;
 use super::PeerRecord;
 use super::Receiver;
+use super::StreamKey;
 use super::live_beats::LiveBeats;
 use super::owner_election::OwnerElection;
 use super::peer_gossip::Beats;
@@ -53,6 +54,11 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(300);
 /// Most changed records that one message has, unless all are asked for.
 const MAX_CHANGED_RECORDS: usize = 24;
+/// Instances that are told where a stream began.
+pub const ORIGIN_WITNESSES: usize = 3;
+/// Instances that are asked where a stream began: one more, as the one that began it isn't in its
+/// own ranking.
+pub const ORIGIN_LOOKUPS: usize = 4;
 /// Time between starts, in ms, below which instances have started together.
 const SAME_START_MS: u64 = 2000;
 /// Least share of the recent fleet, itself included, that must be live for an instance to give
@@ -275,6 +281,15 @@
         live.map(|known| &known.record)
     }
 
+    /// Addresses of the `count` live instances that rank first for a stream, which remember where
+    /// it began; those that shut down rank last.
+    pub fn witnesses(&self, now: Timestamp, key: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let live: Vec<&PeerRecord> = self.live(now).collect();
+        let mut ranked = rendezvous::rank(&key.label(), live, |record| record.name.as_str());
+        ranked.sort_by_key(|record| record.draining);
+        ranked.iter().take(count).map(|record| record.addr).collect()
+    }
+
     /// Number of instances that were part of the fleet lately, this one included.
     pub fn recent_count(&self, now: Timestamp) -> usize {
         1 + self.known.values().filter(|known| now.since(known.last_heard) < RECENT_TIME).count()
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -17,6 +17,7 @@
 use super::Workload;
 use super::is_hot;
 use crate::names::InstanceName;
+use crate::names::SoftwareVersion;
 use crate::names::Timestamp;
 
 /// Time for which an update of the replica's owner overrides published entries.
@@ -218,6 +219,11 @@
         self.accepts_orders() && self.pause.left(now).is_zero()
     }
 
+    /// Whether it runs a software version; `None` stands for any.
+    pub fn runs(&self, software: Option<&SoftwareVersion>) -> bool {
+        software.is_none_or(|version| *version == self.entry.software)
+    }
+
     fn is_available(&self, now: Timestamp) -> bool {
         let held_back = self.held_back_until.is_some_and(|until| now < until);
         self.accepts_orders()
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -6,23 +6,24 @@
 //! replica with the fewest requests per slot, where recent failures count as delay.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::AdapterKey;
 use super::DeclaredVersions;
 use super::EngineSpec;
-use super::PromptPart;
 use super::Replica;
+use super::ReplicaChoice;
 use super::ReplicaEntry;
 use super::ReplicaState;
-use super::Workload;
+use super::RequestNeeds;
 use super::departed::Departed;
 use super::departed::EarlierDeparture;
+use super::former_versions::FormerVersions;
 use crate::decide::rendezvous;
 use crate::names::BackendName;
 use crate::names::ServiceName;
+use crate::names::SoftwareVersion;
 use crate::names::Timestamp;
 
 /// Time after the end of an outage of the published state for which a replica is kept whose entry
@@ -52,74 +53,13 @@
 /// Time since this instance learned of a declared version for which older ones are still used.
 const OLD_VERSION_GRACE: Duration = Duration::from_millis(2500);
 
-/// What a request needs of a replica.
-#[derive(Clone, Debug)]
-pub struct RequestNeeds {
-    /// Adapter or base model; `None` if the service has no models.
-    pub key: Option<AdapterKey>,
-    /// Parts of the prompt, in their order.
-    pub parts: Vec<PromptPart>,
-    /// Length of the prompt in tokens.
-    pub prompt_tokens: u64,
-    /// Most tokens that the output may have.
-    pub output_tokens: u64,
-}
-
-impl RequestNeeds {
-    /// Parts of the prompt that other prompts may share: all but the last one, which is the
-    /// request's own.
-    pub fn shared_parts(&self) -> &[PromptPart] {
-        self.parts.split_last().map_or(&[], |(_, shared)| shared)
-    }
-
-    /// Hash of the prompt parts that are shared between requests, which is the same if prompts
-    /// begin alike; `None` if no part is shared.
-    pub fn shared_prefix(&self) -> Option<u64> {
-        let shared = self.shared_parts();
-        let ids: Vec<u8> = shared.iter().flat_map(|part| part.id.to_le_bytes()).collect();
-        (!shared.is_empty()).then(|| xxh3_64(&ids))
-    }
-
-    /// Work of this request at a replica that has read the first `cached_tokens` of its prompt.
-    pub fn workload(&self, cached_tokens: u64) -> Workload {
-        Workload {
-            requests: 1,
-            unread_tokens: self.prompt_tokens.saturating_sub(cached_tokens),
-            held_tokens: self.prompt_tokens.saturating_sub(cached_tokens) + self.output_tokens,
-        }
-    }
-}
-
-/// Where a request is sent, or where its adapter is to be loaded first.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ReplicaChoice {
-    /// Send it to a replica that holds what it needs.
-    Send {
-        /// The replica that takes the request.
-        replica: BackendName,
-        /// Another replica that should load the adapter too, since it is hot; `None` if the holders
-        /// suffice.
-        spread: Option<BackendName>,
-    },
-    /// No replica holds it; these could load it, best first.
-    Load(Vec<BackendName>),
-    /// No replica of the service accepts requests.
-    NoReplica,
-    /// Every replica of the service that is there asked for a pause.
-    Paused {
-        /// Time until the first pause is over.
-        left: Duration,
-        /// Whether the request may go to that replica then, as it wasn't sent there yet.
-        may_wait: bool,
-    },
-}
-
 /// The replicas that one instance knows, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Replicas {
     known: BTreeMap<BackendName, Replica>,
     departed: Departed,
     leaving: Vec<(BackendName, u64, Timestamp)>,
+    former_versions: FormerVersions,
 }
 
 impl Replicas {
@@ -147,6 +87,7 @@
             EarlierDeparture::Draining => entry.state = ReplicaState::Draining,
             EarlierDeparture::Removed | EarlierDeparture::None => {}
         }
+        self.remember_replaced_version(now, &entry);
         match self.known.get_mut(&entry.name) {
             Some(known) if entry.started_ms < known.entry.started_ms => false,
             Some(known) if entry.started_ms == known.entry.started_ms => {
@@ -194,9 +135,29 @@
         if let Some(replica) = self.known.remove(name) {
             let was_draining = replica.entry.state == ReplicaState::Draining;
             self.departed.on_departed(now, name, replica.entry.started_ms, was_draining);
+            self.former_versions.on_left(now, &replica.entry.service, &replica.entry.software);
         }
     }
 
+    /// Records the software version that a replica ran before an entry named another one.
+    fn remember_replaced_version(&mut self, now: Timestamp, newer: &ReplicaEntry) {
+        let Some(known) = self.known.get(&newer.name) else { return };
+        let (service, software) = (&known.entry.service, &known.entry.software);
+        let is_other = *service != newer.service || *software != newer.software;
+        if is_other && known.entry.started_ms <= newer.started_ms {
+            self.former_versions.on_left(now, service, software);
+        }
+    }
+
+    /// Software versions of a service's replicas, and of those that were there lately.
+    pub fn software_versions(&self, now: Timestamp, service: &ServiceName) -> Vec<SoftwareVersion> {
+        let of_service = self.known.values().filter(|r| r.entry.service == *service);
+        let present = of_service.map(|r| &r.entry.software);
+        let all: BTreeSet<&SoftwareVersion> =
+            present.chain(self.former_versions.of_service(now, service)).collect();
+        all.into_iter().cloned().collect()
+    }
+
     /// Records that the replica itself, in the start `started_ms`, said that it is leaving;
     /// returns whether that is news. It gets no new requests until it restarts.
     pub fn on_leaving(&mut self, now: Timestamp, name: &BackendName, started_ms: u64) -> bool {
@@ -246,13 +207,18 @@
         let usable: Vec<&Replica> = self
             .known
             .values()
-            .filter(|r| r.entry.service == *service && r.accepts_requests(now))
+            .filter(|r| serves(r, service, needs.software.as_ref()) && r.accepts_requests(now))
             .filter(|r| !tried.contains(&r.entry.name))
             .collect();
-        if usable.is_empty()
-            && let Some((left, replica)) = self.shortest_pause(now, service)
-        {
-            return ReplicaChoice::Paused { left, may_wait: !tried.contains(replica) };
+        if usable.is_empty() {
+            if let Some((left, replica)) =
+                self.shortest_pause(now, service, needs.software.as_ref())
+            {
+                return ReplicaChoice::Paused { left, may_wait: !tried.contains(replica) };
+            }
+            if self.is_version_gone(service, needs) {
+                return ReplicaChoice::VersionGone;
+            }
         }
         let (Some(engine), Some(key)) = (engine, &needs.key) else {
             return choose_for_plain_service(now, &usable);
@@ -279,21 +245,34 @@
         if self.known.values().any(accepts) {
             return None;
         }
-        self.shortest_pause(now, service).map(|(left, _)| left)
+        self.shortest_pause(now, service, None).map(|(left, _)| left)
+    }
+
+    /// Whether a request needs a software version that no replica of the service runs which may
+    /// come to accept requests.
+    fn is_version_gone(&self, service: &ServiceName, needs: &RequestNeeds) -> bool {
+        let Some(software) = &needs.software else { return false };
+        !self.known.values().any(|r| serves(r, service, Some(software)) && r.accepts_orders())
     }
 
-    /// Shortest pause of a service's replicas, and whose it is; `None` if none pauses.
+    /// Shortest pause of a service's replicas, or of those of one software version, and whose it
+    /// is; `None` if none pauses.
     fn shortest_pause(
         &self,
         now: Timestamp,
         service: &ServiceName,
+        software: Option<&SoftwareVersion>,
     ) -> Option<(Duration, &BackendName)> {
-        let of_service = self.known.values().filter(|r| r.entry.service == *service);
+        let of_service = self.known.values().filter(|r| serves(r, service, software));
         let paused = of_service.filter(|r| r.is_paused(now));
         paused.map(|r| (r.pause.left(now), &r.entry.name)).min()
     }
 }
 
+fn serves(replica: &Replica, service: &ServiceName, software: Option<&SoftwareVersion>) -> bool {
+    replica.entry.service == *service && replica.runs(software)
+}
+
 fn holds_current_version(
     now: Timestamp,
     replica: &Replica,
--- a/src/names/mod.rs
+++ b/src/names/mod.rs
@@ -28,6 +28,7 @@
 pub use shared_name::PresetName;
 pub use shared_name::RouteName;
 pub use shared_name::ServiceName;
+pub use shared_name::SoftwareVersion;
 pub use timestamp::Timestamp;
 pub use version::Version;
 pub use wall_time::WallTime;
--- a/src/names/shared_name.rs
+++ b/src/names/shared_name.rs
@@ -86,3 +86,7 @@
     /// Name of a service that replicas serve.
     ServiceName
 );
+shared_name!(
+    /// Version of a replica's software; empty if its entry names none.
+    SoftwareVersion
+);
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -34,6 +34,7 @@
 use super::replica_signals;
 use super::turns::PromptTurn;
 use crate::decide::traffic::AttemptEnd;
+use crate::decide::traffic::Replica;
 use crate::decide::traffic::ResponseProgress;
 use crate::names::BackendName;
 
@@ -201,8 +202,9 @@
 fn target(request: &ForwardedRequest, replica: &BackendName) -> Option<(SocketAddr, u64, u64)> {
     let now = request.node.now();
     let replicas = request.node.replicas();
-    let known = replicas.get(replica).filter(|known| known.may_send(now))?;
     let needs = &request.head.needs;
+    let may_send = |known: &&Replica| known.may_send(now) && known.runs(needs.software.as_ref());
+    let known = replicas.get(replica).filter(may_send)?;
     let cached_tokens =
         needs.key.as_ref().map_or(0, |key| known.prefixes.cached_prefix_tokens(key, &needs.parts));
     Some((known.entry.addr, known.entry.started_ms, cached_tokens))
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -142,7 +142,9 @@
                 return Err(self.timeout_response());
             }
             match self.choose() {
-                ReplicaChoice::NoReplica => self.wait_for_replica(&mut wait_budget).await?,
+                ReplicaChoice::NoReplica | ReplicaChoice::VersionGone => {
+                    self.wait_for_replica(&mut wait_budget).await?
+                }
                 ReplicaChoice::Paused { left, may_wait } => {
                     self.wait_for_pause(left, may_wait, &mut wait_budget).await?
                 }
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -43,6 +43,8 @@
     pub needs: RequestNeeds,
     /// Id of the last event that the caller has; its stream resumes after this one.
     pub resume_after: Option<String>,
+    /// Id of the attempt that began the stream which the request takes up; `None` if it names none.
+    pub resumes: Option<String>,
 }
 
 /// Values of the headers that an attempt has besides the caller's own.
--- a/tests/traffic/replica_signals.rs
+++ b/tests/traffic/replica_signals.rs
@@ -7,7 +7,6 @@
 use tamaracklead::decide::traffic::ReplicaPause;
 use tamaracklead::decide::traffic::ReplicaState;
 use tamaracklead::decide::traffic::Replicas;
-use tamaracklead::decide::traffic::RequestNeeds;
 use tamaracklead::decide::traffic::RetryAfter;
 use tamaracklead::decide::traffic::WaitBudget;
 use tamaracklead::names::ServiceName;
@@ -18,10 +17,11 @@
 use crate::support::fleet;
 use crate::support::ms;
 use crate::support::name;
+use crate::support::plain_needs;
 
 /// Chooses the replica of a request to a plain service.
 fn choose(replicas: &Replicas, now: u64) -> ReplicaChoice {
-    let needs = RequestNeeds { key: None, parts: Vec::new(), prompt_tokens: 0, output_tokens: 0 };
+    let needs = plain_needs();
     let (service, versions) = (ServiceName::new(SERVICE), DeclaredVersions::default());
     replicas.choose(at(now), &service, None, &needs, &[], &versions)
 }
--- a/tests/traffic/replicas.rs
+++ b/tests/traffic/replicas.rs
@@ -16,6 +16,7 @@
 use crate::support::key;
 use crate::support::name;
 use crate::support::needs;
+use crate::support::plain_needs;
 
 fn choose(replicas: &Replicas, now: u64, needs: &RequestNeeds) -> ReplicaChoice {
     let versions = DeclaredVersions::default();
@@ -25,7 +26,10 @@
 fn sent_to(choice: &ReplicaChoice) -> Option<&str> {
     match choice {
         ReplicaChoice::Send { replica, .. } => Some(replica.as_str()),
-        ReplicaChoice::Load(_) | ReplicaChoice::NoReplica | ReplicaChoice::Paused { .. } => None,
+        ReplicaChoice::Load(_)
+        | ReplicaChoice::NoReplica
+        | ReplicaChoice::VersionGone
+        | ReplicaChoice::Paused { .. } => None,
     }
 }
 
@@ -187,7 +191,7 @@
     for name in ["d1", "d2"] {
         replicas.on_entry(at(0), entry(name, &[]));
     }
-    let plain = RequestNeeds { key: None, parts: Vec::new(), prompt_tokens: 0, output_tokens: 0 };
+    let plain = plain_needs();
     let known = replicas.get_mut(&name("d1")).unwrap();
     known.on_sent(at(0), plain.workload(0), None);
     let versions = DeclaredVersions::default();
--- a/tests/traffic/support.rs
+++ b/tests/traffic/support.rs
@@ -15,6 +15,7 @@
 use tamaracklead::names::DataCentre;
 use tamaracklead::names::ModelName;
 use tamaracklead::names::ServiceName;
+use tamaracklead::names::SoftwareVersion;
 use tamaracklead::names::Timestamp;
 
 pub const MODEL: &str = "base";
@@ -56,6 +57,7 @@
     ReplicaEntry {
         name: BackendName::new(name),
         service: ServiceName::new(SERVICE),
+        software: SoftwareVersion::new("v1"),
         addr: "127.0.0.1:9".parse().unwrap(),
         data_centre: DataCentre::new("a"),
         state: ReplicaState::Ready,
@@ -67,7 +69,13 @@
 }
 
 pub fn needs(adapter: &str, prompt_tokens: u64) -> RequestNeeds {
-    RequestNeeds { key: Some(key(adapter)), parts: Vec::new(), prompt_tokens, output_tokens: 50 }
+    RequestNeeds {
+        key: Some(key(adapter)),
+        parts: Vec::new(),
+        prompt_tokens,
+        output_tokens: 50,
+        software: None,
+    }
 }
 
 pub fn name(text: &str) -> BackendName {
@@ -82,3 +90,14 @@
     }
     replicas
 }
+
+/// Needs of a request for a service without models.
+pub fn plain_needs() -> RequestNeeds {
+    RequestNeeds {
+        key: None,
+        parts: Vec::new(),
+        prompt_tokens: 0,
+        output_tokens: 0,
+        software: None,
+    }
+}
