--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -5,6 +5,7 @@
 //! too large, and if it is suspected of crashing replicas.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
@@ -128,7 +129,8 @@
         has_length,
         route,
         service,
-        attempts,
+        accepted_under: config.version,
+        attempts: Mutex::new(attempts),
         arrived,
         is_probe: check == QuarantineCheck::Probe,
         fingerprint,
