Software versions: the only version counts for as long as it is known; tests

Two changes of the decision, found while planning the model:

- After an end of all instances at once, those that start see only the versions that are there now.
If the last replica of an older one left meanwhile, its streams would go on at the only version left.
The only version counts now if somebody has known the service's versions for 30 s: he has followed the replicas for so long, or none of them has started for so long (a version leaves when replicas of another one have started).
Otherwise every stream that such an end breaks would be refused, although no release goes on.
- An instance whose view of the replicas isn't current has known the versions for no time.

`StreamOrigins` keeps a stream that is told once more for a minute from then on, so that whoever takes a stream up can tell the witnesses again, and a stream of more than a minute isn't forgotten.

--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -25,6 +25,7 @@
 use crate::names::ServiceName;
 use crate::names::SoftwareVersion;
 use crate::names::Timestamp;
+use crate::names::WallTime;
 
 /// Time after the end of an outage of the published state for which a replica is kept whose entry
 /// may have expired meanwhile; one that lives publishes its entry again within that time.
@@ -158,6 +159,12 @@
         all.into_iter().cloned().collect()
     }
 
+    /// When the youngest of a service's replicas started, by its own clock.
+    pub fn last_start(&self, service: &ServiceName) -> Option<WallTime> {
+        let of_service = self.known.values().filter(|r| r.entry.service == *service);
+        of_service.map(|r| WallTime(r.entry.started_ms)).max()
+    }
+
     /// Records that the replica itself, in the start `started_ms`, said that it is leaving;
     /// returns whether that is news. It gets no new requests until it restarts.
     pub fn on_leaving(&mut self, now: Timestamp, name: &BackendName, started_ms: u64) -> bool {
--- a/src/decide/traffic/stream_version.rs
+++ b/src/decide/traffic/stream_version.rs
@@ -1,16 +1,22 @@
 //! At which software version a stream may go on, from what instances know of it.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use super::OriginKnowledge;
 use crate::names::SoftwareVersion;
 
+/// Time over which somebody must know all versions of a service for its only one to be that of any
+/// stream.
+const MIN_KNOWN_TIME: Duration = Duration::from_secs(30);
+
 /// At which software version a stream that is taken up again may go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StreamVersion {
     /// At this one only.
     At(SoftwareVersion),
-    /// It isn't known where the stream began, and its service had several versions.
+    /// It isn't known where the stream began, and its service has several versions, or may have had
+    /// one more lately.
     Unknown,
     /// Instances name different versions as the one that began the stream.
     Contradictory,
@@ -25,12 +31,15 @@
         if origins.len() > 1 {
             return Self::Contradictory;
         }
+        if let Some(origin) = origins.first() {
+            return Self::At((*origin).clone());
+        }
         let versions: BTreeSet<&SoftwareVersion> =
             all().flat_map(|known| &known.versions).collect();
-        match (origins.first(), versions.first()) {
-            (Some(origin), _) => Self::At((*origin).clone()),
-            (None, Some(only)) if versions.len() == 1 => Self::At((*only).clone()),
-            (None, _) => Self::Unknown,
+        let are_all_known = all().any(|known| known.known_for >= MIN_KNOWN_TIME);
+        match versions.first() {
+            Some(only) if versions.len() == 1 && are_all_known => Self::At((*only).clone()),
+            _ => Self::Unknown,
         }
     }
 }
--- /dev/null
+++ b/tests/traffic/stream_origins.rs
@@ -0,0 +1,266 @@
+//! What instances know of where streams began, and at which version streams may go on.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tamaracklead::decide::traffic::Beats;
+use tamaracklead::decide::traffic::ORIGIN_LOOKUPS;
+use tamaracklead::decide::traffic::ORIGIN_WITNESSES;
+use tamaracklead::decide::traffic::OriginKnowledge;
+use tamaracklead::decide::traffic::PeerGossip;
+use tamaracklead::decide::traffic::PeerRecord;
+use tamaracklead::decide::traffic::Peers;
+use tamaracklead::decide::traffic::ReplicaEntry;
+use tamaracklead::decide::traffic::Replicas;
+use tamaracklead::decide::traffic::StreamKey;
+use tamaracklead::decide::traffic::StreamOrigins;
+use tamaracklead::decide::traffic::StreamVersion;
+use tamaracklead::names::InstanceName;
+use tamaracklead::names::ServiceName;
+use tamaracklead::names::SoftwareVersion;
+use tamaracklead::names::WallTime;
+
+use crate::support::SERVICE;
+use crate::support::at;
+use crate::support::entry;
+use crate::support::ms;
+use crate::support::name;
+
+const CAPACITY: u64 = 16_384;
+/// Time of day at which replicas of these tests started.
+const STARTED_MS: u64 = 1_700_000_000_000;
+
+fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::new(text)
+}
+
+fn origin_at(origins: &StreamOrigins, now: u64, key: u64) -> Option<&str> {
+    origins.version_of(at(now), StreamKey(key)).map(SoftwareVersion::as_str)
+}
+
+fn knows(origin: Option<&str>, versions: &[&str], known_for_s: u64) -> OriginKnowledge {
+    OriginKnowledge {
+        origin: origin.map(version),
+        versions: versions.iter().map(|text| version(text)).collect(),
+        known_for: Duration::from_secs(known_for_s),
+    }
+}
+
+fn of_service(replicas: &Replicas, wall_s: u64, followed_for: Option<Duration>) -> OriginKnowledge {
+    let (service, wall) = (ServiceName::new(SERVICE), WallTime(STARTED_MS + wall_s * 1000));
+    OriginKnowledge::of_service(replicas, &service, at(100), wall, followed_for)
+}
+
+/// Guards against streams that go on at another version since their origin was forgotten early.
+#[test]
+fn an_origin_is_remembered_for_a_minute_after_the_last_word_on_it() {
+    let mut origins = StreamOrigins::default();
+    origins.on_begun(at(0), StreamKey(1), version("v1"));
+    origins.on_begun(at(0), StreamKey(2), version("v2"));
+    origins.on_begun(at(50_000), StreamKey(2), version("v2"));
+    assert_eq!(origin_at(&origins, 59_999, 1), Some("v1"));
+    assert_eq!(origin_at(&origins, 60_000, 1), None);
+    assert_eq!(origin_at(&origins, 109_999, 2), Some("v2"));
+    assert_eq!(origin_at(&origins, 110_000, 2), None);
+    origins.on_begun(at(110_000), StreamKey(3), version("v3"));
+    assert_eq!(origins.len(), 1, "what is too old is dropped");
+}
+
+/// Guards against an origin that a late or wrong message replaces.
+#[test]
+fn the_first_word_on_a_stream_counts() {
+    let mut origins = StreamOrigins::default();
+    origins.on_begun(at(0), StreamKey(1), version("v1"));
+    origins.on_begun(at(40_000), StreamKey(1), version("v2"));
+    assert_eq!(origin_at(&origins, 50_000, 1), Some("v1"));
+    assert_eq!(origin_at(&origins, 60_000, 1), None, "another version keeps it for no longer");
+}
+
+/// Guards against memory that grows with the load.
+#[test]
+fn the_oldest_streams_are_forgotten_beyond_the_capacity() {
+    let mut origins = StreamOrigins::default();
+    for key in 0..CAPACITY + 10 {
+        origins.on_begun(at(key / 1000), StreamKey(key), version("v1"));
+    }
+    origins.on_begun(at(20), StreamKey(10), version("v1"));
+    origins.on_begun(at(20), StreamKey(u64::MAX), version("v1"));
+    assert_eq!(origins.len() as u64, CAPACITY);
+    assert_eq!(origin_at(&origins, 30, 9), None);
+    assert_eq!(origin_at(&origins, 30, 10), Some("v1"), "the last word on it is recent");
+    assert_eq!(origin_at(&origins, 30, 11), None);
+    assert_eq!(origin_at(&origins, 30, 12), Some("v1"));
+}
+
+/// Guards against streams of different attempts that share a key, and against keys that differ
+/// from process to process.
+#[test]
+fn a_key_follows_from_the_id_of_the_attempt_alone() {
+    assert_eq!(StreamKey::new("1701ac980acfa112"), StreamKey::new("1701ac980acfa112"));
+    assert_ne!(StreamKey::new("1701ac980acfa112"), StreamKey::new("1701ac980acfa113"));
+}
+
+/// Guards against a stream that goes on at another version than the one that somebody knows.
+#[test]
+fn an_origin_that_one_instance_knows_counts() {
+    let own = knows(None, &["v2"], 300);
+    let answers = [knows(None, &["v1", "v2"], 300), knows(Some("v1"), &[], 0)];
+    assert_eq!(StreamVersion::decide(&own, &answers), StreamVersion::At(version("v1")));
+    let own = knows(Some("v2"), &["v1", "v2"], 0);
+    assert_eq!(StreamVersion::decide(&own, &[]), StreamVersion::At(version("v2")));
+}
+
+/// Guards against a stream that goes on although instances name different origins.
+#[test]
+fn different_origins_let_the_stream_go_on_nowhere() {
+    let own = knows(Some("v1"), &["v1"], 300);
+    let answers = [knows(Some("v1"), &["v1"], 300), knows(Some("v2"), &["v1"], 300)];
+    assert_eq!(StreamVersion::decide(&own, &answers), StreamVersion::Contradictory);
+}
+
+/// Guards against refusing streams of which nobody knows the origin while there is one version, and
+/// against guessing while there are two.
+#[test]
+fn without_an_origin_the_only_version_counts() {
+    let own = knows(None, &["v1"], 300);
+    let decide = |answers: &[OriginKnowledge]| StreamVersion::decide(&own, answers);
+    assert_eq!(decide(&[]), StreamVersion::At(version("v1")));
+    assert_eq!(decide(&[knows(None, &["v1"], 1)]), StreamVersion::At(version("v1")));
+    assert_eq!(decide(&[knows(None, &["v2"], 1)]), StreamVersion::Unknown);
+    let nothing = knows(None, &[], 300);
+    assert_eq!(StreamVersion::decide(&nothing, &[]), StreamVersion::Unknown);
+}
+
+/// Guards against a stream that goes on at the only version that instances see which all started
+/// after the one that began it had left.
+#[test]
+fn the_only_version_counts_if_somebody_has_known_the_service_for_long() {
+    let young = knows(None, &["v2"], 1);
+    assert_eq!(StreamVersion::decide(&young, &[]), StreamVersion::Unknown);
+    assert_eq!(StreamVersion::decide(&young, &[knows(None, &["v2"], 29)]), StreamVersion::Unknown);
+    let answers = [young.clone(), knows(None, &["v2"], 30)];
+    assert_eq!(StreamVersion::decide(&young, &answers), StreamVersion::At(version("v2")));
+}
+
+/// Guards against refusing all streams that were broken by the end of all instances, although no
+/// release went on.
+#[test]
+fn versions_are_known_since_the_last_start_of_a_replica() {
+    let mut replicas = Replicas::default();
+    let started = |name: &str, after_s: u64| ReplicaEntry {
+        started_ms: STARTED_MS + after_s * 1000,
+        ..entry(name, &[])
+    };
+    replicas.on_entry(at(0), started("r1", 0));
+    replicas.on_entry(at(0), started("r2", 50));
+    let young = of_service(&replicas, 90, Some(ms(500)));
+    assert_eq!(young, knows(None, &["v1"], 40));
+    let old = of_service(&replicas, 90, Some(ms(70_000)));
+    assert_eq!(old, knows(None, &["v1"], 70));
+    let ahead = of_service(&replicas, 20, Some(ms(1000)));
+    assert_eq!(ahead.known_for, ms(1000), "the clock of the replica is ahead");
+    replicas.on_removed(at(50), &name("r2"), None);
+    assert_eq!(of_service(&replicas, 90, Some(ms(500))).known_for, ms(90_000));
+}
+
+/// Guards against an instance that is cut off and doesn't see the replicas of another version.
+#[test]
+fn an_instance_whose_view_lags_knows_the_versions_for_no_time() {
+    let mut replicas = Replicas::default();
+    replicas.on_entry(at(0), ReplicaEntry { started_ms: STARTED_MS, ..entry("r1", &[]) });
+    assert_eq!(of_service(&replicas, 900, None), knows(None, &["v1"], 0));
+}
+
+/// Guards against an instance that counts as long there with no replica to tell versions by.
+#[test]
+fn an_instance_without_a_replica_knows_no_version() {
+    let knowledge = of_service(&Replicas::default(), 90, Some(ms(1000)));
+    assert_eq!(knowledge, knows(None, &[], 1));
+}
+
+/// Guards against a change of the form in which instances of different builds tell each other what
+/// they know.
+#[test]
+fn knowledge_keeps_its_form_on_the_wire() {
+    let known = knows(Some("v1"), &["v1", "v2"], 7);
+    let text = serde_json::to_string(&known).unwrap();
+    assert_eq!(text, r#"{"origin":"v1","versions":["v1","v2"],"known_for_ms":7000}"#);
+    assert_eq!(serde_json::from_str::<OriginKnowledge>(&text).unwrap(), known);
+}
+
+fn record(index: usize, draining: bool) -> PeerRecord {
+    PeerRecord {
+        name: InstanceName::new(&format!("entry-{index}")),
+        addr: addr(index),
+        started_ms: 1,
+        heartbeat: 1,
+        settled: true,
+        draining,
+        data_centre: None,
+        reads_beats: true,
+    }
+}
+
+fn addr(index: usize) -> SocketAddr {
+    format!("127.0.0.1:{}", 9000 + index).parse().unwrap()
+}
+
+/// Instance `me` of a fleet that knows all others; some drain.
+fn peers(me: usize, count: usize, draining: &[usize]) -> Peers {
+    let mut peers = Peers::new(record(me, false), Vec::new());
+    let others = (0..count).filter(|index| *index != me);
+    let gossip = PeerGossip {
+        records: others.map(|index| record(index, draining.contains(&index))).collect(),
+        heartbeats: Vec::new(),
+        needs_all_records: false,
+        roster: 0,
+        beats: Beats::None,
+    };
+    peers.on_gossip(at(0), gossip);
+    peers
+}
+
+/// Guards against an instance that takes a stream up and asks others than those that were told.
+#[test]
+fn whoever_takes_a_stream_up_asks_all_that_were_told() {
+    for serial in 0..200 {
+        let key = StreamKey::new(&format!("attempt-{serial}"));
+        let told = peers(0, 9, &[]).witnesses(at(10), key, ORIGIN_WITNESSES);
+        assert_eq!(told.len(), ORIGIN_WITNESSES);
+        for asker in 1..9 {
+            let asked = peers(asker, 9, &[]).witnesses(at(10), key, ORIGIN_LOOKUPS);
+            let unasked: Vec<&SocketAddr> =
+                told.iter().filter(|addr| !asked.contains(addr)).collect();
+            assert!(unasked.iter().all(|unasked| **unasked == addr(asker)), "{key:?}");
+        }
+    }
+}
+
+/// Guards against streams that are all remembered by the same few instances.
+#[test]
+fn streams_spread_over_the_instances() {
+    let all = peers(0, 9, &[]);
+    let keys = (0..50).map(|serial| StreamKey::new(&format!("attempt-{serial}")));
+    let told: BTreeSet<SocketAddr> =
+        keys.flat_map(|key| all.witnesses(at(10), key, ORIGIN_WITNESSES)).collect();
+    assert_eq!(told.len(), 8);
+}
+
+/// Guards against witnesses that end right after they were told, and against none when all drain.
+#[test]
+fn draining_instances_are_witnesses_last() {
+    let key = StreamKey::new("attempt");
+    let some = peers(0, 5, &[1, 2]).witnesses(at(10), key, 4);
+    let first: BTreeSet<SocketAddr> = some[..2].iter().copied().collect();
+    assert_eq!(first, BTreeSet::from([addr(3), addr(4)]));
+    assert_eq!(some.len(), 4);
+    assert_eq!(peers(0, 3, &[1, 2]).witnesses(at(10), key, 3).len(), 2);
+}
+
+/// Guards against witnesses that are gone.
+#[test]
+fn instances_that_are_silent_are_no_witnesses() {
+    let all = peers(0, 5, &[]);
+    assert_eq!(all.witnesses(at(2000), StreamKey(1), 4), Vec::<SocketAddr>::new());
+}
