Messages about where streams began, as datagrams and as a call

`OriginNotice`s are packed into datagrams of at most 1,200 bytes, after a byte that names the format; one that can't be decoded as a whole is refused as a whole. About 75 notices fill a datagram. `OriginQuery` is an ordinary call between instances; old ones answer that they don't know its path.

`PublishedView::followed_for` says how long every change has been followed, for the decision whether a service's only version is that of any stream: not while the view isn't current, not from an old listing on, and anew once history was lost. `EventSplitter::has_event` tells that a replica has brought an event.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -40,6 +40,11 @@
         self.last_id.as_deref()
     }
 
+    /// Whether the replica that sends the stream now has sent a whole event.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Whether an unfinished event is buffered; line ends alone are none.
     pub fn has_partial(&self) -> bool {
         self.buf.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -108,6 +108,8 @@
     highest_era: u64,
     outage_ended: Option<Timestamp>,
     was_listed: bool,
+    /// Since when every change is followed.
+    followed_since: Option<Timestamp>,
 }
 
 impl PublishedView {
@@ -127,6 +129,12 @@
         self.was_listed
     }
 
+    /// How long every change has been followed; `None` while the view isn't current.
+    pub fn followed_for(&self, now: Timestamp) -> Option<Duration> {
+        let since = self.followed_since.filter(|_| self.is_current(now))?;
+        Some(now.since(since))
+    }
+
     /// Compares the era of a response of the store with that of the view; `None` if the response
     /// names none.
     pub fn on_store_era(&mut self, era: Option<u64>) -> EraCheck {
@@ -239,7 +247,8 @@
         events
     }
 
-    /// Records that every change up to `as_of` is applied, and that this was current at `at`.
+    /// Records that every change up to `as_of` is applied, and that this was current at `at`; zero
+    /// if it isn't known when.
     pub fn on_complete(&mut self, as_of: u64, at: Timestamp) {
         if self.as_of.is_none() {
             self.tombstones_complete_after = as_of;
@@ -248,6 +257,9 @@
             }
         }
         self.was_listed = true;
+        if at > Timestamp::ZERO {
+            self.followed_since.get_or_insert(at);
+        }
         self.on_contact(at);
         self.as_of = self.as_of.max(Some(as_of));
         self.current_at = self.current_at.max(Some(at));
@@ -256,11 +268,13 @@
     /// Records that the listing which was just applied may be old, so that the view isn't current.
     pub fn on_old_listing(&mut self) {
         self.current_at = None;
+        self.followed_since = None;
     }
 
     /// Records that changes were missed, so that everything has to be read again.
     pub fn on_history_lost(&mut self) {
         self.as_of = None;
+        self.followed_since = None;
     }
 
     /// Whether the view was current lately, by this instance's own reads or a peer's.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,7 @@
 //! Messages between processes.
 //!
 //! Entry instances send each other MessagePack, encoded by `rmp-serde` (see
-//! [`frame`]); the messages are in [`peer`], [`gossip`] and [`relay`]. Messages to
+//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`] and [`stream_origin`]. Messages to
 //! and from callers, backend servers, the platform and operators are JSON. Serde's
 //! derives generate the codecs, so the build needs no other code generator.
 
@@ -16,4 +16,5 @@
 pub mod published;
 pub mod relay;
 pub mod sse;
+pub mod stream_origin;
 mod version_choice;
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -22,6 +22,7 @@
 mod software_versions;
 mod store_era;
 mod stream;
+mod stream_origin_messages;
 mod stream_origins;
 mod support;
 mod use_serials;
