Bring an old listing of the published state up to date at once

The first listing of an instance may be some seconds old, so its view counts as current only after the watch that follows. That is a long poll: without a change it returns after 1 s. The new rule that a stream of unknown origin goes on only where the view is current then refused streams of a service with a single version in the first second after a start, when callers come back after an end of all instances. Seen in a_stream_goes_on_while_all_replicas_have_one_version_though_all_instances_were_killed: 503 in one run of the whole relay suite, and in 3 of 4 runs alone, each time with `relay_published_age_ms` at -1 at all three instances (0 of 1 with an age).

A watch of a view that isn't current waits for 1 ms now.

--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -26,6 +26,8 @@
 
 /// Longest time for which one long poll waits for a change.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
+/// Wait of the poll by which a view becomes current, as after the first listing, which may be old.
+const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
 /// Time on top of that wait after which a long poll counts as failed.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// Timeout for one page of a listing.
@@ -189,8 +191,10 @@
 }
 
 async fn watch(node: &Node, topic: PublishedTopic, after: u64) -> Result<bool, String> {
-    let path = node.protocol.watch_path(topic, after, WATCH_WAIT);
-    let StoreResponse { status, era, body } = get(node, path, WATCH_WAIT + WATCH_MARGIN).await?;
+    let is_current = node.view(topic).is_current(node.now());
+    let wait = if is_current { WATCH_WAIT } else { CATCH_UP_WAIT };
+    let path = node.protocol.watch_path(topic, after, wait);
+    let StoreResponse { status, era, body } = get(node, path, wait + WATCH_MARGIN).await?;
     let era_check = node.view(topic).on_store_era(era);
     match era_check {
         EraCheck::Older => return Err("response from before the store was restored".to_owned()),
