Let streams go on only at the software version that began them

- The first event of a response binds the request to the version of its replica, as it was known at the send: whatever resumes the stream within the response must run it, too.
Before any event, any version may retry.
- The instance remembers the version under the id by which callers name the stream, and tells three others by datagrams, batched for 50 ms.
Without a socket that is logged once as `origins_off`, and everything else goes on.
- A request that takes up a stream is held until the version is found out: in the own memory, or by asking four instances for at most 250 ms; the first that knows the origin ends the wait.
Without an origin the view of the replicas may become current within that time, so that a start doesn't refuse out of ignorance.
An unknown version is refused with the usual `Retry-After`, one that is gone with the time that the caller has left.
- Log: `stream_began`, `resumption_decided`, `origins_off`; metrics: `relay_resumptions_total` by source and outcome, `relay_undecodable_datagrams_total`.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -29,12 +29,14 @@
 use super::log_event::record;
 use super::node::Node;
 use super::notices;
+use super::origin::Origin;
 use super::prompt_quarantine;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::replica_signals;
 use super::turns::PromptTurn;
 use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::Replica;
+use crate::decide::traffic::ReplicaEntry;
 use crate::decide::traffic::ResponseProgress;
 use crate::names::BackendName;
 
@@ -69,19 +71,6 @@
     pub connection: Connection,
 }
 
-/// Replica that a response comes from.
-#[derive(Clone, Debug)]
-pub struct Origin {
-    /// Name of the replica.
-    pub replica: BackendName,
-    /// Address that it was reached at.
-    pub addr: SocketAddr,
-    /// When it started, in Unix milliseconds.
-    pub started_ms: u64,
-    /// Time for which the connection may be reused; `None` if the replica closes it.
-    pub keep_alive: Option<Duration>,
-}
-
 /// A replica's response.
 pub struct ReplicaResponse {
     /// Status and headers.
@@ -110,20 +99,20 @@
     turn: Option<PromptTurn>,
 ) -> AttemptOutcome {
     let node = &request.node;
-    let Some((addr, started_ms, cached_tokens)) = target(request, replica) else {
+    let Some((mut origin, cached_tokens)) = target(request, replica) else {
         return AttemptOutcome::NoResponse(AttemptEnd::NotSent);
     };
     let workload = request.head.needs.workload(cached_tokens);
     let mut in_flight =
         ReplicaRequestGuard::start(node, replica, workload, request.head.needs.key.clone(), turn);
-    let Some(connection) = connect(request, replica, addr).await else {
+    let Some(connection) = connect(request, replica, origin.addr).await else {
         return AttemptOutcome::NoResponse(AttemptEnd::NotSent);
     };
     let (mut connection, response) = match send(request, replica, connection, resume_after).await {
         Ok(sent) => sent,
         Err(end) => {
             if end == AttemptEnd::MaybeRan {
-                prompt_quarantine::on_crash(request, replica, started_ms, false);
+                prompt_quarantine::on_crash(request, replica, origin.started_ms, false);
             }
             return AttemptOutcome::NoResponse(end);
         }
@@ -132,9 +121,9 @@
     in_flight.on_response_begun();
     let (head, source) = response.into_parts();
     let parsed = node.protocol.decode_response_head(head.status, &head.headers);
-    replica_signals::on_response(node, replica, started_ms, &parsed);
+    replica_signals::on_response(node, replica, origin.started_ms, &parsed);
     if let Some(end) = proven_not_run(request, replica, &head, &parsed) {
-        drain_refusal(request, replica, addr, connection, source, &head).await;
+        drain_refusal(request, replica, origin.addr, connection, source, &head).await;
         return AttemptOutcome::NoResponse(end);
     }
     if !is_genuine(request, &head, &parsed) {
@@ -142,8 +131,7 @@
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     }
     remember_prefix(request, replica);
-    let keep_alive = keep_alive_time(&head);
-    let origin = Origin { replica: replica.clone(), addr, started_ms, keep_alive };
+    origin.keep_alive = keep_alive_time(&head);
     if request.route.kind.is_stream() && head.status == StatusCode::OK {
         let has_marked_end = has_marked_end(&head);
         let stream = OpenStream { source, has_marked_end, origin, in_flight, progress, connection };
@@ -153,7 +141,12 @@
         });
     }
     let Some(body) = read_whole(source).await else {
-        prompt_quarantine::on_crash(request, replica, started_ms, progress.may_have_crashed());
+        prompt_quarantine::on_crash(
+            request,
+            replica,
+            origin.started_ms,
+            progress.may_have_crashed(),
+        );
         record_replica_failure(request, replica, 1.0);
         record_failed_attempt(request, replica, AttemptFailure::BrokenOff, "");
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
@@ -164,7 +157,7 @@
     }
     drop(in_flight);
     if let Some(limit) = origin.keep_alive {
-        node.connection_pool.put_idle(node.now(), replica, addr, connection, Some(limit));
+        node.connection_pool.put_idle(node.now(), replica, origin.addr, connection, Some(limit));
     }
     let is_failure = head.status.is_server_error();
     let response = ReplicaResponse { head, body: ReplicaBody::Whole(body) };
@@ -204,9 +197,9 @@
     notices::notify_owner_of_failure(&request.node, replica, weight);
 }
 
-/// Address and start time of a replica, and tokens of the prompt that it has read before; `None`
-/// if it no longer accepts requests.
-fn target(request: &ForwardedRequest, replica: &BackendName) -> Option<(SocketAddr, u64, u64)> {
+/// The replica as it is known now, and tokens of the prompt that it has read before; `None` if it no
+/// longer accepts the request.
+fn target(request: &ForwardedRequest, replica: &BackendName) -> Option<(Origin, u64)> {
     let now = request.node.now();
     let replicas = request.node.replicas();
     let needs = &request.head.needs;
@@ -214,7 +207,15 @@
     let known = replicas.get(replica).filter(may_send)?;
     let cached_tokens =
         needs.key.as_ref().map_or(0, |key| known.prefixes.cached_prefix_tokens(key, &needs.parts));
-    Some((known.entry.addr, known.entry.started_ms, cached_tokens))
+    let ReplicaEntry { addr, started_ms, software, .. } = &known.entry;
+    let origin = Origin {
+        replica: replica.clone(),
+        addr: *addr,
+        started_ms: *started_ms,
+        software: software.clone(),
+        keep_alive: None,
+    };
+    Some((origin, cached_tokens))
 }
 
 async fn connect(
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -8,7 +8,7 @@
 //!
 //! The other calls go to the owner of a replica, the instance that gives it its orders: requests
 //! for loads, turns of long prompts and notices of adapter uses. A handover goes to the next
-//! owner.
+//! owner. A few instances are asked where a stream began.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +27,7 @@
 use super::orders;
 use super::prompt_quarantine;
 use super::published;
+use super::stream_origins;
 use super::turns;
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
@@ -62,6 +63,7 @@
 use crate::wire::relay::USE_PATH;
 use crate::wire::relay::UseNotice;
 use crate::wire::relay::ViewDigests;
+use crate::wire::stream_origin::STREAM_ORIGIN_PATH;
 
 /// Interval between rounds of exchanges.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(350);
@@ -138,6 +140,7 @@
             turns::end_as_owner(node, &decode(body)?);
             encode(&())
         }
+        STREAM_ORIGIN_PATH => encode(&stream_origins::answer(node, &decode(body)?)),
         PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
     }
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -32,6 +32,7 @@
 use super::response::ResponseBody;
 use super::response::forwarded_response;
 use super::response::full_body;
+use super::resumption;
 use super::stream_relay::StreamRelay;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Attempts;
@@ -82,9 +83,9 @@
 
 impl ForwardedRequest {
     /// Forwards the request and returns the response to the caller.
-    pub async fn run(self) -> Response<ResponseBody> {
+    pub async fn run(mut self) -> Response<ResponseBody> {
         let resume_after = self.head.resume_after.clone();
-        let response = match self.obtain_response(resume_after.as_deref()).await {
+        let response = match resumption::obtain_first_response(&mut self).await {
             Ok(response) => response,
             Err(local_response) => return self.end(local_response),
         };
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::node::unix_ms;
+use super::version_source::VersionSource;
 
 /// One log event; its name and fields are those of the JSON line.
 #[derive(Clone, Debug, Serialize)]
@@ -200,6 +201,35 @@
         /// The error.
         detail: &'a str,
     },
+    /// A replica brought the first event of a stream.
+    StreamBegan {
+        /// Id of the request.
+        id: &'a str,
+        /// The replica.
+        replica: &'a str,
+        /// Software version of the replica, to which the stream is bound from now on.
+        software: &'a str,
+    },
+    /// Whether a caller's stream that it takes up may go on, and at which software version.
+    ResumptionDecided {
+        /// Id of the request.
+        id: &'a str,
+        /// Id under which the stream began, if the caller names it.
+        resumes: Option<&'a str>,
+        /// The version; `None` if it isn't known, so that the request is refused.
+        software: Option<&'a str>,
+        /// How the version is known.
+        source: VersionSource,
+        /// Number of instances that were asked.
+        asked: usize,
+        /// Number of these that answered in time.
+        answered: usize,
+    },
+    /// Other instances can't be told where streams began; everything else goes on.
+    OriginsOff {
+        /// The error.
+        detail: &'a str,
+    },
     /// A stream is to resume at another replica.
     StreamResumes {
         /// Id of the request.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -17,6 +17,7 @@
 use super::PublishedTopic;
 use super::log_event::AttemptFailure;
 use super::node::Node;
+use super::version_source::VersionSource;
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
 
@@ -86,6 +87,21 @@
     reason: AttemptFailure,
 }
 
+/// What became of a stream that a caller takes up, as a metric label.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum ResumptionOutcome {
+    /// A replica sends the rest of it.
+    GoesOn,
+    /// No replica does, for whatever reason.
+    Refused,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResumptionLabels {
+    source: VersionSource,
+    outcome: ResumptionOutcome,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct ReplicaLabel(BackendName);
 
@@ -111,6 +127,8 @@
     load_wait: Histogram,
     sent: Family<ReplicaLabels, Counter>,
     attempts_failed: Family<AttemptLabels, Counter>,
+    resumptions: Family<ResumptionLabels, Counter>,
+    undecodable_datagrams: Counter,
     in_flight: Gauge,
     replicas: Gauge,
     peers: Gauge,
@@ -132,6 +150,8 @@
             load_wait: histogram(),
             sent: Family::default(),
             attempts_failed: Family::default(),
+            resumptions: Family::default(),
+            undecodable_datagrams: Counter::default(),
             in_flight: Gauge::default(),
             replicas: Gauge::default(),
             peers: Gauge::default(),
@@ -159,6 +179,10 @@
         r.register("sent", "Requests sent to a replica", self.sent.clone());
         let help = "Attempts without an answer to pass on";
         r.register("attempts_failed", help, self.attempts_failed.clone());
+        let help = "Streams that callers took up, by how their version was known";
+        r.register("resumptions", help, self.resumptions.clone());
+        let help = "Datagrams of other instances that couldn't be decoded";
+        r.register("undecodable_datagrams", help, self.undecodable_datagrams.clone());
         r.register("in_flight", "Requests in progress", self.in_flight.clone());
         r.register("replicas", "Replicas that are known", self.replicas.clone());
         r.register("peers", "Other instances that are heard of", self.peers.clone());
@@ -210,6 +234,16 @@
         self.attempts_failed.get_or_create(&AttemptLabels { replica, reason }).inc();
     }
 
+    /// Counts a stream that a caller took up.
+    pub fn on_resumption(&self, source: VersionSource, outcome: ResumptionOutcome) {
+        self.resumptions.get_or_create(&ResumptionLabels { source, outcome }).inc();
+    }
+
+    /// Counts a datagram that can't be decoded.
+    pub fn on_undecodable_datagram(&self) {
+        self.undecodable_datagrams.inc();
+    }
+
     /// Drops the time series of a replica that is gone.
     pub fn on_replica_gone(&self, replica: &BackendName) {
         let replica = ReplicaLabel(replica.clone());
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -23,6 +23,7 @@
 use super::connection_pool::ConnectionPool;
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
+use super::origin_datagrams::OriginDatagrams;
 use crate::daemon::Clock;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
@@ -37,6 +38,7 @@
 use crate::decide::traffic::Replicas;
 use crate::decide::traffic::RetryShare;
 use crate::decide::traffic::Shutdown;
+use crate::decide::traffic::StreamOrigins;
 use crate::decide::traffic::TrafficConfig;
 use crate::decide::traffic::serial_at_start;
 use crate::edge::HttpClient;
@@ -75,6 +77,8 @@
     pub plan_changes: watch::Sender<u64>,
     /// Counter that grows whenever a turn of a long prompt ends.
     pub turn_changes: watch::Sender<u64>,
+    /// Tells other instances where streams of this one began.
+    pub origin_datagrams: OriginDatagrams,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
@@ -88,6 +92,7 @@
     retry_share: Mutex<RetryShare>,
     crash_guard: Mutex<CrashGuard>,
     prompt_guard: Mutex<PromptGuard>,
+    stream_origins: Mutex<StreamOrigins>,
     homes: Mutex<AdapterHomes>,
     holder_history: Mutex<HolderHistory>,
     owned: Mutex<HashMap<BackendName, ReplicaOwnership>>,
@@ -125,6 +130,7 @@
             exchange_wake: Notify::new(),
             plan_changes: watch::Sender::new(0),
             turn_changes: watch::Sender::new(0),
+            origin_datagrams: OriginDatagrams::default(),
             in_flight: AtomicUsize::new(0),
             clock: Clock::start(),
             shutdown: OnceLock::new(),
@@ -137,6 +143,7 @@
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             prompt_guard: Mutex::default(),
+            stream_origins: Mutex::default(),
             homes: Mutex::default(),
             holder_history: Mutex::new(HolderHistory::new(Timestamp::ZERO, holder_wait)),
             owned: Mutex::default(),
@@ -181,6 +188,11 @@
         lock(&self.prompt_guard)
     }
 
+    /// Software versions at which streams began.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        lock(&self.stream_origins)
+    }
+
     /// How many replicas should hold each adapter.
     pub fn homes(&self) -> MutexGuard<'_, AdapterHomes> {
         lock(&self.homes)
--- a/src/relay/replica_search.rs
+++ b/src/relay/replica_search.rs
@@ -1,5 +1,8 @@
 //! Finds a replica for the next attempt of a request: waits for one that is usable, for the end of
 //! a pause, for its adapter to be loaded, and for the turn of a long prompt.
+//!
+//! A stream whose software version no replica runs any more is refused at once, with the time that
+//! its caller has left: nothing that the caller could wait for is to be expected.
 
 use std::time::Duration;
 
@@ -54,8 +57,9 @@
     pub async fn find(&mut self) -> Result<FoundReplica, LocalResponse> {
         loop {
             match self.choose() {
-                ReplicaChoice::NoReplica | ReplicaChoice::VersionGone => {
-                    self.wait_for_replica().await?;
+                ReplicaChoice::NoReplica => self.wait_for_replica().await?,
+                ReplicaChoice::VersionGone => {
+                    return Err(self.request.not_yet(self.request.time_until_deadline()));
                 }
                 ReplicaChoice::Paused { left, may_wait } => {
                     self.wait_for_pause(left, may_wait).await?;
--- /dev/null
+++ b/src/relay/resumption.rs
@@ -0,0 +1,44 @@
+//! First response to a request; one that takes up a stream goes only to replicas of the software
+//! version that began it.
+//!
+//! It is refused before any replica gets it if that version can't be found out, and with the time
+//! that the caller has left if the version is gone: another one would mix its events with those
+//! that the caller has.
+
+use super::attempt::ReplicaResponse;
+use super::forwarded_request::ForwardedRequest;
+use super::metrics::ResumptionOutcome;
+use super::response::LocalResponse;
+use super::stream_origins;
+use crate::decide::traffic::RETRY_AFTER;
+use crate::decide::traffic::StreamVersion;
+
+/// Tries replicas until one sends a response that can be forwarded.
+///
+/// # Errors
+///
+/// The relay's own response, if no replica's can be forwarded.
+pub async fn obtain_first_response(
+    request: &mut ForwardedRequest,
+) -> Result<ReplicaResponse, LocalResponse> {
+    let resume_after = request.head.resume_after.clone();
+    if resume_after.is_none() || !request.route.kind.is_stream() {
+        return request.obtain_response(resume_after.as_deref()).await;
+    }
+    let found = stream_origins::find(&request.node, &request.head, &request.service.name).await;
+    let obtained = match found.version {
+        StreamVersion::At(software) => {
+            request.head.needs.software = Some(software);
+            request.obtain_response(resume_after.as_deref()).await
+        }
+        StreamVersion::Unknown | StreamVersion::Contradictory => {
+            Err(LocalResponse::NotYet(RETRY_AFTER))
+        }
+    };
+    let outcome = match obtained {
+        Ok(_) => ResumptionOutcome::GoesOn,
+        Err(_) => ResumptionOutcome::Refused,
+    };
+    request.node.metrics.on_resumption(found.source, outcome);
+    obtained
+}
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -26,6 +26,7 @@
 use super::node::Node;
 use super::notices;
 use super::orders;
+use super::origin_datagrams;
 use super::published;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -81,6 +82,7 @@
     if let Some(addr) = listen.metrics {
         serve_metrics(&node, addr);
     }
+    origin_datagrams::start(&node);
     tokio::spawn(report_dropped_lines(Arc::clone(&node), dropped_lines));
     tokio::spawn(published::follow(Arc::clone(&node), PublishedTopic::Operator));
     tokio::spawn(published::follow(Arc::clone(&node), PublishedTopic::Replicas));
--- /dev/null
+++ b/src/relay/stream_origins.rs
@@ -0,0 +1,161 @@
+//! At which software version the streams of callers began, so that they go on at the same one.
+//!
+//! The instance whose replica brought the first event of a stream remembers it and tells a few
+//! others, the stream's witnesses, so that it is known after the instance has gone. An instance at
+//! which a caller takes up a stream that it doesn't know asks those that rank first as witnesses.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use super::PublishedTopic;
+use super::RequestHead;
+use super::exchange::call_peer;
+use super::log_event::LogEvent;
+use super::log_event::record;
+use super::node::Node;
+use super::node::unix_ms;
+use super::version_source::VersionSource;
+
+use crate::decide::traffic::ORIGIN_LOOKUPS;
+use crate::decide::traffic::ORIGIN_WITNESSES;
+use crate::decide::traffic::OriginKnowledge;
+use crate::decide::traffic::StreamKey;
+use crate::decide::traffic::StreamVersion;
+use crate::error::Result;
+use crate::names::BackendName;
+use crate::names::ServiceName;
+use crate::names::SoftwareVersion;
+use crate::names::WallTime;
+use crate::wire::stream_origin::OriginNotice;
+use crate::wire::stream_origin::OriginQuery;
+use crate::wire::stream_origin::STREAM_ORIGIN_PATH;
+
+/// Longest wait for the answers of other instances, and for this one's view of the replicas.
+const LOOKUP_TIME: Duration = Duration::from_millis(250);
+/// Interval at which the view of the replicas is checked for being current.
+const VIEW_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// At which version a stream that a caller takes up may go on, and how that is known.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FoundVersion {
+    /// The version.
+    pub version: StreamVersion,
+    /// How it is known.
+    pub source: VersionSource,
+}
+
+/// Remembers, and tells the stream's witnesses, at which software version a stream began.
+pub fn on_begun(
+    node: &Node,
+    head: &RequestHead,
+    replica: &BackendName,
+    software: &SoftwareVersion,
+) {
+    let id = head.id.as_str();
+    record(&LogEvent::StreamBegan { id, replica: replica.as_str(), software: software.as_str() });
+    let stream = StreamKey::new(head.resumes.as_deref().unwrap_or(id));
+    let now = node.now();
+    node.stream_origins().on_begun(now, stream, software.clone());
+    let witnesses = node.peers().witnesses(now, stream, ORIGIN_WITNESSES);
+    let notice = OriginNotice { stream, software: software.clone() };
+    node.origin_datagrams.send(&witnesses, &notice);
+}
+
+/// Finds out at which software version the stream that a request takes up may go on.
+pub async fn find(node: &Node, head: &RequestHead, service: &ServiceName) -> FoundVersion {
+    let stream = head.resumes.as_deref().map(StreamKey::new);
+    let query = OriginQuery { stream, service: service.clone() };
+    let mut own = answer(node, &query);
+    let (mut asked, mut answers) = (0, Vec::new());
+    if own.origin.is_none() {
+        let ranking = stream.unwrap_or_else(|| StreamKey::new(&head.id));
+        let peers = node.peers().witnesses(node.now(), ranking, ORIGIN_LOOKUPS);
+        asked = peers.len();
+        let started = node.now();
+        answers = ask_all(node, &peers, &query).await;
+        if answers.iter().all(|known| known.origin.is_none()) {
+            let left = LOOKUP_TIME.saturating_sub(node.now().since(started));
+            let _ = timeout(left, until_view_is_current(node)).await;
+        }
+        own = answer(node, &query);
+    }
+    let version = StreamVersion::decide(&own, &answers);
+    let source = source_of(&version, &own, &answers);
+    record_decision(head, &version, source, asked, answers.len());
+    FoundVersion { version, source }
+}
+
+/// What this instance knows, as an answer to another one.
+pub fn answer(node: &Node, query: &OriginQuery) -> OriginKnowledge {
+    let now = node.now();
+    let followed_for = node.view(PublishedTopic::Replicas).followed_for(now);
+    let wall = WallTime(unix_ms());
+    let service = &query.service;
+    let known = OriginKnowledge::of_service(&node.replicas(), service, now, wall, followed_for);
+    let origins = node.stream_origins();
+    let origin = query.stream.and_then(|stream| origins.version_of(now, stream).cloned());
+    OriginKnowledge { origin, ..known }
+}
+
+/// Asks instances until one knows where the stream began or all have answered.
+async fn ask_all(node: &Node, peers: &[SocketAddr], query: &OriginQuery) -> Vec<OriginKnowledge> {
+    let mut calls: FuturesUnordered<_> = peers.iter().map(|peer| ask(node, *peer, query)).collect();
+    let mut answers = Vec::new();
+    while let Some(answer) = calls.next().await {
+        let is_known = answer.as_ref().is_some_and(|known| known.origin.is_some());
+        answers.extend(answer);
+        if is_known {
+            break;
+        }
+    }
+    answers
+}
+
+/// Completes when this instance knows which replicas there are now.
+async fn until_view_is_current(node: &Node) {
+    while !node.view(PublishedTopic::Replicas).is_current(node.now()) {
+        sleep(VIEW_CHECK_INTERVAL).await;
+    }
+}
+
+/// Asks an instance; `None` if it doesn't answer in time, or doesn't know the call.
+async fn ask(node: &Node, addr: SocketAddr, query: &OriginQuery) -> Option<OriginKnowledge> {
+    let reply: Result<OriginKnowledge> =
+        call_peer(node, addr, STREAM_ORIGIN_PATH, query, LOOKUP_TIME).await;
+    reply.inspect_err(|e| log::debug!("{addr} not heard on the origin of a stream: {e}")).ok()
+}
+
+fn source_of(
+    version: &StreamVersion,
+    own: &OriginKnowledge,
+    answers: &[OriginKnowledge],
+) -> VersionSource {
+    match version {
+        StreamVersion::Unknown | StreamVersion::Contradictory => VersionSource::Unknown,
+        StreamVersion::At(_) if own.origin.is_some() => VersionSource::Own,
+        StreamVersion::At(_) if answers.iter().any(|known| known.origin.is_some()) => {
+            VersionSource::Peer
+        }
+        StreamVersion::At(_) => VersionSource::SoleVersion,
+    }
+}
+
+fn record_decision(
+    head: &RequestHead,
+    version: &StreamVersion,
+    source: VersionSource,
+    asked: usize,
+    answered: usize,
+) {
+    let software = match version {
+        StreamVersion::At(software) => Some(software.as_str()),
+        StreamVersion::Unknown | StreamVersion::Contradictory => None,
+    };
+    let (id, resumes) = (head.id.as_str(), head.resumes.as_deref());
+    record(&LogEvent::ResumptionDecided { id, resumes, software, source, asked, answered });
+}
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -1,6 +1,7 @@
 //! Forwards a stream of server-sent events from a replica to a caller.
 //!
-//! Only whole events are forwarded, as soon as they are complete. If the replica breaks off, the
+//! Only whole events are forwarded, as soon as they are complete. Once one was, the stream goes on
+//! only at the software version of its replica. If the replica breaks off, the
 //! stream resumes at another replica after the last event, where the route and the retry budget
 //! allow it; otherwise the response to the caller is aborted. If the replica falls silent, another
 //! one is asked to resume the stream beside it: whichever sends first goes on with the stream.
@@ -16,18 +17,19 @@
 
 use super::attempt;
 use super::attempt::OpenStream;
-use super::attempt::Origin;
 use super::attempt::ReplicaBody;
 use super::attempt::ReplicaResponse;
 use super::forwarded_request::ForwardedRequest;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::metrics::Outcome;
+use super::origin::Origin;
 use super::prompt_quarantine;
 use super::response::AbortedBody;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::silence;
+use super::stream_origins;
 use crate::decide::traffic::EventSplitter;
 use crate::names::Timestamp;
 
@@ -37,6 +39,8 @@
     stream: Option<OpenStream>,
     splitter: EventSplitter,
     has_event: bool,
+    /// Whether the caller gets events of this response, so that no other version may go on.
+    has_begun: bool,
     last_data: Timestamp,
     longest_pause: Duration,
     /// Whether its silence is watched for; not after another replica was looked for in vain.
@@ -76,6 +80,7 @@
             stream,
             splitter,
             has_event: false,
+            has_begun: false,
             last_data,
             longest_pause,
             watches_silence: true,
@@ -142,12 +147,25 @@
         self.longest_pause = self.longest_pause.max(now.since(self.last_data));
         self.last_data = now;
         let events = self.splitter.push(data);
+        self.bind_to_version();
         if self.splitter.is_overlong() {
             return self.abort("an event is too long");
         }
         Ok(events)
     }
 
+    /// Binds the stream to the software version of the replica that brought its first event.
+    fn bind_to_version(&mut self) {
+        if self.has_begun || !self.splitter.has_event() {
+            return;
+        }
+        let Some(stream) = &self.stream else { return };
+        self.has_begun = true;
+        let Origin { replica, software, .. } = &stream.origin;
+        stream_origins::on_begun(&self.request.node, &self.request.head, replica, software);
+        self.request.head.needs.software = Some(software.clone());
+    }
+
     /// Whether the replica has sent its stream to the end, if it sends nothing more.
     fn is_complete(&self) -> bool {
         let has_marked_end = self.stream.as_ref().is_some_and(|stream| stream.has_marked_end);
