--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -20,12 +20,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::edge::FairStream;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Time for which sent bytes may stay unacknowledged before the connection fails.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which sent bytes may stay unacknowledged before the connection fails. A replica that
+/// reads nothing for a while is none that has gone; its requests have time limits of their own.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(15);
 /// Longest time for which an idle connection is kept.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 /// Idle connections kept to one replica; further ones are closed.
@@ -80,8 +82,9 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(io::Error::other)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(FairStream::new(stream)))
+            .await
+            .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
             if let Err(e) = connection.await {
                 log::debug!("connection to {addr} ended: {e}");
