--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -20,7 +20,6 @@
 use super::node::Node;
 use super::node::unix_ms;
 use super::version_source::VersionSource;
-
 use crate::decide::traffic::ORIGIN_LOOKUPS;
 use crate::decide::traffic::ORIGIN_WITNESSES;
 use crate::decide::traffic::OriginKnowledge;
