Model of streams over releases of software versions, in virtual time

Random fleets of one to seven instances and four to nine replicas over releases (also back, also stopped halfway), replicas and instances that are killed, all at once too, cuts with and without the published state, views that lag, origins that are late or lost, and instances of an older build that tell nobody where a stream began. The parts of the product that decide are the real ones: Replicas, StreamOrigins, Peers with their gossip, StreamVersion.

--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -23,5 +23,6 @@
 mod store_era;
 mod stream;
 mod stream_origins;
+mod stream_versions;
 mod support;
 mod use_serials;
