--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -24,5 +24,6 @@
 mod stream;
 mod stream_origin_messages;
 mod stream_origins;
+mod stream_versions;
 mod support;
 mod use_serials;
