--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,6 +37,7 @@
 mod store_call;
 mod stream_origins;
 mod stream_relay;
+mod tracked_body;
 mod turns;
 mod version_source;
 
