--- /dev/null
+++ b/src/decide/traffic/stream_version.rs
@@ -0,0 +1,45 @@
+//! At which software version a stream may go on, from what instances know of it.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::OriginKnowledge;
+use crate::names::SoftwareVersion;
+
+/// Time over which somebody must know all versions of a service for its only one to be that of any
+/// stream.
+const MIN_KNOWN_TIME: Duration = Duration::from_secs(30);
+
+/// At which software version a stream that is taken up again may go on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StreamVersion {
+    /// At this one only.
+    At(SoftwareVersion),
+    /// It isn't known where the stream began, and its service has several versions, or may have had
+    /// one more lately.
+    Unknown,
+    /// Instances name different versions as the one that began the stream.
+    Contradictory,
+}
+
+impl StreamVersion {
+    /// Decides from what this instance knows and what others answered.
+    pub fn decide(own: &OriginKnowledge, answers: &[OriginKnowledge]) -> Self {
+        let all = || std::iter::once(own).chain(answers);
+        let origins: BTreeSet<&SoftwareVersion> =
+            all().filter_map(|known| known.origin.as_ref()).collect();
+        if origins.len() > 1 {
+            return Self::Contradictory;
+        }
+        if let Some(origin) = origins.first() {
+            return Self::At((*origin).clone());
+        }
+        let versions: BTreeSet<&SoftwareVersion> =
+            all().flat_map(|known| &known.versions).collect();
+        let are_all_known = all().any(|known| known.known_for >= MIN_KNOWN_TIME);
+        match versions.first() {
+            Some(only) if versions.len() == 1 && are_all_known => Self::At((*only).clone()),
+            _ => Self::Unknown,
+        }
+    }
+}
