Judge the only version by the time for which a stream's caller may have tried

After an end of all instances nobody knows where the streams began, and a service with a single version went on only if no replica of it had started for 30 s. One replica that crashed and came back shortly before refused all streams of a service without any release. The time is that of the route now, 10 to 30 s: a caller can't have tried for longer.

--- a/src/decide/traffic/stream_version.rs
+++ b/src/decide/traffic/stream_version.rs
@@ -6,9 +6,10 @@
 use super::OriginKnowledge;
 use crate::names::SoftwareVersion;
 
-/// Time over which somebody must know all versions of a service for its only one to be that of any
-/// stream.
-const MIN_KNOWN_TIME: Duration = Duration::from_secs(30);
+/// Bounds of the time over which somebody must know all versions of a service for its only one to
+/// be that of any stream. A stream may outlive its replica's entry for some seconds.
+const MIN_KNOWN_TIME: Duration = Duration::from_secs(10);
+const MAX_KNOWN_TIME: Duration = Duration::from_secs(30);
 
 /// At which software version a stream that is taken up again may go on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -23,8 +24,13 @@
 }
 
 impl StreamVersion {
-    /// Decides from what this instance knows and what others answered.
-    pub fn decide(own: &OriginKnowledge, answers: &[OriginKnowledge]) -> Self {
+    /// Decides from what this instance knows and what others answered; `longest_stream` is the time
+    /// for which a caller may have tried.
+    pub fn decide(
+        own: &OriginKnowledge,
+        answers: &[OriginKnowledge],
+        longest_stream: Duration,
+    ) -> Self {
         let all = || std::iter::once(own).chain(answers);
         let origins: BTreeSet<&SoftwareVersion> =
             all().filter_map(|known| known.origin.as_ref()).collect();
@@ -36,7 +42,8 @@
         }
         let versions: BTreeSet<&SoftwareVersion> =
             all().flat_map(|known| &known.versions).collect();
-        let are_all_known = all().any(|known| known.known_for >= MIN_KNOWN_TIME);
+        let known_time = longest_stream.clamp(MIN_KNOWN_TIME, MAX_KNOWN_TIME);
+        let are_all_known = all().any(|known| known.known_for >= known_time);
         match versions.first() {
             Some(only) if versions.len() == 1 && are_all_known => Self::At((*only).clone()),
             _ => Self::Unknown,
--- a/src/relay/resumption.rs
+++ b/src/relay/resumption.rs
@@ -25,7 +25,8 @@
     if resume_after.is_none() || !request.route.kind.is_stream() {
         return request.obtain_response(resume_after.as_deref()).await;
     }
-    let found = stream_origins::find(&request.node, &request.head, &request.service.name).await;
+    let ForwardedRequest { node, head, service, route, .. } = &*request;
+    let found = stream_origins::find(node, head, &service.name, route.timeout).await;
     let obtained = match found.version {
         StreamVersion::At(software) => {
             request.head.needs.software = Some(software);
--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -66,7 +66,14 @@
 }
 
 /// Finds out at which software version the stream that a request takes up may go on.
-pub async fn find(node: &Node, head: &RequestHead, service: &ServiceName) -> FoundVersion {
+///
+/// `longest_stream` is the time for which its caller may have tried.
+pub async fn find(
+    node: &Node,
+    head: &RequestHead,
+    service: &ServiceName,
+    longest_stream: Duration,
+) -> FoundVersion {
     let stream = head.resumes.as_deref().map(StreamKey::new);
     let query = OriginQuery { stream, service: service.clone() };
     let mut own = answer(node, &query);
@@ -83,7 +90,7 @@
         }
         own = answer(node, &query);
     }
-    let version = StreamVersion::decide(&own, &answers);
+    let version = StreamVersion::decide(&own, &answers, longest_stream);
     let source = source_of(&version, &own, &answers);
     record_decision(head, &version, source, asked, answers.len());
     FoundVersion { version, source }
--- a/tests/traffic/stream_versions/mod.rs
+++ b/tests/traffic/stream_versions/mod.rs
@@ -19,12 +19,11 @@
 
 use std::cell::RefCell;
 
+use plan::Plan;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngSeed;
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRunner;
-
-use plan::Plan;
 use tally::Tally;
 use world::World;
 
