--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -9,8 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Response;
@@ -22,10 +20,10 @@
 
 use super::AttemptHeaderValues;
 use super::ResponseHead;
+use super::attempt_failure::AttemptFailure;
 use super::connection_pool::Connection;
 use super::connection_pool::ConnectionPool;
 use super::forwarded_request::ForwardedRequest;
-use super::log_event::AttemptFailure;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
@@ -34,6 +32,9 @@
 use super::prompt_quarantine;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::replica_signals;
+use super::response_framing::has_marked_end;
+use super::response_framing::keep_alive_time;
+use super::response_framing::read_whole;
 use super::turns::PromptTurn;
 use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::Replica;
@@ -371,44 +372,3 @@
         known.on_bytes_received(node.now());
     }
 }
-
-/// Whether a response has a length or chunks, so that its end is told from a closed connection.
-fn has_marked_end(head: &response::Parts) -> bool {
-    match head.headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
-        Some(codings) => codings.as_bytes().to_ascii_lowercase().ends_with(b"chunked"),
-        None => head.headers.contains_key(header::CONTENT_LENGTH),
-    }
-}
-
-/// Time for which a connection may be reused after a response; `None` if the replica closes it.
-fn keep_alive_time(head: &response::Parts) -> Option<Duration> {
-    let closes = head
-        .headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .any(|value| value.as_bytes().to_ascii_lowercase().windows(5).any(|w| w == b"close"));
-    if closes {
-        return None;
-    }
-    let named = head.headers.get("keep-alive").and_then(|value| value.to_str().ok());
-    let seconds = named
-        .and_then(|text| text.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
-        .and_then(|text| text.trim().parse::<u64>().ok());
-    Some(match seconds {
-        Some(seconds) => Duration::from_secs(seconds).saturating_sub(Duration::from_millis(500)),
-        None => Duration::MAX,
-    })
-}
-
-/// Reads the whole body; `None` if it broke off or is too large.
-async fn read_whole(mut source: Incoming, max_bytes: usize) -> Option<Bytes> {
-    let mut buf = BytesMut::new();
-    while let Some(frame) = source.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if buf.len() + data.len() > max_bytes {
-            return None;
-        }
-        buf.extend_from_slice(&data);
-    }
-    Some(buf.freeze())
-}
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -3,9 +3,9 @@
 //! A line names the decision, its subject and its inputs. The writer behind the log never
 //! blocks; it drops lines when it can't keep up.
 
-use prometheus_client::encoding::EncodeLabelValue;
 use serde::Serialize;
 
+use super::attempt_failure::AttemptFailure;
 use super::node::unix_ms;
 use super::version_source::VersionSource;
 
@@ -418,36 +418,6 @@
     },
 }
 
-/// Why an attempt got no response to forward.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, EncodeLabelValue)]
-#[serde(rename_all = "snake_case")]
-pub enum AttemptFailure {
-    /// No connection could be made; nothing was sent.
-    Unreachable,
-    /// The connection ended before a response arrived.
-    NoAnswer,
-    /// The replica proved that it didn't run the request.
-    Refused,
-    /// The response isn't this request's or isn't the replica's own.
-    Foreign,
-    /// The body of the response broke off or was too large.
-    BrokenOff,
-    /// The replica sent nothing for too long.
-    Silent,
-}
-
-impl AttemptFailure {
-    /// Every kind of failure.
-    pub const ALL: [Self; 6] = [
-        Self::Unreachable,
-        Self::NoAnswer,
-        Self::Refused,
-        Self::Foreign,
-        Self::BrokenOff,
-        Self::Silent,
-    ];
-}
-
 #[derive(Serialize)]
 struct LogLine<'a> {
     at_ms: u64,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -15,7 +15,7 @@
 use prometheus_client::registry::Unit;
 
 use super::PublishedTopic;
-use super::log_event::AttemptFailure;
+use super::attempt_failure::AttemptFailure;
 use super::node::Node;
 use super::version_source::VersionSource;
 use crate::decide::traffic::RouteKind;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -8,6 +8,7 @@
 
 mod adapter_use;
 mod attempt;
+mod attempt_failure;
 mod attempt_race;
 mod connection_pool;
 mod exchange;
@@ -26,10 +27,12 @@
 mod prompt_quarantine;
 mod protocol;
 mod published;
+mod replica_call;
 mod replica_request_guard;
 mod replica_search;
 mod replica_signals;
 mod response;
+mod response_framing;
 mod resumption;
 mod run;
 mod settings;
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -15,12 +15,12 @@
 
 use super::FencedOrder;
 use super::OrderAnswer;
-use super::ReplicaCall;
 use super::exchange;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
-use super::replica_signals;
+use super::replica_call::REPLICA_CALL_TIMEOUT;
+use super::replica_call::call_replica;
 use crate::decide::traffic::EngineSpec;
 use crate::decide::traffic::GivingUp;
 use crate::decide::traffic::LeaseStep;
@@ -28,11 +28,8 @@
 use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PrefixTracker;
 use crate::decide::traffic::PromptTurns;
-use crate::decide::traffic::Replica;
 use crate::decide::traffic::ReplicaPlan;
 use crate::decide::traffic::Service;
-use crate::edge::HttpCall;
-use crate::edge::HttpReply;
 use crate::names::BackendName;
 use crate::names::InstanceName;
 use crate::names::Timestamp;
@@ -42,8 +39,6 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(40);
 /// Time between two ticks above which this process counts as having been paused.
 const MAX_PROCESS_PAUSE: Duration = Duration::from_millis(600);
-/// Timeout of a call to a replica for a report or order, and again of a report's body.
-const REPLICA_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Interval between reports while orders are pending, and after a refused order.
 const PENDING_REPORT_INTERVAL: Duration = Duration::from_millis(60);
 /// Delay after a failed report.
@@ -390,29 +385,3 @@
     }
     owned.plan.on_accepted(now, order, done);
 }
-
-async fn call_replica(node: &Node, replica: &BackendName, call: ReplicaCall) -> Option<HttpReply> {
-    let (addr, started_ms) = node
-        .replicas()
-        .get(replica)
-        .map(|known: &Replica| (known.entry.addr, known.entry.started_ms))?;
-    let http_call = HttpCall {
-        method: call.method,
-        addr,
-        path: call.path,
-        headers: call.headers,
-        body: call.body,
-    };
-    match node.http.send(http_call, REPLICA_CALL_TIMEOUT).await {
-        Ok(reply) => {
-            let head = node.protocol.decode_response_head(reply.status, reply.headers());
-            replica_signals::on_response(node, replica, started_ms, &head);
-            Some(reply)
-        }
-        Err(failure) => {
-            let replica = replica.as_str();
-            record(&LogEvent::ReplicaCallFailed { replica, detail: &failure.detail });
-            None
-        }
-    }
-}
