Count sends to replicas that name a limit at one instance for each replica

What callers and replicas saw: a replica that had named a rate of 1 request a second for all instances got 12 and 14 requests in 4 s (allowed 11), ordinary first tries and its owner's orders at the pace of before. Cause: a number that is one for the whole fleet, read by nobody; each instance and each kind of call (first tries, retries, resumptions, orders, polls, reports) sends by itself. The class: limits for all instances that each keeps by itself.

Now every call to a replica that names a limit needs a permit of one instance, the first in the replica's rendezvous ranking. Decisions are in decide::send_limits, messages and state in send_permits, outside the relay's ring; the relay passes them what they need. A brittle replica's room is counted by the same permits.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod resend;
 pub mod retry_budget;
 pub mod routing;
+pub mod send_limits;
 pub mod submissions;
 pub mod takeover;
 pub mod traffic;
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -16,6 +16,7 @@
 use super::ReplicaState;
 use super::Workload;
 use super::is_hot;
+use crate::decide::send_limits::LimitKnowledge;
 use crate::names::InstanceName;
 use crate::names::SoftwareVersion;
 use crate::names::Timestamp;
@@ -82,6 +83,8 @@
     pub held_back_until: Option<Timestamp>,
     /// Pause that it asked for.
     pub pause: ReplicaPause,
+    /// Limits that it names for all instances together.
+    pub limits: LimitKnowledge,
     held: HashMap<AdapterKey, HeldVersion>,
     owner_updated_at: Option<Timestamp>,
     missing: HashMap<AdapterKey, Timestamp>,
@@ -110,6 +113,7 @@
             kept_until: None,
             held_back_until: None,
             pause: ReplicaPause::default(),
+            limits: LimitKnowledge::default(),
             held,
             owner_updated_at: None,
             missing: HashMap::new(),
@@ -211,14 +215,21 @@
 
     /// Whether the replica may get new requests.
     pub fn accepts_requests(&self, now: Timestamp) -> bool {
-        self.is_available(now) && self.pause.accepts(now)
+        self.is_available(now) && self.pause.accepts(now) && self.limits.closed_for(now).is_zero()
     }
 
-    /// Whether the replica would get requests if it hadn't asked for a pause.
+    /// Whether the replica would get calls if it hadn't asked for a pause.
     pub fn is_paused(&self, now: Timestamp) -> bool {
         self.is_available(now) && !self.pause.left(now).is_zero()
     }
 
+    /// Time until the replica gets requests again, if nothing but its pause or its limits keeps them
+    /// away; otherwise `None`.
+    pub fn held_back_for(&self, now: Timestamp) -> Option<Duration> {
+        let wait = self.pause.left(now).max(self.limits.closed_for(now));
+        (self.is_available(now) && !wait.is_zero()).then_some(wait)
+    }
+
     /// Whether a request that was chosen for the replica may still be sent.
     pub fn may_send(&self, now: Timestamp) -> bool {
         self.accepts_orders() && self.pause.left(now).is_zero()
--- a/src/decide/traffic/replica_choice.rs
+++ b/src/decide/traffic/replica_choice.rs
@@ -22,9 +22,9 @@
     /// The request needs a software version that no replica of the service has any more, so that
     /// waiting is useless.
     VersionGone,
-    /// Every replica of the service that is there asked for a pause.
+    /// A pause or a limit holds back every replica of the service that is there.
     Paused {
-        /// Time until the first pause is over.
+        /// Time until the first one may get requests again.
         left: Duration,
         /// Whether the request may go to that replica then, as it wasn't sent there yet.
         may_wait: bool,
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -21,6 +21,7 @@
 use super::departed::EarlierDeparture;
 use super::former_versions::FormerVersions;
 use crate::decide::rendezvous;
+use crate::decide::send_limits::NamedLimits;
 use crate::names::BackendName;
 use crate::names::ServiceName;
 use crate::names::SoftwareVersion;
@@ -186,6 +187,18 @@
         recent.map(|(name, started_ms, _)| (name.clone(), *started_ms)).collect()
     }
 
+    /// Tells the other replicas of a service what one of them, `name`, says of its limits.
+    pub fn on_limits_of_sibling(
+        &mut self,
+        now: Timestamp,
+        name: &BackendName,
+        limits: NamedLimits,
+    ) {
+        let Some(service) = self.known.get(name).map(|r| r.entry.service.clone()) else { return };
+        let siblings = self.known.values_mut().filter(|r| r.entry.service == service);
+        siblings.for_each(|sibling| sibling.limits.on_sibling(now, limits));
+    }
+
     /// The replica of this name, if it is known.
     pub fn get(&self, name: &BackendName) -> Option<&Replica> {
         self.known.get(name)
@@ -245,8 +258,8 @@
         ReplicaChoice::Send { replica: best.entry.name.clone(), spread }
     }
 
-    /// Time until a service has a replica that accepts requests, if each one that is there asked
-    /// for a pause; otherwise `None`.
+    /// Time until a service has a replica that accepts requests, if pauses or
+    /// limits hold back all that are there; otherwise `None`.
     pub fn service_pause(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
         let accepts = |r: &Replica| r.entry.service == *service && r.accepts_requests(now);
         if self.known.values().any(accepts) {
@@ -262,8 +275,8 @@
         !self.known.values().any(|r| serves(r, service, Some(software)) && r.accepts_orders())
     }
 
-    /// Shortest pause of a service's replicas, or of those of one software version, and whose it
-    /// is; `None` if none pauses.
+    /// Shortest time for which a pause or limit holds back a service's replicas, or those of one
+    /// software version, and whose it is; `None` if none is held back.
     fn shortest_pause(
         &self,
         now: Timestamp,
@@ -271,8 +284,7 @@
         software: Option<&SoftwareVersion>,
     ) -> Option<(Duration, &BackendName)> {
         let of_service = self.known.values().filter(|r| serves(r, service, software));
-        let paused = of_service.filter(|r| r.is_paused(now));
-        paused.map(|r| (r.pause.left(now), &r.entry.name)).min()
+        of_service.filter_map(|r| Some((r.held_back_for(now)?, &r.entry.name))).min()
     }
 }
 
@@ -329,7 +341,7 @@
 }
 
 /// Replicas that could load an adapter, in its rendezvous ranking; those without its base model
-/// go last.
+/// go last, and before them those with a limit, which loads would use up.
 ///
 /// The ranking doesn't depend on the workload: a replica loads again fast, and without the
 /// weight store, what it has held before.
@@ -339,7 +351,7 @@
     }
     let base = AdapterKey::base(key.model.clone());
     let mut ranked = rendezvous::rank(&key.label(), usable.to_vec(), |r| r.entry.name.as_str());
-    ranked.sort_by_key(|r| r.held_version(now, &base).is_none());
+    ranked.sort_by_key(|r| (r.held_version(now, &base).is_none(), r.limits.needs_permit()));
     ReplicaChoice::Load(ranked.iter().map(|r| r.entry.name.clone()).collect())
 }
 
@@ -356,7 +368,8 @@
     let base = AdapterKey::base(key.model.clone());
     let best_delay = delay(best);
     let free = |r: &Replica| {
-        r.held_version(now, key).is_none()
+        !r.limits.needs_permit()
+            && r.held_version(now, key).is_none()
             && r.held_version(now, &base).is_some()
             && delay(r) < best_delay / 2.0
     };
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -41,6 +41,7 @@
 use crate::decide::traffic::ReplicaEntry;
 use crate::decide::traffic::ResponseProgress;
 use crate::names::BackendName;
+use crate::send_permits::SendPermit;
 
 /// Largest response body that is read whole, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -97,23 +98,26 @@
 
 /// Sends `request` to `replica` and reads the response, or just the head of a stream.
 ///
-/// `turn`, that of a long prompt, ends when the prompt has been read.
+/// `turn`, that of a long prompt, ends when the prompt has been read; a replica that names a limit
+/// gets nothing without a `permit`.
 pub async fn run(
     request: &ForwardedRequest,
     replica: &BackendName,
     resume_after: Option<&str>,
     turn: Option<PromptTurn>,
+    permit: Option<SendPermit>,
 ) -> AttemptOutcome {
     let node = &request.node;
-    let Some((mut origin, cached_tokens)) = target(request, replica) else {
+    let Some((mut origin, cached_tokens)) = target(request, replica, permit.is_some()) else {
         return AttemptOutcome::NoResponse(AttemptEnd::NotSent);
     };
     let workload = request.head.needs.workload(cached_tokens);
-    let mut in_flight =
-        ReplicaRequestGuard::start(node, replica, workload, request.head.needs.key.clone(), turn);
+    let key = request.head.needs.key.clone();
+    let mut in_flight = ReplicaRequestGuard::start(node, replica, workload, key, turn, permit);
     let Some(connection) = connect(request, replica, origin.addr).await else {
         return AttemptOutcome::NoResponse(AttemptEnd::NotSent);
     };
+    let sent_at = node.now();
     let (mut connection, response) = match send(request, replica, connection, resume_after).await {
         Ok(sent) => sent,
         Err(end) => {
@@ -127,8 +131,11 @@
     in_flight.on_response_begun();
     let (head, source) = response.into_parts();
     let parsed = node.protocol.decode_response_head(head.status, &head.headers);
-    replica_signals::on_response(node, replica, origin.started_ms, &parsed);
+    replica_signals::on_response(node, replica, origin.started_ms, sent_at, &parsed);
     if let Some(end) = proven_not_run(request, replica, &head, &parsed) {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            in_flight.on_rejected();
+        }
         drain_refusal(request, replica, origin.addr, connection, source, &head).await;
         return AttemptOutcome::NoResponse(end);
     }
@@ -205,11 +212,19 @@
 
 /// The replica as it is known now, and tokens of the prompt that it has read before; `None` if it no
 /// longer accepts the request.
-fn target(request: &ForwardedRequest, replica: &BackendName) -> Option<(Origin, u64)> {
+fn target(
+    request: &ForwardedRequest,
+    replica: &BackendName,
+    has_permit: bool,
+) -> Option<(Origin, u64)> {
     let now = request.node.now();
     let replicas = request.node.replicas();
     let needs = &request.head.needs;
-    let may_send = |known: &&Replica| known.may_send(now) && known.runs(needs.software.as_ref());
+    let may_send = |known: &&Replica| {
+        known.may_send(now)
+            && known.runs(needs.software.as_ref())
+            && (has_permit || !known.limits.needs_permit())
+    };
     let known = replicas.get(replica).filter(may_send)?;
     let cached_tokens =
         needs.key.as_ref().map_or(0, |key| known.prefixes.cached_prefix_tokens(key, &needs.parts));
--- a/src/relay/attempt_race.rs
+++ b/src/relay/attempt_race.rs
@@ -168,8 +168,8 @@
         let silence = silence::before_response(request, &found.replica);
         self.phase = Phase::Watching(found.replica.clone(), Box::pin(silence));
         self.open.push(Box::pin(async move {
-            let FoundReplica { replica, adapter_use, turn } = found;
-            let outcome = attempt::run(request, &replica, resume_after, turn).await;
+            let FoundReplica { replica, adapter_use, turn, permit } = found;
+            let outcome = attempt::run(request, &replica, resume_after, turn, permit).await;
             drop(adapter_use);
             outcome
         }));
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -25,6 +25,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::orders;
+use super::permits;
 use super::prompt_quarantine;
 use super::published;
 use super::stream_origins;
@@ -33,7 +34,7 @@
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::Strikes;
 use crate::decide::traffic::ViewChanges;
-use crate::edge::HttpCall;
+use crate::edge;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
@@ -63,6 +64,8 @@
 use crate::wire::relay::USE_PATH;
 use crate::wire::relay::UseNotice;
 use crate::wire::relay::ViewDigests;
+use crate::wire::send_permit::PERMIT_END_PATH;
+use crate::wire::send_permit::PERMIT_PATH;
 use crate::wire::stream_origin::STREAM_ORIGIN_PATH;
 
 /// Interval between rounds of exchanges.
@@ -83,6 +86,7 @@
             tokio::spawn(exchange_with(Arc::clone(&node), addr));
         }
         drop_uses_of_dead_peers(&node);
+        permits::drop_unneeded(&node);
         sleep(MIN_EXCHANGE_INTERVAL).await;
         tokio::select! {
             () = sleep(EXCHANGE_INTERVAL - MIN_EXCHANGE_INTERVAL) => {}
@@ -140,6 +144,11 @@
             turns::end_as_owner(node, &decode(body)?);
             encode(&())
         }
+        PERMIT_PATH => encode(&permits::answer(node, &decode(body)?)),
+        PERMIT_END_PATH => {
+            node.permits.on_end(&decode(body)?);
+            encode(&())
+        }
         STREAM_ORIGIN_PATH => encode(&stream_origins::answer(node, &decode(body)?)),
         PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
@@ -233,19 +242,7 @@
     message: &M,
     limit: Duration,
 ) -> Result<R> {
-    let call = HttpCall::post(addr, path, encode(message)?);
-    let exchange = async {
-        let unreachable = |detail| Error::new(ErrorKind::PeerUnreachable, detail);
-        let reply = node.http.send(call, limit).await.map_err(|f| unreachable(f.detail))?;
-        let status = reply.status;
-        let body = reply.read_body().await.map_err(|f| unreachable(f.detail))?;
-        if !status.is_success() {
-            return Err(unreachable(format!("status {status}")));
-        }
-        decode(&body)
-    };
-    let late = || Error::new(ErrorKind::PeerUnreachable, "no complete response in time");
-    tokio::time::timeout(limit, exchange).await.unwrap_or_else(|_| Err(late()))
+    edge::call_peer(&node.http, addr, path, message, limit).await
 }
 
 fn build_exchange(node: &Node, receiver: &Receiver) -> Exchange {
@@ -253,6 +250,7 @@
     let hears_work = node.peers().hears_work(now, receiver);
     let strikes = node.crash_guard().active_strikes(now);
     let (crash_evidence, sound_parts) = node.prompt_guard().share(now);
+    let limits = permits::news(node, receiver);
     Exchange {
         peers: node.peers().gossip(now, receiver),
         fence: node.highest_fence(),
@@ -268,6 +266,7 @@
         leaving: node.replicas().recently_leaving(now),
         crash_evidence,
         sound_parts,
+        limits,
     }
 }
 
@@ -326,6 +325,9 @@
             record(&LogEvent::ReplicaLeaving { replica, by });
         }
     }
+    for news in &received.limits {
+        permits::on_news(node, news, sender.name.as_str());
+    }
     prompt_quarantine::on_peer_evidence(node, &received.crash_evidence, &received.sound_parts);
     let ages_ms = received.strike_ages_ms.into_iter().chain(std::iter::repeat(0));
     for ((fingerprint, count), age_ms) in received.strikes.into_iter().zip(ages_ms) {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -20,6 +20,7 @@
 use super::version_source::VersionSource;
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
+use crate::send_permits::PermitSource;
 
 /// Bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_S: [f64; 12] =
@@ -102,6 +103,11 @@
     outcome: ResumptionOutcome,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PermitLabels {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct ReplicaLabel(BackendName);
 
@@ -128,6 +134,7 @@
     sent: Family<ReplicaLabels, Counter>,
     attempts_failed: Family<AttemptLabels, Counter>,
     resumptions: Family<ResumptionLabels, Counter>,
+    permits: Family<PermitLabels, Counter>,
     undecodable_datagrams: Counter,
     in_flight: Gauge,
     replicas: Gauge,
@@ -151,6 +158,7 @@
             sent: Family::default(),
             attempts_failed: Family::default(),
             resumptions: Family::default(),
+            permits: Family::default(),
             undecodable_datagrams: Counter::default(),
             in_flight: Gauge::default(),
             replicas: Gauge::default(),
@@ -181,6 +189,8 @@
         r.register("attempts_failed", help, self.attempts_failed.clone());
         let help = "Streams that callers took up, by how their version was known";
         r.register("resumptions", help, self.resumptions.clone());
+        let help = "Permits asked for to send to replicas that name a limit";
+        r.register("permits", help, self.permits.clone());
         let help = "Datagrams of other instances that couldn't be decoded";
         r.register("undecodable_datagrams", help, self.undecodable_datagrams.clone());
         r.register("in_flight", "Requests in progress", self.in_flight.clone());
@@ -195,6 +205,16 @@
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
     }
 
+    /// Counts an ask for a permit; `source` is who granted it, `None` if it was denied.
+    pub fn on_permit(&self, source: Option<PermitSource>) {
+        let outcome = match source {
+            Some(PermitSource::Counter) => "granted",
+            Some(PermitSource::OwnShare) => "own_share",
+            None => "denied",
+        };
+        self.permits.get_or_create(&PermitLabels { outcome }).inc();
+    }
+
     /// Counts a request that ended.
     pub fn on_request_end(&self, kind: RouteKind, outcome: Outcome) {
         self.requests.get_or_create(&RequestLabels { kind: kind.into(), outcome }).inc();
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -24,6 +24,7 @@
 mod orders;
 mod origin;
 mod origin_datagrams;
+mod permits;
 mod prompt_quarantine;
 mod protocol;
 mod published;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -44,6 +44,7 @@
 use crate::edge::HttpClient;
 use crate::names::BackendName;
 use crate::names::Timestamp;
+use crate::send_permits::SendPermits;
 
 /// Time without a successful read of the published state after which an instance that hears
 /// none of its peers counts as isolated.
@@ -79,6 +80,8 @@
     pub turn_changes: watch::Sender<u64>,
     /// Tells other instances where streams of this one began.
     pub origin_datagrams: OriginDatagrams,
+    /// Permits to send to replicas that name a limit.
+    pub permits: Arc<SendPermits>,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
@@ -120,9 +123,13 @@
             settings.retry_allowance,
             settings.retry_window(),
         );
+        let http = HttpClient::with_idle_timeout(CONTROL_IDLE_TIMEOUT);
+        let clock = Clock::start();
+        let first_serial = serial_at_start(started_ms);
+        let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
         Self {
             protocol,
-            http: HttpClient::with_idle_timeout(CONTROL_IDLE_TIMEOUT),
+            http,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
             metrics: Metrics::default(),
@@ -131,12 +138,13 @@
             plan_changes: watch::Sender::new(0),
             turn_changes: watch::Sender::new(0),
             origin_datagrams: OriginDatagrams::default(),
+            permits: Arc::new(permits),
             in_flight: AtomicUsize::new(0),
-            clock: Clock::start(),
+            clock,
             shutdown: watch::Sender::new(None),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
-            use_serial: AtomicU64::new(serial_at_start(started_ms)),
+            use_serial: AtomicU64::new(first_serial),
             replicas: Mutex::default(),
             versions: Mutex::default(),
             peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -19,6 +19,7 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::permits;
 use super::replica_call::REPLICA_CALL_TIMEOUT;
 use super::replica_call::call_replica;
 use crate::decide::traffic::EngineSpec;
@@ -143,6 +144,7 @@
     record(&LogEvent::Paused { pause_ms: pause.as_millis() });
     let now = node.now();
     node.peers().on_pause(now);
+    node.permits.on_pause(now);
     for owned in node.owned().values_mut() {
         owned.lease.on_uncertain();
     }
@@ -243,6 +245,9 @@
     if order.is_none() && !(needs_report && now >= owned.next_report) {
         return;
     }
+    if !permits::allows_control_call(node, replica) {
+        return;
+    }
     owned.has_pending_call = true;
     drop(all);
     let (node, replica) = (Arc::clone(node), replica.clone());
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -11,6 +11,7 @@
 use hyper::StatusCode;
 use hyper::http::request;
 
+use crate::decide::send_limits::NamedLimits;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::HeldModel;
 use crate::decide::traffic::Order;
@@ -64,7 +65,7 @@
 }
 
 /// What the relay reads from the head of a replica's response.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that it belongs to.
     pub id: Option<String>,
@@ -80,6 +81,8 @@
     pub is_leaving: bool,
     /// Time for which it wants no further requests.
     pub retry_after: RetryAfter,
+    /// Limits that it names for all instances together.
+    pub limits: NamedLimits,
 }
 
 /// A replica's report of its own state.
--- a/src/relay/replica_call.rs
+++ b/src/relay/replica_call.rs
@@ -33,10 +33,11 @@
         headers: call.headers,
         body: call.body,
     };
+    let sent_at = node.now();
     match node.http.send(http_call, REPLICA_CALL_TIMEOUT).await {
         Ok(reply) => {
             let head = node.protocol.decode_response_head(reply.status, reply.headers());
-            replica_signals::on_response(node, replica, started_ms, &head);
+            replica_signals::on_response(node, replica, started_ms, sent_at, &head);
             Some(reply)
         }
         Err(failure) => {
--- a/src/relay/replica_request_guard.rs
+++ b/src/relay/replica_request_guard.rs
@@ -8,6 +8,7 @@
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Workload;
 use crate::names::BackendName;
+use crate::send_permits::SendPermit;
 
 /// A request in progress at a replica, counted until this guard is dropped.
 pub struct ReplicaRequestGuard {
@@ -17,17 +18,19 @@
     key: Option<AdapterKey>,
     has_response: bool,
     turn: Option<PromptTurn>,
+    permit: Option<SendPermit>,
 }
 
 impl ReplicaRequestGuard {
     /// Counts a request that is sent now; `turn`, that of a long prompt, ends when the prompt has
-    /// been read.
+    /// been read, and `permit`, if the replica names a limit, when the request has ended.
     pub fn start(
         node: &Arc<Node>,
         replica: &BackendName,
         workload: Workload,
         key: Option<AdapterKey>,
         turn: Option<PromptTurn>,
+        permit: Option<SendPermit>,
     ) -> Self {
         let now = node.now();
         let uses = node
@@ -44,6 +47,14 @@
             key,
             has_response: false,
             turn,
+            permit,
+        }
+    }
+
+    /// Notes that the replica has turned the request away.
+    pub fn on_rejected(&mut self) {
+        if let Some(permit) = &mut self.permit {
+            permit.on_rejected();
         }
     }
 
--- a/src/relay/replica_search.rs
+++ b/src/relay/replica_search.rs
@@ -1,5 +1,6 @@
 //! Finds a replica for the next attempt of a request: waits for one that is usable, for the end of
-//! a pause, for its adapter to be loaded, and for the turn of a long prompt.
+//! a pause, for its adapter to be loaded, for a permit if the replica names a limit, and for the
+//! turn of a long prompt.
 //!
 //! A stream whose software version no replica runs any more is refused at once, with the time that
 //! its caller has left: nothing that the caller could wait for is to be expected.
@@ -15,6 +16,7 @@
 use super::loads::LoadOutcome;
 use super::log_event::LogEvent;
 use super::log_event::record;
+use super::permits;
 use super::prompt_quarantine;
 use super::prompt_quarantine::QuarantineCheck;
 use super::response::LocalResponse;
@@ -23,6 +25,7 @@
 use crate::decide::traffic::ReplicaChoice;
 use crate::decide::traffic::WaitBudget;
 use crate::names::BackendName;
+use crate::send_permits::SendPermit;
 
 /// Shortest wait for an adapter that is logged.
 const MIN_LOGGED_WAIT: Duration = Duration::from_millis(10);
@@ -35,6 +38,8 @@
     pub adapter_use: Option<AdapterUse>,
     /// Turn of a long prompt; `None` if it needs none.
     pub turn: Option<PromptTurn>,
+    /// Permit to send to it; `None` if it names no limit.
+    pub permit: Option<SendPermit>,
 }
 
 /// The search for replicas of one request; its waits add up over all its attempts.
@@ -70,7 +75,8 @@
                         let ForwardedRequest { node, head, .. } = self.request;
                         loads::load_extra_copy(node, &head.needs, target);
                     }
-                    return self.prepare(replica).await;
+                    let Some(permit) = self.acquire_permit(&replica).await else { continue };
+                    return self.prepare(replica, permit).await;
                 }
             }
         }
@@ -91,14 +97,33 @@
         )
     }
 
+    /// Gets the permit that a replica with a limit needs, which may be none; `None` if it gets nothing
+    /// for a while.
+    async fn acquire_permit(&self, replica: &BackendName) -> Option<Option<SendPermit>> {
+        let ForwardedRequest { node, head, .. } = self.request;
+        match permits::acquire(node, replica, self.request.time_until_deadline()).await {
+            Ok(permit) => Some(permit),
+            Err(wait) => {
+                let (id, replica) = (head.id.as_str(), replica.as_str());
+                let retry_in_ms = wait.as_millis();
+                record(&LogEvent::PermitDenied { id, replica, retry_in_ms });
+                None
+            }
+        }
+    }
+
     /// Waits for the turn of a long prompt, and checks again whether the request may be sent.
-    async fn prepare(&self, replica: BackendName) -> Result<FoundReplica, LocalResponse> {
+    async fn prepare(
+        &self,
+        replica: BackendName,
+        permit: Option<SendPermit>,
+    ) -> Result<FoundReplica, LocalResponse> {
         let ForwardedRequest { node, head, .. } = self.request;
         let key = head.needs.key.as_ref();
         let adapter_use = key.map(|key| AdapterUse::new(node, &replica, key));
         let turn = turns::acquire(node, &replica, &head.needs).await;
         self.check_quarantine()?;
-        Ok(FoundReplica { replica, adapter_use, turn })
+        Ok(FoundReplica { replica, adapter_use, turn, permit })
     }
 
     /// Refuses the request if a part of its prompt is quarantined.
--- a/src/relay/replica_signals.rs
+++ b/src/relay/replica_signals.rs
@@ -1,15 +1,24 @@
-//! What a replica says about itself in any of its answers: that it is leaving, and that it wants a
-//! pause.
+//! What a replica says about itself in any of its answers: that it is leaving, that it wants a
+//! pause, and which limits it names for all instances together.
 
 use super::ResponseHead;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use crate::decide::send_limits::NamedLimits;
 use crate::decide::traffic::RetryAfter;
 use crate::names::BackendName;
+use crate::names::Timestamp;
 
-/// Applies the signals in an answer of the replica that was started at `started_ms`.
-pub fn on_response(node: &Node, replica: &BackendName, started_ms: u64, head: &ResponseHead) {
+/// Applies the signals in an answer of the replica that was started at `started_ms`, to a request
+/// that was sent at `sent_at`.
+pub fn on_response(
+    node: &Node,
+    replica: &BackendName,
+    started_ms: u64,
+    sent_at: Timestamp,
+    head: &ResponseHead,
+) {
     if head.replica.as_ref().is_some_and(|responding| responding != replica) {
         return;
     }
@@ -20,6 +29,7 @@
         node.exchange_wake.notify_one();
     }
     on_pause(node, replica, started_ms, head.retry_after);
+    on_limits(node, replica, started_ms, sent_at, head.limits);
 }
 
 fn on_pause(node: &Node, replica: &BackendName, started_ms: u64, wanted: RetryAfter) {
@@ -42,3 +52,29 @@
         record(&LogEvent::ReplicaPaused { replica, pause_ms });
     }
 }
+
+fn on_limits(
+    node: &Node,
+    replica: &BackendName,
+    started_ms: u64,
+    sent_at: Timestamp,
+    named: NamedLimits,
+) {
+    let now = node.now();
+    let mut replicas = node.replicas();
+    let known = replicas.get_mut(replica).filter(|known| known.entry.started_ms == started_ms);
+    let Some(known) = known else { return };
+    if known.limits.on_response(now, sent_at, named) {
+        replicas.on_limits_of_sibling(now, replica, named);
+        drop(replicas);
+        record_limits(replica, named, node.settings.instance.as_str());
+        node.exchange_wake.notify_one();
+    }
+}
+
+/// Logs a change of a replica's limits, of which the instance `by` heard.
+pub fn record_limits(replica: &BackendName, named: NamedLimits, by: &str) {
+    let NamedLimits { rate, max_rejections } = named;
+    let replica = replica.as_str();
+    record(&LogEvent::ReplicaLimits { replica, rate, max_rejections, by });
+}
--- /dev/null
+++ b/src/send_permits/counting_instance.rs
@@ -0,0 +1,16 @@
+//! Which instance counts the sends to a replica.
+
+use std::net::SocketAddr;
+
+use crate::names::InstanceName;
+
+/// The instance that counts the sends to a replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CountingInstance {
+    /// This one.
+    Own,
+    /// Another one, at this address.
+    Peer(InstanceName, SocketAddr),
+    /// None that is known.
+    Unknown,
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,7 +1,7 @@
 //! Messages between processes.
 //!
 //! Entry instances send each other MessagePack, encoded by `rmp-serde` (see
-//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`] and [`stream_origin`]. Messages to
+//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`], [`send_permit`] and [`stream_origin`]. Messages to
 //! and from callers, backend servers, the platform and operators are JSON. Serde's
 //! derives generate the codecs, so the build needs no other code generator.
 
@@ -15,6 +15,7 @@
 pub mod peer;
 pub mod published;
 pub mod relay;
+pub mod send_permit;
 pub mod sse;
 pub mod stream_origin;
 mod version_choice;
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::send_limits::LimitNews;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::CrashEvidence;
 use crate::decide::traffic::HeldModel;
@@ -81,7 +82,7 @@
 }
 
 /// Periodic exchange of state between two instances; the reply is an `Exchange` too.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Exchange {
     /// Instances that the sender knows.
     pub peers: PeerGossip,
@@ -110,6 +111,9 @@
     /// Suspected prompt parts that didn't crash a replica.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sound_parts: Vec<SoundPart>,
+    /// Limits that replicas began or ceased to name lately.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<LimitNews>,
 }
 
 /// Asks the owner of a replica to load an adapter or a base model.
--- a/tests/traffic/prompt_evidence.rs
+++ b/tests/traffic/prompt_evidence.rs
@@ -139,6 +139,7 @@
         leaving: Vec::new(),
         crash_evidence: Vec::new(),
         sound_parts: Vec::new(),
+        limits: Vec::new(),
     };
     let bytes = encode(&idle).unwrap();
     for field in ["strike_ages_ms", "crash_evidence", "sound_parts"] {
