--- a/src/decide/traffic/owner_election.rs
+++ b/src/decide/traffic/owner_election.rs
@@ -5,11 +5,14 @@
 
 use std::collections::HashMap;
 
+use super::PeerRecord;
 use crate::decide::rendezvous;
 use crate::names::InstanceName;
 
 /// Most replicas whose owners are kept.
 const CAPACITY: usize = 16_384;
+/// Time between starts, in ms, below which instances have started together.
+const SAME_START_MS: u64 = 2000;
 
 /// Candidates, and the owners that follow from them.
 #[derive(Clone, Debug, Default)]
@@ -45,3 +48,20 @@
         Some(owner)
     }
 }
+
+/// Names of the instances that may own replicas, sorted: none that shuts down, that has just started
+/// while settled ones are there, or that is cut off from replicas while others aren't.
+pub fn candidates<'a>(all: impl Iterator<Item = &'a PeerRecord>) -> Vec<InstanceName> {
+    let all: Vec<&PeerRecord> = all.filter(|record| !record.draining).collect();
+    let settled = all.iter().filter(|record| record.settled);
+    let oldest = settled.map(|record| record.started_ms).min();
+    let may_own = all.into_iter().filter(|record| {
+        record.settled || oldest.is_none_or(|at| record.started_ms < at + SAME_START_MS)
+    });
+    let may_own: Vec<&PeerRecord> = may_own.collect();
+    let has_links = may_own.iter().any(|record| !record.gives_no_orders);
+    let chosen = may_own.iter().filter(|record| !(has_links && record.gives_no_orders));
+    let mut names: Vec<InstanceName> = chosen.map(|record| record.name.clone()).collect();
+    names.sort_unstable();
+    names
+}
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -18,7 +18,10 @@
 use super::PeerRecord;
 use super::Receiver;
 use super::StreamKey;
+use super::gossip_targets;
+use super::known_peer::KnownPeer;
 use super::live_beats::LiveBeats;
+use super::owner_election;
 use super::owner_election::OwnerElection;
 use super::peer_gossip::Beats;
 use super::peer_gossip::advance_heartbeat;
@@ -28,25 +31,10 @@
 use crate::names::ServiceName;
 use crate::names::Timestamp;
 
-/// Time without a new heartbeat after which an instance no longer counts as live.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2000);
-/// Time without a new heartbeat for which an instance still counts as part of the fleet.
-const RECENT_TIME: Duration = Duration::from_secs(10);
-/// Time without a new heartbeat after which an instance is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(30);
-/// Time for which a changed record is sent whole.
-const SEND_WHOLE_TIME: Duration = Duration::from_millis(1500);
 /// Number of instances that read the published state for all.
 const READER_COUNT: usize = 5;
 /// Key under which instances are ranked as readers.
 const READER_KEY: &str = "reader";
-/// Live instances that are called in one round of gossip.
-const FANOUT: usize = 3;
-/// Of these, in a large fleet, those in other data centres.
-const REMOTE_FANOUT: usize = 1;
-/// Calls of all instances of a data centre to others in one round from which on each instance makes
-/// one in some rounds only.
-const REMOTE_CALLS_PER_ROUND: usize = 40;
 /// Live instances up to which a fleet is small: each hears of every other one in most rounds, so
 /// data centres don't matter, and an instance can tell all others what it does.
 const SMALL_FLEET: usize = 16;
@@ -61,21 +49,10 @@
 /// Instances that are asked where a stream began: one more, as the one that began it isn't in its
 /// own ranking.
 pub const ORIGIN_LOOKUPS: usize = 4;
-/// Time between starts, in ms, below which instances have started together.
-const SAME_START_MS: u64 = 2000;
 /// Least share of the recent fleet, itself included, that must be live for an instance to give
 /// orders.
 const MIN_LIVE_SHARE: f64 = 0.25;
 
-#[derive(Clone, Debug)]
-struct KnownPeer {
-    record: PeerRecord,
-    tag: u32,
-    last_heard: Timestamp,
-    /// When something other than the heartbeat changed.
-    last_changed: Timestamp,
-}
-
 /// The instances that one instance knows.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -134,8 +111,7 @@
         self.candidates_checked_at = None;
     }
 
-    /// Tells the others from which services this instance is cut off, and whether these are model
-    /// engines, so that it can't give orders.
+    /// Tells the others which services this instance doesn't reach, and whether it gives orders.
     pub fn set_cut_from(&mut self, cut_from: Vec<ServiceName>, gives_no_orders: bool) {
         self.me.cut_from = cut_from;
         self.me.gives_no_orders = gives_no_orders;
@@ -145,7 +121,7 @@
 
     /// Live instances that may reach the replicas of a service.
     pub fn that_reach(&self, now: Timestamp, service: &ServiceName) -> Vec<PassOnCandidate> {
-        let reaches = |record: &&PeerRecord| !record.draining && !record.cut_from.contains(service);
+        let reaches = |peer: &&PeerRecord| !peer.draining && !peer.cut_from.contains(service);
         let candidate = |record: &PeerRecord| PassOnCandidate {
             name: record.name.clone(),
             addr: record.addr,
@@ -161,7 +137,7 @@
             self.last_heartbeat = Some(now);
         }
         self.round += 1;
-        self.known.retain(|_, known| now.since(known.last_heard) < FORGET_AFTER);
+        self.known.retain(|_, known| !known.is_forgotten(now));
         self.tags.retain(|_, name| self.known.contains_key(name));
         let mut targets = self.live_targets(now);
         targets.extend(self.offline_target(now));
@@ -207,11 +183,9 @@
     /// The message to another instance, in the form that it reads; with the whole records of all
     /// live instances if it needs them, otherwise of those that changed lately.
     pub fn gossip(&mut self, now: Timestamp, to: &Receiver) -> PeerGossip {
-        let live =
-            self.known.values().filter(|known| now.since(known.last_heard) < LIVENESS_TIMEOUT);
-        let mut full: Vec<&KnownPeer> = live
-            .filter(|known| to.needs_all_records || now.since(known.last_changed) < SEND_WHOLE_TIME)
-            .collect();
+        let live = self.known.values().filter(|known| known.is_live(now));
+        let mut full: Vec<&KnownPeer> =
+            live.filter(|known| to.needs_all_records || known.has_changed_lately(now)).collect();
         if !to.needs_all_records && full.len() > MAX_CHANGED_RECORDS {
             full.sort_by_key(|known| std::cmp::Reverse(known.last_changed));
             full.truncate(MAX_CHANGED_RECORDS);
@@ -242,7 +216,7 @@
         if !self.live_beats.are_outdated(now) {
             return;
         }
-        let live = self.known.values().filter(|known| is_live(now, known));
+        let live = self.known.values().filter(|known| known.is_live(now));
         let mut beats: Vec<(u32, u64)> =
             live.map(|known| (known.tag, known.record.heartbeat)).collect();
         beats.push((self.me.tag(), self.me.heartbeat));
@@ -289,18 +263,17 @@
 
     /// Address of an instance; `None` unless it is live.
     pub fn addr_of(&self, now: Timestamp, name: &InstanceName) -> Option<SocketAddr> {
-        self.known.get(name).filter(|known| is_live(now, known)).map(|known| known.record.addr)
+        self.known.get(name).filter(|known| known.is_live(now)).map(|known| known.record.addr)
     }
 
     /// Whether another instance is live, by its heartbeat.
     pub fn is_live(&self, now: Timestamp, name: &InstanceName) -> bool {
-        self.known.get(name).is_some_and(|known| is_live(now, known))
+        self.known.get(name).is_some_and(|known| known.is_live(now))
     }
 
     /// Records of the live instances besides this one.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
-        let live = self.known.values().filter(move |known| is_live(now, known));
-        live.map(|known| &known.record)
+        self.known.values().filter(move |known| known.is_live(now)).map(|known| &known.record)
     }
 
     /// Addresses of the `count` live instances that rank first for a stream, which remember where
@@ -314,7 +287,7 @@
 
     /// Number of instances that were part of the fleet lately, this one included.
     pub fn recent_count(&self, now: Timestamp) -> usize {
-        1 + self.known.values().filter(|known| now.since(known.last_heard) < RECENT_TIME).count()
+        1 + self.known.values().filter(|known| known.is_recent(now)).count()
     }
 
     /// Number of instances that aren't forgotten yet, this one included.
@@ -338,18 +311,7 @@
 
     /// Instances that may own replicas, sorted by name.
     fn owner_candidates(&self, now: Timestamp) -> Vec<InstanceName> {
-        let all = || self.live(now).chain([&self.me]).filter(|record| !record.draining);
-        let settled = all().filter(|record| record.settled);
-        let oldest = settled.map(|record| record.started_ms).min();
-        let may_own = all().filter(|record| {
-            record.settled || oldest.is_none_or(|at| record.started_ms < at + SAME_START_MS)
-        });
-        let may_own: Vec<&PeerRecord> = may_own.collect();
-        let has_links = may_own.iter().any(|record| !record.gives_no_orders);
-        let chosen = may_own.iter().filter(|record| !(has_links && record.gives_no_orders));
-        let mut names: Vec<InstanceName> = chosen.map(|record| record.name.clone()).collect();
-        names.sort_unstable();
-        names
+        owner_election::candidates(self.live(now).chain([&self.me]))
     }
 
     /// Whether this instance is one of the few readers of the published state.
@@ -415,29 +377,10 @@
         true
     }
 
-    /// Live instances to call in this round: in a small fleet any, in a large one mostly those of
-    /// the same data centre.
+    /// Live instances to call in this round.
     fn live_targets(&self, now: Timestamp) -> Vec<SocketAddr> {
-        let mut live: Vec<&PeerRecord> = self.live(now).collect();
-        let ranking = rendezvous::Ranking::new(&format!("{} {}", self.round, self.me.name));
-        live.sort_by_cached_key(|record| ranking.score(record.name.as_str()));
-        if live.len() < SMALL_FLEET || self.me.data_centre.is_none() {
-            return live.iter().take(FANOUT).map(|record| record.addr).collect();
-        }
-        let (near, far): (Vec<&PeerRecord>, Vec<&PeerRecord>) =
-            live.into_iter().partition(|record| record.data_centre == self.me.data_centre);
-        let near_count = (FANOUT - REMOTE_FANOUT).min(near.len());
-        let calls_far = self.calls_other_data_centres(&ranking, near.len() + 1);
-        let far_count = FANOUT - near_count - usize::from(!calls_far) * REMOTE_FANOUT;
-        let chosen = near.iter().take(near_count).chain(far.iter().take(far_count));
-        chosen.map(|record| record.addr).collect()
-    }
-
-    /// Whether this instance calls another data centre in this round: with many instances in its
-    /// own, only some do.
-    fn calls_other_data_centres(&self, ranking: &rendezvous::Ranking, own_count: usize) -> bool {
-        let draw = ranking.score("far") as usize % own_count.max(1);
-        draw < REMOTE_CALLS_PER_ROUND
+        let is_small = self.is_small_fleet(now);
+        gossip_targets::of_round(self.round, &self.me, self.live(now).collect(), is_small)
     }
 
     /// A seed or known instance that isn't live, in turn.
@@ -455,7 +398,3 @@
         if all.is_empty() { None } else { Some(all[turn % all.len()]) }
     }
 }
-
-fn is_live(now: Timestamp, known: &KnownPeer) -> bool {
-    now.since(known.last_heard) < LIVENESS_TIMEOUT
-}
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -15,6 +15,9 @@
 use super::ReplicaPause;
 use super::ReplicaState;
 use super::Workload;
+use super::held_version::HELD_TTL;
+use super::held_version::HeldVersion;
+use super::held_version::believed_held;
 use super::is_hot;
 use crate::decide::send_limits::LimitKnowledge;
 use crate::names::InstanceName;
@@ -23,8 +26,6 @@
 
 /// Time for which an update of the replica's owner overrides published entries.
 const OWNER_UPDATE_TTL: Duration = Duration::from_secs(4);
-/// Time for which a replica is taken to hold an adapter without a newer confirmation.
-const HELD_TTL: Duration = Duration::from_millis(1500);
 /// The same for a replica that is busy with the adapter, so that others are considered soon.
 const BUSY_HELD_TTL: Duration = Duration::from_millis(50);
 /// Time for which a replica counts as not holding an adapter or model after it refused a request
@@ -52,14 +53,6 @@
 /// Half-life of the failure score.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Version of an adapter or model that the replica holds, by the last update or response.
-#[derive(Clone, Copy, Debug)]
-struct HeldVersion {
-    version: u64,
-    confirmed_at: Timestamp,
-    valid_for: Duration,
-}
-
 /// Work that another instance has in progress at the replica.
 #[derive(Clone, Debug)]
 struct PeerWork {
@@ -398,16 +391,3 @@
         now.since(since) >= UNRESPONSIVE_AFTER + UNRESPONSIVE_PER_TOKEN * unread
     }
 }
-
-fn believed_held(now: Timestamp, models: &[HeldModel]) -> HashMap<AdapterKey, HeldVersion> {
-    let mut held = HashMap::new();
-    for model in models {
-        let of = |version| HeldVersion { version, confirmed_at: now, valid_for: HELD_TTL };
-        held.insert(AdapterKey::base(model.name.clone()), of(model.version));
-        for (adapter, version) in &model.adapters {
-            let key = AdapterKey::adapter(model.name.clone(), adapter.clone());
-            held.insert(key, of(*version));
-        }
-    }
-    held
-}
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -9,16 +9,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use hyper::header;
 use hyper::http::response;
 use tokio::time::timeout;
 
-use super::AttemptHeaderValues;
 use super::ResponseHead;
 use super::attempt_failure::AttemptFailure;
 use super::connection_pool::Connection;
@@ -32,6 +28,7 @@
 use super::pass_on::Passing;
 use super::prompt_quarantine;
 use super::reach;
+use super::replica_request;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::replica_signals;
 use super::response::LocalResponse;
@@ -286,7 +283,7 @@
     mut connection: Connection,
     resume_after: Option<&str>,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
-    let req = build_request(request, replica, resume_after);
+    let req = replica_request::build(request, replica, resume_after);
     match connection.sender.try_send_request(req).await {
         Ok(response) => Ok((connection, response)),
         Err(mut failed) => {
@@ -303,31 +300,6 @@
     }
 }
 
-fn build_request(
-    request: &ForwardedRequest,
-    replica: &BackendName,
-    resume_after: Option<&str>,
-) -> Request<Full<Bytes>> {
-    let needs = &request.head.needs;
-    let version = needs.key.as_ref().and_then(|key| request.required_version(replica, key));
-    let values = AttemptHeaderValues {
-        replica,
-        time_left: request.time_left(),
-        priority: needs.key.is_some().then_some(request.route.priority),
-        resume_after,
-        version,
-    };
-    let mut req = Request::new(Full::new(request.body.clone()));
-    *req.method_mut() = request.parts.method.clone();
-    *req.uri_mut() = request.path.clone();
-    *req.headers_mut() = request.node.protocol.attempt_headers(&request.headers, &values);
-    let has_body = !request.body.is_empty() || request.has_length;
-    if has_body {
-        req.headers_mut().insert(header::CONTENT_LENGTH, request.body.len().into());
-    }
-    req
-}
-
 /// How the attempt ended, if the response proves that the replica didn't run the request.
 fn proven_not_run(
     request: &ForwardedRequest,
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -370,15 +370,6 @@
         /// The replica.
         replica: &'a str,
     },
-    /// The store of the published state was restored from a copy; it is listed anew.
-    StoreRestored {
-        /// Part of the published state.
-        topic: &'a str,
-        /// Era before.
-        before: u64,
-        /// Era now.
-        era: u64,
-    },
     /// A published item can't be decoded and is skipped, or a value can't be encoded.
     Undecodable {
         /// Key or name of it.
@@ -386,36 +377,6 @@
         /// The error.
         detail: &'a str,
     },
-    /// A part of the published state can't be read any more.
-    PublishedLost {
-        /// Part of the published state.
-        topic: &'a str,
-        /// The error.
-        detail: &'a str,
-    },
-    /// A part of the published state can be read again.
-    PublishedRegained {
-        /// Part of the published state.
-        topic: &'a str,
-    },
-    /// The changes after a revision are no longer kept; everything is listed anew.
-    HistoryLost {
-        /// Part of the published state.
-        topic: &'a str,
-        /// That revision.
-        after: u64,
-    },
-    /// Changes of a part of the published state were taken from another instance.
-    TakenFromPeer {
-        /// Part of the published state.
-        topic: &'a str,
-        /// Revision up to which they are complete.
-        as_of: u64,
-        /// Whether these are all items instead of changes.
-        whole: bool,
-        /// Number of changes.
-        count: usize,
-    },
 }
 
 #[derive(Serialize)]
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -20,6 +20,7 @@
 use super::node::Node;
 use super::store_call;
 use super::store_call::StoreResponse;
+use super::store_event::StoreEvent;
 use crate::decide::rendezvous;
 use crate::decide::traffic::EraCheck;
 use crate::decide::traffic::PublishedEvent;
@@ -104,7 +105,7 @@
         return;
     }
     let count = changes.events.len();
-    record(&LogEvent::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
+    record(&StoreEvent::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
     let is_restored = begin_era(node, topic, now, changes.era);
     let events = if changes.whole {
         let items = changes.events.into_iter().filter_map(written_item);
@@ -145,7 +146,7 @@
     let is_restored = view.begin_era(now, era);
     drop(view);
     if is_restored {
-        record(&LogEvent::StoreRestored { topic: topic.name(), before, era });
+        record(&StoreEvent::StoreRestored { topic: topic.name(), before, era });
     }
     is_restored
 }
@@ -179,7 +180,7 @@
     if let Ok(code) = hyper::StatusCode::from_u16(status)
         && node.protocol.is_history_lost(code)
     {
-        record(&LogEvent::HistoryLost { topic: topic.name(), after });
+        record(&StoreEvent::HistoryLost { topic: topic.name(), after });
         node.view(topic).on_history_lost();
         relist_delay(node, topic).await;
         return Ok(false);
@@ -321,7 +322,7 @@
 fn on_success(node: &Node, topic: PublishedTopic, now: Timestamp) {
     let mut view = node.view(topic);
     if view.last_failure > view.last_success {
-        record(&LogEvent::PublishedRegained { topic: topic.name() });
+        record(&StoreEvent::PublishedRegained { topic: topic.name() });
     }
     view.last_success = Some(now);
 }
@@ -329,7 +330,7 @@
 fn on_failure(node: &Node, topic: PublishedTopic, now: Timestamp, reason: &str) {
     let mut view = node.view(topic);
     if view.last_failure <= view.last_success {
-        record(&LogEvent::PublishedLost { topic: topic.name(), detail: reason });
+        record(&StoreEvent::PublishedLost { topic: topic.name(), detail: reason });
     }
     view.last_failure = Some(now);
 }
