Begin the concurrency limit anew when others may have counted, and pace its first permits

In the first two seconds no more permits than tolerated rejections are on their way within 40 ms.

Also: an instance's record no longer names a service as out of reach that has lost all its replicas meanwhile, and two terms are the field's now (concurrency limit, limit of rejections).

--- a/src/decide/send_limits/limit_knowledge.rs
+++ b/src/decide/send_limits/limit_knowledge.rs
@@ -56,8 +56,8 @@
         self.apply(now, heard_at, named)
     }
 
-    /// Applies what another replica of its service named: that its replicas are brittle holds for all of
-    /// them, and this one hasn't answered yet.
+    /// Applies what another replica of its service named: a limit of rejections holds for all of
+    /// them, also for this one, which hasn't answered yet.
     pub fn on_sibling(&mut self, now: Timestamp, named: NamedLimits) {
         if self.heard_at.is_none() && named.max_rejections.is_some() {
             self.apply(now, now, NamedLimits { rate: None, ..named });
--- a/src/decide/send_limits/mod.rs
+++ b/src/decide/send_limits/mod.rs
@@ -8,24 +8,24 @@
 //! the replica get more, and permits only the part of a limit that corresponds to the part of the fleet
 //! which its instance sees. An instance that can't reach it has a small share of a rate by itself.
 
+mod concurrency_limit;
 mod fleet_view;
 mod limit_knowledge;
 mod limit_news;
 mod named_limits;
 mod permit_ask;
 mod permit_id;
-mod room;
 mod send_counter;
 mod send_rate;
 mod verdict;
 
+pub use concurrency_limit::ConcurrencyLimit;
 pub use fleet_view::FleetView;
 pub use limit_knowledge::LimitKnowledge;
 pub use limit_news::LimitNews;
 pub use named_limits::NamedLimits;
 pub use permit_ask::PermitAsk;
 pub use permit_id::PermitId;
-pub use room::Room;
 pub use send_counter::SendCounter;
 pub use send_rate::SendRate;
 pub use verdict::Verdict;
--- a/src/decide/send_limits/send_counter.rs
+++ b/src/decide/send_limits/send_counter.rs
@@ -3,10 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::ConcurrencyLimit;
 use super::NamedLimits;
 use super::PermitAsk;
 use super::PermitId;
-use super::Room;
 use super::SendRate;
 use super::Verdict;
 use crate::names::InstanceName;
@@ -16,12 +16,15 @@
 const CONTROL_SHARE: f64 = 0.5;
 /// Time for which it counts what an instance said of its own requests that run.
 const STATED_TTL: Duration = Duration::from_secs(2);
+/// Time within which a rejection is heard of.
+const PROOF_TIME: Duration = Duration::from_millis(40);
 /// Shortest time until the next ask.
 const MIN_RETRY: Duration = Duration::from_millis(20);
 
 #[derive(Clone, Debug)]
 struct Permit {
     id: PermitId,
+    granted_at: Timestamp,
     expires: Timestamp,
 }
 
@@ -31,7 +34,7 @@
     started_ms: u64,
     rate: Option<SendRate>,
     control_rate: Option<SendRate>,
-    room: Option<Room>,
+    concurrency: Option<ConcurrencyLimit>,
     running: Vec<Permit>,
     /// Requests that run there by what their instances said last, whoever permitted them.
     stated: HashMap<InstanceName, (u32, Timestamp)>,
@@ -44,7 +47,7 @@
             started_ms,
             rate: None,
             control_rate: None,
-            room: None,
+            concurrency: None,
             running: Vec::new(),
             stated: HashMap::new(),
         }
@@ -59,22 +62,28 @@
     pub fn ask(&mut self, now: Timestamp, ask: &PermitAsk) -> Verdict {
         self.apply_limits(now, ask.limits, ask.slots);
         self.running.retain(|permit| now < permit.expires);
-        if self.room.is_some() {
+        if self.concurrency.is_some() {
             self.stated.insert(ask.id.user.clone(), (ask.running, now));
         }
         let running = self.running_requests(now);
-        let room_wait =
-            self.room.as_mut().map_or(Duration::ZERO, |room| room.wait(now, running, ask.slots));
+        let concurrency_wait = self
+            .concurrency
+            .as_mut()
+            .map_or(Duration::ZERO, |limit| limit.wait(now, running, ask.slots));
         let rate_wait = self.rate.as_mut().map_or(Duration::ZERO, |rate| rate.wait(now));
-        let wait = room_wait.max(rate_wait);
+        let wait = concurrency_wait.max(rate_wait).max(self.wait_for_proof(now));
         if !wait.is_zero() {
             return Verdict::Denied(wait.max(MIN_RETRY));
         }
         if let Some(rate) = &mut self.rate {
             rate.take();
         }
-        if self.room.is_some() {
-            self.running.push(Permit { id: ask.id.clone(), expires: now + ask.expires_in });
+        if self.concurrency.is_some() {
+            self.running.push(Permit {
+                id: ask.id.clone(),
+                granted_at: now,
+                expires: now + ask.expires_in,
+            });
         }
         Verdict::Granted
     }
@@ -102,8 +111,8 @@
             *stated = stated.saturating_sub(1);
         }
         let running = self.running_requests(now);
-        if let Some(room) = self.room.as_mut().filter(|_| was_rejected) {
-            room.on_rejected(now, running);
+        if let Some(limit) = self.concurrency.as_mut().filter(|_| was_rejected) {
+            limit.on_rejected(now, running);
         }
     }
 
@@ -118,18 +127,29 @@
         for rate in [&mut self.rate, &mut self.control_rate].into_iter().flatten() {
             rate.drain(now);
         }
+        if let Some(limit) = &mut self.concurrency {
+            limit.restart(now, limit.slots());
+        }
     }
 
     fn apply_limits(&mut self, now: Timestamp, limits: NamedLimits, slots: u32) {
         set_rate(now, &mut self.rate, limits.rate);
         set_rate(now, &mut self.control_rate, limits.rate.map(|rate| rate * CONTROL_SHARE));
-        match (&mut self.room, limits.max_rejections) {
-            (Some(room), Some(max)) => room.set_max_rejections(max),
-            (None, Some(max)) => self.room = Some(Room::new(now, slots, max)),
-            (_, None) => self.room = None,
+        match (&mut self.concurrency, limits.max_rejections) {
+            (Some(limit), Some(max)) => limit.set_max_rejections(max),
+            (None, Some(max)) => self.concurrency = Some(ConcurrencyLimit::new(now, slots, max)),
+            (_, None) => self.concurrency = None,
         }
     }
 
+    /// Time to wait while as many requests are on their way as may be rejected; zero if fewer are.
+    fn wait_for_proof(&self, now: Timestamp) -> Duration {
+        let max = self.concurrency.as_ref().and_then(|limit| limit.max_unproven(now));
+        let is_new = |permit: &&Permit| now.since(permit.granted_at) < PROOF_TIME;
+        let unproven = self.running.iter().filter(is_new).count();
+        if max.is_some_and(|max| unproven >= max) { MIN_RETRY } else { Duration::ZERO }
+    }
+
     /// Requests under way, by permits and by what instances said: another instance may have counted
     /// for some of them.
     fn running_requests(&mut self, now: Timestamp) -> u32 {
--- a/src/relay/reach.rs
+++ b/src/relay/reach.rs
@@ -21,7 +21,7 @@
     let Some(service) = node.replicas().on_connected(replica) else { return };
     let (service, replica) = (service.as_str(), replica.as_str());
     record(&FleetEvent::LinksRegained { service, replica });
-    tell_peers(node);
+    update_record(node);
 }
 
 /// Records that no connection to a replica could be made.
@@ -31,7 +31,7 @@
     let others = node.peers().that_reach(now, &service).len();
     let (service, replica) = (service.as_str(), replica.as_str());
     record(&FleetEvent::LinksLost { service, replica, others });
-    tell_peers(node);
+    update_record(node);
 }
 
 /// Tries connections to replicas after failures and while a service is out of reach, until the
@@ -41,6 +41,7 @@
         sleep(CHECK_INTERVAL).await;
         let now = node.now();
         let due = node.replicas().to_try(now, TRIALS);
+        update_record(&node);
         for (replica, addr) in due {
             let node = Arc::clone(&node);
             tokio::spawn(async move {
@@ -56,8 +57,13 @@
     }
 }
 
-fn tell_peers(node: &Node) {
+/// Puts the services that are out of reach into this instance's record, if these have changed; one may
+/// also have gone.
+fn update_record(node: &Node) {
     let cut_from = node.replicas().services_out_of_reach();
+    if node.peers().me().cut_from == cut_from {
+        return;
+    }
     let config = node.current_config();
     let has_engine = |service| {
         let known = config.as_ref().and_then(|config| config.service_or_former(service));
--- a/src/send_permits/permits.rs
+++ b/src/send_permits/permits.rs
@@ -39,7 +39,7 @@
 /// Time for which an instance isn't asked again after an ask without a reply.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 
-/// Verdict on a send to a brittle replica while the counting instance doesn't answer.
+/// Verdict on a send to a replica that limits rejections while the counting instance doesn't answer.
 const UNCOUNTED: Verdict = Verdict::Denied(Duration::from_millis(250));
 
 type Counters = HashMap<BackendName, SendCounter>;
@@ -93,7 +93,7 @@
                         self.drain_own_share(&target.limits.replica);
                         (verdict, Grantor::Peer(*addr))
                     }
-                    None if target.is_brittle() => (UNCOUNTED, Grantor::OwnShare),
+                    None if target.limits_rejections() => (UNCOUNTED, Grantor::OwnShare),
                     None => (self.ask_own_share(&id, target), Grantor::OwnShare),
                 }
             }
--- a/src/send_permits/send_target.rs
+++ b/src/send_permits/send_target.rs
@@ -34,8 +34,8 @@
         }
     }
 
-    /// Whether the replica is brittle, so that nothing may be sent beside what is counted.
-    pub fn is_brittle(&self) -> bool {
+    /// Whether the replica fails after too many rejections, so that nothing may be sent uncounted.
+    pub fn limits_rejections(&self) -> bool {
         self.limits.limits.max_rejections.is_some()
     }
 }
