--- a/src/decide/reach/pass_on_peers.rs
+++ b/src/decide/reach/pass_on_peers.rs
@@ -1,7 +1,7 @@
 //! Choice of the instance that sends a request instead of this one, which is cut off.
 //!
-//! The one with the fewest of this instance's requests in progress is chosen, so that their load is
-//! spread over all that reach the replicas; those in the same data centre get a few more.
+//! It is the one with the fewest of this instance's requests in progress, so that their load is spread
+//! over all that reach the replicas; those in the same data centre get a few more.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,8 +8,7 @@
 //! 2. [`decide`]: every decision as a state machine without I/O;
 //! 3. [`wire`]: the messages between processes;
 //! 4. [`edge`]: clients of engines, desks, the platform and peers;
-//! 5. [`send_permits`]: what several instances count together;
-//! 6. [`daemon`] and [`relay`]: shards of state that carry events in and actions out.
+//! 5. [`daemon`], and [`relay`] with [`send_permits`]: shards of state that carry events in and actions out.
 
 pub mod auth;
 pub mod cli;
