Client accounts: design note and the types that its parts share

Change: docs/design/client-accounts.md with requirements, interfaces and failure modes; accounts, quotas, trust in the configuration and the messages of a loan as types. Nothing uses them yet, so nothing is measured.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,10 +5,12 @@
 //! tests and experiments drive these types directly; [`crate::daemon`] drives
 //! them from the network.
 
+pub mod accounts;
 pub mod admission;
 pub mod audit;
 pub mod backends;
 pub mod config;
+pub mod config_freshness;
 pub mod convergence;
 pub mod demand;
 pub mod dispatch_failure;
@@ -20,6 +22,7 @@
 pub mod ownership;
 pub mod permits;
 pub mod quarantine;
+pub mod quotas;
 pub mod reach;
 pub mod rendezvous;
 pub mod replay_window;
--- /dev/null
+++ b/src/decide/quotas/mod.rs
@@ -0,0 +1,13 @@
+//! Quotas of client accounts, counted over all instances.
+//!
+//! One instance counts an account. The others borrow from it what their callers use.
+
+mod charge_step;
+mod loan_ask;
+mod loan_reply;
+mod quota_group;
+
+pub use charge_step::ChargeStep;
+pub use loan_ask::LoanAsk;
+pub use loan_reply::LoanReply;
+pub use quota_group::QuotaGroup;
--- a/src/names/mod.rs
+++ b/src/names/mod.rs
@@ -18,6 +18,7 @@
 pub use generation::Generation;
 pub use incarnation::Incarnation;
 pub use request_id::RequestId;
+pub use shared_name::AccountName;
 pub use shared_name::AdapterName;
 pub use shared_name::BackendName;
 pub use shared_name::CallerName;
--- a/src/names/shared_name.rs
+++ b/src/names/shared_name.rs
@@ -46,6 +46,10 @@
     };
 }
 
+shared_name!(
+    /// Name of a client account.
+    AccountName
+);
 shared_name!(
     /// Name of a LoRA adapter.
     AdapterName
