Authenticate callers by the accounts of the configuration

Requests of a deployment with client accounts need an API key. The key is checked before the body is read and again after it, since a body may arrive long after a key was revoked. Headers of attempts name the account instead of the key, and a request that is passed on to another instance carries its account. The accounts themselves are not decoded yet, so that no deployment has any; Node::config_trust is a placeholder until the freshness of the configuration is tracked.

In forward.rs a quota is to be charged after check_again, where the account and the cost (head.tokens) are known.

--- a/src/decide/accounts/mod.rs
+++ b/src/decide/accounts/mod.rs
@@ -3,9 +3,20 @@
 //! The published configuration names the accounts. A deployment without any is served without keys.
 
 mod account;
+mod account_error;
+mod accounts;
+mod authenticate;
 mod cost_unit;
+mod credential;
+mod key_digest;
 mod quota;
 
 pub use account::Account;
+pub use account_error::AccountError;
+pub use accounts::Accounts;
+pub use authenticate::AuthVerdict;
+pub use authenticate::authenticate;
 pub use cost_unit::CostUnit;
+pub use credential::Credential;
+pub use key_digest::KeyDigest;
 pub use quota::Quota;
--- a/src/decide/traffic/config.rs
+++ b/src/decide/traffic/config.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::Route;
+use crate::decide::accounts::Accounts;
 use crate::names::ModelName;
 use crate::names::ServiceName;
 
@@ -59,6 +60,8 @@
     pub max_body_bytes: usize,
     /// Time for which a caller's idle connection is kept open.
     pub idle_timeout: Duration,
+    /// Client accounts; `None` if the deployment has none, so that requests need no API key.
+    pub accounts: Option<Arc<Accounts>>,
     routes: HashMap<String, Vec<Arc<Route>>>,
     services: HashMap<ServiceName, Arc<Service>>,
     /// Services of earlier versions that this one doesn't have.
@@ -82,8 +85,21 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|s| (s.name.clone(), Arc::new(s))).collect();
-        let former_services = HashMap::new();
-        Self { version, max_body_bytes, idle_timeout, routes: by_host, services, former_services }
+        Self {
+            version,
+            max_body_bytes,
+            idle_timeout,
+            accounts: None,
+            routes: by_host,
+            services,
+            former_services: HashMap::new(),
+        }
+    }
+
+    /// The same configuration with these client accounts.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Option<Accounts>) -> Self {
+        Self { accounts: accounts.map(Arc::new), ..self }
     }
 
     /// Remembers the services that `earlier` has and this version doesn't, for requests that were
--- a/src/decide/traffic/route.rs
+++ b/src/decide/traffic/route.rs
@@ -57,6 +57,8 @@
     pub priority: u8,
     /// Most replicas that one request may run on.
     pub attempts: u32,
+    /// Whether its requests need no API key in a deployment with client accounts.
+    pub is_public: bool,
     /// Services with the weights by which requests are split between them.
     pub backends: Vec<(ServiceName, u32)>,
 }
--- /dev/null
+++ b/src/relay/caller_account.rs
@@ -0,0 +1,87 @@
+//! The account that a request runs for, as its API key or another instance names it.
+
+use std::sync::Arc;
+
+use super::AccountHeader;
+use super::node::Node;
+use super::response::LocalResponse;
+use crate::decide::accounts::Account;
+use crate::decide::accounts::AuthVerdict;
+use crate::decide::accounts::Credential;
+use crate::decide::accounts::authenticate;
+use crate::decide::traffic::TrafficConfig;
+use crate::wire::pass_on::PassedOnAccount;
+
+/// The account that a request runs for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerAccount {
+    /// The deployment has no accounts.
+    Unused,
+    /// None, as the route of the request is public.
+    Anonymous,
+    /// This one.
+    Account(Arc<Account>),
+}
+
+impl CallerAccount {
+    /// Checks the API key of a request under `config`.
+    ///
+    /// # Errors
+    ///
+    /// The relay's own response, if the request must not run.
+    pub fn check(
+        node: &Node,
+        config: &TrafficConfig,
+        is_public: bool,
+        credential: &Credential,
+    ) -> Result<Self, LocalResponse> {
+        let Some(accounts) = config.accounts.as_deref() else { return Ok(Self::Unused) };
+        match authenticate(Some(accounts), is_public, credential, node.config_trust()) {
+            AuthVerdict::Anonymous => Ok(Self::Anonymous),
+            AuthVerdict::Account(account) => Ok(Self::Account(account)),
+            AuthVerdict::Unauthorized => Err(LocalResponse::Unauthorized),
+            AuthVerdict::Undecided => Err(LocalResponse::Undecided),
+        }
+    }
+
+    /// Takes over what the instance that passes a request on found out; its quota has been charged
+    /// there.
+    pub fn of_passed_on(account: PassedOnAccount) -> Self {
+        match account {
+            PassedOnAccount::Anonymous => Self::Anonymous,
+            PassedOnAccount::Named { name, priority } => {
+                Self::Account(Arc::new(Account { name, priority, quota: None }))
+            }
+        }
+    }
+
+    /// What the instance is told that the request is passed on to; `None` in a deployment without
+    /// accounts.
+    pub fn to_passed_on(&self) -> Option<PassedOnAccount> {
+        match self {
+            Self::Unused => None,
+            Self::Anonymous => Some(PassedOnAccount::Anonymous),
+            Self::Account(account) => {
+                let Account { name, priority, .. } = &**account;
+                Some(PassedOnAccount::Named { name: name.clone(), priority: *priority })
+            }
+        }
+    }
+
+    /// The account, if it runs for one.
+    pub fn account(&self) -> Option<&Arc<Account>> {
+        match self {
+            Self::Unused | Self::Anonymous => None,
+            Self::Account(account) => Some(account),
+        }
+    }
+
+    /// What the request's headers say of it.
+    pub fn header(&self) -> AccountHeader<'_> {
+        match self {
+            Self::Unused => AccountHeader::Unused,
+            Self::Anonymous => AccountHeader::Anonymous,
+            Self::Account(account) => AccountHeader::Account(&account.name),
+        }
+    }
+}
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -1,8 +1,8 @@
 //! Admission of callers' requests: parses the head, finds the route and reads the body.
 //!
 //! A request is refused here, before any replica gets it, if its head can't be parsed, while the
-//! relay shuts down or has no configuration, if no route matches, if its body can't be read or is
-//! too large, and if it is suspected of crashing replicas.
+//! relay shuts down or has no configuration, if no route matches, if it needs an API key and has no
+//! valid one, if its body can't be read or is too large, and if it is suspected of crashing replicas.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -21,6 +21,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::RequestHead;
+use super::caller_account::CallerAccount;
 use super::forwarded_request::ForwardedRequest;
 use super::forwarded_request::host_of;
 use super::log_event::LogEvent;
@@ -66,7 +67,13 @@
         Ok(head) => head,
         Err(error) => {
             let (outcome, detail) = ("Malformed", error.to_string());
-            record(&LogEvent::RequestRefused { id: "", outcome, config: 0, detail: &detail });
+            record(&LogEvent::RequestRefused {
+                id: "",
+                outcome,
+                config: 0,
+                detail: &detail,
+                config_age_ms: None,
+            });
             node.metrics.on_refusal(outcome);
             return LocalResponse::Malformed.into_response(&*node.protocol, "");
         }
@@ -74,20 +81,22 @@
     let id = head.id.clone();
     let config = node.current_config();
     let path = parts.uri.path().to_owned();
-    let (protocol, metrics_node) = (Arc::clone(&node.protocol), Arc::clone(&node));
-    match admit(node, head, parts, body, arrived, counted).await {
+    match admit(Arc::clone(&node), head, parts, body, arrived, counted).await {
         Ok(request) => request.run().await,
         Err(local_response) => {
             let config = config.map_or(0, |config| config.version);
             let outcome = local_response.name();
-            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail: &path });
-            metrics_node.metrics.on_refusal(outcome);
-            local_response.into_response(&*protocol, &id)
+            let is_undecided = local_response == LocalResponse::Undecided;
+            let config_age_ms = if is_undecided { node.config_age_ms() } else { None };
+            let detail = &path;
+            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail, config_age_ms });
+            node.metrics.on_refusal(outcome);
+            local_response.into_response(&*node.protocol, &id)
         }
     }
 }
 
-/// Finds the route and service of a request and reads its body.
+/// Finds the route, account and service of a request and reads its body.
 async fn admit(
     node: Arc<Node>,
     head: RequestHead,
@@ -100,11 +109,15 @@
         return Err(LocalResponse::NotRun);
     }
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
-    let (route, service) = match_route(&config, &head, &parts)?;
+    let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
+    let route = Arc::clone(route);
+    CallerAccount::check(&node, &config, route.is_public, &head.credential)?;
+    let service = service_of(&config, &route, &head.id)?;
     let has_length = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let body = Limited::new(body, config.max_body_bytes).collect().await;
     let body = body.map_err(|e| body_error_response(&*e))?.to_bytes();
+    let caller_account = check_again(&node, &route, &head)?;
     accept(Admission {
         node,
         head,
@@ -113,6 +126,7 @@
         has_length,
         route,
         service,
+        caller_account,
         accepted_under: config.version,
         arrived,
         counted,
@@ -136,6 +150,8 @@
     pub route: Arc<Route>,
     /// Service that its route leads to.
     pub service: Arc<Service>,
+    /// Account that it runs for.
+    pub caller_account: CallerAccount,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Time of arrival.
@@ -200,6 +216,7 @@
         has_length: admission.has_length,
         route,
         service,
+        caller_account: admission.caller_account,
         accepted_under: admission.accepted_under,
         longest_timeout: Mutex::default(),
         attempts: Mutex::new(attempts),
@@ -212,15 +229,24 @@
     })
 }
 
-fn match_route(
-    config: &TrafficConfig,
+/// Checks the API key once more after the body was read: a caller may send its body long after the
+/// head, and the key may have been revoked meanwhile.
+fn check_again(
+    node: &Node,
+    route: &Route,
     head: &RequestHead,
-    parts: &request::Parts,
-) -> Result<(Arc<Route>, Arc<Service>), LocalResponse> {
-    let route = config.route(host_of(parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
-    let name = route.service_for(&head.id).ok_or(LocalResponse::NotRun)?;
-    let service = config.service(name).ok_or(LocalResponse::NotRun)?;
-    Ok((Arc::clone(route), Arc::clone(service)))
+) -> Result<CallerAccount, LocalResponse> {
+    let config = node.current_config().ok_or(LocalResponse::NotReady)?;
+    CallerAccount::check(node, &config, route.is_public, &head.credential)
+}
+
+fn service_of(
+    config: &TrafficConfig,
+    route: &Route,
+    id: &str,
+) -> Result<Arc<Service>, LocalResponse> {
+    let name = route.service_for(id).ok_or(LocalResponse::NotRun)?;
+    config.service(name).map(Arc::clone).ok_or(LocalResponse::NotRun)
 }
 
 fn origin_form(parts: &request::Parts) -> Uri {
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -23,6 +23,7 @@
 use super::attempt::ReplicaBody;
 use super::attempt::ReplicaResponse;
 use super::attempt_race::AttemptRace;
+use super::caller_account::CallerAccount;
 use super::forward::CallerRequestGuard;
 use super::log_event::LogEvent;
 use super::log_event::record;
@@ -68,6 +69,8 @@
     pub route: Arc<Route>,
     /// Service that its route leads to.
     pub service: Arc<Service>,
+    /// Account that it runs for.
+    pub caller_account: CallerAccount,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Longest timeout of its route since it was accepted.
@@ -137,6 +140,12 @@
         }
     }
 
+    /// Priority, 0 the most urgent: that of its account, or else that of its route.
+    pub fn priority(&self) -> u8 {
+        let of_account = self.caller_account.account().and_then(|account| account.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
     /// Attempts so far.
     pub fn attempts(&self) -> MutexGuard<'_, Attempts> {
         self.attempts.lock().unwrap_or_else(PoisonError::into_inner)
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -111,6 +111,8 @@
         config: u64,
         /// Path of the request, or the error in its head.
         detail: &'a str,
+        /// Age of the proof that the configuration is the newest one, in ms, if its age is why.
+        config_age_ms: Option<u64>,
     },
     /// A replica hasn't sent anything for long; its attempt or stream stays open.
     ReplicaSilent {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod attempt;
 mod attempt_failure;
 mod attempt_race;
+mod caller_account;
 mod connection_pool;
 mod exchange;
 mod fleet_event;
@@ -53,6 +54,7 @@
 
 pub use log_event::LogEvent;
 pub use log_event::record;
+pub use protocol::AccountHeader;
 pub use protocol::AttemptHeaderValues;
 pub use protocol::DecodeError;
 pub use protocol::FencedOrder;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -25,6 +25,7 @@
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
 use crate::daemon::Clock;
+use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::reach::PassOnPeers;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
@@ -239,6 +240,17 @@
         self.config.borrow().clone()
     }
 
+    /// How far the configuration in effect can be trusted about API keys.
+    pub fn config_trust(&self) -> ConfigTrust {
+        if self.config.borrow().is_some() { ConfigTrust::Current } else { ConfigTrust::Stale }
+    }
+
+    /// Time since the configuration in effect was known to be the newest one, in ms; `None` if it
+    /// never was.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.view(PublishedTopic::Operator).digest(self.now()).age_ms
+    }
+
     /// Whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
         self.shutdown.borrow().is_some()
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -180,7 +180,8 @@
 }
 
 fn build(request: &ForwardedRequest, resume_after: Option<&str>) -> Result<Request<Full<Bytes>>> {
-    let headers = end_to_end_headers(&request.parts.headers);
+    let mut headers = end_to_end_headers(&request.parts.headers);
+    request.node.protocol.set_account(&mut headers, request.caller_account.header());
     let headers = headers
         .iter()
         .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())));
@@ -199,6 +200,7 @@
         software: request.head.needs.software.clone(),
         tried,
         is_probe: request.is_probe,
+        account: request.caller_account.to_passed_on(),
     };
     let body = encode(&message)?;
     let mut req = Request::new(Full::new(body.clone()));
@@ -227,9 +229,12 @@
     let reason = if is_unknown_path { "NoRoute" } else { reason? };
     record(&FleetEvent::PassedOnRefused { id, by, reason });
     Some(match LocalResponse::from_reason(reason) {
-        Some(response @ (LocalResponse::NotRun | LocalResponse::NotYet(_))) => {
-            AttemptOutcome::Refused(response)
-        }
+        Some(
+            response @ (LocalResponse::Unauthorized
+            | LocalResponse::Undecided
+            | LocalResponse::NotRun
+            | LocalResponse::NotYet(_)),
+        ) => AttemptOutcome::Refused(response),
         Some(LocalResponse::Unknown | LocalResponse::TimedOut) | None => {
             AttemptOutcome::NoResponse(AttemptEnd::MaybeRan)
         }
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -15,6 +15,7 @@
 use hyper::http::request;
 
 use super::RequestHead;
+use super::caller_account::CallerAccount;
 use super::fleet_event::FleetEvent;
 use super::forward;
 use super::forward::Admission;
@@ -87,6 +88,10 @@
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
     let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
     let service = config.service_or_former(&service).ok_or(LocalResponse::NoRoute)?;
+    let caller_account = match message.account {
+        Some(account) => CallerAccount::of_passed_on(account),
+        None => CallerAccount::check(node, &config, route.is_public, &head.credential)?,
+    };
     let counted = CallerRequestGuard::new(node);
     let taken = node.pass_on_peers().taken();
     let own = node.in_flight.load(Ordering::Relaxed).saturating_sub(taken);
@@ -102,6 +107,7 @@
         has_length,
         route: Arc::clone(route),
         service: Arc::clone(service),
+        caller_account,
         accepted_under: config.version,
         arrived: node.now(),
         counted,
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -11,6 +11,7 @@
 use hyper::StatusCode;
 use hyper::http::request;
 
+use crate::decide::accounts::Credential;
 use crate::decide::send_limits::NamedLimits;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::HeldModel;
@@ -21,6 +22,7 @@
 use crate::decide::traffic::RequestNeeds;
 use crate::decide::traffic::RetryAfter;
 use crate::decide::traffic::TrafficConfig;
+use crate::names::AccountName;
 use crate::names::BackendName;
 
 /// Why a header, body or published item can't be decoded, as text for the log.
@@ -38,6 +40,10 @@
 pub struct RequestHead {
     /// Request id; unique.
     pub id: String,
+    /// API key that it names.
+    pub credential: Credential,
+    /// Sum of its token counts; `None` if it names none.
+    pub tokens: Option<u64>,
     /// Time for which the caller waits; `None` if it sets no limit.
     pub caller_timeout: Option<Duration>,
     /// Model or adapter that it needs, and the sizes of its prompt and output.
@@ -48,11 +54,24 @@
     pub resumes: Option<String>,
 }
 
+/// What other processes learn of a request's account by its headers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccountHeader<'a> {
+    /// The deployment has no accounts; the headers of the caller stay as they are.
+    Unused,
+    /// The request runs for no account.
+    Anonymous,
+    /// The request runs for this account.
+    Account(&'a AccountName),
+}
+
 /// Values of the headers that an attempt has besides the caller's own.
 #[derive(Clone, Debug)]
 pub struct AttemptHeaderValues<'a> {
     /// Replica that must run the request.
     pub replica: &'a BackendName,
+    /// Account that it runs for.
+    pub account: AccountHeader<'a>,
     /// Time left until the deadline; `None` if there is none.
     pub time_left: Option<Duration>,
     /// Priority, 0 the most urgent; `None` for services without a model, since only model
@@ -190,6 +209,10 @@
     /// ones.
     fn attempt_headers(&self, caller: &HeaderMap, values: &AttemptHeaderValues<'_>) -> HeaderMap;
 
+    /// Removes the API key and the name of an account from a caller's headers, and sets the name of
+    /// the account that the request runs for; does nothing in a deployment without accounts.
+    fn set_account(&self, headers: &mut HeaderMap, account: AccountHeader<'_>);
+
     /// Era of the revisions of the published state that a response of its store names.
     fn store_era(&self, headers: &HeaderMap) -> Option<u64>;
 
--- a/src/relay/replica_request.rs
+++ b/src/relay/replica_request.rs
@@ -19,8 +19,9 @@
     let version = needs.key.as_ref().and_then(|key| request.required_version(replica, key));
     let values = AttemptHeaderValues {
         replica,
+        account: request.caller_account.header(),
         time_left: request.time_left(),
-        priority: needs.key.is_some().then_some(request.route.priority),
+        priority: needs.key.is_some().then_some(request.priority()),
         resume_after,
         version,
     };
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -12,6 +12,7 @@
 use hyper::StatusCode;
 use hyper::header;
 use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
 use hyper::http::response;
 
 use super::Protocol;
@@ -29,6 +30,12 @@
     HeaderName::from_static("keep-alive"),
 ];
 
+/// Time after which a request may be repeated whose API key can't be checked at present; by then the
+/// configuration is current again unless its store is out of reach.
+const UNDECIDED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Authentication scheme of callers, as a response without a valid API key names it.
+const AUTH_SCHEME: HeaderValue = HeaderValue::from_static("Bearer");
+
 /// Error that aborts the body of a response; the connection is closed without the body's end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AbortedBody;
@@ -51,6 +58,11 @@
     Malformed,
     /// No route matches.
     NoRoute,
+    /// The request has no valid API key.
+    Unauthorized,
+    /// The request didn't run and never will, since it isn't known whether its API key is valid; the
+    /// caller may retry.
+    Undecided,
     /// The body is larger than the configuration allows.
     TooLarge,
     /// No configuration is known yet.
@@ -75,6 +87,8 @@
         match self {
             Self::Malformed => "Malformed",
             Self::NoRoute => "NoRoute",
+            Self::Unauthorized => "Unauthorized",
+            Self::Undecided => "Undecided",
             Self::TooLarge => "TooLarge",
             Self::NotReady => "NotReady",
             Self::NotRun => "NotRun",
@@ -92,6 +106,8 @@
             Self::TimedOut => Outcome::TimedOut,
             Self::Malformed
             | Self::NoRoute
+            | Self::Unauthorized
+            | Self::Undecided
             | Self::TooLarge
             | Self::NotReady
             | Self::NotRun
@@ -104,10 +120,13 @@
         match self {
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady | Self::NotRun | Self::NotYet(_) | Self::OutOfReach => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Undecided
+            | Self::NotRun
+            | Self::NotYet(_)
+            | Self::OutOfReach => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -116,10 +135,14 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::NotRun | Self::OutOfReach => Some(RETRY_AFTER),
+            Self::Undecided => Some(UNDECIDED_RETRY_AFTER),
             Self::NotYet(left) => Some(left),
-            Self::Malformed | Self::NoRoute | Self::TooLarge | Self::Unknown | Self::TimedOut => {
-                None
-            }
+            Self::Malformed
+            | Self::NoRoute
+            | Self::Unauthorized
+            | Self::TooLarge
+            | Self::Unknown
+            | Self::TimedOut => None,
         }
     }
 
@@ -138,6 +161,8 @@
         let all = [
             Self::Malformed,
             Self::NoRoute,
+            Self::Unauthorized,
+            Self::Undecided,
             Self::TooLarge,
             Self::NotReady,
             Self::NotRun,
@@ -155,6 +180,9 @@
         response.extensions_mut().insert(self);
         *response.status_mut() = self.status();
         *response.headers_mut() = protocol.local_response_headers(id, self.retry_after());
+        if self == Self::Unauthorized {
+            response.headers_mut().insert(header::WWW_AUTHENTICATE, AUTH_SCHEME);
+        }
         response
     }
 }
--- a/src/wire/pass_on.rs
+++ b/src/wire/pass_on.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::names::AccountName;
 use crate::names::BackendName;
 use crate::names::InstanceName;
 use crate::names::ServiceName;
@@ -19,6 +20,21 @@
 /// Header with the software version of the replica that sends a stream.
 pub const SOFTWARE_HEADER: &str = "relay-software";
 
+/// Account that a request which is passed on runs for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PassedOnAccount {
+    /// None, as its route is public.
+    Anonymous,
+    /// This account, whose API key the request had.
+    Named {
+        /// Name of the account.
+        name: AccountName,
+        /// Priority of the account's requests; `None` for that of the route.
+        priority: Option<u8>,
+    },
+}
+
 /// A caller's request; it may be sent so that it runs once, and must not be passed on again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedOnRequest {
@@ -28,7 +44,8 @@
     pub method: String,
     /// Path and query.
     pub uri: String,
-    /// Headers as received from the caller, without those of its connection.
+    /// Headers as received from the caller, without those of its connection; in a deployment with
+    /// accounts with the account's name instead of the API key.
     pub headers: Vec<(String, Bytes)>,
     /// Whole body.
     pub body: Bytes,
@@ -46,4 +63,8 @@
     pub tried: Vec<BackendName>,
     /// Whether it may be sent although a part of its prompt is quarantined.
     pub is_probe: bool,
+    /// Account that it runs for. `None` from an instance whose configuration has no accounts and from
+    /// processes that know none: its headers then still have the API key.
+    #[serde(default)]
+    pub account: Option<PassedOnAccount>,
 }
--- a/tests/traffic/config.rs
+++ b/tests/traffic/config.rs
@@ -19,6 +19,7 @@
         objective: ms(100),
         priority: 0,
         attempts: 1,
+        is_public: false,
         backends: backends.iter().map(|(name, weight)| (ServiceName::new(name), *weight)).collect(),
     }
 }
