--- a/src/decide/accounts/account_error.rs
+++ b/src/decide/accounts/account_error.rs
@@ -23,12 +23,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::EmptyName => f.write_str("an account has an empty name"),
-            Self::DuplicateName(name) => write!(f, "two accounts are named {name:?}"),
-            Self::EmptyKey(name) => write!(f, "account {name:?} has an empty key"),
+            Self::DuplicateName(name) => write!(f, "two accounts are named \"{name}\""),
+            Self::EmptyKey(name) => write!(f, "account \"{name}\" has an empty key"),
             Self::SharedKey(one, other) => {
-                write!(f, "accounts {one:?} and {other:?} have a key in common")
+                write!(f, "accounts \"{one}\" and \"{other}\" have a key in common")
             }
-            Self::InvalidQuota(name) => write!(f, "the quota of account {name:?} is invalid"),
+            Self::InvalidQuota(name) => write!(f, "the quota of account \"{name}\" is invalid"),
         }
     }
 }
--- a/src/relay/caller_account.rs
+++ b/src/relay/caller_account.rs
@@ -9,6 +9,7 @@
 use crate::decide::accounts::AuthVerdict;
 use crate::decide::accounts::Credential;
 use crate::decide::accounts::authenticate;
+use crate::decide::traffic::Route;
 use crate::decide::traffic::TrafficConfig;
 use crate::wire::pass_on::PassedOnAccount;
 
@@ -24,7 +25,7 @@
 }
 
 impl CallerAccount {
-    /// Checks the API key of a request under `config`.
+    /// Checks the API key of a request to `route` under `config`.
     ///
     /// # Errors
     ///
@@ -32,11 +33,12 @@
     pub fn check(
         node: &Node,
         config: &TrafficConfig,
-        is_public: bool,
+        route: &Route,
         credential: &Credential,
     ) -> Result<Self, LocalResponse> {
         let Some(accounts) = config.accounts.as_deref() else { return Ok(Self::Unused) };
-        match authenticate(Some(accounts), is_public, credential, node.config_trust()) {
+        let trust = node.config_trust();
+        match authenticate(Some(accounts), route.is_public, credential, trust) {
             AuthVerdict::Anonymous => Ok(Self::Anonymous),
             AuthVerdict::Account(account) => Ok(Self::Account(account)),
             AuthVerdict::Unauthorized => Err(LocalResponse::Unauthorized),
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -18,6 +19,7 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
+use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::RequestHead;
@@ -41,6 +43,9 @@
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
+/// Time within which the body of a refused request must have arrived to be read to its end.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Counts a caller's request as in progress until this guard is dropped.
 pub struct CallerRequestGuard(Arc<Node>);
 
@@ -111,13 +116,22 @@
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
     let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
     let route = Arc::clone(route);
-    CallerAccount::check(&node, &config, route.is_public, &head.credential)?;
+    let caller_account = match CallerAccount::check(&node, &config, &route, &head.credential) {
+        Ok(caller_account) => caller_account,
+        Err(local_response) => {
+            discard_body(&parts, body, config.max_body_bytes).await;
+            return Err(local_response);
+        }
+    };
     let service = service_of(&config, &route, &head.id)?;
     let has_length = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let body = Limited::new(body, config.max_body_bytes).collect().await;
     let body = body.map_err(|e| body_error_response(&*e))?.to_bytes();
-    let caller_account = check_again(&node, &route, &head)?;
+    let caller_account = check_again(&node, &route, &head, caller_account)?;
+    if let Some(account) = caller_account.account() {
+        node.metrics.accounts.on_admitted(account, head.tokens);
+    }
     accept(Admission {
         node,
         head,
@@ -229,15 +243,39 @@
     })
 }
 
-/// Checks the API key once more after the body was read: a caller may send its body long after the
-/// head, and the key may have been revoked meanwhile.
+/// Reads the body of a refused request to its end if that comes soon. Closing a connection on which
+/// data is still arriving resets it, and the caller may then lose the response.
+async fn discard_body(parts: &request::Parts, body: Incoming, max_bytes: usize) {
+    // Such a caller sends its body only once it is told to.
+    if parts.headers.contains_key(header::EXPECT) {
+        return;
+    }
+    let mut body = Limited::new(body, max_bytes);
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _ = timeout(DISCARD_TIMEOUT, read).await;
+}
+
+/// Checks the API key of an account's request once more after the body was read: it may have been sent
+/// long after the head, and the key may have been revoked meanwhile.
+///
+/// # Errors
+///
+/// The relay's own response, if the request must not run.
 fn check_again(
     node: &Node,
     route: &Route,
     head: &RequestHead,
+    before: CallerAccount,
 ) -> Result<CallerAccount, LocalResponse> {
+    if before.account().is_none() {
+        return Ok(before);
+    }
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
-    CallerAccount::check(node, &config, route.is_public, &head.credential)
+    match CallerAccount::check(node, &config, route, &head.credential)? {
+        // The key must not go to a replica, even if the deployment has just given up its accounts.
+        CallerAccount::Unused => Ok(before),
+        checked => Ok(checked),
+    }
 }
 
 fn service_of(
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Unit;
 
 use super::PublishedTopic;
+use super::account_metrics::AccountMetrics;
 use super::attempt_failure::AttemptFailure;
 use super::node::Node;
 use super::version_source::VersionSource;
@@ -125,6 +126,8 @@
 /// Counters, gauges and histograms of one relay.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Counters by account.
+    pub accounts: AccountMetrics,
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
@@ -151,6 +154,7 @@
     fn default() -> Self {
         let histogram = || Histogram::new(BUCKET_BOUNDS_S);
         let mut metrics = Self {
+            accounts: AccountMetrics::default(),
             registry: Registry::with_prefix("relay"),
             requests: Family::default(),
             refusals: Family::default(),
@@ -180,6 +184,7 @@
 impl Metrics {
     fn register(&mut self) {
         let r = &mut self.registry;
+        self.accounts.register(r);
         r.register("requests", "Requests by kind and end", self.requests.clone());
         r.register("refusals", "Requests without an answer, by reason", self.refusals.clone());
         let help = "Time until an answer's head";
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! deployments (header names, body formats, control calls) and decides nothing. [`run`] connects
 //! both to listeners, upstream connections and the gossip exchange with other instances.
 
+mod account_metrics;
 mod adapter_use;
 mod attempt;
 mod attempt_failure;
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -90,7 +90,7 @@
     let service = config.service_or_former(&service).ok_or(LocalResponse::NoRoute)?;
     let caller_account = match message.account {
         Some(account) => CallerAccount::of_passed_on(account),
-        None => CallerAccount::check(node, &config, route.is_public, &head.credential)?,
+        None => CallerAccount::check(node, &config, route, &head.credential)?,
     };
     let counted = CallerRequestGuard::new(node);
     let taken = node.pass_on_peers().taken();
