--- a/src/decide/accounts/mod.rs
+++ b/src/decide/accounts/mod.rs
@@ -4,7 +4,7 @@
 
 mod account;
 mod account_error;
-mod accounts;
+mod account_list;
 mod authenticate;
 mod cost_unit;
 mod credential;
@@ -13,7 +13,7 @@
 
 pub use account::Account;
 pub use account_error::AccountError;
-pub use accounts::Accounts;
+pub use account_list::Accounts;
 pub use authenticate::AuthVerdict;
 pub use authenticate::authenticate;
 pub use cost_unit::CostUnit;
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -147,7 +147,7 @@
     assert_eq!(in_tokens.cost(Some(1010)), 1010);
     assert_eq!(in_tokens.cost(None), 200);
     assert_eq!(in_tokens.cost(Some(0)), 1);
-    assert_eq!(Quota { plain_cost: 0, ..in_tokens.clone() }.cost(None), 1);
+    assert_eq!(Quota { plain_cost: 0, ..in_tokens }.cost(None), 1);
     let in_requests = Quota { unit: CostUnit::Requests, ..in_tokens };
     assert_eq!(in_requests.cost(Some(1010)), 1);
 }
