--- a/src/decide/accounts/credential.rs
+++ b/src/decide/accounts/credential.rs
@@ -12,3 +12,14 @@
     /// It names something that can't be a key, or several.
     Invalid,
 }
+
+impl Credential {
+    /// Its form, as log lines name it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Absent => "absent",
+            Self::Key(_) => "key",
+            Self::Invalid => "invalid",
+        }
+    }
+}
--- a/src/relay/caller_account.rs
+++ b/src/relay/caller_account.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use serde::Serialize;
+
 use super::AccountHeader;
 use super::node::Node;
 use super::response::LocalResponse;
@@ -13,6 +15,25 @@
 use crate::decide::traffic::TrafficConfig;
 use crate::wire::pass_on::PassedOnAccount;
 
+/// Why a request is refused for its API key, as the log tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct RefusedKey {
+    /// Form of the credential: `absent`, `invalid` or `key`.
+    pub credential: &'static str,
+    /// Time since the configuration was known to be the newest one, in ms; `None` if it never was.
+    pub config_age_ms: Option<u64>,
+}
+
+impl RefusedKey {
+    /// The cause of a refusal; `None` if it has another one than the key.
+    pub fn of(node: &Node, credential: &Credential, response: LocalResponse) -> Option<Self> {
+        let is_about_key =
+            matches!(response, LocalResponse::Unauthorized | LocalResponse::Undecided);
+        let credential = credential.name();
+        is_about_key.then(|| Self { credential, config_age_ms: node.config_age_ms() })
+    }
+}
+
 /// The account that a request runs for.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallerAccount {
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -24,6 +24,7 @@
 
 use super::RequestHead;
 use super::caller_account::CallerAccount;
+use super::caller_account::RefusedKey;
 use super::forwarded_request::ForwardedRequest;
 use super::forwarded_request::host_of;
 use super::log_event::LogEvent;
@@ -77,13 +78,13 @@
                 outcome,
                 config: 0,
                 detail: &detail,
-                config_age_ms: None,
+                key: None,
             });
             node.metrics.on_refusal(outcome);
             return LocalResponse::Malformed.into_response(&*node.protocol, "");
         }
     };
-    let id = head.id.clone();
+    let (id, credential) = (head.id.clone(), head.credential);
     let config = node.current_config();
     let path = parts.uri.path().to_owned();
     match admit(Arc::clone(&node), head, parts, body, arrived, counted).await {
@@ -91,10 +92,8 @@
         Err(local_response) => {
             let config = config.map_or(0, |config| config.version);
             let outcome = local_response.name();
-            let is_undecided = local_response == LocalResponse::Undecided;
-            let config_age_ms = if is_undecided { node.config_age_ms() } else { None };
-            let detail = &path;
-            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail, config_age_ms });
+            let (detail, key) = (&path, RefusedKey::of(&node, &credential, local_response));
+            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail, key });
             node.metrics.on_refusal(outcome);
             local_response.into_response(&*node.protocol, &id)
         }
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use super::attempt_failure::AttemptFailure;
+use super::caller_account::RefusedKey;
 use super::node::unix_ms;
 use super::version_source::VersionSource;
 
@@ -111,8 +112,9 @@
         config: u64,
         /// Path of the request, or the error in its head.
         detail: &'a str,
-        /// Age of the proof that the configuration is the newest one, in ms, if its age is why.
-        config_age_ms: Option<u64>,
+        /// What was found out of its API key; `None` if that isn't why.
+        #[serde(flatten)]
+        key: Option<RefusedKey>,
     },
     /// A replica hasn't sent anything for long; its attempt or stream stays open.
     ReplicaSilent {
