--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -1,12 +1,13 @@
 //! Admission of callers' requests: parses the head, finds the route and reads the body.
 //!
 //! A request is refused here, before any replica gets it, if its head can't be parsed, while the
-//! relay shuts down or has no configuration, if no route matches, if its body can't be read or is
-//! too large, and if it is suspected of crashing replicas.
+//! relay shuts down or has no configuration, if no route matches, if it needs an API key and has no
+//! valid one, if its body can't be read or is too large, and if it is suspected of crashing replicas.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -18,9 +19,12 @@
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
+use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::RequestHead;
+use super::caller_account::CallerAccount;
+use super::caller_account::RefusedKey;
 use super::forwarded_request::ForwardedRequest;
 use super::forwarded_request::host_of;
 use super::log_event::LogEvent;
@@ -40,6 +44,9 @@
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
+/// Time within which the body of a refused request must have arrived to be read to its end.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Counts a caller's request as in progress until this guard is dropped.
 pub struct CallerRequestGuard(Arc<Node>);
 
@@ -66,28 +73,34 @@
         Ok(head) => head,
         Err(error) => {
             let (outcome, detail) = ("Malformed", error.to_string());
-            record(&LogEvent::RequestRefused { id: "", outcome, config: 0, detail: &detail });
+            record(&LogEvent::RequestRefused {
+                id: "",
+                outcome,
+                config: 0,
+                detail: &detail,
+                key: None,
+            });
             node.metrics.on_refusal(outcome);
             return LocalResponse::Malformed.into_response(&*node.protocol, "");
         }
     };
-    let id = head.id.clone();
+    let (id, credential) = (head.id.clone(), head.credential);
     let config = node.current_config();
     let path = parts.uri.path().to_owned();
-    let (protocol, metrics_node) = (Arc::clone(&node.protocol), Arc::clone(&node));
-    match admit(node, head, parts, body, arrived, counted).await {
+    match admit(Arc::clone(&node), head, parts, body, arrived, counted).await {
         Ok(request) => request.run().await,
         Err(local_response) => {
             let config = config.map_or(0, |config| config.version);
             let outcome = local_response.name();
-            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail: &path });
-            metrics_node.metrics.on_refusal(outcome);
-            local_response.into_response(&*protocol, &id)
+            let (detail, key) = (&path, RefusedKey::of(&node, &credential, local_response));
+            record(&LogEvent::RequestRefused { id: &id, outcome, config, detail, key });
+            node.metrics.on_refusal(outcome);
+            local_response.into_response(&*node.protocol, &id)
         }
     }
 }
 
-/// Finds the route and service of a request and reads its body.
+/// Finds the route, account and service of a request and reads its body.
 async fn admit(
     node: Arc<Node>,
     head: RequestHead,
@@ -100,11 +113,24 @@
         return Err(LocalResponse::NotRun);
     }
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
-    let (route, service) = match_route(&config, &head, &parts)?;
+    let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
+    let route = Arc::clone(route);
+    let caller_account = match CallerAccount::check(&node, &config, &route, &head.credential) {
+        Ok(caller_account) => caller_account,
+        Err(local_response) => {
+            discard_body(&parts, body, config.max_body_bytes).await;
+            return Err(local_response);
+        }
+    };
+    let service = service_of(&config, &route, &head.id)?;
     let has_length = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
     let body = Limited::new(body, config.max_body_bytes).collect().await;
     let body = body.map_err(|e| body_error_response(&*e))?.to_bytes();
+    let caller_account = check_again(&node, &route, &head, caller_account)?;
+    if let Some(account) = caller_account.account() {
+        node.metrics.accounts.on_admitted(account, head.tokens);
+    }
     accept(Admission {
         node,
         head,
@@ -113,6 +139,7 @@
         has_length,
         route,
         service,
+        caller_account,
         accepted_under: config.version,
         arrived,
         counted,
@@ -136,6 +163,8 @@
     pub route: Arc<Route>,
     /// Service that its route leads to.
     pub service: Arc<Service>,
+    /// Account that it runs for.
+    pub caller_account: CallerAccount,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Time of arrival.
@@ -200,6 +229,7 @@
         has_length: admission.has_length,
         route,
         service,
+        caller_account: admission.caller_account,
         accepted_under: admission.accepted_under,
         longest_timeout: Mutex::default(),
         attempts: Mutex::new(attempts),
@@ -212,15 +242,48 @@
     })
 }
 
-fn match_route(
-    config: &TrafficConfig,
+/// Reads the body of a refused request to its end if that comes soon. Closing a connection on which
+/// data is still arriving resets it, and the caller may then lose the response.
+async fn discard_body(parts: &request::Parts, body: Incoming, max_bytes: usize) {
+    // Such a caller sends its body only once it is told to.
+    if parts.headers.contains_key(header::EXPECT) {
+        return;
+    }
+    let mut body = Limited::new(body, max_bytes);
+    let read = async { while let Some(Ok(_)) = body.frame().await {} };
+    let _ = timeout(DISCARD_TIMEOUT, read).await;
+}
+
+/// Checks the API key of an account's request once more after the body was read: it may have been sent
+/// long after the head, and the key may have been revoked meanwhile.
+///
+/// # Errors
+///
+/// The relay's own response, if the request must not run.
+fn check_again(
+    node: &Node,
+    route: &Route,
     head: &RequestHead,
-    parts: &request::Parts,
-) -> Result<(Arc<Route>, Arc<Service>), LocalResponse> {
-    let route = config.route(host_of(parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
-    let name = route.service_for(&head.id).ok_or(LocalResponse::NotRun)?;
-    let service = config.service(name).ok_or(LocalResponse::NotRun)?;
-    Ok((Arc::clone(route), Arc::clone(service)))
+    before: CallerAccount,
+) -> Result<CallerAccount, LocalResponse> {
+    if before.account().is_none() {
+        return Ok(before);
+    }
+    let config = node.current_config().ok_or(LocalResponse::NotReady)?;
+    match CallerAccount::check(node, &config, route, &head.credential)? {
+        // The key must not go to a replica, even if the deployment has just given up its accounts.
+        CallerAccount::Unused => Ok(before),
+        checked => Ok(checked),
+    }
+}
+
+fn service_of(
+    config: &TrafficConfig,
+    route: &Route,
+    id: &str,
+) -> Result<Arc<Service>, LocalResponse> {
+    let name = route.service_for(id).ok_or(LocalResponse::NotRun)?;
+    config.service(name).map(Arc::clone).ok_or(LocalResponse::NotRun)
 }
 
 fn origin_form(parts: &request::Parts) -> Uri {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,10 +6,12 @@
 //! deployments (header names, body formats, control calls) and decides nothing. [`run`] connects
 //! both to listeners, upstream connections and the gossip exchange with other instances.
 
+mod account_metrics;
 mod adapter_use;
 mod attempt;
 mod attempt_failure;
 mod attempt_race;
+mod caller_account;
 mod connection_pool;
 mod exchange;
 mod fleet_event;
@@ -53,6 +55,7 @@
 
 pub use log_event::LogEvent;
 pub use log_event::record;
+pub use protocol::AccountHeader;
 pub use protocol::AttemptHeaderValues;
 pub use protocol::DecodeError;
 pub use protocol::FencedOrder;
