Decide how far a configuration can be trusted by the age of its proofs

Cause: an API key of the configuration may have been revoked, or one that isn't in it may be new. Change: ConfigFreshness counts proofs from when the store or a peer was asked, ends trust a margin of a twentieth before each limit, withholds reads after a start or a restore until a peer in touch has answered, and counts no read while a peer has a higher version. A higher version that is missing for longer than the revocation limit leaves beside the propagation limit ends trust.

--- a/src/decide/config_freshness/mod.rs
+++ b/src/decide/config_freshness/mod.rs
@@ -2,6 +2,11 @@
 
 mod config_proof;
 mod config_trust;
+mod freshness;
+mod freshness_limits;
+mod missing_versions;
 
 pub use config_proof::ConfigProof;
 pub use config_trust::ConfigTrust;
+pub use freshness::ConfigFreshness;
+pub use freshness_limits::FreshnessLimits;
