Settings: limits on revoked keys and on the propagation of configurations

Cause: the deployment's bounds name both limits, and the relay has to keep them. Settings without them stay valid.

--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -7,12 +7,19 @@
 
 use serde::Deserialize;
 
+use crate::decide::config_freshness::FreshnessLimits;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::DataCentre;
 use crate::names::InstanceName;
 
+/// Time within which a new configuration is known everywhere, in ms, unless the settings say.
+const DEFAULT_CONFIG_PROPAGATION_MS: u64 = 3000;
+/// Least limit on the age of the configuration, in ms. Proofs are renewed by polls of 500 ms and
+/// exchanges each 350 ms, so that a shorter limit would refuse requests all the time.
+const MIN_FRESHNESS_LIMIT_MS: u64 = 1500;
+
 /// Listen addresses, one for each kind of client.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +58,13 @@
     pub retry_allowance: f64,
     /// Sliding window in which requests and retries are counted, in seconds.
     pub retry_window_s: f64,
+    /// Time after which no request with a revoked key may run, in ms; `None` if keys may be used
+    /// for longer.
+    #[serde(default)]
+    pub key_revocation_ms: Option<u64>,
+    /// Time within which a new configuration is in effect at every instance that is in touch, in ms.
+    #[serde(default)]
+    pub config_propagation_ms: Option<u64>,
 }
 
 impl RelaySettings {
@@ -94,9 +108,31 @@
                 )));
             }
         }
+        let limits = [
+            ("key_revocation_ms", settings.key_revocation_ms),
+            ("config_propagation_ms", settings.config_propagation_ms),
+        ];
+        for (name, value) in limits {
+            if let Some(value) = value
+                && value < MIN_FRESHNESS_LIMIT_MS
+            {
+                return Err(settings_error(format!(
+                    "settings: {name} must be at least {MIN_FRESHNESS_LIMIT_MS} ms, found {value}"
+                )));
+            }
+        }
         Ok(settings)
     }
 
+    /// Limits on the age of the configuration.
+    pub fn freshness_limits(&self) -> FreshnessLimits {
+        let propagation_ms = self.config_propagation_ms.unwrap_or(DEFAULT_CONFIG_PROPAGATION_MS);
+        FreshnessLimits {
+            revocation: self.key_revocation_ms.map(Duration::from_millis),
+            propagation: Duration::from_millis(propagation_ms),
+        }
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn shutdown_limit(&self) -> Duration {
         Duration::from_secs_f64(self.shutdown_limit_s)
--- /dev/null
+++ b/tests/relay_settings.rs
@@ -0,0 +1,100 @@
+//! Settings of a relay: limits on the age of the configuration, and the template that renders them.
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tamaracklead::relay::RelaySettings;
+
+fn settings_with(limits: &[(&str, Value)]) -> String {
+    let mut settings = json!({
+        "instance": "entry-1", "data_centre": "a",
+        "listen": {
+            "caller": "127.0.0.1:1", "ready": "127.0.0.1:2", "peer": "127.0.0.1:3", "metrics": null
+        },
+        "seeds": [], "published": "127.0.0.1:4", "order_lease_ms": 3000, "shutdown_limit_s": 8,
+        "retry_ratio": 0.2, "retry_allowance": 58, "retry_window_s": 10
+    });
+    for (name, value) in limits {
+        settings[name] = value.clone();
+    }
+    settings.to_string()
+}
+
+/// Guards against settings files of before that are refused, and against a strict limit that
+/// nobody asked for.
+#[test]
+fn without_limits_keys_have_no_revocation_limit_and_configurations_three_seconds() {
+    let limits = RelaySettings::parse(&settings_with(&[])).unwrap().freshness_limits();
+    assert_eq!(limits.revocation, None);
+    assert_eq!(limits.propagation, Duration::from_secs(3));
+}
+
+#[test]
+fn both_limits_are_taken_from_the_settings() {
+    let text = settings_with(&[
+        ("key_revocation_ms", 5000.into()),
+        ("config_propagation_ms", 2500.into()),
+    ]);
+    let limits = RelaySettings::parse(&text).unwrap().freshness_limits();
+    assert_eq!(limits.revocation, Some(Duration::from_secs(5)));
+    assert_eq!(limits.propagation, Duration::from_millis(2500));
+}
+
+/// Guards against limits in seconds instead of milliseconds, with which every key is refused.
+#[test]
+fn limits_that_no_proof_can_keep_are_refused_by_name() {
+    for name in ["key_revocation_ms", "config_propagation_ms"] {
+        for value in [json!(0), json!(5), json!(1499), json!(-1), json!(2500.5), json!("5000")] {
+            let error = RelaySettings::parse(&settings_with(&[(name, value.clone())])).unwrap_err();
+            let (error, is_number) = (error.to_string(), value.is_u64());
+            assert!(!is_number || error.contains(name), "{value}: {error}");
+        }
+    }
+}
+
+/// Renders a section if `value` is given, and what it names within.
+fn render_section(template: &str, section: &str, value: Option<&str>) -> String {
+    let (open, close) = (format!("{{{{#{section}}}}}"), format!("{{{{/{section}}}}}"));
+    let (before, rest) = template.split_once(&open).unwrap();
+    let (within, after) = rest.split_once(&close).unwrap();
+    format!("{before}{}{after}", value.map_or(String::new(), |_| within.to_owned()))
+}
+
+/// Guards against a template that is no JSON with one of the limits and without the other.
+#[test]
+fn the_template_renders_valid_settings_with_and_without_the_limits() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("deploy/settings.json.template");
+    let template = fs::read_to_string(path).unwrap();
+    for strict in [None, Some("true")] {
+        for config_ms in [None, Some("2800")] {
+            let text = render_section(&template, "bounds.strict_revoke", strict);
+            let mut text = render_section(&text, "bounds.config_ms", config_ms);
+            let values = [
+                ("node_name|json", "\"entry-1\""),
+                ("zone|json", "\"a\""),
+                ("listen.front|json", "\"127.0.0.1:1\""),
+                ("listen.ready|json", "\"127.0.0.1:2\""),
+                ("listen.control|json", "\"127.0.0.1:3\""),
+                ("ip", "127.0.0.1"),
+                ("seeds|json", "[]"),
+                ("provider.addr|json", "\"127.0.0.1:4\""),
+                ("bounds.lease_ms|json", "3000"),
+                ("bounds.grace_s|json", "8"),
+                ("bounds.retry_ratio|json", "0.2"),
+                ("bounds.budget_slack|json", "58"),
+                ("bounds.budget_window_s|json", "10"),
+                ("bounds.revoke_ms|json", "5000"),
+                ("bounds.config_ms|json", "2800"),
+            ];
+            for (name, value) in values {
+                text = text.replace(&format!("{{{{{name}}}}}"), value);
+            }
+            let settings = RelaySettings::parse(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
+            assert_eq!(settings.key_revocation_ms, strict.map(|_| 5000));
+            assert_eq!(settings.config_propagation_ms, config_ms.map(|_| 2800));
+        }
+    }
+}
