Relay: record proofs of the configuration and pass them on

Change: calls to the store and to peers are timed by CLOCK_BOOTTIME, which one function reads; a reply to an exchange carries the peer's proof. With keys, readers poll the operator's items every 500 ms, and an instance whose proof isn't renewed reads by itself, delayed by a hash of its name. Metrics and config_trust_changed show age and trust.

--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use super::PublishedTopic;
+use super::boot_clock::boot_timestamp;
 use super::loads;
 use super::log_event::LogEvent;
 use super::log_event::record;
@@ -27,13 +28,12 @@
 use super::orders;
 use super::permits;
 use super::prompt_quarantine;
-use super::published;
+use super::published_exchange;
 use super::stream_origins;
 use super::turns;
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::Strikes;
-use crate::decide::traffic::ViewChanges;
 use crate::edge;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -53,8 +53,6 @@
 use crate::wire::relay::LoadRequest;
 use crate::wire::relay::OwnedReplica;
 use crate::wire::relay::PUBLISHED_PATH;
-use crate::wire::relay::PublishedPart;
-use crate::wire::relay::PublishedRequest;
 use crate::wire::relay::REPEATED_USES_PATH;
 use crate::wire::relay::RepeatedUses;
 use crate::wire::relay::ReplicaWorkload;
@@ -106,7 +104,8 @@
             let received: Exchange = decode(body)?;
             let receiver = node.peers().sender_of(&received.peers);
             apply_exchange(node, received, None);
-            encode(&build_exchange(node, &receiver))
+            let config_proof = node.config_proof();
+            encode(&Exchange { config_proof, ..build_exchange(node, &receiver) })
         }
         LOAD_PATH => {
             let request: LoadRequest = decode(body)?;
@@ -150,7 +149,7 @@
             encode(&())
         }
         STREAM_ORIGIN_PATH => encode(&stream_origins::answer(node, &decode(body)?)),
-        PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
+        PUBLISHED_PATH => encode(&published_exchange::changes_for(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
     }
 }
@@ -219,12 +218,18 @@
 async fn exchange_with(node: Arc<Node>, addr: SocketAddr) {
     let receiver = node.peers().receiver_at(node.now(), addr);
     let message = build_exchange(&node, &receiver);
+    let asked_at = boot_timestamp();
     let reply: Result<Exchange> =
         call_peer(&node, addr, EXCHANGE_PATH, &message, PEER_CALL_TIMEOUT).await;
     match reply {
         Ok(received) => {
+            node.freshness.on_peer_proof(asked_at, received.config_proof);
             node.set_joined();
+            let version = received.config_proof.map(|proof| proof.version);
             apply_exchange(&node, received, Some(addr));
+            if version > node.freshness.version() {
+                published_exchange::fetch_missing_config(node, addr).await;
+            }
         }
         Err(e) => log::debug!("exchange with {addr} failed, left to a later round: {e}"),
     }
@@ -267,6 +272,7 @@
         crash_evidence,
         sound_parts,
         limits,
+        config_proof: None,
     }
 }
 
@@ -340,7 +346,7 @@
     ] {
         let is_reader = node.peers().reads_published(now);
         if node.view(topic).on_peer_digest(now, &digest, is_reader) {
-            tokio::spawn(fetch_published(Arc::clone(node), topic, addr));
+            tokio::spawn(published_exchange::fetch(Arc::clone(node), topic, addr));
         }
     }
 }
@@ -361,34 +367,3 @@
         }
     }
 }
-
-async fn fetch_published(node: Arc<Node>, topic: PublishedTopic, addr: SocketAddr) {
-    let part = match topic {
-        PublishedTopic::Operator => PublishedPart::Operator,
-        PublishedTopic::Replicas => PublishedPart::Replicas,
-    };
-    let request = {
-        let view = node.view(topic);
-        PublishedRequest { part, after: view.as_of(), era: view.era() }
-    };
-    let reply: Result<ViewChanges> =
-        call_peer(&node, addr, PUBLISHED_PATH, &request, PEER_CALL_TIMEOUT).await;
-    match reply {
-        Ok(changes) => published::apply_peer_changes(&node, topic, changes),
-        Err(e) => {
-            let (what, subject) = ("published state", addr.to_string());
-            record(&LogEvent::PeerFailed { what, subject: &subject, detail: &e.to_string() });
-        }
-    }
-}
-
-fn published_changes(node: &Node, request: PublishedRequest) -> ViewChanges {
-    let topic = match request.part {
-        PublishedPart::Operator => PublishedTopic::Operator,
-        PublishedPart::Replicas => PublishedTopic::Replicas,
-    };
-    let now = node.now();
-    let changes = node.view(topic).changes_after(now, request.era, request.after);
-    let after_outage = published::is_after_outage(now, node.view(topic).outage_ended());
-    ViewChanges { after_outage, ..changes }
-}
--- a/src/relay/listing.rs
+++ b/src/relay/listing.rs
@@ -14,6 +14,7 @@
 use crate::decide::traffic::EraCheck;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
+use crate::names::Timestamp;
 
 /// Timeout for one page.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1200);
@@ -30,6 +31,9 @@
     pub as_of: u64,
     /// Era of that revision; 0 if the store names none.
     pub era: u64,
+    /// When the call for the first page was sent, by the clock that counts suspended time; `None`
+    /// if it can't be read.
+    pub asked_at: Option<Timestamp>,
 }
 
 /// Lists a topic; with `may_be_old` the listing may be some seconds old.
@@ -51,11 +55,13 @@
     let mut items: Vec<PublishedItem> = Vec::new();
     let mut as_of = None;
     let mut listed_era = None;
+    let mut first_asked_at = None;
     let mut size = 0;
     loop {
         let after = items.last().map(|item| item.key.clone());
         let path = node.protocol.list_path(topic, after.as_deref(), may_be_old);
-        let StoreResponse { status, era, body } = store_call::get(node, path, PAGE_TIMEOUT).await?;
+        let response = store_call::get(node, path, PAGE_TIMEOUT).await?;
+        let StoreResponse { status, era, body, asked_at } = response;
         if status != 200 {
             return Err(format!("listing returned status {status}"));
         }
@@ -64,6 +70,7 @@
         {
             return Err("the store was restored during the listing".to_owned());
         }
+        first_asked_at.get_or_insert(asked_at);
         size += body.len();
         if size > MAX_LISTING_BYTES {
             return Err(format!("the listing exceeds {MAX_LISTING_BYTES} bytes"));
@@ -80,7 +87,8 @@
         }
     }
     let era = listed_era.flatten().unwrap_or_default();
-    Ok(Listing { items, as_of: as_of.unwrap_or_default(), era })
+    let asked_at = first_asked_at.flatten();
+    Ok(Listing { items, as_of: as_of.unwrap_or_default(), era, asked_at })
 }
 
 /// The item that was written; `None` for a removal.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -18,6 +18,7 @@
 use super::attempt_failure::AttemptFailure;
 use super::node::Node;
 use super::version_source::VersionSource;
+use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
 use crate::send_permits::PermitSource;
@@ -144,6 +145,8 @@
     config_version: Gauge,
     quarantined_parts: Gauge,
     published_age: Family<TopicLabels, Gauge>,
+    config_proof_age: Gauge,
+    config_trust: Gauge,
     log_lines_dropped: Gauge,
 }
 
@@ -170,6 +173,8 @@
             config_version: Gauge::default(),
             quarantined_parts: Gauge::default(),
             published_age: Family::default(),
+            config_proof_age: Gauge::default(),
+            config_trust: Gauge::default(),
             log_lines_dropped: Gauge::default(),
         };
         metrics.register();
@@ -209,6 +214,10 @@
         r.register("quarantined_prompt_parts", help, self.quarantined_parts.clone());
         let help = "Age of the view of the published state, in ms; -1 if nothing was read";
         r.register("published_age_ms", help, self.published_age.clone());
+        let help = "Age of the proof that the configuration is the newest, in ms; -1 without one";
+        r.register("config_proof_age_ms", help, self.config_proof_age.clone());
+        let help = "Trust in the configuration: 0 stale, 1 known, 2 current";
+        r.register("config_trust", help, self.config_trust.clone());
         let help = "Log lines that were dropped";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
     }
@@ -306,6 +315,14 @@
             let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
             self.published_age.get_or_create(&TopicLabels { topic: topic.name() }).set(age);
         }
+        let age = node.freshness.proof_age();
+        let age_ms = age.and_then(|age| i64::try_from(age.as_millis()).ok());
+        self.config_proof_age.set(age_ms.unwrap_or(-1));
+        self.config_trust.set(match node.config_trust() {
+            ConfigTrust::Stale => 0,
+            ConfigTrust::Known => 1,
+            ConfigTrust::Current => 2,
+        });
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -21,10 +21,13 @@
 use super::PublishedTopic;
 use super::RelaySettings;
 use super::connection_pool::ConnectionPool;
+use super::freshness_tracker::FreshnessTracker;
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
 use crate::daemon::Clock;
+use crate::decide::config_freshness::ConfigProof;
+use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::reach::PassOnPeers;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
@@ -35,6 +38,7 @@
 use crate::decide::traffic::PeerRecord;
 use crate::decide::traffic::Peers;
 use crate::decide::traffic::PromptGuard;
+use crate::decide::traffic::PublishedItem;
 use crate::decide::traffic::PublishedView;
 use crate::decide::traffic::Replicas;
 use crate::decide::traffic::RetryShare;
@@ -69,6 +73,10 @@
     pub connection_pool: ConnectionPool,
     /// Traffic configuration in effect; `None` until one is known.
     pub config: watch::Sender<Option<Arc<TrafficConfig>>>,
+    /// Published item that it was decoded from.
+    pub config_item: watch::Sender<Option<PublishedItem>>,
+    /// How fresh it is.
+    pub freshness: FreshnessTracker,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Wakes the task that gives orders.
@@ -136,6 +144,8 @@
             http,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
+            config_item: watch::Sender::new(None),
+            freshness: FreshnessTracker::new(settings.freshness_limits(), &settings.instance),
             metrics: Metrics::default(),
             order_wake: Notify::new(),
             exchange_wake: Notify::new(),
@@ -239,6 +249,22 @@
         self.config.borrow().clone()
     }
 
+    /// Whether callers need API keys, so that the freshness of the configuration matters.
+    pub fn requires_keys(&self) -> bool {
+        self.settings.key_revocation_ms.is_some() || self.settings.config_propagation_ms.is_some()
+    }
+
+    /// How far the configuration in effect can be trusted now; a change is logged. What is decided
+    /// with it must be decided before the next `await`, by the configuration in effect now.
+    pub fn config_trust(&self) -> ConfigTrust {
+        self.freshness.trust()
+    }
+
+    /// Proof of the configuration for a peer that asks; `None` unless callers need API keys.
+    pub fn config_proof(&self) -> Option<ConfigProof> {
+        self.freshness.proof().filter(|_| self.requires_keys())
+    }
+
     /// Whether the instance is shutting down.
     pub fn is_draining(&self) -> bool {
         self.shutdown.borrow().is_some()
@@ -283,11 +309,16 @@
         self.joined.store(true, Ordering::Relaxed);
     }
 
+    /// Whether a peer has replied, or the time to wait for one is over.
+    pub fn is_joined(&self) -> bool {
+        self.joined.load(Ordering::Relaxed)
+    }
+
     /// Whether callers should send requests here; decides the readiness check.
     pub fn is_ready(&self) -> bool {
         let knows_replicas = self.view(PublishedTopic::Replicas).was_listed();
         !self.is_draining()
-            && self.joined.load(Ordering::Relaxed)
+            && self.is_joined()
             && self.config.borrow().is_some()
             && knows_replicas
             && !self.is_isolated()
--- /dev/null
+++ b/src/relay/operator_items.rs
@@ -0,0 +1,53 @@
+//! Applies the operator's items of the published state: configuration and declared versions.
+
+use std::sync::Arc;
+
+use super::log_event::LogEvent;
+use super::log_event::record;
+use super::node::Node;
+use super::published::record_undecodable;
+use crate::decide::traffic::PublishedEvent;
+use crate::decide::traffic::PublishedItem;
+
+/// Applies a change of the operator's items; always `true`, since peers need all of them.
+pub fn apply(node: &Node, event: &PublishedEvent) -> bool {
+    let PublishedEvent::Written(item) = event else { return true };
+    take_config(node, item);
+    match node.protocol.decode_version(item) {
+        Ok(Some((key, version))) => {
+            let now = node.now();
+            record(&LogEvent::VersionDeclared { adapter: &key.label(), version });
+            node.versions().on_declared(now, key, version);
+            node.order_wake.notify_one();
+        }
+        Ok(None) => {}
+        Err(error) => record_undecodable(item, &error),
+    }
+    true
+}
+
+/// Takes a configuration of a higher version; an item that is something else is ignored.
+pub fn take_config(node: &Node, item: &PublishedItem) {
+    match node.protocol.decode_config(item) {
+        Ok(Some(config)) => {
+            let version = config.version;
+            let current = node.current_config();
+            let before = current.as_ref().map_or(0, |current| current.version);
+            if version > before || current.is_none() {
+                record(&LogEvent::ConfigTaken { version, before, rev: item.rev });
+                let config = match current {
+                    Some(current) => config.after(&current),
+                    None => config,
+                };
+                node.config.send_replace(Some(Arc::new(config)));
+                node.config_item.send_replace(Some(item.clone()));
+                node.freshness.on_applied(version);
+            }
+        }
+        Ok(None) => {}
+        Err(error) => {
+            node.freshness.on_undecodable();
+            record_undecodable(item, &error);
+        }
+    }
+}
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -9,12 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use nix::time::ClockId;
-use nix::time::clock_gettime;
 use tokio::time::sleep;
 
 use super::FencedOrder;
 use super::OrderAnswer;
+use super::boot_clock;
 use super::exchange;
 use super::log_event::LogEvent;
 use super::log_event::record;
@@ -128,15 +127,9 @@
     }
 }
 
-/// Time since boot, including the time that the machine was suspended.
+/// Time since boot; zero if it can't be read, so that no pause is seen.
 fn boot_time() -> Duration {
-    match clock_gettime(ClockId::CLOCK_BOOTTIME) {
-        Ok(time) => Duration::from(time),
-        Err(e) => {
-            record(&LogEvent::ClockFailed { detail: &e.to_string() });
-            Duration::ZERO
-        }
-    }
+    boot_clock::boot_time().unwrap_or_default()
 }
 
 /// Acquires every lease anew after a pause, since other instances may have taken over meanwhile.
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -18,6 +18,7 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
+use super::operator_items;
 use super::store_call;
 use super::store_call::StoreResponse;
 use super::store_event::StoreEvent;
@@ -32,6 +33,9 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Wait of the poll by which a view becomes current, as after the first listing, which may be old.
 const CATCH_UP_WAIT: Duration = Duration::from_millis(1);
+/// Longest time for which a poll of the operator's items waits if callers need API keys: what it
+/// proves counts from when it was sent, and is twice that old when the next one returns.
+const KEYED_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Time on top of that wait after which a long poll counts as failed.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// Delay after a failed call.
@@ -63,6 +67,10 @@
         match step {
             Ok(changed) => {
                 on_success(&node, topic, now);
+                if is_proof_due(&node, topic) {
+                    // The store's answer proved nothing.
+                    sleep(RETRY_DELAY).await;
+                }
                 if changed && topic == PublishedTopic::Replicas {
                     sleep(REPLICA_BATCH_INTERVAL).await;
                 }
@@ -81,7 +89,14 @@
     let now = node.now();
     let reads = node.peers().reads_published(now);
     let view = node.view(topic);
-    reads || view.as_of().is_none() || !view.is_current(now)
+    reads || view.as_of().is_none() || !view.is_current(now) || is_proof_due(node, topic)
+}
+
+/// Whether this instance should read a topic since it is to prove how fresh the configuration is.
+fn is_proof_due(node: &Node, topic: PublishedTopic) -> bool {
+    topic == PublishedTopic::Operator
+        && node.requires_keys()
+        && node.freshness.is_read_due(node.now())
 }
 
 /// Drops expired replicas and idle connections until the process ends.
@@ -90,10 +105,23 @@
         sleep(REPLICA_BATCH_INTERVAL).await;
         let now = node.now();
         node.replicas().drop_expired(now);
+        watch_freshness(&node);
         node.connection_pool.close_expired(now);
     }
 }
 
+/// Logs a change of the trust in the configuration, and has reads of a restored store count once
+/// there is no peer left that could have a later version.
+fn watch_freshness(node: &Node) {
+    if !node.requires_keys() {
+        return;
+    }
+    node.config_trust();
+    if node.is_joined() && node.peers().remembered_count() == 1 {
+        node.freshness.stop_awaiting_peer();
+    }
+}
+
 /// Applies the changes of a topic that a peer sent.
 pub fn apply_peer_changes(node: &Node, topic: PublishedTopic, changes: ViewChanges) {
     let Some(as_of) = changes.as_of else { return };
@@ -147,6 +175,9 @@
     drop(view);
     if is_restored {
         record(&StoreEvent::StoreRestored { topic: topic.name(), before, era });
+        if topic == PublishedTopic::Operator && node.peers().remembered_count() > 1 {
+            node.freshness.on_restored();
+        }
     }
     is_restored
 }
@@ -154,19 +185,21 @@
 async fn list(node: &Node, topic: PublishedTopic) -> Result<bool, String> {
     // The watch that follows brings an old listing up to date.
     let may_be_old = !node.view(topic).was_listed();
-    let Listing { items, as_of, era } = listing::read(node, topic, may_be_old).await?;
-    apply_listing(node, topic, items, as_of, era);
+    let listing = listing::read(node, topic, may_be_old).await?;
+    let (era, asked_at) = (listing.era, listing.asked_at);
+    apply_listing(node, topic, listing);
     if may_be_old {
         node.view(topic).on_old_listing();
+    } else {
+        on_proof(node, topic, Some(era), asked_at);
     }
     Ok(false)
 }
 
 async fn watch(node: &Node, topic: PublishedTopic, after: u64) -> Result<bool, String> {
-    let is_current = node.view(topic).is_current(node.now());
-    let wait = if is_current { WATCH_WAIT } else { CATCH_UP_WAIT };
+    let wait = watch_wait(node, topic);
     let path = node.protocol.watch_path(topic, after, wait);
-    let StoreResponse { status, era, body } =
+    let StoreResponse { status, era, body, asked_at } =
         store_call::get(node, path, wait + WATCH_MARGIN).await?;
     let era_check = node.view(topic).on_store_era(era);
     match era_check {
@@ -189,7 +222,29 @@
         return Err(format!("watch returned status {status}"));
     }
     let page = node.protocol.decode_watch(&body).map_err(|e| e.to_string())?;
-    Ok(apply_watch_page(node, topic, &page))
+    let changed = apply_watch_page(node, topic, &page);
+    on_proof(node, topic, era, asked_at);
+    Ok(changed)
+}
+
+/// Longest time for which the next poll of a topic waits.
+fn watch_wait(node: &Node, topic: PublishedTopic) -> Duration {
+    if !node.view(topic).is_current(node.now()) || is_proof_due(node, topic) {
+        CATCH_UP_WAIT
+    } else if topic == PublishedTopic::Operator && node.requires_keys() {
+        KEYED_WATCH_WAIT
+    } else {
+        WATCH_WAIT
+    }
+}
+
+/// Records that a whole and current answer of the store was applied: it proves the configuration
+/// unless it is of another era than the view.
+fn on_proof(node: &Node, topic: PublishedTopic, era: Option<u64>, asked_at: Option<Timestamp>) {
+    let is_same_era = era.unwrap_or_default() == node.view(topic).era();
+    if topic == PublishedTopic::Operator && is_same_era {
+        node.freshness.on_read(asked_at);
+    }
 }
 
 /// Spreads the listings of all instances that have to list anew at the same time.
@@ -198,13 +253,8 @@
     sleep(Duration::from_millis(score % MAX_RELIST_DELAY_MS)).await;
 }
 
-fn apply_listing(
-    node: &Node,
-    topic: PublishedTopic,
-    items: Vec<PublishedItem>,
-    as_of: u64,
-    era: u64,
-) {
+fn apply_listing(node: &Node, topic: PublishedTopic, listing: Listing) {
+    let Listing { items, as_of, era, .. } = listing;
     let now = node.now();
     node.view(topic).on_contact(now);
     let is_restored = begin_era(node, topic, now, era);
@@ -230,7 +280,7 @@
             continue;
         }
         let is_worth_sharing = match topic {
-            PublishedTopic::Operator => apply_operator(node, event),
+            PublishedTopic::Operator => operator_items::apply(node, event),
             PublishedTopic::Replicas => apply_replica(node, event, source),
         };
         if let PublishedEvent::Written(item) = event
@@ -245,39 +295,6 @@
     }
 }
 
-/// Applies a change of the operator's items; always `true`, since peers need all of them.
-fn apply_operator(node: &Node, event: &PublishedEvent) -> bool {
-    let PublishedEvent::Written(item) = event else { return true };
-    match node.protocol.decode_config(item) {
-        Ok(Some(config)) => {
-            let version = config.version;
-            let current = node.current_config();
-            let before = current.as_ref().map_or(0, |current| current.version);
-            if version > before || current.is_none() {
-                record(&LogEvent::ConfigTaken { version, before, rev: item.rev });
-                let config = match current {
-                    Some(current) => config.after(&current),
-                    None => config,
-                };
-                node.config.send_replace(Some(Arc::new(config)));
-            }
-        }
-        Ok(None) => {}
-        Err(error) => record_undecodable(item, &error),
-    }
-    match node.protocol.decode_version(item) {
-        Ok(Some((key, version))) => {
-            let now = node.now();
-            record(&LogEvent::VersionDeclared { adapter: &key.label(), version });
-            node.versions().on_declared(now, key, version);
-            node.order_wake.notify_one();
-        }
-        Ok(None) => {}
-        Err(error) => record_undecodable(item, &error),
-    }
-    true
-}
-
 /// Applies a change of a replica's entry; returns whether peers need it.
 fn apply_replica(node: &Node, event: &PublishedEvent, source: Source) -> bool {
     let now = node.now();
@@ -315,7 +332,8 @@
     }
 }
 
-fn record_undecodable(item: &PublishedItem, error: &DecodeError) {
+/// Logs an item that is skipped.
+pub fn record_undecodable(item: &PublishedItem, error: &DecodeError) {
     record(&LogEvent::Undecodable { what: &item.key, detail: &error.to_string() });
 }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -127,6 +127,7 @@
 async fn join_and_settle(node: Arc<Node>) {
     sleep(JOIN_TIMEOUT).await;
     node.set_joined();
+    node.freshness.stop_awaiting_peer();
     sleep(SETTLE_TIME).await;
     node.peers().set_settled();
 }
--- a/src/relay/store_event.rs
+++ b/src/relay/store_event.rs
@@ -2,6 +2,8 @@
 
 use serde::Serialize;
 
+use crate::decide::config_freshness::ConfigTrust;
+
 /// One log event; its name and fields are those of the JSON line.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -45,4 +47,18 @@
         /// Number of changes.
         count: usize,
     },
+    /// The configuration in effect can be trusted more or less than before.
+    ConfigTrustChanged {
+        /// How far it can be trusted.
+        trust: ConfigTrust,
+        /// How far it could be before.
+        before: ConfigTrust,
+        /// Time since the store was asked for the state that proves it, in ms; `None` without a
+        /// proof.
+        age_ms: Option<u128>,
+        /// Version in effect; `None` if there is none.
+        version: Option<u64>,
+        /// Highest version that this instance or a peer has.
+        highest: Option<u64>,
+    },
 }
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decide::config_freshness::ConfigProof;
 use crate::decide::send_limits::LimitNews;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::CrashEvidence;
@@ -114,6 +115,10 @@
     /// Limits that replicas began or ceased to name lately.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub limits: Vec<LimitNews>,
+    /// How fresh the sender's configuration is; only in a reply, as nobody knows for how long
+    /// another message was in transit. `None` without client accounts and from older processes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub config_proof: Option<ConfigProof>,
 }
 
 /// Asks the owner of a replica to load an adapter or a base model.
@@ -292,6 +297,9 @@
     Operator,
     /// The replicas' entries.
     Replicas,
+    /// The configuration in effect, which a store that was restored may lack; older processes don't
+    /// know this part and refuse the call.
+    Config,
 }
 
 /// Asks for changes of the published state; the reply is [`ViewChanges`].
--- a/tests/traffic/prompt_evidence.rs
+++ b/tests/traffic/prompt_evidence.rs
@@ -140,9 +140,10 @@
         crash_evidence: Vec::new(),
         sound_parts: Vec::new(),
         limits: Vec::new(),
+        config_proof: None,
     };
     let bytes = encode(&idle).unwrap();
-    for field in ["strike_ages_ms", "crash_evidence", "sound_parts"] {
+    for field in ["strike_ages_ms", "crash_evidence", "sound_parts", "config_proof"] {
         let is_there = bytes.windows(field.len()).any(|window| window == field.as_bytes());
         assert!(!is_there, "{field}");
     }
