--- a/src/relay/freshness_tracker.rs
+++ b/src/relay/freshness_tracker.rs
@@ -19,7 +19,7 @@
 /// Part of the shorter limit over which the instances spread their own reads of the store.
 const READ_SPREAD_PART: u32 = 4;
 
-/// Freshness of the configuration in effect. Without a time, calls prove nothing.
+/// Freshness of the configuration in effect; calls without a time prove nothing.
 #[derive(Debug)]
 pub struct FreshnessTracker {
     freshness: Mutex<ConfigFreshness>,
@@ -84,9 +84,10 @@
         self.freshness().proof(boot_timestamp()?)
     }
 
-    /// Age of the proof; `None` without one.
-    pub fn proof_age(&self) -> Option<Duration> {
-        self.freshness().age(boot_timestamp()?)
+    /// Age of the proof, in ms; `None` without one.
+    pub fn proof_age_ms(&self) -> Option<u64> {
+        let age = self.freshness().age(boot_timestamp()?)?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
     }
 
     /// Version in effect; `None` without a configuration.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -315,9 +315,8 @@
             let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
             self.published_age.get_or_create(&TopicLabels { topic: topic.name() }).set(age);
         }
-        let age = node.freshness.proof_age();
-        let age_ms = age.and_then(|age| i64::try_from(age.as_millis()).ok());
-        self.config_proof_age.set(age_ms.unwrap_or(-1));
+        let age = node.config_age_ms().map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
+        self.config_proof_age.set(age);
         self.config_trust.set(match node.config_trust() {
             ConfigTrust::Stale => 0,
             ConfigTrust::Known => 1,
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -260,6 +260,12 @@
         self.freshness.trust()
     }
 
+    /// Time since the store was asked for the state that proves the configuration, in ms; `None`
+    /// without a proof.
+    pub fn config_age_ms(&self) -> Option<u64> {
+        self.freshness.proof_age_ms()
+    }
+
     /// Proof of the configuration for a peer that asks; `None` unless callers need API keys.
     pub fn config_proof(&self) -> Option<ConfigProof> {
         self.freshness.proof().filter(|_| self.requires_keys())
