Log changes of the trust only where keys are required

Cause: a scrape of the metrics logged a change also in deployments without client accounts. Change: metrics read the trust without the log.

--- a/src/relay/freshness_tracker.rs
+++ b/src/relay/freshness_tracker.rs
@@ -101,21 +101,23 @@
         Some(now.since(self.freshness().missing_since()?))
     }
 
-    /// Present trust in the configuration; a change of it is logged.
+    /// Present trust in the configuration.
     pub fn trust(&self) -> ConfigTrust {
-        let now = boot_timestamp();
         let freshness = self.freshness();
-        let trust = now.map_or_else(|| freshness.trust_without_clock(), |now| freshness.trust(now));
-        let mut logged = lock(&self.logged);
-        if *logged != trust {
-            record(&StoreEvent::ConfigTrustChanged {
-                trust,
-                before: *logged,
-                age_ms: now.and_then(|now| freshness.age(now)).map(|age| age.as_millis()),
-                version: freshness.version(),
-                highest: freshness.highest_version(),
-            });
-            *logged = trust;
+        boot_timestamp()
+            .map_or_else(|| freshness.trust_without_clock(), |now| freshness.trust(now))
+    }
+
+    /// Present trust in the configuration; a change since the last call is logged.
+    pub fn logged_trust(&self) -> ConfigTrust {
+        let trust = self.trust();
+        let before = std::mem::replace(&mut *lock(&self.logged), trust);
+        if before != trust {
+            let age_ms = self.proof_age_ms();
+            let freshness = self.freshness();
+            let (version, highest) = (freshness.version(), freshness.highest_version());
+            drop(freshness);
+            record(&StoreEvent::ConfigTrustChanged { trust, before, age_ms, version, highest });
         }
         trust
     }
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -317,7 +317,7 @@
         }
         let age = node.config_age_ms().map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
         self.config_proof_age.set(age);
-        self.config_trust.set(match node.config_trust() {
+        self.config_trust.set(match node.freshness.trust() {
             ConfigTrust::Stale => 0,
             ConfigTrust::Known => 1,
             ConfigTrust::Current => 2,
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -257,7 +257,7 @@
     /// How far the configuration in effect can be trusted now; a change is logged. What is decided
     /// with it must be decided before the next `await`, by the configuration in effect now.
     pub fn config_trust(&self) -> ConfigTrust {
-        self.freshness.trust()
+        self.freshness.logged_trust()
     }
 
     /// Time since the store was asked for the state that proves the configuration, in ms; `None`
--- a/src/relay/store_event.rs
+++ b/src/relay/store_event.rs
@@ -55,7 +55,7 @@
         before: ConfigTrust,
         /// Time since the store was asked for the state that proves it, in ms; `None` without a
         /// proof.
-        age_ms: Option<u128>,
+        age_ms: Option<u64>,
         /// Version in effect; `None` if there is none.
         version: Option<u64>,
         /// Highest version that this instance or a peer has.
