--- a/src/relay/freshness_tracker.rs
+++ b/src/relay/freshness_tracker.rs
@@ -104,8 +104,7 @@
     /// Present trust in the configuration.
     pub fn trust(&self) -> ConfigTrust {
         let freshness = self.freshness();
-        boot_timestamp()
-            .map_or_else(|| freshness.trust_without_clock(), |now| freshness.trust(now))
+        boot_timestamp().map_or_else(|| freshness.trust_without_clock(), |now| freshness.trust(now))
     }
 
     /// Present trust in the configuration; a change since the last call is logged.
