Wait in a shutdown until responses are written

A response counted as ended once it was handed to the HTTP server, which may still have megabytes of it to write to a caller that reads slowly. A planned stop then cut the caller off after 2.6 s of a limit of 8 s.

Each response to a caller, and to an instance that passes a request on, now counts as unfinished until the connection's buffer is flushed to its socket. What the system holds then is still delivered when the process ends, unless unread input makes it reset the connection; so the end of a connection is sent first and input is discarded for up to two seconds. Response bodies without chunks that break off still end by a reset.

--- a/src/decide/traffic/shutdown.rs
+++ b/src/decide/traffic/shutdown.rs
@@ -8,7 +8,7 @@
 /// Time for which new requests are still accepted, since the load balancer notices the
 /// shutdown late.
 const ACCEPT_TIME: Duration = Duration::from_millis(2600);
-/// Time before the limit at which the process ends even if requests are in flight.
+/// Time before the limit at which the process ends even if requests are unfinished.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Time before that end at which requests without a response get one.
 const LAST_RESPONSE_MARGIN: Duration = Duration::from_millis(300);
@@ -37,9 +37,10 @@
         self.limit.saturating_sub(LAST_RESPONSE_MARGIN).saturating_sub(elapsed)
     }
 
-    /// Whether the process ends now; `in_flight` is the number of requests in progress.
-    pub fn is_over(&self, now: Timestamp, in_flight: usize) -> bool {
+    /// Whether the process ends now; `unfinished` is the number of requests in progress and of
+    /// responses that aren't written yet.
+    pub fn is_over(&self, now: Timestamp, unfinished: usize) -> bool {
         let elapsed = now.since(self.started);
-        elapsed >= self.limit || (in_flight == 0 && !self.accepts_requests(now))
+        elapsed >= self.limit || (unfinished == 0 && !self.accepts_requests(now))
     }
 }
--- /dev/null
+++ b/src/relay/accepted_stream.rs
@@ -0,0 +1,118 @@
+//! TCP stream of an accepted connection, which notes what is read from it and written to it.
+
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::task::yield_now;
+use tokio::time::timeout;
+
+use super::connection_activity::ConnectionActivity;
+use crate::edge::FairStream;
+
+/// Time for which input is still read after the last response.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+const DISCARD_BUF_BYTES: usize = 4096;
+
+/// Accepted stream with the activity of its connection.
+pub struct AcceptedStream {
+    stream: FairStream,
+    activity: Arc<ConnectionActivity>,
+}
+
+impl AcceptedStream {
+    /// Wraps the stream of a connection.
+    pub fn new(stream: FairStream, activity: Arc<ConnectionActivity>) -> Self {
+        Self { stream, activity }
+    }
+
+    /// Closes the connection by a reset.
+    pub fn reset(self) {
+        if let Err(e) = SockRef::from(self.stream.stream()).set_linger(Some(Duration::ZERO)) {
+            log::debug!("connection can't be reset: {e}");
+        }
+    }
+
+    /// Ends the connection and discards what its client still sends: unread input would make the
+    /// system reset it and drop what the client hasn't received yet.
+    pub async fn close(self) {
+        self.activity.on_ended();
+        match timeout(LINGER_TIME, discard_input(self.stream.stream())).await {
+            Ok(Ok(())) | Err(_) => {}
+            Ok(Err(e)) => log::debug!("connection ended before its client closed it: {e}"),
+        }
+    }
+}
+
+/// Sends the end of the connection and reads until its client has closed it too.
+async fn discard_input(stream: &TcpStream) -> io::Result<()> {
+    SockRef::from(stream).shutdown(Shutdown::Write)?;
+    let mut buf = [0; DISCARD_BUF_BYTES];
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut buf) {
+            Ok(0) => return Ok(()),
+            Ok(_) => yield_now().await,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+impl AsyncRead for AcceptedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if buf.filled().len() > before {
+            self.activity.on_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for AcceptedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    // The HTTP server flushes the stream only after it has written all that it has buffered.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.activity.on_flushed();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -6,9 +6,6 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -19,7 +16,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::Version;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -27,12 +23,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use super::accepted_stream::AcceptedStream;
+use super::active_request_guard::ActiveRequestGuard;
+use super::connection_activity::ConnectionActivity;
 use super::exchange;
 use super::forward;
 use super::log_event::LogEvent;
@@ -43,7 +41,6 @@
 use super::tracked_body::TrackedBody;
 use crate::edge::FairStream;
 use crate::error::ErrorKind;
-use crate::names::Timestamp;
 use crate::wire::frame::MAX_FRAME_BYTES;
 use crate::wire::frame::decode;
 use crate::wire::pass_on::PASS_ON_PATH;
@@ -108,61 +105,28 @@
     }
 }
 
-/// When a connection was last used, how many requests are in progress on it, and whether its
-/// responses have no chunks, so that a body without a length ends with the connection.
-#[derive(Debug)]
-struct Activity {
-    requests: u32,
-    last_used: Timestamp,
-    lacks_chunks: bool,
-}
-
-/// Counts a request as in progress on its connection until its response has been sent.
-struct ActiveRequestGuard {
-    node: Arc<Node>,
-    activity: Arc<Mutex<Activity>>,
-}
-
-impl ActiveRequestGuard {
-    fn new(node: &Arc<Node>, activity: &Arc<Mutex<Activity>>) -> Self {
-        lock(activity).requests += 1;
-        Self { node: Arc::clone(node), activity: Arc::clone(activity) }
-    }
-}
-
-impl Drop for ActiveRequestGuard {
-    fn drop(&mut self) {
-        let mut activity = lock(&self.activity);
-        activity.requests -= 1;
-        activity.last_used = self.node.now();
-    }
-}
-
-fn lock(activity: &Mutex<Activity>) -> MutexGuard<'_, Activity> {
-    activity.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn serve_connection(node: Arc<Node>, stream: TcpStream, audience: Audience) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(
             "connection of {audience:?}: TCP_NODELAY can't be set, going on without it: {e}"
         );
     }
-    let activity =
-        Arc::new(Mutex::new(Activity { requests: 0, last_used: node.now(), lacks_chunks: false }));
+    let activity = Arc::new(ConnectionActivity::new(&node, audience == Audience::Callers));
     let service = {
         let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
         service_fn(move |req| {
             let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
             async move {
-                let guard = ActiveRequestGuard::new(&node, &activity);
-                on_version(&activity, req.version());
+                activity.on_request(req.version());
+                let unfinished = has_response_to_finish(audience, &req)
+                    .then(|| node.unfinished_responses.enter());
+                let guard = ActiveRequestGuard::new(&activity, unfinished);
                 let response = serve(&node, req, audience).await;
                 Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, guard)))
             }
         })
     };
-    let io = TokioIo::new(FairStream::new(stream));
+    let io = TokioIo::new(AcceptedStream::new(FairStream::new(stream), Arc::clone(&activity)));
     let mut connection = connection_builder(audience).serve_connection(io, service);
     let mut is_found_idle = false;
     loop {
@@ -184,14 +148,29 @@
             None if !is_idle_expired(&node, &activity) => is_found_idle = false,
             None if !is_found_idle => is_found_idle = true,
             None => Pin::new(&mut connection).graceful_shutdown(),
-            Some(Ok(())) => return,
+            Some(Ok(())) => break,
             Some(Err(e)) => {
                 log::debug!("connection of {audience:?} ended: {e}");
-                reset_without_chunks(&activity, connection.into_parts().io.inner().stream());
-                return;
+                // Its client would take the connection's end as that of the body.
+                if activity.lacks_chunks() {
+                    connection.into_parts().io.into_inner().reset();
+                    return;
+                }
+                break;
             }
         }
     }
+    connection.into_parts().io.into_inner().close().await;
+}
+
+/// Whether a shutdown waits for the response: to a caller, or to an instance that passes a caller's
+/// request on.
+fn has_response_to_finish(audience: Audience, req: &Request<Incoming>) -> bool {
+    match audience {
+        Audience::Callers => true,
+        Audience::Peers => req.uri().path() == PASS_ON_PATH,
+        Audience::Ready | Audience::Metrics => false,
+    }
 }
 
 /// Callers' connections have an idle timeout of their own.
@@ -203,29 +182,14 @@
     builder
 }
 
-fn on_version(activity: &Mutex<Activity>, version: Version) {
-    lock(activity).lacks_chunks = version < Version::HTTP_11;
-}
-
-/// Makes a failed connection close by a reset if its client would take its end as that of a body.
-fn reset_without_chunks(activity: &Mutex<Activity>, stream: &TcpStream) {
-    let activity = lock(activity);
-    if activity.lacks_chunks
-        && let Err(e) = SockRef::from(stream).set_linger(Some(Duration::ZERO))
-    {
-        log::debug!("connection can't be reset: {e}");
-    }
-}
-
 /// Whether a caller's connection is to be closed as idle.
-fn is_idle_expired(node: &Node, activity: &Mutex<Activity>) -> bool {
+fn is_idle_expired(node: &Node, activity: &ConnectionActivity) -> bool {
     let limit = if node.is_draining() {
         DRAIN_IDLE_TIMEOUT
     } else {
         node.current_config().map_or(DEFAULT_IDLE_TIMEOUT, |config| config.idle_timeout)
     };
-    let activity = lock(activity);
-    activity.requests == 0 && node.now().since(activity.last_used) > limit
+    activity.is_idle_for(limit)
 }
 
 async fn serve(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,10 +6,13 @@
 //! deployments (header names, body formats, control calls) and decides nothing. [`run`] connects
 //! both to listeners, upstream connections and the gossip exchange with other instances.
 
+mod accepted_stream;
+mod active_request_guard;
 mod adapter_use;
 mod attempt;
 mod attempt_failure;
 mod attempt_race;
+mod connection_activity;
 mod connection_pool;
 mod exchange;
 mod fleet_event;
@@ -49,6 +52,7 @@
 mod stream_relay;
 mod tracked_body;
 mod turns;
+mod usage_count;
 mod version_source;
 
 pub use log_event::LogEvent;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -24,6 +24,7 @@
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
+use super::usage_count::UsageCount;
 use crate::daemon::Clock;
 use crate::decide::reach::PassOnPeers;
 use crate::decide::rendezvous;
@@ -85,6 +86,11 @@
     pub permits: Arc<SendPermits>,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
+    /// Responses to callers, and to instances that pass requests on, that aren't written yet to
+    /// their connections.
+    pub unfinished_responses: UsageCount,
+    /// Requests of callers whose heads have begun to arrive.
+    pub arriving_heads: UsageCount,
     clock: Clock,
     shutdown: watch::Sender<Option<Shutdown>>,
     joined: AtomicBool,
@@ -144,6 +150,8 @@
             origin_datagrams: OriginDatagrams::default(),
             permits: Arc::new(permits),
             in_flight: AtomicUsize::new(0),
+            unfinished_responses: UsageCount::default(),
+            arriving_heads: UsageCount::default(),
             clock,
             shutdown: watch::Sender::new(None),
             joined: AtomicBool::new(false),
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -173,9 +173,9 @@
     let shutdown = node.shut_down();
     record(&LogEvent::Stopping { in_flight: node.in_flight.load(Ordering::Relaxed) });
     loop {
-        let in_flight = node.in_flight.load(Ordering::Relaxed);
-        if shutdown.is_over(node.now(), in_flight) {
-            record(&LogEvent::Stopped { cut_off: in_flight });
+        let unfinished = node.unfinished_responses.get();
+        if shutdown.is_over(node.now(), unfinished) {
+            record(&LogEvent::Stopped { cut_off: unfinished });
             return;
         }
         sleep(SHUTDOWN_CHECK_INTERVAL).await;
