Answer requests that arrive in the last moments of a shutdown

When nothing was in progress after 2.6 s the process ended at once. A body that never ended also held its request, and a later shutdown, for as long as its caller liked.

The listener is now closed only after all waiting connections were accepted, and the process ends once their requests were answered: 100 ms for the first request of a new connection, 500 ms for a head under way. The body of a request must arrive within the request's time limit, or until a shutdown's last responses; otherwise the request is refused as not run.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -29,6 +29,7 @@
 use super::passed_on::TakenRequestGuard;
 use super::prompt_quarantine;
 use super::prompt_quarantine::QuarantineCheck;
+use super::request_body;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::end_to_end_headers;
@@ -103,7 +104,12 @@
     let (route, service) = match_route(&config, &head, &parts)?;
     let has_length = parts.headers.contains_key(header::CONTENT_LENGTH)
         || parts.headers.contains_key(header::TRANSFER_ENCODING);
-    let body = Limited::new(body, config.max_body_bytes).collect().await;
+    let body = tokio::select! {
+        body = Limited::new(body, config.max_body_bytes).collect() => body,
+        () = request_body::until_due(&node, &head, &parts, &route, arrived) => {
+            return Err(LocalResponse::NotRun);
+        }
+    };
     let body = body.map_err(|e| body_error_response(&*e))?.to_bytes();
     accept(Admission {
         node,
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -90,13 +91,22 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections until the process ends.
+/// Accepts connections until the process ends, or until callers' ones are no longer accepted.
 pub async fn run(node: Arc<Node>, listener: TcpListener, audience: Audience) {
+    let is_closing = async {
+        match audience {
+            Audience::Callers => node.until_callers_are_not_accepted().await,
+            Audience::Peers | Audience::Ready | Audience::Metrics => pending().await,
+        }
+    };
+    let mut is_closing = pin!(is_closing);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_connection(Arc::clone(&node), stream, audience));
-            }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut is_closing => return accept_waiting(&node, listener, audience),
+        };
+        match accepted {
+            Ok((stream, _)) => on_accepted(&node, stream, audience),
             Err(e) => {
                 record(&LogEvent::AcceptFailed { detail: &e.to_string() });
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -105,6 +115,32 @@
     }
 }
 
+/// Closes the listener after the connections that wait to be accepted, which it would reset.
+///
+/// They are accepted from the system itself, as the runtime may not know of the last ones yet.
+fn accept_waiting(node: &Arc<Node>, listener: TcpListener, audience: Audience) {
+    let accept_all = || -> io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            let (stream, _) = listener.accept()?;
+            stream.set_nonblocking(true)?;
+            on_accepted(node, TcpStream::from_std(stream)?, audience);
+        }
+    };
+    if let Err(e) = accept_all()
+        && e.kind() != io::ErrorKind::WouldBlock
+    {
+        record(&LogEvent::AcceptFailed { detail: &e.to_string() });
+    }
+}
+
+fn on_accepted(node: &Arc<Node>, stream: TcpStream, audience: Audience) {
+    if audience == Audience::Callers {
+        node.on_caller_accepted();
+    }
+    tokio::spawn(serve_connection(Arc::clone(node), stream, audience));
+}
+
 async fn serve_connection(node: Arc<Node>, stream: TcpStream, audience: Audience) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -40,6 +40,7 @@
 mod replica_request_guard;
 mod replica_search;
 mod replica_signals;
+mod request_body;
 mod response;
 mod response_framing;
 mod resumption;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -93,6 +93,8 @@
     pub arriving_heads: UsageCount,
     clock: Clock,
     shutdown: watch::Sender<Option<Shutdown>>,
+    accepts_callers: watch::Sender<bool>,
+    last_accepted: Mutex<Timestamp>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
     use_serial: AtomicU64,
@@ -154,6 +156,8 @@
             arriving_heads: UsageCount::default(),
             clock,
             shutdown: watch::Sender::new(None),
+            accepts_callers: watch::Sender::new(true),
+            last_accepted: Mutex::new(Timestamp::ZERO),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
             use_serial: AtomicU64::new(first_serial),
@@ -286,6 +290,29 @@
         sleep(begun.time_until_last_responses(self.now())).await;
     }
 
+    /// Notes that a caller's connection is accepted.
+    pub fn on_caller_accepted(&self) {
+        *lock(&self.last_accepted) = self.now();
+    }
+
+    /// When a caller's connection was accepted last; zero before the first one.
+    pub fn last_accepted(&self) -> Timestamp {
+        *lock(&self.last_accepted)
+    }
+
+    /// Ends the accepting of callers' connections; those that wait to be accepted still are.
+    pub fn stop_accepting_callers(&self) {
+        self.accepts_callers.send_replace(false);
+    }
+
+    /// Completes when callers' connections are no longer accepted.
+    pub async fn until_callers_are_not_accepted(&self) {
+        let mut accepts_callers = self.accepts_callers.subscribe();
+        if accepts_callers.wait_for(|accepts| !accepts).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Notes that a peer has replied, or that the time to wait for one is over.
     pub fn set_joined(&self) {
         self.joined.store(true, Ordering::Relaxed);
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -40,6 +40,8 @@
 const SETTLE_TIME: Duration = Duration::from_millis(2000);
 /// Interval at which a shutdown checks for requests in progress.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which it checks for requests that arrived before connections were no longer accepted.
+const LAST_READ_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the number of dropped log lines is checked.
 const DROPPED_LINES_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which the settings file is checked for changes.
@@ -172,13 +174,20 @@
 async fn shut_down(node: &Node) {
     let shutdown = node.shut_down();
     record(&LogEvent::Stopping { in_flight: node.in_flight.load(Ordering::Relaxed) });
+    while !shutdown.is_closing(node.now(), node.unfinished_responses.get()) {
+        sleep(SHUTDOWN_CHECK_INTERVAL).await;
+    }
+    node.stop_accepting_callers();
+    let closed_at = node.now();
     loop {
+        // What has arrived by now is accepted and read meanwhile.
+        sleep(LAST_READ_INTERVAL).await;
         let unfinished = node.unfinished_responses.get();
-        if shutdown.is_over(node.now(), unfinished) {
+        let (last_accepted, heads) = (node.last_accepted(), node.arriving_heads.get());
+        if shutdown.may_end(node.now(), closed_at, last_accepted, unfinished, heads) {
             record(&LogEvent::Stopped { cut_off: unfinished });
             return;
         }
-        sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
 }
 
--- a/tests/traffic/small.rs
+++ b/tests/traffic/small.rs
@@ -106,10 +106,28 @@
     let shutdown = Shutdown::new(at(0), Duration::from_secs(8));
     assert!(shutdown.accepts_requests(at(2000)));
     assert!(!shutdown.accepts_requests(at(3000)));
-    assert!(!shutdown.is_over(at(1000), 0), "the load balancer may still send requests");
-    assert!(shutdown.is_over(at(3000), 0));
-    assert!(!shutdown.is_over(at(7000), 1));
-    assert!(shutdown.is_over(at(7999), 1));
+    assert!(!shutdown.is_closing(at(1000), 0), "the load balancer may still send requests");
+    assert!(shutdown.is_closing(at(3000), 0));
+    assert!(!shutdown.is_closing(at(7000), 1));
+    assert!(shutdown.is_closing(at(7999), 1));
+}
+
+// Guards against requests that are cut off as they arrive, and against a stop that waits for ones
+// that never arrive.
+#[test]
+fn a_shutdown_ends_once_the_last_requests_have_arrived_and_were_answered() {
+    let shutdown = Shutdown::new(at(0), Duration::from_secs(8));
+    let closed_at = at(3000);
+    let may_end = |now, last_accepted, unfinished, heads| {
+        shutdown.may_end(at(now), closed_at, at(last_accepted), unfinished, heads)
+    };
+    assert!(may_end(3010, 1000, 0, 0));
+    assert!(!may_end(3010, 2990, 0, 0), "a request is about to arrive");
+    assert!(may_end(3100, 2990, 0, 0));
+    assert!(!may_end(3400, 1000, 0, 1), "the rest of its head may come");
+    assert!(may_end(3500, 1000, 0, 1));
+    assert!(!may_end(7400, 1000, 1, 0));
+    assert!(may_end(7500, 1000, 1, 0));
 }
 
 #[test]
