Keep late copies of responses from callers that use an id again

A replica that sends a second copy of a response while the next request is in progress on the connection got it taken for the response to that request if both have the same id, as retries of a caller and resumptions of a stream have. With different ids the copy was refused, but the retry could meet another one, so that the caller got 502.

A pooled connection now takes no request with the id of one of its earlier requests, is closed after 64 of them, and only the first send of a request goes over a pooled connection. On the connections between instances, requests that are passed on have a connection of their own each, as before.

--- a/src/decide/traffic/attempts.rs
+++ b/src/decide/traffic/attempts.rs
@@ -133,6 +133,11 @@
         self.sends
     }
 
+    /// Whether the request was sent once at most, also by an instance that passed it on.
+    pub fn is_first(&self) -> bool {
+        self.sends <= 1 && self.tried.len() <= 1
+    }
+
     /// What the caller is told if no further attempt is made.
     pub fn final_outcome(&self) -> FinalOutcome {
         if self.possible_runs() > 0 { FinalOutcome::Unknown } else { FinalOutcome::NotRun }
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -257,9 +257,12 @@
     replica: &BackendName,
     addr: SocketAddr,
 ) -> Option<Connection> {
+    let (node, id) = (&request.node, &request.head.id);
+    // A retry can't meet a late response to an earlier request on a new connection.
+    let is_first = request.attempts().is_first();
     if request.route.kind.may_repeat()
-        && let Some(idle) =
-            request.node.connection_pool.take_idle(request.node.now(), replica, addr)
+        && is_first
+        && let Some(idle) = node.connection_pool.take_idle(node.now(), replica, addr, id)
     {
         return Some(idle);
     }
@@ -284,6 +287,7 @@
     resume_after: Option<&str>,
 ) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
     let req = replica_request::build(request, replica, resume_after);
+    connection.on_send(&request.head.id);
     match connection.sender.try_send_request(req).await {
         Ok(response) => Ok((connection, response)),
         Err(mut failed) => {
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -1,7 +1,9 @@
 //! Connections to replicas, with a pool of idle ones.
 //!
 //! A replica may be closing an idle connection, or an unsolicited response may be on its way, so
-//! only requests that may be repeated are sent on one.
+//! only requests that may be repeated are sent on one. It may be a copy of the response to an
+//! earlier request, whose id tells it from the others; so none with the same id follows on the
+//! connection.
 
 use std::collections::HashMap;
 use std::io;
@@ -19,6 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::edge::FairStream;
 use crate::names::BackendName;
@@ -33,12 +36,28 @@
 /// Idle connections kept to one replica; further ones are closed.
 const MAX_IDLE_PER_REPLICA: usize = 8;
 
+/// Requests sent on one connection, whose ids are remembered; then it is closed.
+const MAX_REQUESTS: usize = 64;
+
 /// An HTTP/1.1 connection that is closed when this is dropped.
 #[derive(Debug)]
 pub struct Connection {
     /// Sends requests on it.
     pub sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    /// Hashes of the ids of the requests that were sent on it.
+    sent_ids: Vec<u64>,
+}
+
+impl Connection {
+    /// Notes that the request `id` is sent on it.
+    pub fn on_send(&mut self, id: &str) {
+        self.sent_ids.push(xxh3_64(id.as_bytes()));
+    }
+
+    fn has_sent(&self, id: &str) -> bool {
+        self.sent_ids.contains(&xxh3_64(id.as_bytes()))
+    }
 }
 
 impl Drop for Connection {
@@ -60,17 +79,20 @@
 }
 
 impl ConnectionPool {
-    /// Takes an idle connection that is still open; `None` if there is none.
+    /// Takes an idle connection that is still open and had no request `id` yet; `None` if there is
+    /// none.
     pub fn take_idle(
         &self,
         now: Timestamp,
         replica: &BackendName,
         addr: SocketAddr,
+        id: &str,
     ) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.get_mut(&(replica.clone(), addr))?;
         list.retain(|entry| entry.expires > now && entry.connection.sender.is_ready());
-        list.pop().map(|entry| entry.connection)
+        let last = list.iter().rposition(|entry| !entry.connection.has_sent(id))?;
+        Some(list.swap_remove(last).connection)
     }
 
     /// Opens a new connection.
@@ -90,7 +112,7 @@
                 log::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Connection { sender, driver: driver.abort_handle() })
+        Ok(Connection { sender, driver: driver.abort_handle(), sent_ids: Vec::new() })
     }
 
     /// Keeps a connection whose response was read to its end; `limit` is the time for which the
@@ -106,7 +128,7 @@
         let time = limit.map_or(MAX_IDLE_TIME, |limit| limit.min(MAX_IDLE_TIME));
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let list = idle.entry((replica.clone(), addr)).or_default();
-        if list.len() < MAX_IDLE_PER_REPLICA {
+        if list.len() < MAX_IDLE_PER_REPLICA && connection.sent_ids.len() < MAX_REQUESTS {
             list.push(IdleConnection { connection, expires: now + time });
         }
     }
