Reset streams without chunks if their process ends

A stream to a caller of HTTP/1.0 has no chunks, so the end of its connection is that of its body. When the process was killed, or a shutdown's limit was over, the system ended the connection in order and the stream looked complete.

The system now resets such a connection if it ends while a response is in progress or isn't written yet.

--- a/src/relay/accepted_stream.rs
+++ b/src/relay/accepted_stream.rs
@@ -28,18 +28,30 @@
 pub struct AcceptedStream {
     stream: FairStream,
     activity: Arc<ConnectionActivity>,
+    /// Whether the system resets the connection if it ends now, as when the process is killed.
+    is_reset_at_end: bool,
 }
 
 impl AcceptedStream {
     /// Wraps the stream of a connection.
     pub fn new(stream: FairStream, activity: Arc<ConnectionActivity>) -> Self {
-        Self { stream, activity }
+        Self { stream, activity, is_reset_at_end: false }
     }
 
     /// Closes the connection by a reset.
-    pub fn reset(self) {
-        if let Err(e) = SockRef::from(self.stream.stream()).set_linger(Some(Duration::ZERO)) {
-            log::debug!("connection can't be reset: {e}");
+    pub fn reset(mut self) {
+        self.set_reset_at_end(true);
+    }
+
+    /// Sets whether the system resets the connection at its end, if that changes.
+    fn set_reset_at_end(&mut self, is_reset: bool) {
+        if self.is_reset_at_end == is_reset {
+            return;
+        }
+        let linger = is_reset.then_some(Duration::ZERO);
+        match SockRef::from(self.stream.stream()).set_linger(linger) {
+            Ok(()) => self.is_reset_at_end = is_reset,
+            Err(e) => log::debug!("the end of a connection can't be set: {e}"),
         }
     }
 
@@ -90,6 +102,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        let is_reset = self.activity.would_look_complete();
+        self.set_reset_at_end(is_reset);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -97,6 +111,8 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
         self.activity.on_flushed();
+        let is_reset = self.activity.would_look_complete();
+        self.set_reset_at_end(is_reset);
         Poll::Ready(Ok(()))
     }
 
@@ -109,6 +125,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        let is_reset = self.activity.would_look_complete();
+        self.set_reset_at_end(is_reset);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
--- a/src/relay/connection_activity.rs
+++ b/src/relay/connection_activity.rs
@@ -95,6 +95,12 @@
         is_idle && self.node.now().since(state.last_used) > limit
     }
 
+    /// Whether its client would take an end of the connection now as that of a body that isn't whole.
+    pub fn would_look_complete(&self) -> bool {
+        let state = self.state();
+        state.lacks_chunks && (state.requests > 0 || state.unwritten.is_some())
+    }
+
     /// Whether its client takes the end of the connection as that of a body without a length.
     pub fn lacks_chunks(&self) -> bool {
         self.state().lacks_chunks
