--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,13 +6,16 @@
 //! deployments (header names, body formats, control calls) and decides nothing. [`run`] connects
 //! both to listeners, upstream connections and the gossip exchange with other instances.
 
+mod accepted_stream;
 mod account_metrics;
+mod active_request_guard;
 mod adapter_use;
 mod attempt;
 mod attempt_failure;
 mod attempt_race;
 mod boot_clock;
 mod caller_account;
+mod connection_activity;
 mod connection_pool;
 mod exchange;
 mod fleet_event;
@@ -43,6 +46,7 @@
 mod replica_request_guard;
 mod replica_search;
 mod replica_signals;
+mod request_body;
 mod response;
 mod response_framing;
 mod resumption;
@@ -55,6 +59,7 @@
 mod stream_relay;
 mod tracked_body;
 mod turns;
+mod usage_count;
 mod version_source;
 
 pub use log_event::LogEvent;
