Quota messages, the 429 response, and what permits and quotas share

Cause: quotas of accounts need a call between instances, a response to callers over quota, and the same knowledge of the counting instance that permits use. Change: src/wire/quota.rs; LocalResponse::OverQuota (429 with Retry-After); the choice of the counting instance and the fleet view move to src/relay/counting.rs, the list of instances that didn't answer to UnresponsivePeers. Permits behave as before.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod attempt_failure;
 mod attempt_race;
 mod connection_pool;
+mod counting;
 mod exchange;
 mod fleet_event;
 mod forward;
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -227,9 +227,11 @@
     let reason = if is_unknown_path { "NoRoute" } else { reason? };
     record(&FleetEvent::PassedOnRefused { id, by, reason });
     Some(match LocalResponse::from_reason(reason) {
-        Some(response @ (LocalResponse::NotRun | LocalResponse::NotYet(_))) => {
-            AttemptOutcome::Refused(response)
-        }
+        Some(
+            response @ (LocalResponse::NotRun
+            | LocalResponse::NotYet(_)
+            | LocalResponse::OverQuota(_)),
+        ) => AttemptOutcome::Refused(response),
         Some(LocalResponse::Unknown | LocalResponse::TimedOut) | None => {
             AttemptOutcome::NoResponse(AttemptEnd::MaybeRan)
         }
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -4,6 +4,8 @@
 
 use std::time::Duration;
 
+use super::counting::counting_instance;
+use super::counting::fleet_view;
 use super::node::Node;
 use super::replica_signals;
 use crate::decide::send_limits::FleetView;
@@ -11,7 +13,6 @@
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
 use crate::names::BackendName;
-use crate::send_permits::CountingInstance;
 use crate::send_permits::SendPermit;
 use crate::send_permits::SendTarget;
 use crate::wire::send_permit::PermitReply;
@@ -36,7 +37,7 @@
     let Some(target) = limited_target(node, replica, time_left + EXPIRY_MARGIN) else {
         return Ok(None);
     };
-    let acquired = node.permits.acquire(&counting_instance(node, replica), &target).await;
+    let acquired = node.permits.acquire(&counting_instance(node, replica.as_str()), &target).await;
     node.metrics.on_permit(acquired.as_ref().ok().map(SendPermit::source));
     let now = node.now();
     if let Some(known) = node.replicas().get_mut(replica) {
@@ -123,20 +124,6 @@
     node.permits.retain_replicas(|replica| replicas.get(replica).is_some_and(is_limited));
 }
 
-/// The instance that counts the sends to a replica: the first in its rendezvous ranking.
-fn counting_instance(node: &Node, replica: &BackendName) -> CountingInstance {
-    let now = node.now();
-    let mut peers = node.peers();
-    match peers.preferred_owner(now, replica.as_str()) {
-        Some(name) if name == node.settings.instance => CountingInstance::Own,
-        Some(name) => match peers.addr_of(now, &name) {
-            Some(addr) => CountingInstance::Peer(name, addr),
-            None => CountingInstance::Unknown,
-        },
-        None => CountingInstance::Unknown,
-    }
-}
-
 /// A replica that names a limit, for which a permit is asked now; `None` if it names none.
 fn limited_target(node: &Node, replica: &BackendName, expires_in: Duration) -> Option<SendTarget> {
     let now = node.now();
@@ -147,12 +134,6 @@
     Some(target_of(node, known, fleet, expires_in))
 }
 
-fn fleet_view(node: &Node) -> FleetView {
-    let now = node.now();
-    let peers = node.peers();
-    FleetView { live: 1 + peers.live(now).count(), recent: peers.recent_count(now) }
-}
-
 fn target_of(node: &Node, known: &Replica, fleet: FleetView, expires_in: Duration) -> SendTarget {
     let age = known.limits.age(node.now());
     SendTarget {
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -60,6 +60,8 @@
     /// The request didn't run and never will, since it can't be served before this time has passed;
     /// the caller may retry then.
     NotYet(Duration),
+    /// The request didn't run and never will, since its account is over its quota for this time.
+    OverQuota(Duration),
     /// The request didn't run, since this instance is cut off from the replicas; another instance
     /// that passed it on may try a further one.
     OutOfReach,
@@ -79,6 +81,7 @@
             Self::NotReady => "NotReady",
             Self::NotRun => "NotRun",
             Self::NotYet(_) => "NotYet",
+            Self::OverQuota(_) => "OverQuota",
             Self::OutOfReach => "OutOfReach",
             Self::Unknown => "Unknown",
             Self::TimedOut => "TimedOut",
@@ -96,7 +99,8 @@
             | Self::NotReady
             | Self::NotRun
             | Self::OutOfReach
-            | Self::NotYet(_) => Outcome::Refused,
+            | Self::NotYet(_)
+            | Self::OverQuota(_) => Outcome::Refused,
         }
     }
 
@@ -108,6 +112,7 @@
             Self::NotReady | Self::NotRun | Self::NotYet(_) | Self::OutOfReach => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
+            Self::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -116,7 +121,7 @@
     fn retry_after(self) -> Option<Duration> {
         match self {
             Self::NotReady | Self::NotRun | Self::OutOfReach => Some(RETRY_AFTER),
-            Self::NotYet(left) => Some(left),
+            Self::NotYet(left) | Self::OverQuota(left) => Some(left),
             Self::Malformed | Self::NoRoute | Self::TooLarge | Self::Unknown | Self::TimedOut => {
                 None
             }
@@ -126,7 +131,9 @@
     /// The reason as another instance reads it: the name, and the time if there is one, in ms.
     pub fn to_reason(self) -> String {
         match self {
-            Self::NotYet(left) => format!("{} {}", self.name(), left.as_millis()),
+            Self::NotYet(left) | Self::OverQuota(left) => {
+                format!("{} {}", self.name(), left.as_millis())
+            }
             other => other.name().to_owned(),
         }
     }
@@ -142,6 +149,7 @@
             Self::NotReady,
             Self::NotRun,
             Self::NotYet(left),
+            Self::OverQuota(left),
             Self::OutOfReach,
             Self::Unknown,
             Self::TimedOut,
--- a/src/send_permits/counting_instance.rs
+++ b/src/send_permits/counting_instance.rs
@@ -1,10 +1,10 @@
-//! Which instance counts the sends to a replica.
+//! Which instance counts what all instances use together.
 
 use std::net::SocketAddr;
 
 use crate::names::InstanceName;
 
-/// The instance that counts the sends to a replica.
+/// The instance that counts the sends to a replica, or the use of a group of accounts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CountingInstance {
     /// This one.
--- a/src/send_permits/mod.rs
+++ b/src/send_permits/mod.rs
@@ -9,9 +9,11 @@
 mod permit;
 mod permits;
 mod send_target;
+mod unresponsive_peers;
 
 pub use counting_instance::CountingInstance;
 pub use permit::PermitSource;
 pub use permit::SendPermit;
 pub use permits::SendPermits;
 pub use send_target::SendTarget;
+pub use unresponsive_peers::UnresponsivePeers;
--- a/src/send_permits/permits.rs
+++ b/src/send_permits/permits.rs
@@ -13,6 +13,7 @@
 use super::CountingInstance;
 use super::SendPermit;
 use super::SendTarget;
+use super::UnresponsivePeers;
 use super::permit::Grantor;
 use crate::daemon::Clock;
 use crate::decide::send_limits::LimitNews;
@@ -36,8 +37,6 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of the notice that a request has ended.
 const END_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time for which an instance isn't asked again after an ask without a reply.
-const UNREACHABLE_TIME: Duration = Duration::from_secs(1);
 
 /// Verdict on a send to a replica that limits rejections while the counting instance doesn't answer.
 const UNCOUNTED: Verdict = Verdict::Denied(Duration::from_millis(250));
@@ -55,7 +54,7 @@
     counters: Mutex<Counters>,
     /// Counts the sends of this instance from its own share.
     own_shares: Mutex<Counters>,
-    unreachable_until: Mutex<HashMap<InstanceName, Timestamp>>,
+    unresponsive: UnresponsivePeers,
 }
 
 impl SendPermits {
@@ -68,7 +67,7 @@
             serial: AtomicU64::new(first_serial),
             counters: Mutex::default(),
             own_shares: Mutex::default(),
-            unreachable_until: Mutex::default(),
+            unresponsive: UnresponsivePeers::default(),
         }
     }
 
@@ -181,7 +180,7 @@
         id: &PermitId,
         target: &SendTarget,
     ) -> Option<Verdict> {
-        if lock(&self.unreachable_until).get(name).is_some_and(|until| now < *until) {
+        if self.unresponsive.contains(now, name) {
             return None;
         }
         let request = PermitRequest {
@@ -202,8 +201,7 @@
             Err(e) if e.kind == ErrorKind::NotFound => Some(self.ask_own_share(id, target)),
             Err(e) => {
                 log::warn!("no permit from {name} for {}: {e}", target.limits.replica);
-                let until = self.clock.now() + UNREACHABLE_TIME;
-                lock(&self.unreachable_until).insert(name.clone(), until);
+                self.unresponsive.add(self.clock.now(), name);
                 None
             }
         }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,8 +1,8 @@
 //! Messages between processes.
 //!
 //! Entry instances send each other MessagePack, encoded by `rmp-serde` (see
-//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`], [`send_permit`] and [`stream_origin`]. Messages to
-//! and from callers, backend servers, the platform and operators are JSON. Serde's
+//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`], [`send_permit`], [`quota`]
+//! and [`stream_origin`]. Messages to and from callers, backend servers, the platform and operators are JSON. Serde's
 //! derives generate the codecs, so the build needs no other code generator.
 
 pub mod caller;
@@ -15,6 +15,7 @@
 pub mod pass_on;
 pub mod peer;
 pub mod published;
+pub mod quota;
 pub mod relay;
 pub mod send_permit;
 pub mod sse;
