--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -180,7 +180,8 @@
 }
 
 fn build(request: &ForwardedRequest, resume_after: Option<&str>) -> Result<Request<Full<Bytes>>> {
-    let headers = end_to_end_headers(&request.parts.headers);
+    let mut headers = end_to_end_headers(&request.parts.headers);
+    request.node.protocol.set_account(&mut headers, request.caller_account.header());
     let headers = headers
         .iter()
         .map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())));
@@ -199,6 +200,7 @@
         software: request.head.needs.software.clone(),
         tried,
         is_probe: request.is_probe,
+        account: request.caller_account.to_passed_on(),
     };
     let body = encode(&message)?;
     let mut req = Request::new(Full::new(body.clone()));
@@ -228,7 +230,9 @@
     record(&FleetEvent::PassedOnRefused { id, by, reason });
     Some(match LocalResponse::from_reason(reason) {
         Some(
-            response @ (LocalResponse::NotRun
+            response @ (LocalResponse::Unauthorized
+            | LocalResponse::Undecided
+            | LocalResponse::NotRun
             | LocalResponse::NotYet(_)
             | LocalResponse::OverQuota(_)),
         ) => AttemptOutcome::Refused(response),
