Charge callers' requests to the quotas of their accounts

Cause: nothing charged a request to its account's quota. Change: src/relay/quotas charges requests after authentication, borrows from the counting instance (one call at a time for each group of accounts), lends as one, refunds what can't have run, and refills in the background. An instance that doesn't answer isn't asked for a second.

--- a/src/relay/caller_account.rs
+++ b/src/relay/caller_account.rs
@@ -49,21 +49,26 @@
     pub fn of_passed_on(account: PassedOnAccount) -> Self {
         match account {
             PassedOnAccount::Anonymous => Self::Anonymous,
-            PassedOnAccount::Named { name, priority } => {
+            PassedOnAccount::Named { name, priority, .. } => {
                 Self::Account(Arc::new(Account { name, priority, quota: None }))
             }
         }
     }
 
-    /// What the instance is told that the request is passed on to; `None` in a deployment without
-    /// accounts.
-    pub fn to_passed_on(&self) -> Option<PassedOnAccount> {
+    /// What the instance is told that the request is passed on to, with the share of its quota that
+    /// the account uses; `None` in a deployment without accounts.
+    pub fn to_passed_on(&self, utilisation: f32) -> Option<PassedOnAccount> {
         match self {
             Self::Unused => None,
             Self::Anonymous => Some(PassedOnAccount::Anonymous),
             Self::Account(account) => {
                 let Account { name, priority, .. } = &**account;
-                Some(PassedOnAccount::Named { name: name.clone(), priority: *priority })
+                let utilisation_percent = (utilisation * 100.0) as u16;
+                Some(PassedOnAccount::Named {
+                    name: name.clone(),
+                    priority: *priority,
+                    utilisation_percent,
+                })
             }
         }
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -28,6 +28,7 @@
 use super::permits;
 use super::prompt_quarantine;
 use super::published;
+use super::quotas;
 use super::stream_origins;
 use super::turns;
 use crate::decide::traffic::Receiver;
@@ -41,6 +42,7 @@
 use crate::names::InstanceName;
 use crate::wire::frame::decode;
 use crate::wire::frame::encode;
+use crate::wire::quota::QUOTA_PATH;
 use crate::wire::relay::EXCHANGE_PATH;
 use crate::wire::relay::Exchange;
 use crate::wire::relay::FAILURE_PATH;
@@ -87,6 +89,7 @@
         }
         drop_uses_of_dead_peers(&node);
         permits::drop_unneeded(&node);
+        quotas::follow_fleet(&node);
         sleep(MIN_EXCHANGE_INTERVAL).await;
         tokio::select! {
             () = sleep(EXCHANGE_INTERVAL - MIN_EXCHANGE_INTERVAL) => {}
@@ -149,6 +152,7 @@
             node.permits.on_end(&decode(body)?);
             encode(&())
         }
+        QUOTA_PATH => encode(&quotas::answer(node, &decode(body)?)),
         STREAM_ORIGIN_PATH => encode(&stream_origins::answer(node, &decode(body)?)),
         PUBLISHED_PATH => encode(&published_changes(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
--- a/src/relay/fleet_event.rs
+++ b/src/relay/fleet_event.rs
@@ -27,6 +27,30 @@
         /// Time before which this instance doesn't ask again, in ms.
         retry_in_ms: u128,
     },
+    /// A request was refused by the quota of its account.
+    QuotaRefused {
+        /// Id of the request.
+        id: &'a str,
+        /// The account.
+        account: &'a str,
+        /// Cost of the request, in units of the quota.
+        cost: u64,
+        /// What the account may use at this instance without an ask.
+        balance: u64,
+        /// Time until the account may use more here, in ms.
+        wait_ms: u128,
+        /// Instance that counts the account; empty if none is known.
+        counting: &'a str,
+        /// Whether that instance didn't answer, so that this one uses its own share of the quota.
+        is_own_share: bool,
+    },
+    /// This instance began to count a group of accounts, or ended it.
+    QuotaGroupCounted {
+        /// Key under which instances are ranked to count the group.
+        group: &'a str,
+        /// Whether it counts the group now.
+        is_counting: bool,
+    },
     /// No connections to the replicas of a service can be made; requests go through other instances.
     LinksLost {
         /// The service.
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -2,7 +2,8 @@
 //!
 //! A request is refused here, before any replica gets it, if its head can't be parsed, while the
 //! relay shuts down or has no configuration, if no route matches, if it needs an API key and has no
-//! valid one, if its body can't be read or is too large, and if it is suspected of crashing replicas.
+//! valid one, if its body can't be read or is too large, if its account is over its quota, and if it is
+//! suspected of crashing replicas.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -30,6 +31,8 @@
 use super::passed_on::TakenRequestGuard;
 use super::prompt_quarantine;
 use super::prompt_quarantine::QuarantineCheck;
+use super::quotas;
+use super::quotas::QuotaCharge;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::end_to_end_headers;
@@ -118,6 +121,7 @@
     let body = Limited::new(body, config.max_body_bytes).collect().await;
     let body = body.map_err(|e| body_error_response(&*e))?.to_bytes();
     let caller_account = check_again(&node, &route, &head)?;
+    let charge = charge_account(&node, &caller_account, &head).await?;
     accept(Admission {
         node,
         head,
@@ -127,6 +131,7 @@
         route,
         service,
         caller_account,
+        charge,
         accepted_under: config.version,
         arrived,
         counted,
@@ -152,6 +157,8 @@
     pub service: Arc<Service>,
     /// Account that it runs for.
     pub caller_account: CallerAccount,
+    /// Its cost, as charged to the quota of the account; `None` if nothing was charged here.
+    pub charge: Option<QuotaCharge>,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Time of arrival.
@@ -168,6 +175,8 @@
     pub tried: Vec<BackendName>,
     /// Whether it may be sent although a part of its prompt is quarantined.
     pub is_probe: bool,
+    /// Share of its quota that the account uses.
+    pub utilisation: f32,
     /// Counts it among the requests of other instances.
     pub _guard: TakenRequestGuard,
 }
@@ -206,6 +215,8 @@
             Attempts::new(route.kind, route.attempts)
         }
     };
+    let of_charge = admission.charge.as_ref().map(QuotaCharge::utilisation);
+    let utilisation = of_charge.or(passed_on.as_ref().map(|terms| terms.utilisation));
     Ok(ForwardedRequest {
         node,
         head,
@@ -217,6 +228,8 @@
         route,
         service,
         caller_account: admission.caller_account,
+        charge: admission.charge,
+        utilisation: utilisation.unwrap_or_default(),
         accepted_under: admission.accepted_under,
         longest_timeout: Mutex::default(),
         attempts: Mutex::new(attempts),
@@ -240,6 +253,17 @@
     CallerAccount::check(node, &config, route.is_public, &head.credential)
 }
 
+/// Charges a request to the quota of its account; `None` if there is no quota.
+async fn charge_account(
+    node: &Arc<Node>,
+    caller_account: &CallerAccount,
+    head: &RequestHead,
+) -> Result<Option<QuotaCharge>, LocalResponse> {
+    let Some(account) = caller_account.account() else { return Ok(None) };
+    let Some(quota) = &account.quota else { return Ok(None) };
+    quotas::charge(node, account, quota, quota.cost(head.tokens), &head.id).await.map(Some)
+}
+
 fn service_of(
     config: &TrafficConfig,
     route: &Route,
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -30,6 +30,7 @@
 use super::metrics::Outcome;
 use super::node::Node;
 use super::passed_on::TakenRequestGuard;
+use super::quotas::QuotaCharge;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::forwarded_response;
@@ -71,6 +72,10 @@
     pub service: Arc<Service>,
     /// Account that it runs for.
     pub caller_account: CallerAccount,
+    /// Its cost, as charged to the quota of the account; `None` if nothing was charged here.
+    pub charge: Option<QuotaCharge>,
+    /// Share of its quota that the account uses over all instances.
+    pub utilisation: f32,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Longest timeout of its route since it was accepted.
@@ -293,6 +298,15 @@
     }
 }
 
+impl Drop for ForwardedRequest {
+    fn drop(&mut self) {
+        let outcome = self.attempts().final_outcome();
+        if let (Some(charge), FinalOutcome::Unknown) = (&mut self.charge, outcome) {
+            charge.keep();
+        }
+    }
+}
+
 /// Host that a request names in its header or else in its URI; empty if in neither.
 pub fn host_of(head: &request::Parts) -> &str {
     let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -255,7 +255,7 @@
     PeerFailed {
         /// What was asked.
         what: &'a str,
-        /// Replica that the call was about, or else the address that was called.
+        /// Replica that the call was about, or else the instance or address that was called.
         subject: &'a str,
         /// The error.
         detail: &'a str,
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::Unit;
 
 use super::PublishedTopic;
+use super::account_metrics::AccountMetrics;
 use super::attempt_failure::AttemptFailure;
 use super::node::Node;
 use super::version_source::VersionSource;
@@ -125,6 +126,8 @@
 /// Counters, gauges and histograms of one relay.
 #[derive(Debug)]
 pub struct Metrics {
+    /// Those of client accounts and their quotas.
+    pub accounts: AccountMetrics,
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
@@ -151,6 +154,7 @@
     fn default() -> Self {
         let histogram = || Histogram::new(BUCKET_BOUNDS_S);
         let mut metrics = Self {
+            accounts: AccountMetrics::default(),
             registry: Registry::with_prefix("relay"),
             requests: Family::default(),
             refusals: Family::default(),
@@ -211,6 +215,7 @@
         r.register("published_age_ms", help, self.published_age.clone());
         let help = "Log lines that were dropped";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
+        self.accounts.register(r);
     }
 
     /// Counts an ask for a permit; `source` is who granted it, `None` if it was denied.
@@ -306,6 +311,7 @@
             let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
             self.published_age.get_or_create(&TopicLabels { topic: topic.name() }).set(age);
         }
+        self.accounts.set_balances(&node.quotas.balances().summary(now));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! deployments (header names, body formats, control calls) and decides nothing. [`run`] connects
 //! both to listeners, upstream connections and the gossip exchange with other instances.
 
+mod account_metrics;
 mod adapter_use;
 mod attempt;
 mod attempt_failure;
@@ -33,6 +34,7 @@
 mod prompt_quarantine;
 mod protocol;
 mod published;
+mod quotas;
 mod reach;
 mod replica_call;
 mod replica_request;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -24,6 +24,7 @@
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
+use super::quotas::Quotas;
 use crate::daemon::Clock;
 use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::reach::PassOnPeers;
@@ -84,6 +85,8 @@
     pub origin_datagrams: OriginDatagrams,
     /// Permits to send to replicas that name a limit.
     pub permits: Arc<SendPermits>,
+    /// Quotas of client accounts.
+    pub quotas: Quotas,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     clock: Clock,
@@ -144,6 +147,7 @@
             turn_changes: watch::Sender::new(0),
             origin_datagrams: OriginDatagrams::default(),
             permits: Arc::new(permits),
+            quotas: Quotas::new(clock.now()),
             in_flight: AtomicUsize::new(0),
             clock,
             shutdown: watch::Sender::new(None),
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -20,6 +20,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::permits;
+use super::quotas;
 use super::replica_call::REPLICA_CALL_TIMEOUT;
 use super::replica_call::call_replica;
 use crate::decide::traffic::EngineSpec;
@@ -145,6 +146,7 @@
     let now = node.now();
     node.peers().on_pause(now);
     node.permits.on_pause(now);
+    quotas::on_pause(node);
     for owned in node.owned().values_mut() {
         owned.lease.on_uncertain();
     }
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -200,7 +200,7 @@
         software: request.head.needs.software.clone(),
         tried,
         is_probe: request.is_probe,
-        account: request.caller_account.to_passed_on(),
+        account: request.caller_account.to_passed_on(request.utilisation),
     };
     let body = encode(&message)?;
     let mut req = Request::new(Full::new(body.clone()));
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -31,6 +31,7 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::SoftwareVersion;
+use crate::wire::pass_on::PassedOnAccount;
 use crate::wire::pass_on::PassedOnRequest;
 use crate::wire::pass_on::REASON_HEADER;
 use crate::wire::pass_on::SOFTWARE_HEADER;
@@ -88,6 +89,7 @@
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
     let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
     let service = config.service_or_former(&service).ok_or(LocalResponse::NoRoute)?;
+    let utilisation = message.account.as_ref().map_or(0.0, PassedOnAccount::utilisation);
     let caller_account = match message.account {
         Some(account) => CallerAccount::of_passed_on(account),
         None => CallerAccount::check(node, &config, route.is_public, &head.credential)?,
@@ -98,7 +100,8 @@
     if !node.pass_on_peers().try_take(own) {
         return Err(LocalResponse::OutOfReach);
     }
-    let terms = PassedOnTerms { tried, is_probe, _guard: TakenRequestGuard(Arc::clone(node)) };
+    let terms =
+        PassedOnTerms { tried, is_probe, utilisation, _guard: TakenRequestGuard(Arc::clone(node)) };
     forward::accept(Admission {
         node: Arc::clone(node),
         head,
@@ -108,6 +111,7 @@
         route: Arc::clone(route),
         service: Arc::clone(service),
         caller_account,
+        charge: None,
         accepted_under: config.version,
         arrived: node.now(),
         counted,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -28,6 +28,7 @@
 use super::orders;
 use super::origin_datagrams;
 use super::published;
+use super::quotas;
 use super::reach;
 use crate::error::Error;
 use crate::error::ErrorKind;
@@ -91,6 +92,7 @@
     tokio::spawn(exchange::run(Arc::clone(&node)));
     tokio::spawn(notices::repeat_uses(Arc::clone(&node)));
     tokio::spawn(orders::run(Arc::clone(&node)));
+    tokio::spawn(quotas::run(Arc::clone(&node)));
     tokio::spawn(reach::run(Arc::clone(&node)));
     tokio::spawn(join_and_settle(Arc::clone(&node)));
     let instance = node.settings.instance.as_str();
--- a/src/wire/pass_on.rs
+++ b/src/wire/pass_on.rs
@@ -32,9 +32,22 @@
         name: AccountName,
         /// Priority of the account's requests; `None` for that of the route.
         priority: Option<u8>,
+        /// Share of its quota that the account uses over all instances, in percent.
+        #[serde(default)]
+        utilisation_percent: u16,
     },
 }
 
+impl PassedOnAccount {
+    /// Share of its quota that the account uses over all instances; 0 if it has none.
+    pub fn utilisation(&self) -> f32 {
+        match self {
+            Self::Anonymous => 0.0,
+            Self::Named { utilisation_percent, .. } => f32::from(*utilisation_percent) / 100.0,
+        }
+    }
+}
+
 /// A caller's request; it may be sent so that it runs once, and must not be passed on again.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PassedOnRequest {
--- a/src/wire/quota.rs
+++ b/src/wire/quota.rs
@@ -23,6 +23,6 @@
 /// Reply to a [`QuotaRequest`].
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct QuotaReply {
-    /// A reply to each ask, in the same order.
-    pub replies: Vec<LoanReply>,
+    /// A reply to each ask, in the same order; `None` where the instance doesn't count the account.
+    pub replies: Vec<Option<LoanReply>>,
 }
