--- a/src/relay/account_metrics.rs
+++ b/src/relay/account_metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of client accounts and their quotas.
+//! Metrics of client accounts and their quotas, with a bounded number of time series.
 
 use std::collections::HashSet;
 use std::sync::Mutex;
@@ -12,6 +12,7 @@
 use prometheus_client::registry::Registry;
 
 use super::quotas::QuotaAccount;
+use crate::decide::accounts::Account;
 use crate::decide::quotas::LoanReply;
 use crate::names::AccountName;
 
@@ -41,7 +42,7 @@
     account: String,
 }
 
-/// Counters and gauges of the accounts that have quotas.
+/// Counters and gauges by account.
 #[derive(Debug, Default)]
 pub struct AccountMetrics {
     names: Mutex<HashSet<AccountName>>,
@@ -77,14 +78,14 @@
 impl AccountMetrics {
     /// Registers all of them.
     pub fn register(&self, r: &mut Registry) {
-        let help = "Requests of an account that were charged to its quota";
+        let help = "Requests admitted for an account";
         r.register("account_admitted", help, self.admitted.clone());
         let help = "Requests of an account that its quota kept back";
         r.register("account_limited", help, self.limited.clone());
-        let help = "Cost that was charged to an account, in units of its quota";
+        let help = "Tokens of the requests admitted for an account";
         r.register("account_tokens", help, self.tokens.clone());
-        let help = "Cost that an account got back, as its requests didn't run";
-        r.register("account_refunded_tokens", help, self.refunded.clone());
+        let help = "Cost that was refunded to an account, in units of its quota, as its requests didn't run";
+        r.register("account_refunded", help, self.refunded.clone());
         let help = "What an account may use at this instance without an ask";
         r.register("account_balance", help, self.balance.clone());
         let help = "Share of its quota that an account uses over all instances";
@@ -95,14 +96,17 @@
         r.register("quota_own_share", help, self.own_share.clone());
     }
 
-    /// Counts a request that was charged, to the instance's own share of the quota or to a loan.
-    pub fn on_admitted(&self, account: &AccountName, cost: u64, is_own_share: bool) {
-        let labels = self.labels(account);
+    /// Counts an admitted request with this sum of token counts.
+    pub fn on_admitted(&self, account: &Account, tokens: Option<u64>) {
+        let plain_cost = account.quota.as_ref().map_or(0, |quota| quota.plain_cost);
+        let labels = self.labels(&account.name);
         self.admitted.get_or_create(&labels).inc();
-        self.tokens.get_or_create(&labels).inc_by(cost);
-        if is_own_share {
-            self.own_share.inc();
-        }
+        self.tokens.get_or_create(&labels).inc_by(tokens.unwrap_or(plain_cost));
+    }
+
+    /// Counts a request that was charged to the instance's own share of a quota.
+    pub fn on_own_share(&self) {
+        self.own_share.inc();
     }
 
     /// Counts a request that its quota kept back.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -184,6 +184,7 @@
 impl Metrics {
     fn register(&mut self) {
         let r = &mut self.registry;
+        self.accounts.register(r);
         r.register("requests", "Requests by kind and end", self.requests.clone());
         r.register("refusals", "Requests without an answer, by reason", self.refusals.clone());
         let help = "Time until an answer's head";
@@ -215,7 +216,6 @@
         r.register("published_age_ms", help, self.published_age.clone());
         let help = "Log lines that were dropped";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
-        self.accounts.register(r);
     }
 
     /// Counts an ask for a permit; `source` is who granted it, `None` if it was denied.
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -92,7 +92,7 @@
     let utilisation = message.account.as_ref().map_or(0.0, PassedOnAccount::utilisation);
     let caller_account = match message.account {
         Some(account) => CallerAccount::of_passed_on(account),
-        None => CallerAccount::check(node, &config, route.is_public, &head.credential)?,
+        None => CallerAccount::check(node, &config, route, &head.credential)?,
     };
     let counted = CallerRequestGuard::new(node);
     let taken = node.pass_on_peers().taken();
--- a/src/relay/quotas/charge.rs
+++ b/src/relay/quotas/charge.rs
@@ -58,7 +58,9 @@
     let waited = timeout(MAX_LOAN_WAIT, charge_or_wait(node, &account.name, quota, cost)).await;
     let step = match waited {
         Ok(Attempted { step: ChargeStep::Charged, utilisation, is_unanswered, .. }) => {
-            node.metrics.accounts.on_admitted(&account.name, cost, is_unanswered);
+            if is_unanswered {
+                node.metrics.accounts.on_own_share();
+            }
             return Ok(QuotaCharge::new(node, account, cost, utilisation));
         }
         Ok(Attempted { step, .. }) => step,
