--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -32,4 +32,5 @@
 pub mod send_limits;
 pub mod submissions;
 pub mod takeover;
+pub mod token_bucket;
 pub mod traffic;
--- a/src/decide/quotas/counter.rs
+++ b/src/decide/quotas/counter.rs
@@ -6,6 +6,7 @@
 use super::LoanAsk;
 use super::LoanReply;
 use super::QuotaGroup;
+use super::quota_bucket::QuotaBucket;
 use crate::decide::accounts::Quota;
 use crate::names::AccountName;
 use crate::names::InstanceName;
@@ -13,29 +14,28 @@
 
 /// Time after the start of the process in which it doesn't know the fleet and lends nothing.
 const JOIN_TIME: Duration = Duration::from_millis(1500);
-/// Time until the next ask after a refusal.
-const REFUSAL_WAIT: Duration = Duration::from_millis(100);
 
 /// Counts what the accounts of its groups use.
 #[derive(Clone, Debug)]
 pub struct QuotaCounter {
     started_at: Timestamp,
     counting_since: HashMap<QuotaGroup, Timestamp>,
-    levels: HashMap<AccountName, (f64, Timestamp)>,
+    buckets: HashMap<AccountName, QuotaBucket>,
 }
 
 impl QuotaCounter {
     /// A counter of a process that starts now; it counts no group yet.
     pub fn new(now: Timestamp) -> Self {
-        Self { started_at: now, counting_since: HashMap::new(), levels: HashMap::new() }
+        Self { started_at: now, counting_since: HashMap::new(), buckets: HashMap::new() }
     }
 
     /// Records whether this instance counts the group. Called at least once a round of gossip; it
     /// begins anew with each group that it didn't count before.
     pub fn on_counting(&mut self, now: Timestamp, group: QuotaGroup, is_counting: bool) {
         if !is_counting {
-            self.counting_since.remove(&group);
-            self.levels.retain(|account, _| QuotaGroup::of(account) != group);
+            if self.counting_since.remove(&group).is_some() {
+                self.buckets.retain(|account, _| QuotaGroup::of(account) != group);
+            }
         } else if now.since(self.started_at) >= JOIN_TIME {
             self.counting_since.entry(group).or_insert(now);
         }
@@ -43,7 +43,7 @@
 
     /// Begins anew with all groups: the process was paused, and others may have counted meanwhile.
     pub fn on_pause(&mut self, now: Timestamp) {
-        self.levels.clear();
+        self.buckets.clear();
         for since in self.counting_since.values_mut() {
             *since = now;
         }
@@ -56,29 +56,27 @@
     pub fn ask(
         &mut self,
         now: Timestamp,
-        _user: &InstanceName,
+        user: &InstanceName,
         quota: &Quota,
         share: f64,
         ask: &LoanAsk,
     ) -> Option<LoanReply> {
         let since = *self.counting_since.get(&QuotaGroup::of(&ask.account))?;
-        let (level, at) = self.levels.entry(ask.account.clone()).or_insert((0.0, since));
-        *level += now.since(*at).as_secs_f64() * quota.rate * share;
-        *level = level.min(quota.burst * share);
-        *at = now;
-        if *level <= 0.0 {
-            let wait_ms = REFUSAL_WAIT.as_millis() as u64;
-            return Some(LoanReply { granted: 0, wait_ms, utilisation: 1.0 });
-        }
-        *level -= ask.needed as f64;
-        Some(LoanReply { granted: ask.needed, wait_ms: 0, utilisation: 0.0 })
+        let bucket = self
+            .buckets
+            .entry(ask.account.clone())
+            .or_insert_with(|| QuotaBucket::new(now, since, quota, share));
+        Some(bucket.ask(now, user, quota, share, ask))
     }
 
-    /// Drops the buckets that are full.
-    pub fn drop_unneeded(&mut self, _now: Timestamp) {}
+    /// Drops the buckets that are full and that nobody borrowed from lately. Called about once a
+    /// second.
+    pub fn drop_unneeded(&mut self, now: Timestamp) {
+        self.buckets.retain(|_, bucket| !bucket.is_unneeded(now));
+    }
 
     /// Number of accounts of which something is kept.
     pub fn kept_accounts(&self) -> usize {
-        self.levels.len()
+        self.buckets.len()
     }
 }
--- a/src/decide/quotas/quota_balance.rs
+++ b/src/decide/quotas/quota_balance.rs
@@ -1,29 +1,68 @@
 //! What one instance may use of one account's quota.
 
+use std::mem;
 use std::time::Duration;
 
 use super::ChargeStep;
 use super::LoanAsk;
 use super::LoanReply;
+use super::demand_estimate::DemandEstimate;
+use super::loans::Loans;
+use super::quota_bucket::limits;
 use crate::decide::accounts::Quota;
+use crate::decide::token_bucket::TokenBucket;
 use crate::names::AccountName;
 use crate::names::Timestamp;
 
-/// Time for which a loan may be used, from the ask on.
-const LOAN_LIFE: Duration = Duration::from_secs(1);
 /// Time until the next ask when the counting instance doesn't answer.
 const NO_REPLY_WAIT: Duration = Duration::from_secs(1);
+/// The same after the first ask without a reply, as a single call may be lost.
+const FIRST_NO_REPLY_WAIT: Duration = Duration::from_millis(20);
+/// Time after which an ask counts as unanswered, if nobody has said so.
+const ASK_LIFE: Duration = Duration::from_secs(1);
+/// Time beyond [`NO_REPLY_WAIT`] in which the own share goes on without an ask.
+const OWN_SHARE_GRACE: Duration = Duration::from_millis(500);
+/// Time after a refusal in which asks state all of the demand.
+const SCARCE_TIME: Duration = Duration::from_secs(2);
+/// Utilisation from which on asks state all of the demand.
+const SCARCE_UTILISATION: f32 = 0.9;
+/// Time after which a reply says nothing about the utilisation any more.
+const UTILISATION_LIFE: Duration = Duration::from_secs(5);
+/// Requests per second from which on loans ahead of demand are likely to be used.
+const MIN_AHEAD_RATE: f64 = 0.5;
+/// Requests per second from which on the balance is refilled in the background.
+const MIN_REFILL_RATE: f64 = 3.0;
+/// Balance below which it is refilled, as a time of recent demand, in seconds.
+const REFILL_BELOW_S: f64 = 0.25;
+/// Loans ahead of demand, as a time of recent demand, in seconds.
+const AHEAD_S: f64 = 0.8;
+/// Unused tokens that may expire, as a part of those that were used.
+const WASTE_PART: f64 = 0.25;
+/// Time without demand after which a balance is dropped.
+const IDLE_TIME: Duration = Duration::from_secs(10);
 
 /// Loans of one instance for one account.
 #[derive(Clone, Debug)]
 pub struct QuotaBalance {
     account: AccountName,
-    lent: f64,
-    expires: Timestamp,
+    loans: Loans,
+    /// Part of the quota that is used while the counting instance doesn't answer.
+    own: Option<TokenBucket>,
+    demand: DemandEstimate,
+    /// Requests that were charged, and those of them that were refunded.
+    charged: DemandEstimate,
+    refunded: DemandEstimate,
+    /// Cost of the requests that wait for the reply.
+    waiting: u64,
+    /// Unused tokens that may still expire.
+    waste_credit: f64,
     asked_at: Option<Timestamp>,
+    demanded_at: Option<Timestamp>,
+    refused_at: Option<Timestamp>,
     refused_until: Timestamp,
     unanswered_until: Timestamp,
     utilisation: f32,
+    heard_at: Timestamp,
 }
 
 impl QuotaBalance {
@@ -31,12 +70,20 @@
     pub fn new(account: AccountName) -> Self {
         Self {
             account,
-            lent: 0.0,
-            expires: Timestamp::ZERO,
+            loans: Loans::default(),
+            own: None,
+            demand: DemandEstimate::default(),
+            charged: DemandEstimate::default(),
+            refunded: DemandEstimate::default(),
+            waiting: 0,
+            waste_credit: 0.0,
             asked_at: None,
+            demanded_at: None,
+            refused_at: None,
             refused_until: Timestamp::ZERO,
             unanswered_until: Timestamp::ZERO,
             utilisation: 0.0,
+            heard_at: Timestamp::ZERO,
         }
     }
 
@@ -50,32 +97,42 @@
     pub fn charge(
         &mut self,
         now: Timestamp,
-        _quota: &Quota,
+        quota: &Quota,
         own_share: Option<f64>,
         cost: u64,
     ) -> ChargeStep {
-        if own_share.is_none() {
+        let Some(own_share) = own_share else {
             return ChargeStep::Unavailable(NO_REPLY_WAIT);
-        }
-        if now >= self.expires {
-            self.lent = 0.0;
-        }
-        if self.lent >= cost as f64 {
-            self.lent -= cost as f64;
-            return ChargeStep::Charged;
+        };
+        self.expire(now);
+        let left = self.loans.left(now);
+        if left >= cost {
+            self.loans.charge(now, cost);
+            return self.charged(now, cost);
         }
         if now < self.refused_until {
-            return ChargeStep::Denied(self.refused_until.since(now));
+            return self.refused(now, cost, ChargeStep::Denied(self.refused_until.since(now)));
+        }
+        if let Some(own) = &mut self.own {
+            let (rate, capacity) = limits(quota, own_share);
+            own.set_limits(now, rate, capacity);
+            let is_due = now >= self.unanswered_until + OWN_SHARE_GRACE;
+            if !is_due && own.level(now) >= (cost - left) as f64 {
+                own.take((cost - left) as f64);
+                self.loans.charge(now, left);
+                return self.charged(now, cost);
+            }
         }
         if now < self.unanswered_until {
-            return ChargeStep::Unavailable(self.unanswered_until.since(now));
+            let wait = self.unanswered_until.since(now);
+            return self.refused(now, cost, ChargeStep::Unavailable(wait));
         }
         if self.asked_at.is_some() {
+            self.waiting = self.waiting.saturating_add(cost);
             return ChargeStep::AwaitReply;
         }
-        self.asked_at = Some(now);
-        let needed = cost - self.lent as u64;
-        ChargeStep::Ask(LoanAsk { account: self.account.clone(), needed, wanted: needed })
+        let ask = self.make_ask(now, cost - left);
+        ChargeStep::Ask(ask)
     }
 
     /// Records the reply to the ask that was made at `asked_at`; `None` if there was none, or if the
@@ -87,49 +144,132 @@
         }
         self.asked_at = None;
         let Some(reply) = reply else {
-            self.unanswered_until = now + NO_REPLY_WAIT;
+            let is_first = self.own.is_none();
+            let wait = if is_first { FIRST_NO_REPLY_WAIT } else { NO_REPLY_WAIT };
+            self.unanswered_until = now + wait;
+            self.own.get_or_insert_with(|| TokenBucket::new(now, 0.0, 0.0));
             return;
         };
+        self.own = None;
+        self.unanswered_until = now;
         self.utilisation = reply.utilisation;
-        if reply.granted == 0 {
+        self.heard_at = now;
+        if reply.granted > 0 {
+            self.loans.add(asked_at, reply.granted);
+        } else if reply.wait_ms > 0 {
+            self.refused_at = Some(now);
             self.refused_until = now + Duration::from_millis(reply.wait_ms);
-            return;
         }
-        self.lent += reply.granted as f64;
-        self.expires = asked_at + LOAN_LIFE;
     }
 
-    /// Gives back the cost of a request that was charged and hasn't run.
+    /// Another instance counts the account now, so that it is worth asking at once.
+    pub fn on_other_counter(&mut self, now: Timestamp) {
+        self.unanswered_until = now.min(self.unanswered_until);
+    }
+
+    /// Gives back the cost of a request that was charged and hasn't run. Nothing is given back
+    /// after the loan that it was charged to has expired.
     pub fn refund(&mut self, now: Timestamp, cost: u64) {
-        if now < self.expires {
-            self.lent += cost as f64;
-        }
+        self.refunded.add(now, cost);
+        self.loans.refund(now, cost);
     }
 
     /// An ask ahead of demand, if one is due; called every 100 ms or so. [`Self::on_reply`] is to
     /// be called as after [`Self::charge`].
-    pub fn refill(&mut self, _now: Timestamp, _quota: &Quota) -> Option<LoanAsk> {
-        None
+    pub fn refill(&mut self, now: Timestamp) -> Option<LoanAsk> {
+        self.expire(now);
+        if self.asked_at.is_some() || now < self.refused_until || now < self.unanswered_until {
+            return None;
+        }
+        let low = self.demand.cost_per_s(now) * REFILL_BELOW_S;
+        let is_frequent = self.demand.requests_per_s(now) >= MIN_REFILL_RATE;
+        let is_low = (self.loans.left(now) as f64) < low;
+        let is_recent = self.demanded_at.is_some_and(|at| now.since(at) < NO_REPLY_WAIT);
+        let is_due = (is_frequent && is_low && !self.is_scarce(now)) || self.own.is_some();
+        (is_due && is_recent).then(|| self.make_ask(now, 0))
     }
 
     /// Forgets all loans, as the process was paused: they may have expired.
-    pub fn on_pause(&mut self, _now: Timestamp) {
-        self.lent = 0.0;
-        self.asked_at = None;
+    pub fn on_pause(&mut self, now: Timestamp) {
+        let account = self.account.clone();
+        *self = Self { heard_at: now, ..Self::new(account) };
     }
 
-    /// Share of the quota that the account uses over all instances, as the last reply said.
-    pub fn utilisation(&self, _now: Timestamp) -> f32 {
-        self.utilisation
+    /// Share of the quota that the account uses over all instances, by the last reply. What was
+    /// refunded here lately isn't counted as used.
+    pub fn utilisation(&self, now: Timestamp) -> f32 {
+        if now.since(self.heard_at) >= UTILISATION_LIFE {
+            return 0.0;
+        }
+        let (mut charged, mut refunded) = (self.charged, self.refunded);
+        let (charged, refunded) = (charged.cost_per_s(now), refunded.cost_per_s(now));
+        let run = if charged > 0.0 { (1.0 - refunded / charged).clamp(0.0, 1.0) } else { 1.0 };
+        self.utilisation * run as f32
     }
 
     /// What may be used now without an ask, in units of the quota.
     pub fn balance(&self, now: Timestamp) -> u64 {
-        if now < self.expires { self.lent as u64 } else { 0 }
+        self.loans.left(now)
     }
 
-    /// Whether a new balance would serve as well, as there was no demand lately.
+    /// Whether it may be dropped, as there was no demand lately.
     pub fn is_unneeded(&self, now: Timestamp) -> bool {
-        self.asked_at.is_none() && now >= self.expires && now >= self.refused_until
+        self.asked_at.is_none_or(|at| now.since(at) >= ASK_LIFE)
+            && self.demanded_at.is_none_or(|at| now.since(at) >= IDLE_TIME)
+            && now >= self.refused_until
+    }
+
+    fn charged(&mut self, now: Timestamp, cost: u64) -> ChargeStep {
+        self.note_demand(now, cost);
+        self.charged.add(now, cost);
+        self.waiting = self.waiting.saturating_sub(cost);
+        let max = self.demand.cost_per_s(now) + 2.0 * self.demand.mean_cost();
+        self.waste_credit = (self.waste_credit + cost as f64 * WASTE_PART).min(max);
+        ChargeStep::Charged
+    }
+
+    fn refused(&mut self, now: Timestamp, cost: u64, step: ChargeStep) -> ChargeStep {
+        self.note_demand(now, cost);
+        step
+    }
+
+    fn note_demand(&mut self, now: Timestamp, cost: u64) {
+        self.demand.add(now, cost);
+        self.demanded_at = Some(now);
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        self.waste_credit -= self.loans.expire(now) as f64;
+        if self.asked_at.is_some_and(|at| now.since(at) >= ASK_LIFE) {
+            self.asked_at = None;
+        }
+    }
+
+    fn make_ask(&mut self, now: Timestamp, needed: u64) -> LoanAsk {
+        self.asked_at = Some(now);
+        self.demanded_at = self.demanded_at.or(Some(now));
+        let waiting = mem::take(&mut self.waiting).saturating_sub(needed);
+        let ahead = self.ahead(now).max(waiting as f64).min(1e18) as u64;
+        LoanAsk { account: self.account.clone(), needed, wanted: needed.saturating_add(ahead) }
+    }
+
+    /// What is asked for beyond the need: of a scarce account the recent demand, else as much as
+    /// is likely to be used before it expires.
+    fn ahead(&mut self, now: Timestamp) -> f64 {
+        let cost_per_s = self.demand.cost_per_s(now);
+        if self.is_scarce(now) {
+            return cost_per_s;
+        }
+        if self.demand.requests_per_s(now) < MIN_AHEAD_RATE {
+            return 0.0;
+        }
+        let target = (cost_per_s * AHEAD_S).max(self.demand.mean_cost());
+        (target - self.loans.left(now) as f64).min(self.waste_credit).max(0.0)
+    }
+
+    fn is_scarce(&self, now: Timestamp) -> bool {
+        let was_refused = self.refused_at.is_some_and(|at| now.since(at) < SCARCE_TIME);
+        let is_used_up = self.utilisation >= SCARCE_UTILISATION;
+        was_refused || (is_used_up && now.since(self.heard_at) < SCARCE_TIME)
     }
 }
