--- a/src/relay/account_metrics.rs
+++ b/src/relay/account_metrics.rs
@@ -24,9 +24,9 @@
 /// How an ask for a loan ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AskOutcome {
-    /// Something was lent.
+    /// What was needed was lent, if anything was.
     Granted,
-    /// Nothing was lent.
+    /// Something was needed, and nothing was lent.
     Refused,
     /// The counting instance didn't answer, or doesn't count the account.
     Unanswered,
@@ -60,7 +60,7 @@
     /// The outcome that a reply stands for; `None` if there was none.
     pub fn of(reply: Option<LoanReply>) -> Self {
         match reply {
-            Some(LoanReply { granted: 0, .. }) => Self::Refused,
+            Some(LoanReply { granted: 0, wait_ms: 1.., .. }) => Self::Refused,
             Some(_) => Self::Granted,
             None => Self::Unanswered,
         }
--- a/src/relay/fleet_event.rs
+++ b/src/relay/fleet_event.rs
@@ -44,12 +44,12 @@
         /// Whether that instance didn't answer, so that this one uses its own share of the quota.
         is_own_share: bool,
     },
-    /// This instance began to count a group of accounts, or ended it.
+    /// A group of accounts is counted by another instance than before, as seen here.
     QuotaGroupCounted {
         /// Key under which instances are ranked to count the group.
         group: &'a str,
-        /// Whether it counts the group now.
-        is_counting: bool,
+        /// The instance that counts it now; empty if none is known.
+        by: &'a str,
     },
     /// No connections to the replicas of a service can be made; requests go through other instances.
     LinksLost {
--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -37,6 +37,7 @@
 use super::response::full_body;
 use super::resumption;
 use super::stream_relay::StreamRelay;
+use crate::decide::quotas::FairRank;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Attempts;
 use crate::decide::traffic::FinalOutcome;
@@ -145,10 +146,16 @@
         }
     }
 
-    /// Priority, 0 the most urgent: that of its account, or else that of its route.
+    /// Priority that a replica gets, 0 the most urgent: that of the route, or in a deployment with
+    /// accounts the rank by the account's priority, or else the route's, and by the use of its quota.
     pub fn priority(&self) -> u8 {
-        let of_account = self.caller_account.account().and_then(|account| account.priority);
-        of_account.unwrap_or(self.route.priority)
+        let of_route = self.route.priority;
+        let of_account = match &self.caller_account {
+            CallerAccount::Unused => return of_route,
+            CallerAccount::Anonymous => None,
+            CallerAccount::Account(account) => account.priority,
+        };
+        FairRank::new(of_account.unwrap_or(of_route), self.utilisation).get()
     }
 
     /// Attempts so far.
--- a/src/relay/quotas/asks.rs
+++ b/src/relay/quotas/asks.rs
@@ -77,18 +77,11 @@
 /// Asks ahead of demand for the accounts that are short, and drops the balances that aren't needed.
 pub fn refill(node: &Arc<Node>) {
     let now = node.now();
-    let Some(config) = node.current_config() else { return };
-    let mut asks = Vec::new();
-    {
+    let asks: Vec<LoanAsk> = {
         let mut balances = node.quotas.balances();
         balances.drop_unneeded(now);
-        for (name, known) in balances.all_mut() {
-            let account = config.accounts.as_ref().and_then(|accounts| accounts.get(name));
-            if let Some(quota) = account.and_then(|account| account.quota.as_ref()) {
-                asks.extend(known.balance.refill(now, quota));
-            }
-        }
-    }
+        balances.all_mut().filter_map(|(_, known)| known.balance.refill(now)).collect()
+    };
     for ask in asks {
         send(node, now, ask);
     }
--- a/src/relay/quotas/balances.rs
+++ b/src/relay/quotas/balances.rs
@@ -1,5 +1,6 @@
 //! Balances of the accounts whose callers are connected to this instance, and its counter.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,6 +17,7 @@
 use crate::decide::send_limits::FleetView;
 use crate::names::AccountName;
 use crate::names::Timestamp;
+use crate::send_permits::CountingInstance;
 use crate::send_permits::UnresponsivePeers;
 
 /// Quotas of one instance.
@@ -35,8 +37,8 @@
 pub struct FollowedFleet {
     /// When that was, and the instances that this one saw; `None` before the first round.
     pub seen: Option<(Timestamp, FleetView)>,
-    /// Groups that this instance counts.
-    pub counted: Vec<QuotaGroup>,
+    /// Which instance counts each group.
+    pub counting: BTreeMap<QuotaGroup, CountingInstance>,
 }
 
 /// Balances by account.
@@ -144,6 +146,15 @@
         }
     }
 
+    /// Another instance counts these groups now.
+    pub fn on_other_counter(&mut self, now: Timestamp, groups: &[QuotaGroup]) {
+        for (name, account) in &mut self.accounts {
+            if groups.contains(&QuotaGroup::of(name)) {
+                account.balance.on_other_counter(now);
+            }
+        }
+    }
+
     /// Drops the balances that a new one could replace.
     pub fn drop_unneeded(&mut self, now: Timestamp) {
         self.accounts.retain(|_, account| !account.balance.is_unneeded(now));
--- a/src/relay/quotas/charge.rs
+++ b/src/relay/quotas/charge.rs
@@ -22,7 +22,6 @@
 use crate::relay::log_event::record;
 use crate::relay::node::Node;
 use crate::relay::response::LocalResponse;
-use crate::send_permits::CountingInstance;
 
 /// Longest wait of a request for loans.
 const MAX_LOAN_WAIT: Duration = Duration::from_millis(600);
@@ -110,7 +109,7 @@
     quota: &Quota,
     cost: u64,
 ) -> Attempted {
-    let own_share = own_share(node, now);
+    let own_share = own_share(node);
     node.quotas.with_balance(account, |known: &mut AccountBalance| Attempted {
         step: known.balance.charge(now, quota, own_share, cost),
         utilisation: known.balance.utilisation(now),
@@ -119,11 +118,12 @@
     })
 }
 
-/// Part of a quota that this instance may use by itself; `None` until it has learned the fleet.
-fn own_share(node: &Node, now: Timestamp) -> Option<f64> {
+/// Part of a quota that this instance may use by itself; `None` until a round of gossip after the time
+/// to learn the fleet. From that round on it also counts its own groups.
+fn own_share(node: &Node) -> Option<f64> {
     let seen = node.quotas.fleet().seen;
-    let is_learned = now.since(Timestamp::ZERO) >= LEARNING_TIME;
-    seen.filter(|_| is_learned).map(|(_, view)| view.own_share())
+    let learned = seen.filter(|(at, _)| at.since(Timestamp::ZERO) >= LEARNING_TIME);
+    learned.map(|(_, view)| view.own_share())
 }
 
 fn record_refusal(node: &Node, account: &AccountName, cost: u64, id: &str, wait: Duration) {
@@ -138,11 +138,7 @@
         cost,
         balance,
         wait_ms: wait.as_millis(),
-        counting: match &counting {
-            CountingInstance::Own => node.settings.instance.as_str(),
-            CountingInstance::Peer(name, _) => name.as_str(),
-            CountingInstance::Unknown => "",
-        },
+        counting: counting.name(&node.settings.instance),
         is_own_share,
     });
 }
--- a/src/relay/quotas/lending.rs
+++ b/src/relay/quotas/lending.rs
@@ -1,5 +1,6 @@
-//! This instance as one that counts: follows which groups are its own, and lends.
+//! Which instance counts each group of accounts, and this instance as one that does: it lends.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::balances::FollowedFleet;
@@ -23,7 +24,7 @@
 /// Wait of an account that this instance doesn't know; its configuration may be older.
 const UNKNOWN_ACCOUNT_WAIT_MS: u64 = 250;
 
-/// Follows the fleet and which groups this instance counts; called in each round of gossip.
+/// Follows the fleet and which instances count the groups; called in each round of gossip.
 pub fn follow_fleet(node: &Node) {
     let has_accounts =
         node.config.borrow().as_ref().is_some_and(|config| config.accounts.is_some());
@@ -31,30 +32,42 @@
         return;
     }
     let now = node.now();
-    let view = fleet_view(node);
-    let counted: Vec<QuotaGroup> =
-        QuotaGroup::all().filter(|group| is_counted_here(node, *group)).collect();
-    let new = FollowedFleet { seen: Some((now, view)), counted: counted.clone() };
+    let seen = Some((now, fleet_view(node)));
+    let counting_of = |group: QuotaGroup| counting_instance(node, &group.ranking_key());
+    let counting: BTreeMap<QuotaGroup, CountingInstance> =
+        QuotaGroup::all().map(|group| (group, counting_of(group))).collect();
+    let new = FollowedFleet { seen, counting: counting.clone() };
     let former = std::mem::replace(&mut *node.quotas.fleet(), new);
     {
         let mut counter = node.quotas.counter();
         if former.seen.is_some_and(|(at, _)| now.since(at) >= MAX_ROUND_AGE) {
             counter.on_pause(now);
         }
-        for group in QuotaGroup::all() {
-            counter.on_counting(now, group, counted.contains(&group));
+        for (group, instance) in &counting {
+            counter.on_counting(now, *group, *instance == CountingInstance::Own);
         }
         counter.drop_unneeded(now);
     }
-    for group in QuotaGroup::all() {
-        let is_counting = counted.contains(&group);
-        if is_counting != former.counted.contains(&group) {
-            let group = group.ranking_key();
-            record(&FleetEvent::QuotaGroupCounted { group: &group, is_counting });
-        }
+    let changed: Vec<QuotaGroup> = counting
+        .iter()
+        .filter(|(group, instance)| former.counting.get(group) != Some(instance))
+        .map(|(group, _)| *group)
+        .collect();
+    if changed.is_empty() {
+        return;
+    }
+    node.quotas.balances().on_other_counter(now, &changed);
+    for group in changed {
+        record_counting(node, group, &counting[&group]);
     }
 }
 
+fn record_counting(node: &Node, group: QuotaGroup, counting: &CountingInstance) {
+    let group = group.ranking_key();
+    let by = counting.name(&node.settings.instance);
+    record(&FleetEvent::QuotaGroupCounted { group: &group, by });
+}
+
 /// Answers another instance that asks for loans.
 pub fn answer(node: &Node, request: &QuotaRequest) -> QuotaReply {
     QuotaReply { replies: lend(node, &request.user, &request.asks) }
@@ -81,7 +94,3 @@
     };
     asks.iter().map(reply_to).collect()
 }
-
-fn is_counted_here(node: &Node, group: QuotaGroup) -> bool {
-    counting_instance(node, &group.ranking_key()) == CountingInstance::Own
-}
--- a/src/send_permits/counting_instance.rs
+++ b/src/send_permits/counting_instance.rs
@@ -14,3 +14,14 @@
     /// None that is known.
     Unknown,
 }
+
+impl CountingInstance {
+    /// Its name, `me` if it is this one; empty if none is known.
+    pub fn name<'a>(&'a self, me: &'a InstanceName) -> &'a str {
+        match self {
+            Self::Own => me.as_str(),
+            Self::Peer(name, _) => name.as_str(),
+            Self::Unknown => "",
+        }
+    }
+}
