--- a/src/decide/quotas/loan_ask.rs
+++ b/src/decide/quotas/loan_ask.rs
@@ -6,7 +6,10 @@
 use crate::names::AccountName;
 
 /// Ask for a loan from the quota of an account, in units of that quota.
+///
+/// Encoded as an array: with field names, small calls would be a tenth longer.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(AccountName, u64, u64)", into = "(AccountName, u64, u64)")]
 pub struct LoanAsk {
     /// The account.
     pub account: AccountName,
@@ -15,3 +18,15 @@
     /// What this instance expects to use soon, `needed` included.
     pub wanted: u64,
 }
+
+impl From<(AccountName, u64, u64)> for LoanAsk {
+    fn from((account, needed, wanted): (AccountName, u64, u64)) -> Self {
+        Self { account, needed, wanted }
+    }
+}
+
+impl From<LoanAsk> for (AccountName, u64, u64) {
+    fn from(ask: LoanAsk) -> Self {
+        (ask.account, ask.needed, ask.wanted)
+    }
+}
--- a/src/decide/quotas/loans.rs
+++ b/src/decide/quotas/loans.rs
@@ -6,8 +6,8 @@
 use crate::names::Timestamp;
 
 /// Time for which a loan may be used, counted from the ask. It bounds what may be used in a window
-/// beyond what was lent in it.
-pub const LOAN_LIFE: Duration = Duration::from_secs(1);
+/// beyond what was lent in it. With 1 s, calls needed 5 % more bytes at 420 instances.
+pub const LOAN_LIFE: Duration = Duration::from_millis(1500);
 /// Loans asked for within this time are merged, so that there are few.
 const MERGE_TIME: Duration = Duration::from_millis(50);
 
@@ -73,4 +73,9 @@
             open -= part;
         }
     }
+
+    /// Forgets all loans.
+    pub fn clear(&mut self) {
+        self.all.clear();
+    }
 }
--- a/src/decide/quotas/quota_balance.rs
+++ b/src/decide/quotas/quota_balance.rs
@@ -29,15 +29,20 @@
 /// Time after which a reply says nothing about the utilisation any more.
 const UTILISATION_LIFE: Duration = Duration::from_secs(5);
 /// Requests per second from which on loans ahead of demand are likely to be used.
-const MIN_AHEAD_RATE: f64 = 0.5;
+const MIN_AHEAD_RATE: f64 = 0.2;
 /// Requests per second from which on the balance is refilled in the background.
-const MIN_REFILL_RATE: f64 = 3.0;
+const MIN_REFILL_RATE: f64 = 6.0;
 /// Balance below which it is refilled, as a time of recent demand, in seconds.
 const REFILL_BELOW_S: f64 = 0.25;
 /// Loans ahead of demand, as a time of recent demand, in seconds.
-const AHEAD_S: f64 = 0.8;
+const AHEAD_S: f64 = 1.5;
+/// Part of the mean cost from which on an ask ahead of demand joins another account's call.
+const JOIN_PART: f64 = 0.4;
 /// Unused tokens that may expire, as a part of those that were used.
-const WASTE_PART: f64 = 0.25;
+const WASTE_PART: f64 = 0.6;
+/// Time after a limit was lowered in which nothing is borrowed ahead of demand, as the counting
+/// instance may not know the lower limit yet.
+const LOWERED_TIME: Duration = Duration::from_secs(2);
 /// Time without demand after which a balance is dropped.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
@@ -46,6 +51,9 @@
 pub struct QuotaBalance {
     account: AccountName,
     loans: Loans,
+    /// Rate and capacity of the quota as it was last.
+    limits: (f64, f64),
+    lowered_at: Option<Timestamp>,
     /// Part of the quota that is used while the counting instance doesn't answer.
     own: Option<TokenBucket>,
     demand: DemandEstimate,
@@ -71,6 +79,8 @@
         Self {
             account,
             loans: Loans::default(),
+            limits: (0.0, 0.0),
+            lowered_at: None,
             own: None,
             demand: DemandEstimate::default(),
             charged: DemandEstimate::default(),
@@ -105,6 +115,7 @@
             return ChargeStep::Unavailable(NO_REPLY_WAIT);
         };
         self.expire(now);
+        self.apply_limits(now, limits(quota, 1.0));
         let left = self.loans.left(now);
         if left >= cost {
             self.loans.charge(now, cost);
@@ -189,6 +200,18 @@
         (is_due && is_recent).then(|| self.make_ask(now, 0))
     }
 
+    /// An ask ahead of demand that is worth making along with a call that is made anyway. Called for
+    /// the other accounts of a group after [`Self::charge`] has returned `Ask` for one of them.
+    pub fn join_call(&mut self, now: Timestamp) -> Option<LoanAsk> {
+        self.expire(now);
+        let is_asking = self.asked_at.is_some() || now < self.unanswered_until;
+        if is_asking || self.own.is_some() || self.is_scarce(now) {
+            return None;
+        }
+        let is_worth_it = self.ahead(now) >= self.demand.mean_cost() * JOIN_PART;
+        (is_worth_it && self.demand.mean_cost() > 0.0).then(|| self.make_ask(now, 0))
+    }
+
     /// Forgets all loans, as the process was paused: they may have expired.
     pub fn on_pause(&mut self, now: Timestamp) {
         let account = self.account.clone();
@@ -219,6 +242,17 @@
             && now >= self.refused_until
     }
 
+    /// Forgets loans of a limit that was lowered, as the lower one must hold for what follows.
+    fn apply_limits(&mut self, now: Timestamp, limits: (f64, f64)) {
+        let is_lower = limits.0 < self.limits.0 || limits.1 < self.limits.1;
+        self.limits = limits;
+        if is_lower {
+            self.lowered_at = Some(now);
+            self.loans.clear();
+            self.asked_at = None;
+        }
+    }
+
     fn charged(&mut self, now: Timestamp, cost: u64) -> ChargeStep {
         self.note_demand(now, cost);
         self.charged.add(now, cost);
@@ -256,6 +290,9 @@
     /// What is asked for beyond the need: of a scarce account the recent demand, else as much as
     /// is likely to be used before it expires.
     fn ahead(&mut self, now: Timestamp) -> f64 {
+        if self.lowered_at.is_some_and(|at| now.since(at) < LOWERED_TIME) {
+            return 0.0;
+        }
         let cost_per_s = self.demand.cost_per_s(now);
         if self.is_scarce(now) {
             return cost_per_s;
--- a/src/decide/quotas/quota_bucket.rs
+++ b/src/decide/quotas/quota_bucket.rs
@@ -21,6 +21,9 @@
 const MAX_LIMIT: f64 = 1e15;
 /// Part of the capacity that isn't lent ahead of demand, so that requests find it.
 const RESERVED_PART: f64 = 0.25;
+/// Number of the largest requests for which the same holds. Without it, an account of 29,000
+/// tokens/s at 63 instances lost 6 % of its requests to loans that nobody used.
+const RESERVED_REQUESTS: f64 = 4.0;
 /// Time for which it counts what a borrower stated.
 const STATED_TTL: Duration = Duration::from_secs(2);
 /// Time after a refusal in which the account is shared out by stated demand.
@@ -118,7 +121,8 @@
     /// What is lent beyond the need: never from a debt, and of a scarce account only a part that
     /// covers its largest requests as well, since small ones would use up any less before them.
     fn ahead(&self, now: Timestamp, level: f64, needed: f64, wanted: f64) -> f64 {
-        let reserved = self.bucket.capacity() * RESERVED_PART;
+        let of_capacity = self.bucket.capacity() * RESERVED_PART;
+        let reserved = of_capacity.max(self.largest.wanted * RESERVED_REQUESTS);
         if !self.is_scarce(now) {
             return (wanted - needed).min(level - needed - reserved).max(0.0);
         }
