--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -30,12 +30,14 @@
 use super::metrics::Outcome;
 use super::node::Node;
 use super::passed_on::TakenRequestGuard;
+use super::quotas::QuotaCharge;
 use super::response::LocalResponse;
 use super::response::ResponseBody;
 use super::response::forwarded_response;
 use super::response::full_body;
 use super::resumption;
 use super::stream_relay::StreamRelay;
+use crate::decide::quotas::FairRank;
 use crate::decide::traffic::AdapterKey;
 use crate::decide::traffic::Attempts;
 use crate::decide::traffic::FinalOutcome;
@@ -71,6 +73,10 @@
     pub service: Arc<Service>,
     /// Account that it runs for.
     pub caller_account: CallerAccount,
+    /// Its cost, as charged to the quota of the account; `None` if nothing was charged here.
+    pub charge: Option<QuotaCharge>,
+    /// Share of its quota that the account uses over all instances.
+    pub utilisation: f32,
     /// Version of the configuration that the route is from.
     pub accepted_under: u64,
     /// Longest timeout of its route since it was accepted.
@@ -140,10 +146,16 @@
         }
     }
 
-    /// Priority, 0 the most urgent: that of its account, or else that of its route.
+    /// Priority that a replica gets, 0 the most urgent: that of the route, or in a deployment with
+    /// accounts the rank by the account's priority, or else the route's, and by the use of its quota.
     pub fn priority(&self) -> u8 {
-        let of_account = self.caller_account.account().and_then(|account| account.priority);
-        of_account.unwrap_or(self.route.priority)
+        let of_route = self.route.priority;
+        let of_account = match &self.caller_account {
+            CallerAccount::Unused => return of_route,
+            CallerAccount::Anonymous => None,
+            CallerAccount::Account(account) => account.priority,
+        };
+        FairRank::new(of_account.unwrap_or(of_route), self.utilisation).get()
     }
 
     /// Attempts so far.
@@ -293,6 +305,15 @@
     }
 }
 
+impl Drop for ForwardedRequest {
+    fn drop(&mut self) {
+        let outcome = self.attempts().final_outcome();
+        if let (Some(charge), FinalOutcome::Unknown) = (&mut self.charge, outcome) {
+            charge.keep();
+        }
+    }
+}
+
 /// Host that a request names in its header or else in its URI; empty if in neither.
 pub fn host_of(head: &request::Parts) -> &str {
     let named = head.headers.get(header::HOST).and_then(|value| value.to_str().ok());
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -127,7 +127,7 @@
 /// Counters, gauges and histograms of one relay.
 #[derive(Debug)]
 pub struct Metrics {
-    /// Counters by account.
+    /// Those of client accounts and their quotas.
     pub accounts: AccountMetrics,
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
@@ -327,6 +327,7 @@
             ConfigTrust::Known => 1,
             ConfigTrust::Current => 2,
         });
+        self.accounts.set_balances(&node.quotas.balances().summary(now));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
         Ok(text)
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -25,6 +25,7 @@
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
+use super::quotas::Quotas;
 use super::usage_count::UsageCount;
 use crate::daemon::Clock;
 use crate::decide::config_freshness::ConfigProof;
@@ -92,6 +93,8 @@
     pub origin_datagrams: OriginDatagrams,
     /// Permits to send to replicas that name a limit.
     pub permits: Arc<SendPermits>,
+    /// Quotas of client accounts.
+    pub quotas: Quotas,
     /// Requests of callers in progress.
     pub in_flight: AtomicUsize,
     /// Responses to callers, and to instances that pass requests on, that aren't written yet to
@@ -161,6 +164,7 @@
             turn_changes: watch::Sender::new(0),
             origin_datagrams: OriginDatagrams::default(),
             permits: Arc::new(permits),
+            quotas: Quotas::new(clock.now()),
             in_flight: AtomicUsize::new(0),
             unfinished_responses: UsageCount::default(),
             arriving_heads: UsageCount::default(),
