--- a/src/decide/quotas/quota_balance.rs
+++ b/src/decide/quotas/quota_balance.rs
@@ -14,10 +14,9 @@
 use crate::names::AccountName;
 use crate::names::Timestamp;
 
-/// Time until the next ask when the counting instance doesn't answer.
+/// Time until the next ask when the counting instance hasn't answered twice. After the first time
+/// it is asked again at once, as a single call may be lost.
 const NO_REPLY_WAIT: Duration = Duration::from_secs(1);
-/// The same after the first ask without a reply, as a single call may be lost.
-const FIRST_NO_REPLY_WAIT: Duration = Duration::from_millis(20);
 /// Time after which an ask counts as unanswered, if nobody has said so.
 const ASK_LIFE: Duration = Duration::from_secs(1);
 /// Time beyond [`NO_REPLY_WAIT`] in which the own share goes on without an ask.
@@ -117,7 +116,9 @@
         self.expire(now);
         self.apply_limits(now, limits(quota, 1.0));
         let left = self.loans.left(now);
-        if left >= cost {
+        // Requests that fit into what is left don't overtake larger ones that wait or were refused.
+        let is_held = self.is_scarce(now) && (self.asked_at.is_some() || now < self.refused_until);
+        if left >= cost && !is_held {
             self.loans.charge(now, cost);
             return self.charged(now, cost);
         }
@@ -128,9 +129,10 @@
             let (rate, capacity) = limits(quota, own_share);
             own.set_limits(now, rate, capacity);
             let is_due = now >= self.unanswered_until + OWN_SHARE_GRACE;
-            if !is_due && own.level(now) >= (cost - left) as f64 {
-                own.take((cost - left) as f64);
-                self.loans.charge(now, left);
+            let missing = cost.saturating_sub(left);
+            if !is_due && own.level(now) >= missing as f64 {
+                own.take(missing as f64);
+                self.loans.charge(now, cost - missing);
                 return self.charged(now, cost);
             }
         }
@@ -142,7 +144,7 @@
             self.waiting = self.waiting.saturating_add(cost);
             return ChargeStep::AwaitReply;
         }
-        let ask = self.make_ask(now, cost - left);
+        let ask = self.make_ask(now, cost.saturating_sub(left));
         ChargeStep::Ask(ask)
     }
 
@@ -156,7 +158,7 @@
         self.asked_at = None;
         let Some(reply) = reply else {
             let is_first = self.own.is_none();
-            let wait = if is_first { FIRST_NO_REPLY_WAIT } else { NO_REPLY_WAIT };
+            let wait = if is_first { Duration::ZERO } else { NO_REPLY_WAIT };
             self.unanswered_until = now + wait;
             self.own.get_or_insert_with(|| TokenBucket::new(now, 0.0, 0.0));
             return;
--- a/src/decide/quotas/quota_bucket.rs
+++ b/src/decide/quotas/quota_bucket.rs
@@ -57,6 +57,8 @@
     rate: f64,
     borrowers: HashMap<InstanceName, Stated>,
     refused_at: Option<Timestamp>,
+    /// Whether the last loan of the scarce account was a part of it.
+    lends_parts: bool,
     /// Largest need that was stated lately.
     largest: Stated,
     /// Sum of what was lent or refused, faded over [`USE_MEMORY_S`].
@@ -73,6 +75,7 @@
             rate,
             borrowers: HashMap::new(),
             refused_at: None,
+            lends_parts: false,
             largest: Stated { wanted: 0.0, at: now },
             used: 0.0,
             used_at: now,
@@ -120,23 +123,26 @@
 
     /// What is lent beyond the need: never from a debt, and of a scarce account only a part that
     /// covers its largest requests as well, since small ones would use up any less before them.
-    fn ahead(&self, now: Timestamp, level: f64, needed: f64, wanted: f64) -> f64 {
+    fn ahead(&mut self, now: Timestamp, level: f64, needed: f64, wanted: f64) -> f64 {
         let of_capacity = self.bucket.capacity() * RESERVED_PART;
         let reserved = of_capacity.max(self.largest.wanted * RESERVED_REQUESTS);
         if !self.is_scarce(now) {
             return (wanted - needed).min(level - needed - reserved).max(0.0);
         }
-        let part = self.rate * SCARCE_AHEAD_S * wanted / self.total_wanted().max(wanted);
-        if part < SCARCE_AHEAD_REQUESTS * self.largest.wanted {
-            return 0.0;
-        }
-        (part.min(wanted) - needed).min(level - needed).max(0.0)
+        let fraction = wanted / self.total_wanted().max(wanted);
+        let part = (self.rate * SCARCE_AHEAD_S).min(level) * fraction;
+        let ahead = (part.min(wanted) - needed).min(level - needed).max(0.0);
+        self.lends_parts = ahead >= SCARCE_AHEAD_REQUESTS * self.largest.wanted;
+        if self.lends_parts { ahead } else { 0.0 }
     }
 
-    /// Time until the next ask. Borrowers ask in proportion to what they want, all together at a
-    /// bounded rate, however many they are.
+    /// Time until the next ask, which bounds the asks of all borrowers together, however many they
+    /// are. Where each gets only what it needs, it asks as often as corresponds to what it wants.
     fn wait(&mut self, now: Timestamp, level: f64, wanted: f64) -> Duration {
-        let parts = self.total_wanted() / wanted.max(1.0);
+        let parts = match self.lends_parts {
+            true => self.borrowers.len() as f64,
+            false => self.total_wanted() / wanted.max(1.0),
+        };
         let spread = Duration::try_from_secs_f64(parts / SCARCE_ASKS_PER_S).unwrap_or(MAX_SPREAD);
         let refilled = self.bucket.time_to(now, level, MAX_WAIT);
         refilled.max(spread.min(MAX_SPREAD)).max(MIN_WAIT)
