--- a/tests/quotas/world.rs
+++ b/tests/quotas/world.rs
@@ -102,9 +102,19 @@
             world.now_us = at;
             world.handle(event);
         }
+        world.record_pending();
         world.report
     }
 
+    /// Counts requests that still wait as refused: a caller would have given up.
+    fn record_pending(&mut self) {
+        let waiting = self.instances.iter_mut().flat_map(|own| std::mem::take(&mut own.waiting));
+        let pending: Vec<Request> = waiting.flat_map(|(_, requests)| requests).collect();
+        for request in pending {
+            self.record(request, Outcome::Unavailable);
+        }
+    }
+
     fn new(plan: Plan) -> Self {
         let names: Vec<AccountName> =
             (0..plan.loads.len()).map(|n| AccountName::new(&format!("acct-{n:03}"))).collect();
