Become ready only once an old listing is up to date

An instance that starts lists the published state from a read that may be old, and was ready after 1.5 s even if no watch had told it what came after. A replica that had left meanwhile and still listened then got requests.

The test of old listings in tests/traffic/published_view.rs checks more than before.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -23,6 +23,8 @@
 
 /// Most tombstones that are kept for peers.
 const MAX_TOMBSTONES: usize = 512;
+/// Time after an old listing within which an instance waits for what came after it.
+const OLD_LISTING_WAIT: Duration = Duration::from_secs(5);
 /// Age of a view from which on an instance that relies on peers reads the published state.
 const CURRENT_MAX_AGE: Duration = Duration::from_millis(2500);
 /// Time without a successful read after which a reader takes changes from peers too.
@@ -108,6 +110,8 @@
     highest_era: u64,
     outage_ended: Option<Timestamp>,
     was_listed: bool,
+    /// Until when what came after an old listing is waited for; `None` if nothing is.
+    old_until: Option<Timestamp>,
     /// Since when every change is followed.
     followed_since: Option<Timestamp>,
 }
@@ -129,6 +133,13 @@
         self.was_listed
     }
 
+    /// Whether the view is good enough to serve requests: everything was read, and what was old has
+    /// been brought up to date or couldn't be for long.
+    pub fn is_usable(&self, now: Timestamp) -> bool {
+        let is_old = self.old_until.is_some_and(|until| now < until) && !self.is_current(now);
+        self.was_listed && !is_old
+    }
+
     /// How long every change has been followed; `None` while the view isn't current.
     pub fn followed_for(&self, now: Timestamp) -> Option<Duration> {
         let since = self.followed_since.filter(|_| self.is_current(now))?;
@@ -259,6 +270,7 @@
         self.was_listed = true;
         if at > Timestamp::ZERO {
             self.followed_since.get_or_insert(at);
+            self.old_until = None;
         }
         self.on_contact(at);
         self.as_of = self.as_of.max(Some(as_of));
@@ -266,7 +278,8 @@
     }
 
     /// Records that the listing which was just applied may be old, so that the view isn't current.
-    pub fn on_old_listing(&mut self) {
+    pub fn on_old_listing(&mut self, now: Timestamp) {
+        self.old_until = Some(now + OLD_LISTING_WAIT);
         self.current_at = None;
         self.followed_since = None;
     }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -320,7 +320,7 @@
 
     /// Whether callers should send requests here; decides the readiness check.
     pub fn is_ready(&self) -> bool {
-        let knows_replicas = self.view(PublishedTopic::Replicas).was_listed();
+        let knows_replicas = self.view(PublishedTopic::Replicas).is_usable(self.now());
         !self.is_draining()
             && self.joined.load(Ordering::Relaxed)
             && self.config.borrow().is_some()
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -157,7 +157,7 @@
     let Listing { items, as_of, era } = listing::read(node, topic, may_be_old).await?;
     apply_listing(node, topic, items, as_of, era);
     if may_be_old {
-        node.view(topic).on_old_listing();
+        node.view(topic).on_old_listing(node.now());
     }
     Ok(false)
 }
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -161,9 +161,11 @@
 fn a_view_of_an_old_listing_is_complete_but_not_current() {
     let mut view = PublishedView::default();
     view.on_complete(40, at(0));
-    view.on_old_listing();
+    view.on_old_listing(at(0));
     assert!(view.was_listed() && !view.is_current(at(1)));
+    assert!(!view.is_usable(at(4999)), "replicas may have left since");
+    assert!(view.is_usable(at(5000)), "without any watch it is better than nothing");
     assert_eq!((view.as_of(), view.digest(at(1)).age_ms), (Some(40), None));
     view.on_complete(41, at(5));
-    assert!(view.is_current(at(6)));
+    assert!(view.is_current(at(6)) && view.is_usable(at(6)));
 }
