--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -189,7 +189,7 @@
     let (era, asked_at) = (listing.era, listing.asked_at);
     apply_listing(node, topic, listing);
     if may_be_old {
-        node.view(topic).on_old_listing();
+        node.view(topic).on_old_listing(node.now());
     } else {
         on_proof(node, topic, Some(era), asked_at);
     }
