Learn how fast each replica is from its streams, and count that in the choice of homes

Cause: replicas of one service differ in speed by more than two; the choice of a home and the measure of a crowded replica took all for alike, so streams on the slowest quarter didn't end within their deadlines. Change: the mean time between events of each stream is told to the replica's owner with the notice of the adapter's use, which is sent anyway. The owner keeps a low quantile of the last eight and answers it with the state of a home. Delays at a replica that is clearly slower than typical count for more, and it is crowded with fewer requests.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -18,12 +18,14 @@
     buf: BytesMut,
     last_id: Option<String>,
     has_event: bool,
+    /// Whole events of the last push.
+    pushed_events: u32,
 }
 
 impl EventSplitter {
     /// A stream that resumes after the event `last_id`; `None` if it starts from the beginning.
     pub fn new(last_id: Option<String>) -> Self {
-        Self { buf: BytesMut::new(), last_id, has_event: false }
+        Self { buf: BytesMut::new(), last_id, has_event: false, pushed_events: 0 }
     }
 
     /// Buffers `bytes` and returns the events that are complete now.
@@ -32,15 +34,22 @@
         let unsearched = self.buf.len().saturating_sub(MAX_EVENT_END_BYTES - 1);
         self.buf.extend_from_slice(bytes);
         let end = last_event_end(&self.buf[unsearched..]).map(|end| unsearched + end);
+        self.pushed_events = 0;
         let Some(end) = end else { return Bytes::new() };
         let whole = self.buf.split_to(end).freeze();
         self.has_event |= contains_event(&whole);
+        self.pushed_events = count_event_ends(&whole);
         if let Some(id) = last_event_id(&whole) {
             self.last_id = Some(id);
         }
         whole
     }
 
+    /// Number of whole events that the last push has completed, as far as blank lines tell.
+    pub fn pushed_events(&self) -> u32 {
+        self.pushed_events
+    }
+
     /// Id of the last whole event, after which the stream can be resumed.
     pub fn last_id(&self) -> Option<&str> {
         self.last_id.as_deref()
@@ -83,6 +92,12 @@
     lf.max(crlf)
 }
 
+fn count_event_ends(events: &[u8]) -> u32 {
+    let lf = events.windows(2).filter(|pair| *pair == b"\n\n").count();
+    let crlf = events.windows(4).filter(|quad| *quad == b"\r\n\r\n").count();
+    u32::try_from(lf + crlf).unwrap_or(u32::MAX)
+}
+
 /// Whether there is a line that is neither blank nor a comment.
 fn contains_event(events: &[u8]) -> bool {
     let mut lines = events.split(|byte| matches!(byte, b'\r' | b'\n'));
--- a/src/decide/traffic/home_choice.rs
+++ b/src/decide/traffic/home_choice.rs
@@ -5,6 +5,7 @@
 //! adapters spread by this over replicas that have time for them.
 //!
 //! A replica that fails its requests at once always looks idle, so recent failures count as delay.
+//! Replicas of one service differ in speed, so the work at a slow one counts for more.
 
 use std::time::Duration;
 
@@ -55,15 +56,18 @@
     pub waiting_loads: u32,
     /// Decayed count of recent failures there.
     pub failure_score: f64,
+    /// Factor by which work takes longer there than at a typical replica; 0 counts as 1.
+    pub slowness: f64,
 }
 
 impl HomeState {
-    /// Time that a request is expected to wait there before its prompt is read.
-    pub fn expected_delay(&self) -> Duration {
-        let reading = Duration::from_millis(self.backlog_tokens / PREFILL_TOKENS_PER_MS);
+    /// Time that a request with so many prompt tokens is expected to wait there for its first token.
+    pub fn expected_delay(&self, prompt_tokens: u64) -> Duration {
+        let unread = self.backlog_tokens + prompt_tokens;
+        let reading = Duration::from_millis(unread / PREFILL_TOKENS_PER_MS);
+        let work = reading + DELAY_PER_REQUEST * self.requests;
         let failures = self.failure_score.clamp(0.0, MAX_FAILURE_SCORE);
-        let delay =
-            reading + DELAY_PER_REQUEST * self.requests + DELAY_PER_FAILURE.mul_f64(failures);
+        let delay = work.mul_f64(self.slowness.max(1.0)) + DELAY_PER_FAILURE.mul_f64(failures);
         match self.presence {
             Presence::Held(_) => delay,
             Presence::Loading => delay + STORE_LOAD_DELAY / 2,
@@ -85,12 +89,12 @@
 
 /// Orders homes by preference: those that hold or load the adapter, then the others, each by the
 /// expected delay; equal ones stay in their order. Returns indexes into `homes`.
-pub fn preferred_homes(homes: &[HomeState]) -> Vec<usize> {
+pub fn preferred_homes(homes: &[HomeState], prompt_tokens: u64) -> Vec<usize> {
     let mut order: Vec<usize> = (0..homes.len()).collect();
     order.sort_by_key(|index| {
         let home = &homes[*index];
         let needs_load = matches!(home.presence, Presence::Copy | Presence::Absent);
-        (needs_load, home.expected_delay())
+        (needs_load, home.expected_delay(prompt_tokens))
     });
     order
 }
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -46,6 +46,8 @@
 const UNRESPONSIVE_PER_TOKEN: Duration = Duration::from_micros(60);
 /// Time for which the owner's word on unread prompts counts.
 const BACKLOG_TTL: Duration = Duration::from_secs(4);
+/// Time for which what the owner said of a replica's pace counts.
+const PACE_TTL: Duration = Duration::from_secs(20);
 /// Time for which a replica that couldn't be connected to gets no requests.
 const UNREACHABLE_TIME: Duration = Duration::from_millis(400);
 /// Time for which a replica keeps a copy of an adapter that it held.
@@ -93,6 +95,10 @@
     is_replaced: bool,
     /// Tokens of long prompts that the owner said are yet to be read, and when.
     owner_backlog: (u64, Timestamp),
+    /// Time between events of a stream, as the owner said, and when.
+    owner_pace: Option<(Duration, Timestamp)>,
+    /// Time between events of this instance's last stream, of which the owner isn't told yet.
+    untold_pace: Option<Duration>,
 }
 
 impl Replica {
@@ -121,6 +127,8 @@
             in_use: HashMap::new(),
             is_replaced: false,
             owner_backlog: (0, now),
+            owner_pace: None,
+            untold_pace: None,
         }
     }
 
@@ -151,6 +159,27 @@
         self.owner_backlog = (tokens, now);
     }
 
+    /// Records the time between events of its streams, as its owner says.
+    pub fn on_owner_pace(&mut self, now: Timestamp, event_gap: Option<Duration>) {
+        self.owner_pace = event_gap.map(|gap| (gap, now));
+    }
+
+    /// Time between events of its streams; `None` if its owner hasn't told lately.
+    pub fn event_gap(&self, now: Timestamp) -> Option<Duration> {
+        let (gap, told_at) = self.owner_pace?;
+        (now.since(told_at) < PACE_TTL).then_some(gap)
+    }
+
+    /// Records the mean time between the events of a stream of this instance.
+    pub fn on_stream_pace(&mut self, event_gap: Duration) {
+        self.untold_pace = Some(event_gap);
+    }
+
+    /// Takes the pace of which the owner is to be told.
+    pub fn take_untold_pace(&mut self) -> Option<Duration> {
+        self.untold_pace.take()
+    }
+
     /// Records that the replica holds an adapter or model now.
     pub fn on_loaded(&mut self, now: Timestamp, key: AdapterKey, version: u64) {
         self.on_held(now, key, HeldVersion { version, confirmed_at: now, valid_for: HELD_TTL });
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -17,6 +17,7 @@
 use super::ReplicaEntry;
 use super::ReplicaState;
 use super::RequestNeeds;
+use super::TypicalPace;
 use super::departed::Departed;
 use super::departed::EarlierDeparture;
 use super::former_versions::FormerVersions;
@@ -53,6 +54,7 @@
     leaving: Vec<(BackendName, u64, Timestamp)>,
     former_versions: FormerVersions,
     reach: BTreeMap<ServiceName, ServiceReach>,
+    typical_paces: BTreeMap<ServiceName, TypicalPace>,
 }
 
 impl Replicas {
@@ -244,6 +246,26 @@
         siblings.for_each(|sibling| sibling.limits.on_sibling(now, limits));
     }
 
+    /// Records the time between events of a replica's streams, as its owner says.
+    pub fn on_owner_pace(
+        &mut self,
+        now: Timestamp,
+        name: &BackendName,
+        event_gap: Option<Duration>,
+    ) {
+        let Some(known) = self.known.get_mut(name) else { return };
+        known.on_owner_pace(now, event_gap);
+        if let Some(gap) = event_gap {
+            self.typical_paces.entry(known.entry.service.clone()).or_default().on_replica(gap);
+        }
+    }
+
+    /// Factor by which work takes longer at a replica than at a typical one of its service.
+    pub fn slowness(&self, now: Timestamp, replica: &Replica) -> f64 {
+        let typical = self.typical_paces.get(&replica.entry.service);
+        typical.map_or(1.0, |typical| typical.slowness(replica.event_gap(now)))
+    }
+
     /// The replica of this name, if it is known.
     pub fn get(&self, name: &BackendName) -> Option<&Replica> {
         self.known.get(name)
@@ -293,7 +315,8 @@
         };
         let holders =
             usable.iter().copied().filter(|r| holds_current_version(now, r, key, versions));
-        let delay = |r: &Replica| expected_delay_ms(now, r, engine, needs, key);
+        let delay =
+            |r: &Replica| expected_delay_ms(now, r, engine, needs, key) * self.slowness(now, r);
         let best = holders.map(|r| (delay(r), r)).min_by(|a, b| a.0.total_cmp(&b.0));
         let Some((best_delay, best)) = best else {
             return choose_load_targets(now, &usable, key);
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -121,6 +121,9 @@
             let now = node.now();
             if let Some(owned) = node.owned().get_mut(&notice.replica) {
                 owned.plan.on_use(now, &notice.key, &notice.news);
+                if let Some(us) = notice.event_gap_us {
+                    owned.pace.on_stream(now, Duration::from_micros(u64::from(us)));
+                }
             }
             node.order_wake.notify_one();
             encode(&())
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -50,25 +50,28 @@
 ///
 /// A target that holds it already is used, else the best of the homes that were asked loads it.
 /// If none has a free slot, the best one queues the load. `pick` is a hash that selects among
-/// the adapter's homes.
+/// the adapter's homes, and `prompt_tokens` is the length of the request's prompt.
 pub async fn load_at_any(
     node: &Arc<Node>,
     key: &AdapterKey,
     targets: &[BackendName],
     limit: Duration,
     pick: u64,
+    prompt_tokens: u64,
 ) -> LoadOutcome {
     let tried = async {
         let homes = probe_homes(node, key, targets, limit, pick).await;
-        if use_holder(node, key, targets, &homes, pick) {
+        if use_holder(node, key, targets, &homes, pick, prompt_tokens) {
             return LoadOutcome::Loaded;
         }
         if let Some(wait) = time_until_orders(&homes) {
             return LoadOutcome::NoOrdersFor(wait);
         }
-        let states: Vec<HomeState> = homes.iter().map(|home| home.reply.home_state()).collect();
-        let ranked: Vec<&Home> =
-            preferred_homes(&states).into_iter().map(|index| &homes[index]).collect();
+        let states: Vec<HomeState> = homes.iter().map(|home| home.state(node)).collect();
+        let ranked: Vec<&Home> = preferred_homes(&states, prompt_tokens)
+            .into_iter()
+            .map(|index| &homes[index])
+            .collect();
         for home in ranked.iter().filter(|home| !home.reply.is_full || home.reply.is_loading) {
             if load_at(node, key, home.target, limit, LoadMode::IfFree).await {
                 return LoadOutcome::Loaded;
@@ -101,6 +104,15 @@
     reply: LoadReply,
 }
 
+impl Home<'_> {
+    fn state(&self, node: &Node) -> HomeState {
+        let replicas = node.replicas();
+        let known = replicas.get(self.target);
+        let slowness = known.map_or(1.0, |known| replicas.slowness(node.now(), known));
+        self.reply.home_state(slowness)
+    }
+}
+
 /// Asks the homes of the probe order how they are: the first one by itself, and all others at the
 /// same time if that one doesn't serve the request now.
 async fn probe_homes<'a>(
@@ -118,7 +130,7 @@
     };
     let Some(first) = chosen.next() else { return Vec::new() };
     let mut homes = vec![ask(first).await];
-    if !homes[0].reply.home_state().serves_now() {
+    if !homes[0].state(node).serves_now() {
         homes.extend(join_all(chosen.map(ask)).await);
     }
     homes
@@ -134,10 +146,11 @@
     targets: &[BackendName],
     homes: &[Home<'_>],
     pick: u64,
+    prompt_tokens: u64,
 ) -> bool {
     let now = node.now();
     let holders = homes.iter().filter(|home| home.reply.version.is_some());
-    let delay = |home: &&Home<'_>| home.reply.home_state().expected_delay();
+    let delay = |home: &&Home<'_>| home.state(node).expected_delay(prompt_tokens);
     let best = holders.min_by_key(|home| (home.reply.crowded, delay(home)));
     let Some((best, version)) = best.and_then(|home| Some((home, home.reply.version?))) else {
         return false;
@@ -188,8 +201,12 @@
     let key = &request.key;
     let engine = engine_of(node, &request.replica);
     let newest = node.versions().newest(key);
-    let failure_score =
-        node.replicas().get(&request.replica).map_or(0.0, |known| known.failure_score(now));
+    let (failure_score, slowness) = {
+        let replicas = node.replicas();
+        let known = replicas.get(&request.replica);
+        let slowness = known.map_or(1.0, |known| replicas.slowness(now, known));
+        (known.map_or(0.0, |known| known.failure_score(now)), slowness)
+    };
     let mut homes = node.homes();
     homes.on_peer_width(now, key, request.width);
     let all = node.owned();
@@ -211,7 +228,7 @@
     };
     LoadReply {
         version: waited_for.unwrap_or(held),
-        crowded: owned.plan.needs_another_replica(now, key, homes.typical_requests()),
+        crowded: owned.plan.needs_another_replica(now, key, homes.typical_requests() / slowness),
         requests: owned.plan.requests(now),
         width: homes.width(now, key),
         is_loading: presence == Presence::Loading,
@@ -224,6 +241,7 @@
             .orders_in(now)
             .and_then(|wait| u64::try_from(wait.as_millis()).ok()),
         failure_score,
+        event_gap_us: owned.pace.event_gap(now).and_then(|gap| u32::try_from(gap.as_micros()).ok()),
     }
 }
 
@@ -358,8 +376,13 @@
         None => LoadReply::unavailable(),
     };
     let now = node.now();
-    if let Some(known) = node.replicas().get_mut(target) {
-        known.on_owner_backlog(now, reply.backlog_tokens);
+    let event_gap = reply.event_gap_us.map(|us| Duration::from_micros(u64::from(us)));
+    {
+        let mut replicas = node.replicas();
+        replicas.on_owner_pace(now, target, event_gap);
+        if let Some(known) = replicas.get_mut(target) {
+            known.on_owner_backlog(now, reply.backlog_tokens);
+        }
     }
     let mut homes = node.homes();
     homes.on_peer_width(now, key, reply.width);
--- a/src/relay/notices.rs
+++ b/src/relay/notices.rs
@@ -12,6 +12,7 @@
 use super::exchange::own_workloads;
 use super::node::Node;
 use crate::decide::traffic::AdapterKey;
+use crate::decide::traffic::Replica;
 use crate::decide::traffic::UseUpdate;
 use crate::error::Result;
 use crate::names::BackendName;
@@ -36,15 +37,21 @@
     let owner = node.peers().preferred_owner(now, replica.as_str());
     let me = &node.settings.instance;
     let update = UseUpdate { user: me.clone(), count, serial: node.next_use_serial() };
+    let event_gap = node.replicas().get_mut(replica).and_then(Replica::take_untold_pace);
     let Some(owner) = owner.filter(|owner| owner != me) else {
         if let Some(owned) = node.owned().get_mut(replica) {
             owned.plan.on_use(now, key, &update);
+            if let Some(gap) = event_gap {
+                owned.pace.on_stream(now, gap);
+            }
         }
         node.order_wake.notify_one();
         return;
     };
     let Some(addr) = node.peers().addr_of(now, &owner) else { return };
-    let notice = UseNotice { replica: replica.clone(), key: key.clone(), news: update };
+    let event_gap_us = event_gap.and_then(|gap| u32::try_from(gap.as_micros()).ok());
+    let notice =
+        UseNotice { replica: replica.clone(), key: key.clone(), news: update, event_gap_us };
     let node = Arc::clone(node);
     tokio::spawn(async move {
         let sent: Result<()> = call_peer(&node, addr, USE_PATH, &notice, PEER_CALL_TIMEOUT).await;
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -29,6 +29,7 @@
 use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PrefixTracker;
 use crate::decide::traffic::PromptTurns;
+use crate::decide::traffic::ReplicaPace;
 use crate::decide::traffic::ReplicaPlan;
 use crate::decide::traffic::Service;
 use crate::names::BackendName;
@@ -56,6 +57,8 @@
     pub turns: PromptTurns,
     /// Parts of long prompts that it has read.
     pub prefixes: PrefixTracker,
+    /// Its speed, by the streams of all instances.
+    pub pace: ReplicaPace,
     /// When the replica started, in Unix milliseconds; 0 until that is known.
     pub started_ms: u64,
     has_pending_call: bool,
@@ -70,6 +73,7 @@
             plan: ReplicaPlan::default(),
             turns: PromptTurns::default(),
             prefixes: PrefixTracker::default(),
+            pace: ReplicaPace::default(),
             started_ms: 0,
             has_pending_call: false,
             next_report: now,
@@ -297,6 +301,7 @@
     owned.next_report = now + PENDING_REPORT_INTERVAL;
     if owned.started_ms != report.started_ms {
         owned.plan.clear();
+        owned.pace.clear();
         owned.prefixes.clear();
         owned.turns = PromptTurns::default();
         owned.started_ms = report.started_ms;
--- a/src/relay/replica_search.rs
+++ b/src/relay/replica_search.rs
@@ -185,7 +185,8 @@
         // Prompts with the same prefix go to the same home, since it has read that prefix before.
         let shared = head.needs.shared_prefix();
         let pick = shared.unwrap_or_else(|| xxh3_64(head.id.as_bytes()));
-        let outcome = loads::load_at_any(node, key, targets, limit, pick).await;
+        let outcome =
+            loads::load_at_any(node, key, targets, limit, pick, head.needs.prompt_tokens).await;
         if let LoadOutcome::NoOrdersFor(wait) = outcome {
             if wait > limit {
                 return Err(self.request.not_yet(wait));
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -31,6 +31,8 @@
 use super::silence;
 use super::stream_origins;
 use crate::decide::traffic::EventSplitter;
+use crate::decide::traffic::StreamPace;
+use crate::names::BackendName;
 use crate::names::Timestamp;
 
 /// A stream that is being forwarded to a caller.
@@ -43,6 +45,8 @@
     has_begun: bool,
     last_data: Timestamp,
     longest_pause: Duration,
+    /// Pace of the replica that sends the stream now.
+    pace: StreamPace,
     /// Whether its silence is watched for; not after another replica was looked for in vain.
     watches_silence: bool,
 }
@@ -83,6 +87,7 @@
             has_begun: false,
             last_data,
             longest_pause,
+            pace: StreamPace::default(),
             watches_silence: true,
         }
     }
@@ -147,6 +152,7 @@
         self.longest_pause = self.longest_pause.max(now.since(self.last_data));
         self.last_data = now;
         let events = self.splitter.push(data);
+        self.pace.on_events(now, self.splitter.pushed_events());
         self.bind_to_version();
         if self.splitter.is_overlong() {
             return self.abort("an event is too long");
@@ -267,6 +273,7 @@
             return false;
         };
         self.splitter.drop_partial();
+        self.pace = StreamPace::default();
         self.has_event = false;
         self.watches_silence = true;
         self.stream = Some(*stream);
@@ -276,10 +283,20 @@
     fn abort(&mut self, reason: &str) -> Result<Bytes, AbortedBody> {
         record(&LogEvent::StreamCut { id: &self.request.head.id, reason });
         self.count_end(Outcome::Cut);
-        self.stream = None;
+        if let Some(stream) = self.stream.take() {
+            self.record_pace(&stream.origin.replica);
+        }
         Err(AbortedBody)
     }
 
+    /// Notes the replica's pace, of which its owner is told when the request's adapter is free.
+    fn record_pace(&self, replica: &BackendName) {
+        let Some(gap) = self.pace.event_gap() else { return };
+        if let Some(known) = self.request.node.replicas().get_mut(replica) {
+            known.on_stream_pace(gap);
+        }
+    }
+
     fn count_end(&self, outcome: Outcome) {
         let (metrics, kind) = (&self.request.node.metrics, self.request.route.kind);
         metrics.on_longest_pause(kind, self.longest_pause);
@@ -288,6 +305,7 @@
 
     fn finish(&mut self) {
         let Some(stream) = self.stream.take() else { return };
+        self.record_pace(&stream.origin.replica);
         self.count_end(Outcome::Answered);
         let OpenStream { has_marked_end, origin, connection, in_flight, mut progress, .. } = stream;
         drop(in_flight);
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -176,6 +176,9 @@
     /// Decayed count of recent failures at the replica.
     #[serde(default)]
     pub failure_score: f64,
+    /// Time between events of its streams, in µs; `None` if it isn't known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub event_gap_us: Option<u32>,
 }
 
 impl LoadReply {
@@ -184,8 +187,8 @@
         Self { is_full: true, ..Self::default() }
     }
 
-    /// State of the home that the reply is about.
-    pub fn home_state(&self) -> HomeState {
+    /// State of the home that the reply is about, which is so much slower than a typical replica.
+    pub fn home_state(&self, slowness: f64) -> HomeState {
         let presence = match self.version {
             Some(version) => Presence::Held(version),
             None if self.is_loading => Presence::Loading,
@@ -200,6 +203,7 @@
             is_full: self.is_full,
             waiting_loads: self.waiting_loads,
             failure_score: self.failure_score,
+            slowness,
         }
     }
 }
@@ -231,6 +235,9 @@
     pub key: AdapterKey,
     /// Number of requests that use it.
     pub news: UseUpdate,
+    /// Mean time between events of the sender's last stream there, in µs, if it wasn't told yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub event_gap_us: Option<u32>,
 }
 
 /// Tells the owner of a replica that a request of the sender failed there; older processes answer
--- a/tests/traffic/home_choice.rs
+++ b/tests/traffic/home_choice.rs
@@ -15,7 +15,7 @@
 }
 
 fn best(homes: &[HomeState]) -> usize {
-    preferred_homes(homes)[0]
+    preferred_homes(homes, 0)[0]
 }
 
 #[test]
