--- a/src/relay/attempt_race.rs
+++ b/src/relay/attempt_race.rs
@@ -279,8 +279,12 @@
 fn record_send(request: &ForwardedRequest, replica: &BackendName) {
     let node = &request.node;
     let now = node.now();
-    let workload = node.replicas().get(replica).map(|known| known.workload(now));
-    let workload = workload.unwrap_or_default();
+    let (workload, slowness) = {
+        let replicas = node.replicas();
+        let known = replicas.get(replica);
+        let workload = known.map(|known| known.workload(now)).unwrap_or_default();
+        (workload, known.map_or(1.0, |known| replicas.slowness(now, known)))
+    };
     let sends = request.attempts().sends();
     node.metrics.on_sent(replica);
     record(&LogEvent::RequestSent {
@@ -292,5 +296,6 @@
         waited_ms: request.waited_ms(),
         busy: workload.requests,
         unread_tokens: workload.unread_tokens,
+        slowness,
     });
 }
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -79,6 +79,8 @@
         busy: u32,
         /// Prompt tokens of these requests that the replica has yet to read.
         unread_tokens: u64,
+        /// Factor by which work takes longer there than at a typical replica of the service.
+        slowness: f64,
     },
     /// A request has waited for its adapter to be loaded.
     RequestWaited {
