--- a/src/decide/quotas/quota_bucket.rs
+++ b/src/decide/quotas/quota_bucket.rs
@@ -40,7 +40,7 @@
 const MAX_SPREAD: Duration = Duration::from_secs(1);
 /// Longest time until the next ask of all.
 const MAX_WAIT: Duration = Duration::from_secs(4);
-/// Time constant of the measured use, in seconds.
+/// Time constant of the decayed use, in seconds.
 const USE_MEMORY_S: f64 = 3.0;
 
 #[derive(Clone, Copy, Debug)]
--- a/tests/quotas/loads.rs
+++ b/tests/quotas/loads.rs
@@ -6,8 +6,8 @@
 use crate::plan::Plan;
 use crate::world::World;
 
-/// Time from which on admitted parts are measured: all instances start at once at 0, lend from
-/// 1,500 ms on, and are measured from 3 s after that on.
+/// Time from which on admitted parts are checked: all instances start at once at 0 and lend from 1,500 ms
+/// on, and the target holds from 3 s after a change on.
 const SETTLED_MS: u64 = 4_500;
 /// Instances, and the load in terms of the usual one.
 const SIZES: [(usize, f64); 3] = [(9, 1.0), (63, 1.0), (420, 4_100.0 / 420.0)];
