--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -134,7 +134,7 @@
         let started_ms = unix_ms();
         let me = PeerRecord {
             name: settings.instance.clone(),
-            addr: settings.listen.peer,
+            addr: settings.listen.advertised_peer.unwrap_or(settings.listen.peer),
             started_ms,
             heartbeat: 0,
             settled: false,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -30,6 +30,9 @@
     pub ready: SocketAddr,
     /// For calls of other entry instances.
     pub peer: SocketAddr,
+    /// Address under which other instances reach that listener; `None` if it is the same.
+    #[serde(default)]
+    pub advertised_peer: Option<SocketAddr>,
     /// For metrics; `None` serves none.
     pub metrics: Option<SocketAddr>,
 }
