--- a/src/cli/relay_logs.rs
+++ b/src/cli/relay_logs.rs
@@ -24,7 +24,7 @@
     "orders_handed_over",
 ];
 /// Events of an instance that can affect the requests in progress there.
-const INSTANCE_EVENTS: [&str; 10] = [
+const INSTANCE_EVENTS: [&str; 13] = [
     "started",
     "stopping",
     "stopped",
@@ -32,6 +32,9 @@
     "published_lost",
     "published_regained",
     "history_lost",
+    "changes_lacked",
+    "value_received",
+    "value_lost",
     "config_taken",
     "log_lines_dropped",
     "prompt_part_quarantine",
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -34,3 +34,4 @@
 pub mod takeover;
 pub mod token_bucket;
 pub mod traffic;
+pub mod transfer;
--- a/src/decide/traffic/peer_gossip.rs
+++ b/src/decide/traffic/peer_gossip.rs
@@ -48,9 +48,17 @@
     /// Whether it can't give orders, since services of model engines are among these.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub gives_no_orders: bool,
+    /// Bandwidth of its link, in Mbit/s; 0 if it isn't known.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 impl PeerRecord {
+    /// Class of its link by bandwidth: each is twice as fast as the one below.
+    pub fn link_class(&self) -> u32 {
+        self.link_mbps.checked_ilog2().unwrap_or(0)
+    }
+
     /// Hash of the record without its heartbeat.
     pub fn tag(&self) -> u32 {
         let Self { name, addr, started_ms, settled, draining, .. } = self;
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -314,9 +314,14 @@
         owner_election::candidates(self.live(now).chain([&self.me]))
     }
 
-    /// Whether this instance is one of the few readers of the published state.
+    /// Whether this instance is one of the few readers of the published state: those with the
+    /// fastest links.
     pub fn reads_published(&self, now: Timestamp) -> bool {
-        self.is_among_first(now, READER_KEY, READER_COUNT)
+        let ranking = rendezvous::Ranking::new(READER_KEY);
+        let rank = |record: &PeerRecord| (record.link_class(), ranking.score(record.name.as_str()));
+        let own = rank(&self.me);
+        let before = self.live(now).filter(|record| !record.draining && rank(record) > own);
+        before.take(READER_COUNT).count() < READER_COUNT
     }
 
     /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`.
@@ -345,6 +350,7 @@
             // An older process that passes a record on leaves these out.
             record.reads_beats |= known.record.reads_beats;
             record.data_centre = record.data_centre.or_else(|| known.record.data_centre.clone());
+            record.link_mbps = record.link_mbps.max(known.record.link_mbps);
         }
         let last_changed =
             known.filter(|known| known.tag == tag).map_or(now, |known| known.last_changed);
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -19,6 +19,7 @@
 
 use super::PublishedEvent;
 use super::PublishedItem;
+use crate::decide::transfer::ValueReference;
 use crate::names::Timestamp;
 
 /// Most tombstones that are kept for peers.
@@ -76,6 +77,17 @@
     pub era: u64,
     /// Changes, by revision.
     pub events: Vec<PublishedEvent>,
+    /// Values of `events` that are left empty there; only for a receiver that takes references.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub references: Vec<ValueReference>,
+}
+
+/// A change that a peer has and this instance lacks.
+#[derive(Clone, Copy, Debug)]
+struct LackedChange {
+    rev: u64,
+    /// When a peer was first known to have it, or one before it.
+    since: Timestamp,
 }
 
 /// How the era of a response relates to that of the view.
@@ -114,6 +126,7 @@
     old_until: Option<Timestamp>,
     /// Since when every change is followed.
     followed_since: Option<Timestamp>,
+    lacked: Option<LackedChange>,
 }
 
 impl PublishedView {
@@ -146,6 +159,17 @@
         Some(now.since(since))
     }
 
+    /// For how long a peer has been known to have changes that this instance lacks; `None` if it
+    /// lacks none.
+    pub fn lacks_for(&self, now: Timestamp) -> Option<Duration> {
+        Some(now.since(self.lacked?.since))
+    }
+
+    /// Records that the store has shown all changes up to the present.
+    pub fn on_store_read(&mut self) {
+        self.lacked = None;
+    }
+
     /// Compares the era of a response of the store with that of the view; `None` if the response
     /// names none.
     pub fn on_store_era(&mut self, era: Option<u64>) -> EraCheck {
@@ -274,6 +298,7 @@
         }
         self.on_contact(at);
         self.as_of = self.as_of.max(Some(as_of));
+        self.lacked = self.lacked.filter(|lacked| Some(lacked.rev) > self.as_of);
         self.current_at = self.current_at.max(Some(at));
     }
 
@@ -324,6 +349,10 @@
             }
             return false;
         }
+        if self.was_listed && !is_newer_era {
+            let since = self.lacked.map_or(now, |lacked| lacked.since);
+            self.lacked = Some(LackedChange { rev: peer.newest, since });
+        }
         let recently_requested =
             self.last_requested.is_some_and(|at| now.since(at) < REQUEST_INTERVAL);
         let has_nothing = peer.newest == 0 && !(is_newer_era && peer.as_of.is_some());
@@ -359,6 +388,7 @@
             outage_ended_ms: self.outage_ended.map(|at| as_millis(now.since(at))),
             era: self.era,
             events,
+            references: Vec::new(),
         }
     }
 
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -19,12 +19,15 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use super::fair_connector::FairConnector;
 use crate::decide::dispatch_failure::DispatchFailure;
+use crate::decide::transfer::ProgressLimit;
 use crate::error::Error;
 use crate::error::ErrorKind;
+use crate::names::Timestamp;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -99,6 +102,30 @@
         })
     }
 
+    /// Reads the whole body into memory, however long it takes as long as it goes on coming.
+    ///
+    /// # Errors
+    ///
+    /// `TimedOut` if it stalls, and as for [`Self::read_body`].
+    pub async fn read_body_in_progress(mut self) -> Result<Bytes, CallFailure> {
+        let began = Instant::now();
+        let now = || Timestamp::ZERO + began.elapsed();
+        let mut limit = ProgressLimit::new(now());
+        let mut buf = BytesMut::new();
+        loop {
+            let read = timeout(limit.time_left(now()), self.chunk()).await;
+            let stalled = || CallFailure {
+                end: DispatchFailure::TimedOut,
+                detail: format!("response stalls after {} bytes", buf.len()),
+            };
+            let Some(data) = read.unwrap_or_else(|_| Err(stalled()))? else {
+                return Ok(buf.freeze());
+            };
+            limit.on_bytes(now(), data.len());
+            append(&mut buf, &data)?;
+        }
+    }
+
     /// Reads the whole body into memory.
     ///
     /// # Errors
@@ -107,16 +134,22 @@
     pub async fn read_body(mut self) -> Result<Bytes, CallFailure> {
         let mut buf = BytesMut::new();
         while let Some(data) = self.chunk().await? {
-            if buf.len() + data.len() > MAX_REPLY_BYTES {
-                let detail = format!("response exceeds {MAX_REPLY_BYTES} bytes");
-                return Err(CallFailure { end: DispatchFailure::Failed, detail });
-            }
-            buf.extend_from_slice(&data);
+            append(&mut buf, &data)?;
         }
         Ok(buf.freeze())
     }
 }
 
+/// Appends a piece of a body, unless it becomes too large.
+fn append(buf: &mut BytesMut, data: &[u8]) -> Result<(), CallFailure> {
+    if buf.len() + data.len() > MAX_REPLY_BYTES {
+        let detail = format!("response exceeds {MAX_REPLY_BYTES} bytes");
+        return Err(CallFailure { end: DispatchFailure::Failed, detail });
+    }
+    buf.extend_from_slice(data);
+    Ok(())
+}
+
 /// One request to one address.
 #[derive(Clone, Debug)]
 pub struct HttpCall {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -39,6 +39,7 @@
 pub use http_server::StopServer;
 pub use listing_client::ListingClient;
 pub use peer_call::call_peer;
+pub use peer_call::call_peer_in_progress;
 pub use peer_client::PeerClient;
 pub use peer_path::PeerPath;
 pub use peer_target::PeerTarget;
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -67,6 +67,7 @@
 use crate::wire::send_permit::PERMIT_END_PATH;
 use crate::wire::send_permit::PERMIT_PATH;
 use crate::wire::stream_origin::STREAM_ORIGIN_PATH;
+use crate::wire::transfer::PIECE_PATH;
 
 /// Interval between rounds of exchanges.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(350);
@@ -156,6 +157,7 @@
         }
         QUOTA_PATH => encode(&quotas::answer(node, &decode(body)?)),
         STREAM_ORIGIN_PATH => encode(&stream_origins::answer(node, &decode(body)?)),
+        PIECE_PATH => encode(&node.transfers.answer(&decode(body)?)),
         PUBLISHED_PATH => encode(&published_exchange::changes_for(node, decode(body)?)),
         _ => Err(Error::new(ErrorKind::NotFound, format!("no such path: {path}"))),
     }
@@ -226,8 +228,10 @@
     let receiver = node.peers().receiver_at(node.now(), addr);
     let message = build_exchange(&node, &receiver);
     let asked_at = boot_timestamp();
+    // It names all instances to one that has just started.
     let reply: Result<Exchange> =
-        call_peer(&node, addr, EXCHANGE_PATH, &message, PEER_CALL_TIMEOUT).await;
+        edge::call_peer_in_progress(&node.http, addr, EXCHANGE_PATH, &message, PEER_CALL_TIMEOUT)
+            .await;
     match reply {
         Ok(received) => {
             node.freshness.on_peer_proof(asked_at, received.config_proof);
@@ -352,9 +356,7 @@
         (PublishedTopic::Replicas, received.views.replicas),
     ] {
         let is_reader = node.peers().reads_published(now);
-        if node.view(topic).on_peer_digest(now, &digest, is_reader) {
-            tokio::spawn(published_exchange::fetch(Arc::clone(node), topic, addr));
-        }
+        published_exchange::on_peer_digest(node, topic, &digest, is_reader, addr);
     }
 }
 
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -45,6 +45,7 @@
 use crate::decide::traffic::Service;
 use crate::decide::traffic::TrafficConfig;
 use crate::decide::traffic::WaitBudget;
+use crate::decide::transfer::LagVerdict;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
@@ -117,8 +118,13 @@
         return Err(LocalResponse::NotRun);
     }
     let config = node.current_config().ok_or(LocalResponse::NotReady)?;
-    let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
-    let route = Arc::clone(route);
+    let route = config.route(host_of(&parts), parts.uri.path());
+    let propagation = node.settings.freshness_limits().propagation;
+    if let LagVerdict::Refuse(retry_after) = node.config_lag().verdict(route.is_some(), propagation)
+    {
+        return Err(LocalResponse::NotYet(retry_after));
+    }
+    let route = Arc::clone(route.ok_or(LocalResponse::NoRoute)?);
     let caller_account = match CallerAccount::check(&node, &config, &route, &head.credential) {
         Ok(caller_account) => caller_account,
         Err(local_response) => {
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -40,6 +41,8 @@
 use super::passed_on;
 use super::response::ResponseBody;
 use super::tracked_body::TrackedBody;
+use crate::daemon::Clock;
+use crate::decide::transfer::ProgressLimit;
 use crate::edge::FairStream;
 use crate::error::ErrorKind;
 use crate::wire::frame::MAX_FRAME_BYTES;
@@ -57,8 +60,6 @@
 /// Timeout for the head of a peer's call, from the end of the call before it; longer than peers
 /// keep idle connections.
 const PEER_HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// Timeout for the body of a peer's call.
-const PEER_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 const METRICS_PATH: &str = "/metrics";
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Interval at which a connection's idle time is checked.
@@ -314,11 +315,21 @@
 }
 
 async fn read_peer_body(req: Request<Incoming>) -> Result<Bytes, String> {
-    let body = Limited::new(req.into_body(), MAX_FRAME_BYTES).collect();
-    match timeout(PEER_BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) => Err(e.to_string()),
-        Err(_) => Err("no complete body in time".to_owned()),
+    let clock = Clock::start();
+    let mut limit = ProgressLimit::new(clock.now());
+    let mut body = Limited::new(req.into_body(), MAX_FRAME_BYTES);
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = timeout(limit.time_left(clock.now()), body.frame()).await;
+        match frame.map_err(|_| "the body stalls".to_owned())? {
+            None => return Ok(buf.freeze()),
+            Some(Err(e)) => return Err(e.to_string()),
+            Some(Ok(frame)) => {
+                let data = frame.into_data().unwrap_or_default();
+                limit.on_bytes(clock.now(), data.len());
+                buf.extend_from_slice(&data);
+            }
+        }
     }
 }
 
--- a/src/relay/listing.rs
+++ b/src/relay/listing.rs
@@ -14,6 +14,7 @@
 use super::PublishedTopic;
 use super::node::Node;
 use super::store_call;
+use super::store_call::StoreFailure;
 use super::store_call::StoreResponse;
 use crate::decide::traffic::EraCheck;
 use crate::decide::traffic::OverlappingCalls;
@@ -21,7 +22,7 @@
 use crate::decide::traffic::PublishedItem;
 use crate::names::Timestamp;
 
-/// Timeout for one page.
+/// Time within which the answer to a call for a page must begin.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Timeout for all pages.
 const LISTING_TIMEOUT: Duration = Duration::from_secs(30);
@@ -39,6 +40,8 @@
     /// When the call for the first page was sent, by the clock that counts suspended time; `None`
     /// if it can't be read.
     pub asked_at: Option<Timestamp>,
+    /// Time in which the bodies of the pages arrived.
+    pub body_time: Duration,
 }
 
 /// Lists a topic; with `may_be_old` the listing may be some seconds old.
@@ -62,6 +65,7 @@
     let mut listed_era = None;
     let mut first_asked_at = None;
     let mut size = 0;
+    let mut body_time = Duration::ZERO;
     loop {
         let after = items.last().map(|item| item.key.clone());
         let path = node.protocol.list_path(topic, after.as_deref(), may_be_old);
@@ -70,7 +74,8 @@
         } else {
             store_call::get(node, path, PAGE_TIMEOUT).await?
         };
-        let StoreResponse { status, era, body, asked_at } = response;
+        let StoreResponse { status, era, body, body_time: page_time, asked_at } = response;
+        body_time += page_time;
         if status != 200 {
             return Err(format!("listing returned status {status}"));
         }
@@ -97,24 +102,31 @@
     }
     let era = listed_era.flatten().unwrap_or_default();
     let asked_at = first_asked_at.flatten();
-    Ok(Listing { items, as_of: as_of.unwrap_or_default(), era, asked_at })
+    Ok(Listing { items, as_of: as_of.unwrap_or_default(), era, asked_at, body_time })
 }
 
-/// Calls for a page until a call is answered, or fails while no other one is pending. A page that may
+/// Calls for a page until the answer to a call begins, or one fails while no other one is pending. A page that may
 /// be old costs the store little, so that calls may overlap.
-async fn read_page_by_overlapping_calls(node: &Node, path: &str) -> Result<StoreResponse, String> {
+async fn read_page_by_overlapping_calls(
+    node: &Node,
+    path: &str,
+) -> Result<StoreResponse, StoreFailure> {
     let mut calls = FuturesUnordered::new();
     let mut schedule = OverlappingCalls::new(&node.settings.instance);
     loop {
         tokio::select! {
             () = sleep(schedule.due_in(node.now())) => {
                 schedule.on_call(node.now());
-                calls.push(store_call::get(node, path.to_owned(), PAGE_TIMEOUT));
+                calls.push(store_call::begin(node, path.to_owned(), PAGE_TIMEOUT));
             }
-            Some(answer) = calls.next() => {
-                if answer.is_ok() || calls.is_empty() {
-                    return answer;
+            Some(begun) = calls.next() => match begun {
+                Ok(begun) => {
+                    // Further answers would share the link with this one.
+                    drop(calls);
+                    return begun.finish(node).await;
                 }
+                Err(e) if calls.is_empty() => return Err(e),
+                Err(_) => {}
             }
         }
     }
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -339,6 +339,13 @@
         before: u64,
         /// Revision at which it was published.
         rev: u64,
+        /// Its size, in bytes.
+        size: usize,
+        /// Instance from which it was taken; none if it was read from the store.
+        from: Option<&'a str>,
+        /// Time since a peer was known to have a later version than this instance, in ms; none if
+        /// no peer was.
+        lacked_ms: Option<u128>,
     },
     /// The version of an adapter was declared.
     VersionDeclared {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -151,6 +151,9 @@
     config_proof_age: Gauge,
     config_trust: Gauge,
     log_lines_dropped: Gauge,
+    value_bytes: Counter,
+    value_failures: Counter,
+    config_lag: Gauge,
 }
 
 impl Default for Metrics {
@@ -180,6 +183,9 @@
             config_proof_age: Gauge::default(),
             config_trust: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            value_bytes: Counter::default(),
+            value_failures: Counter::default(),
+            config_lag: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -223,6 +229,12 @@
         r.register("config_proof_age_ms", help, self.config_proof_age.clone());
         let help = "Trust in the configuration: 0 stale, 1 known, 2 current";
         r.register("config_trust", help, self.config_trust.clone());
+        let help = "Bytes of large values received from other instances";
+        r.register("value_bytes", help, self.value_bytes.clone());
+        let help = "Failed asks for pieces of large values";
+        r.register("value_failures", help, self.value_failures.clone());
+        let help = "Time for which changes by the operator are lacking that a peer has, in ms; -1 if none is";
+        r.register("config_lag_ms", help, self.config_lag.clone());
         let help = "Log lines that were dropped";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
     }
@@ -281,6 +293,12 @@
         self.resumptions.get_or_create(&ResumptionLabels { source, outcome }).inc();
     }
 
+    /// Counts what an instance sent that was asked for pieces of a large value.
+    pub fn on_value_asked(&self, bytes: usize, has_failed: bool) {
+        self.value_bytes.inc_by(bytes as u64);
+        self.value_failures.inc_by(u64::from(has_failed));
+    }
+
     /// Counts a datagram that can't be decoded.
     pub fn on_undecodable_datagram(&self) {
         self.undecodable_datagrams.inc();
@@ -322,6 +340,11 @@
         }
         let age = node.config_age_ms().map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
         self.config_proof_age.set(age);
+        let lag = node
+            .config_lag()
+            .0
+            .map_or(-1, |lag| i64::try_from(lag.as_millis()).unwrap_or(i64::MAX));
+        self.config_lag.set(lag);
         self.config_trust.set(match node.freshness.trust() {
             ConfigTrust::Stale => 0,
             ConfigTrust::Known => 1,
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -49,10 +49,13 @@
 use crate::decide::traffic::StreamOrigins;
 use crate::decide::traffic::TrafficConfig;
 use crate::decide::traffic::serial_at_start;
+use crate::decide::transfer::FetchTurn;
+use crate::decide::transfer::Lag;
 use crate::edge::HttpClient;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 use crate::send_permits::SendPermits;
+use crate::transfer::ValueTransfers;
 
 /// Time without a successful read of the published state after which an instance that hears
 /// none of its peers counts as isolated.
@@ -96,6 +99,8 @@
     pub cache_listing_turn: tokio::sync::Mutex<()>,
     /// Permits to send to replicas that name a limit.
     pub permits: Arc<SendPermits>,
+    /// Large values of the published state.
+    pub transfers: ValueTransfers,
     /// Quotas of client accounts.
     pub quotas: Quotas,
     /// Requests of callers in progress.
@@ -124,6 +129,8 @@
     pass_on_peers: Mutex<PassOnPeers>,
     holder_history: Mutex<HolderHistory>,
     owned: Mutex<HashMap<BackendName, ReplicaOwnership>>,
+    operator_turn: Mutex<FetchTurn>,
+    replica_turn: Mutex<FetchTurn>,
     operator_view: Mutex<PublishedView>,
     replica_view: Mutex<PublishedView>,
 }
@@ -143,6 +150,7 @@
             reads_beats: true,
             cut_from: Vec::new(),
             gives_no_orders: false,
+            link_mbps: settings.link_mbps(),
         };
         let holder_wait = OrderLease::new(settings.order_lease()).watch_time();
         let retry_share = RetryShare::new(
@@ -152,11 +160,11 @@
         );
         let http = HttpClient::with_idle_timeout(CONTROL_IDLE_TIMEOUT);
         let clock = Clock::start();
+        let me_addr = me.addr;
         let first_serial = serial_at_start(started_ms);
         let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
         Self {
             protocol,
-            http,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
             config_item: watch::Sender::new(None),
@@ -169,6 +177,10 @@
             origin_datagrams: OriginDatagrams::default(),
             cache_listing_turn: tokio::sync::Mutex::default(),
             permits: Arc::new(permits),
+            transfers: ValueTransfers::new(me_addr, settings.link_mbps(), http.clone(), clock),
+            http,
+            operator_turn: Mutex::default(),
+            replica_turn: Mutex::default(),
             quotas: Quotas::new(clock.now()),
             in_flight: AtomicUsize::new(0),
             unfinished_responses: UsageCount::default(),
@@ -271,6 +283,19 @@
         }
     }
 
+    /// Turn to ask peers for changes of a topic.
+    pub fn fetch_turn(&self, topic: PublishedTopic) -> MutexGuard<'_, FetchTurn> {
+        match topic {
+            PublishedTopic::Operator => lock(&self.operator_turn),
+            PublishedTopic::Replicas => lock(&self.replica_turn),
+        }
+    }
+
+    /// For how long this instance has lacked changes of the operator's items that a peer has.
+    pub fn config_lag(&self) -> Lag {
+        Lag(self.view(PublishedTopic::Operator).lacks_for(self.now()))
+    }
+
     /// Configuration in effect; `None` until one is known.
     pub fn current_config(&self) -> Option<Arc<TrafficConfig>> {
         self.config.borrow().clone()
@@ -376,6 +401,7 @@
         !self.is_draining()
             && self.is_joined()
             && self.config.borrow().is_some()
+            && !self.config_lag().is_too_long(self.settings.freshness_limits().propagation)
             && knows_replicas
             && !self.is_isolated()
     }
--- a/src/relay/operator_items.rs
+++ b/src/relay/operator_items.rs
@@ -1,7 +1,9 @@
 //! Applies the operator's items of the published state: configuration and declared versions.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::PublishedTopic;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
@@ -9,10 +11,12 @@
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
 
-/// Applies a change of the operator's items; always `true`, since peers need all of them.
-pub fn apply(node: &Node, event: &PublishedEvent) -> bool {
+/// Applies a change of the operator's items, which was taken from the instance `from` or read from
+/// the store; always `true`, since peers need all of them.
+pub fn apply(node: &Node, event: &PublishedEvent, from: Option<SocketAddr>) -> bool {
     let PublishedEvent::Written(item) = event else { return true };
-    take_config(node, item);
+    node.transfers.hold(&item.value);
+    take_config(node, item, from);
     match node.protocol.decode_version(item) {
         Ok(Some((key, version))) => {
             let now = node.now();
@@ -27,14 +31,19 @@
 }
 
 /// Takes a configuration of a higher version; an item that is something else is ignored.
-pub fn take_config(node: &Node, item: &PublishedItem) {
+pub fn take_config(node: &Node, item: &PublishedItem, from: Option<SocketAddr>) {
     match node.protocol.decode_config(item) {
         Ok(Some(config)) => {
             let version = config.version;
             let current = node.current_config();
             let before = current.as_ref().map_or(0, |current| current.version);
             if version > before || current.is_none() {
-                record(&LogEvent::ConfigTaken { version, before, rev: item.rev });
+                let (rev, size) = (item.rev, item.value.len());
+                let from = from.map(|addr| addr.to_string());
+                let lacks_for = node.view(PublishedTopic::Operator).lacks_for(node.now());
+                let lacked_ms = lacks_for.map(|time| time.as_millis());
+                let from = from.as_deref();
+                record(&LogEvent::ConfigTaken { version, before, rev, size, from, lacked_ms });
                 let config = match current {
                     Some(current) => config.after(&current),
                     None => config,
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -4,6 +4,7 @@
 //! by long polls. The others take its changes from them in exchanges. An instance reads for
 //! itself if its view is incomplete or out of date.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
 use crate::decide::traffic::ViewChanges;
+use crate::decide::transfer::NextRead;
+use crate::decide::transfer::ReadPace;
 use crate::names::Timestamp;
 
 /// Longest time for which one long poll waits for a change.
@@ -48,20 +51,27 @@
 /// Time after the end of an outage of the published state within which a removed entry may have
 /// expired and may come back.
 const OUTAGE_MEMORY_TIME: Duration = Duration::from_millis(2000);
+/// Time for which changes that a peer has may be lacking before they are read from the store.
+const LACK_READ_AFTER: Duration = Duration::from_millis(1000);
 /// Longest delay before everything is listed anew, by which instances spread their calls.
 const MAX_RELIST_DELAY_MS: u64 = 250;
 
 /// Reads one topic, whenever this instance has to, until the process ends.
 pub async fn follow(node: Arc<Node>, topic: PublishedTopic) {
+    let mut pace = ReadPace::default();
     loop {
         if !must_read(&node, topic) {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
         let as_of = node.view(topic).as_of();
-        let step = match as_of {
-            None => list(&node, topic).await,
-            Some(as_of) => watch(&node, topic, as_of).await,
+        let step = match (as_of, pace.next()) {
+            (None, _) => list(&node, topic, &mut pace).await,
+            (Some(_), NextRead::List(pause)) => {
+                sleep(pause).await;
+                list(&node, topic, &mut pace).await
+            }
+            (Some(as_of), NextRead::Poll) => watch(&node, topic, as_of, &mut pace).await,
         };
         let now = node.now();
         match step {
@@ -89,7 +99,13 @@
     let now = node.now();
     let reads = node.peers().reads_published(now);
     let view = node.view(topic);
-    reads || view.as_of().is_none() || !view.is_current(now) || is_proof_due(node, topic)
+    if reads || view.as_of().is_none() || is_proof_due(node, topic) {
+        return true;
+    }
+    // What a peer is sending would only share the link with what the store sends.
+    let is_receiving = topic == PublishedTopic::Operator && node.transfers.is_receiving();
+    let lacks_for_long = view.lacks_for(now).is_some_and(|time| time >= LACK_READ_AFTER);
+    !is_receiving && (lacks_for_long || !view.is_current(now))
 }
 
 /// Whether this instance should read a topic since it is to prove how fresh the configuration is.
@@ -123,7 +139,12 @@
 }
 
 /// Applies the changes of a topic that a peer sent.
-pub fn apply_peer_changes(node: &Node, topic: PublishedTopic, changes: ViewChanges) {
+pub fn apply_peer_changes(
+    node: &Node,
+    topic: PublishedTopic,
+    changes: ViewChanges,
+    peer: SocketAddr,
+) {
     let Some(as_of) = changes.as_of else { return };
     let now = node.now();
     let known_era = node.view(topic).era();
@@ -145,7 +166,7 @@
         Some(ms) => Some(now - Duration::from_millis(ms)),
         None => changes.after_outage.then_some(now),
     };
-    let source = Source { is_restored, outage_ended };
+    let source = Source { is_restored, outage_ended, peer: Some(peer) };
     apply_events(node, topic, &events, source);
     let age = changes.age_ms.map_or(Duration::MAX, Duration::from_millis);
     node.view(topic).on_complete(as_of, now - age);
@@ -164,6 +185,8 @@
     is_restored: bool,
     /// End of the last outage of the published state.
     outage_ended: Option<Timestamp>,
+    /// Instance that they were taken from; `None` if they were read from the store.
+    peer: Option<SocketAddr>,
 }
 
 /// Switches the view to an era of which everything is listed; returns whether the store was
@@ -182,12 +205,13 @@
     is_restored
 }
 
-async fn list(node: &Node, topic: PublishedTopic) -> Result<bool, String> {
+async fn list(node: &Node, topic: PublishedTopic, pace: &mut ReadPace) -> Result<bool, String> {
     // The watch that follows brings an old listing up to date.
     let may_be_old = !node.view(topic).was_listed();
     let listing = listing::read(node, topic, may_be_old).await?;
-    let (era, asked_at) = (listing.era, listing.asked_at);
-    apply_listing(node, topic, listing);
+    let (era, asked_at, body_time) = (listing.era, listing.asked_at, listing.body_time);
+    let has_changes = apply_listing(node, topic, listing);
+    pace.on_answer(body_time, has_changes && !may_be_old);
     if may_be_old {
         node.view(topic).on_old_listing(node.now());
     } else {
@@ -196,11 +220,19 @@
     Ok(false)
 }
 
-async fn watch(node: &Node, topic: PublishedTopic, after: u64) -> Result<bool, String> {
+async fn watch(
+    node: &Node,
+    topic: PublishedTopic,
+    after: u64,
+    pace: &mut ReadPace,
+) -> Result<bool, String> {
     let wait = watch_wait(node, topic);
     let path = node.protocol.watch_path(topic, after, wait);
-    let StoreResponse { status, era, body, asked_at } =
-        store_call::get(node, path, wait + WATCH_MARGIN).await?;
+    let response = store_call::get(node, path, wait + WATCH_MARGIN).await;
+    if response.as_ref().is_err_and(|failure| failure.has_begun) {
+        pace.on_broken_answer();
+    }
+    let StoreResponse { status, era, body, body_time, asked_at } = response?;
     let era_check = node.view(topic).on_store_era(era);
     match era_check {
         EraCheck::Older => return Err("response from before the store was restored".to_owned()),
@@ -223,6 +255,7 @@
     }
     let page = node.protocol.decode_watch(&body).map_err(|e| e.to_string())?;
     let changed = apply_watch_page(node, topic, &page);
+    pace.on_answer(body_time, changed);
     on_proof(node, topic, era, asked_at);
     Ok(changed)
 }
@@ -253,34 +286,51 @@
     sleep(Duration::from_millis(score % MAX_RELIST_DELAY_MS)).await;
 }
 
-fn apply_listing(node: &Node, topic: PublishedTopic, listing: Listing) {
+/// Applies a listing; returns whether anything has changed.
+fn apply_listing(node: &Node, topic: PublishedTopic, listing: Listing) -> bool {
     let Listing { items, as_of, era, .. } = listing;
     let now = node.now();
     node.view(topic).on_contact(now);
     let is_restored = begin_era(node, topic, now, era);
     let events = node.view(topic).changes_to(items, as_of);
     let outage_ended = node.view(topic).outage_ended();
-    apply_events(node, topic, &events, Source { is_restored, outage_ended });
-    node.view(topic).on_complete(as_of, now);
+    let source = Source { is_restored, outage_ended, peer: None };
+    let has_changes = apply_events(node, topic, &events, source);
+    let mut view = node.view(topic);
+    view.on_complete(as_of, now);
+    view.on_store_read();
+    has_changes
 }
 
 fn apply_watch_page(node: &Node, topic: PublishedTopic, page: &PublishedPage) -> bool {
     let now = node.now();
     node.view(topic).on_contact(now);
     let outage_ended = node.view(topic).outage_ended();
-    apply_events(node, topic, &page.events, Source { is_restored: false, outage_ended });
-    node.view(topic).on_complete(page.as_of, now);
+    let source = Source { is_restored: false, outage_ended, peer: None };
+    apply_events(node, topic, &page.events, source);
+    let mut view = node.view(topic);
+    view.on_complete(page.as_of, now);
+    view.on_store_read();
+    drop(view);
     !page.events.is_empty()
 }
 
-fn apply_events(node: &Node, topic: PublishedTopic, events: &[PublishedEvent], source: Source) {
+/// Applies changes; returns whether there were any that this instance didn't have.
+fn apply_events(
+    node: &Node,
+    topic: PublishedTopic,
+    events: &[PublishedEvent],
+    source: Source,
+) -> bool {
     let mut any_worth_sharing = false;
+    let mut any_new = false;
     for event in events {
         if !node.view(topic).apply(event) {
             continue;
         }
+        any_new = true;
         let is_worth_sharing = match topic {
-            PublishedTopic::Operator => operator_items::apply(node, event),
+            PublishedTopic::Operator => operator_items::apply(node, event, source.peer),
             PublishedTopic::Replicas => apply_replica(node, event, source),
         };
         if let PublishedEvent::Written(item) = event
@@ -293,6 +343,7 @@
     if any_worth_sharing {
         node.exchange_wake.notify_one();
     }
+    any_new
 }
 
 /// Applies a change of a replica's entry; returns whether peers need it.
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -68,6 +68,9 @@
     /// Time within which a new configuration is in effect at every instance that is in touch, in ms.
     #[serde(default)]
     pub config_propagation_ms: Option<u64>,
+    /// Bandwidth of this instance's link, in Mbit/s; `None` if it isn't known.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
 }
 
 impl RelaySettings {
@@ -111,6 +114,13 @@
                 )));
             }
         }
+        if let Some(value) = settings.link_mbps
+            && !(value.is_finite() && value > 0.0)
+        {
+            return Err(settings_error(format!(
+                "settings: link_mbps must be above 0, found {value}"
+            )));
+        }
         let limits = [
             ("key_revocation_ms", settings.key_revocation_ms),
             ("config_propagation_ms", settings.config_propagation_ms),
@@ -136,6 +146,11 @@
         }
     }
 
+    /// Bandwidth of this instance's link, in whole Mbit/s; 0 if it isn't known.
+    pub fn link_mbps(&self) -> u32 {
+        self.link_mbps.map_or(0, |mbps| mbps as u32)
+    }
+
     /// Time between SIGTERM and SIGKILL.
     pub fn shutdown_limit(&self) -> Duration {
         Duration::from_secs_f64(self.shutdown_limit_s)
--- a/src/relay/store_event.rs
+++ b/src/relay/store_event.rs
@@ -47,6 +47,58 @@
         /// Number of changes.
         count: usize,
     },
+    /// A peer has changes that this instance lacks.
+    ChangesLacked {
+        /// Part of the published state.
+        topic: &'a str,
+        /// Revision of the newest one.
+        newest: u64,
+        /// Revision up to which this instance has them.
+        as_of: Option<u64>,
+        /// Address of the peer.
+        by: &'a str,
+    },
+    /// An instance was asked for pieces of a large value.
+    ValueAsked {
+        /// Identity of the value.
+        value: &'a str,
+        /// Size of the value, in bytes.
+        size: u32,
+        /// Address of the instance.
+        from: &'a str,
+        /// Bytes that it sent.
+        bytes: usize,
+        /// Time since the first ask, in ms.
+        took_ms: u128,
+        /// How it ended: served, unknown, or why it failed.
+        end: &'a str,
+    },
+    /// A large value was received.
+    ValueReceived {
+        /// Identity of the value.
+        value: &'a str,
+        /// Key of its item.
+        key: &'a str,
+        /// Size of the value, in bytes.
+        size: usize,
+        /// Bytes that were sent for it.
+        encoded: usize,
+        /// Whether these were the difference from a former value.
+        is_difference: bool,
+        /// Times that an instance served others first.
+        busy: u32,
+        /// Time since the first ask, in ms.
+        took_ms: u128,
+    },
+    /// A large value can't be had from any instance that is known to have it.
+    ValueLost {
+        /// Identity of the value.
+        value: &'a str,
+        /// Key of its item.
+        key: &'a str,
+        /// The error.
+        detail: &'a str,
+    },
     /// The configuration in effect can be trusted more or less than before.
     ConfigTrustChanged {
         /// How far it can be trusted.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,9 +1,9 @@
 //! Messages between processes.
 //!
 //! Entry instances send each other MessagePack, encoded by `rmp-serde` (see
-//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`], [`send_permit`], [`quota`]
-//! and [`stream_origin`]. Messages to and from callers, backend servers, the platform and operators are JSON. Serde's
-//! derives generate the codecs, so the build needs no other code generator.
+//! [`frame`]); the messages are in [`peer`], [`gossip`], [`relay`], [`send_permit`], [`quota`],
+//! [`transfer`] and [`stream_origin`]. Messages to and from callers, backend servers, the platform and
+//! operators are JSON. Serde's derives generate the codecs, so the build needs no other code generator.
 
 pub mod caller;
 pub mod desk;
@@ -20,4 +20,5 @@
 pub mod send_permit;
 pub mod sse;
 pub mod stream_origin;
+pub mod transfer;
 mod version_choice;
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -23,6 +23,7 @@
 use crate::decide::traffic::UseUpdate;
 use crate::decide::traffic::ViewDigest;
 use crate::decide::traffic::Workload;
+use crate::decide::transfer::ValueId;
 use crate::names::BackendName;
 use crate::names::InstanceName;
 
@@ -321,4 +322,10 @@
     /// Era of that revision; 0 if it isn't known.
     #[serde(default)]
     pub era: u64,
+    /// Whether the reply may refer to large values instead of containing them.
+    #[serde(default)]
+    pub takes_references: bool,
+    /// Large value that the sender has, from which the difference may be made.
+    #[serde(default)]
+    pub base: Option<ValueId>,
 }
--- a/tests/reach/decisions.rs
+++ b/tests/reach/decisions.rs
@@ -129,6 +129,7 @@
         reads_beats: true,
         cut_from: cut_from.iter().map(|name| ServiceName::new(name)).collect(),
         gives_no_orders: !cut_from.is_empty(),
+        link_mbps: 0,
     }
 }
 
--- a/tests/relay_settings.rs
+++ b/tests/relay_settings.rs
@@ -71,7 +71,9 @@
     for strict in [None, Some("true")] {
         for config_ms in [None, Some("2800")] {
             let text = render_section(&template, "bounds.strict_revoke", strict);
-            let mut text = render_section(&text, "bounds.config_ms", config_ms);
+            let text = render_section(&text, "bounds.config_ms", config_ms);
+            let link_mbps = strict.map(|_| "10.0");
+            let mut text = render_section(&text, "limits.link_mbps", link_mbps);
             let values = [
                 ("node_name|json", "\"entry-1\""),
                 ("zone|json", "\"a\""),
@@ -88,6 +90,7 @@
                 ("bounds.budget_window_s|json", "10"),
                 ("bounds.revoke_ms|json", "5000"),
                 ("bounds.config_ms|json", "2800"),
+                ("limits.link_mbps|json", "10.0"),
             ];
             for (name, value) in values {
                 text = text.replace(&format!("{{{{{name}}}}}"), value);
@@ -95,6 +98,7 @@
             let settings = RelaySettings::parse(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
             assert_eq!(settings.key_revocation_ms, strict.map(|_| 5000));
             assert_eq!(settings.config_propagation_ms, config_ms.map(|_| 2800));
+            assert_eq!(settings.link_mbps(), link_mbps.map_or(0, |_| 10));
         }
     }
 }
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -31,6 +31,7 @@
         reads_beats: true,
         cut_from: Vec::new(),
         gives_no_orders: false,
+        link_mbps: 0,
     }
 }
 
--- a/tests/traffic/stream_origins.rs
+++ b/tests/traffic/stream_origins.rs
@@ -221,6 +221,7 @@
         reads_beats: true,
         cut_from: Vec::new(),
         gives_no_orders: false,
+        link_mbps: 0,
     }
 }
 
--- a/tests/traffic/stream_versions/instance.rs
+++ b/tests/traffic/stream_versions/instance.rs
@@ -76,6 +76,7 @@
             reads_beats: true,
             cut_from: Vec::new(),
             gives_no_orders: false,
+            link_mbps: 0,
         };
         Self {
             started_at: now,
