Bear numbers out of range in exchanges: start times and fencing numbers

Report of another operator: odd entries end processes or have them follow nothing more. Start times add with saturation; a fencing number that no clock can have drawn is logged and ignored. Odd entries of replicas, configurations, declared versions and a seed's answers did no harm; the tests that show so stay.

Tests: platform/tests/relay/odd_entries.rs, real processes; odd_messages_of_an_instance_... failed before (no adapter loaded in 20 s).

--- a/src/decide/traffic/owner_election.rs
+++ b/src/decide/traffic/owner_election.rs
@@ -56,7 +56,8 @@
     let settled = all.iter().filter(|record| record.settled);
     let oldest = settled.map(|record| record.started_ms).min();
     let may_own = all.into_iter().filter(|record| {
-        record.settled || oldest.is_none_or(|at| record.started_ms < at + SAME_START_MS)
+        record.settled
+            || oldest.is_none_or(|at| record.started_ms < at.saturating_add(SAME_START_MS))
     });
     let may_own: Vec<&PeerRecord> = may_own.collect();
     let has_links = may_own.iter().any(|record| !record.gives_no_orders);
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -22,6 +22,8 @@
 use super::RelaySettings;
 use super::connection_pool::ConnectionPool;
 use super::freshness_tracker::FreshnessTracker;
+use super::log_event::LogEvent;
+use super::log_event::record;
 use super::metrics::Metrics;
 use super::orders::ReplicaOwnership;
 use super::origin_datagrams::OriginDatagrams;
@@ -67,6 +69,9 @@
 /// that instances draw different ones.
 const FENCES_PER_MS: u64 = 1024;
 
+/// Time by which the clock of another instance is ahead at most, in ms.
+const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
+
 /// Shared state of one relay.
 pub struct Node {
     /// Settings as read at the start.
@@ -432,8 +437,14 @@
         fence
     }
 
-    /// Notes a fencing number that is in use.
+    /// Notes a fencing number that is in use, unless no instance can have drawn it: their clocks differ
+    /// by less, and there would be no higher one.
     pub fn on_fence_seen(&self, fence: u64) {
+        let max_ms = unix_ms().saturating_add(MAX_CLOCK_LEAD_MS);
+        if fence / FENCES_PER_MS > max_ms {
+            record(&LogEvent::Undecodable { what: "fencing number", detail: &fence.to_string() });
+            return;
+        }
         self.highest_fence.fetch_max(fence, Ordering::Relaxed);
     }
 
