Abort a stream whose next replica sends no events that follow

Report of another operator: a stream broke off, and the text of the next replica's error stood in the middle of it. The first event of a resumption must have an id above the last one; otherwise the response is aborted. All other errors of the next replica already ended the stream visibly broken.

--- a/src/decide/traffic/event_splitter.rs
+++ b/src/decide/traffic/event_splitter.rs
@@ -20,12 +20,15 @@
     has_event: bool,
     /// Whole events of the last push.
     pushed_events: u32,
+    /// Whether the next event is the first one of another replica.
+    is_resumed: bool,
+    is_foreign: bool,
 }
 
 impl EventSplitter {
     /// A stream that resumes after the event `last_id`; `None` if it starts from the beginning.
     pub fn new(last_id: Option<String>) -> Self {
-        Self { buf: BytesMut::new(), last_id, has_event: false, pushed_events: 0 }
+        Self { last_id, ..Self::default() }
     }
 
     /// Buffers `bytes` and returns the events that are complete now.
@@ -37,6 +40,13 @@
         self.pushed_events = 0;
         let Some(end) = end else { return Bytes::new() };
         let whole = self.buf.split_to(end).freeze();
+        if self.is_resumed && contains_event(&whole) {
+            self.is_resumed = false;
+            self.is_foreign = !self.goes_on(&whole);
+        }
+        if self.is_foreign {
+            return Bytes::new();
+        }
         self.has_event |= contains_event(&whole);
         self.pushed_events = count_event_ends(&whole);
         if let Some(id) = last_event_id(&whole) {
@@ -74,6 +84,11 @@
         !self.has_partial() && (has_marked_end || self.has_event)
     }
 
+    /// Whether another replica sent something else than the events that follow, such as an error.
+    pub fn is_foreign(&self) -> bool {
+        self.is_foreign
+    }
+
     /// Whether the unfinished event is longer than 1 MiB, so that the stream has to be cut off.
     pub fn is_overlong(&self) -> bool {
         self.buf.len() > MAX_EVENT_BYTES
@@ -83,6 +98,17 @@
     pub fn drop_partial(&mut self) {
         self.buf.clear();
         self.has_event = false;
+        self.is_resumed = true;
+    }
+
+    /// Whether the first one of `events` comes after the last event.
+    fn goes_on(&self, events: &[u8]) -> bool {
+        let Some(last) = &self.last_id else { return true };
+        let Some(first) = first_event_id(events) else { return false };
+        match (first.parse::<u64>(), last.parse::<u64>()) {
+            (Ok(first), Ok(last)) => first > last,
+            _ => first != *last,
+        }
     }
 }
 
@@ -104,6 +130,15 @@
     lines.any(|line| line.first().is_some_and(|first| *first != b':'))
 }
 
+/// Id of the first event; `None` if that has none.
+fn first_event_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|byte| *byte == b'\n').map(|line| line.trim_ascii_end());
+    let mut lines = lines.skip_while(|line| line.first().is_none_or(|first| *first == b':'));
+    let id = lines.by_ref().take_while(|line| !line.is_empty());
+    let id = id.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    Some(String::from_utf8_lossy(id).trim().to_owned())
+}
+
 fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n');
     let id = lines.rev().find_map(|line| line.strip_prefix(b"id:"))?;
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -181,6 +181,9 @@
         let events = self.splitter.push(data);
         self.pace.on_events(now, self.splitter.pushed_events());
         self.bind_to_version();
+        if self.splitter.is_foreign() {
+            return self.abort("its next replica sent no events that follow");
+        }
         if self.splitter.is_overlong() {
             return self.abort("an event is too long");
         }
--- a/tests/traffic/stream.rs
+++ b/tests/traffic/stream.rs
@@ -118,3 +118,32 @@
         }
     }
 }
+
+// Guards against an error's text or head in the middle of a stream that another replica goes on with.
+#[test]
+fn what_another_replica_sends_counts_only_if_it_follows_the_last_event() {
+    let resumed = |rest: &str| {
+        let mut splitter = EventSplitter::new(None);
+        splitter.push(b"id: 7\ndata: a\n\nid: 8\nda");
+        splitter.drop_partial();
+        let events = splitter.push(rest.as_bytes());
+        (String::from_utf8(events.to_vec()).unwrap(), splitter.is_foreign())
+    };
+    for rest in [
+        "id: 8\ndata: b\n\n",
+        ": comment\n\nid: 8\ndata: b\n\n",
+        "x-weight-versions: 2\r\nid: 8\r\ndata: b\r\n\r\n",
+    ] {
+        assert_eq!(resumed(rest), (rest.to_owned(), false));
+    }
+    for rest in [
+        "HTTP/1.1 500 X\r\ncontent-length: 3\r\n\r\n",
+        "HTTP/1.1 500 X\r\n\r\nid: 8\ndata: b\n\n",
+        "out of memory\n\n",
+        "data: b\n\n",
+        "id: 7\ndata: a\n\n",
+        "id: 1\ndata: a\n\n",
+    ] {
+        assert_eq!(resumed(rest), (String::new(), true), "{rest}");
+    }
+}
