--- a/src/transfer/value_transfers.rs
+++ b/src/transfer/value_transfers.rs
@@ -1,6 +1,5 @@
 //! Values that one instance has, and their transfers from and to others.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -11,11 +10,13 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::ReceivedValue;
 use super::TransferFailure;
 use super::TransferTry;
 use super::TryEnd;
 use super::decode_value;
 use super::encode_value;
+use super::encoding_cache::EncodingCache;
 use crate::daemon::Clock;
 use crate::decide::transfer::EncodedValue;
 use crate::decide::transfer::Fetch;
@@ -37,10 +38,6 @@
 use crate::wire::transfer::PieceReply;
 use crate::wire::transfer::PieceRequest;
 
-/// Encodings that are kept for the receivers that are getting them.
-const MAX_ENCODINGS: usize = 6;
-/// Time for which an encoding is kept after its last piece was sent.
-const ENCODING_KEPT_FOR: Duration = Duration::from_secs(3);
 /// Largest encoding that a message contains instead of a reference, in bytes.
 const MAX_INLINE_BYTES: usize = 4 * 1024;
 
@@ -48,27 +45,6 @@
 const NO_TRANSFER: TransferFailure =
     TransferFailure { detail: "the transfer was ended", next: None };
 
-struct CachedEncoding {
-    value: ValueId,
-    encoded: EncodedValue,
-    last_used: Timestamp,
-}
-
-/// A value that was received, and what that took.
-#[derive(Clone, Debug)]
-pub struct ReceivedValue {
-    /// The value.
-    pub bytes: Bytes,
-    /// Size of its encoding, in bytes.
-    pub encoded_bytes: usize,
-    /// Whether that was the difference from a former value.
-    pub is_difference: bool,
-    /// Instance that sent the last piece.
-    pub from: SocketAddr,
-    /// Time since the first ask.
-    pub took: Duration,
-}
-
 /// Large values of one instance, and their transfers.
 pub struct ValueTransfers {
     /// Address on which this instance listens for peers.
@@ -77,7 +53,7 @@
     clock: Clock,
     held: Mutex<HeldValues>,
     serving: Mutex<Serving>,
-    encodings: Mutex<VecDeque<CachedEncoding>>,
+    encodings: Mutex<EncodingCache>,
     /// The transfer to this instance, also one that was given up.
     fetch: Mutex<Option<Fetch>>,
     /// Held by the one transfer in progress.
@@ -177,26 +153,27 @@
         from: SocketAddr,
         on_try: &(dyn Fn(&TransferTry) + Send + Sync),
     ) -> std::result::Result<ReceivedValue, TransferFailure> {
-        let started = self.clock.now();
-        let received = |bytes, encoded_bytes, is_difference, from| ReceivedValue {
-            bytes,
-            encoded_bytes,
-            is_difference,
+        let began = self.clock.now();
+        let whole = ReceivedValue {
+            bytes: Bytes::new(),
+            encoded_bytes: 0,
+            is_difference: false,
             from,
-            took: self.clock.now().since(started),
+            took: Duration::ZERO,
         };
         if let Some(bytes) = lock(&self.held).get(reference.value.id) {
-            return Ok(received(bytes, 0, false, from));
+            return Ok(ReceivedValue { bytes, ..whole });
         }
-        if let Some(EncodedValue { id, bytes }) = reference.encoded
-            && let Ok(value) = self.decode(reference.value, id.base, &bytes)
+        if let Some(EncodedValue { id, bytes: encoded }) = reference.encoded
+            && let Ok(bytes) = self.decode(reference.value, id.base, &encoded)
         {
-            return Ok(received(value, bytes.len(), id.base.is_some(), from));
+            let (encoded_bytes, is_difference) = (encoded.len(), id.base.is_some());
+            return Ok(ReceivedValue { bytes, encoded_bytes, is_difference, ..whole });
         }
         let _fetching = self.fetching.lock().await;
         self.begin(reference.value, from);
-        let (bytes, encoded_bytes, is_difference, from) = self.receive(on_try).await?;
-        Ok(received(bytes, encoded_bytes, is_difference, from))
+        let received = self.receive(on_try).await?;
+        Ok(ReceivedValue { took: self.clock.now().since(began), ..received })
     }
 
     /// Begins a transfer, or goes on with the one that was given up.
@@ -211,10 +188,11 @@
         fetch.add_source(from);
     }
 
+    /// Asks for pieces until all have arrived.
     async fn receive(
         &self,
         on_try: &(dyn Fn(&TransferTry) + Send + Sync),
-    ) -> std::result::Result<(Bytes, usize, bool, SocketAddr), TransferFailure> {
+    ) -> std::result::Result<ReceivedValue, TransferFailure> {
         let mut current: Option<TransferTry> = None;
         let mut began = self.clock.now();
         loop {
@@ -243,9 +221,9 @@
                 }
                 FetchStep::Complete => {
                     let Some(attempt) = current.take() else { return Err(NO_TRANSFER) };
-                    if let Some((bytes, size, is_difference)) = self.complete(attempt.from) {
+                    if let Some(received) = self.complete(attempt.from, attempt.took) {
                         on_try(&attempt);
-                        return Ok((bytes, size, is_difference, attempt.from));
+                        return Ok(received);
                     }
                     let end = TryEnd::Failed("what was sent is another value".to_owned());
                     on_try(&TransferTry { end, ..attempt });
@@ -314,16 +292,18 @@
         Some((request, fetch.piece_timeout()))
     }
 
-    /// The value that has arrived; `None` if the pieces are of something else.
-    fn complete(&self, from: SocketAddr) -> Option<(Bytes, usize, bool)> {
+    /// The value that has arrived, the last piece from `from`; `None` if the pieces are of something
+    /// else.
+    fn complete(&self, from: SocketAddr, took: Duration) -> Option<ReceivedValue> {
         let mut slot = lock(&self.fetch);
         let fetch = slot.as_mut()?;
         let base = fetch.encoding().and_then(|encoding| encoding.base);
-        let size = fetch.received().len();
+        let encoded_bytes = fetch.received().len();
         match self.decode(fetch.value(), base, fetch.received()) {
             Ok(bytes) => {
                 *slot = None;
-                Some((bytes, size, base.is_some()))
+                let is_difference = base.is_some();
+                Some(ReceivedValue { bytes, encoded_bytes, is_difference, from, took })
             }
             Err(e) => {
                 log::debug!("pieces from {from} are dropped: {e}");
@@ -340,15 +320,18 @@
     }
 
     fn has_encoding(&self, request: &PieceRequest) -> bool {
-        let encodings = lock(&self.encodings);
-        encodings.iter().any(|cached| Some(cached.encoded.id) == request.encoding)
+        self.begun_encoding(request).is_some()
     }
 
     /// The encoding that a receiver has begun to get, or else one from its base.
     fn requested_encoding(&self, request: &PieceRequest) -> Result<EncodedValue> {
-        let begun = request.encoding;
-        let cached = self.cached(|c| c.value == request.value.id && Some(c.encoded.id) == begun);
-        cached.map_or_else(|| self.encoding_of(request.value, request.base), Ok)
+        let begun = self.begun_encoding(request);
+        begun.map_or_else(|| self.encoding_of(request.value, request.base), Ok)
+    }
+
+    fn begun_encoding(&self, request: &PieceRequest) -> Option<EncodedValue> {
+        let id = request.encoding?;
+        lock(&self.encodings).get(self.clock.now(), request.value.id, id)
     }
 
     fn encoding_of(&self, value: LargeValue, base: Option<ValueId>) -> Result<EncodedValue> {
@@ -356,33 +339,15 @@
         let base = base.filter(|id| *id != value.id).and_then(|id| Some((id, held.get(id)?)));
         let bytes = held.get(value.id).ok_or_else(|| not_held("the value isn't held"))?;
         drop(held);
+        let now = self.clock.now();
         let base_id = base.as_ref().map(|(id, _)| *id);
-        if let Some(encoded) = self.cached(|c| c.value == value.id && c.encoded.id.base == base_id)
-        {
+        if let Some(encoded) = lock(&self.encodings).made_from(now, value.id, base_id) {
             return Ok(encoded);
         }
         let encoded = encode_value(&bytes, base.as_ref().map(|(id, bytes)| (*id, &**bytes)))?;
-        let last_used = self.clock.now();
-        let mut encodings = lock(&self.encodings);
-        encodings.retain(|cached| last_used.since(cached.last_used) < ENCODING_KEPT_FOR);
-        if encodings.len() >= MAX_ENCODINGS {
-            encodings.pop_front();
-        }
-        encodings.push_back(CachedEncoding {
-            value: value.id,
-            encoded: encoded.clone(),
-            last_used,
-        });
+        lock(&self.encodings).add(now, value.id, encoded.clone());
         Ok(encoded)
     }
-
-    fn cached(&self, is_wanted: impl Fn(&CachedEncoding) -> bool) -> Option<EncodedValue> {
-        let now = self.clock.now();
-        let mut encodings = lock(&self.encodings);
-        let cached = encodings.iter_mut().find(|cached| is_wanted(cached))?;
-        cached.last_used = now;
-        Some(cached.encoded.clone())
-    }
 }
 
 fn not_held(detail: &str) -> Error {
