--- a/src/decide/transfer/serving.rs
+++ b/src/decide/transfer/serving.rs
@@ -56,6 +56,19 @@
     holders: VecDeque<SocketAddr>,
 }
 
+impl ServedValue {
+    /// Whether a further copy is left to others that have the value.
+    fn is_for_others(&self, value: LargeValue, cost: u64) -> bool {
+        let limit = u64::from(MAX_COPIES) * u64::from(value.size);
+        self.copies >= MAX_COPIES && self.granted + cost > limit && !self.holders.is_empty()
+    }
+
+    fn on_granted(&mut self, cost: u64) {
+        self.granted += cost;
+        self.copies += 1;
+    }
+}
+
 /// Receivers that one instance serves.
 #[derive(Clone, Debug)]
 pub struct Serving {
@@ -99,35 +112,28 @@
         if encoded_bytes <= SMALL_ENCODING_BYTES {
             return Ok(());
         }
-        let has_place = self.places.get(&receiver).is_some_and(|place| place.value == value.id);
-        let served = self.served(value.id);
-        let has_holder = !served.holders.is_empty();
-        let cost = (encoded_bytes + encoded_bytes / HEADS_PART) as u64;
-        let is_over = served.copies >= MAX_COPIES
-            && served.granted + cost > u64::from(MAX_COPIES) * u64::from(value.size);
-        let has_granted_enough = is_over && has_holder && !is_urgent;
-        if !has_place && (self.places.len() >= self.max_served || has_granted_enough) {
-            self.waiting.insert(receiver, now);
-            return Err(TurnAway {
-                retry_in: self.retry_in(),
-                holders: self.holders(value.id, receiver),
-            });
+        if let Some(place) = self.places.get_mut(&receiver)
+            && place.value == value.id
+        {
+            place.last_piece = now;
+            return Ok(());
         }
-        if !has_place {
-            let served = self.served(value.id);
-            served.granted += cost;
-            served.copies += 1;
+        let cost = (encoded_bytes + encoded_bytes / HEADS_PART) as u64;
+        let is_for_others = self.served(value.id).is_for_others(value, cost) && !is_urgent;
+        if self.places.len() >= self.max_served || is_for_others {
+            return Err(self.turn_away(now, receiver, value.id));
         }
         self.waiting.remove(&receiver);
-        let place = Place { value: value.id, since: now, last_piece: now };
-        if has_place {
-            self.places.entry(receiver).or_insert(place).last_piece = now;
-        } else {
-            self.places.insert(receiver, place);
-        }
+        self.served(value.id).on_granted(cost);
+        self.places.insert(receiver, Place { value: value.id, since: now, last_piece: now });
         Ok(())
     }
 
+    fn turn_away(&mut self, now: Timestamp, receiver: SocketAddr, value: ValueId) -> TurnAway {
+        self.waiting.insert(receiver, now);
+        TurnAway { retry_in: self.retry_in(), holders: self.holders(value, receiver) }
+    }
+
     /// Records that the last piece was sent, so that the receiver has the whole value.
     pub fn on_last_sent(&mut self, now: Timestamp, receiver: SocketAddr, value: ValueId) {
         let served = self.served(value);
--- a/src/transfer/value_transfers.rs
+++ b/src/transfer/value_transfers.rs
@@ -106,9 +106,6 @@
     /// Answers another instance that asks for a piece.
     pub fn answer(&self, request: &PieceRequest) -> PieceReply {
         let PieceRequest { from, value, is_urgent, .. } = *request;
-        if lock(&self.held).get(value.id).is_none() && !self.has_encoding(request) {
-            return PieceReply::Unknown;
-        }
         let Ok(encoded) = self.requested_encoding(request) else { return PieceReply::Unknown };
         let now = self.clock.now();
         let size = encoded.bytes.len();
@@ -136,7 +133,7 @@
         self.source_added.notify_one();
     }
 
-    /// Whether pieces of a value have arrived lately and more are awaited.
+    /// Whether a value is being received.
     pub fn is_receiving(&self) -> bool {
         self.fetching.try_lock().is_err()
     }
@@ -319,10 +316,6 @@
         decode_value(value, encoded, Some(&base))
     }
 
-    fn has_encoding(&self, request: &PieceRequest) -> bool {
-        self.begun_encoding(request).is_some()
-    }
-
     /// The encoding that a receiver has begun to get, or else one from its base.
     fn requested_encoding(&self, request: &PieceRequest) -> Result<EncodedValue> {
         let begun = self.begun_encoding(request);
