--- a/lab/src/slopes/cpu_time.rs
+++ b/lab/src/slopes/cpu_time.rs
@@ -22,12 +22,16 @@
 use tamaracklead::decide::permits::Urgency;
 use tamaracklead::decide::routing;
 use tamaracklead::decide::submissions::Ticket;
+use tamaracklead::decide::transfer::LargeValue;
+use tamaracklead::decide::transfer::ValueId;
 use tamaracklead::names::BackendName;
 use tamaracklead::names::DataCentre;
 use tamaracklead::names::Incarnation;
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::RequestId;
 use tamaracklead::names::Timestamp;
+use tamaracklead::transfer::decode_value;
+use tamaracklead::transfer::encode_value;
 use tamaracklead::wire::caller::VersionChoice;
 use tamaracklead::wire::gossip::Gossip;
 use tamaracklead::wire::listing::FencingMode;
@@ -76,6 +80,9 @@
             membership.on_listing(Timestamp::ZERO, &entries);
         });
     }
+    for routes in [40, 1400, 2800] {
+        measure_value_encoding(routes);
+    }
     for size in [10, 100, 1000] {
         measure_permit_grant(size);
     }
@@ -94,6 +101,29 @@
     sent.expect("an instance sends gossip to its peers when it starts")
 }
 
+/// Encodes a configuration, whole and as the difference from one without half of its routes.
+fn measure_value_encoding(routes: usize) {
+    let (before, after) = (inputs::traffic_config(routes / 2), inputs::traffic_config(routes));
+    let value = LargeValue { id: ValueId::of(&after), size: after.len() as u32 };
+    let base = (ValueId::of(&before), &before[..]);
+    let encode = |base| encode_value(&after, base).map(|encoded| encoded.bytes);
+    print_row("encode a configuration, by routes", routes, || encode(None).is_ok());
+    print_row("encode the difference, by routes", routes, || encode(Some(base)).is_ok());
+    let (whole, difference) = (encode(None).unwrap(), encode(Some(base)).unwrap());
+    print_row("decode a configuration, by routes", routes, || {
+        decode_value(value, &whole, None).is_ok()
+    });
+    print_row("decode the difference, by routes", routes, || {
+        decode_value(value, &difference, Some(&before)).is_ok()
+    });
+    println!(
+        "| bytes: value, encoded, difference | {routes} | {}, {}, {} |",
+        after.len(),
+        whole.len(),
+        difference.len()
+    );
+}
+
 fn measure_engine_choice() {
     let summary = EngineSummary {
         ready: (0..inputs::SLOTS).map(inputs::adapter).collect(),
--- a/lab/src/slopes/inputs.rs
+++ b/lab/src/slopes/inputs.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use tamaracklead::decide::config::Snapshot;
 use tamaracklead::decide::engine::QueuedRequest;
 use tamaracklead::decide::membership::Identity;
@@ -149,3 +152,20 @@
 fn addr() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 1))
 }
+
+/// A traffic configuration of this many routes with random names, as the operator publishes it.
+pub fn traffic_config(routes: usize) -> Vec<u8> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut text = |length| -> String {
+        (0..length).map(|_| char::from(rng.random_range(b'a'..=b'z'))).collect()
+    };
+    let routes = (0..routes).map(|_| {
+        format!(
+            r#"{{"name":"r-{}","host":"{}.example","prefix":"/{}/","kind":"safe","timeout_ms":2000,"goal_ms":300,"priority":2,"service":"desk","attempts":2}}"#,
+            text(7),
+            text(6),
+            text(8)
+        )
+    });
+    format!(r#"{{"version":1,"routes":[{}]}}"#, routes.collect::<Vec<_>>().join(",")).into_bytes()
+}
