Forget lacked changes when the store was restored

An instance that knew of a change which a restored store has lost went on lacking it: revisions of the new era are below that of the old one. It answered 503 instead of 404, and refused everything after two thirds of the propagation time, until its own read of the store a second later at the earliest. Found by reading; the new test failed before (lacked for 30 ms where none is).

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -200,6 +200,7 @@
         self.tombstones.clear();
         self.newest_shared = 0;
         self.as_of = None;
+        self.lacked = None;
         self.outage_ended = Some(now);
         true
     }
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -169,3 +169,21 @@
     view.on_complete(41, at(5));
     assert!(view.is_current(at(6)) && view.is_usable(at(6)));
 }
+
+/// Guards against an instance that refuses callers since it waits for a change of before the store was
+/// restored, whose revision is above all those of now.
+#[test]
+fn changes_of_before_a_restore_are_no_longer_lacked() {
+    let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+    for view in [&mut reader, &mut other] {
+        view.begin_era(at(0), 1);
+        view.on_complete(5, at(0));
+    }
+    apply(&mut reader, &written("a", 900));
+    reader.on_complete(900, at(10));
+    other.on_peer_digest(at(10), &reader.digest(at(10)), false);
+    assert!(other.lacks_for(at(20)).is_some());
+    assert!(other.begin_era(at(30), 2));
+    other.on_complete(7, at(30));
+    assert_eq!(other.lacks_for(at(40)), None);
+}
