--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -319,18 +319,25 @@
     pub fn reads_published(&self, now: Timestamp) -> bool {
         let ranking = rendezvous::Ranking::new(READER_KEY);
         let rank = |record: &PeerRecord| (record.link_class(), ranking.score(record.name.as_str()));
-        let own = rank(&self.me);
-        let before = self.live(now).filter(|record| !record.draining && rank(record) > own);
-        before.take(READER_COUNT).count() < READER_COUNT
+        self.is_ranked_among(now, READER_COUNT, rank)
     }
 
     /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`.
     pub fn is_among_first(&self, now: Timestamp, key: &str, count: usize) -> bool {
         let ranking = rendezvous::Ranking::new(key);
-        let rank = |name: &InstanceName| ranking.score(name.as_str());
-        let own = rank(&self.me.name);
-        let before = self.live(now).filter(|record| !record.draining && rank(&record.name) > own);
-        before.take(count).count() < count
+        self.is_ranked_among(now, count, |record| ranking.score(record.name.as_str()))
+    }
+
+    /// Whether fewer than `count` other instances rank above this one.
+    fn is_ranked_among<R: Ord>(
+        &self,
+        now: Timestamp,
+        count: usize,
+        rank: impl Fn(&PeerRecord) -> R,
+    ) -> bool {
+        let own = rank(&self.me);
+        let above = self.live(now).filter(|record| !record.draining && rank(record) > own);
+        above.take(count).count() < count
     }
 
     /// Whether enough of the recent fleet is live for this instance to give orders.
