Keep a sender's bytes at twice the item's for large items too

Copies under way count now, those of receivers that ask no more are given back, and a receiver is urgent after 2.5 s. The check is extended to all sizes of fleet and item; it failed before (11,864,640 bytes).

--- a/src/decide/transfer/fetch.rs
+++ b/src/decide/transfer/fetch.rs
@@ -21,7 +21,7 @@
 /// Time without a new piece after which a transfer is given up.
 const STALLED_AFTER: Duration = Duration::from_secs(3);
 /// Time without a new piece after which the receiver counts as urgent.
-const URGENT_AFTER: Duration = Duration::from_millis(1000);
+const URGENT_AFTER: Duration = Duration::from_millis(2500);
 /// Time for which an instance isn't asked after a failed ask; longer after each further one.
 const FAILURE_DELAY: Duration = Duration::from_millis(200);
 /// Largest encoding of a value, in bytes: one that can't be compressed becomes a little longer.
--- a/src/decide/transfer/serving.rs
+++ b/src/decide/transfer/serving.rs
@@ -42,6 +42,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Place {
     value: ValueId,
+    /// Bytes of the encoding with the heads of the messages.
+    cost: u64,
     since: Timestamp,
     last_piece: Timestamp,
 }
@@ -57,16 +59,21 @@
 }
 
 impl ServedValue {
-    /// Whether a further copy is left to others that have the value.
+    /// Whether a further copy is left to others that have the value, or are about to.
     fn is_for_others(&self, value: LargeValue, cost: u64) -> bool {
         let limit = u64::from(MAX_COPIES) * u64::from(value.size);
-        self.copies >= MAX_COPIES && self.granted + cost > limit && !self.holders.is_empty()
+        self.copies >= MAX_COPIES && self.granted + cost > limit
     }
 
     fn on_granted(&mut self, cost: u64) {
         self.granted += cost;
         self.copies += 1;
     }
+
+    fn on_gone(&mut self, cost: u64) {
+        self.granted = self.granted.saturating_sub(cost);
+        self.copies = self.copies.saturating_sub(1);
+    }
 }
 
 /// Receivers that one instance serves.
@@ -107,7 +114,7 @@
         encoded_bytes: usize,
         is_urgent: bool,
     ) -> Result<(), TurnAway> {
-        self.places.retain(|_, place| now.since(place.last_piece) < PLACE_TIME);
+        self.drop_gone_receivers(now);
         self.waiting.retain(|_, since| now.since(*since) < WAITING_TIME);
         if encoded_bytes <= SMALL_ENCODING_BYTES {
             return Ok(());
@@ -125,10 +132,20 @@
         }
         self.waiting.remove(&receiver);
         self.served(value.id).on_granted(cost);
-        self.places.insert(receiver, Place { value: value.id, since: now, last_piece: now });
+        let place = Place { value: value.id, cost, since: now, last_piece: now };
+        self.places.insert(receiver, place);
         Ok(())
     }
 
+    /// Frees the places of receivers that ask no more; their copies count as not sent.
+    fn drop_gone_receivers(&mut self, now: Timestamp) {
+        let is_gone = |place: &Place| now.since(place.last_piece) >= PLACE_TIME;
+        let gone = self.places.extract_if(|_, place| is_gone(place));
+        for (_, place) in gone.collect::<Vec<_>>() {
+            self.served(place.value).on_gone(place.cost);
+        }
+    }
+
     fn turn_away(&mut self, now: Timestamp, receiver: SocketAddr, value: ValueId) -> TurnAway {
         self.waiting.insert(receiver, now);
         TurnAway { retry_in: self.retry_in(), holders: self.holders(value, receiver) }
--- a/tests/transfer/main.rs
+++ b/tests/transfer/main.rs
@@ -38,7 +38,7 @@
     }
 }
 
-// Guards against bounds that hold for one size of the fleet or of the item only.
+// Guards against bounds in time and bytes that hold for one size of the fleet or of the item only.
 #[test]
 fn changes_of_all_sizes_reach_fleets_of_all_sizes() {
     for count in [6, 58, 89, 420] {
@@ -48,6 +48,8 @@
             let mut world = World::new(Plan::new(7, count, bytes));
             world.run(Duration::from_secs(30));
             assert_in_time(&world, limit);
+            let most = world.most_sent();
+            assert!(most <= 2 * bytes, "{count} instances, {bytes} bytes: one sent {most}");
         }
     }
 }
