--- a/tests/transfer/instance.rs
+++ b/tests/transfer/instance.rs
@@ -3,24 +3,33 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use tamaracklead::decide::transfer::Fetch;
 use tamaracklead::decide::transfer::FetchTurn;
 use tamaracklead::decide::transfer::Serving;
+use tamaracklead::decide::transfer::TurnAway;
 use tamaracklead::names::Timestamp;
+use tamaracklead::wire::transfer::PieceReply;
+use tamaracklead::wire::transfer::PieceRequest;
+
+use crate::link::Link;
+use crate::versions::Versions;
 
 /// Versions that an instance keeps.
 const KEPT_VERSIONS: usize = 5;
+/// Bandwidth of an instance, in Mbit/s, and the time that a µs of a whole core takes it, in µs.
+const FAST: (u32, f64) = (200, 2.0);
+const SLOW: (u32, f64) = (10, 8.0);
 
 /// One instance: its links, its core and what it has.
 #[derive(Clone, Debug)]
 pub struct Instance {
     pub addr: SocketAddr,
-    pub bytes_per_us: f64,
+    pub link: Link,
+    mbps: u32,
     /// Processor time that a call of one core-microsecond takes, in µs.
     pub core_factor: f64,
     pub process: u32,
-    pub uplink_free: f64,
-    pub downlink_free: f64,
     pub core_free: f64,
     pub cut_until: f64,
     pub is_disturbed: bool,
@@ -40,15 +49,15 @@
 }
 
 impl Instance {
-    pub fn new(index: usize, mbps: u32, core_factor: f64) -> Self {
+    pub fn new(index: usize, is_fast: bool) -> Self {
+        let (mbps, core_factor) = if is_fast { FAST } else { SLOW };
         let addr = SocketAddr::from(([10, 0, (index >> 8) as u8, index as u8], 1));
         Self {
             addr,
-            bytes_per_us: f64::from(mbps) / 8.0,
+            link: Link::new(mbps),
+            mbps,
             core_factor,
             process: 0,
-            uplink_free: 0.0,
-            downlink_free: 0.0,
             core_free: 0.0,
             cut_until: 0.0,
             is_disturbed: false,
@@ -81,13 +90,45 @@
         true
     }
 
+    /// Answers an instance that asks for a piece.
+    pub fn answer(
+        &mut self,
+        now: Timestamp,
+        versions: &Versions,
+        request: &PieceRequest,
+    ) -> PieceReply {
+        let version = versions.number_of(request.value.id);
+        if !self.held.contains(&version) {
+            return PieceReply::Unknown;
+        }
+        let base = request.base.map(|id| versions.number_of(id));
+        let base = base.filter(|base| self.held.contains(base) && *base < version);
+        let encoding = versions.encoding(base, version);
+        let (size, value) = (encoding.size as usize, request.value);
+        let admitted = self.serving.admit(now, request.from, value, size, request.is_urgent);
+        if let Err(TurnAway { retry_in, holders }) = admitted {
+            return PieceReply::Busy { retry_in_ms: retry_in.as_millis() as u64, holders };
+        }
+        let is_same = request.encoding == Some(encoding);
+        let offset = if is_same { request.offset as usize } else { 0 };
+        let end = size.min(offset + request.max_bytes as usize);
+        if end == size {
+            self.serving.on_last_sent(now, request.from, value.id);
+        }
+        PieceReply::Piece {
+            encoding,
+            offset: offset as u32,
+            bytes: Bytes::from(vec![0; end - offset]),
+        }
+    }
+
     /// Forgets everything, as a new process does.
-    pub fn restart(&mut self, mbps: u32) {
+    pub fn restart(&mut self) {
         self.process += 1;
         self.held.clear();
         self.fetch = None;
         self.turn = FetchTurn::default();
-        self.serving = Serving::new(mbps);
+        self.serving = Serving::new(self.mbps);
         self.is_reading = false;
     }
 }
--- a/tests/transfer/main.rs
+++ b/tests/transfer/main.rs
@@ -1,8 +1,12 @@
 //! Large values of the published state on their way to all instances.
 
 mod decisions;
+mod event;
 mod instance;
+mod link;
+mod message;
 mod plan;
+mod versions;
 mod world;
 
 use std::time::Duration;
--- a/tests/transfer/world.rs
+++ b/tests/transfer/world.rs
@@ -7,26 +7,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::seq::index::sample;
 use rand_chacha::ChaCha8Rng;
-use tamaracklead::decide::transfer::EncodingId;
 use tamaracklead::decide::transfer::Fetch;
 use tamaracklead::decide::transfer::FetchStep;
-use tamaracklead::decide::transfer::LargeValue;
 use tamaracklead::decide::transfer::TurnAway;
-use tamaracklead::decide::transfer::ValueId;
 use tamaracklead::wire::transfer::PieceReply;
 use tamaracklead::wire::transfer::PieceRequest;
 
+use crate::event::Event;
 use crate::instance::Instance;
 use crate::instance::timestamp;
+use crate::message::Message;
 use crate::plan::Plan;
+use crate::versions::Versions;
 
-/// One way between two instances, in µs.
-const LATENCY: f64 = 1400.0;
 const READERS: usize = 5;
 const FANOUT: usize = 3;
 const GOSSIP_INTERVAL: f64 = 350_000.0;
@@ -35,44 +32,18 @@
 const CHANGES_TIMEOUT: f64 = 600_000.0;
 /// Size of a message without a piece, in bytes.
 const MESSAGE_BYTES: usize = 300;
-/// Longest message that fits into one packet, in bytes.
-const MAX_SHORT_BYTES: usize = 1400;
 /// Processor time of one message, in µs of a whole core.
 const MESSAGE_CORE_TIME: f64 = 150.0;
 /// Processor time by which an item is decoded and put into effect, in µs of a whole core for a byte.
 const CORE_TIME_PER_BYTE: f64 = 0.01;
-/// What the encoding of a whole item has of its size, and what the store's answer has.
-const ENCODED_SHARE: f64 = 0.2;
+/// What the store's answer has of the size of the item.
 const STORE_SHARE: f64 = 1.34;
-const FAST_MBPS: u32 = 200;
-const SLOW_MBPS: u32 = 10;
+/// Time in which the store begins its answer, in µs.
+const STORE_LATENCY: f64 = 4000.0;
 /// When the first change is published, in µs.
 const START: f64 = 1_000_000.0;
 const CUT_TIME: f64 = 2_000_000.0;
 
-#[derive(Clone, Debug)]
-enum Message {
-    Digest { newest: Option<usize>, is_reply: bool },
-    ChangesAsked { call: u64 },
-    Changes { call: u64, newest: usize },
-    PieceAsked { call: u64, request: PieceRequest },
-    PieceSent { call: u64, reply: PieceReply },
-}
-
-#[derive(Clone, Debug)]
-enum Event {
-    Publish,
-    Read { reader: usize, process: u32, version: usize, took: f64 },
-    ReadAgain { reader: usize, process: u32 },
-    Gossip(usize),
-    Arrived { from: usize, to: usize, message: Message },
-    Handled { from: usize, to: usize, process: u32, message: Message },
-    CallTimeout { caller: usize, process: u32, call: u64, callee: usize, is_piece: bool },
-    Next { instance: usize, call: u64 },
-    InEffect { instance: usize, process: u32, version: usize },
-    RestartAll,
-}
-
 /// One run.
 pub struct World {
     plan: Plan,
@@ -81,7 +52,7 @@
     serial: u64,
     events: BTreeMap<(u64, u64), Event>,
     instances: Vec<Instance>,
-    values: Vec<LargeValue>,
+    versions: Versions,
     published: Vec<f64>,
     /// When each instance had a version or a later one in effect, by version.
     in_effect: Vec<Vec<Option<f64>>>,
@@ -92,7 +63,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
         let instances = (0..plan.instances).map(|index| {
             let is_fast = index < plan.fast_links;
-            Instance::new(index, mbps(is_fast), if is_fast { 2.0 } else { 8.0 })
+            Instance::new(index, is_fast)
         });
         let mut instances: Vec<Instance> = instances.collect();
         let disturbed = sample(&mut rng, plan.instances, plan.cut + plan.slow);
@@ -104,16 +75,12 @@
                 instances[index].core_factor *= 10.0;
             }
         }
-        let values = (0..=plan.changes).map(|version| LargeValue {
-            id: ValueId::of(&version.to_le_bytes()),
-            size: plan.bytes as u32,
-        });
         let mut world = Self {
             rng,
             now: 0.0,
             serial: 0,
             events: BTreeMap::new(),
-            values: values.collect(),
+            versions: Versions::new(&plan),
             published: vec![0.0],
             in_effect: vec![vec![None; plan.instances]; plan.changes + 1],
             instances,
@@ -242,11 +209,10 @@
             self.schedule(at, Event::ReadAgain { reader, process });
             return;
         }
-        let took = self.plan.bytes as f64 * STORE_SHARE / instance.bytes_per_us;
-        let start = instance.downlink_free.max(now + 4000.0);
-        instance.downlink_free = start + took;
+        let bytes = self.plan.bytes as f64 * STORE_SHARE;
+        let (at, took) = instance.link.receive_from_store(now + STORE_LATENCY, bytes);
         let version = published;
-        self.schedule(start + took, Event::Read { reader, process, version, took });
+        self.schedule(at, Event::Read { reader, process, version, took });
     }
 
     fn on_read(&mut self, reader: usize, process: u32, version: usize, took: f64) {
@@ -308,19 +274,11 @@
             return;
         }
         let sender = &mut self.instances[from];
-        let took = bytes as f64 / sender.bytes_per_us;
-        // A short message isn't kept behind the pieces of other connections.
-        let is_short = bytes <= MAX_SHORT_BYTES;
-        let sent = if is_short { self.now } else { sender.uplink_free.max(self.now) } + took;
-        sender.uplink_free = sender.uplink_free.max(self.now) + took;
+        let sent = sender.link.send(self.now, bytes);
         if !matches!(message, Message::Digest { .. }) {
             sender.sent += bytes;
         }
-        let receiver = &mut self.instances[to];
-        let took = bytes as f64 / receiver.bytes_per_us;
-        let queued = receiver.downlink_free.max(sent + LATENCY - took) + took;
-        receiver.downlink_free = queued;
-        let arrived = if is_short { sent + LATENCY + took } else { queued };
+        let arrived = self.instances[to].link.receive(sent, bytes);
         self.schedule(arrived, Event::Arrived { from, to, message });
     }
 
@@ -358,7 +316,8 @@
                 }
             }
             Message::PieceAsked { call, request } => {
-                let reply = self.answer(to, &request);
+                let now = timestamp(self.now);
+                let reply = self.instances[to].answer(now, &self.versions, &request);
                 let bytes = match &reply {
                     PieceReply::Piece { bytes, .. } => bytes.len(),
                     PieceReply::Busy { .. } | PieceReply::Unknown => 0,
@@ -410,7 +369,7 @@
         }
         let (now, addr) = (timestamp(self.now), self.instances[peer].addr);
         let me = self.instances[index].addr;
-        let mut fetch = Fetch::new(now, self.values[newest], me);
+        let mut fetch = Fetch::new(now, self.versions.value(newest), me);
         fetch.add_source(addr);
         self.instances[index].fetch = Some(fetch);
         self.next_step(index);
@@ -428,7 +387,7 @@
                 let request = PieceRequest {
                     from: self.instances[index].addr,
                     value: fetch.value(),
-                    base: encoding.map_or(newest.map(|v| self.values[v].id), |e| e.base),
+                    base: encoding.map_or(newest.map(|v| self.versions.value(v).id), |e| e.base),
                     encoding,
                     offset: fetch.received().len() as u32,
                     max_bytes: fetch.piece_bytes() as u32,
@@ -447,7 +406,7 @@
                 self.schedule(at, Event::Next { instance: index, call });
             }
             FetchStep::Complete => {
-                let version = self.version_of(fetch.value().id);
+                let version = self.versions.number_of(fetch.value().id);
                 self.instances[index].fetch = None;
                 let core_time = self.plan.bytes as f64 * CORE_TIME_PER_BYTE;
                 let done = self.compute(index, core_time);
@@ -466,44 +425,6 @@
         }
     }
 
-    fn answer(&mut self, index: usize, request: &PieceRequest) -> PieceReply {
-        let version = self.version_of(request.value.id);
-        let instance = &self.instances[index];
-        if !instance.held.contains(&version) {
-            return PieceReply::Unknown;
-        }
-        let base = request.base.map(|id| self.version_of(id));
-        let base = base.filter(|base| instance.held.contains(base) && *base < version);
-        let encoding = self.encoding(base, version);
-        let now = timestamp(self.now);
-        let (size, value) = (encoding.size as usize, request.value);
-        let instance = &mut self.instances[index];
-        let admitted = instance.serving.admit(now, request.from, value, size, request.is_urgent);
-        if let Err(TurnAway { retry_in, holders }) = admitted {
-            return PieceReply::Busy { retry_in_ms: retry_in.as_millis() as u64, holders };
-        }
-        let is_same = request.encoding == Some(encoding);
-        let offset = if is_same { request.offset as usize } else { 0 };
-        let end = size.min(offset + request.max_bytes as usize);
-        if end == size {
-            instance.serving.on_last_sent(now, request.from, value.id);
-        }
-        PieceReply::Piece {
-            encoding,
-            offset: offset as u32,
-            bytes: Bytes::from(vec![0; end - offset]),
-        }
-    }
-
-    fn encoding(&self, base: Option<usize>, version: usize) -> EncodingId {
-        let whole = self.plan.bytes as f64 * ENCODED_SHARE;
-        let changed =
-            |base| (version - base) as f64 * self.plan.changed_bytes as f64 * ENCODED_SHARE;
-        let size = base.map_or(whole, |base| whole.min(changed(base) + 100.0));
-        let hash = (version * 1000 + base.map_or(999, |base| base)) as u64;
-        EncodingId { base: base.map(|base| self.values[base].id), size: size as u32, hash }
-    }
-
     fn on_piece(&mut self, index: usize, from: usize, reply: PieceReply) {
         let (now, addr) = (timestamp(self.now), self.instances[from].addr);
         let Some(fetch) = &mut self.instances[index].fetch else { return };
@@ -532,10 +453,7 @@
     }
 
     fn restart_all(&mut self) {
-        for index in 0..self.plan.instances {
-            let is_fast = index < self.plan.fast_links;
-            self.instances[index].restart(mbps(is_fast));
-        }
+        self.instances.iter_mut().for_each(Instance::restart);
         for times in &mut self.in_effect {
             times.fill(None);
         }
@@ -545,12 +463,4 @@
     fn index_of(&self, addr: SocketAddr) -> usize {
         self.instances.iter().position(|instance| instance.addr == addr).unwrap()
     }
-
-    fn version_of(&self, id: ValueId) -> usize {
-        self.values.iter().position(|value| value.id == id).unwrap()
-    }
-}
-
-fn mbps(is_fast: bool) -> u32 {
-    if is_fast { FAST_MBPS } else { SLOW_MBPS }
 }
