--- /dev/null
+++ b/review/standin/engine.rs
@@ -0,0 +1,361 @@
+//! Stand-in of a model engine: answers reports and orders, and serves resumable streams.
+
+use std::collections::BTreeMap;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use crate::http;
+use crate::http::Head;
+use crate::record::Record;
+use crate::store::Store;
+
+pub const SERVICE: &str = "drafting";
+pub const MODEL: &str = "m0";
+/// Time for a load from the weight store, as on the sheets.
+const LOAD_TIME: Duration = Duration::from_millis(250);
+const PLACES: usize = 8;
+/// Time for a load of the base model from the replica's own disk, as on the sheets.
+const MODEL_LOAD_TIME: Duration = Duration::from_millis(760);
+
+/// An order that the replica got, whatever it answered.
+#[derive(Clone, Debug)]
+pub struct ReceivedOrder {
+    pub holder: String,
+    pub fence: u64,
+    pub at: Instant,
+    pub text: String,
+    pub status: u16,
+}
+
+#[derive(Default)]
+struct State {
+    seq: u64,
+    orders: Vec<ReceivedOrder>,
+    /// Set once it was ordered to hold more adapters than it has places for.
+    is_overfull: bool,
+    /// When the base model is loaded; `None` until it is ordered.
+    model_from: Option<Instant>,
+    /// Adapters that are loaded or being loaded, since when.
+    held: BTreeMap<String, Instant>,
+    runs: BTreeMap<String, u32>,
+    /// Parts of prompts that its memory keeps.
+    kept: BTreeMap<String, u64>,
+    connections: Vec<TcpStream>,
+}
+
+/// One start of a replica.
+pub struct Engine {
+    pub id: String,
+    pub version: String,
+    pub addr: SocketAddr,
+    born: u64,
+    events: u64,
+    gap: Duration,
+    state: Mutex<State>,
+    is_running: AtomicBool,
+    record: Arc<Record>,
+}
+
+/// What a replica is started with.
+pub struct Start<'a> {
+    pub id: &'a str,
+    pub version: &'a str,
+    /// Where it listens; port 0 for a free one.
+    pub addr: SocketAddr,
+    /// How long ago it started.
+    pub age: Duration,
+    /// Adapters that it holds beside the base model; without any it is empty, as after a restart.
+    pub adapters: &'a [String],
+    /// Events of a stream, and the time between them.
+    pub events: u64,
+    pub gap: Duration,
+}
+
+impl Engine {
+    pub fn start(start: &Start<'_>, record: &Arc<Record>) -> Arc<Self> {
+        let listener = bind(start.addr);
+        let loaded = Instant::now() - LOAD_TIME;
+        let state = State {
+            model_from: (!start.adapters.is_empty()).then_some(loaded),
+            held: start.adapters.iter().map(|name| (name.clone(), loaded)).collect(),
+            ..State::default()
+        };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        let engine = Arc::new(Self {
+            id: start.id.to_owned(),
+            version: start.version.to_owned(),
+            addr: listener.local_addr().unwrap(),
+            born: (now - start.age).as_millis() as u64,
+            events: start.events,
+            gap: start.gap,
+            state: Mutex::new(state),
+            is_running: AtomicBool::new(true),
+            record: Arc::clone(record),
+        });
+        record.line(&format!("replica {} starts, version {}", engine.id, engine.version));
+        let shared = Arc::clone(&engine);
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !shared.is_running.load(Ordering::SeqCst) {
+                    http::reset(&stream);
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    shared.state.lock().unwrap().connections.push(copy);
+                }
+                let engine = Arc::clone(&shared);
+                thread::spawn(move || engine.serve(stream));
+            }
+        });
+        engine
+    }
+
+    /// Writes the entry by which the system discovers the replica.
+    pub fn publish(&self, store: &Store, state: &str) {
+        let (id, addr, version, born) = (&self.id, self.addr, &self.version, self.born);
+        let held = self.models();
+        store.put(
+            &format!("servers/{id}"),
+            &format!(
+                "{{\"service\":\"{SERVICE}\",\"addr\":\"{addr}\",\"zone\":\"cairo-a\",\
+                 \"version\":\"{version}\",\"slots\":64,\"state\":\"{state}\",\"cold_left_ms\":0,\
+                 \"stage\":\"unified\",\"models\":{held},\"seq\":1,\"born\":{born}}}"
+            ),
+        );
+    }
+
+    /// Ends the process: all of its connections are reset, and nothing listens any more.
+    pub fn crash(&self) {
+        self.is_running.store(false, Ordering::SeqCst);
+        for stream in self.state.lock().unwrap().connections.drain(..) {
+            http::reset(&stream);
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+        // Wakes the listener, which ends.
+        let _ = TcpStream::connect(self.addr);
+        self.record.line(&format!("replica {} has ended, version {}", self.id, self.version));
+    }
+
+    pub fn orders(&self) -> Vec<ReceivedOrder> {
+        self.state.lock().unwrap().orders.clone()
+    }
+
+    pub fn is_overfull(&self) -> bool {
+        self.state.lock().unwrap().is_overfull
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.state.lock().unwrap().runs.values().sum()
+    }
+
+    fn models(&self) -> String {
+        let state = self.state.lock().unwrap();
+        if state.model_from.is_none_or(|from| from > Instant::now()) {
+            return "[]".to_owned();
+        }
+        let held = state.held.iter().filter(|(_, since)| since.elapsed() >= LOAD_TIME);
+        let held: Vec<String> = held.map(|(name, _)| format!("\"{name}@1\"")).collect();
+        format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", held.join(","))
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let Ok(mut writer) = stream.try_clone() else { return };
+        let mut reader = BufReader::new(stream);
+        while let Some(head) = http::read_head(&mut reader) {
+            let Some(body) = http::read_whole_body(&mut reader, &head, false) else { return };
+            let body = String::from_utf8_lossy(&body).into_owned();
+            if !self.is_running.load(Ordering::SeqCst) || !self.respond(&mut writer, &head, &body) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request; returns whether the connection goes on.
+    fn respond(&self, writer: &mut TcpStream, head: &Head, body: &str) -> bool {
+        let named = head.get("x-tamaracklead-expect-instance");
+        if named.is_some_and(|named| named != self.id) {
+            let id = [("X-Tamaracklead-Instance-Id", self.id.as_str())];
+            return writer.write_all(&http::encode_response(421, &id, b"")).is_ok();
+        }
+        let target = head.word();
+        let (status, answer) = if target.starts_with("/api/report") {
+            (200, self.report())
+        } else if target.starts_with("/api/order") {
+            (self.take_order(body), String::new())
+        } else if target.starts_with("/api/kv-list") {
+            (200, self.listing())
+        } else if target.starts_with("/health") {
+            (200, String::new())
+        } else {
+            return self.run_stream(writer, head);
+        };
+        writer.write_all(&http::encode_response(status, &[], answer.as_bytes())).is_ok()
+    }
+
+    fn report(&self) -> String {
+        let (models, born, running) = (self.models(), self.born, self.runs());
+        let state = self.state.lock().unwrap();
+        let coming = state.held.iter().filter(|(_, since)| since.elapsed() < LOAD_TIME);
+        let coming: Vec<String> = coming.map(|(name, _)| format!("\"{MODEL}/{name}@1\"")).collect();
+        format!(
+            "{{\"stage\":\"unified\",\"models\":{models},\"coming\":[{}],\"busy\":false,\
+             \"seq\":{},\"waiting\":0,\"running\":{running},\"kv_used\":0,\"kv_total\":232000,\
+             \"handles\":0,\"born\":{born}}}",
+            coming.join(","),
+            state.seq,
+        )
+    }
+
+    fn listing(&self) -> String {
+        let state = self.state.lock().unwrap();
+        let kept: Vec<String> = state
+            .kept
+            .iter()
+            .map(|(id, tokens)| format!("[\"\",\"{id}\",{tokens},\"{MODEL}\"]"))
+            .collect();
+        format!("{{\"epoch\":1,\"next\":{},\"held\":[{}]}}", kept.len(), kept.join(","))
+    }
+
+    fn take_order(&self, body: &str) -> u16 {
+        let mut state = self.state.lock().unwrap();
+        let status = Self::on_order(&mut state, body);
+        let text = |name| field(body, name).unwrap_or_default();
+        let order = ReceivedOrder {
+            holder: text("holder").to_owned(),
+            fence: text("fence").parse().unwrap_or(0),
+            at: Instant::now(),
+            text: format!("{} {}", text("op"), text("adapter")),
+            status,
+        };
+        self.record.line(&format!(
+            "{} gets order {:?} of {}, fence {}, expected {}: {status}",
+            self.id,
+            order.text,
+            order.holder,
+            order.fence,
+            text("expected"),
+        ));
+        state.orders.push(order);
+        status
+    }
+
+    fn on_order(state: &mut State, body: &str) -> u16 {
+        let adapter = field(body, "adapter").unwrap_or_default().to_owned();
+        let expected = field(body, "expected").and_then(|text| text.parse::<u64>().ok());
+        if expected.is_some_and(|expected| expected != state.seq) {
+            return 409;
+        }
+        let is_load = field(body, "op") == Some("load");
+        let known = state.held.get(&adapter).copied();
+        match (is_load, known) {
+            (true, _) if adapter.is_empty() => match state.model_from {
+                Some(from) if from <= Instant::now() => 200,
+                Some(_) => 202,
+                None => {
+                    state.seq += 1;
+                    state.model_from = Some(Instant::now() + MODEL_LOAD_TIME);
+                    202
+                }
+            },
+            (true, None) if state.model_from.is_none_or(|from| from > Instant::now()) => 409,
+            (true, Some(since)) => if since.elapsed() >= LOAD_TIME { 200 } else { 202 },
+            (true, None) => {
+                state.is_overfull |= state.held.len() >= PLACES;
+                state.seq += 1;
+                state.held.insert(adapter, Instant::now());
+                202
+            }
+            (false, _) if state.runs.get(&adapter).copied().unwrap_or(0) > 0 => 409,
+            (false, _) => {
+                state.seq += 1;
+                state.held.remove(&adapter);
+                200
+            }
+        }
+    }
+
+    fn run_stream(&self, writer: &mut TcpStream, head: &Head) -> bool {
+        let attempt = head.get("x-tamaracklead-attempt-id").unwrap_or_default().to_owned();
+        let model = head.get("x-tamaracklead-model").unwrap_or_default();
+        let adapter = model.split_once('/').map(|(_, name)| name.to_owned()).unwrap_or_default();
+        let after = head.get("last-event-id").and_then(|text| text.parse::<u64>().ok());
+        {
+            let mut state = self.state.lock().unwrap();
+            if !state.held.get(&adapter).is_some_and(|since| since.elapsed() >= LOAD_TIME) {
+                drop(state);
+                let id = [("X-Tamaracklead-Attempt-Id", attempt.as_str())];
+                return writer.write_all(&http::encode_response(421, &id, b"")).is_ok();
+            }
+            *state.runs.entry(adapter.clone()).or_default() += 1;
+            let parts = head.get("x-tamaracklead-prompt-prefix").unwrap_or_default();
+            for (id, tokens) in parts.split(',').filter_map(|part| part.split_once(':')) {
+                state.kept.insert(id.to_owned(), tokens.parse().unwrap_or(0));
+            }
+        }
+        let (id, version) = (&self.id, &self.version);
+        self.record.line(&format!("{id} ({version}) runs {attempt} after event {after:?}"));
+        let is_whole = self.send_events(writer, &attempt, after.unwrap_or(0));
+        if let Some(count) = self.state.lock().unwrap().runs.get_mut(&adapter) {
+            *count -= 1;
+        }
+        let end = if is_whole { "to its end" } else { "until its channel closed" };
+        self.record.line(&format!("{id} ({version}) ran {attempt} {end}"));
+        is_whole
+    }
+
+    fn send_events(&self, writer: &mut TcpStream, attempt: &str, after: u64) -> bool {
+        thread::sleep(Duration::from_millis(60));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nX-Tamaracklead-Attempt-Id: {attempt}\r\n\
+             X-Tamaracklead-Response-Seal: seal-{}-{attempt}\r\nX-Tamaracklead-Weight-Versions: 1\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id
+        );
+        if writer.write_all(head.as_bytes()).is_err() {
+            return false;
+        }
+        for event in after + 1..=self.events {
+            let text = format!("id: {event}\ndata: {} {}\n\n", self.version, self.id);
+            if !self.is_running.load(Ordering::SeqCst)
+                || !http::write_chunk(writer, text.as_bytes())
+            {
+                return false;
+            }
+            thread::sleep(self.gap);
+        }
+        writer.write_all(b"0\r\n\r\n").is_ok()
+    }
+}
+
+/// Binds an address that an earlier start may just have left.
+fn bind(addr: SocketAddr) -> TcpListener {
+    for _ in 0..100 {
+        if let Ok(listener) = TcpListener::bind(addr) {
+            return listener;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    panic!("{addr} can't be bound");
+}
+
+/// Value of a field of a flat JSON object.
+fn field<'a>(body: &'a str, name: &str) -> Option<&'a str> {
+    let rest = body.split_once(&format!("\"{name}\":"))?.1.trim_start();
+    match rest.strip_prefix('"') {
+        Some(text) => text.split('"').next(),
+        None => rest.split([',', '}']).next().map(str::trim),
+    }
+}
--- /dev/null
+++ b/review/standin/instance.rs
@@ -0,0 +1,118 @@
+//! Processes of the project's program, with settings like those of a small deployment.
+
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+
+use crate::http;
+
+pub struct Instance {
+    pub name: String,
+    pub caller: SocketAddr,
+    pub ready: SocketAddr,
+    pub peer: SocketAddr,
+    metrics: SocketAddr,
+    store: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// Addresses on which nothing listens.
+pub fn free_addrs(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+}
+
+/// Prepares `count` instances, of which the first three are the seeds.
+pub fn prepare(count: usize, store: SocketAddr, dir: &Path) -> Vec<Instance> {
+    let addrs = free_addrs(count * 4);
+    let prepare = |(index, addrs): (usize, &[SocketAddr])| {
+        let name = format!("front-cairo-a-{}", index + 1);
+        let settings = dir.join(format!("{name}.json"));
+        let log = dir.join(format!("{name}.log"));
+        let (caller, ready, peer, metrics) = (addrs[0], addrs[1], addrs[2], addrs[3]);
+        Instance { name, caller, ready, peer, metrics, store, settings, log, child: None }
+    };
+    let instances: Vec<Instance> = addrs.chunks(4).enumerate().map(prepare).collect();
+    let seeds: Vec<SocketAddr> = instances.iter().take(3).map(|i| i.peer).collect();
+    instances.iter().for_each(|instance| instance.write_settings(&seeds));
+    instances
+}
+
+impl Instance {
+    /// Writes the settings file as deploy/settings.json.template renders it for a small deployment.
+    pub fn write_settings(&self, seeds: &[SocketAddr]) {
+        let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        let seeds = seeds.join(",");
+        let Self { name, caller, ready, peer, metrics, store, .. } = self;
+        let text = format!(
+            "{{\"instance\":\"{name}\",\"data_centre\":\"cairo-a\",\"listen\":{{\
+             \"caller\":\"{caller}\",\"ready\":\"{ready}\",\"peer\":\"{peer}\",\
+             \"metrics\":\"{metrics}\"}},\"seeds\":[{seeds}],\"published\":\"{store}\",\
+             \"order_lease_ms\":3000,\"shutdown_limit_s\":8,\"retry_ratio\":0.2,\
+             \"retry_allowance\":58,\"retry_window_s\":10,\"config_propagation_ms\":2000,\
+             \"link_mbps\":1000.0}}"
+        );
+        fs::write(&self.settings, text).unwrap();
+    }
+
+    /// Starts the program by the run line of the deploy file.
+    pub fn start(&mut self) {
+        let log = File::options().create(true).append(true).open(&self.log).unwrap();
+        let child = Command::new("target/release/tamaracklead-platform")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
+            .spawn();
+        match child {
+            Ok(child) => self.child = Some(child),
+            Err(e) => {
+                eprintln!("the program can't be started: {e}");
+                std::process::exit(2);
+            }
+        }
+    }
+
+    /// Sends SIGKILL, and waits until the process has ended.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn signal(&self, number: i32) {
+        if let Some(child) = &self.child {
+            http::signal(child.id(), number);
+        }
+    }
+
+    /// Whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
+    }
+
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Whether the instance says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        crate::client::get(self.ready, "/api/ready", &[]).is_some_and(|answer| answer.status == 200)
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
