--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -13,7 +13,6 @@
 pub struct Answer {
     pub status: u16,
     pub head: Head,
-    pub body: Vec<u8>,
     /// Whether the body came to its end.
     pub is_whole: bool,
 }
@@ -44,12 +43,8 @@
     (&stream).write_all(&bytes).ok()?;
     let mut reader = BufReader::new(stream);
     let head = http::read_head(&mut reader)?;
-    let mut body = Vec::new();
-    let is_whole = http::read_body(&mut reader, &head, true, &mut |piece| {
-        body.extend_from_slice(piece);
-        sink(piece);
-    });
-    Some(Answer { status: head.status(), head, body, is_whole })
+    let is_whole = http::read_body(&mut reader, &head, true, sink);
+    Some(Answer { status: head.status(), head, is_whole })
 }
 
 pub fn get(addr: SocketAddr, path: &str, headers: &[(&str, &str)]) -> Option<Answer> {
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -26,6 +26,8 @@
 /// Time for a load from the weight store, as on the sheets.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 const PLACES: usize = 8;
+/// Prompt tokens that are read in a second, as on the sheets.
+const PROMPT_TOKENS_PER_S: f64 = 38_700.0;
 /// Time for a load of the base model from the replica's own disk, as on the sheets.
 const MODEL_LOAD_TIME: Duration = Duration::from_millis(760);
 
@@ -39,6 +41,30 @@
     pub status: u16,
 }
 
+/// A request that began to run.
+#[derive(Clone, Debug)]
+pub struct Begun {
+    pub attempt: String,
+    pub adapter: String,
+    pub version: u64,
+    pub at: Instant,
+}
+
+/// An adapter that is loaded or being loaded.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    version: u64,
+    ready_at: Instant,
+    /// Version that takes its place once its runs have ended.
+    next: Option<u64>,
+}
+
+impl Held {
+    fn is_ready(&self) -> bool {
+        self.ready_at <= Instant::now()
+    }
+}
+
 #[derive(Default)]
 struct State {
     seq: u64,
@@ -47,9 +73,13 @@
     is_overfull: bool,
     /// When the base model is loaded; `None` until it is ordered.
     model_from: Option<Instant>,
-    /// Adapters that are loaded or being loaded, since when.
-    held: BTreeMap<String, Instant>,
+    /// Adapters that are loaded or being loaded.
+    held: BTreeMap<String, Held>,
+    /// Requests that have begun and not ended, by adapter.
     runs: BTreeMap<String, u32>,
+    /// When the prompts that it has got so far are read.
+    prompts_read_at: Option<Instant>,
+    begun: Vec<Begun>,
     /// Parts of prompts that its memory keeps.
     kept: BTreeMap<String, u64>,
     connections: Vec<TcpStream>,
@@ -65,6 +95,7 @@
     gap: Duration,
     state: Mutex<State>,
     is_running: AtomicBool,
+    is_leaving: AtomicBool,
     record: Arc<Record>,
 }
 
@@ -86,9 +117,10 @@
 impl Engine {
     pub fn start(start: &Start<'_>, record: &Arc<Record>) -> Arc<Self> {
         let listener = bind(start.addr);
-        let loaded = Instant::now() - LOAD_TIME;
+        let now = Instant::now();
+        let loaded = Held { version: 1, ready_at: now, next: None };
         let state = State {
-            model_from: (!start.adapters.is_empty()).then_some(loaded),
+            model_from: (!start.adapters.is_empty()).then_some(now),
             held: start.adapters.iter().map(|name| (name.clone(), loaded)).collect(),
             ..State::default()
         };
@@ -102,6 +134,7 @@
             gap: start.gap,
             state: Mutex::new(state),
             is_running: AtomicBool::new(true),
+            is_leaving: AtomicBool::new(false),
             record: Arc::clone(record),
         });
         record.line(&format!("replica {} starts, version {}", engine.id, engine.version));
@@ -136,6 +169,21 @@
         );
     }
 
+    /// Leaves without reporting `draining`: its entry is removed, and it goes on serving for a while.
+    pub fn leave(&self, store: &Store) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        store.remove(&format!("servers/{}", self.id));
+        self.record.line(&format!("scale-in: the entry of {} is removed, it goes on", self.id));
+    }
+
+    /// Headers of all answers.
+    fn headers(&self) -> Vec<(&'static str, &'static str)> {
+        match self.is_leaving.load(Ordering::SeqCst) {
+            true => vec![("Server-Leaving", "1")],
+            false => Vec::new(),
+        }
+    }
+
     /// Ends the process: all of its connections are reset, and nothing listens any more.
     pub fn crash(&self) {
         self.is_running.store(false, Ordering::SeqCst);
@@ -152,6 +200,10 @@
         self.state.lock().unwrap().orders.clone()
     }
 
+    pub fn begun(&self) -> Vec<Begun> {
+        self.state.lock().unwrap().begun.clone()
+    }
+
     pub fn is_overfull(&self) -> bool {
         self.state.lock().unwrap().is_overfull
     }
@@ -165,8 +217,9 @@
         if state.model_from.is_none_or(|from| from > Instant::now()) {
             return "[]".to_owned();
         }
-        let held = state.held.iter().filter(|(_, since)| since.elapsed() >= LOAD_TIME);
-        let held: Vec<String> = held.map(|(name, _)| format!("\"{name}@1\"")).collect();
+        let held = state.held.iter().filter(|(_, held)| held.is_ready());
+        let held: Vec<String> =
+            held.map(|(name, held)| format!("\"{name}@{}\"", held.version)).collect();
         format!("[{{\"name\":\"{MODEL}\",\"version\":1,\"adapters\":[{}]}}]", held.join(","))
     }
 
@@ -202,14 +255,19 @@
         } else {
             return self.run_stream(writer, head);
         };
-        writer.write_all(&http::encode_response(status, &[], answer.as_bytes())).is_ok()
+        let headers = self.headers();
+        writer.write_all(&http::encode_response(status, &headers, answer.as_bytes())).is_ok()
     }
 
     fn report(&self) -> String {
         let (models, born, running) = (self.models(), self.born, self.runs());
         let state = self.state.lock().unwrap();
-        let coming = state.held.iter().filter(|(_, since)| since.elapsed() < LOAD_TIME);
-        let coming: Vec<String> = coming.map(|(name, _)| format!("\"{MODEL}/{name}@1\"")).collect();
+        let coming = state.held.iter().filter(|(_, held)| !held.is_ready() || held.next.is_some());
+        let coming: Vec<String> = coming
+            .map(|(name, held)| {
+                format!("\"{MODEL}/{name}@{}\"", held.next.unwrap_or(held.version))
+            })
+            .collect();
         format!(
             "{{\"stage\":\"unified\",\"models\":{models},\"coming\":[{}],\"busy\":false,\
              \"seq\":{},\"waiting\":0,\"running\":{running},\"kv_used\":0,\"kv_total\":232000,\
@@ -260,6 +318,7 @@
         }
         let is_load = field(body, "op") == Some("load");
         let known = state.held.get(&adapter).copied();
+        let wanted = field(body, "version").and_then(|text| text.parse::<u64>().ok());
         match (is_load, known) {
             (true, _) if adapter.is_empty() => match state.model_from {
                 Some(from) if from <= Instant::now() => 200,
@@ -271,11 +330,23 @@
                 }
             },
             (true, None) if state.model_from.is_none_or(|from| from > Instant::now()) => 409,
-            (true, Some(since)) => if since.elapsed() >= LOAD_TIME { 200 } else { 202 },
+            (true, Some(held)) => match wanted.filter(|wanted| *wanted > held.version) {
+                Some(wanted) if held.next == Some(wanted) => 202,
+                Some(wanted) => {
+                    state.seq += 1;
+                    state.held.insert(adapter.clone(), Held { next: Some(wanted), ..held });
+                    replace_if_unused(state, &adapter);
+                    202
+                }
+                None if held.is_ready() => 200,
+                None => 202,
+            },
             (true, None) => {
                 state.is_overfull |= state.held.len() >= PLACES;
                 state.seq += 1;
-                state.held.insert(adapter, Instant::now());
+                let ready_at = Instant::now() + LOAD_TIME;
+                let version = wanted.unwrap_or(1);
+                state.held.insert(adapter, Held { version, ready_at, next: None });
                 202
             }
             (false, _) if state.runs.get(&adapter).copied().unwrap_or(0) > 0 => 409,
@@ -292,37 +363,90 @@
         let model = head.get("x-tamaracklead-model").unwrap_or_default();
         let adapter = model.split_once('/').map(|(_, name)| name.to_owned()).unwrap_or_default();
         let after = head.get("last-event-id").and_then(|text| text.parse::<u64>().ok());
-        {
+        let refuse = |writer: &mut TcpStream, status, header: &[(&str, &str)]| {
+            let id = [("X-Tamaracklead-Attempt-Id", attempt.as_str())];
+            let headers = [&id, header, &self.headers()].concat();
+            writer.write_all(&http::encode_response(status, &headers, b"")).is_ok()
+        };
+        let expected = head.get("x-tamaracklead-expect-version").and_then(|v| v.parse().ok());
+        if !self.has_version(&adapter, expected) {
+            return refuse(writer, 421, &[]);
+        }
+        self.read_prompt(head);
+        let held = {
             let mut state = self.state.lock().unwrap();
-            if !state.held.get(&adapter).is_some_and(|since| since.elapsed() >= LOAD_TIME) {
+            let held = state.held.get(&adapter).copied().filter(Held::is_ready);
+            // Until an order is done, requests that it concerns and that have not begun don't run.
+            let Some(held) = held.filter(|held| held.next.is_none()) else {
+                drop(state);
+                return refuse(writer, 503, &[("X-Tamaracklead-Not-Run", "1")]);
+            };
+            if expected.is_some_and(|expected| expected != held.version) {
                 drop(state);
-                let id = [("X-Tamaracklead-Attempt-Id", attempt.as_str())];
-                return writer.write_all(&http::encode_response(421, &id, b"")).is_ok();
+                return refuse(writer, 421, &[]);
             }
             *state.runs.entry(adapter.clone()).or_default() += 1;
-            let parts = head.get("x-tamaracklead-prompt-prefix").unwrap_or_default();
-            for (id, tokens) in parts.split(',').filter_map(|part| part.split_once(':')) {
-                state.kept.insert(id.to_owned(), tokens.parse().unwrap_or(0));
-            }
-        }
+            state.begun.push(Begun {
+                attempt: attempt.clone(),
+                adapter: adapter.clone(),
+                version: held.version,
+                at: Instant::now(),
+            });
+            held
+        };
         let (id, version) = (&self.id, &self.version);
-        self.record.line(&format!("{id} ({version}) runs {attempt} after event {after:?}"));
-        let is_whole = self.send_events(writer, &attempt, after.unwrap_or(0));
-        if let Some(count) = self.state.lock().unwrap().runs.get_mut(&adapter) {
-            *count -= 1;
+        self.record.line(&format!("{id} ({version}) runs {attempt} of {adapter}@{}, expected {expected:?}, after event {after:?}", held.version));
+        let is_whole = self.send_events(writer, &attempt, held.version, after.unwrap_or(0));
+        {
+            let mut state = self.state.lock().unwrap();
+            if let Some(count) = state.runs.get_mut(&adapter) {
+                *count -= 1;
+            }
+            replace_if_unused(&mut state, &adapter);
         }
         let end = if is_whole { "to its end" } else { "until its channel closed" };
         self.record.line(&format!("{id} ({version}) ran {attempt} {end}"));
         is_whole
     }
 
-    fn send_events(&self, writer: &mut TcpStream, attempt: &str, after: u64) -> bool {
-        thread::sleep(Duration::from_millis(60));
+    fn has_version(&self, adapter: &str, expected: Option<u64>) -> bool {
+        let state = self.state.lock().unwrap();
+        let held = state.held.get(adapter).filter(|held| held.is_ready());
+        held.is_some_and(|held| expected.is_none_or(|expected| expected == held.version))
+    }
+
+    /// Waits until the prompt is read, one after the other, but for the parts that are kept.
+    fn read_prompt(&self, head: &Head) {
+        let parts = head.get("x-tamaracklead-prompt-prefix").unwrap_or_default();
+        let now = Instant::now();
+        let mut state = self.state.lock().unwrap();
+        let mut unread = 0;
+        for (id, tokens) in parts.split(',').filter_map(|part| part.split_once(':')) {
+            let tokens: u64 = tokens.parse().unwrap_or(0);
+            if state.kept.insert(id.to_owned(), tokens) != Some(tokens) {
+                unread += tokens;
+            }
+        }
+        let time = Duration::from_secs_f64(unread as f64 / PROMPT_TOKENS_PER_S);
+        let read_at = state.prompts_read_at.map_or(now, |at| at.max(now)) + time;
+        state.prompts_read_at = Some(read_at);
+        drop(state);
+        thread::sleep(read_at.saturating_duration_since(Instant::now()));
+    }
+
+    fn send_events(
+        &self,
+        writer: &mut TcpStream,
+        attempt: &str,
+        weights: u64,
+        after: u64,
+    ) -> bool {
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Tamaracklead-Attempt-Id: {attempt}\r\n\
-             X-Tamaracklead-Response-Seal: seal-{}-{attempt}\r\nX-Tamaracklead-Weight-Versions: 1\r\n\
-             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id
+             X-Tamaracklead-Response-Seal: seal-{}-{attempt}\r\nX-Tamaracklead-Weight-Versions: {weights}\r\n\
+             {}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.id,
+            self.headers().iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect::<String>(),
         );
         if writer.write_all(head.as_bytes()).is_err() {
             return false;
@@ -340,6 +464,17 @@
     }
 }
 
+/// Begins to load the version that takes an adapter's place if nothing uses it.
+fn replace_if_unused(state: &mut State, adapter: &str) {
+    let is_used = state.runs.get(adapter).copied().unwrap_or(0) > 0;
+    if let Some(held) = state.held.get_mut(adapter)
+        && let Some(next) = held.next
+        && !is_used
+    {
+        *held = Held { version: next, ready_at: Instant::now() + LOAD_TIME, next: None };
+    }
+}
+
 /// Binds an address that an earlier start may just have left.
 fn bind(addr: SocketAddr) -> TcpListener {
     for _ in 0..100 {
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -28,10 +28,6 @@
         self.word().parse().unwrap_or(0)
     }
 
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or_default()
-    }
-
     fn is_chunked(&self) -> bool {
         self.get("transfer-encoding").is_some_and(|v| v.to_ascii_lowercase().contains("chunked"))
     }
@@ -162,9 +158,9 @@
     fields.filter_map(|field| field.split_once('=')).find(|(n, _)| *n == name).map(|(_, v)| v)
 }
 
-extern "C" {
+unsafe extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const [i32; 2], length: u32) -> i32;
-    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
 /// Closes a connection by a reset, as the crash of a process does.
@@ -176,8 +172,13 @@
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
 }
 
-/// Sends a signal to a process that the case has started.
-pub fn signal(pid: u32, number: i32) {
+/// Has the system end this process when the one that started it ends.
+pub fn end_with_parent() -> std::io::Result<()> {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
     // SAFETY: a plain system call.
-    unsafe { kill(pid as i32, number) };
+    match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+        0 => Ok(()),
+        _ => Err(std::io::Error::last_os_error()),
+    }
 }
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -67,13 +68,12 @@
     /// Starts the program by the run line of the deploy file.
     pub fn start(&mut self) {
         let log = File::options().create(true).append(true).open(&self.log).unwrap();
-        let child = Command::new("target/release/tamaracklead-platform")
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone().unwrap())
-            .stderr(log)
-            .spawn();
-        match child {
+        let mut command = Command::new("target/release/tamaracklead-platform");
+        command.arg(&self.settings).stdin(Stdio::null());
+        command.stdout(log.try_clone().unwrap()).stderr(log);
+        // SAFETY: a plain system call between fork and exec.
+        unsafe { command.pre_exec(http::end_with_parent) };
+        match command.spawn() {
             Ok(child) => self.child = Some(child),
             Err(e) => {
                 eprintln!("the program can't be started: {e}");
@@ -90,21 +90,6 @@
         }
     }
 
-    pub fn signal(&self, number: i32) {
-        if let Some(child) = &self.child {
-            http::signal(child.id(), number);
-        }
-    }
-
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-
     /// Whether the instance says that it is ready.
     pub fn is_ready(&self) -> bool {
         crate::client::get(self.ready, "/api/ready", &[]).is_some_and(|answer| answer.status == 200)
--- a/review/standin/left_version.rs
+++ b/review/standin/left_version.rs
@@ -14,7 +14,7 @@
 use crate::streams;
 
 const INSTANCES: usize = 3;
-const STREAMS: usize = 24;
+const STREAMS: usize = 36;
 /// Most streams with events of two versions that the rule allows.
 const ALLOWED: usize = 2;
 
@@ -37,7 +37,8 @@
         engine
     };
     let old = replica("i-0bd818ce", "v1", 7200);
-    let _newer = [replica("i-7f3a91c2", "v2", 3600), replica("i-fc002de0", "v2", 3600)];
+    let newer = ["i-7f3a91c2", "i-fc002de0", "i-9046ff59"];
+    let _newer = newer.map(|id| replica(id, "v2", 3600));
     store.put("op/config", &streams::config());
     let mut instances = instance::prepare(INSTANCES, store.addr, dir);
     instances.iter_mut().for_each(instance::Instance::start);
@@ -52,7 +53,7 @@
     for number in 0..STREAMS {
         let mut addrs = callers.clone();
         addrs.rotate_left(number % INSTANCES);
-        clients.push(streams::start(number, adapters[number % 8].clone(), addrs, record));
+        clients.push(streams::start(number, adapters[number % 8].clone(), streams::SHORT, addrs, record));
         thread::sleep(Duration::from_millis(25));
     }
     thread::sleep(Duration::from_millis(1000));
@@ -62,8 +63,7 @@
     }
     if trouble {
         // It is one of those that never report `draining`: its entry is removed, and it goes on.
-        store.remove(&format!("servers/{}", old.id));
-        record.line("scale-in: the entry of the replica of v1 is removed; it goes on for a while");
+        old.leave(&store);
         thread::sleep(Duration::from_millis(700));
         instances.iter_mut().for_each(instance::Instance::kill);
         record.line("all processes of the system are killed");
--- a/review/standin/lost_seeds.rs
+++ b/review/standin/lost_seeds.rs
@@ -56,7 +56,7 @@
     let mut clients = Vec::new();
     for number in 0..12 {
         let at = callers(&instances[3..]);
-        clients.push(streams::start(number, format!("a{}", 10 + number), at, record));
+        clients.push(streams::start(number, format!("a{}", 10 + number), streams::SHORT, at, record));
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     let lost_at = Instant::now();
@@ -76,7 +76,7 @@
     }
     // Rare adapters are asked for at once, first by callers of the added machine.
     let ask = |number: usize, at| {
-        let client = streams::start(number, format!("a{number}"), vec![at], record);
+        let client = streams::start(number, format!("a{number}"), streams::SHORT, vec![at], record);
         thread::sleep(Duration::from_millis(10));
         client
     };
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod instance;
 mod lost_seeds;
+mod older_adapter;
 mod left_version;
 mod new_version_in_place;
 mod record;
@@ -15,9 +16,13 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use record::Record;
 
+/// Time after which a case is given up; the processes that it started end with it.
+const LONGEST_CASE: Duration = Duration::from_secs(110);
+
 /// Folder for settings and logs, removed at the end unless KEEP is set.
 struct TempDir(PathBuf);
 
@@ -43,6 +48,11 @@
         eprintln!("usage: standin CASE FOLDER");
         std::process::exit(2);
     };
+    std::thread::spawn(|| {
+        std::thread::sleep(LONGEST_CASE);
+        eprintln!("the case takes too long");
+        std::process::exit(2);
+    });
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     // A panic of a stand-in must not look like a broken rule.
     let played = std::panic::catch_unwind(|| play(case, Path::new(folder), trouble));
@@ -57,6 +67,7 @@
         "left-version" => left_version::run(&dir.0, &record, trouble),
         "new-version-in-place" => new_version_in_place::run(&dir.0, &record, trouble),
         "lost-seeds" => lost_seeds::run(&dir.0, &record, trouble),
+        "older-adapter" => older_adapter::run(&dir.0, &record, trouble),
         _ => 2,
     };
     let meaning = ["the rule held", "the rule was broken", "the case couldn't run"];
--- a/review/standin/new_version_in_place.rs
+++ b/review/standin/new_version_in_place.rs
@@ -14,13 +14,13 @@
 use crate::streams;
 
 const INSTANCES: usize = 3;
-const STREAMS: usize = 36;
+const STREAMS: usize = 48;
 /// Most streams with events of two versions that the rule allows.
 const ALLOWED: usize = 2;
 
 pub fn run(dir: &Path, record: &Arc<Record>, trouble: bool) -> i32 {
     let store = Store::start();
-    let adapters: Vec<String> = (1..=18).map(|number| format!("a{number}")).collect();
+    let adapters: Vec<String> = (1..=24).map(|number| format!("a{number}")).collect();
     let start = |id, version, addr: &str, age_s, adapters: &[String]| {
         let start = Start {
             id,
@@ -33,7 +33,7 @@
         };
         Engine::start(&start, record)
     };
-    let ids = ["i-0bd818ce", "i-7f3a91c2", "i-fc002de0"];
+    let ids = ["i-0bd818ce", "i-7f3a91c2", "i-fc002de0", "i-9046ff59"];
     let engines: Vec<_> = ids
         .iter()
         .zip(adapters.chunks(6))
@@ -70,10 +70,10 @@
     for number in 0..STREAMS {
         let mut addrs = callers.clone();
         addrs.rotate_left(number % INSTANCES);
-        clients.push(streams::start(number, adapters[number % 18].clone(), addrs, record));
-        thread::sleep(Duration::from_millis(25));
+        clients.push(streams::start(number, adapters[number % 24].clone(), streams::SHORT, addrs, record));
+        thread::sleep(Duration::from_millis(20));
     }
-    thread::sleep(Duration::from_millis(800));
+    thread::sleep(Duration::from_millis(600));
     if trouble {
         restart(1);
         thread::sleep(Duration::from_millis(2200));
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -34,19 +34,35 @@
     }
 }
 
+/// Tokens of a prompt: those that all callers share, and those of the request itself.
+#[derive(Clone, Copy)]
+pub struct Prompt(pub u64, pub u64);
+
+/// A prompt of `brief-summary`.
+pub const SHORT: Prompt = Prompt(198, 628);
+/// A prompt of `pitch-draft`.
+pub const LONG: Prompt = Prompt(6300, 2890);
+
 /// Starts the client `number`; its first try goes to the first of `instances`, and each further one
 /// to the next.
 pub fn start(
     number: usize,
     adapter: String,
+    prompt: Prompt,
     instances: Vec<SocketAddr>,
     record: &Arc<Record>,
 ) -> JoinHandle<Received> {
     let record = Arc::clone(record);
-    thread::spawn(move || run(number, &adapter, &instances, &record))
+    thread::spawn(move || run(number, &adapter, prompt, &instances, &record))
 }
 
-fn run(number: usize, adapter: &str, instances: &[SocketAddr], record: &Record) -> Received {
+fn run(
+    number: usize,
+    adapter: &str,
+    Prompt(shared, own): Prompt,
+    instances: &[SocketAddr],
+    record: &Record,
+) -> Received {
     let name = format!("stream {number}");
     let until = Instant::now() + DEADLINE;
     let mut received = Received { name: name.clone(), events: Vec::new(), is_complete: false };
@@ -67,13 +83,17 @@
         tries += 1;
         let attempt = format!("{:08x}{tries:08x}", 0x9c41_0000_u32 + number as u32);
         let model = format!("{MODEL}/{adapter}");
-        let prefix = format!("5c1e07a2:198,{:08x}:628", 0xe440_0000_u32 + number as u32);
+        // Callers share the first part by subjects, of which there are 30.
+        let subject = 0x5c1e_0000_u32 + number as u32 % 30;
+        let request = 0xe440_0000_u32 + number as u32;
+        let prefix = format!("{subject:08x}:{shared},{request:08x}:{own}");
+        let tokens = format!("{},292", shared + own);
         let budget = left.as_millis().to_string();
         let mut headers = vec![
             ("Host", HOST),
             ("X-Tamaracklead-Attempt-Id", attempt.as_str()),
             ("X-Tamaracklead-Model", model.as_str()),
-            ("X-Tamaracklead-Token-Counts", "826,292"),
+            ("X-Tamaracklead-Token-Counts", tokens.as_str()),
             ("X-Tamaracklead-Prompt-Prefix", prefix.as_str()),
             ("X-Tamaracklead-Deadline-Ms", budget.as_str()),
         ];
