review: case 2, a configuration is never taken after the first drill of a store

Cause: era 0 counts as unknown, so the revisions from before the drill are kept and later changes look old.

--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -89,6 +89,7 @@
 pub struct Engine {
     pub id: String,
     pub version: String,
+    service: String,
     pub addr: SocketAddr,
     born: u64,
     events: u64,
@@ -103,6 +104,7 @@
 pub struct Start<'a> {
     pub id: &'a str,
     pub version: &'a str,
+    pub service: &'a str,
     /// Where it listens; port 0 for a free one.
     pub addr: SocketAddr,
     /// How long ago it started.
@@ -128,6 +130,7 @@
         let engine = Arc::new(Self {
             id: start.id.to_owned(),
             version: start.version.to_owned(),
+            service: start.service.to_owned(),
             addr: listener.local_addr().unwrap(),
             born: (now - start.age).as_millis() as u64,
             events: start.events,
@@ -157,12 +160,12 @@
 
     /// Writes the entry by which the system discovers the replica.
     pub fn publish(&self, store: &Store, state: &str) {
-        let (id, addr, version, born) = (&self.id, self.addr, &self.version, self.born);
+        let Self { id, addr, version, service, born, .. } = self;
         let held = self.models();
         store.put(
             &format!("servers/{id}"),
             &format!(
-                "{{\"service\":\"{SERVICE}\",\"addr\":\"{addr}\",\"zone\":\"cairo-a\",\
+                "{{\"service\":\"{service}\",\"addr\":\"{addr}\",\"zone\":\"cairo-a\",\
                  \"version\":\"{version}\",\"slots\":64,\"state\":\"{state}\",\"cold_left_ms\":0,\
                  \"stage\":\"unified\",\"models\":{held},\"seq\":1,\"born\":{born}}}"
             ),
--- a/review/standin/lost_seeds.rs
+++ b/review/standin/lost_seeds.rs
@@ -8,6 +8,7 @@
 
 use crate::client::wait_until;
 use crate::engine::Engine;
+use crate::engine::SERVICE;
 use crate::engine::ReceivedOrder;
 use crate::engine::Start;
 use crate::instance;
@@ -30,6 +31,7 @@
         let start = Start {
             id: &format!("i-{:08x}", 0x0bd8_18ce_u32.wrapping_mul(index as u32 + 1)),
             version: "v1",
+            service: SERVICE,
             addr: "127.0.0.1:0".parse().unwrap(),
             age: Duration::from_secs(3600),
             adapters: &busy,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! folder, and exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
 
 mod client;
+mod drilled_store;
 mod engine;
 mod http;
 mod instance;
@@ -68,6 +69,7 @@
         "new-version-in-place" => new_version_in_place::run(&dir.0, &record, trouble),
         "lost-seeds" => lost_seeds::run(&dir.0, &record, trouble),
         "older-adapter" => older_adapter::run(&dir.0, &record, trouble),
+        "drilled-store" => drilled_store::run(&dir.0, &record, trouble),
         _ => 2,
     };
     let meaning = ["the rule held", "the rule was broken", "the case couldn't run"];
--- a/review/standin/new_version_in_place.rs
+++ b/review/standin/new_version_in_place.rs
@@ -7,6 +7,7 @@
 
 use crate::client::wait_until;
 use crate::engine::Engine;
+use crate::engine::SERVICE;
 use crate::engine::Start;
 use crate::instance;
 use crate::record::Record;
@@ -25,6 +26,7 @@
         let start = Start {
             id,
             version,
+            service: SERVICE,
             addr: addr.parse().unwrap(),
             age: Duration::from_secs(age_s),
             adapters,
--- a/review/standin/older_adapter.rs
+++ b/review/standin/older_adapter.rs
@@ -9,6 +9,7 @@
 
 use crate::client::wait_until;
 use crate::engine::Engine;
+use crate::engine::SERVICE;
 use crate::engine::MODEL;
 use crate::engine::Start;
 use crate::instance;
@@ -31,6 +32,7 @@
         let start = Start {
             id,
             version: "v1",
+            service: SERVICE,
             addr: "127.0.0.1:0".parse().unwrap(),
             age: Duration::from_secs(3600),
             adapters,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -24,6 +24,16 @@
     changes: Vec<(u64, String, Option<Vec<u8>>)>,
     /// While it is set, calls get no response, as in an outage of the kind "silent".
     silent: bool,
+    /// While it is set, the store is away: its channels are closed.
+    away: bool,
+    /// Rises by one each time that the store comes back from a copy.
+    era: u64,
+}
+
+/// A copy of the store.
+pub struct Copy {
+    rev: u64,
+    items: BTreeMap<String, (Vec<u8>, u64)>,
 }
 
 pub struct Store {
@@ -74,6 +84,29 @@
         self.changed.notify_all();
     }
 
+    pub fn copy(&self) -> Copy {
+        let items = self.lock();
+        Copy { rev: items.rev, items: items.items.clone() }
+    }
+
+    /// Comes back from a copy after it was away: revisions go back and are given out again.
+    pub fn come_back_from(&self, copy: Copy, away: Duration) {
+        self.lock().away = true;
+        self.changed.notify_all();
+        thread::sleep(away);
+        let mut items = self.lock();
+        items.rev = copy.rev;
+        items.items = copy.items;
+        // The history is gone with the rest.
+        items.changes.clear();
+        items.era += 1;
+        items.away = false;
+    }
+
+    pub fn rev(&self) -> u64 {
+        self.lock().rev
+    }
+
     fn lock(&self) -> MutexGuard<'_, Items> {
         self.items.lock().unwrap()
     }
@@ -88,48 +121,55 @@
             }
             thread::sleep(Duration::from_millis(4));
             let target = head.word().to_owned();
-            let body = if target.starts_with("/api/kv-range") {
+            let (status, body) = if target.starts_with("/api/kv-range") {
                 self.range(&target)
             } else if target.starts_with("/api/kv-watch") {
                 self.watch(&target)
             } else {
                 None
+            }
+            .unwrap_or((404, String::new()));
+            let (silent, away, era) = {
+                let items = self.lock();
+                (items.silent, items.away, items.era.to_string())
             };
-            if self.lock().silent {
+            if silent {
                 // A channel on which a response is lost returns nothing further.
                 thread::sleep(Duration::from_secs(120));
                 return;
             }
-            let response = match body {
-                Some(body) => {
-                    let json = [("Content-Type", "application/json")];
-                    http::encode_response(200, &json, body.as_bytes())
-                }
-                None => http::encode_response(404, &[], b""),
-            };
+            if away {
+                return;
+            }
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
+            let response = http::encode_response(status, &headers, body.as_bytes());
             if writer.write_all(&response).is_err() {
                 return;
             }
         }
     }
 
-    fn range(&self, target: &str) -> Option<String> {
+    fn range(&self, target: &str) -> Option<(u16, String)> {
         let prefix = http::query(target, "prefix")?;
         let after = http::query(target, "after").unwrap_or_default();
         let items = self.lock();
         let found = items.items.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > after);
         let found: Vec<String> = found.map(|(key, (value, rev))| item(key, value, *rev)).collect();
         let (found, rev) = (found.join(","), items.rev);
-        Some(format!("{{\"items\":[{found}],\"more_pages\":false,\"as_of\":{rev}}}"))
+        Some((200, format!("{{\"items\":[{found}],\"more_pages\":false,\"as_of\":{rev}}}")))
     }
 
-    fn watch(&self, target: &str) -> Option<String> {
+    fn watch(&self, target: &str) -> Option<(u16, String)> {
         let prefix = http::query(target, "prefix")?;
         let after: u64 = http::query(target, "after")?.parse().ok()?;
         let wait: u64 = http::query(target, "wait_ms")?.parse().ok()?;
         let until = Instant::now() + Duration::from_millis(wait);
         let mut items = self.lock();
+        let era = items.era;
         loop {
+            if after > items.rev || items.era != era {
+                return Some((410, String::new()));
+            }
             let new = items.changes.iter().filter(|(r, k, _)| *r > after && k.starts_with(prefix));
             let events: Vec<String> = new
                 .map(|(rev, key, value)| match value {
@@ -138,9 +178,9 @@
                 })
                 .collect();
             let left = until.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() || items.silent {
+            if !events.is_empty() || left.is_zero() || items.silent || items.away {
                 let (events, rev) = (events.join(","), items.rev);
-                return Some(format!("{{\"events\":[{events}],\"as_of\":{rev}}}"));
+                return Some((200, format!("{{\"events\":[{events}],\"as_of\":{rev}}}")));
             }
             items = self.changed.wait_timeout(items, left).unwrap().0;
         }
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -10,6 +10,7 @@
 
 use crate::client;
 use crate::engine::MODEL;
+use crate::engine::SERVICE;
 use crate::record::Record;
 
 pub const HOST: &str = "ficu95.example";
@@ -152,16 +153,29 @@
 
 /// The operator's configuration with one route to the engines.
 pub fn config() -> String {
-    let service = crate::engine::SERVICE;
+    config_of(7, &[SERVICE], SERVICE)
+}
+
+/// A configuration with these services, whose one route leads to `target`.
+pub fn config_of(version: u64, services: &[&str], target: &str) -> String {
+    let services: Vec<String> = services
+        .iter()
+        .map(|service| {
+            format!(
+                "{{\"name\":\"{service}\",\"health_path\":\"/health\",\"max_conns\":370,\
+                 \"protocol\":\"h1\",\"engine\":{{\"slots\":64,\"kv_tokens\":232000,\
+                 \"weights_mb\":66000,\"adapter_slots\":8,\"loads_per_s\":2.8,\"models\":[{{\
+                 \"name\":\"{MODEL}\",\"weights_mb\":65100,\"load_s\":1.9,\"adapters\":3000,\
+                 \"adapter_mb\":12}}]}}}}"
+            )
+        })
+        .collect();
+    let services = services.join(",");
     format!(
-        "{{\"version\":7,\"routes\":[{{\"name\":\"r-2b9wu3f\",\"host\":\"{HOST}\",\
+        "{{\"version\":{version},\"routes\":[{{\"name\":\"r-2b9wu3f\",\"host\":\"{HOST}\",\
          \"prefix\":\"/lohu930/\",\"kind\":\"stream\",\"timeout_ms\":15000,\"goal_ms\":1000,\
-         \"priority\":0,\"service\":\"{service}\",\"attempts\":2,\"sticky\":true,\
-         \"resumable\":true,\"gap_target_ms\":600}}],\"services\":[{{\"name\":\"{service}\",\
-         \"health_path\":\"/health\",\"max_conns\":370,\"protocol\":\"h1\",\"engine\":{{\
-         \"slots\":64,\"kv_tokens\":232000,\"weights_mb\":66000,\"adapter_slots\":8,\
-         \"loads_per_s\":2.8,\"models\":[{{\"name\":\"{MODEL}\",\"weights_mb\":65100,\
-         \"load_s\":1.9,\"adapters\":3000,\"adapter_mb\":12}}]}}}}],\"limits\":{{\
+         \"priority\":0,\"service\":\"{target}\",\"attempts\":2,\"sticky\":true,\
+         \"resumable\":true,\"gap_target_ms\":600}}],\"services\":[{services}],\"limits\":{{\
          \"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":5000,\
          \"idle_timeout_ms\":15000}}}}"
     )
