review: case 3, streams go on at a version that had read their prompts in vain

Change: review/3 shows it with the real program; the case of replicas that start again in place gives way and stays as a command of the stand-ins. Callers' bodies differ now, since requests alike are taken for one that crashes replicas.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
 for program in target/release/tamaracklead-platform target/review/standin; do
   [ -x "$program" ] || { echo "$program isn't built" >&2; exit 2; }
 done
-exec target/review/standin new-version-in-place "$dir"
+exec target/review/standin read-in-vain "$dir"
--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -97,6 +98,9 @@
     state: Mutex<State>,
     is_running: AtomicBool,
     is_leaving: AtomicBool,
+    /// Requests that end by a reset before their first event, in 100.
+    fails: AtomicU64,
+    arrivals: AtomicU64,
     record: Arc<Record>,
 }
 
@@ -138,6 +142,8 @@
             state: Mutex::new(state),
             is_running: AtomicBool::new(true),
             is_leaving: AtomicBool::new(false),
+            fails: AtomicU64::new(0),
+            arrivals: AtomicU64::new(0),
             record: Arc::clone(record),
         });
         record.line(&format!("replica {} starts, version {}", engine.id, engine.version));
@@ -172,6 +178,11 @@
         );
     }
 
+    /// Sets how many requests of 100 end by a reset once their prompt is read.
+    pub fn set_fails(&self, share: u64) {
+        self.fails.store(share, Ordering::SeqCst);
+    }
+
     /// Leaves without reporting `draining`: its entry is removed, and it goes on serving for a while.
     pub fn leave(&self, store: &Store) {
         self.is_leaving.store(true, Ordering::SeqCst);
@@ -376,6 +387,14 @@
             return refuse(writer, 421, &[]);
         }
         self.read_prompt(head);
+        let share = self.fails.load(Ordering::SeqCst);
+        let arrival = self.arrivals.fetch_add(1, Ordering::SeqCst);
+        if arrival * share / 100 != (arrival + 1) * share / 100 {
+            self.record.line(&format!("{} ({}) read {attempt} in vain", self.id, self.version));
+            http::reset(writer);
+            let _ = writer.shutdown(std::net::Shutdown::Both);
+            return false;
+        }
         let held = {
             let mut state = self.state.lock().unwrap();
             let held = state.held.get(&adapter).copied().filter(Held::is_ready);
--- a/review/standin/lost_seeds.rs
+++ b/review/standin/lost_seeds.rs
@@ -76,16 +76,21 @@
         added.write_settings(&seeds);
         record.line("its settings name machines that are there");
     }
-    // Rare adapters are asked for at once, first by callers of the added machine.
-    let ask = |number: usize, at| {
-        let client = streams::start(number, format!("a{number}"), streams::SHORT, vec![at], record);
-        thread::sleep(Duration::from_millis(10));
-        client
-    };
+    // Rare adapters are asked for at once, first of the added machine, then of all.
+    let mut clients = Vec::new();
     thread::sleep(Duration::from_millis(3550).saturating_sub(started_at.elapsed()));
-    let mut clients: Vec<_> = (100..112).map(|number| ask(number, added.caller)).collect();
-    thread::sleep(Duration::from_millis(3700).saturating_sub(started_at.elapsed()));
-    clients.extend((112..142).map(|number| ask(number, instances[3 + number % 3].caller)));
+    for number in 100..148 {
+        if number == 112 {
+            thread::sleep(Duration::from_millis(3700).saturating_sub(started_at.elapsed()));
+        }
+        let at = match number % 4 {
+            0 => added.caller,
+            _ if number < 112 => added.caller,
+            place => instances[2 + place].caller,
+        };
+        clients.push(streams::start(number, format!("a{number}"), streams::SHORT, vec![at], record));
+        thread::sleep(Duration::from_millis(10));
+    }
     thread::sleep(Duration::from_secs(3));
     let mut broken = 0;
     for engine in &engines {
@@ -102,16 +107,16 @@
     i32::from(broken > 0)
 }
 
-/// Orders that break the rule: those with no higher fence than an earlier one that the replica took of
-/// another holder, and those of a holder that takes turns with another within the lease.
+/// Orders that break the rule: those with no higher fence than an earlier one of another holder, and those
+/// of a holder that takes turns with another within the lease. Orders that the replica refused count, too.
 fn faults(orders: &[ReceivedOrder]) -> Vec<String> {
     let mut found = Vec::new();
     for (at, order) in orders.iter().enumerate() {
         let before = &orders[..at];
-        let was_taken = |other: &&ReceivedOrder| matches!(other.status, 200 | 202);
         let others = before.iter().filter(|other| other.holder != order.holder);
-        let highest = others.filter(was_taken).max_by_key(|other| other.fence);
-        if let Some(highest) = highest.filter(|highest| highest.fence >= order.fence) {
+        if let Some(highest) = others.max_by_key(|other| other.fence)
+            && highest.fence >= order.fence
+        {
             found.push(format!(
                 "{:?} of {} with fence {} ({}) comes {} ms after {:?} of {} with fence {} ({})",
                 order.text,
@@ -127,7 +132,7 @@
         }
         let own = before.iter().rposition(|other| other.holder == order.holder);
         let Some(own) = own.filter(|own| order.at - before[*own].at < LEASE) else { continue };
-        if let Some(other) = before[own..].iter().filter(was_taken).find(|o| o.holder != order.holder) {
+        if let Some(other) = before[own..].iter().find(|other| other.holder != order.holder) {
             found.push(format!(
                 "{} takes turns with {} within {} ms",
                 order.holder,
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 mod instance;
 mod lost_seeds;
 mod older_adapter;
+mod read_in_vain;
 mod left_version;
 mod new_version_in_place;
 mod record;
@@ -70,6 +71,7 @@
         "lost-seeds" => lost_seeds::run(&dir.0, &record, trouble),
         "older-adapter" => older_adapter::run(&dir.0, &record, trouble),
         "drilled-store" => drilled_store::run(&dir.0, &record, trouble),
+        "read-in-vain" => read_in_vain::run(&dir.0, &record, trouble),
         _ => 2,
     };
     let meaning = ["the rule held", "the rule was broken", "the case couldn't run"];
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -103,10 +103,11 @@
             headers.push(("Last-Event-Id", last));
             headers.push(("Resumes", first));
         }
+        let body = format!("{{\"prompt\":\"{request:08x} of {subject:08x}\"}}");
         record.line(&format!("{name}: sends {attempt} to {addr}, after event {last:?}"));
         let mut buf = String::new();
         let mut events: Vec<(u64, String)> = Vec::new();
-        let answer = client::send(addr, "POST", PATH, &headers, b"{}", left, &mut |piece| {
+        let answer = client::send(addr, "POST", PATH, &headers, body.as_bytes(), left, &mut |piece| {
             buf.push_str(&String::from_utf8_lossy(piece));
             while let Some((event, rest)) = buf.split_once("\n\n") {
                 events.extend(parse(event));
