--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -278,9 +278,7 @@
         let state = self.state.lock().unwrap();
         let coming = state.held.iter().filter(|(_, held)| !held.is_ready() || held.next.is_some());
         let coming: Vec<String> = coming
-            .map(|(name, held)| {
-                format!("\"{MODEL}/{name}@{}\"", held.next.unwrap_or(held.version))
-            })
+            .map(|(name, held)| format!("\"{MODEL}/{name}@{}\"", held.next.unwrap_or(held.version)))
             .collect();
         format!(
             "{{\"stage\":\"unified\",\"models\":{models},\"coming\":[{}],\"busy\":false,\
@@ -456,13 +454,7 @@
         thread::sleep(read_at.saturating_duration_since(Instant::now()));
     }
 
-    fn send_events(
-        &self,
-        writer: &mut TcpStream,
-        attempt: &str,
-        weights: u64,
-        after: u64,
-    ) -> bool {
+    fn send_events(&self, writer: &mut TcpStream, attempt: &str, weights: u64, after: u64) -> bool {
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Tamaracklead-Attempt-Id: {attempt}\r\n\
              X-Tamaracklead-Response-Seal: seal-{}-{attempt}\r\nX-Tamaracklead-Weight-Versions: {weights}\r\n\
--- a/review/standin/left_version.rs
+++ b/review/standin/left_version.rs
@@ -55,7 +55,13 @@
     for number in 0..STREAMS {
         let mut addrs = callers.clone();
         addrs.rotate_left(number % INSTANCES);
-        clients.push(streams::start(number, adapters[number % 8].clone(), streams::SHORT, addrs, record));
+        clients.push(streams::start(
+            number,
+            adapters[number % 8].clone(),
+            streams::SHORT,
+            addrs,
+            record,
+        ));
         thread::sleep(Duration::from_millis(25));
     }
     thread::sleep(Duration::from_millis(1000));
--- a/review/standin/lost_seeds.rs
+++ b/review/standin/lost_seeds.rs
@@ -8,8 +8,8 @@
 
 use crate::client::wait_until;
 use crate::engine::Engine;
-use crate::engine::SERVICE;
 use crate::engine::ReceivedOrder;
+use crate::engine::SERVICE;
 use crate::engine::Start;
 use crate::instance;
 use crate::instance::Instance;
@@ -58,7 +58,13 @@
     let mut clients = Vec::new();
     for number in 0..12 {
         let at = callers(&instances[3..]);
-        clients.push(streams::start(number, format!("a{}", 10 + number), streams::SHORT, at, record));
+        clients.push(streams::start(
+            number,
+            format!("a{}", 10 + number),
+            streams::SHORT,
+            at,
+            record,
+        ));
     }
     clients.into_iter().for_each(|client| drop(client.join()));
     let lost_at = Instant::now();
@@ -88,7 +94,13 @@
             _ if number < 112 => added.caller,
             place => instances[2 + place].caller,
         };
-        clients.push(streams::start(number, format!("a{number}"), streams::SHORT, vec![at], record));
+        clients.push(streams::start(
+            number,
+            format!("a{number}"),
+            streams::SHORT,
+            vec![at],
+            record,
+        ));
         thread::sleep(Duration::from_millis(10));
     }
     thread::sleep(Duration::from_secs(3));
--- a/review/standin/new_version_in_place.rs
+++ b/review/standin/new_version_in_place.rs
@@ -72,7 +72,13 @@
     for number in 0..STREAMS {
         let mut addrs = callers.clone();
         addrs.rotate_left(number % INSTANCES);
-        clients.push(streams::start(number, adapters[number % 24].clone(), streams::SHORT, addrs, record));
+        clients.push(streams::start(
+            number,
+            adapters[number % 24].clone(),
+            streams::SHORT,
+            addrs,
+            record,
+        ));
         thread::sleep(Duration::from_millis(20));
     }
     thread::sleep(Duration::from_millis(600));
--- a/review/standin/older_adapter.rs
+++ b/review/standin/older_adapter.rs
@@ -9,8 +9,8 @@
 
 use crate::client::wait_until;
 use crate::engine::Engine;
-use crate::engine::SERVICE;
 use crate::engine::MODEL;
+use crate::engine::SERVICE;
 use crate::engine::Start;
 use crate::instance;
 use crate::instance::Instance;
@@ -74,8 +74,7 @@
     let at = instances.iter().position(|i| i.name == owner).expect("the owner's place");
     let mut lost = instances.remove(at);
     let callers: Vec<_> = instances.iter().map(|instance| instance.caller).collect();
-    let mut clients: Vec<_> =
-        callers.iter().map(|at| ask(&hot, streams::SHORT, *at)).collect();
+    let mut clients: Vec<_> = callers.iter().map(|at| ask(&hot, streams::SHORT, *at)).collect();
     thread::sleep(Duration::from_millis(500));
     if trouble {
         lost.kill();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -189,7 +189,9 @@
 
 fn item(key: &str, value: &[u8], rev: u64) -> String {
     let value = base64(value);
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"created\":{rev},\"lease\":0}}")
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"rev\":{rev},\"created\":{rev},\"lease\":0}}"
+    )
 }
 
 fn base64(bytes: &[u8]) -> String {
--- a/review/standin/streams.rs
+++ b/review/standin/streams.rs
@@ -107,13 +107,14 @@
         record.line(&format!("{name}: sends {attempt} to {addr}, after event {last:?}"));
         let mut buf = String::new();
         let mut events: Vec<(u64, String)> = Vec::new();
-        let answer = client::send(addr, "POST", PATH, &headers, body.as_bytes(), left, &mut |piece| {
-            buf.push_str(&String::from_utf8_lossy(piece));
-            while let Some((event, rest)) = buf.split_once("\n\n") {
-                events.extend(parse(event));
-                buf = rest.to_owned();
-            }
-        });
+        let answer =
+            client::send(addr, "POST", PATH, &headers, body.as_bytes(), left, &mut |piece| {
+                buf.push_str(&String::from_utf8_lossy(piece));
+                while let Some((event, rest)) = buf.split_once("\n\n") {
+                    events.extend(parse(event));
+                    buf = rest.to_owned();
+                }
+            });
         if !events.is_empty() && first_attempt.is_none() {
             first_attempt = Some(attempt.clone());
         }
