review: ports of the instances below those of connections

Cause: one run of case 4 ended with 2, since a client's connection had got the port of an instance. Change: free addresses are taken from ports that the system gives to no connection.

--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -25,11 +25,14 @@
     child: Option<Child>,
 }
 
-/// Addresses on which nothing listens.
+/// Addresses on which nothing listens, below the ports that the system gives to clients.
 pub fn free_addrs(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
-    listeners.iter().map(|listener| listener.local_addr().unwrap()).collect()
+    const FIRST_PORT: u32 = 11_000;
+    const PORTS: u32 = 20_000;
+    let start = std::process::id().wrapping_mul(97) % PORTS;
+    let ports = (0..PORTS).map(|place| (FIRST_PORT + (start + place) % PORTS) as u16);
+    let addrs = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    addrs.filter(|addr| TcpListener::bind(addr).is_ok()).take(count).collect()
 }
 
 /// Prepares `count` instances, of which the first three are the seeds.
