--- /dev/null
+++ b/src/decide/traffic/former_replica.rs
@@ -0,0 +1,68 @@
+//! A replica that left.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::ReplicaEntry;
+use super::ReplicaState;
+use crate::names::BackendName;
+use crate::names::ServiceName;
+use crate::names::SoftwareVersion;
+
+/// What became of a replica that left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Departure {
+    /// Its entry was removed without a word before: it may still run, and serve what it has begun.
+    Silent,
+    /// It has ended, perhaps while no instance was there to resume its streams elsewhere.
+    Ended,
+    /// It ended while instances served, which resumed its streams elsewhere.
+    EndedInService,
+}
+
+/// One start of a replica that is listed no more.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FormerReplica {
+    /// Its name.
+    pub name: BackendName,
+    /// Start time in Unix milliseconds.
+    pub started_ms: u64,
+    /// Service that it belonged to.
+    pub service: ServiceName,
+    /// Software version that it ran.
+    pub software: SoftwareVersion,
+    /// Address that it served on.
+    pub addr: SocketAddr,
+    /// What became of it.
+    pub departure: Departure,
+}
+
+impl FormerReplica {
+    /// The replica of an entry that was removed.
+    pub fn removed(entry: &ReplicaEntry) -> Self {
+        let departure = match entry.state {
+            ReplicaState::Ready => Departure::Silent,
+            // The entry of a draining replica is removed when it ends.
+            ReplicaState::Draining => Departure::Ended,
+        };
+        Self::new(entry, departure)
+    }
+
+    /// The start before, of a replica that runs again under its name.
+    pub fn replaced(entry: &ReplicaEntry) -> Self {
+        Self::new(entry, Departure::Ended)
+    }
+
+    fn new(entry: &ReplicaEntry, departure: Departure) -> Self {
+        Self {
+            name: entry.name.clone(),
+            started_ms: entry.started_ms,
+            service: entry.service.clone(),
+            software: entry.software.clone(),
+            addr: entry.addr,
+            departure,
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/traffic/replica_history.rs
@@ -0,0 +1,86 @@
+//! What the store's history of the replicas' entries tells of those that left before this process
+//! began to follow them.
+//!
+//! A process that has just started sees only the replicas that are listed. Its predecessors, which
+//! forwarded the streams that callers now take up, may have forwarded them from others.
+//!
+//! Only instances give orders. So two entries of the same start of a replica that differ in what it
+//! holds show that instances served in between: replicas that had ended before left no stream behind
+//! that wasn't resumed elsewhere.
+
+use std::collections::HashMap;
+
+use super::Departure;
+use super::FormerReplica;
+use super::ReplicaEntry;
+use crate::names::BackendName;
+
+/// A change of the replicas' entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryChange {
+    /// An entry was written.
+    Written(ReplicaEntry),
+    /// The entry of a replica was removed.
+    Removed(BackendName),
+}
+
+/// Replicas that left within the store's history.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaHistory {
+    /// Those of which the history has an entry.
+    pub departed: Vec<FormerReplica>,
+    /// Those of which it has none, so that neither service nor software version are known.
+    pub nameless: Vec<BackendName>,
+}
+
+#[derive(Clone, Debug)]
+struct LastEntry {
+    entry: ReplicaEntry,
+    place: usize,
+}
+
+impl ReplicaHistory {
+    /// Goes through all changes, in their order.
+    pub fn replay(changes: impl IntoIterator<Item = EntryChange>) -> Self {
+        let mut last: HashMap<BackendName, LastEntry> = HashMap::new();
+        let mut departed: Vec<(usize, FormerReplica)> = Vec::new();
+        let mut nameless = Vec::new();
+        let mut served_after = 0;
+        for (place, change) in changes.into_iter().enumerate() {
+            match change {
+                EntryChange::Removed(name) => match last.remove(&name) {
+                    Some(known) => departed.push((place, FormerReplica::removed(&known.entry))),
+                    None => nameless.push(name),
+                },
+                EntryChange::Written(entry) => {
+                    nameless.retain(|name| *name != entry.name);
+                    departed.retain(|(_, former)| !is_same_start(former, &entry));
+                    let name = entry.name.clone();
+                    let known = last.insert(name, LastEntry { entry: entry.clone(), place });
+                    let Some(known) = known else { continue };
+                    if known.entry.started_ms != entry.started_ms {
+                        departed.push((place, FormerReplica::replaced(&known.entry)));
+                    } else if was_ordered(&known.entry, &entry) {
+                        served_after = served_after.max(known.place);
+                    }
+                }
+            }
+        }
+        let departed = departed.into_iter().map(|(place, former)| match former.departure {
+            Departure::Ended if place < served_after => {
+                FormerReplica { departure: Departure::EndedInService, ..former }
+            }
+            Departure::Silent | Departure::Ended | Departure::EndedInService => former,
+        });
+        Self { departed: departed.collect(), nameless }
+    }
+}
+
+fn is_same_start(former: &FormerReplica, entry: &ReplicaEntry) -> bool {
+    former.name == entry.name && former.started_ms == entry.started_ms
+}
+
+/// Whether what a replica holds changed between two of its entries, which only orders cause.
+fn was_ordered(before: &ReplicaEntry, after: &ReplicaEntry) -> bool {
+    before.models != after.models
+}
--- a/src/decide/traffic/replicas.rs
+++ b/src/decide/traffic/replicas.rs
@@ -13,15 +13,19 @@
 use super::AdapterKey;
 use super::DeclaredVersions;
 use super::EngineSpec;
+use super::FormerReplica;
+use super::PossibleOrigin;
 use super::Replica;
 use super::ReplicaChoice;
 use super::ReplicaEntry;
+use super::ReplicaHistory;
 use super::ReplicaState;
 use super::RequestNeeds;
+use super::STREAM_MEMORY_TIME;
 use super::TypicalPace;
 use super::departed::Departed;
 use super::departed::EarlierDeparture;
-use super::former_versions::FormerVersions;
+use super::former_replicas::FormerReplicas;
 use super::replica_ranking::choose_for_plain_service;
 use super::replica_ranking::choose_load_targets;
 use super::replica_ranking::expected_delay_ms;
@@ -34,7 +38,6 @@
 use crate::names::ServiceName;
 use crate::names::SoftwareVersion;
 use crate::names::Timestamp;
-use crate::names::WallTime;
 
 /// Time after the end of an outage of the published state for which a replica is kept whose entry
 /// may have expired meanwhile; one that lives publishes its entry again within that time.
@@ -54,7 +57,7 @@
     known: BTreeMap<BackendName, Replica>,
     departed: Departed,
     leaving: Vec<(BackendName, u64, Timestamp)>,
-    former_versions: FormerVersions,
+    former: FormerReplicas,
     reach: BTreeMap<ServiceName, ServiceReach>,
     typical_paces: BTreeMap<ServiceName, TypicalPace>,
 }
@@ -84,7 +87,7 @@
             EarlierDeparture::Draining => entry.state = ReplicaState::Draining,
             EarlierDeparture::Removed | EarlierDeparture::None => {}
         }
-        self.remember_replaced_version(now, &entry);
+        self.remember_replaced(now, &entry);
         match self.known.get_mut(&entry.name) {
             Some(known) if entry.started_ms < known.entry.started_ms => false,
             Some(known) if entry.started_ms == known.entry.started_ms => {
@@ -96,6 +99,7 @@
                 if is_copy && departure == EarlierDeparture::Removed {
                     replica.held_back_until = Some(now + RESTORED_HOLD);
                 }
+                self.former.on_listed(&replica.entry.name, replica.entry.started_ms);
                 self.known.insert(replica.entry.name.clone(), replica);
                 true
             }
@@ -132,51 +136,61 @@
         if let Some(replica) = self.known.remove(name) {
             let was_draining = replica.entry.state == ReplicaState::Draining;
             self.departed.on_departed(now, name, replica.entry.started_ms, was_draining);
-            self.former_versions.on_left(now, &replica.entry.service, &replica.entry.software);
+            self.former.on_left(now, FormerReplica::removed(&replica.entry));
         }
     }
 
-    /// Records the software version that a replica ran before an entry named another one.
-    fn remember_replaced_version(&mut self, now: Timestamp, newer: &ReplicaEntry) {
+    /// Records the start of a replica that a newer entry shows to have ended.
+    fn remember_replaced(&mut self, now: Timestamp, newer: &ReplicaEntry) {
         let Some(known) = self.known.get(&newer.name) else { return };
-        let (service, software) = (&known.entry.service, &known.entry.software);
-        let is_other = *service != newer.service || *software != newer.software;
+        let is_other = known.entry.started_ms < newer.started_ms
+            || known.entry.service != newer.service
+            || known.entry.software != newer.software;
         if is_other && known.entry.started_ms <= newer.started_ms {
-            self.former_versions.on_left(now, service, software);
+            self.former.on_left(now, FormerReplica::replaced(&known.entry));
+        }
+    }
+
+    /// Records the replicas that left before this process followed them.
+    pub fn on_history(&mut self, now: Timestamp, history: &ReplicaHistory) {
+        for former in &history.departed {
+            let listed = self.known.get(&former.name);
+            if listed.is_none_or(|replica| replica.entry.started_ms != former.started_ms) {
+                self.former.on_left(now, former.clone());
+            }
         }
     }
 
     /// Software versions of a service's replicas, and of those that were there lately.
     pub fn software_versions(&self, now: Timestamp, service: &ServiceName) -> Vec<SoftwareVersion> {
-        let of_service = self.known.values().filter(|r| r.entry.service == *service);
-        let present = of_service.map(|r| &r.entry.software);
+        let present = self.of_service(service).map(|r| &r.entry.software);
+        let former = self.former.of_service(now, service, STREAM_MEMORY_TIME);
         let all: BTreeSet<&SoftwareVersion> =
-            present.chain(self.former_versions.of_service(now, service)).collect();
+            present.chain(former.map(|former| &former.software)).collect();
         all.into_iter().cloned().collect()
     }
 
-    /// Software versions of a service's replicas that left lately, as far as this instance saw it.
-    pub fn departed_versions(&self, now: Timestamp, service: &ServiceName) -> Vec<SoftwareVersion> {
-        self.former_versions.of_service(now, service).cloned().collect()
+    /// Replicas of a service that were seen to leave less than `within` ago.
+    pub fn former(
+        &self,
+        now: Timestamp,
+        service: &ServiceName,
+        within: Duration,
+    ) -> Vec<FormerReplica> {
+        self.former.of_service(now, service, within).cloned().collect()
     }
 
-    /// The replicas of a service whose KV caches may hold a request's prompt, at most `count`: the
-    /// first in its adapter's rendezvous ranking, which are the homes of the adapter.
+    /// The listed replicas of a service whose KV caches may hold a request's prompt, at most `count`:
+    /// the first in its adapter's rendezvous ranking, which are the homes of the adapter.
     pub fn cache_candidates(
         &self,
         service: &ServiceName,
         key: &AdapterKey,
         count: usize,
-    ) -> Vec<ReplicaEntry> {
+    ) -> Vec<PossibleOrigin> {
         let entries = self.of_service(service).map(|replica| &replica.entry).collect();
         let ranked = rendezvous::rank(&key.label(), entries, |entry| entry.name.as_str());
-        ranked.into_iter().take(count).cloned().collect()
-    }
-
-    /// When the youngest of a service's replicas started, by its own clock.
-    pub fn last_start(&self, service: &ServiceName) -> Option<WallTime> {
-        let of_service = self.known.values().filter(|r| r.entry.service == *service);
-        of_service.map(|r| WallTime(r.entry.started_ms)).max()
+        ranked.into_iter().take(count).map(PossibleOrigin::from).collect()
     }
 
     /// Records that the replica itself, in the start `started_ms`, said that it is leaving;
--- a/src/decide/traffic/stream_version.rs
+++ b/src/decide/traffic/stream_version.rs
@@ -45,7 +45,7 @@
         let versions: BTreeSet<&SoftwareVersion> =
             all().flat_map(|known| &known.versions).collect();
         let known_time = longest_stream.clamp(MIN_KNOWN_TIME, MAX_KNOWN_TIME);
-        let are_all_known = all().any(|known| known.known_for >= known_time);
+        let are_all_known = all().any(|known| known.coverage.reaches(known_time));
         match versions.first() {
             Some(only) if versions.len() == 1 && are_all_known => Self::At((*only).clone()),
             _ => Self::Unknown,
@@ -57,17 +57,11 @@
     /// `output_tokens` the most tokens that the stream may have.
     ///
     /// A replica that began the stream has read the part. Another one may have read it without
-    /// sending an event, so all that hold some of it or didn't answer must run one version. `departed`
-    /// are the versions of replicas that left lately, any of which may have begun the stream.
-    pub fn from_caches(
-        part: &PromptPart,
-        output_tokens: u64,
-        answers: &[CacheAnswer],
-        departed: &[SoftwareVersion],
-    ) -> Self {
+    /// sending an event, so all that hold some of it or didn't answer must run one version.
+    pub fn from_caches(part: &PromptPart, output_tokens: u64, answers: &[CacheAnswer]) -> Self {
         let possible = answers.iter().filter(|answer| answer.may_have_begun());
         let versions: BTreeSet<&SoftwareVersion> =
-            possible.map(|answer| &answer.software).chain(departed).collect();
+            possible.map(|answer| &answer.software).collect();
         let mut readers = answers.iter().filter(|answer| answer.has_read(part, output_tokens));
         let Some(reader) = readers.next() else { return Self::Unknown };
         if readers.any(|other| other.software != reader.software) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,7 +8,8 @@
 //! 2. [`decide`]: every decision as a state machine without I/O;
 //! 3. [`wire`]: the messages between processes;
 //! 4. [`edge`]: clients of engines, desks, the platform and peers;
-//! 5. [`daemon`], and [`relay`] with [`send_permits`] and [`transfer`]: shards of state that carry events in and actions out.
+//! 5. [`daemon`], and [`relay`] with [`replica_history`], [`send_permits`] and [`transfer`]: shards of
+//!    state that carry events in and actions out.
 
 pub mod auth;
 pub mod cli;
@@ -18,6 +19,7 @@
 pub mod error;
 pub mod names;
 pub mod relay;
+pub mod replica_history;
 pub mod send_permits;
 pub mod settings;
 pub mod telemetry;
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -236,6 +236,17 @@
         cached_at: Option<&'a str>,
         /// Age of that information, in ms.
         cache_age_ms: Option<u128>,
+        /// Time over which all replicas that left are known, in ms; 0 if that isn't known.
+        covers_ms: u64,
+    },
+    /// The store's history was read for replicas that left before this instance followed them.
+    HistoryRead {
+        /// Revision after which all changes were read.
+        after: u64,
+        /// Number of those that left, and of which the history has an entry.
+        departed: usize,
+        /// Number of those of which it has none.
+        nameless: usize,
     },
     /// Other instances can't be told where streams began; everything else goes on.
     OriginsOff {
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -56,6 +56,7 @@
 use crate::edge::HttpClient;
 use crate::names::BackendName;
 use crate::names::Timestamp;
+use crate::replica_history::HistoryReader;
 use crate::send_permits::SendPermits;
 use crate::transfer::ValueTransfers;
 
@@ -100,6 +101,8 @@
     pub turn_changes: watch::Sender<u64>,
     /// Tells other instances where streams of this one began.
     pub origin_datagrams: OriginDatagrams,
+    /// Reads which replicas left before this process followed them.
+    pub history: HistoryReader,
     /// Held while replicas are asked for listings of their KV caches.
     pub cache_listing_turn: tokio::sync::Mutex<()>,
     /// Permits to send to replicas that name a limit.
@@ -169,7 +172,6 @@
         let first_serial = serial_at_start(started_ms);
         let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
         Self {
-            protocol,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
             config_item: watch::Sender::new(None),
@@ -180,10 +182,10 @@
             plan_changes: watch::Sender::new(0),
             turn_changes: watch::Sender::new(0),
             origin_datagrams: OriginDatagrams::default(),
+            history: HistoryReader::new(Arc::clone(&protocol), http.clone(), settings.published),
             cache_listing_turn: tokio::sync::Mutex::default(),
             permits: Arc::new(permits),
             transfers: ValueTransfers::new(me_addr, settings.link_mbps(), http.clone(), clock),
-            http,
             operator_turn: Mutex::default(),
             replica_turn: Mutex::default(),
             quotas: Quotas::new(clock.now()),
@@ -210,7 +212,9 @@
             holder_history: Mutex::new(HolderHistory::new(Timestamp::ZERO, holder_wait)),
             owned: Mutex::default(),
             operator_view: Mutex::default(),
-            replica_view: Mutex::default(),
+            replica_view: Mutex::new(PublishedView::new(settings.published_history())),
+            http,
+            protocol,
             settings,
         }
     }
--- a/src/relay/prompt_caches.rs
+++ b/src/relay/prompt_caches.rs
@@ -7,80 +7,80 @@
 
 use super::node::Node;
 use super::permits;
-use super::replica_call::call_replica;
-use crate::decide::traffic::AdapterKey;
+use super::replica_call::call_replica_at;
 use crate::decide::traffic::CacheAnswer;
+use crate::decide::traffic::OriginPresence;
+use crate::decide::traffic::PossibleOrigin;
 use crate::decide::traffic::PromptPart;
-use crate::decide::traffic::ReplicaEntry;
-use crate::names::ServiceName;
+use crate::names::Timestamp;
 
-/// Most replicas that are asked for one request, so that its calls don't grow with the fleet.
-const MAX_ASKED: usize = 16;
 /// Longest wait for their answers.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
 
-/// What the replicas of a service hold of a part; only those that are likely to hold the adapter are
-/// asked, and none that was asked a moment ago for another request.
+/// What replicas hold of a part; none is asked that was asked a moment ago for another request.
 pub async fn ask(
     node: &Node,
-    service: &ServiceName,
-    key: &AdapterKey,
+    replicas: Vec<PossibleOrigin>,
     part: &PromptPart,
 ) -> Vec<CacheAnswer> {
-    let candidates = node.replicas().cache_candidates(service, key, MAX_ASKED);
-    if timeout(ANSWER_TIME, refresh(node, &candidates)).await.is_err() {
-        log::debug!("not all KV caches of {service} were listed in time");
+    if timeout(ANSWER_TIME, refresh(node, &replicas)).await.is_err() {
+        log::debug!("not all KV caches were listed in time");
     }
     let listings = node.cache_listings();
     let now = node.now();
-    let answer = |entry: ReplicaEntry| CacheAnswer {
-        holding: listings.holding(now, &entry.name, entry.started_ms, part.id),
-        replica: entry.name,
-        software: entry.software,
+    let answer = |replica: PossibleOrigin| CacheAnswer {
+        holding: listings.holding(now, &replica, part.id),
+        replica: replica.name,
+        software: replica.software,
     };
-    candidates.into_iter().map(answer).collect()
+    replicas.into_iter().map(answer).collect()
 }
 
 /// Gets the listings that are missing or old. One request does so at a time, so that those that wait
 /// meanwhile find what it got.
-async fn refresh(node: &Node, candidates: &[ReplicaEntry]) {
+async fn refresh(node: &Node, replicas: &[PossibleOrigin]) {
     let _turn = node.cache_listing_turn.lock().await;
-    join_all(missing(node, candidates).into_iter().map(|entry| list(node, entry))).await;
+    join_all(missing(node, replicas).into_iter().map(|replica| list(node, replica))).await;
 }
 
-/// The candidates without a recent listing.
-fn missing<'a>(node: &Node, candidates: &'a [ReplicaEntry]) -> Vec<&'a ReplicaEntry> {
+/// The replicas that can be asked and of which there is no recent listing.
+fn missing<'a>(node: &Node, replicas: &'a [PossibleOrigin]) -> Vec<&'a PossibleOrigin> {
     let now = node.now();
     let listings = node.cache_listings();
-    let is_missing =
-        |entry: &&ReplicaEntry| !listings.is_recent(now, &entry.name, entry.started_ms);
-    candidates.iter().filter(is_missing).collect()
+    let is_missing = |replica: &&PossibleOrigin| {
+        replica.presence != OriginPresence::Ended && !listings.is_recent(now, replica)
+    };
+    replicas.iter().filter(is_missing).collect()
 }
 
 /// Gets the listing of one replica; without an answer the one that is known stays.
-async fn list(node: &Node, entry: &ReplicaEntry) {
+async fn list(node: &Node, replica: &PossibleOrigin) {
     let asked_at = node.now();
-    let name = &entry.name;
-    let is_paused = node.replicas().get(name).is_none_or(|known| known.is_paused(asked_at));
-    if is_paused || !permits::allows_control_call(node, name) {
+    if !may_be_asked(node, replica, asked_at) {
         return;
     }
-    let Some(reply) = call_replica(node, name, node.protocol.cache_listing_call(name)).await else {
-        return;
-    };
+    let parts = read_listing(node, replica).await;
+    node.cache_listings().on_listing(replica, asked_at, parts.as_deref());
+}
+
+fn may_be_asked(node: &Node, replica: &PossibleOrigin, now: Timestamp) -> bool {
+    let name = &replica.name;
+    let is_paused = node.replicas().get(name).is_some_and(|known| known.is_paused(now));
+    !is_paused && permits::allows_control_call(node, name)
+}
+
+/// The parts that a replica lists; `None` if it doesn't answer.
+async fn read_listing(node: &Node, replica: &PossibleOrigin) -> Option<Vec<PromptPart>> {
+    let PossibleOrigin { name, addr, started_ms, .. } = replica;
+    let call = node.protocol.cache_listing_call(name);
+    let reply = call_replica_at(node, name, *addr, *started_ms, call).await?;
     if !reply.status.is_success() {
         log::debug!("{name} doesn't list its KV cache: status {}", reply.status);
-        return;
+        return None;
     }
     let parts = match reply.read_body_within(ANSWER_TIME).await {
         Ok(body) => node.protocol.decode_cache_listing(&body).map_err(|e| e.to_string()),
         Err(failure) => Err(failure.detail),
     };
-    match parts {
-        Ok(parts) => {
-            let mut listings = node.cache_listings();
-            listings.on_listing(name.clone(), entry.started_ms, asked_at, &parts);
-        }
-        Err(detail) => log::debug!("listing of the KV cache of {name} not read: {detail}"),
-    }
+    parts.inspect_err(|e| log::debug!("listing of the KV cache of {name} not read: {e}")).ok()
 }
--- a/src/relay/replica_call.rs
+++ b/src/relay/replica_call.rs
@@ -1,5 +1,6 @@
 //! Calls to replicas for reports and orders.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::ReplicaCall;
@@ -26,6 +27,17 @@
         .replicas()
         .get(replica)
         .map(|known: &Replica| (known.entry.addr, known.entry.started_ms))?;
+    call_replica_at(node, replica, addr, started_ms, call).await
+}
+
+/// The same for a replica that may be listed no more, in the start `started_ms`, at its address.
+pub async fn call_replica_at(
+    node: &Node,
+    replica: &BackendName,
+    addr: SocketAddr,
+    started_ms: u64,
+    call: ReplicaCall,
+) -> Option<HttpReply> {
     let http_call = HttpCall {
         method: call.method,
         addr,
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -68,6 +68,10 @@
     /// Time within which a new configuration is in effect at every instance that is in touch, in ms.
     #[serde(default)]
     pub config_propagation_ms: Option<u64>,
+    /// Time for which the store of the published state keeps its changes, in seconds; `None` if that
+    /// isn't known.
+    #[serde(default)]
+    pub published_history_s: Option<f64>,
     /// Bandwidth of this instance's link, in Mbit/s; `None` if it isn't known.
     #[serde(default)]
     pub link_mbps: Option<f64>,
@@ -114,12 +118,18 @@
                 )));
             }
         }
-        if let Some(value) = settings.link_mbps
-            && !(value.is_finite() && value > 0.0)
-        {
-            return Err(settings_error(format!(
-                "settings: link_mbps must be above 0, found {value}"
-            )));
+        let optional = [
+            ("link_mbps", settings.link_mbps),
+            ("published_history_s", settings.published_history_s),
+        ];
+        for (name, value) in optional {
+            if let Some(value) = value
+                && !(value.is_finite() && value > 0.0)
+            {
+                return Err(settings_error(format!(
+                    "settings: {name} must be above 0, found {value}"
+                )));
+            }
         }
         let limits = [
             ("key_revocation_ms", settings.key_revocation_ms),
@@ -137,6 +147,11 @@
         Ok(settings)
     }
 
+    /// Time for which the store of the published state keeps its changes; `None` if that isn't known.
+    pub fn published_history(&self) -> Option<Duration> {
+        Duration::try_from_secs_f64(self.published_history_s?).ok()
+    }
+
     /// Limits on the age of the configuration.
     pub fn freshness_limits(&self) -> FreshnessLimits {
         let propagation_ms = self.config_propagation_ms.unwrap_or(DEFAULT_CONFIG_PROPAGATION_MS);
--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -19,20 +19,23 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
-use super::node::unix_ms;
 use super::prompt_caches;
 use super::version_source::VersionSource;
 use crate::decide::traffic::CacheAnswer;
+use crate::decide::traffic::Coverage;
+use crate::decide::traffic::HistoryExtent;
+use crate::decide::traffic::HistoryStep;
 use crate::decide::traffic::ORIGIN_LOOKUPS;
 use crate::decide::traffic::ORIGIN_WITNESSES;
 use crate::decide::traffic::OriginKnowledge;
+use crate::decide::traffic::PossibleOrigin;
 use crate::decide::traffic::StreamKey;
 use crate::decide::traffic::StreamVersion;
 use crate::error::Result;
 use crate::names::BackendName;
 use crate::names::ServiceName;
 use crate::names::SoftwareVersion;
-use crate::names::WallTime;
+use crate::replica_history::ReadHistory;
 use crate::wire::stream_origin::OriginNotice;
 use crate::wire::stream_origin::OriginQuery;
 use crate::wire::stream_origin::STREAM_ORIGIN_PATH;
@@ -41,6 +44,8 @@
 const LOOKUP_TIME: Duration = Duration::from_millis(250);
 /// Interval at which the view of the replicas is checked for being current.
 const VIEW_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Most listed replicas that are asked for one request, so that its calls don't grow with the fleet.
+const MAX_CACHES_ASKED: usize = 16;
 
 /// At which version a stream that a caller takes up may go on, and how that is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -98,9 +103,16 @@
     let mut found = FoundVersion { version, source };
     let mut caches = Vec::new();
     if found.version == StreamVersion::Unknown {
-        (found, caches) = look_into_caches(node, head, service).await;
+        learn_history(node).await;
+        own = answer(node, &query);
+        let version = StreamVersion::decide(&own, &answers, longest_stream);
+        found = FoundVersion { source: source_of(&version, &own, &answers), version };
+    }
+    if found.version == StreamVersion::Unknown {
+        let known = std::iter::once(&own).chain(&answers);
+        (found, caches) = look_into_caches(node, head, service, known).await;
     }
-    record_decision(head, &found, (asked, answers.len()), &caches);
+    record_decision(head, &found, (asked, answers.len()), &caches, own.coverage);
     found
 }
 
@@ -110,27 +122,67 @@
     node: &Node,
     head: &RequestHead,
     service: &ServiceName,
+    known: impl Iterator<Item = &OriginKnowledge>,
 ) -> (FoundVersion, Vec<CacheAnswer>) {
     let unknown = FoundVersion { version: StreamVersion::Unknown, source: VersionSource::Unknown };
     let (Some(key), Some(part)) = (&head.needs.key, head.needs.parts.last()) else {
         return (unknown, Vec::new());
     };
-    let answers = prompt_caches::ask(node, service, key, part).await;
-    let departed = node.replicas().departed_versions(node.now(), service);
-    let version = StreamVersion::from_caches(part, head.needs.output_tokens, &answers, &departed);
+    let listed = node.replicas().cache_candidates(service, key, MAX_CACHES_ASKED);
+    let replicas = PossibleOrigin::all(listed, known.flat_map(|known| &known.departed));
+    let answers = prompt_caches::ask(node, replicas, part).await;
+    let version = StreamVersion::from_caches(part, head.needs.output_tokens, &answers);
     if !matches!(version, StreamVersion::At(_)) {
         return (FoundVersion { version, ..unknown }, answers);
     }
     (FoundVersion { version, source: VersionSource::PromptCache }, answers)
 }
 
+/// Has the store tell which replicas left before this instance followed them, or how far back what it
+/// told reaches.
+async fn learn_history(node: &Node) {
+    let (step, era) = {
+        let view = node.view(PublishedTopic::Replicas);
+        (view.history_step(node.now()), view.era())
+    };
+    match step {
+        HistoryStep::Nothing => {}
+        HistoryStep::Read { newest } => {
+            if let Some(read) = node.history.read(newest, era).await {
+                on_history_read(node, &read, newest);
+            }
+        }
+        HistoryStep::Check { oldest, newest } => {
+            if let Some((keeps_oldest, keeps_newest)) =
+                node.history.check(oldest, newest, era).await
+            {
+                let now = node.now();
+                let mut view = node.view(PublishedTopic::Replicas);
+                view.on_history_checked(now, keeps_oldest, keeps_newest);
+            }
+        }
+    }
+}
+
+fn on_history_read(node: &Node, read: &ReadHistory, newest: u64) {
+    let now = node.now();
+    let ReadHistory { replicas, oldest } = read;
+    node.replicas().on_history(now, replicas);
+    let extent = HistoryExtent::new(now, *oldest, newest);
+    let lacks_names = !replicas.nameless.is_empty();
+    node.view(PublishedTopic::Replicas).on_history_read(extent, lacks_names);
+    record(&LogEvent::HistoryRead {
+        after: *oldest,
+        departed: replicas.departed.len(),
+        nameless: replicas.nameless.len(),
+    });
+}
+
 /// What this instance knows, as an answer to another one.
 pub fn answer(node: &Node, query: &OriginQuery) -> OriginKnowledge {
     let now = node.now();
-    let followed_for = node.view(PublishedTopic::Replicas).followed_for(now);
-    let wall = WallTime(unix_ms());
-    let service = &query.service;
-    let known = OriginKnowledge::of_service(&node.replicas(), service, now, wall, followed_for);
+    let coverage = node.view(PublishedTopic::Replicas).coverage(now);
+    let known = OriginKnowledge::of_service(&node.replicas(), &query.service, now, coverage);
     let origins = node.stream_origins();
     let origin = query.stream.and_then(|stream| origins.version_of(now, stream).cloned());
     OriginKnowledge { origin, ..known }
@@ -185,6 +237,7 @@
     found: &FoundVersion,
     peers: (usize, usize),
     caches: &[CacheAnswer],
+    coverage: Coverage,
 ) {
     let software = match &found.version {
         StreamVersion::At(software) => Some(software.as_str()),
@@ -203,5 +256,6 @@
         caches: caches.len(),
         cached_at: reader.map(|answer| answer.replica.as_str()),
         cache_age_ms: reader.and_then(|answer| Some(answer.holding?.age.as_millis())),
+        covers_ms: coverage.as_millis(),
     });
 }
--- a/tests/relay_settings.rs
+++ b/tests/relay_settings.rs
@@ -73,6 +73,7 @@
             let text = render_section(&template, "bounds.strict_revoke", strict);
             let text = render_section(&text, "bounds.config_ms", config_ms);
             let link_mbps = strict.map(|_| "10.0");
+            let text = render_section(&text, "provider.history_s", link_mbps);
             let mut text = render_section(&text, "limits.link_mbps", link_mbps);
             let values = [
                 ("node_name|json", "\"entry-1\""),
@@ -83,6 +84,7 @@
                 ("ip", "127.0.0.1"),
                 ("seeds|json", "[]"),
                 ("provider.addr|json", "\"127.0.0.1:4\""),
+                ("provider.history_s|json", "20"),
                 ("bounds.lease_ms|json", "3000"),
                 ("bounds.grace_s|json", "8"),
                 ("bounds.retry_ratio|json", "0.2"),
@@ -99,6 +101,8 @@
             assert_eq!(settings.key_revocation_ms, strict.map(|_| 5000));
             assert_eq!(settings.config_propagation_ms, config_ms.map(|_| 2800));
             assert_eq!(settings.link_mbps(), link_mbps.map_or(0, |_| 10));
+            let kept_for = settings.published_history().map(|time| time.as_secs());
+            assert_eq!(kept_for, link_mbps.map(|_| 20));
         }
     }
 }
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -15,6 +15,7 @@
 mod prompt_storm;
 mod prompt_turns;
 mod published_view;
+mod replica_history;
 mod replica_pace;
 mod replica_plan;
 mod replica_signals;
--- a/tests/traffic/stream_caches.rs
+++ b/tests/traffic/stream_caches.rs
@@ -5,7 +5,12 @@
 use tamaracklead::decide::traffic::CacheAnswer;
 use tamaracklead::decide::traffic::CacheHolding;
 use tamaracklead::decide::traffic::CacheListings;
+use tamaracklead::decide::traffic::Departure;
+use tamaracklead::decide::traffic::FormerReplica;
+use tamaracklead::decide::traffic::OriginPresence;
+use tamaracklead::decide::traffic::PossibleOrigin;
 use tamaracklead::decide::traffic::PromptPart;
+use tamaracklead::decide::traffic::ReplicaEntry;
 use tamaracklead::decide::traffic::Replicas;
 use tamaracklead::decide::traffic::StreamVersion;
 use tamaracklead::names::BackendName;
@@ -16,7 +21,6 @@
 use crate::support::at;
 use crate::support::entry;
 use crate::support::key;
-use crate::support::name;
 
 const PART: PromptPart = PromptPart { id: 7, tokens: 400 };
 const OUTPUT_TOKENS: u64 = 50;
@@ -31,7 +35,7 @@
 }
 
 fn decide(answers: &[CacheAnswer]) -> StreamVersion {
-    StreamVersion::from_caches(&PART, OUTPUT_TOKENS, answers, &[])
+    StreamVersion::from_caches(&PART, OUTPUT_TOKENS, answers)
 }
 
 /// Guards against streams that are refused although a replica of their version holds the prompt.
@@ -80,12 +84,70 @@
 /// that had read its prompt in vain is still there.
 #[test]
 fn a_departed_replica_of_another_version_may_have_begun_the_stream() {
-    let answers = [answer("r1", "v1", Some(400))];
-    let decide = |departed: &[SoftwareVersion]| {
-        StreamVersion::from_caches(&PART, OUTPUT_TOKENS, &answers, departed)
+    let reader = answer("r1", "v1", Some(400));
+    let with_departed = |software| decide(&[reader.clone(), answer("r2", software, None)]);
+    assert_eq!(with_departed("v2"), StreamVersion::Unknown);
+    assert_eq!(with_departed("v1"), StreamVersion::At(version("v1")));
+}
+
+fn origin(name: &str, started_ms: u64, presence: OriginPresence) -> PossibleOrigin {
+    let entry = ReplicaEntry { started_ms, ..entry(name, &[]) };
+    PossibleOrigin { presence, ..PossibleOrigin::from(&entry) }
+}
+
+fn listed(name: &str) -> PossibleOrigin {
+    origin(name, 5, OriginPresence::Listed)
+}
+
+/// Guards against a former replica that is asked though it has ended, that counts though its streams
+/// were resumed elsewhere, or that counts beside its own listing.
+#[test]
+fn former_replicas_are_possible_origins_by_what_became_of_them() {
+    let former = |name: &str, started_ms, departure| {
+        let entry = ReplicaEntry { started_ms, ..entry(name, &[]) };
+        FormerReplica { departure, ..FormerReplica::removed(&entry) }
     };
-    assert_eq!(decide(&[version("v2")]), StreamVersion::Unknown);
-    assert_eq!(decide(&[version("v1")]), StreamVersion::At(version("v1")));
+    let former = [
+        former("r1", 5, Departure::Silent),
+        former("r1", 4, Departure::Ended),
+        former("r2", 5, Departure::Silent),
+        former("r3", 5, Departure::Ended),
+        former("r4", 5, Departure::EndedInService),
+    ];
+    let all = PossibleOrigin::all(vec![listed("r1")], &former);
+    let expected = [
+        listed("r1"),
+        origin("r1", 4, OriginPresence::Ended),
+        origin("r2", 5, OriginPresence::MayRun),
+        origin("r3", 5, OriginPresence::Ended),
+    ];
+    assert_eq!(all, expected);
+}
+
+/// Guards against streams that are refused once a replica that left has ended, although it was asked
+/// while it still served.
+#[test]
+fn what_a_former_replica_listed_counts_for_as_long_as_streams_are_remembered() {
+    let mut listings = CacheListings::default();
+    let former = origin("r1", 5, OriginPresence::MayRun);
+    listings.on_listing(&listed("r1"), at(0), Some(&[PART]));
+    assert!(!listings.is_recent(at(10), &former), "it may have read more before it left");
+    listings.on_listing(&former, at(10), Some(&[PART]));
+    listings.on_listing(&former, at(3000), None);
+    let tokens = |now| listings.holding(at(now), &former, PART.id).map(|holding| holding.tokens);
+    assert!(listings.is_recent(at(50_000), &former));
+    assert_eq!((tokens(50_000), tokens(60_010)), (Some(400), None));
+}
+
+/// Guards against requests that each wait for a replica that has ended.
+#[test]
+fn a_former_replica_that_does_not_answer_is_asked_again_after_seconds() {
+    let mut listings = CacheListings::default();
+    let former = origin("r1", 5, OriginPresence::MayRun);
+    listings.on_listing(&former, at(0), None);
+    assert!(listings.is_recent(at(4999), &former));
+    assert!(!listings.is_recent(at(5000), &former));
+    assert_eq!(listings.holding(at(10), &former, PART.id), None);
 }
 
 /// Guards against refusals for want of an answer that is known, and against answers of an earlier start
@@ -93,14 +155,15 @@
 #[test]
 fn a_listing_counts_for_the_start_that_it_is_from() {
     let mut listings = CacheListings::default();
-    listings.on_listing(name("r1"), 5, at(0), &[PART]);
+    listings.on_listing(&listed("r1"), at(0), Some(&[PART]));
     let tokens = |now, started_ms, part| {
-        listings.holding(at(now), &name("r1"), started_ms, part).map(|holding| holding.tokens)
+        let replica = origin("r1", started_ms, OriginPresence::Listed);
+        listings.holding(at(now), &replica, part).map(|holding| holding.tokens)
     };
     assert_eq!(tokens(10, 5, PART.id), Some(400));
     assert_eq!(tokens(10, 5, 8), Some(0));
     assert_eq!(tokens(10, 6, PART.id), None);
-    assert_eq!(listings.holding(at(10), &name("r2"), 5, PART.id), None);
+    assert_eq!(listings.holding(at(10), &listed("r2"), PART.id), None);
 }
 
 /// Load: all instances were killed under load, and a hundred streams are taken up within a second. Guards
@@ -111,15 +174,16 @@
     let mut calls = 0;
     for now in (0..1000).step_by(10) {
         for replica in ["r1", "r2", "r3"] {
-            if !listings.is_recent(at(now), &name(replica), 5) {
+            let replica = listed(replica);
+            if !listings.is_recent(at(now), &replica) {
                 calls += 1;
-                listings.on_listing(name(replica), 5, at(now), &[PART]);
+                listings.on_listing(&replica, at(now), Some(&[PART]));
             }
-            assert!(listings.holding(at(now), &name(replica), 5, PART.id).is_some());
+            assert!(listings.holding(at(now), &replica, PART.id).is_some());
         }
     }
     assert_eq!(calls, 3);
-    assert!(!listings.is_recent(at(1000), &name("r1"), 5));
+    assert!(!listings.is_recent(at(1000), &listed("r1")));
 }
 
 /// Load: a fleet of 1,900 replicas. Guards against calls for one stream that grow with the fleet, and
--- a/tests/traffic/stream_origin_messages.rs
+++ b/tests/traffic/stream_origin_messages.rs
@@ -1,5 +1,6 @@
 //! Datagrams that tell at which software version streams began.
 
+use tamaracklead::decide::traffic::Coverage;
 use tamaracklead::decide::traffic::OriginKnowledge;
 use tamaracklead::decide::traffic::StreamKey;
 use tamaracklead::names::ServiceName;
@@ -81,7 +82,8 @@
     let known = OriginKnowledge {
         origin: Some(SoftwareVersion::new("v1")),
         versions: vec![SoftwareVersion::new(""), SoftwareVersion::new("v1")],
-        known_for: std::time::Duration::from_millis(1500),
+        coverage: Coverage::Last(std::time::Duration::from_millis(1500)),
+        departed: Vec::new(),
     };
     assert_eq!(decode::<OriginKnowledge>(&encode(&known).unwrap()).unwrap(), known);
 }
--- a/tests/traffic/stream_origins.rs
+++ b/tests/traffic/stream_origins.rs
@@ -5,6 +5,9 @@
 use std::time::Duration;
 
 use tamaracklead::decide::traffic::Beats;
+use tamaracklead::decide::traffic::Coverage;
+use tamaracklead::decide::traffic::Departure;
+use tamaracklead::decide::traffic::FormerReplica;
 use tamaracklead::decide::traffic::ORIGIN_LOOKUPS;
 use tamaracklead::decide::traffic::ORIGIN_WITNESSES;
 use tamaracklead::decide::traffic::OriginKnowledge;
@@ -19,7 +22,6 @@
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::ServiceName;
 use tamaracklead::names::SoftwareVersion;
-use tamaracklead::names::WallTime;
 
 use crate::support::SERVICE;
 use crate::support::at;
@@ -45,13 +47,17 @@
     OriginKnowledge {
         origin: origin.map(version),
         versions: versions.iter().map(|text| version(text)).collect(),
-        known_for: Duration::from_secs(known_for_s),
+        coverage: covering(known_for_s),
+        departed: Vec::new(),
     }
 }
 
-fn of_service(replicas: &Replicas, wall_s: u64, followed_for: Option<Duration>) -> OriginKnowledge {
-    let (service, wall) = (ServiceName::new(SERVICE), WallTime(STARTED_MS + wall_s * 1000));
-    OriginKnowledge::of_service(replicas, &service, at(100), wall, followed_for)
+fn covering(seconds: u64) -> Coverage {
+    if seconds == 0 { Coverage::Unknown } else { Coverage::Last(Duration::from_secs(seconds)) }
+}
+
+fn of_service(replicas: &Replicas, coverage: Coverage) -> OriginKnowledge {
+    OriginKnowledge::of_service(replicas, &ServiceName::new(SERVICE), at(100), coverage)
 }
 
 /// Guards against streams that go on at another version since their origin was forgotten early.
@@ -163,50 +169,61 @@
     }
 }
 
-/// Guards against refusing all streams that were broken by the end of all instances, although no
-/// release went on.
+/// Guards against a stream that goes on at the only version that is listed, although a replica of
+/// another one left, without a start of any, before this instance began to follow them.
 #[test]
-fn versions_are_known_since_the_last_start_of_a_replica() {
+fn replicas_that_have_run_for_long_do_not_show_that_none_has_left() {
     let mut replicas = Replicas::default();
-    let started = |name: &str, after_s: u64| ReplicaEntry {
-        started_ms: STARTED_MS + after_s * 1000,
-        ..entry(name, &[])
-    };
-    replicas.on_entry(at(0), started("r1", 0));
-    replicas.on_entry(at(0), started("r2", 50));
-    let young = of_service(&replicas, 90, Some(ms(500)));
-    assert_eq!(young, knows(None, &["v1"], 40));
-    let old = of_service(&replicas, 90, Some(ms(70_000)));
-    assert_eq!(old, knows(None, &["v1"], 70));
-    let ahead = of_service(&replicas, 20, Some(ms(1000)));
-    assert_eq!(ahead.known_for, ms(1000), "the clock of the replica is ahead");
-    replicas.on_removed(at(50), &name("r2"), None);
-    assert_eq!(of_service(&replicas, 90, Some(ms(500))).known_for, ms(90_000));
+    replicas.on_entry(at(0), ReplicaEntry { started_ms: STARTED_MS, ..entry("r1", &[]) });
+    let own = of_service(&replicas, Coverage::Last(ms(500)));
+    assert_eq!(StreamVersion::decide(&own, &[], LONG), StreamVersion::Unknown);
 }
 
 /// Guards against an instance that is cut off and doesn't see the replicas of another version.
 #[test]
-fn an_instance_whose_view_lags_knows_the_versions_for_no_time() {
+fn an_instance_whose_view_lags_covers_no_time() {
     let mut replicas = Replicas::default();
     replicas.on_entry(at(0), ReplicaEntry { started_ms: STARTED_MS, ..entry("r1", &[]) });
-    assert_eq!(of_service(&replicas, 900, None), knows(None, &["v1"], 0));
+    let own = of_service(&replicas, Coverage::Unknown);
+    assert_eq!(own, knows(None, &["v1"], 0));
+    assert_eq!(StreamVersion::decide(&own, &[], Duration::ZERO), StreamVersion::Unknown);
 }
 
 /// Guards against an instance that counts as long there with no replica to tell versions by.
 #[test]
 fn an_instance_without_a_replica_knows_no_version() {
-    let knowledge = of_service(&Replicas::default(), 90, Some(ms(1000)));
+    let knowledge = of_service(&Replicas::default(), covering(1));
     assert_eq!(knowledge, knows(None, &[], 1));
 }
 
+/// Guards against an instance that doesn't tell others which replicas it saw leaving.
+#[test]
+fn an_instance_tells_which_replicas_of_the_service_left() {
+    let mut replicas = Replicas::default();
+    replicas.on_entry(at(0), entry("r1", &[]));
+    replicas.on_entry(at(0), ReplicaEntry { service: "other".into(), ..entry("r2", &[]) });
+    for gone in ["r1", "r2"] {
+        replicas.on_removed(at(50), &name(gone), None);
+    }
+    let departed = of_service(&replicas, covering(1)).departed;
+    assert_eq!(departed, [FormerReplica::removed(&entry("r1", &[]))]);
+    assert_eq!(departed[0].departure, Departure::Silent);
+}
+
 /// Guards against a change of the form in which instances of different builds tell each other what
 /// they know.
 #[test]
 fn knowledge_keeps_its_form_on_the_wire() {
     let known = knows(Some("v1"), &["v1", "v2"], 7);
     let text = serde_json::to_string(&known).unwrap();
-    assert_eq!(text, r#"{"origin":"v1","versions":["v1","v2"],"known_for_ms":7000}"#);
+    let older = r#"{"origin":"v1","versions":["v1","v2"],"known_for_ms":7000}"#;
+    let newer = older.replace('}', r#","departed":[]}"#);
+    assert_eq!(text, newer);
     assert_eq!(serde_json::from_str::<OriginKnowledge>(&text).unwrap(), known);
+    assert_eq!(serde_json::from_str::<OriginKnowledge>(older).unwrap(), known);
+    let unknown = newer.replace("7000", "0");
+    let unknown = serde_json::from_str::<OriginKnowledge>(&unknown).unwrap();
+    assert_eq!(unknown.coverage, Coverage::Unknown);
 }
 
 fn record(index: usize, draining: bool) -> PeerRecord {
--- a/tests/traffic/stream_versions/instance.rs
+++ b/tests/traffic/stream_versions/instance.rs
@@ -1,17 +1,21 @@
 //! One instance: the parts of the product that decide, and its view of the replicas.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use tamaracklead::decide::traffic::CacheAnswer;
-use tamaracklead::decide::traffic::CacheHolding;
+use tamaracklead::decide::traffic::CacheListings;
+use tamaracklead::decide::traffic::Coverage;
 use tamaracklead::decide::traffic::DeclaredVersions;
+use tamaracklead::decide::traffic::EntryChange;
+use tamaracklead::decide::traffic::HistoryExtent;
 use tamaracklead::decide::traffic::OriginKnowledge;
+use tamaracklead::decide::traffic::OriginPresence;
 use tamaracklead::decide::traffic::PeerRecord;
 use tamaracklead::decide::traffic::Peers;
+use tamaracklead::decide::traffic::PossibleOrigin;
 use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::ReplicaChoice;
-use tamaracklead::decide::traffic::ReplicaEntry;
+use tamaracklead::decide::traffic::ReplicaHistory;
 use tamaracklead::decide::traffic::Replicas;
 use tamaracklead::decide::traffic::RequestNeeds;
 use tamaracklead::decide::traffic::StreamKey;
@@ -21,10 +25,9 @@
 use tamaracklead::names::InstanceName;
 use tamaracklead::names::ServiceName;
 use tamaracklead::names::SoftwareVersion;
-use tamaracklead::names::WallTime;
 
 use super::servers::Answer;
-use super::servers::Change;
+use super::servers::HISTORY_MS;
 use super::servers::Servers;
 use crate::support::SERVICE;
 use crate::support::at;
@@ -53,6 +56,9 @@
     applied: usize,
     last_contact: u64,
     followed_since: u64,
+    history: Option<HistoryExtent>,
+    history_lacks_names: bool,
+    listings: CacheListings,
 }
 
 pub fn addr(who: usize) -> SocketAddr {
@@ -87,17 +93,20 @@
             applied: 0,
             last_contact: 0,
             followed_since: now,
+            history: None,
+            history_lacks_names: false,
+            listings: CacheListings::default(),
         }
     }
 
     /// Lists what was published until `until`.
-    pub fn list(&mut self, now: u64, until: u64, log: &[(u64, Change)]) {
+    pub fn list(&mut self, now: u64, until: u64, log: &[(u64, EntryChange)]) {
         let known = log.iter().take_while(|(published, _)| *published <= until).count();
         for (place, (_, change)) in log[..known].iter().enumerate() {
-            let Change::Written(entry) = change else { continue };
+            let EntryChange::Written(entry) = change else { continue };
             let is_last = !log[place + 1..known].iter().any(|(_, later)| match later {
-                Change::Written(other) => other.name == entry.name,
-                Change::Removed(name) => *name == entry.name,
+                EntryChange::Written(other) => other.name == entry.name,
+                EntryChange::Removed(name) => *name == entry.name,
             });
             if is_last {
                 self.replicas.on_entry(at(now), entry.clone());
@@ -108,7 +117,7 @@
     }
 
     /// Applies what was published until `until`.
-    pub fn follow(&mut self, now: u64, until: u64, log: &[(u64, Change)]) {
+    pub fn follow(&mut self, now: u64, until: u64, log: &[(u64, EntryChange)]) {
         if now - self.last_contact >= CURRENT_MS {
             self.followed_since = now;
         }
@@ -117,10 +126,10 @@
             && *published <= until
         {
             match change {
-                Change::Written(entry) => {
+                EntryChange::Written(entry) => {
                     self.replicas.on_entry(at(now), entry.clone());
                 }
-                Change::Removed(name) => self.replicas.on_removed(at(now), name, None),
+                EntryChange::Removed(name) => self.replicas.on_removed(at(now), name, None),
             }
             self.applied += 1;
         }
@@ -129,42 +138,80 @@
     /// What it knows of a stream.
     pub fn knowledge(&self, now: u64, key: StreamKey) -> OriginKnowledge {
         let is_current = now - self.last_contact < CURRENT_MS;
-        let followed_for = is_current.then(|| ms(now - self.followed_since));
-        self.knowledge_followed_for(now, key, followed_for)
-    }
-
-    fn knowledge_followed_for(
-        &self,
-        now: u64,
-        key: StreamKey,
-        followed_for: Option<Duration>,
-    ) -> OriginKnowledge {
-        let (service, wall) = (ServiceName::new(SERVICE), WallTime(WALL_START_MS + now));
+        let followed = ms(now - self.followed_since);
+        let history = self.followed_history().filter(|_| !self.history_lacks_names);
+        let told = history.map(|history| history.coverage(at(now), ms(HISTORY_MS)));
+        let coverage = match told {
+            _ if !is_current => Coverage::Unknown,
+            Some(Coverage::Last(told_for)) => Coverage::Last(followed.max(told_for)),
+            Some(Coverage::Unknown) | None => Coverage::Last(followed),
+        };
+        let service = ServiceName::new(SERVICE);
         let origin = self.origins.version_of(at(now), key).cloned();
-        let of_service =
-            OriginKnowledge::of_service(&self.replicas, &service, at(now), wall, followed_for);
+        let of_service = OriginKnowledge::of_service(&self.replicas, &service, at(now), coverage);
         OriginKnowledge { origin, ..of_service }
     }
 
+    /// What was read of the store's history, unless changes were missed since.
+    fn followed_history(&self) -> Option<HistoryExtent> {
+        self.history.filter(|history| history.read_at() >= at(self.followed_since))
+    }
+
+    /// Reads what the store keeps of the changes before those that it follows, or how far back that
+    /// reaches.
+    pub fn learn_history(&mut self, now: u64, servers: &Servers) {
+        if now - self.last_contact >= CURRENT_MS {
+            return;
+        }
+        if let Some(history) =
+            &mut self.history.filter(|it| it.read_at() >= at(self.followed_since))
+        {
+            if history.is_check_due(at(now)) {
+                let keeps = |revision| servers.oldest_kept(now) <= revision as usize;
+                history.on_check(at(now), keeps(history.oldest), keeps(history.newest));
+                self.history = Some(*history);
+            }
+            return;
+        }
+        let changes = servers.history(now, self.applied);
+        if changes.is_empty() {
+            return;
+        }
+        let (oldest, newest) = (self.applied - changes.len(), self.applied);
+        let history = ReplicaHistory::replay(changes.iter().map(|(_, change)| change.clone()));
+        self.replicas.on_history(at(now), &history);
+        self.history = Some(HistoryExtent::new(at(now), oldest as u64, newest as u64));
+        self.history_lacks_names = !history.nameless.is_empty();
+    }
+
     /// Asks replicas for what their KV caches hold of a part, and decides; `is_lost` says whether a
     /// call is lost.
-    pub fn look_into_caches(
-        &self,
+    pub fn look_into_caches<'a>(
+        &mut self,
         now: u64,
         part: PromptPart,
+        known: impl Iterator<Item = &'a OriginKnowledge>,
         servers: &Servers,
         mut is_lost: impl FnMut() -> bool,
     ) -> StreamVersion {
         let service = ServiceName::new(SERVICE);
-        let candidates = self.replicas.cache_candidates(&service, &key("a1"), CACHES_ASKED);
-        let to_answer = |entry: ReplicaEntry| {
-            let tokens = servers.cached_tokens(&entry.name, part.id).filter(|_| !is_lost());
-            let holding = tokens.map(|tokens| CacheHolding { tokens, age: Duration::ZERO });
-            CacheAnswer { replica: entry.name, software: entry.software, holding }
+        let listed = self.replicas.cache_candidates(&service, &key("a1"), CACHES_ASKED);
+        let replicas = PossibleOrigin::all(listed, known.flat_map(|known| &known.departed));
+        for replica in &replicas {
+            let is_recent = self.listings.is_recent(at(now), replica);
+            if is_recent || replica.presence == OriginPresence::Ended {
+                continue;
+            }
+            let parts = servers.cached(&replica.name).filter(|_| !is_lost());
+            self.listings.on_listing(replica, at(now), parts.as_deref());
+        }
+        let to_answer = |replica: PossibleOrigin| CacheAnswer {
+            holding: self.listings.holding(at(now), &replica, part.id),
+            replica: replica.name,
+            software: replica.software,
         };
-        let answers: Vec<CacheAnswer> = candidates.into_iter().map(to_answer).collect();
-        let departed = self.replicas.departed_versions(at(now), &service);
-        StreamVersion::from_caches(&part, OUTPUT_TOKENS, &answers, &departed)
+        let answers: Vec<CacheAnswer> = replicas.into_iter().map(to_answer).collect();
+        StreamVersion::from_caches(&part, OUTPUT_TOKENS, &answers)
     }
 
     /// Sends a request; returns the replica that runs it, with its version.
--- a/tests/traffic/stream_versions/mod.rs
+++ b/tests/traffic/stream_versions/mod.rs
@@ -1,10 +1,10 @@
 //! Streams in virtual time, over releases of software versions, kills, cuts and lost messages: none
 //! goes on at another version than the one that began it, and most that could go on do.
 //!
-//! Left out is what an instance can't know: a replica that restarts under its name with another
-//! version before a view shows it; versions that go, without a start of another one, while all
-//! instances are down; an older build that takes a stream up. Streams whose prompts a replica of another
-//! version had read before without sending any event have a test of their own, which is known to fail.
+//! Replicas are withdrawn without a word and serve on, prompts are read in vain by replicas of other
+//! versions, and the store discards its history. Left out is what an instance can't know: a replica that
+//! restarts under its name with another version before a view shows it, and an older build that takes a
+//! stream up. Streams whose prompts were read in vain are counted by a test of their own.
 //!
 //! Runs with a fixed seed. `TAMARACKLEAD_FUZZ_CASES=N` runs N cases with a fresh seed, which is
 //! printed; `TAMARACKLEAD_FUZZ_SEED` repeats it.
--- a/tests/traffic/stream_versions/plan.rs
+++ b/tests/traffic/stream_versions/plan.rs
@@ -3,6 +3,7 @@
 use std::ops::Range;
 
 use proptest::collection::vec;
+use proptest::prelude::Just;
 use proptest::prelude::Strategy;
 use proptest::prelude::any;
 use proptest::prop_oneof;
@@ -22,6 +23,10 @@
     Release { version: usize, count: usize, interval_ms: u64 },
     /// A replica ends without a word, and another one of its version starts.
     KillReplica { which: usize },
+    /// The entry of a replica is removed without a word before, and it serves on for a while.
+    Withdraw { which: usize, serves_on_ms: u64 },
+    /// The store discards its history.
+    DiscardHistory,
     /// An instance is killed and starts again.
     Kill { who: usize, down_ms: u64 },
     /// All instances are killed and start again.
@@ -52,7 +57,11 @@
         4 => any::<usize>().prop_map(|which| Trouble::KillReplica { which }),
         4 => (0..MAX_INSTANCES, 300..6000_u64)
             .prop_map(|(who, down_ms)| Trouble::Kill { who, down_ms }),
+        2 => (any::<usize>(), 2000..9000_u64).prop_map(
+            |(which, serves_on_ms)| Trouble::Withdraw { which, serves_on_ms }
+        ),
         1 => (300..3000_u64).prop_map(|down_ms| Trouble::KillAll { down_ms }),
+        1 => Just(Trouble::DiscardHistory),
         2 => (any::<u8>(), 300..12_000_u64, any::<bool>()).prop_map(
             |(group, lasts_ms, is_blind)| Trouble::Cut { group, lasts_ms, is_blind }
         ),
--- a/tests/traffic/stream_versions/servers.rs
+++ b/tests/traffic/stream_versions/servers.rs
@@ -1,7 +1,11 @@
 //! The replicas as they are, and the log of their published entries.
 
 use std::collections::HashMap;
+use std::ops::Range;
 
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tamaracklead::decide::traffic::EntryChange;
 use tamaracklead::decide::traffic::PromptPart;
 use tamaracklead::decide::traffic::ReplicaEntry;
 use tamaracklead::decide::traffic::ReplicaState;
@@ -10,22 +14,27 @@
 
 use super::instance::WALL_START_MS;
 use crate::support::entry;
+use crate::support::held;
 
 /// Time after which the entry of a replica that was killed expires, in ms.
 const LEASE_MS: u64 = 5000;
-
-/// A change of the published entries.
-#[derive(Clone, Debug)]
-pub enum Change {
-    Written(ReplicaEntry),
-    Removed(BackendName),
-}
+/// Time between two heartbeats of a replica, in ms.
+const HEARTBEAT_MS: Range<u64> = 1000..1400;
+/// Share of the heartbeats between which the replica got orders while instances served.
+const ORDERED_SHARE: f64 = 0.5;
+/// Time for which the store keeps changes, in ms.
+pub const HISTORY_MS: u64 = 20_000;
 
 #[derive(Clone, Debug)]
 pub struct Server {
     pub entry: ReplicaEntry,
-    /// When a draining one ends.
+    /// When one that leaves ends.
     ends_at: Option<u64>,
+    /// Whether its entry is published.
+    is_listed: bool,
+    next_heartbeat: u64,
+    /// Number of the adapter that it holds.
+    adapter: u64,
     /// Tokens of prompt parts in its KV cache.
     cached: HashMap<u64, u64>,
 }
@@ -43,7 +52,9 @@
     running: Vec<Server>,
     serial: usize,
     /// Changes with the times when they were published, in that order.
-    pub log: Vec<(u64, Change)>,
+    pub log: Vec<(u64, EntryChange)>,
+    /// Number of changes that the store has discarded.
+    discarded: usize,
     expiries: Vec<(u64, BackendName)>,
 }
 
@@ -60,19 +71,70 @@
             started_ms: WALL_START_MS + now - before_ms,
             ..entry(&format!("r{}", self.serial), &[])
         };
-        self.log.push((now, Change::Written(entry.clone())));
-        self.running.push(Server { entry, ends_at: None, cached: HashMap::new() });
+        self.log.push((now, EntryChange::Written(entry.clone())));
+        self.running.push(Server {
+            entry,
+            ends_at: None,
+            is_listed: true,
+            next_heartbeat: now,
+            adapter: 0,
+            cached: HashMap::new(),
+        });
+    }
+
+    /// Removes the entry of a ready replica, which serves on until it ends; returns its version.
+    pub fn withdraw(&mut self, now: u64, which: usize, serves_on_ms: u64) {
+        let is_ready =
+            |server: &&mut Server| server.is_listed && server.entry.state == ReplicaState::Ready;
+        let ready: Vec<&mut Server> = self.running.iter_mut().filter(is_ready).collect();
+        let count = ready.len();
+        let Some(server) = ready.into_iter().nth(which % count.max(1)) else { return };
+        server.is_listed = false;
+        server.ends_at = Some(now + serves_on_ms);
+        self.log.push((now, EntryChange::Removed(server.entry.name.clone())));
+    }
+
+    /// Publishes the entries of replicas that got orders since the last heartbeat.
+    pub fn beat(&mut self, now: u64, is_served: bool, rng: &mut ChaCha8Rng) {
+        for server in &mut self.running {
+            if server.next_heartbeat > now || !server.is_listed {
+                continue;
+            }
+            server.next_heartbeat = now + rng.random_range(HEARTBEAT_MS);
+            if is_served && rng.random_bool(ORDERED_SHARE) {
+                server.adapter += 1;
+                server.entry.models = held(&[(&format!("a{}", server.adapter), 1)]);
+                self.log.push((now, EntryChange::Written(server.entry.clone())));
+            }
+        }
+    }
+
+    /// Has the store discard the changes so far.
+    pub fn discard_history(&mut self) {
+        self.discarded = self.log.len();
+    }
+
+    /// Number of the changes that the store no longer keeps.
+    pub fn oldest_kept(&self, now: u64) -> usize {
+        let old = self.log.partition_point(|(at, _)| at + HISTORY_MS < now);
+        old.max(self.discarded)
+    }
+
+    /// The changes before `until` that the store still keeps.
+    pub fn history(&self, now: u64, until: usize) -> &[(u64, EntryChange)] {
+        &self.log[self.oldest_kept(now).min(until)..until]
     }
 
     /// Replaces a ready replica of another version.
     pub fn replace(&mut self, now: u64, software: &SoftwareVersion, drain_ms: u64) {
         let is_other = |server: &&mut Server| {
-            server.entry.software != *software && server.entry.state == ReplicaState::Ready
+            let is_ready = server.is_listed && server.entry.state == ReplicaState::Ready;
+            is_ready && server.entry.software != *software
         };
         let Some(server) = self.running.iter_mut().find(is_other) else { return };
         server.entry.state = ReplicaState::Draining;
         server.ends_at = Some(now + drain_ms);
-        self.log.push((now, Change::Written(server.entry.clone())));
+        self.log.push((now, EntryChange::Written(server.entry.clone())));
         self.start(now, software.clone(), 0);
     }
 
@@ -82,21 +144,23 @@
             return None;
         }
         let server = self.running.remove(which % self.running.len());
-        self.expiries.push((now + LEASE_MS, server.entry.name));
+        if server.is_listed {
+            self.expiries.push((now + LEASE_MS, server.entry.name));
+        }
         Some(server.entry.software)
     }
 
     /// Ends what has drained, and publishes the expiry of entries.
     pub fn advance(&mut self, now: u64) {
         for server in &self.running {
-            if server.ends_at.is_some_and(|at| at <= now) {
-                self.log.push((now, Change::Removed(server.entry.name.clone())));
+            if server.is_listed && server.ends_at.is_some_and(|at| at <= now) {
+                self.log.push((now, EntryChange::Removed(server.entry.name.clone())));
             }
         }
         self.running.retain(|server| server.ends_at.is_none_or(|at| at > now));
         for (at, name) in &self.expiries {
             if *at <= now {
-                self.log.push((now, Change::Removed(name.clone())));
+                self.log.push((now, EntryChange::Removed(name.clone())));
             }
         }
         self.expiries.retain(|(at, _)| *at > now);
@@ -117,10 +181,11 @@
         }
     }
 
-    /// Tokens of a part that a replica holds; `None` if it doesn't answer.
-    pub fn cached_tokens(&self, name: &BackendName, part: u64) -> Option<u64> {
+    /// The parts that a replica holds; `None` if it doesn't answer.
+    pub fn cached(&self, name: &BackendName) -> Option<Vec<PromptPart>> {
         let server = self.running.iter().find(|server| server.entry.name == *name)?;
-        Some(server.cached.get(&part).copied().unwrap_or_default())
+        let to_part = |(id, tokens): (&u64, &u64)| PromptPart { id: *id, tokens: *tokens };
+        Some(server.cached.iter().map(to_part).collect())
     }
 
     /// The replicas that run, with their versions.
@@ -143,7 +208,8 @@
 
     /// Number of replicas of a version that accept requests.
     pub fn ready_count(&self, software: &SoftwareVersion) -> usize {
-        let ready = self.running.iter().filter(|s| s.entry.state == ReplicaState::Ready);
+        let listed = self.running.iter().filter(|s| s.is_listed);
+        let ready = listed.filter(|s| s.entry.state == ReplicaState::Ready);
         ready.filter(|server| server.entry.software == *software).count()
     }
 }
--- a/tests/traffic/stream_versions/world.rs
+++ b/tests/traffic/stream_versions/world.rs
@@ -112,6 +112,8 @@
                 self.on_event(event);
             }
             self.servers.advance(self.now);
+            let is_served = self.machines.iter().any(Option::is_some);
+            self.servers.beat(self.now, is_served, &mut self.rng);
             self.follow_replicas();
             if self.now.is_multiple_of(GOSSIP_MS) {
                 self.gossip();
@@ -163,6 +165,10 @@
                     self.plan(now + REPLACED_MS, Event::StartReplica(software));
                 }
             }
+            Trouble::Withdraw { which, serves_on_ms } => {
+                self.servers.withdraw(now, which, serves_on_ms);
+            }
+            Trouble::DiscardHistory => self.servers.discard_history(),
             Trouble::Kill { who, down_ms } => self.kill(who % self.machines.len(), down_ms),
             Trouble::KillAll { down_ms } => {
                 for who in 0..self.machines.len() {
@@ -401,9 +407,20 @@
             return decided;
         }
         let loss = self.network.loss(now);
-        let (machines, servers, rng) = (&self.machines, &self.servers, &mut self.rng);
-        let Some(instance) = &machines[who] else { return StreamVersion::Unknown };
-        let by_caches = instance.look_into_caches(now, part, servers, || rng.random_bool(loss));
+        let reads = self.network.shows_published(now, who);
+        let (machines, servers, rng) = (&mut self.machines, &self.servers, &mut self.rng);
+        let Some(instance) = &mut machines[who] else { return StreamVersion::Unknown };
+        if reads {
+            instance.learn_history(now, servers);
+        }
+        let own = instance.knowledge(now, key);
+        let decided = StreamVersion::decide(&own, &answers, LONGEST_STREAM);
+        if decided != StreamVersion::Unknown {
+            return decided;
+        }
+        let known = std::iter::once(&own).chain(&answers);
+        let is_lost = || rng.random_bool(loss);
+        let by_caches = instance.look_into_caches(now, part, known, servers, is_lost);
         self.tally.told_by_caches += usize::from(matches!(by_caches, StreamVersion::At(_)));
         by_caches
     }
