Read the store's history by one request at a time, and keep what it told in a type of its own

Cause: found by reading the change again. With a store that doesn't answer each would have waited 400 ms for its turn and 400 ms more.

Change: the step is decided once the turn is there, and a store that couldn't be asked is left alone for a second (HistoryKnowledge, with a test).

--- a/src/decide/traffic/former_replica.rs
+++ b/src/decide/traffic/former_replica.rs
@@ -5,23 +5,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::Departure;
 use super::ReplicaEntry;
 use super::ReplicaState;
 use crate::names::BackendName;
 use crate::names::ServiceName;
 use crate::names::SoftwareVersion;
 
-/// What became of a replica that left.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Departure {
-    /// Its entry was removed without a word before: it may still run, and serve what it has begun.
-    Silent,
-    /// It has ended, perhaps while no instance was there to resume its streams elsewhere.
-    Ended,
-    /// It ended while instances served, which resumed its streams elsewhere.
-    EndedInService,
-}
-
 /// One start of a replica that is listed no more.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FormerReplica {
--- a/src/decide/traffic/history_search.rs
+++ b/src/decide/traffic/history_search.rs
@@ -3,22 +3,13 @@
 //! A store keeps its changes for some time only, and doesn't say from which revision on. A watch from
 //! a revision that it no longer keeps is refused, so the oldest one is found by trying.
 
+use super::SearchStep;
+
 /// Distance from the newest revision that is tried first.
 const FIRST_DISTANCE: u64 = 64;
 /// Largest distance that is tried, so that an answer has no more changes than that.
 const MAX_DISTANCE: u64 = 8192;
 
-/// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SearchStep {
-    /// Ask whether the changes after this revision are kept.
-    Try(u64),
-    /// Read the changes after this revision, the oldest from which they are kept.
-    Read(u64),
-    /// Nothing is kept.
-    NothingKept,
-}
-
 /// A search among the revisions up to `newest`.
 #[derive(Clone, Copy, Debug)]
 pub struct HistorySearch {
--- a/src/decide/traffic/possible_origin.rs
+++ b/src/decide/traffic/possible_origin.rs
@@ -4,21 +4,11 @@
 
 use super::Departure;
 use super::FormerReplica;
+use super::OriginPresence;
 use super::ReplicaEntry;
 use crate::names::BackendName;
 use crate::names::SoftwareVersion;
 
-/// Whether a replica can be asked what its KV cache holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OriginPresence {
-    /// It is listed.
-    Listed,
-    /// It is listed no more, but may still run.
-    MayRun,
-    /// It has ended.
-    Ended,
-}
-
 /// A replica at which a stream of unknown origin may have begun.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PossibleOrigin {
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -15,7 +15,9 @@
 use std::time::Duration;
 
 use super::Coverage;
-use super::HistoryExtent;
+use super::EraCheck;
+use super::HistoryKnowledge;
+use super::HistoryStep;
 use super::PublishedEvent;
 use super::PublishedItem;
 use super::ViewChanges;
@@ -51,17 +53,6 @@
     since: Timestamp,
 }
 
-/// How the era of a response relates to that of the view.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EraCheck {
-    /// The revisions are comparable.
-    Same,
-    /// The store was restored since; the view has to be listed anew.
-    Newer,
-    /// The response is from before the store was restored, and is to be ignored.
-    Older,
-}
-
 /// One instance's copy of one topic of the published state.
 #[derive(Clone, Debug, Default)]
 pub struct PublishedView {
@@ -69,6 +60,8 @@
     pub last_failure: Option<Timestamp>,
     /// When a call to the published state succeeded last.
     pub last_success: Option<Timestamp>,
+    /// What the store's history tells of the changes before those that are followed.
+    pub history: HistoryKnowledge,
     items: BTreeMap<String, KnownItem>,
     tombstones: VecDeque<(u64, String)>,
     /// Revision after which there's a tombstone of every removal.
@@ -87,37 +80,13 @@
     old_until: Option<Timestamp>,
     /// Since when every change is followed.
     followed_since: Option<Timestamp>,
-    /// Time for which the store keeps its changes; `None` if that isn't known.
-    history_kept_for: Option<Duration>,
-    history: Option<HistoryExtent>,
-    history_lacks_names: bool,
     lacked: Option<LackedChange>,
 }
 
-/// What to do to learn of the changes before those that are followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum HistoryStep {
-    /// Nothing now.
-    Nothing,
-    /// Read those up to the revision `newest`.
-    Read {
-        /// Revision up to which the view is complete.
-        newest: u64,
-    },
-    /// Ask whether the store still keeps the changes after these revisions.
-    Check {
-        /// Revision after which all changes were read.
-        oldest: u64,
-        /// Revision up to which they were.
-        newest: u64,
-    },
-}
-
 impl PublishedView {
-    /// An empty view of a store that keeps its changes for `history_kept_for`; `None` if that isn't
-    /// known.
-    pub fn new(history_kept_for: Option<Duration>) -> Self {
-        Self { history_kept_for, ..Self::default() }
+    /// An empty view, with what is known of its store's history.
+    pub fn new(history: HistoryKnowledge) -> Self {
+        Self { history, ..Self::default() }
     }
 
     /// Revision up to which the view is complete; `None` until everything was read once, and again
@@ -149,48 +118,18 @@
         let Some(since) = self.followed_since.filter(|_| self.is_current(now)) else {
             return Coverage::Unknown;
         };
-        let kept_for = self.history_kept_for.filter(|_| !self.history_lacks_names);
-        let told = self.history().zip(kept_for);
-        match told.map_or(Coverage::Unknown, |(history, time)| history.coverage(now, time)) {
-            Coverage::Last(told_for) => Coverage::Last(told_for.max(now.since(since))),
-            Coverage::Unknown => Coverage::Last(now.since(since)),
-        }
+        self.history.coverage(now, since)
     }
 
     /// What to do to learn of the changes before those that are followed.
     pub fn history_step(&self, now: Timestamp) -> HistoryStep {
-        let Some(newest) = self.as_of().filter(|_| self.is_current(now)) else {
-            return HistoryStep::Nothing;
-        };
-        match self.history() {
-            None => HistoryStep::Read { newest },
-            Some(extent) if self.history_kept_for.is_some() && extent.is_check_due(now) => {
-                HistoryStep::Check { oldest: extent.oldest, newest: extent.newest }
-            }
-            Some(_) => HistoryStep::Nothing,
+        let since = self.followed_since.filter(|_| self.is_current(now));
+        match since.zip(self.as_of()) {
+            Some((since, newest)) => self.history.step(now, since, newest),
+            None => HistoryStep::Nothing,
         }
     }
 
-    /// Records what was read of the store's history. It `lacks_names` if it doesn't tell what some of
-    /// the changes were about.
-    pub fn on_history_read(&mut self, extent: HistoryExtent, lacks_names: bool) {
-        (self.history, self.history_lacks_names) = (Some(extent), lacks_names);
-    }
-
-    /// Records whether the store still keeps the changes after the oldest and the newest revision that
-    /// were read.
-    pub fn on_history_checked(&mut self, now: Timestamp, keeps_oldest: bool, keeps_newest: bool) {
-        if let Some(extent) = &mut self.history {
-            extent.on_check(now, keeps_oldest, keeps_newest);
-        }
-    }
-
-    /// What was read of the store's history, unless changes were missed since.
-    fn history(&self) -> Option<&HistoryExtent> {
-        let since = self.followed_since?;
-        self.history.as_ref().filter(|extent| extent.read_at() >= since)
-    }
-
     /// For how long a peer has been known to have changes that this instance lacks; `None` if it
     /// lacks none.
     pub fn lacks_for(&self, now: Timestamp) -> Option<Duration> {
--- a/src/decide/traffic/replica_history.rs
+++ b/src/decide/traffic/replica_history.rs
@@ -11,26 +11,18 @@
 use std::collections::HashMap;
 
 use super::Departure;
+use super::EntryChange;
 use super::FormerReplica;
 use super::ReplicaEntry;
 use crate::names::BackendName;
 
-/// A change of the replicas' entries.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum EntryChange {
-    /// An entry was written.
-    Written(ReplicaEntry),
-    /// The entry of a replica was removed.
-    Removed(BackendName),
-}
-
 /// Replicas that left within the store's history.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ReplicaHistory {
     /// Those of which the history has an entry.
     pub departed: Vec<FormerReplica>,
     /// Those of which it has none, so that neither service nor software version are known.
-    pub nameless: Vec<BackendName>,
+    pub unidentified: Vec<BackendName>,
 }
 
 #[derive(Clone, Debug)]
@@ -44,16 +36,16 @@
     pub fn replay(changes: impl IntoIterator<Item = EntryChange>) -> Self {
         let mut last: HashMap<BackendName, LastEntry> = HashMap::new();
         let mut departed: Vec<(usize, FormerReplica)> = Vec::new();
-        let mut nameless = Vec::new();
+        let mut unidentified = Vec::new();
         let mut served_after = 0;
         for (place, change) in changes.into_iter().enumerate() {
             match change {
                 EntryChange::Removed(name) => match last.remove(&name) {
                     Some(known) => departed.push((place, FormerReplica::removed(&known.entry))),
-                    None => nameless.push(name),
+                    None => unidentified.push(name),
                 },
                 EntryChange::Written(entry) => {
-                    nameless.retain(|name| *name != entry.name);
+                    unidentified.retain(|name| *name != entry.name);
                     departed.retain(|(_, former)| !is_same_start(former, &entry));
                     let name = entry.name.clone();
                     let known = last.insert(name, LastEntry { entry: entry.clone(), place });
@@ -72,7 +64,7 @@
             }
             Departure::Silent | Departure::Ended | Departure::EndedInService => former,
         });
-        Self { departed: departed.collect(), nameless }
+        Self { departed: departed.collect(), unidentified }
     }
 }
 
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -246,7 +246,7 @@
         /// Number of those that left, and of which the history has an entry.
         departed: usize,
         /// Number of those of which it has none.
-        nameless: usize,
+        unidentified: usize,
     },
     /// Other instances can't be told where streams began; everything else goes on.
     OriginsOff {
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -38,6 +38,7 @@
 use crate::decide::traffic::CacheListings;
 use crate::decide::traffic::CrashGuard;
 use crate::decide::traffic::DeclaredVersions;
+use crate::decide::traffic::HistoryKnowledge;
 use crate::decide::traffic::HolderHistory;
 use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PeerRecord;
@@ -170,6 +171,7 @@
         let clock = Clock::start();
         let me_addr = me.addr;
         let first_serial = serial_at_start(started_ms);
+        let history = HistoryKnowledge::new(settings.published_history());
         let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
         Self {
             connection_pool: ConnectionPool::default(),
@@ -212,7 +214,7 @@
             holder_history: Mutex::new(HolderHistory::new(Timestamp::ZERO, holder_wait)),
             owned: Mutex::default(),
             operator_view: Mutex::default(),
-            replica_view: Mutex::new(PublishedView::new(settings.published_history())),
+            replica_view: Mutex::new(PublishedView::new(history)),
             http,
             protocol,
             settings,
--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -141,40 +141,43 @@
 /// Has the store tell which replicas left before this instance followed them, or how far back what it
 /// told reaches.
 async fn learn_history(node: &Node) {
+    let Some(_turn) = node.history.turn().await else { return };
     let (step, era) = {
         let view = node.view(PublishedTopic::Replicas);
         (view.history_step(node.now()), view.era())
     };
-    match step {
-        HistoryStep::Nothing => {}
+    let has_failed = match step {
+        HistoryStep::Nothing => false,
         HistoryStep::Read { newest } => {
-            if let Some(read) = node.history.read(newest, era).await {
-                on_history_read(node, &read, newest);
-            }
+            let read = node.history.read(newest, era).await;
+            read.map(|read| on_history_read(node, &read, newest)).is_none()
         }
         HistoryStep::Check { oldest, newest } => {
-            if let Some((keeps_oldest, keeps_newest)) =
-                node.history.check(oldest, newest, era).await
-            {
-                let now = node.now();
-                let mut view = node.view(PublishedTopic::Replicas);
-                view.on_history_checked(now, keeps_oldest, keeps_newest);
-            }
+            let checked = node.history.check(oldest, newest, era).await;
+            checked.map(|kept| on_history_checked(node, kept)).is_none()
         }
+    };
+    if has_failed {
+        node.view(PublishedTopic::Replicas).history.on_failed(node.now());
     }
 }
 
+fn on_history_checked(node: &Node, (keeps_oldest, keeps_newest): (bool, bool)) {
+    let now = node.now();
+    node.view(PublishedTopic::Replicas).history.on_checked(now, keeps_oldest, keeps_newest);
+}
+
 fn on_history_read(node: &Node, read: &ReadHistory, newest: u64) {
     let now = node.now();
     let ReadHistory { replicas, oldest } = read;
     node.replicas().on_history(now, replicas);
     let extent = HistoryExtent::new(now, *oldest, newest);
-    let lacks_names = !replicas.nameless.is_empty();
-    node.view(PublishedTopic::Replicas).on_history_read(extent, lacks_names);
+    let has_unidentified = !replicas.unidentified.is_empty();
+    node.view(PublishedTopic::Replicas).history.on_read(extent, has_unidentified);
     record(&LogEvent::HistoryRead {
         after: *oldest,
         departed: replicas.departed.len(),
-        nameless: replicas.nameless.len(),
+        unidentified: replicas.unidentified.len(),
     });
 }
 
--- a/src/replica_history/history_reader.rs
+++ b/src/replica_history/history_reader.rs
@@ -6,6 +6,7 @@
 
 use hyper::StatusCode;
 use tokio::sync::Mutex;
+use tokio::sync::MutexGuard;
 use tokio::time::timeout;
 
 use crate::decide::traffic::EntryChange;
@@ -43,7 +44,7 @@
     protocol: Arc<dyn Protocol>,
     http: HttpClient,
     store: SocketAddr,
-    /// Held while the history is read.
+    /// Held while the store is called.
     turn: Mutex<()>,
 }
 
@@ -53,10 +54,15 @@
         Self { protocol, http, store, turn: Mutex::default() }
     }
 
+    /// Waits for the turn to call the store, so that requests which wait meanwhile find what was learned;
+    /// `None` if it doesn't come in time.
+    pub async fn turn(&self) -> Option<MutexGuard<'_, ()>> {
+        timeout(READ_TIME, self.turn.lock()).await.ok()
+    }
+
     /// Reads the changes up to the revision `newest` of `era` that the store still keeps; `None` if
     /// it keeps none or can't be read.
     pub async fn read(&self, newest: u64, era: u64) -> Option<ReadHistory> {
-        let _turn = self.turn.lock().await;
         let read = timeout(READ_TIME, self.search(newest, era)).await;
         read.unwrap_or_else(|_| Err("not read in time".to_owned()))
             .inspect_err(|e| log::debug!("history of the replicas: {e}"))
@@ -66,7 +72,6 @@
     /// Whether the store still keeps the changes after each of two revisions of `era`; `None` if it
     /// can't be asked.
     pub async fn check(&self, oldest: u64, newest: u64, era: u64) -> Option<(bool, bool)> {
-        let _turn = self.turn.lock().await;
         let checks = async {
             let keeps_oldest = self.keeps(oldest, era).await?;
             // Asked afterwards, so that a loss of the whole history in between shows.
--- a/tests/traffic/replica_history.rs
+++ b/tests/traffic/replica_history.rs
@@ -4,6 +4,7 @@
 use tamaracklead::decide::traffic::Departure;
 use tamaracklead::decide::traffic::EntryChange;
 use tamaracklead::decide::traffic::HistoryExtent;
+use tamaracklead::decide::traffic::HistoryKnowledge;
 use tamaracklead::decide::traffic::HistorySearch;
 use tamaracklead::decide::traffic::HistoryStep;
 use tamaracklead::decide::traffic::PublishedView;
@@ -107,7 +108,7 @@
 #[test]
 fn a_replica_without_an_entry_in_the_history_is_named_only() {
     let history = ReplicaHistory::replay([removed("r1"), removed("r2"), written(started("r2", 2))]);
-    assert_eq!((history.departed, history.nameless), (vec![], vec![name("r1")]));
+    assert_eq!((history.departed, history.unidentified), (vec![], vec![name("r1")]));
 }
 
 /// Guards against listed replicas that count as former ones, and against former ones that are lost once
@@ -200,26 +201,26 @@
 }
 
 fn followed(since: u64, kept_for: Option<u64>) -> PublishedView {
-    let mut view = PublishedView::new(kept_for.map(ms));
+    let mut view = PublishedView::new(HistoryKnowledge::new(kept_for.map(ms)));
     view.on_complete(200, at(since));
     view
 }
 
-/// Guards against time that a view counts as covered although changes were missed, names were lacking, or
+/// Guards against time that a view counts as covered although changes were missed, some told nothing, or
 /// the store doesn't say for how long it keeps its changes.
 #[test]
 fn a_view_covers_what_it_followed_and_what_a_whole_history_told() {
-    let covers = |kept_for, lacks_names, read_at| {
+    let covers = |kept_for, has_unidentified, read_at| {
         let mut view = followed(1000, kept_for);
-        view.on_history_read(HistoryExtent::new(at(read_at), 100, 200), lacks_names);
-        view.on_history_checked(at(2000), false, true);
+        view.history.on_read(HistoryExtent::new(at(read_at), 100, 200), has_unidentified);
+        view.history.on_checked(at(2000), false, true);
         view.coverage(at(3000))
     };
     assert_eq!(covers(Some(20_000), false, 1500), Coverage::Last(ms(21_000)));
-    for (kept_for, lacks_names, read_at) in
+    for (kept_for, has_unidentified, read_at) in
         [(None, false, 1500), (Some(20_000), true, 1500), (Some(20_000), false, 900)]
     {
-        assert_eq!(covers(kept_for, lacks_names, read_at), Coverage::Last(ms(2000)));
+        assert_eq!(covers(kept_for, has_unidentified, read_at), Coverage::Last(ms(2000)));
     }
     let mut lagging = followed(1000, Some(20_000));
     assert_eq!(lagging.coverage(at(9000)), Coverage::Unknown);
@@ -232,9 +233,19 @@
 fn the_history_is_read_once_for_as_long_as_the_replicas_are_followed() {
     let mut view = followed(1000, Some(20_000));
     assert_eq!(view.history_step(at(1100)), HistoryStep::Read { newest: 200 });
-    view.on_history_read(HistoryExtent::new(at(1100), 100, 200), false);
+    view.history.on_read(HistoryExtent::new(at(1100), 100, 200), false);
     assert_eq!(view.history_step(at(1200)), HistoryStep::Nothing);
     view.on_complete(210, at(1500));
     assert_eq!(view.history_step(at(1600)), HistoryStep::Check { oldest: 100, newest: 200 });
     assert_eq!(view.history_step(at(9000)), HistoryStep::Nothing, "the view lags");
 }
+
+/// Load: many streams are taken up while the store doesn't answer. Guards against requests that each wait
+/// for it.
+#[test]
+fn a_store_that_cannot_be_asked_is_asked_again_after_a_second() {
+    let mut view = followed(1000, Some(20_000));
+    view.history.on_failed(at(1100));
+    assert_eq!(view.history_step(at(2099)), HistoryStep::Nothing);
+    assert_eq!(view.history_step(at(2100)), HistoryStep::Read { newest: 200 });
+}
--- a/tests/traffic/stream_versions/instance.rs
+++ b/tests/traffic/stream_versions/instance.rs
@@ -8,6 +8,8 @@
 use tamaracklead::decide::traffic::DeclaredVersions;
 use tamaracklead::decide::traffic::EntryChange;
 use tamaracklead::decide::traffic::HistoryExtent;
+use tamaracklead::decide::traffic::HistoryKnowledge;
+use tamaracklead::decide::traffic::HistoryStep;
 use tamaracklead::decide::traffic::OriginKnowledge;
 use tamaracklead::decide::traffic::OriginPresence;
 use tamaracklead::decide::traffic::PeerRecord;
@@ -56,8 +58,7 @@
     applied: usize,
     last_contact: u64,
     followed_since: u64,
-    history: Option<HistoryExtent>,
-    history_lacks_names: bool,
+    history: HistoryKnowledge,
     listings: CacheListings,
 }
 
@@ -93,8 +94,7 @@
             applied: 0,
             last_contact: 0,
             followed_since: now,
-            history: None,
-            history_lacks_names: false,
+            history: HistoryKnowledge::new(Some(ms(HISTORY_MS))),
             listings: CacheListings::default(),
         }
     }
@@ -138,41 +138,32 @@
     /// What it knows of a stream.
     pub fn knowledge(&self, now: u64, key: StreamKey) -> OriginKnowledge {
         let is_current = now - self.last_contact < CURRENT_MS;
-        let followed = ms(now - self.followed_since);
-        let history = self.followed_history().filter(|_| !self.history_lacks_names);
-        let told = history.map(|history| history.coverage(at(now), ms(HISTORY_MS)));
-        let coverage = match told {
-            _ if !is_current => Coverage::Unknown,
-            Some(Coverage::Last(told_for)) => Coverage::Last(followed.max(told_for)),
-            Some(Coverage::Unknown) | None => Coverage::Last(followed),
-        };
+        let followed = self.history.coverage(at(now), at(self.followed_since));
+        let coverage = if is_current { followed } else { Coverage::Unknown };
         let service = ServiceName::new(SERVICE);
         let origin = self.origins.version_of(at(now), key).cloned();
         let of_service = OriginKnowledge::of_service(&self.replicas, &service, at(now), coverage);
         OriginKnowledge { origin, ..of_service }
     }
 
-    /// What was read of the store's history, unless changes were missed since.
-    fn followed_history(&self) -> Option<HistoryExtent> {
-        self.history.filter(|history| history.read_at() >= at(self.followed_since))
-    }
-
     /// Reads what the store keeps of the changes before those that it follows, or how far back that
     /// reaches.
     pub fn learn_history(&mut self, now: u64, servers: &Servers) {
         if now - self.last_contact >= CURRENT_MS {
             return;
         }
-        if let Some(history) =
-            &mut self.history.filter(|it| it.read_at() >= at(self.followed_since))
-        {
-            if history.is_check_due(at(now)) {
-                let keeps = |revision| servers.oldest_kept(now) <= revision as usize;
-                history.on_check(at(now), keeps(history.oldest), keeps(history.newest));
-                self.history = Some(*history);
+        let newest = self.applied as u64;
+        match self.history.step(at(now), at(self.followed_since), newest) {
+            HistoryStep::Nothing => {}
+            HistoryStep::Read { .. } => self.read_history(now, servers),
+            HistoryStep::Check { oldest, newest } => {
+                let keeps = |revision| servers.oldest_kept(now) as u64 <= revision;
+                self.history.on_checked(at(now), keeps(oldest), keeps(newest));
             }
-            return;
         }
+    }
+
+    fn read_history(&mut self, now: u64, servers: &Servers) {
         let changes = servers.history(now, self.applied);
         if changes.is_empty() {
             return;
@@ -180,8 +171,8 @@
         let (oldest, newest) = (self.applied - changes.len(), self.applied);
         let history = ReplicaHistory::replay(changes.iter().map(|(_, change)| change.clone()));
         self.replicas.on_history(at(now), &history);
-        self.history = Some(HistoryExtent::new(at(now), oldest as u64, newest as u64));
-        self.history_lacks_names = !history.nameless.is_empty();
+        let extent = HistoryExtent::new(at(now), oldest as u64, newest as u64);
+        self.history.on_read(extent, !history.unidentified.is_empty());
     }
 
     /// Asks replicas for what their KV caches hold of a part, and decides; `is_lost` says whether a
