Let a withdrawn replica that no longer answers speak against no version if orders came after it

Four replicas of the old version had been withdrawn without a word eight seconds before the kill; they no longer answered when asked for their KV caches, and so spoke against the new version for a minute.

Change: if an entry written later shows that instances gave orders after the withdrawal, a replica that doesn't answer is taken to have ended while its streams could be resumed elsewhere.

--- a/src/decide/traffic/cache_listings.rs
+++ b/src/decide/traffic/cache_listings.rs
@@ -36,7 +36,9 @@
     fn max_age(&self) -> Duration {
         match self.presence {
             OriginPresence::Listed => MAX_AGE,
-            OriginPresence::MayRun | OriginPresence::Ended => STREAM_MEMORY_TIME,
+            OriginPresence::MayRun | OriginPresence::MayHaveEnded | OriginPresence::Ended => {
+                STREAM_MEMORY_TIME
+            }
         }
     }
 
@@ -44,8 +46,8 @@
     fn renewal_age(&self) -> Duration {
         match (self.presence, &self.tokens) {
             (OriginPresence::Listed, _) => RENEWAL_AGE,
-            (OriginPresence::MayRun | OriginPresence::Ended, None) => FORMER_RETRY_AGE,
-            (OriginPresence::MayRun | OriginPresence::Ended, Some(_)) => STREAM_MEMORY_TIME,
+            (_, None) => FORMER_RETRY_AGE,
+            (_, Some(_)) => STREAM_MEMORY_TIME,
         }
     }
 }
--- a/src/decide/traffic/former_replica.rs
+++ b/src/decide/traffic/former_replica.rs
@@ -45,6 +45,15 @@
         Self::new(entry, Departure::Ended)
     }
 
+    /// The same, of which is known that instances served after it had left.
+    pub fn in_service(self) -> Self {
+        let departure = match self.departure {
+            Departure::Silent | Departure::SilentInService => Departure::SilentInService,
+            Departure::Ended | Departure::EndedInService => Departure::EndedInService,
+        };
+        Self { departure, ..self }
+    }
+
     fn new(entry: &ReplicaEntry, departure: Departure) -> Self {
         Self {
             name: entry.name.clone(),
--- a/src/decide/traffic/origin_presence.rs
+++ b/src/decide/traffic/origin_presence.rs
@@ -7,6 +7,8 @@
     Listed,
     /// It is listed no more, but may still run.
     MayRun,
+    /// It may still run, but its streams went on elsewhere if it doesn't answer.
+    MayHaveEnded,
     /// It has ended.
     Ended,
 }
--- a/src/decide/traffic/possible_origin.rs
+++ b/src/decide/traffic/possible_origin.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 
+use super::CacheAnswer;
+use super::CacheHolding;
 use super::Departure;
 use super::FormerReplica;
 use super::OriginPresence;
@@ -47,6 +49,7 @@
         for replica in former {
             let presence = match replica.departure {
                 Departure::Silent => OriginPresence::MayRun,
+                Departure::SilentInService => OriginPresence::MayHaveEnded,
                 Departure::Ended => OriginPresence::Ended,
                 Departure::EndedInService => continue,
             };
@@ -59,6 +62,17 @@
         all
     }
 
+    /// What its KV cache tells, `None` of which is known if it didn't answer; `None` if its streams went
+    /// on elsewhere.
+    pub fn answer(self, holding: Option<CacheHolding>) -> Option<CacheAnswer> {
+        match (self.presence, holding) {
+            (OriginPresence::MayHaveEnded, None) => None,
+            (_, holding) => {
+                Some(CacheAnswer { replica: self.name, software: self.software, holding })
+            }
+        }
+    }
+
     fn former(replica: &FormerReplica, presence: OriginPresence) -> Self {
         Self {
             name: replica.name.clone(),
--- a/src/decide/traffic/replica_history.rs
+++ b/src/decide/traffic/replica_history.rs
@@ -10,7 +10,6 @@
 
 use std::collections::HashMap;
 
-use super::Departure;
 use super::EntryChange;
 use super::FormerReplica;
 use super::ReplicaEntry;
@@ -58,12 +57,9 @@
                 }
             }
         }
-        let departed = departed.into_iter().map(|(place, former)| match former.departure {
-            Departure::Ended if place < served_after => {
-                FormerReplica { departure: Departure::EndedInService, ..former }
-            }
-            Departure::Silent | Departure::Ended | Departure::EndedInService => former,
-        });
+        let departed = departed
+            .into_iter()
+            .map(|(place, former)| if place < served_after { former.in_service() } else { former });
         Self { departed: departed.collect(), unidentified }
     }
 }
--- a/src/relay/prompt_caches.rs
+++ b/src/relay/prompt_caches.rs
@@ -28,12 +28,11 @@
     }
     let listings = node.cache_listings();
     let now = node.now();
-    let answer = |replica: PossibleOrigin| CacheAnswer {
-        holding: listings.holding(now, &replica, part.id),
-        replica: replica.name,
-        software: replica.software,
+    let answer = |replica: PossibleOrigin| {
+        let holding = listings.holding(now, &replica, part.id);
+        replica.answer(holding)
     };
-    replicas.into_iter().map(answer).collect()
+    replicas.into_iter().filter_map(answer).collect()
 }
 
 /// Gets the listings that are missing or old. One request does so at a time, so that those that wait
--- a/tests/traffic/replica_history.rs
+++ b/tests/traffic/replica_history.rs
@@ -76,6 +76,21 @@
     assert_eq!(departures(&changes), expected);
 }
 
+/// Guards against streams that are all refused since a replica was withdrawn long before instances ended.
+#[test]
+fn a_replica_that_was_withdrawn_before_the_last_order_may_have_ended_since() {
+    let changes = [
+        written(started("r1", 1)),
+        removed("r1"),
+        holding("r2", &[("a", 1)]),
+        holding("r2", &[("b", 1)]),
+        written(started("r3", 1)),
+        removed("r3"),
+    ];
+    let expected = [left("r1", Departure::SilentInService), left("r3", Departure::Silent)];
+    assert_eq!(departures(&changes), expected);
+}
+
 /// Guards against adapters that a restart dropped, and entries that say the same again, which are taken
 /// for signs of orders.
 #[test]
--- a/tests/traffic/stream_caches.rs
+++ b/tests/traffic/stream_caches.rs
@@ -113,6 +113,7 @@
         former("r2", 5, Departure::Silent),
         former("r3", 5, Departure::Ended),
         former("r4", 5, Departure::EndedInService),
+        former("r5", 5, Departure::SilentInService),
     ];
     let all = PossibleOrigin::all(vec![listed("r1")], &former);
     let expected = [
@@ -120,10 +121,25 @@
         origin("r1", 4, OriginPresence::Ended),
         origin("r2", 5, OriginPresence::MayRun),
         origin("r3", 5, OriginPresence::Ended),
+        origin("r5", 5, OriginPresence::MayHaveEnded),
     ];
     assert_eq!(all, expected);
 }
 
+/// Guards against streams that are refused because of a replica that ended while instances served, and
+/// against one that goes on although such a replica still runs and holds its prompt.
+#[test]
+fn a_replica_that_may_have_ended_counts_only_if_it_answers() {
+    let holding = CacheHolding { tokens: 400, age: Duration::ZERO };
+    for presence in [OriginPresence::Listed, OriginPresence::MayRun, OriginPresence::Ended] {
+        assert!(origin("r1", 5, presence).answer(None).is_some());
+    }
+    let former = origin("r1", 5, OriginPresence::MayHaveEnded);
+    assert_eq!(former.clone().answer(None), None);
+    let answer = former.answer(Some(holding)).unwrap();
+    assert_eq!(answer.holding, Some(holding));
+}
+
 /// Guards against streams that are refused once a replica that left has ended, although it was asked
 /// while it still served.
 #[test]
--- a/tests/traffic/stream_versions/instance.rs
+++ b/tests/traffic/stream_versions/instance.rs
@@ -196,12 +196,11 @@
             let parts = servers.cached(&replica.name).filter(|_| !is_lost());
             self.listings.on_listing(replica, at(now), parts.as_deref());
         }
-        let to_answer = |replica: PossibleOrigin| CacheAnswer {
-            holding: self.listings.holding(at(now), &replica, part.id),
-            replica: replica.name,
-            software: replica.software,
+        let to_answer = |replica: PossibleOrigin| {
+            let holding = self.listings.holding(at(now), &replica, part.id);
+            replica.answer(holding)
         };
-        let answers: Vec<CacheAnswer> = replicas.into_iter().map(to_answer).collect();
+        let answers: Vec<CacheAnswer> = replicas.into_iter().filter_map(to_answer).collect();
         StreamVersion::from_caches(&part, OUTPUT_TOKENS, &answers)
     }
 
