Take the only version for streams without a prompt once the store's history shows no other

Callers saw: streams of a service without models, of one version all along, were refused after a loss of all instances.

Cause: took the age of the listed replicas as no sign any more, and such streams have no prompt that KV caches tell of.

Change: the store's history is read, and the only version among the replicas that are listed or left counts for them.

--- a/src/decide/traffic/history_knowledge.rs
+++ b/src/decide/traffic/history_knowledge.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Whether the store told what happened before `followed_since`, as far as it keeps that.
+    pub fn has_told(&self, followed_since: Timestamp) -> bool {
+        !self.has_unidentified && self.extent_since(followed_since).is_some()
+    }
+
     /// Time over which every change is known, as they are followed since `followed_since`.
     pub fn coverage(&self, now: Timestamp, followed_since: Timestamp) -> Coverage {
         let followed_for = now.since(followed_since);
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -121,6 +121,12 @@
         self.history.coverage(now, since)
     }
 
+    /// Whether the store told of the changes before those that are followed, as far as it keeps them.
+    pub fn has_told_history(&self, now: Timestamp) -> bool {
+        let since = self.followed_since.filter(|_| self.is_current(now));
+        since.is_some_and(|since| self.history.has_told(since))
+    }
+
     /// What to do to learn of the changes before those that are followed.
     pub fn history_step(&self, now: Timestamp) -> HistoryStep {
         let since = self.followed_since.filter(|_| self.is_current(now));
--- a/src/decide/traffic/stream_version.rs
+++ b/src/decide/traffic/stream_version.rs
@@ -52,6 +52,17 @@
         }
     }
 
+    /// The only version of a service's replicas, listed or left, for a stream without a prompt that KV
+    /// caches could tell of.
+    pub fn sole<'a>(known: impl Iterator<Item = &'a OriginKnowledge>) -> Self {
+        let versions: BTreeSet<&SoftwareVersion> =
+            known.flat_map(|known| &known.versions).collect();
+        match versions.first() {
+            Some(only) if versions.len() == 1 => Self::At((*only).clone()),
+            Some(_) | None => Self::Unknown,
+        }
+    }
+
     /// Decides from the replicas' KV caches, for a stream whose origin no instance knows. `part` is the
     /// last one of its prompt, which no other request has but those of its session, and
     /// `output_tokens` the most tokens that the stream may have.
--- a/src/relay/stream_origins.rs
+++ b/src/relay/stream_origins.rs
@@ -126,7 +126,15 @@
 ) -> (FoundVersion, Vec<CacheAnswer>) {
     let unknown = FoundVersion { version: StreamVersion::Unknown, source: VersionSource::Unknown };
     let (Some(key), Some(part)) = (&head.needs.key, head.needs.parts.last()) else {
-        return (unknown, Vec::new());
+        if !node.view(PublishedTopic::Replicas).has_told_history(node.now()) {
+            return (unknown, Vec::new());
+        }
+        let version = StreamVersion::sole(known);
+        let source = match version {
+            StreamVersion::At(_) => VersionSource::SoleVersion,
+            StreamVersion::Unknown | StreamVersion::Contradictory => VersionSource::Unknown,
+        };
+        return (FoundVersion { version, source }, Vec::new());
     };
     let listed = node.replicas().cache_candidates(service, key, MAX_CACHES_ASKED);
     let replicas = PossibleOrigin::all(listed, known.flat_map(|known| &known.departed));
