--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -16,10 +16,6 @@
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first_line.split(' ').next().unwrap_or("")
-    }
-
     pub fn target(&self) -> &str {
         self.first_line.split(' ').nth(1).unwrap_or("")
     }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,11 +1,10 @@
-//! Stand-ins and clients of the cases in `review/6` to `review/10`: store, replicas, clients.
+//! Stand-ins and clients of the cases `review/8` and `review/10`, and of two more that
+//! the report names: store, replicas, clients.
 //!
 //! `review-standin-2 CASE FOLDER` plays a case against the program of the deploy file and writes
 //! `FOLDER/record.txt`. It exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
 //! run. With `TROUBLE=0` the disruption is left out.
 
-#![allow(dead_code)]
-
 mod client;
 mod endless;
 mod history;
@@ -19,7 +18,7 @@
 
 use std::path::PathBuf;
 use std::time::Duration;
-use std::{env, fs, process, thread};
+use std::{env, fs, panic, process, thread};
 
 use record::Record;
 
@@ -43,6 +42,11 @@
     if fs::create_dir_all(&dir).is_err() {
         process::exit(2);
     }
+    // A stand-in that fails shows nothing of the system.
+    panic::set_hook(Box::new(|info| {
+        eprintln!("{info}");
+        process::exit(2);
+    }));
     thread::spawn(|| {
         thread::sleep(LIMIT);
         eprintln!("the case took too long");
--- a/review/standin-2/src/program.rs
+++ b/review/standin-2/src/program.rs
@@ -7,14 +7,29 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use crate::http;
 
-/// An address on loopback that is free now.
+/// First port that is given out; below the range from which connections get theirs, so that a listener
+/// that ends and starts again finds its port free.
+const FIRST_PORT: u32 = 10_000;
+const PORT_COUNT: u32 = 20_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address on loopback that is free now, and that this process gives out once.
 pub fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free address");
-    listener.local_addr().expect("free address")
+    let own_start = std::process::id().wrapping_mul(97);
+    for _ in 0..PORT_COUNT {
+        let offset = own_start.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst)) % PORT_COUNT;
+        let addr = SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + offset) as u16));
+        if TcpListener::bind(addr).is_ok() {
+            return addr;
+        }
+    }
+    panic!("no port on loopback is free");
 }
 
 /// One entry instance.
@@ -22,7 +37,6 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
-    pub peer: SocketAddr,
     binary: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -54,7 +68,7 @@
         fs::write(&settings, text).expect("settings");
         let binary = PathBuf::from("target/release/tamaracklead-platform");
         let log = dir.join(format!("{name}.log"));
-        Self { name: name.to_owned(), front, ready, peer, binary, settings, log, child: None }
+        Self { name: name.to_owned(), front, ready, binary, settings, log, child: None }
     }
 
     pub fn start(&mut self) -> bool {
@@ -80,11 +94,6 @@
         }
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
-
     pub fn is_ready(&self) -> bool {
         http::get(self.ready, "/api/ready", Duration::from_millis(500))
             .is_some_and(|(s, _)| s == 200)
--- a/review/standin-2/src/record.rs
+++ b/review/standin-2/src/record.rs
@@ -24,8 +24,4 @@
             let _ = writeln!(file, "{at:8.3}  {text}");
         }
     }
-
-    pub fn seconds(&self) -> f64 {
-        self.began.elapsed().as_secs_f64()
-    }
 }
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -26,7 +26,6 @@
     pub record: Record,
     pub software: Mutex<String>,
     pub born: AtomicU64,
-    pub running: AtomicUsize,
     /// Rises with each start and each crash, so that threads of an earlier start end.
     generation: AtomicU64,
     streams: Mutex<Vec<TcpStream>>,
@@ -52,7 +51,6 @@
             record: record.clone(),
             software: Mutex::new(software.to_owned()),
             born: AtomicU64::new(0),
-            running: AtomicUsize::new(0),
             generation: AtomicU64::new(0),
             streams: Mutex::default(),
             handler,
@@ -72,7 +70,7 @@
     pub fn listen(self: &Arc<Self>) {
         let generation = self.generation.fetch_add(1, Ordering::SeqCst) + 1;
         self.born.store(unix_ms(), Ordering::SeqCst);
-        let listener = TcpListener::bind(self.addr).expect("replica address");
+        let listener = bind(self.addr);
         listener.set_nonblocking(true).expect("replica listener");
         let me = Arc::clone(self);
         thread::spawn(move || {
@@ -195,3 +193,17 @@
     let linger = Linger { on: 1, seconds: 0 };
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, &linger, 8) };
 }
+
+/// Binds an address that was this replica's before, as soon as that is free.
+fn bind(addr: SocketAddr) -> TcpListener {
+    let began = Instant::now();
+    loop {
+        match TcpListener::bind(addr) {
+            Ok(listener) => return listener,
+            Err(_) if began.elapsed() < Duration::from_secs(2) => {
+                thread::sleep(Duration::from_millis(10));
+            }
+            Err(e) => panic!("{addr} can't be bound: {e}"),
+        }
+    }
+}
--- a/review/standin-2/src/store.rs
+++ b/review/standin-2/src/store.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{response, Conn};
+use crate::http::{response, Conn, Head};
+use crate::program::free_addr;
 
 /// Time for which the store keeps its changes, as the sheets say (`history_s`).
 pub const HISTORY: Duration = Duration::from_secs(20);
@@ -38,25 +38,22 @@
 pub struct Store {
     pub addr: SocketAddr,
     state: Arc<Mutex<State>>,
-    /// While set, no call is answered.
-    pub is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("store address");
-        let addr = listener.local_addr().expect("store address");
+        let addr = free_addr();
+        let listener = TcpListener::bind(addr).expect("store address");
         let state: Arc<Mutex<State>> =
             Arc::new(Mutex::new(State { rev: 100, dropped: 100, ..State::default() }));
-        let is_silent = Arc::new(AtomicBool::new(false));
-        let (shared, silent) = (Arc::clone(&state), Arc::clone(&is_silent));
+        let shared = Arc::clone(&state);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (state, silent) = (Arc::clone(&shared), Arc::clone(&silent));
-                thread::spawn(move || serve(Conn::new(stream), &state, &silent));
+                let state = Arc::clone(&shared);
+                thread::spawn(move || serve(Conn::new(stream), &state));
             }
         });
-        Self { addr, state, is_silent }
+        Self { addr, state }
     }
 
     pub fn put(&self, key: &str, value: &str) -> u64 {
@@ -70,30 +67,11 @@
         state.history.push(change);
         rev
     }
-
-    pub fn remove(&self, key: &str) {
-        let mut state = self.state.lock().unwrap();
-        if state.items.remove(key).is_none() {
-            return;
-        }
-        state.rev += 1;
-        let rev = state.rev;
-        state.history.push(Change { rev, at: Instant::now(), key: key.to_owned(), item: None });
-    }
 }
 
-fn serve(mut conn: Conn, state: &Mutex<State>, silent: &AtomicBool) {
+fn serve(mut conn: Conn, state: &Mutex<State>) {
     while let Ok(head) = conn.read_head() {
-        if silent.load(Ordering::SeqCst) {
-            // A channel on which a response is lost returns nothing further.
-            thread::sleep(Duration::from_secs(120));
-            return;
-        }
-        let (status, body) = answer(&head, state, silent);
-        if silent.load(Ordering::SeqCst) {
-            thread::sleep(Duration::from_secs(120));
-            return;
-        }
+        let (status, body) = answer(&head, state);
         let bytes = response(
             status,
             &[("Content-Type", "application/json"), ("Store-Era", "1")],
@@ -105,7 +83,7 @@
     }
 }
 
-fn answer(head: &crate::http::Head, state: &Mutex<State>, silent: &AtomicBool) -> (u16, String) {
+fn answer(head: &Head, state: &Mutex<State>) -> (u16, String) {
     let prefix = head.query("prefix").unwrap_or("").replace("%2F", "/");
     match head.path() {
         "/api/kv-range" => {
@@ -126,17 +104,12 @@
                 ),
             )
         }
-        "/api/kv-watch" => watch(head, &prefix, state, silent),
+        "/api/kv-watch" => watch(head, &prefix, state),
         _ => (404, "{}".to_owned()),
     }
 }
 
-fn watch(
-    head: &crate::http::Head,
-    prefix: &str,
-    state: &Mutex<State>,
-    silent: &AtomicBool,
-) -> (u16, String) {
+fn watch(head: &Head, prefix: &str, state: &Mutex<State>) -> (u16, String) {
     let number = |name| head.query(name).and_then(|text| text.parse::<u64>().ok()).unwrap_or(0);
     let (after, wait) = (number("after"), Duration::from_millis(number("wait_ms")));
     let began = Instant::now();
@@ -156,9 +129,6 @@
                 );
             }
         }
-        if silent.load(Ordering::SeqCst) {
-            return (503, "{}".to_owned());
-        }
         thread::sleep(Duration::from_millis(3));
     }
 }
