Let one of several watchers order a new replica's base model first

Cause: instances that don't hear each other, on the two sides of a split fleet, begin to watch a new replica as soon as it answers, and see it idle for the same time. Both acquire the lease and order the base model. The order count, which lets only one of two instances order an adapter, stops neither here: a replica answers the load of a base model that is in progress with 202, whatever count is expected. It breaks the rule where the one with the lower fencing number is the later one, or orders an adapter afterwards.

Change: an instance gives those that rank above it in the election, live or lost within the last 30 s, a head start of 2 s each and 4 s at most, and then asks for one more report before its first order. Only for replicas that hold no base model; of the two sides one at most has the highest rank. The same after a restart of the replica while its lease is held.

Result: the model of order turns has base models and replaced replicas now. A replica without a model whose owner was lost, or runs on behind a cut, is ordered up to 4 s later than before; all others as before.

--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -7,6 +7,11 @@
 //! longer should, or until the count changes by orders of another instance. A holder that leaves
 //! hands the lease over, so that its successor need not wait. Replicas need not check fencing
 //! numbers; those of later holders are higher all the same.
+//!
+//! Instances that don't hear each other may watch an idle replica at the same time and all acquire
+//! its lease. Its order count lets only one of them order adapters. The load of a base model isn't
+//! refused that way while another one is in progress, so each instance gives those that rank above
+//! it for the replica a head start, and then asks for one more report.
 
 use std::time::Duration;
 
@@ -16,6 +21,11 @@
 
 /// Longest time by which a replica's report lags behind its state.
 const REPORT_LAG: Duration = Duration::from_millis(400);
+/// Time by which two instances of consecutive ranks are kept apart: the lag of a report, and the
+/// time by which they may begin to watch the replica one after the other.
+const HEAD_START: Duration = Duration::from_secs(2);
+/// Rank from which on the head start doesn't grow.
+const MAX_RANK: u32 = 2;
 
 /// What an instance has to do next about the orders of a replica.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,13 +59,22 @@
 #[derive(Clone, Debug)]
 pub struct OrderLease {
     lease: Duration,
+    /// Time for which instances of higher rank may give the first order.
+    head_start: Duration,
     state: State,
 }
 
 impl OrderLease {
     /// A lease of this duration that this instance doesn't hold.
     pub fn new(lease: Duration) -> Self {
-        Self { lease, state: State::Standby }
+        Self { lease, head_start: Duration::ZERO, state: State::Standby }
+    }
+
+    /// Sets how many instances, live or not, rank above this one for a replica that holds no base
+    /// model; zero for other replicas, whose order count lets only one instance order.
+    pub fn set_rank(&mut self, rank: usize) {
+        let rank = u32::try_from(rank).unwrap_or(MAX_RANK).min(MAX_RANK);
+        self.head_start = HEAD_START * rank;
     }
 
     /// Decides the next step; `should_hold` is whether this instance should hold the lease.
@@ -80,6 +99,11 @@
                 LeaseStep::AskReport
             }
             State::Holding { orders_from, .. } if now < orders_from => LeaseStep::Wait,
+            State::Holding { orders_from, last_checked, .. }
+                if !self.head_start.is_zero() && last_checked < orders_from =>
+            {
+                LeaseStep::AskReport
+            }
             State::Holding { .. } => LeaseStep::Hold,
         }
     }
@@ -95,6 +119,7 @@
         fence: u64,
     ) {
         let watch_time = self.watch_time();
+        let first_order = now + self.head_start;
         match &mut self.state {
             State::Standby => {}
             State::Watching(watch) => {
@@ -106,7 +131,7 @@
                         count,
                         last_checked: now,
                         last_ordered: now,
-                        orders_from: now,
+                        orders_from: first_order,
                     };
                 }
             }
@@ -115,6 +140,7 @@
                 count: known,
                 last_checked,
                 last_ordered,
+                orders_from,
                 ..
             } => {
                 if *known_start == started_ms && count <= *known {
@@ -126,6 +152,7 @@
                     *known_start = started_ms;
                     *known = 0;
                     *last_checked = now;
+                    *orders_from = first_order.max(*orders_from);
                 } else {
                     let mut watch = OrderWatch::default();
                     watch.on_report(now, (started_ms, count), activity);
--- a/src/decide/traffic/owner_election.rs
+++ b/src/decide/traffic/owner_election.rs
@@ -66,3 +66,15 @@
     names.sort_unstable();
     names
 }
+
+/// Number of the others that rank above `me` for a replica and don't shut down.
+pub fn rank<'a>(
+    others: impl Iterator<Item = &'a PeerRecord>,
+    me: &PeerRecord,
+    replica: &str,
+) -> usize {
+    let ranking = rendezvous::Ranking::new(replica);
+    let score = |record: &PeerRecord| (ranking.score(record.name.as_str()), record.name.clone());
+    let own = score(me);
+    others.filter(|record| !record.draining && score(record) > own).count()
+}
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -309,6 +309,13 @@
         self.election.owner(replica)
     }
 
+    /// Number of instances, live or lost a moment ago, that rank above this one as owners of a
+    /// replica.
+    pub fn owner_rank(&self, replica: &str) -> usize {
+        let others = self.known.values().map(|known| &known.record);
+        owner_election::rank(others, &self.me, replica)
+    }
+
     /// Instances that may own replicas, sorted by name.
     fn owner_candidates(&self, now: Timestamp) -> Vec<InstanceName> {
         owner_election::candidates(self.live(now).chain([&self.me]))
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -59,6 +59,7 @@
 mod quotas;
 mod reach;
 mod replica_call;
+mod replica_ownership;
 mod replica_request;
 mod replica_request_guard;
 mod replica_search;
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -23,15 +23,12 @@
 use super::quotas;
 use super::replica_call::REPLICA_CALL_TIMEOUT;
 use super::replica_call::call_replica;
+use super::replica_ownership::ReplicaOwnership;
 use crate::decide::traffic::EngineSpec;
 use crate::decide::traffic::GivingUp;
 use crate::decide::traffic::LeaseStep;
 use crate::decide::traffic::Order;
-use crate::decide::traffic::OrderLease;
-use crate::decide::traffic::PrefixTracker;
 use crate::decide::traffic::PromptTurns;
-use crate::decide::traffic::ReplicaPace;
-use crate::decide::traffic::ReplicaPlan;
 use crate::decide::traffic::Service;
 use crate::names::BackendName;
 use crate::names::InstanceName;
@@ -49,42 +46,6 @@
 /// Delay after a failed report.
 const FAILED_REPORT_DELAY: Duration = Duration::from_millis(400);
 
-/// State of a replica that this instance owns or is about to own.
-#[derive(Debug)]
-pub struct ReplicaOwnership {
-    /// Lease on its orders.
-    pub lease: OrderLease,
-    /// What it should hold and load.
-    pub plan: ReplicaPlan,
-    /// Turns of the long prompts that it reads.
-    pub turns: PromptTurns,
-    /// Parts of long prompts that it has read.
-    pub prefixes: PrefixTracker,
-    /// Its speed, by the streams of all instances.
-    pub pace: ReplicaPace,
-    /// When the replica started, in Unix milliseconds; 0 until that is known.
-    pub started_ms: u64,
-    has_pending_call: bool,
-    next_report: Timestamp,
-    taken_over_at: Timestamp,
-}
-
-impl ReplicaOwnership {
-    fn new(now: Timestamp, lease: Duration) -> Self {
-        Self {
-            lease: OrderLease::new(lease),
-            plan: ReplicaPlan::default(),
-            turns: PromptTurns::default(),
-            prefixes: PrefixTracker::default(),
-            pace: ReplicaPace::default(),
-            started_ms: 0,
-            has_pending_call: false,
-            next_report: now,
-            taken_over_at: now,
-        }
-    }
-}
-
 /// Takes over a replica from another instance; refuses and returns `false` during a shutdown.
 pub fn accept_handover(node: &Node, handover: Handover) -> bool {
     if node.is_draining() {
@@ -286,6 +247,10 @@
         None => Err("no answer".to_owned()),
     };
     let now = node.now();
+    let rank = match &report {
+        Ok(report) if report.models.is_empty() => node.peers().owner_rank(replica.as_str()),
+        Ok(_) | Err(_) => 0,
+    };
     let mut all = node.owned();
     let Some(owned) = all.get_mut(replica) else { return };
     let report = match report {
@@ -307,6 +272,7 @@
     let was_held = owned.lease.is_held();
     let fence = if was_held { 0 } else { node.next_fence() };
     let activity = report.load_activity();
+    owned.lease.set_rank(rank);
     owned.lease.on_report(now, report.started_ms, report.accepted_orders, activity, fence);
     if owned.lease.is_held() != was_held {
         record(&LogEvent::OrdersHeld {
--- a/tests/traffic/order_lease.rs
+++ b/tests/traffic/order_lease.rs
@@ -212,3 +212,49 @@
     assert_eq!(lease.fence_and_count(at(3200)), None);
     assert_eq!(lease.fence_and_count(at(3900)), Some((12, 5)));
 }
+
+/// Guards against a base model that two instances order: the one of lower rank waits, and asks for
+/// one more report before its first order.
+#[test]
+fn an_instance_of_lower_rank_orders_a_base_model_later_and_after_one_more_report() {
+    let acquired = LEASE_MS + 400;
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    lease.step(at(0), true);
+    lease.set_rank(1);
+    lease.on_report(at(0), START, 0, IDLE, 1);
+    lease.on_report(at(acquired), START, 0, IDLE, 9);
+    assert_eq!(lease.step(at(acquired), true), LeaseStep::Wait);
+    assert_eq!(lease.fence_and_count(at(acquired + 1999)), None);
+    assert_eq!(lease.step(at(acquired + 2000), true), LeaseStep::AskReport);
+    let mut first = lease.clone();
+    first.on_report(at(acquired + 2001), START, 0, IDLE, 9);
+    assert_eq!(first.step(at(acquired + 2001), true), LeaseStep::Hold);
+    lease.on_report(at(acquired + 2001), START, 1, LoadActivity::Model, 9);
+    assert!(!lease.is_held(), "the other instance has ordered");
+}
+
+/// The same for a replica that starts again while two instances take themselves for its holder.
+#[test]
+fn after_a_restart_of_the_replica_the_holder_of_lower_rank_orders_later() {
+    let restarted = LEASE_MS + 2000;
+    let mut lease = holding(5);
+    lease.set_rank(2);
+    lease.on_report(at(restarted), START + 1, 0, IDLE, 0);
+    assert_eq!(lease.fence_and_count(at(restarted + 3999)), None);
+    assert_eq!(lease.step(at(restarted + 4000), true), LeaseStep::AskReport);
+    let mut first = holding(5);
+    first.set_rank(0);
+    first.on_report(at(restarted), START + 1, 0, IDLE, 0);
+    assert_eq!(first.step(at(restarted), true), LeaseStep::Hold);
+}
+
+/// Guards against replicas that stay without orders since many instances rank above.
+#[test]
+fn the_wait_of_an_instance_of_low_rank_is_bounded() {
+    let mut lease = OrderLease::new(ms(LEASE_MS));
+    lease.step(at(0), true);
+    lease.set_rank(400);
+    lease.on_report(at(0), START, 0, IDLE, 1);
+    lease.on_report(at(LEASE_MS + 400), START, 0, IDLE, 9);
+    assert_eq!(lease.orders_in(at(LEASE_MS + 400)), Some(ms(4000)));
+}
--- a/tests/traffic/order_turns.rs
+++ b/tests/traffic/order_turns.rs
@@ -34,6 +34,8 @@
 const MOST_LOADS: [usize; 4] = [1, 1, 2, 4];
 /// Time before a turn from which on its trace is printed, in ms.
 const TRACED_MS: u64 = 5000;
+/// Time after a link is back in which orders are allowed whatever came before, in ms.
+const THAW_MS: u64 = 300;
 /// Time for which a replica stays busy after a fault that separates instances, in ms.
 const BUSY_AFTER_MS: u64 = 12_000;
 
@@ -54,6 +56,18 @@
     None
 }
 
+/// The first order with a lower fencing number than the one before it, and that one.
+fn first_lower_fence(arrivals: &[Arrival]) -> Option<[Arrival; 2]> {
+    let mut highest: Option<Arrival> = None;
+    for order in arrivals {
+        if let Some(highest) = highest.filter(|highest| order.fence < highest.fence) {
+            return Some([highest, *order]);
+        }
+        highest = Some(*order);
+    }
+    None
+}
+
 fn plan_faults(world: &mut World) {
     let longest_gap = world.draw(1500..9000);
     let mut at = 0;
@@ -120,6 +134,28 @@
     world.plan(at, Event::KeepBusy { lasts });
 }
 
+/// New replicas, which load their base model first, around faults that separate instances.
+fn plan_new_replicas(world: &mut World) {
+    let mut at = EARLY_MS.start;
+    while at < RUN_MS {
+        let lasts = world.draw(3000..12_000);
+        keep_busy(world, at, lasts);
+        let group = [(); INSTANCES].map(|()| world.draw(0..2) == 0);
+        world.plan(at, Event::Cut { group, lasts });
+        let replaced_at = at + world.draw(0..4000);
+        let ready_in = world.draw(0..6000);
+        world.plan(replaced_at.saturating_sub(1000), Event::ReplaceReplica { ready_in });
+        at += lasts + world.draw(2000..8000);
+    }
+}
+
+fn run_with_new_replicas(seed: u64) -> World {
+    let mut world = World::new(seed, LOAD_TIMES_MS[0].clone(), MOST_LOADS[0], false);
+    plan_new_replicas(&mut world);
+    world.run(RUN_MS);
+    world
+}
+
 fn run(seed: u64) -> World {
     let load_time = LOAD_TIMES_MS[seed as usize % LOAD_TIMES_MS.len()].clone();
     let is_old_fleet = seed % 5 == 4;
@@ -182,3 +218,31 @@
     }
     assert!(turns.is_empty(), "turns in {} runs, the first one:\n{first_trace}", turns.len());
 }
+
+/// Guards against a base model that two instances order, as both see a new replica idle at the same
+/// time and neither order is refused.
+#[test]
+fn no_two_instances_order_the_base_model_of_a_new_replica() {
+    let (mut orders, mut breaches, mut first_trace) = (0, Vec::new(), String::new());
+    for seed in 0..cases() {
+        let world = run_with_new_replicas(seed);
+        let is_early = |at: u64| {
+            world.healed_at.iter().any(|healed| (0..THAW_MS).contains(&at.wrapping_sub(*healed)))
+        };
+        let heeded = |order: &&Arrival| order.answer != Answer::Conflict && !is_early(order.at);
+        let heeded: Vec<Arrival> = world.replica.arrivals.iter().filter(heeded).copied().collect();
+        orders += heeded.len();
+        if let Some([higher, lower]) = first_lower_fence(&heeded) {
+            if breaches.is_empty() {
+                first_trace = trace(&world, &[higher, higher, lower]);
+            }
+            breaches.push((seed, higher, lower));
+        }
+    }
+    println!("{orders} orders");
+    assert!(
+        breaches.is_empty(),
+        "{} runs, {breaches:?}, the first one:\n{first_trace}",
+        breaches.len()
+    );
+}
--- a/tests/traffic/order_turns/instance.rs
+++ b/tests/traffic/order_turns/instance.rs
@@ -14,6 +14,8 @@
 use tamaracklead::names::InstanceName;
 
 use super::replica::Answer;
+use super::replica::MODEL;
+use super::replica::Order;
 use super::replica::Report;
 use crate::support::at;
 use crate::support::ms;
@@ -28,6 +30,7 @@
 const PENDING_REPORT_INTERVAL_MS: u64 = 60;
 const FAILED_REPORT_DELAY_MS: u64 = 400;
 const ORDER_MEMORY_MS: u64 = 600;
+const MODEL_LOAD_TIMEOUT_MS: u64 = 5000;
 
 #[derive(Clone, Debug)]
 pub struct Handover {
@@ -35,13 +38,14 @@
     pub started_ms: u64,
     pub count: u64,
     pub loading: Vec<u32>,
+    pub has_model: bool,
     pub recent_holders: Option<Vec<HolderWait>>,
 }
 
 /// What an instance does at a tick.
 pub enum Step {
     AskReport,
-    Order { expected: u64, key: u32 },
+    Order(Order),
     HandOver(Handover),
 }
 
@@ -49,6 +53,8 @@
     lease: OrderLease,
     loads: BTreeMap<u32, LoadInProgress>,
     last_ordered: BTreeMap<u32, u64>,
+    has_model: bool,
+    model_ordered_at: Option<u64>,
     has_pending_call: bool,
     next_report: u64,
     taken_over_at: u64,
@@ -61,6 +67,8 @@
             lease: OrderLease::new(ms(LEASE_MS)),
             loads: BTreeMap::new(),
             last_ordered: BTreeMap::new(),
+            has_model: false,
+            model_ordered_at: None,
             has_pending_call: false,
             next_report: now,
             taken_over_at: now,
@@ -69,6 +77,11 @@
     }
 
     fn next_order(&self, now: u64, demand: Option<u32>, max_loads: usize) -> Option<u32> {
+        if !self.has_model {
+            let is_ordered =
+                self.model_ordered_at.is_some_and(|at| now - at < MODEL_LOAD_TIMEOUT_MS);
+            return (!is_ordered).then_some(MODEL);
+        }
         let poll = self.loads.iter().find(|(_, load)| load.should_poll(at(now)));
         let demand =
             demand.filter(|key| self.loads.len() < max_loads && !self.loads.contains_key(key));
@@ -76,6 +89,13 @@
     }
 
     fn on_report(&mut self, now: u64, report: &Report) {
+        if report.is_busy {
+            self.model_ordered_at = Some(now);
+        }
+        if report.has_model {
+            self.has_model = true;
+            self.model_ordered_at = None;
+        }
         self.last_ordered.retain(|_, ordered| now - *ordered < ORDER_MEMORY_MS);
         for key in &report.loading {
             if !self.last_ordered.contains_key(key) {
@@ -142,11 +162,12 @@
             if step == LeaseStep::Hold { owned.next_order(now, demand, max_loads) } else { None };
         if let Some(key) = order {
             owned.has_pending_call = true;
-            let (_, expected) = owned.lease.fence_and_count(at(now))?;
+            let (fence, expected) = owned.lease.fence_and_count(at(now))?;
             self.history.on_order(at(now), &name("r"), &instance(self.id));
-            return Some(Step::Order { expected, key });
+            return Some(Step::Order(Order { holder: self.id, fence, expected, key }));
         }
-        let asks = step == LeaseStep::AskReport && now >= owned.next_report;
+        let awaits_model = step == LeaseStep::Hold && owned.model_ordered_at.is_some();
+        let asks = (step == LeaseStep::AskReport || awaits_model) && now >= owned.next_report;
         owned.has_pending_call = asks;
         asks.then_some(Step::AskReport)
     }
@@ -166,11 +187,18 @@
         }
         let held = owned.lease.release();
         let loading = owned.loads.keys().copied().collect();
+        let has_model = owned.has_model;
         self.owned = None;
         let (started_ms, count, _) = held?;
         let recent_holders = (!self.is_old).then(|| self.history.waits(at(now), &name("r")));
         let to = successor?;
-        Some(Step::HandOver(Handover { to, started_ms, count, loading, recent_holders }))
+        let handover = Handover { to, started_ms, count, loading, has_model, recent_holders };
+        Some(Step::HandOver(handover))
+    }
+
+    /// Forgets the replica, as another one comes in its place.
+    pub fn forget_replica(&mut self) {
+        self.owned = None;
     }
 
     /// Takes the replica over; returns whether it was accepted.
@@ -185,6 +213,7 @@
         let (replica, me) = (name("r"), instance(self.id));
         let wait = self.history.wait_after_handover(at(now), &replica, &me, waits);
         owned.lease.on_handover(at(now), handover.started_ms, handover.count, fence, wait);
+        owned.has_model = handover.has_model;
         for key in &handover.loading {
             owned.last_ordered.insert(*key, now);
             owned.loads.insert(*key, LoadInProgress::new(at(now), None, false));
@@ -203,10 +232,16 @@
         if owned.started_ms != report.started_ms {
             owned.loads.clear();
             owned.last_ordered.clear();
+            owned.has_model = false;
+            owned.model_ordered_at = None;
             owned.started_ms = report.started_ms;
         }
-        let activity =
-            if report.loading.is_empty() { LoadActivity::Idle } else { LoadActivity::Adapters };
+        let activity = match (report.is_busy, report.loading.is_empty()) {
+            (true, _) => LoadActivity::Model,
+            (false, false) => LoadActivity::Adapters,
+            (false, true) => LoadActivity::Idle,
+        };
+        owned.lease.set_rank(if report.has_model { 0 } else { self.id });
         owned.lease.on_report(at(now), report.started_ms, report.count, activity, fence);
         owned.on_report(now, report);
     }
@@ -226,6 +261,13 @@
             Some(Answer::HoldsAlready) => {
                 owned.lease.on_confirmed(at(now));
                 owned.loads.remove(&key);
+                if key == MODEL {
+                    owned.model_ordered_at = Some(now);
+                }
+            }
+            Some(Answer::Accepted | Answer::Repeated) if key == MODEL => {
+                owned.model_ordered_at = Some(now);
+                owned.lease.on_accepted(at(now));
             }
             Some(Answer::Accepted | Answer::Repeated) => {
                 owned.last_ordered.insert(key, now);
--- a/tests/traffic/order_turns/world.rs
+++ b/tests/traffic/order_turns/world.rs
@@ -14,6 +14,8 @@
 use super::instance::INSTANCES;
 use super::instance::Instance;
 use super::instance::Step;
+use super::replica::MODEL;
+use super::replica::Order;
 use super::replica::Replica;
 
 /// Times of the relay, in ms.
@@ -25,6 +27,8 @@
 /// Longest time until instances know of another one that it stops, or is back, in ms.
 const NEWS_DELAY_MS: u64 = 700;
 const GOSSIP_INTERVAL_MS: u64 = 1500;
+/// Time that the load of a base model takes, in ms: long if many replicas load theirs.
+const MODEL_LOAD_MS: Range<u64> = 1900..9000;
 /// Time until instances notice that another one is silent, in ms.
 const SILENCE_MS: Range<u64> = 2000..2700;
 
@@ -44,8 +48,11 @@
     queue: BTreeMap<(u64, u64), Event>,
     machines: [Machine; INSTANCES],
     pub replica: Replica,
+    replica_ready_at: u64,
     /// Halves of the fleet that don't hear each other.
     cut: Option<[bool; INSTANCES]>,
+    /// When the links between them were back.
+    pub healed_at: Vec<u64>,
     /// Until when requests need more and more adapters.
     busy_until: u64,
     next_demand: u64,
@@ -65,8 +72,10 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             queue: BTreeMap::new(),
             machines: Default::default(),
-            replica: Replica::default(),
+            replica: Replica::new(),
+            replica_ready_at: 0,
             cut: None,
+            healed_at: Vec::new(),
             busy_until: 0,
             next_demand: 0,
             next_key: 0,
@@ -135,7 +144,7 @@
                 }
             }
             Event::AskArrives { process } => {
-                let report = Some(self.replica.report());
+                let report = (self.now >= self.replica_ready_at).then(|| self.replica.report());
                 let delay = self.delay();
                 self.plan(self.now + delay, Event::ReportBack { process, report });
             }
@@ -143,8 +152,13 @@
                 let fence = self.fence();
                 self.with(process, |now, it| it.on_report(now, report.as_ref(), fence));
             }
-            Event::OrderArrives { process, expected, key, lost_reply } => {
-                self.on_order(process, expected, key, lost_reply);
+            Event::OrderArrives { process, started_ms, order, lost_reply } => {
+                if started_ms == self.replica.started_ms() {
+                    self.on_order(process, &order, lost_reply);
+                } else {
+                    let (key, at) = (order.key, self.now + self.delay());
+                    self.plan(at, Event::OrderBack { process, key, answer: None });
+                }
             }
             Event::OrderBack { process, key, answer } => {
                 self.with(process, |now, it| it.on_answer(now, key, answer));
@@ -168,9 +182,13 @@
                 self.silent_for(who, lasts, [true; INSTANCES]);
             }
             Event::Cut { group, lasts } => self.cut(group, lasts),
-            Event::Healed => self.cut = None,
+            Event::Healed => {
+                self.cut = None;
+                self.healed_at.push(self.now);
+            }
             Event::Misjudge { subject, lasts } => self.misjudge(self.strike(subject), lasts),
             Event::RestartReplica => self.replica.restart(self.now),
+            Event::ReplaceReplica { ready_in } => self.replace_replica(ready_in),
             Event::KeepBusy { lasts } => self.busy_until = self.busy_until.max(self.now + lasts),
             Event::Gossip => self.gossip(),
         }
@@ -218,7 +236,8 @@
                 let at = now + self.delay();
                 self.plan(at, Event::AskArrives { process });
             }
-            Step::Order { expected, key } => {
+            Step::Order(order) => {
+                let key = order.key;
                 if Some(key) == demand {
                     self.next_demand = now + self.draw(10..400);
                 }
@@ -228,7 +247,9 @@
                     self.plan(at, Event::OrderBack { process, key, answer: None });
                 } else {
                     let at = now + self.delay();
-                    self.plan(at, Event::OrderArrives { process, expected, key, lost_reply });
+                    let started_ms = self.replica.started_ms();
+                    let arrives = Event::OrderArrives { process, started_ms, order, lost_reply };
+                    self.plan(at, arrives);
                 }
             }
             Step::HandOver(handover) => {
@@ -253,9 +274,11 @@
         Some(self.next_key)
     }
 
-    fn on_order(&mut self, process: Process, expected: u64, key: u32, lost_reply: bool) {
-        let takes = self.draw(self.load_time.clone());
-        let answer = self.replica.order(self.now, process.who, expected, key, takes);
+    fn on_order(&mut self, process: Process, order: &Order, lost_reply: bool) {
+        let key = order.key;
+        let load_time = if key == MODEL { MODEL_LOAD_MS } else { self.load_time.clone() };
+        let takes = self.draw(load_time);
+        let answer = self.replica.order(self.now, order, takes);
         self.trace.push((self.now, format!("{answer:?}")));
         let most = REPLICA_CALL_TIMEOUT_MS - MAX_DELAY_MS;
         let delay = if lost_reply { REPLICA_CALL_TIMEOUT_MS } else { self.delay().min(most) };
@@ -368,6 +391,14 @@
         }
     }
 
+    fn replace_replica(&mut self, ready_in: u64) {
+        self.replica.restart(self.now);
+        self.replica_ready_at = self.now + ready_in;
+        for process in self.machines.iter_mut().filter_map(|machine| machine.process.as_mut()) {
+            process.forget_replica();
+        }
+    }
+
     fn cut(&mut self, group: [bool; INSTANCES], lasts: u64) {
         if self.cut.is_some() {
             return;
--- a/tests/traffic/peers.rs
+++ b/tests/traffic/peers.rs
@@ -169,6 +169,30 @@
     assert_eq!(fleet.preferred_owner(0, "r1"), "entry-0");
 }
 
+/// Guards against two instances of one rank for a replica, on the two sides of a split fleet.
+#[test]
+fn ranks_of_owners_count_instances_that_are_not_live_but_not_those_that_drain() {
+    let mut fleet = Fleet::new(9);
+    fleet.run(12);
+    let ranks = |fleet: &Fleet| -> Vec<usize> {
+        fleet.peers.iter().map(|peers| peers.owner_rank("r1")).collect()
+    };
+    let before = ranks(&fleet);
+    let sorted: BTreeSet<usize> = before.iter().copied().collect();
+    assert_eq!(sorted, (0..9).collect());
+    let first = before.iter().position(|rank| *rank == 0).unwrap();
+    assert_eq!(fleet.preferred_owner(0, "r1"), format!("entry-{first}"));
+    fleet.down.insert(first);
+    fleet.run(12);
+    assert_ne!(fleet.preferred_owner((first + 1) % 9, "r1"), format!("entry-{first}"));
+    assert_eq!(ranks(&fleet), before);
+    fleet.down.clear();
+    fleet.peers[first].set_draining();
+    fleet.run(12);
+    let second = before.iter().position(|rank| *rank == 1).unwrap();
+    assert_eq!(fleet.peers[second].owner_rank("r1"), 0);
+}
+
 #[test]
 fn an_instance_that_drains_or_has_just_started_owns_nothing_while_others_are_live() {
     let now = at(1000);
