Don't forward a refusal that a replica doesn't prove

What callers saw: a submission that a replica had run and failed with 503, without saying that it wasn't run, reached its caller as 503.

Cause: a refusal's truth was taken from its status. The proof is a header of the replica's own, or 421.

Change: a response with such a status and without proof, to a request that may run only once, ends its attempt as one that may have run (`unproven_refusal` in log and metrics), so that the caller gets 502. Requests that may be repeated are treated as before.

Result: the new test with real processes failed before (408 on /unsafe/x instead of 502) and passes; one for proved refusals passes before and after.

--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -149,6 +149,13 @@
         record_failed_attempt(request, replica, AttemptFailure::Foreign, "");
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     }
+    if parsed.claims_not_run && !request.route.kind.may_repeat() {
+        let reason = AttemptFailure::UnprovenRefusal;
+        record_failed_attempt(request, replica, reason, head.status.as_str());
+        record_replica_failure(request, replica, SERVER_ERROR_WEIGHT);
+        drain_refusal(request, replica, origin.addr, connection, source, &head).await;
+        return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
+    }
     remember_prefix(request, replica);
     origin.keep_alive = keep_alive_time(&head);
     if request.route.kind.is_stream() && head.status == StatusCode::OK {
--- a/src/relay/attempt_failure.rs
+++ b/src/relay/attempt_failure.rs
@@ -13,6 +13,8 @@
     NoAnswer,
     /// The replica proved that it didn't run the request.
     Refused,
+    /// The replica refused the request without proof that it didn't run.
+    UnprovenRefusal,
     /// The response isn't this request's or isn't the replica's own.
     Foreign,
     /// The body of the response broke off or was too large.
@@ -25,10 +27,11 @@
 
 impl AttemptFailure {
     /// Every kind of failure.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Unreachable,
         Self::NoAnswer,
         Self::Refused,
+        Self::UnprovenRefusal,
         Self::Foreign,
         Self::BrokenOff,
         Self::OutOfRoom,
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -92,6 +92,9 @@
     pub id: Option<String>,
     /// Whether the replica states that it didn't run the request.
     pub not_run: bool,
+    /// Whether callers take its status as a promise that the request hasn't run; without `not_run` that
+    /// isn't proved.
+    pub claims_not_run: bool,
     /// Replica that sent it, if it names itself.
     pub replica: Option<BackendName>,
     /// Whether it carries the seal of a replica that ran the request.
