Tell refused callers no shorter time than they have to wait

Cause: the header has two decimals and was rounded to the nearest one, so up to 5 ms too short, for every refusal; and a wait that the counting instance tells is rounded down to a millisecond.

--- a/src/relay/quotas/charge.rs
+++ b/src/relay/quotas/charge.rs
@@ -32,6 +32,9 @@
 /// Shortest time after which a refused caller may retry.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Precision of the waits that a counting instance tells, which are rounded down.
+const WAIT_PRECISION: Duration = Duration::from_millis(1);
+
 /// A balance after an attempt to charge a request to it.
 struct Attempted {
     step: ChargeStep,
@@ -66,7 +69,9 @@
         Err(_) => ChargeStep::Unavailable(LATE_LOAN_RETRY_AFTER),
     };
     let spread = xxh3_64(id.as_bytes());
-    let retry_after = |wait: Duration| WaitBudget::retry_after(wait.max(MIN_RETRY_AFTER), spread);
+    let retry_after = |wait: Duration| {
+        WaitBudget::retry_after(wait.max(MIN_RETRY_AFTER) + WAIT_PRECISION, spread)
+    };
     let (response, wait) = match step {
         ChargeStep::Denied(wait) => (LocalResponse::OverQuota(retry_after(wait)), wait),
         ChargeStep::Unavailable(wait) => (LocalResponse::NotYet(retry_after(wait)), wait),
