--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -26,8 +26,8 @@
 use super::log_event::record;
 use super::node::Node;
 use super::notices;
+use super::open_stream::OpenStream;
 use super::origin::Origin;
-use super::pass_on::Passing;
 use super::prompt_quarantine;
 use super::reach;
 use super::replica_request;
@@ -64,24 +64,6 @@
     Stream(Box<OpenStream>),
 }
 
-/// A stream that a replica is sending.
-pub struct OpenStream {
-    /// The part of the body that is still to be read.
-    pub source: Incoming,
-    /// Whether its length or a last chunk marks its end, rather than that of the connection.
-    pub has_marked_end: bool,
-    /// Replica that sends it.
-    pub origin: Origin,
-    /// Counts the request in the replica's workload.
-    pub in_flight: ReplicaRequestGuard,
-    /// How far the response has come.
-    pub progress: ResponseProgress,
-    /// Connection that it arrives on.
-    pub connection: Connection,
-    /// Counts the request as passed on; `None` unless it is.
-    pub passing: Option<Passing>,
-}
-
 /// A replica's response.
 pub struct ReplicaResponse {
     /// Status and headers.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,6 +37,7 @@
 mod metrics;
 mod node;
 mod notices;
+mod open_stream;
 mod operator_items;
 mod orders;
 mod origin;
--- a/src/relay/parked_stream.rs
+++ b/src/relay/parked_stream.rs
@@ -9,7 +9,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::sleep;
 
-use super::attempt::OpenStream;
+use super::open_stream::OpenStream;
 use super::request_deadline::RequestDeadline;
 
 /// Interval at which a stream is looked for after its deadline, as it may be read at that moment.
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -15,7 +15,6 @@
 
 use super::attempt;
 use super::attempt::AttemptOutcome;
-use super::attempt::OpenStream;
 use super::attempt::ReplicaBody;
 use super::attempt::ReplicaResponse;
 use super::attempt_failure::AttemptFailure;
@@ -27,6 +26,7 @@
 use super::forwarded_request::ForwardedRequest;
 use super::log_event::record;
 use super::node::Node;
+use super::open_stream::OpenStream;
 use super::origin::Origin;
 use super::replica_request_guard::ReplicaRequestGuard;
 use super::response::LocalResponse;
--- a/src/relay/stream_item.rs
+++ b/src/relay/stream_item.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 
-use super::attempt::OpenStream;
 use super::forwarded_request::ForwardedRequest;
 use super::log_event::LogEvent;
 use super::log_event::record;
+use super::open_stream::OpenStream;
 use super::silence;
 
 /// What came from the replica, or didn't come in time.
--- a/src/relay/stream_relay.rs
+++ b/src/relay/stream_relay.rs
@@ -17,7 +17,6 @@
 use hyper::body::Frame;
 
 use super::attempt;
-use super::attempt::OpenStream;
 use super::attempt::ReplicaBody;
 use super::attempt::ReplicaResponse;
 use super::event_room::EventRoom;
@@ -25,6 +24,7 @@
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::metrics::Outcome;
+use super::open_stream::OpenStream;
 use super::origin::Origin;
 use super::parked_stream::ParkedStream;
 use super::prompt_quarantine;
