Count a store's first era as one, also if its number is 0

Cause: 0 stood for an era that isn't known. The change from 0 to 1 wasn't taken for a restore, so the revisions from before it were kept, and every change with a lower one was dropped. For the same reason changes and digests of a peer that was still in era 0 passed for comparable ones.

Change: 0 is the lowest era, known or not. A higher one is a restore of any view that was listed, and what is of a lower one isn't taken. Where an era becomes known without a restore, everything is listed once more.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -7,7 +7,8 @@
 //!
 //! A store that was restored from a copy counts its revisions anew, in a new era. Revisions are
 //! compared only within an era. A view keeps the items of the older era until a whole listing of
-//! the new one replaces them; a peer in a newer era is asked for all of its items.
+//! the new one replaces them; a peer in a newer era is asked for all of its items. A store's first
+//! era may be 0, which is also what holds before an era is known: the lowest one in either case.
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
@@ -70,7 +71,7 @@
     newest_shared: u64,
     current_at: Option<Timestamp>,
     last_requested: Option<Timestamp>,
-    /// Era of the items; 0 if it isn't known.
+    /// Era of the items; 0 until it is known.
     era: u64,
     /// Highest era that a response of the store was from.
     highest_era: u64,
@@ -95,7 +96,7 @@
         self.as_of.filter(|_| self.highest_era <= self.era)
     }
 
-    /// Era of the revisions; 0 if it isn't known.
+    /// Era of the revisions; 0 until it is known.
     pub fn era(&self) -> u64 {
         self.era
     }
@@ -164,7 +165,7 @@
         if era <= self.era {
             return false;
         }
-        let is_restored = self.era > 0 && self.was_listed;
+        let is_restored = self.was_listed;
         self.era = era;
         self.highest_era = self.highest_era.max(era);
         if !is_restored {
@@ -323,7 +324,7 @@
     /// nothing that it needs, it counts as complete and current as the peer's.
     pub fn on_peer_digest(&mut self, now: Timestamp, peer: &ViewDigest, is_reader: bool) -> bool {
         let is_newer_era = peer.era > self.era && self.was_listed;
-        if peer.era > 0 && peer.era < self.era {
+        if peer.era < self.era {
             return false;
         }
         let relies_on_peers = !is_reader || self.are_reads_failing(now);
@@ -363,9 +364,8 @@
     /// The changes that a peer needs whose view is complete up to `after` of `era`; all items if
     /// `after` is `None`, of another era, or older than the tombstones reach.
     pub fn changes_after(&self, now: Timestamp, era: u64, after: Option<u64>) -> ViewChanges {
-        let is_comparable = era == 0 || era == self.era;
         let known_from = after.filter(|after| {
-            is_comparable && self.as_of.is_some() && *after >= self.tombstones_complete_after
+            era == self.era && self.as_of.is_some() && *after >= self.tombstones_complete_after
         });
         let is_new = |known: &&KnownItem| known_from.is_none_or(|after| known.shared_rev > after);
         let written = self.items.values().filter(is_new).map(|known| known.item.clone());
--- a/src/decide/traffic/view_changes.rs
+++ b/src/decide/traffic/view_changes.rs
@@ -21,7 +21,7 @@
     /// none lately.
     #[serde(default)]
     pub outage_ended_ms: Option<u64>,
-    /// Era of the revisions; 0 if it isn't known.
+    /// Era of the revisions; 0 until it is known.
     #[serde(default)]
     pub era: u64,
     /// Changes, by revision.
--- a/src/decide/traffic/view_digest.rs
+++ b/src/decide/traffic/view_digest.rs
@@ -12,7 +12,7 @@
     pub as_of: Option<u64>,
     /// Time since the view was current, in ms; `None` if it never was.
     pub age_ms: Option<u64>,
-    /// Era of the revisions; 0 if it isn't known.
+    /// Era of the revisions; 0 until it is known.
     #[serde(default)]
     pub era: u64,
     /// Revision after which it knows of every removal, so that `newest` tells of those only.
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -148,7 +148,7 @@
     let Some(as_of) = changes.as_of else { return };
     let now = node.now();
     let known_era = node.view(topic).era();
-    let is_other_era = changes.era > 0 && changes.era != known_era;
+    let is_other_era = changes.era != known_era;
     if is_other_era && (changes.era < known_era || !changes.whole) {
         // The answer is from before the store was restored, or to a request from before.
         return;
--- a/tests/traffic/store_era.rs
+++ b/tests/traffic/store_era.rs
@@ -215,7 +215,8 @@
 fn all_instances_end_on_the_state_of_the_store_and_no_leaver_returns() {
     for seed in 0..200 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut store = Store { era: 1, rev: 1, ..Store::default() };
+        // Nothing says which number a store's first era has.
+        let mut store = Store { era: seed % 2, rev: 1, ..Store::default() };
         let mut living = [true; REPLICAS];
         let mut fleet: Vec<Instance> = (0..INSTANCES).map(|_| Instance::default()).collect();
         let mut now = 0;
