--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod load_driver;
 pub mod model;
 pub mod slopes;
+pub mod soak;
 pub mod standin;
 pub mod workloads;
