Requested loads of a replica's plan in a type of their own

ReplicaPlan kept them as pairs in a queue and searched it in seven places; LoadRequests says what is asked of them. No change of behaviour; the plan's tests pass.

--- a/src/decide/traffic/replica_plan.rs
+++ b/src/decide/traffic/replica_plan.rs
@@ -6,7 +6,6 @@
 //! slots.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::AdapterKey;
@@ -16,6 +15,7 @@
 use super::HeldAdapter;
 use super::HeldModel;
 use super::LoadInProgress;
+use super::LoadRequests;
 use super::Order;
 use super::PlanHandover;
 use super::Presence;
@@ -36,8 +36,6 @@
 const REPORT_LAG: Duration = Duration::from_millis(600);
 /// Time after which a base model that no report shows is ordered again.
 const MODEL_LOAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time for which a load request is kept without being repeated.
-const LOAD_REQUEST_TTL: Duration = Duration::from_secs(2);
 /// Time for which an adapter is kept after its last use.
 const KEEP_AFTER_USE: Duration = Duration::from_millis(200);
 
@@ -49,7 +47,7 @@
     unloading: HashMap<AdapterKey, Timestamp>,
     last_ordered: HashMap<AdapterKey, Timestamp>,
     recently_unloaded: HashMap<AdapterKey, Timestamp>,
-    load_requests: VecDeque<(AdapterKey, Timestamp)>,
+    load_requests: LoadRequests,
     uses: AdapterUses,
     /// Until when the uses of other instances aren't known after a handover.
     uses_unknown_until: Timestamp,
@@ -115,7 +113,7 @@
         self.held.retain(|key, _| shown.contains_key(key) || last_ordered.contains_key(key));
         self.unloading.retain(|key, _| shown.contains_key(key) || last_ordered.contains_key(key));
         let held = &self.held;
-        self.load_requests.retain(|(key, _)| !held.contains_key(key));
+        self.load_requests.retain(|key| !held.contains_key(key));
     }
 
     /// Forgets everything but the load requests, after a restart of the replica.
@@ -129,10 +127,7 @@
         if held || self.loading.contains_key(key) {
             return;
         }
-        match self.load_requests.iter_mut().find(|(requested, _)| requested == key) {
-            Some((_, since)) => *since = now,
-            None => self.load_requests.push_back((key.clone(), now)),
-        }
+        self.load_requests.on_request(now, key);
     }
 
     /// Records how many requests of an instance use an adapter now; an older update changes
@@ -198,8 +193,7 @@
         if let Some(version) = self.held_version(now, key) {
             return Presence::Held(version);
         }
-        let is_requested = self.load_requests.iter().any(|(requested, _)| requested == key);
-        if self.is_loading(key) || is_requested {
+        if self.is_loading(key) || self.load_requests.contains(key) {
             Presence::Loading
         } else if self.warm_copies.has(key, newest) {
             Presence::Copy
@@ -210,7 +204,7 @@
 
     /// Number of adapters that requests wait for and that aren't being loaded yet.
     pub fn waiting_loads(&self) -> usize {
-        self.load_requests.len()
+        self.load_requests.count()
     }
 
     /// Whether an adapter is being loaded.
@@ -231,14 +225,14 @@
 
     /// Whether the load requests already need every slot that is free or can be freed now.
     pub fn is_full(&self, now: Timestamp, engine: &EngineSpec) -> bool {
-        let waiting = self.load_requests.len();
+        let waiting = self.load_requests.count();
         let free = engine.adapter_slots.saturating_sub(self.slots_taken());
         waiting >= free + self.eviction_candidates(now).count()
     }
 
     /// Withdraws the request for an adapter whose load hasn't been ordered.
     pub fn cancel_load_request(&mut self, key: &AdapterKey) {
-        self.load_requests.retain(|(requested, _)| requested != key);
+        self.load_requests.remove(key);
     }
 
     /// Whether orders are in progress whose end only a report shows; other loads are polled.
@@ -277,7 +271,7 @@
         engine: &EngineSpec,
         versions: &DeclaredVersions,
     ) -> Option<Order> {
-        self.load_requests.retain(|(_, since)| now.since(*since) < LOAD_REQUEST_TTL);
+        self.load_requests.drop_expired(now);
         if !self.unloading.is_empty() {
             // The replica refuses orders until the requests that an unload waits for have ended.
             return None;
@@ -299,7 +293,7 @@
             self.has_model(key)
                 && (cold_loads < MAX_COLD_LOADS || self.warm_copies.has(key, versions.newest(key)))
         };
-        let (key, _) = self.load_requests.iter().find(|(key, _)| may_load(key))?.clone();
+        let key = self.load_requests.iter().find(|key| may_load(key))?.clone();
         let taken = self.slots_taken();
         if taken < engine.adapter_slots {
             return Some(Order::Load { version: versions.newest(&key), key });
@@ -358,14 +352,14 @@
             loading.on_polled(now);
             return;
         }
-        self.load_requests.retain(|(requested, _)| requested != &key);
+        self.load_requests.remove(&key);
         let copied = self.warm_copies.version(&key);
         let is_warm = self.warm_copies.has(&key, version);
         self.loading.insert(key, LoadInProgress::new(now, version.or(copied), is_warm));
     }
 
     fn on_load_done(&mut self, now: Timestamp, key: AdapterKey, version: Option<u64>) {
-        self.load_requests.retain(|(requested, _)| requested != &key);
+        self.load_requests.remove(&key);
         let loading = self.loading.remove(&key).and_then(|loading| loading.version);
         let version = version.or(loading);
         let held = HeldAdapter::new(now, version.unwrap_or(0));
@@ -391,7 +385,7 @@
         if self.model_ordered_at.is_some_and(|at| now.since(at) < MODEL_LOAD_TIMEOUT) {
             return Some(None);
         }
-        let requested = self.load_requests.front().map(|(key, _)| key.model.clone());
+        let requested = self.load_requests.iter().next().map(|key| key.model.clone());
         let model = requested.or_else(|| engine.models.first().map(|model| model.name.clone()))?;
         Some(Some(Order::Load { key: AdapterKey::base(model), version: None }))
     }
