Log what an instance lacks to be ready, whenever that changes

A return can't be followed from the logs: nothing says when an instance became ready, nor what it waited for. readiness_changed names what is missing, what was missing before and for how long. It is looked for ten times a second, so that the time in the log is up to 100 ms late.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod quarantine;
 pub mod quotas;
 pub mod reach;
+pub mod readiness;
 pub mod rendezvous;
 pub mod replay_window;
 pub mod resend;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -34,6 +34,7 @@
 use crate::decide::config_freshness::ConfigProof;
 use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::reach::PassOnPeers;
+use crate::decide::readiness::Missing;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
 use crate::decide::traffic::CacheListings;
@@ -413,13 +414,22 @@
 
     /// Whether callers should send requests here; decides the readiness check.
     pub fn is_ready(&self) -> bool {
+        self.missing().is_empty()
+    }
+
+    /// What is missing for callers to send requests here.
+    pub fn missing(&self) -> Vec<Missing> {
         let knows_replicas = self.view(PublishedTopic::Replicas).is_usable(self.now());
-        !self.is_draining()
-            && self.is_joined()
-            && self.config.borrow().is_some()
-            && !self.config_lag().is_too_long(self.settings.freshness_limits().propagation)
-            && knows_replicas
-            && !self.is_isolated()
+        let propagation = self.settings.freshness_limits().propagation;
+        let all = [
+            (Missing::Join, !self.is_joined()),
+            (Missing::Config, self.config.borrow().is_none()),
+            (Missing::NewerConfig, self.config_lag().is_too_long(propagation)),
+            (Missing::Replicas, !knows_replicas),
+            (Missing::Contact, self.is_isolated()),
+            (Missing::Service, self.is_draining()),
+        ];
+        all.into_iter().filter_map(|(missing, is_missing)| is_missing.then_some(missing)).collect()
     }
 
     /// Whether there were peers, but now neither they nor the published state can be reached.
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::connection_end::ConnectionEnd;
+use crate::decide::readiness::Missing;
 
 /// One log event; its name and fields are those of the JSON line.
 #[derive(Clone, Debug, Serialize)]
@@ -32,6 +33,17 @@
         /// Time since the first try, in ms.
         waited_ms: u128,
     },
+    /// What is missing for callers to send requests here has changed.
+    ReadinessChanged {
+        /// Whether nothing is.
+        ready: bool,
+        /// What is missing now.
+        missing: &'a [Missing],
+        /// What was missing before; `None` at the first check.
+        before: Option<&'a [Missing]>,
+        /// Time since the change before, or since the process started, in ms.
+        lasted_ms: u128,
+    },
     /// A background task failed and is started again.
     TaskFailed {
         /// What the task does.
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -33,8 +33,10 @@
 use super::reach;
 use super::settings_file::SettingsFile;
 use super::task_restarts::restart_after_panics;
+use crate::decide::readiness::Readiness;
 use crate::decide::start_wait::StartWait;
 use crate::error::Result;
+use crate::names::Timestamp;
 
 /// Time after the start at which an instance counts as joined even if no peer has replied.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -53,6 +55,8 @@
 const LAST_READ_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which the number of dropped log lines is checked.
 const DROPPED_LINES_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which a change of the readiness is looked for, to be logged.
+const READINESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -146,6 +150,7 @@
     keep_running(node, "quotas", quotas::run);
     keep_running(node, "reach", reach::run);
     keep_running(node, "join", join_and_settle);
+    keep_running(node, "readiness", watch_readiness);
 }
 
 /// Serves metrics. Nothing else depends on them, so the relay goes on while the address is in use.
@@ -179,6 +184,22 @@
     }
 }
 
+/// Logs what is missing for callers to send requests here, whenever that changes.
+async fn watch_readiness(node: Arc<Node>) {
+    let mut readiness = Readiness::new(Timestamp::ZERO);
+    loop {
+        if let Some(change) = readiness.on_check(node.now(), node.missing()) {
+            record(&ProcessEvent::ReadinessChanged {
+                ready: change.missing.is_empty(),
+                missing: &change.missing,
+                before: change.before.as_deref(),
+                lasted_ms: change.lasted.as_millis(),
+            });
+        }
+        sleep(READINESS_CHECK_INTERVAL).await;
+    }
+}
+
 async fn join_and_settle(node: Arc<Node>) {
     sleep(JOIN_TIMEOUT).await;
     node.set_joined();
