Read the settings file on a thread of its own

The file was read by the runtime's only thread. Where the read blocks (a FIFO, a file system that hangs), a start couldn't be ended by SIGTERM, and a running process, which reads the file each two seconds, stood still: no caller got an answer. A start with invalid settings looked at SIGTERM only when they were valid, and ended with 1.

A thread reads whenever it is asked to, with one read pending at most; the runtime waits for it together with the signals, and the end of the process doesn't wait for it. A read that takes more than two seconds is logged once (settings_blocked).

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -72,6 +72,7 @@
 mod run;
 mod settings;
 mod settings_file;
+mod settings_reader;
 mod silence;
 mod store_call;
 mod store_event;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -2,11 +2,11 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
+use tokio::time::sleep;
 
 use super::DroppedLineCount;
 use super::Protocol;
@@ -63,9 +63,11 @@
         dropped_lines: DroppedLineCount,
     ) -> Result<()> {
         panic_log::start();
-        let Self { runtime, signals } = self;
-        let ended = read_settings(path).and_then(|(settings, file)| {
-            runtime.block_on(run::serve(settings, file, signals, protocol, dropped_lines))
+        let Self { runtime, mut signals } = self;
+        let ended = runtime.block_on(async {
+            let Some(read) = read_or_terminate(path, &mut signals).await else { return Ok(()) };
+            let (settings, file) = read?;
+            run::serve(settings, file, signals, protocol, dropped_lines).await
         });
         if let Err(e) = &ended {
             record(&ProcessEvent::StartFailed { detail: &e.to_string() });
@@ -74,14 +76,27 @@
     }
 }
 
+/// Reads the settings; `None` if a signal asks for the end of the process first.
+async fn read_or_terminate(
+    path: &Path,
+    signals: &mut ProcessSignals,
+) -> Option<Result<(RelaySettings, SettingsFile)>> {
+    tokio::select! {
+        read = read_settings(path) => Some(read),
+        // Once started, the process looks for changes of the file by itself.
+        () = signals.until_terminated() => None,
+    }
+}
+
 /// Reads the settings, again while the file is being replaced.
-fn read_settings(path: &Path) -> Result<(RelaySettings, SettingsFile)> {
+async fn read_settings(path: &Path) -> Result<(RelaySettings, SettingsFile)> {
+    let mut file = SettingsFile::new(path)?;
     let clock = Clock::start();
     let wait = StartWait::new(clock.now(), SETTINGS_WAIT);
     let mut is_logged = false;
     loop {
-        let error = match SettingsFile::open(path) {
-            Ok(read) => return Ok(read),
+        let error = match file.read().await {
+            Ok(settings) => return Ok((settings, file)),
             Err(error) => error,
         };
         match wait.on_failure(clock.now(), StartFailure::Temporary) {
@@ -91,7 +106,7 @@
                     is_logged = true;
                     record(&ProcessEvent::SettingsRefused { detail: &error.to_string() });
                 }
-                thread::sleep(delay);
+                sleep(delay).await;
             }
         }
     }
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -66,6 +66,11 @@
         /// The error.
         detail: &'a str,
     },
+    /// The settings file is being read and blocks; everything else goes on.
+    SettingsBlocked {
+        /// Time since the read began, in ms.
+        after_ms: u128,
+    },
     /// The process was paused; what it knows of others may be out of date.
     Paused {
         /// Length of the pause, in ms.
--- a/src/relay/process_signal.rs
+++ b/src/relay/process_signal.rs
@@ -45,4 +45,8 @@
             _ = self.reload.recv() => ProcessSignal::Reload,
         }
     }
+    /// Waits for a signal that asks for the end of the process, and passes over the others.
+    pub async fn until_terminated(&mut self) {
+        while self.next().await != ProcessSignal::Terminate {}
+    }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -198,7 +198,12 @@
             },
             () = sleep(SETTINGS_CHECK_INTERVAL) => {}
         }
-        if let Some(settings) = file.changed() {
+        // The read may block for long.
+        let changed = tokio::select! {
+            changed = file.changed() => changed,
+            () = signals.until_terminated() => return,
+        };
+        if let Some(settings) = changed {
             record(&ProcessEvent::SettingsTaken { seeds: settings.seeds.len() });
             node.peers().set_seeds(settings.seeds);
         }
--- a/src/relay/settings_file.rs
+++ b/src/relay/settings_file.rs
@@ -1,53 +1,54 @@
 //! The settings file, which may be replaced while the process runs.
 
-use std::fs;
 use std::path::Path;
-use std::path::PathBuf;
 
 use super::RelaySettings;
 use super::log_event::record;
 use super::process_event::ProcessEvent;
+use super::settings_reader::SettingsReader;
 use crate::error::Result;
 
 /// A settings file and the text that was read from it last.
 #[derive(Debug)]
 pub struct SettingsFile {
-    path: PathBuf,
+    reader: SettingsReader,
     text: String,
 }
 
 impl SettingsFile {
+    /// The file at `path`, which is not read yet.
+    ///
+    /// # Errors
+    ///
+    /// `Internal` if the system has no thread that reads it.
+    pub fn new(path: &Path) -> Result<Self> {
+        Ok(Self { reader: SettingsReader::start(path)?, text: String::new() })
+    }
+
     /// Reads and checks the settings.
     ///
     /// # Errors
     ///
     /// `Malformed` if the file can't be read or its settings are invalid.
-    pub fn open(path: &Path) -> Result<(RelaySettings, Self)> {
-        let text = RelaySettings::read_text(path)?;
-        let settings = RelaySettings::parse(&text)?;
-        Ok((settings, Self { path: path.to_owned(), text }))
+    pub async fn read(&mut self) -> Result<RelaySettings> {
+        self.text = self.reader.read().await?;
+        RelaySettings::parse(&self.text)
     }
 
     /// The settings, if the file has changed since it was read last; invalid ones are logged once.
-    pub fn changed(&mut self) -> Option<RelaySettings> {
-        let text = match fs::read_to_string(&self.path) {
-            Ok(text) => text,
-            Err(e) => {
-                record(&ProcessEvent::SettingsRefused { detail: &e.to_string() });
-                return None;
-            }
-        };
+    /// May be dropped and called again.
+    pub async fn changed(&mut self) -> Option<RelaySettings> {
+        let read = self.reader.read().await;
+        let text = read.map_err(|e| log_refused(&e.to_string())).ok()?;
         if text == self.text {
             return None;
         }
         let parsed = RelaySettings::parse(&text);
         self.text = text;
-        match parsed {
-            Ok(settings) => Some(settings),
-            Err(e) => {
-                record(&ProcessEvent::SettingsRefused { detail: &e.to_string() });
-                None
-            }
-        }
+        parsed.map_err(|e| log_refused(&e.to_string())).ok()
     }
 }
+
+fn log_refused(detail: &str) {
+    record(&ProcessEvent::SettingsRefused { detail });
+}
