lab soak: a fleet of the platform's program under random faults

A seeded schedule of overlapping kills, signals, suspensions, link faults and taken addresses against real processes that are started again after each end; checks that none ends by itself and that each is ready in time. The link of the stand-ins learns delays, lost responses, silence and datagrams, and outlives a target that is away. Trouble of the store and of replicas is scheduled, but not yet applied.

--- a/lab/src/clap_app.rs
+++ b/lab/src/clap_app.rs
@@ -8,6 +8,7 @@
 use lab::experiment;
 use lab::load_driver;
 use lab::slopes;
+use lab::soak;
 
 /// Command-line definition with all subcommands.
 pub fn build_app() -> Command {
@@ -19,6 +20,7 @@
         .subcommand(load_driver::load_command())
         .subcommand(load_driver::hops_command())
         .subcommand(slopes::command())
+        .subcommand(soak::command())
         .subcommand(Command::new("demo").about("Runs a fleet through failures and checks it"))
         .subcommand(
             Command::new("up").about("Starts a fleet and leaves it running").arg(
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,6 +11,7 @@
 use lab::fleet;
 use lab::load_driver;
 use lab::slopes;
+use lab::soak;
 use lab::standin;
 
 fn main() -> ExitCode {
@@ -21,6 +22,7 @@
         Some(("load", args)) => bin_dir().and_then(|dir| load_driver::run_load(&dir, args)),
         Some(("hops", args)) => bin_dir().and_then(|dir| load_driver::run_hops(&dir, args)),
         Some(("slopes", args)) => slopes::run(args),
+        Some(("soak", args)) => bin_dir().and_then(|dir| soak::run(&dir, args)),
         Some(("demo", _)) => bin_dir().and_then(|dir| demo::run(&dir)),
         Some(("up", args)) => {
             let seconds = args.get_one::<u64>("seconds").copied().unwrap_or_default();
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -1,9 +1,40 @@
 //! `lab soak`: a fleet of the real platform program under random faults, with checks while it runs.
+//!
+//! A seed determines a schedule of disruptions that overlap and end before a calm time. Each instance
+//! has loopback addresses of its own, reaches the store and other instances through links that can be
+//! disturbed, and is started again after each end, as a platform does.
 
+mod command;
 mod disruption;
+mod finding;
+mod fleet;
+mod instance;
+mod other_program;
+mod readiness;
+mod recovery;
+mod run;
+mod schedule;
+mod settings;
+mod shrink;
+mod template;
 
+pub use command::command;
+pub use command::run;
+pub use command::run_seed;
 pub use disruption::Disruption;
 pub use disruption::DisruptionKind;
 pub use disruption::LinkFault;
 pub use disruption::ReplicaFault;
 pub use disruption::StoreFault;
+pub use finding::Finding;
+pub use finding::FindingKind;
+pub use run::Outcome;
+pub use run::SoakOptions;
+pub use run::run_schedule;
+pub use schedule::Schedule;
+pub use settings::Addrs;
+pub use settings::Links;
+pub use settings::Ports;
+pub use settings::settings_text;
+pub use shrink::shrink;
+pub use template::render;
--- /dev/null
+++ b/lab/tests/soak_parts.rs
@@ -0,0 +1,175 @@
+//! Guards the parts of `lab soak` that need no fleet: schedules, settings, shrinking, links.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use lab::soak::Addrs;
+use lab::soak::DisruptionKind;
+use lab::soak::Links;
+use lab::soak::Ports;
+use lab::soak::Schedule;
+use lab::soak::render;
+use lab::soak::settings_text;
+use lab::soak::shrink;
+use serde_json::json;
+use tamaracklead::relay::RelaySettings;
+use tamaracklead_standin::Disturbance;
+use tamaracklead_standin::Gate;
+
+const DURATION: Duration = Duration::from_secs(45);
+/// Time in which bytes arrive on a link that isn't disturbed, even on a busy machine.
+const ARRIVAL_LIMIT: Duration = Duration::from_secs(5);
+
+fn schedule(seed: u64) -> Schedule {
+    Schedule::generate(seed, DURATION, 6, Ports::Ephemeral)
+}
+
+// Guards against seeds that can't be replayed.
+#[test]
+fn a_seed_gives_the_same_schedule_each_time() {
+    for seed in 0..20 {
+        assert_eq!(schedule(seed).describe(), schedule(seed).describe());
+        assert_ne!(schedule(seed).describe(), schedule(seed + 1).describe());
+    }
+}
+
+// Guards against schedules without overlaps, returns of all or a calm end.
+#[test]
+fn schedules_overlap_and_end_before_the_calm_time() {
+    for seed in 0..50 {
+        let schedule = schedule(seed);
+        let ones = &schedule.disruptions;
+        assert!(ones.iter().all(|one| one.until <= DURATION - Duration::from_secs(12)));
+        let overlaps = ones.windows(2).filter(|pair| pair[1].at < pair[0].until).count();
+        assert!(overlaps > 0, "seed {seed}");
+        let is_return = |kind, count| (kind, count) == (DisruptionKind::Kill, 6);
+        assert!(ones.iter().any(|one| is_return(one.kind, one.instances.len())), "seed {seed}");
+    }
+}
+
+// Guards against a search that stops early or loses the failing disruptions.
+#[test]
+fn shrinking_keeps_the_disruptions_that_fail() {
+    let has_cause = |schedule: &Schedule| {
+        let has = |kind| schedule.disruptions.iter().any(|one| one.kind == kind);
+        has(DisruptionKind::Kill) && has(DisruptionKind::TakenAddress)
+    };
+    let failing = (0..).map(schedule).find(has_cause).unwrap();
+    let shortest = shrink(failing, |candidate| Ok(has_cause(candidate))).unwrap();
+    assert_eq!(shortest.disruptions.len(), 2);
+    assert!(has_cause(&shortest));
+}
+
+// Guards against settings that differ from those that the platform renders.
+#[test]
+fn templates_are_rendered_as_the_platform_does() {
+    let fields = json!({
+        "a": {"b": 7, "list": ["x", "y"]}, "on": true, "off": false,
+        "table": {"k": {"v": 1}, "l": {"v": 2}}
+    });
+    let rendered = |template: &str| render(template, &fields).unwrap();
+    assert_eq!(rendered("{{a.b}} {{a.list.1}} {{a.list}} {{a.none}}."), "7 y x,y .");
+    assert_eq!(rendered("{{a.list|json}} {{a.none|json}}"), r#"["x","y"] null"#);
+    assert_eq!(rendered("{{#table}}{{@}}={{v}}{{,}}{{/table}}"), "k=1,l=2");
+    assert_eq!(rendered("{{#a.list}}{{.}}{{@}}{{a.b}} {{/a.list}}"), "x07 y17 ");
+    assert_eq!(rendered("{{#on}}1{{/on}}{{#off}}2{{/off}}{{^off}}3{{/off}}{{^no}}4{{/no}}"), "134");
+    assert!(render("{{#on}}", &fields).is_err());
+    assert!(render("{{on", &fields).is_err());
+}
+
+// Guards against a template whose result the program refuses.
+#[test]
+fn the_program_accepts_the_rendered_settings() {
+    for ports in [Ports::Low, Ports::Ephemeral] {
+        let addrs = Addrs::new(3, ports);
+        let other: SocketAddr = "127.0.0.1:9".parse().unwrap();
+        let links = Links { store: other, advertised_peer: other, seeds: vec![other; 3] };
+        let text = settings_text("entry-3", &addrs, &links).unwrap();
+        let settings = RelaySettings::parse(&text).unwrap();
+        assert_eq!(settings.listen.caller, addrs.caller);
+        assert_eq!(settings.listen.advertised_peer, Some(other));
+        assert_eq!(settings.memory_mb, Some(260.0));
+        assert_eq!(settings.seeds.len(), 3);
+    }
+}
+
+/// Returns what it receives.
+fn start_echo() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            thread::spawn(move || {
+                let mut buf = [0; 64];
+                while let Ok(count) = stream.read(&mut buf) {
+                    if count == 0 || stream.write_all(&buf[..count]).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Sends a byte and reads one; `None` if none arrives within this time, or the connection has ended.
+fn echo(stream: &mut TcpStream, limit: Duration) -> Option<u8> {
+    stream.set_read_timeout(Some(limit)).unwrap();
+    stream.write_all(b"x").ok()?;
+    let mut buf = [0];
+    stream.read_exact(&mut buf).ok().map(|()| buf[0])
+}
+
+// Guards against link faults that let bytes through, or that never end.
+#[test]
+fn disturbed_links_hold_bytes_back_and_go_on() {
+    let gate = Gate::start(start_echo());
+    let mut stream = TcpStream::connect(gate.addr).unwrap();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), Some(b'x'));
+    for disturbance in [Disturbance::Silent, Disturbance::LosesResponses] {
+        gate.disturb(Some(disturbance));
+        assert_eq!(echo(&mut stream, Duration::from_millis(300)), None, "{disturbance:?}");
+        gate.disturb(None);
+        let mut held_back = [0];
+        stream.set_read_timeout(Some(ARRIVAL_LIMIT)).unwrap();
+        stream.read_exact(&mut held_back).unwrap();
+    }
+    let delay = Duration::from_millis(100);
+    gate.disturb(Some(Disturbance::Delays(delay)));
+    let sent_at = Instant::now();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), Some(b'x'));
+    assert!(sent_at.elapsed() >= 2 * delay);
+}
+
+// Guards against resets that leave connections open or the link closed.
+#[test]
+fn a_reset_ends_open_connections_and_takes_new_ones() {
+    let gate = Gate::start(start_echo());
+    let mut stream = TcpStream::connect(gate.addr).unwrap();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), Some(b'x'));
+    gate.reset_open();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), None);
+    let mut stream = TcpStream::connect(gate.addr).unwrap();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), Some(b'x'));
+}
+
+// Guards against a link that stops when its target is away, as a killed instance is.
+#[test]
+fn a_link_outlives_its_target() {
+    let target = TcpListener::bind("127.0.0.1:0").unwrap();
+    let addr = target.local_addr().unwrap();
+    drop(target);
+    let gate = Gate::start(addr);
+    let mut stream = TcpStream::connect(gate.addr).unwrap();
+    assert_eq!(echo(&mut stream, ARRIVAL_LIMIT), None);
+    let target = TcpListener::bind(addr).unwrap();
+    let _stream = TcpStream::connect(gate.addr).unwrap();
+    target.accept().unwrap();
+}
