--- /dev/null
+++ b/lab/src/soak/checks/service.rs
@@ -0,0 +1,81 @@
+//! Shares of requests that are served, and whether service is back after the last disruption.
+
+use std::time::Duration;
+
+use super::super::Disruption;
+use super::super::DisruptionKind;
+use super::super::record::Outcome;
+use super::super::record::Seen;
+use super::Finding;
+use super::Rule;
+
+/// Time after the last disruption from which service must be as before.
+const RECOVERY_TIME: Duration = Duration::from_secs(2);
+/// Share of the calm beginning's service that must be there again.
+const RECOVERED_PART: f64 = 0.95;
+/// Requests below which a share says nothing.
+const MIN_REQUESTS: usize = 20;
+/// Length of the windows whose shares are reported.
+const WINDOW: Duration = Duration::from_secs(1);
+/// Windows reported after each return.
+const WINDOWS_AFTER_RETURN: u32 = 5;
+
+/// Share of the requests sent in a window that are served.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServedShare {
+    /// Start of the window.
+    pub from: Duration,
+    /// End of the window.
+    pub to: Duration,
+    /// Requests sent.
+    pub requests: usize,
+    /// Of these, served.
+    pub served: usize,
+}
+
+impl ServedShare {
+    fn new(outcomes: &[Outcome], from: Duration, to: Duration) -> Self {
+        let sent: Vec<&Outcome> =
+            outcomes.iter().filter(|outcome| (from..to).contains(&outcome.sent)).collect();
+        let served = sent.iter().filter(|outcome| outcome.is_served).count();
+        Self { from, to, requests: sent.len(), served }
+    }
+
+    /// The share, 0 to 1; `None` if there are too few requests.
+    pub fn share(&self) -> Option<f64> {
+        let is_enough = self.requests >= MIN_REQUESTS;
+        is_enough.then(|| self.served as f64 / self.requests as f64)
+    }
+}
+
+/// Checks that service is back after the last disruption.
+pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Option<Finding> {
+    let first = disruptions.iter().map(|disruption| disruption.at).min()?;
+    let last = disruptions.iter().map(|disruption| disruption.until).max()?;
+    let before = ServedShare::new(&seen.outcomes, Duration::ZERO, first);
+    let from = last + RECOVERY_TIME;
+    let after = ServedShare::new(&seen.outcomes, from, Duration::MAX);
+    let (share_before, share_after) = (before.share()?, after.share()?);
+    if share_after >= share_before * RECOVERED_PART {
+        return None;
+    }
+    let detail = format!(
+        "{} of {} requests are served, and {} of {} in the calm beginning",
+        after.served, after.requests, before.served, before.requests
+    );
+    Some(Finding::new(Rule::Recover, from, detail))
+}
+
+/// Shares of the calm beginning and of the first seconds after each return of instances.
+pub fn served_shares(seen: &Seen, disruptions: &[Disruption]) -> Vec<ServedShare> {
+    let first = disruptions.iter().map(|disruption| disruption.at).min().unwrap_or(Duration::MAX);
+    let mut shares = vec![ServedShare::new(&seen.outcomes, Duration::ZERO, first)];
+    let is_return = |kind| matches!(kind, DisruptionKind::Kill | DisruptionKind::Suspend);
+    for disruption in disruptions.iter().filter(|disruption| is_return(disruption.kind)) {
+        shares.extend((0..WINDOWS_AFTER_RETURN).map(|number| {
+            let from = disruption.until + WINDOW * number;
+            ServedShare::new(&seen.outcomes, from, from + WINDOW)
+        }));
+    }
+    shares
+}
