--- a/lab/src/soak/callers.rs
+++ b/lab/src/soak/callers.rs
@@ -18,9 +18,9 @@
 use super::connection::Received;
 use super::entry_pool::EntryPool;
 use super::record::Attempt;
-use super::record::Outcome;
 use super::record::Record;
 use super::record::RequestKind;
+use super::record::RequestOutcome;
 use super::record::TakenUp;
 
 /// Attempts that a caller makes for a request.
@@ -183,7 +183,7 @@
             }
         }
         let record = &self.shared.record;
-        record.add_outcome(Outcome {
+        record.add_outcome(RequestOutcome {
             request: self.request,
             kind: self.kind,
             sent: record.time_of(self.start),
--- a/lab/src/soak/checks/answers.rs
+++ b/lab/src/soak/checks/answers.rs
@@ -9,27 +9,27 @@
 use super::super::record::Attempt;
 use super::super::record::RequestKind;
 use super::super::record::Seen;
-use super::Finding;
 use super::Rule;
+use super::Violation;
 
 /// Checks all responses.
-pub fn check(seen: &Seen) -> Vec<Finding> {
+pub fn check(seen: &Seen) -> Vec<Violation> {
     let mut statuses: HashSet<(&str, u16)> = HashSet::new();
     for arrival in &seen.arrivals {
         statuses.insert((&arrival.id, arrival.run.as_ref().map_or_else(|status| *status, |_| 200)));
     }
-    let mut findings = Vec::new();
+    let mut violations = Vec::new();
     let mut streams: HashMap<u64, Vec<&Attempt>> = HashMap::new();
     for attempt in &seen.attempts {
         let mixed = check_answer(attempt, &statuses);
-        findings.extend(mixed.map(|detail| Finding::new(Rule::Mixed, attempt.ended, detail)));
+        violations.extend(mixed.map(|detail| Violation::new(Rule::Mixed, attempt.ended, detail)));
         if attempt.kind == RequestKind::Stream {
             streams.entry(attempt.request).or_default().push(attempt);
-            findings.extend(check_end(attempt));
+            violations.extend(check_end(attempt));
         }
     }
-    findings.extend(streams.values().filter_map(|attempts| check_order(attempts)));
-    findings
+    violations.extend(streams.values().filter_map(|attempts| check_order(attempts)));
+    violations
 }
 
 /// What is wrong with a response as a whole.
@@ -69,7 +69,7 @@
 }
 
 /// A stream that ends as complete has had its last event.
-fn check_end(attempt: &Attempt) -> Option<Finding> {
+fn check_end(attempt: &Attempt) -> Option<Violation> {
     let answer = &attempt.answer;
     let is_success = answer.status.is_some_and(|status| (200..300).contains(&status));
     let before = attempt.taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
@@ -78,18 +78,18 @@
         return None;
     }
     let detail = format!("attempt {} ends as complete after event {last:?}", attempt.id);
-    Some(Finding::new(Rule::Order, attempt.ended, detail))
+    Some(Violation::new(Rule::Order, attempt.ended, detail))
 }
 
 /// The events of a request's attempts are numbered without gaps, whole and of one software version.
-fn check_order(attempts: &[&Attempt]) -> Option<Finding> {
+fn check_order(attempts: &[&Attempt]) -> Option<Violation> {
     let mut software: Option<&Piece> = None;
     for attempt in attempts {
         let before = attempt.taken_up.as_ref().map_or(0, |taken_up| taken_up.after);
         for (expected, event) in (before + 1..).zip(&attempt.answer.events) {
             let found = |detail: String| {
                 let detail = format!("attempt {} of {}: {detail}", attempt.id, attempt.path);
-                Some(Finding::new(Rule::Order, event.at, detail))
+                Some(Violation::new(Rule::Order, event.at, detail))
             };
             let Some(piece) = &event.piece else {
                 return found(format!("event {expected} isn't whole"));
--- a/lab/src/soak/checks/mod.rs
+++ b/lab/src/soak/checks/mod.rs
@@ -18,7 +18,7 @@
 use super::Disruption;
 use super::Record;
 
-/// Rule that a finding breaks.
+/// Rule that is broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rule {
     /// An attempt of a request that isn't idempotent ran more than once.
@@ -49,7 +49,7 @@
 
 /// Something that was seen and must not be.
 #[derive(Clone, Debug)]
-pub struct Finding {
+pub struct Violation {
     /// Rule that it breaks.
     pub rule: Rule,
     /// When, from the start of the soak.
@@ -58,29 +58,29 @@
     pub detail: String,
 }
 
-impl Finding {
+impl Violation {
     fn new(rule: Rule, at: Duration, detail: String) -> Self {
         Self { rule, at, detail }
     }
 }
 
-impl fmt::Display for Finding {
+impl fmt::Display for Violation {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:?} at {:.3} s: {}", self.rule, self.at.as_secs_f64(), self.detail)
     }
 }
 
 /// All that the record shows against the promises, by time.
-pub fn check(record: &Record, disruptions: &[Disruption]) -> Vec<Finding> {
+pub fn check(record: &Record, disruptions: &[Disruption]) -> Vec<Violation> {
     let seen = record.seen();
-    let mut findings = runs::check(&seen, disruptions);
-    findings.extend(answers::check(&seen));
-    findings.extend(servers::check(&seen, disruptions));
-    findings.extend(service::check(&seen, disruptions));
+    let mut violations = runs::check(&seen, disruptions);
+    violations.extend(answers::check(&seen));
+    violations.extend(servers::check(&seen, disruptions));
+    violations.extend(service::check(&seen, disruptions));
     if seen.omitted > 0 {
         let detail = format!("{} entries were not kept", seen.omitted);
-        findings.push(Finding::new(Rule::Record, Duration::ZERO, detail));
+        violations.push(Violation::new(Rule::Record, Duration::ZERO, detail));
     }
-    findings.sort_by_key(|finding| finding.at);
-    findings
+    violations.sort_by_key(|violation| violation.at);
+    violations
 }
--- a/lab/src/soak/checks/runs.rs
+++ b/lab/src/soak/checks/runs.rs
@@ -9,8 +9,8 @@
 use super::super::record::DeclaredVersion;
 use super::super::record::RequestKind;
 use super::super::record::Seen;
-use super::Finding;
 use super::Rule;
+use super::Violation;
 use super::calm::is_calm;
 
 /// Statuses that promise that a request has not run and never will.
@@ -19,29 +19,29 @@
 const VERSION_BOUND: Duration = Duration::from_secs(5);
 
 /// Checks all runs.
-pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Vec<Finding> {
+pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Vec<Violation> {
     let mut runs: HashMap<&str, Vec<&Arrival>> = HashMap::new();
     for arrival in seen.arrivals.iter().filter(|arrival| arrival.run.is_ok()) {
         runs.entry(&arrival.id).or_default().push(arrival);
     }
-    let mut findings = Vec::new();
+    let mut violations = Vec::new();
     for attempt in &seen.attempts {
         let runs = runs.remove(attempt.id.as_str()).unwrap_or_default();
-        findings.extend(check_count(attempt, &runs));
-        findings.extend(runs.iter().filter_map(|run| check_route(attempt, run)));
+        violations.extend(check_count(attempt, &runs));
+        violations.extend(runs.iter().filter_map(|run| check_route(attempt, run)));
     }
-    findings.extend(runs.values().flatten().map(|run| {
+    violations.extend(runs.values().flatten().map(|run| {
         let detail = format!("{} ran {} of no known attempt {}", run.server, run.path, run.id);
-        Finding::new(Rule::Unasked, run.at, detail)
+        Violation::new(Rule::Unasked, run.at, detail)
     }));
     let outdated =
         seen.arrivals.iter().filter_map(|run| check_version(run, &seen.versions, disruptions));
-    findings.extend(outdated);
-    findings
+    violations.extend(outdated);
+    violations
 }
 
 /// Checks how often an attempt ran. Safe requests and streams that can be resumed may run again.
-fn check_count(attempt: &Attempt, runs: &[&Arrival]) -> Option<Finding> {
+fn check_count(attempt: &Attempt, runs: &[&Arrival]) -> Option<Violation> {
     if attempt.kind != RequestKind::Unsafe {
         return None;
     }
@@ -49,15 +49,15 @@
     let (id, path) = (&attempt.id, &attempt.path);
     if runs.len() > 1 {
         let detail = format!("attempt {id} of {path} ran at {servers:?}");
-        return Some(Finding::new(Rule::Twice, runs[1].at, detail));
+        return Some(Violation::new(Rule::Twice, runs[1].at, detail));
     }
     let status = attempt.answer.status.filter(|status| PROMISES.contains(status))?;
     let run = runs.first()?;
     let detail = format!("attempt {id} of {path} was answered {status} and ran at {servers:?}");
-    Some(Finding::new(Rule::Refused, run.at, detail))
+    Some(Violation::new(Rule::Refused, run.at, detail))
 }
 
-fn check_route(attempt: &Attempt, run: &Arrival) -> Option<Finding> {
+fn check_route(attempt: &Attempt, run: &Arrival) -> Option<Violation> {
     let piece = run.run.as_ref().ok()?;
     let adapter = piece.adapter.split('@').next().unwrap_or_default();
     let is_right_service = run.is_desk == (attempt.kind == RequestKind::Unsafe);
@@ -68,7 +68,7 @@
         "attempt {} of {} with adapter {:?} ran as {} with {:?} at {}",
         attempt.id, attempt.path, attempt.adapter, run.path, piece.adapter, run.server
     );
-    Some(Finding::new(Rule::Route, run.at, detail))
+    Some(Violation::new(Rule::Route, run.at, detail))
 }
 
 /// Checks the adapter's version of a run that begins; a stream that is taken up goes on with the
@@ -77,7 +77,7 @@
     run: &Arrival,
     versions: &[DeclaredVersion],
     disruptions: &[Disruption],
-) -> Option<Finding> {
+) -> Option<Violation> {
     let piece = run.run.as_ref().ok().filter(|_| run.after.is_none())?;
     let (adapter, version) = piece.adapter.split_once('@')?;
     let version: u64 = version.parse().ok()?;
@@ -97,5 +97,5 @@
         late.as_millis(),
         newer.version
     );
-    Some(Finding::new(Rule::Version, run.at, detail))
+    Some(Violation::new(Rule::Version, run.at, detail))
 }
--- a/lab/src/soak/checks/service.rs
+++ b/lab/src/soak/checks/service.rs
@@ -4,10 +4,10 @@
 
 use super::super::Disruption;
 use super::super::DisruptionKind;
-use super::super::record::Outcome;
+use super::super::record::RequestOutcome;
 use super::super::record::Seen;
-use super::Finding;
 use super::Rule;
+use super::Violation;
 
 /// Time after the last disruption from which service must be as before.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
@@ -34,8 +34,8 @@
 }
 
 impl ServedShare {
-    fn new(outcomes: &[Outcome], from: Duration, to: Duration) -> Self {
-        let sent: Vec<&Outcome> =
+    fn new(outcomes: &[RequestOutcome], from: Duration, to: Duration) -> Self {
+        let sent: Vec<&RequestOutcome> =
             outcomes.iter().filter(|outcome| (from..to).contains(&outcome.sent)).collect();
         let served = sent.iter().filter(|outcome| outcome.is_served).count();
         Self { from, to, requests: sent.len(), served }
@@ -49,7 +49,7 @@
 }
 
 /// Checks that service is back after the last disruption.
-pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Option<Finding> {
+pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Option<Violation> {
     let first = disruptions.iter().map(|disruption| disruption.at).min()?;
     let last = disruptions.iter().map(|disruption| disruption.until).max()?;
     let before = ServedShare::new(&seen.outcomes, Duration::ZERO, first);
@@ -63,7 +63,7 @@
         "{} of {} requests are served, and {} of {} in the calm beginning",
         after.served, after.requests, before.served, before.requests
     );
-    Some(Finding::new(Rule::Recover, from, detail))
+    Some(Violation::new(Rule::Recover, from, detail))
 }
 
 /// Shares of the calm beginning and of the first seconds after each return of instances.
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -10,9 +10,9 @@
 
 pub use callers::Callers;
 pub use callers::Load;
-pub use checks::Finding;
 pub use checks::Rule;
 pub use checks::ServedShare;
+pub use checks::Violation;
 pub use checks::check;
 pub use checks::served_shares;
 pub use disruption::Disruption;
--- a/lab/src/soak/record.rs
+++ b/lab/src/soak/record.rs
@@ -88,7 +88,7 @@
 
 /// A request with all its attempts.
 #[derive(Clone, Copy, Debug)]
-pub struct Outcome {
+pub struct RequestOutcome {
     /// Number of the request.
     pub request: u64,
     /// Kind.
@@ -171,7 +171,7 @@
     /// Attempts, in the order in which their responses ended.
     pub attempts: Vec<Attempt>,
     /// Requests that are over.
-    pub outcomes: Vec<Outcome>,
+    pub outcomes: Vec<RequestOutcome>,
     /// Requests at backend servers.
     pub arrivals: Vec<Arrival>,
     /// Orders at backend servers.
@@ -218,7 +218,7 @@
     }
 
     /// Adds a request that is over.
-    pub fn add_outcome(&self, outcome: Outcome) {
+    pub fn add_outcome(&self, outcome: RequestOutcome) {
         self.add(|seen| &mut seen.outcomes, outcome);
     }
 
--- a/lab/tests/soak_checks.rs
+++ b/lab/tests/soak_checks.rs
@@ -17,8 +17,8 @@
 use lab::soak::record::DeclaredVersion;
 use lab::soak::record::Leaving;
 use lab::soak::record::OrderArrival;
-use lab::soak::record::Outcome;
 use lab::soak::record::RequestKind;
+use lab::soak::record::RequestOutcome;
 use lab::soak::record::Seen;
 use lab::soak::record::StreamEvent;
 use lab::soak::record::TakenUp;
@@ -33,8 +33,8 @@
 }
 
 fn rules(seen: Seen, disruptions: &[Disruption]) -> Vec<Rule> {
-    let findings = check(&Record::of(Instant::now(), seen), disruptions);
-    findings.iter().map(|finding| finding.rule).collect()
+    let violations = check(&Record::of(Instant::now(), seen), disruptions);
+    violations.iter().map(|violation| violation.rule).collect()
 }
 
 fn disruption(kind: DisruptionKind, at_ms: u64, until_ms: u64) -> Disruption {
@@ -387,7 +387,7 @@
 
 /// Requests every 50 ms for 20 s, of which those sent from 10 s on are served at this rate in 100.
 fn outcomes(percent_after: u64) -> Seen {
-    let to_outcome = |request: u64| Outcome {
+    let to_outcome = |request: u64| RequestOutcome {
         request,
         kind: RequestKind::Safe,
         sent: ms(request * 50),
