--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -94,6 +94,7 @@
     for finding in &outcome.findings {
         println!("  FINDING {finding}");
     }
+    print!("{}", outcome.describe_shares());
     println!("seed {seed}: {}", outcome.summary());
     if let Some(first) = outcome.findings.first()
         && shrinks
--- a/lab/src/soak/finding.rs
+++ b/lab/src/soak/finding.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use super::Rule;
+
 /// One thing that must not happen, with the time at which it was seen.
 #[derive(Clone, Debug)]
 pub struct Finding {
@@ -29,8 +31,8 @@
     Unready,
     /// An instance said that it was ready and refused callers' connections.
     ReadyButRefuses,
-    /// Requests weren't served in the calm time.
-    NotServed,
+    /// A promise was broken at a caller or a backend server.
+    Broken(Rule),
 }
 
 impl fmt::Display for Finding {
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -8,14 +8,13 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use tamaracklead_standin::Disturbance;
 use tamaracklead_standin::Gate;
 
 use super::Disruption;
 use super::DisruptionKind;
-use super::LinkFault;
 use super::instance::End;
 use super::instance::Instance;
+use super::link::LinkSet;
 use super::other_program::Manner;
 use super::other_program::TIME_WAIT;
 use super::other_program::TakenAddress;
@@ -27,45 +26,11 @@
 const PROGRAM: &str = "tamaracklead-platform";
 /// Time within which all processes are started.
 const START_SPREAD_MS: u64 = 300;
-const LINK_DELAY: Duration = Duration::from_millis(150);
 
-/// Links of an instance, and the faults that disturb them now.
-struct InstanceLinks {
-    store: Gate,
-    peer: Gate,
-    faults: Vec<LinkFault>,
-}
-
-impl InstanceLinks {
-    fn begin(&mut self, fault: LinkFault) {
-        if fault == LinkFault::Reset {
-            self.store.reset_open();
-            self.peer.reset_open();
-        } else {
-            self.faults.push(fault);
-            self.apply();
-        }
-    }
-
-    fn end(&mut self, fault: LinkFault) {
-        if let Some(index) = self.faults.iter().position(|one| *one == fault) {
-            self.faults.remove(index);
-            self.apply();
-        }
-    }
-
-    /// The fault that began last determines what the links do.
-    fn apply(&self) {
-        let disturbance = self.faults.last().and_then(|fault| match fault {
-            LinkFault::Delay => Some(Disturbance::Delays(LINK_DELAY)),
-            LinkFault::CutOneWay => Some(Disturbance::LosesResponses),
-            LinkFault::Silence => Some(Disturbance::Silent),
-            LinkFault::Reset => None,
-        });
-        self.store.disturb(disturbance);
-        self.peer.disturb(disturbance);
-    }
-}
+/// Position of an instance's link to the store in its links.
+const STORE_LINK: usize = 0;
+/// Position of the link of others to an instance.
+const PEER_LINK: usize = 1;
 
 /// An address that another program took, with the disruption that it belongs to.
 struct Taken {
@@ -91,7 +56,7 @@
     pub instances: Vec<Instance>,
     /// Starts of processes, and addresses that were taken for longer than their disruption.
     pub troubles: Vec<Trouble>,
-    links: Vec<InstanceLinks>,
+    links: Vec<LinkSet>,
     taken: Vec<Taken>,
     ports: Ports,
     rng: ChaCha8Rng,
@@ -130,7 +95,7 @@
             instances.push(Instance::new(name, addrs, program.clone(), dir, start + delay));
             let peer = Gate::start(addrs.peer);
             peer.forward_datagrams();
-            links.push(InstanceLinks { store: Gate::start(store), peer, faults: Vec::new() });
+            links.push(LinkSet::new(vec![Gate::start(store), peer]));
         }
         let (troubles, taken) = (Vec::new(), Vec::new());
         let mut fleet = Self { instances, troubles, links, taken, ports, rng, start };
@@ -145,18 +110,47 @@
         let count = self.instances.len();
         let third = match self.rng.random_range(0..=count) {
             stale if stale == count => Addrs::new(count, self.ports).peer,
-            other => self.links[other].peer.addr,
+            other => self.links[other].addr(PEER_LINK),
         };
         let links = Links {
-            store: self.links[index].store.addr,
-            advertised_peer: self.links[index].peer.addr,
-            seeds: vec![self.links[0].peer.addr, self.links[count / 2].peer.addr, third],
+            store: self.links[index].addr(STORE_LINK),
+            advertised_peer: self.links[index].addr(PEER_LINK),
+            seeds: vec![
+                self.links[0].addr(PEER_LINK),
+                self.links[count / 2].addr(PEER_LINK),
+                third,
+            ],
         };
         let instance = &self.instances[index];
         let text = settings_text(&instance.name, &instance.addrs, &links)?;
         instance.write_settings(&text).map_err(|e| format!("{}: settings: {e}", instance.name))
     }
 
+    /// The disruptions of a schedule as they were: a stop lasts until the process runs again, and an
+    /// address is taken for as long as it was.
+    pub fn actual(&self, planned: &[Disruption]) -> Vec<Disruption> {
+        let actual = |one: &Disruption| {
+            let belongs = |trouble: &&Trouble| one.instances.contains(&trouble.instance);
+            let own = self.troubles.iter().filter(belongs);
+            let until = match one.kind {
+                DisruptionKind::Terminate => {
+                    let first_start = |index: &usize| {
+                        let after = own.clone().filter(|t| t.instance == *index && t.from > one.at);
+                        after.map(|trouble| trouble.from).min()
+                    };
+                    one.instances.iter().filter_map(first_start).max()
+                }
+                DisruptionKind::TakenAddress => {
+                    let taken = own.filter(|t| t.until > t.from && t.from >= one.at);
+                    taken.map(|trouble| trouble.until).max()
+                }
+                _ => None,
+            };
+            Disruption { until: until.unwrap_or(one.until).max(one.until), ..one.clone() }
+        };
+        planned.iter().map(actual).collect()
+    }
+
     /// Begins a disruption of instances or of their links.
     ///
     /// # Errors
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -2,15 +2,24 @@
 //!
 //! A seed determines a schedule of disruptions that overlap and end before a calm time. Each instance
 //! has loopback addresses of its own, reaches the store and other instances through links that can be
-//! disturbed, and is started again after each end, as a platform does.
+//! disturbed, and is started again after each end, as a platform does. Callers and backend servers
+//! record what they see, which is checked against what the system promises.
 
+mod callers;
+mod checks;
 mod command;
+mod connection;
 mod disruption;
+mod entry_pool;
 mod finding;
 mod fleet;
 mod instance;
+mod link;
 mod other_program;
+mod outcome;
+mod outside;
 mod readiness;
+pub mod record;
 mod recovery;
 mod run;
 mod schedule;
@@ -18,6 +27,13 @@
 mod shrink;
 mod template;
 
+pub use callers::Callers;
+pub use callers::Load;
+pub use checks::Rule;
+pub use checks::ServedShare;
+pub use checks::Violation;
+pub use checks::check;
+pub use checks::served_shares;
 pub use command::command;
 pub use command::run;
 pub use command::run_seed;
@@ -28,7 +44,10 @@
 pub use disruption::StoreFault;
 pub use finding::Finding;
 pub use finding::FindingKind;
-pub use run::Outcome;
+pub use outcome::Outcome;
+pub use outside::Outside;
+pub use outside::OutsidePlan;
+pub use record::Record;
 pub use run::SoakOptions;
 pub use run::run_schedule;
 pub use schedule::Schedule;
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -10,26 +10,38 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use tamaracklead_standin::Replica;
-use tamaracklead_standin::Store;
+use tamaracklead_standin::Gate;
 
+use super::Callers;
 use super::Disruption;
 use super::DisruptionKind;
+use super::Load;
+use super::Outside;
+use super::OutsidePlan;
+use super::Record;
+use super::Violation;
+use super::check;
 use super::finding::Finding;
 use super::finding::FindingKind;
 use super::fleet::Fleet;
-use super::instance::End;
-use super::instance::EndCause;
 use super::instance::Instance;
+use super::link::LinkSet;
+use super::outcome::Outcome;
 use super::readiness::ReadinessProbe;
 use super::recovery::Recovery;
 use super::schedule::Schedule;
+use super::served_shares;
 use super::settings::Ports;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(3);
 /// Threads that compete with the fleet in a run beside load.
 const BUSY_THREADS: usize = 6;
-const ROUTE_TIMEOUT_MS: u64 = 5000;
+/// Time after which callers send requests; all instances run by then.
+const CALLERS_AFTER: Duration = Duration::from_secs(2);
+const REQUESTS_PER_S: f64 = 30.0;
+const ENGINES: usize = 6;
+const DESKS: usize = 3;
+const ADAPTERS: u32 = 24;
 
 /// What a soak is run with, beside its schedule.
 #[derive(Clone, Debug)]
@@ -44,51 +56,6 @@
     pub keep_logs: Option<PathBuf>,
 }
 
-/// What a soak has shown.
-#[derive(Debug, Default)]
-pub struct Outcome {
-    /// What is wrong.
-    pub findings: Vec<Finding>,
-    /// Number of starts of processes.
-    pub starts: usize,
-    /// Ages of processes that SIGHUP ended while their program was being loaded.
-    pub early_hangups: Vec<Duration>,
-    /// Times from the end of a disruption to readiness.
-    pub ready_times: Vec<Duration>,
-}
-
-impl Outcome {
-    /// One line.
-    pub fn summary(&self) -> String {
-        let worst = self.ready_times.iter().max().copied().unwrap_or_default();
-        format!(
-            "{} findings; {} starts, {} ended by SIGHUP while loaded {:.0?}; ready again {} times, \
-             at the latest after {worst:.3?}",
-            self.findings.len(),
-            self.starts,
-            self.early_hangups.len(),
-            self.early_hangups,
-            self.ready_times.len(),
-        )
-    }
-
-    fn add_end(&mut self, index: usize, end: &End, at: Duration) {
-        let kind = match end.cause {
-            EndCause::Wanted => return,
-            EndCause::HangupWhileLoading => {
-                self.early_hangups.push(end.age);
-                return;
-            }
-            EndCause::WithError => FindingKind::EndedWithError,
-            EndCause::Late => FindingKind::EndedLate,
-            EndCause::ByItself => FindingKind::EndedByItself,
-        };
-        let (status, age, tail) = (end.status, end.age, &end.log_tail);
-        let detail = format!("instance {index}, {status}, {age:.3?} after its start\n{tail}");
-        self.findings.push(Finding { at, kind, detail });
-    }
-}
-
 /// Runs a schedule to its end.
 ///
 /// # Errors
@@ -127,54 +94,107 @@
     seed: u64,
     schedule: &Schedule,
 ) -> Result<Outcome, String> {
-    let store = Store::start();
-    let replicas: Vec<Replica> =
-        (0..3).map(|index| Replica::start_healthy(&format!("desk-{index}"))).collect();
-    store.put_config(1, ROUTE_TIMEOUT_MS);
-    for replica in &replicas {
-        store.put_replica(replica, "ready");
-    }
-    let busy = options.is_beside_load.then(BusyThreads::start);
     let start = Instant::now();
+    let record = Arc::new(Record::new(start));
+    let plan = OutsidePlan { engines: ENGINES, desks: DESKS, adapters: ADAPTERS, seed };
+    let outside = Outside::start(&plan, Arc::clone(&record));
+    let mut replica_links = ReplicaLinks::start(&outside);
+    let busy = options.is_beside_load.then(BusyThreads::start);
     let (count, ports) = (options.instances, options.ports);
-    let mut fleet = Fleet::new(bin_dir, dir, count, ports, store.addr, seed, start)?;
+    let mut fleet = Fleet::new(bin_dir, dir, count, ports, outside.store_addr(), seed, start)?;
     let probe =
         |one: &Instance| ReadinessProbe::start(one.addrs, Arc::clone(&one.incarnation), start);
     let probes: Vec<ReadinessProbe> = fleet.instances.iter().map(probe).collect();
     let mut outcome = Outcome::default();
     let mut events = Events::new(schedule);
-    let mut config_version = 1;
+    let mut callers = None;
     while start.elapsed() < schedule.duration {
         let now = Instant::now();
+        if callers.is_none() && start.elapsed() >= CALLERS_AFTER {
+            callers = Some(start_callers(&fleet, seed, &record));
+        }
         while let Some((disruption, begins)) = events.next_due(start.elapsed()) {
             if begins {
                 fleet.begin(disruption, now)?;
             } else {
                 fleet.end(disruption, now);
             }
-            if begins && disruption.kind == DisruptionKind::ConfigChange {
-                config_version += 1;
-                store.put_config(config_version, ROUTE_TIMEOUT_MS);
-            }
+            replica_links.apply(disruption, begins);
+            outside.apply(disruption, begins);
         }
         for (index, end) in fleet.tick(now)? {
             outcome.add_end(index, &end, end.at.saturating_duration_since(start));
         }
         thread::sleep(TICK_INTERVAL);
     }
+    if let Some(callers) = callers {
+        callers.stop();
+    }
+    drop(busy);
+    let disruptions = fleet.actual(&schedule.disruptions);
     for (index, probe) in probes.into_iter().enumerate() {
         let changes = probe.stop();
-        let (disruptions, troubles) = (&schedule.disruptions, &fleet.troubles);
-        let recovery = Recovery::check(index, &changes, disruptions, troubles, schedule.duration);
+        let duration = schedule.duration;
+        let recovery = Recovery::check(index, &changes, &disruptions, &fleet.troubles, duration);
         outcome.findings.extend(recovery.findings);
         outcome.ready_times.extend(recovery.times);
     }
+    let violations = check(&record, &disruptions).into_iter();
+    outcome.findings.extend(violations.map(|Violation { rule, at, detail }| Finding {
+        at,
+        kind: FindingKind::Broken(rule),
+        detail,
+    }));
+    let is_of_all = |one: &Disruption| one.instances.len() == count;
+    let returns: Vec<Disruption> = disruptions.into_iter().filter(is_of_all).collect();
+    outcome.shares = served_shares(&record.seen(), &returns);
     outcome.starts = fleet.instances.iter().map(|one| one.starts).sum();
-    drop(busy);
     outcome.findings.sort_by_key(|finding| finding.at);
     Ok(outcome)
 }
 
+fn start_callers(fleet: &Fleet, seed: u64, record: &Arc<Record>) -> Callers {
+    let entries = fleet.instances.iter().map(|one| one.addrs.caller).collect();
+    let readiness = fleet.instances.iter().map(|one| one.addrs.ready).collect();
+    let load = Load { requests_per_s: REQUESTS_PER_S, adapters: ADAPTERS, readiness, seed };
+    Callers::start(entries, load, Arc::clone(record))
+}
+
+/// Links to every other backend server; the rest are reached directly.
+struct ReplicaLinks {
+    links: Vec<LinkSet>,
+}
+
+impl ReplicaLinks {
+    fn start(outside: &Outside) -> Self {
+        let mut links = Vec::new();
+        let mut addrs = outside.backend_addrs();
+        for addr in addrs.iter_mut().step_by(2) {
+            let gate = Gate::start(*addr);
+            *addr = gate.addr;
+            links.push(LinkSet::new(vec![gate]));
+        }
+        outside.publish_at(&addrs);
+        Self { links }
+    }
+
+    /// Faults of links that name no instances befall half of these.
+    fn apply(&mut self, disruption: &Disruption, begins: bool) {
+        let DisruptionKind::Link(fault) = disruption.kind else { return };
+        if !disruption.instances.is_empty() {
+            return;
+        }
+        let first = disruption.at.as_millis() as usize % 2;
+        for link in self.links.iter_mut().skip(first).step_by(2) {
+            if begins {
+                link.begin(fault);
+            } else {
+                link.end(fault);
+            }
+        }
+    }
+}
+
 /// Begins and ends of disruptions in the order of time.
 struct Events<'a> {
     events: Vec<(Duration, &'a Disruption, bool)>,
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -13,8 +13,8 @@
 use super::StoreFault;
 use super::settings::Ports;
 
-/// Time before the first disruption, in which the fleet starts.
-const START_TIME: Duration = Duration::from_secs(4);
+/// Time before the first disruption, in which the fleet starts and serves.
+const START_TIME: Duration = Duration::from_secs(6);
 /// Time without disruptions at the end, in which service has to come back.
 pub const CALM_TIME: Duration = Duration::from_secs(16);
 /// Time for which all processes are away when all are killed, in ms.
@@ -170,6 +170,8 @@
 
     fn link_fault(&mut self, at: u64) {
         let (ms, some) = (self.rng.random_range(300..3500), self.some());
+        let befalls_replicas = self.rng.random_bool(0.3);
+        let some = if befalls_replicas { Vec::new() } else { some };
         let (fault, ms) = match self.rng.random_range(0..4) {
             0 => (LinkFault::Delay, ms),
             1 => (LinkFault::Reset, 0),
