--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -19,6 +19,10 @@
 pub const CALM_TIME: Duration = Duration::from_secs(16);
 /// Time for which all processes are away when all are killed, in ms.
 const RETURN_MS: u64 = 700;
+/// Longest time between two disruptions, in ms.
+const MAX_STEP_MS: u64 = 1800;
+/// Longest suspension before a kill of all, in ms.
+const MAX_SUSPENSION_MS: u64 = 2000;
 /// Time between a return and the next kill of all, in ms.
 const AGAIN_MS: u64 = 2000;
 /// Time after a kill at which addresses are taken, in ms.
@@ -40,7 +44,8 @@
         let mut series = Series { rng, instances, ports, disruptions: Vec::new() };
         let end = duration.saturating_sub(CALM_TIME).as_millis() as u64;
         let start = START_TIME.as_millis() as u64;
-        let return_at = series.rng.random_range(start..end.max(start + 1));
+        let last_return = end.saturating_sub(MAX_STEP_MS + MAX_SUSPENSION_MS);
+        let return_at = series.rng.random_range(start..last_return.max(start + 1));
         let mut at = start;
         let mut has_returned = false;
         while at < end {
@@ -50,7 +55,7 @@
             } else {
                 series.any(at);
             }
-            at += series.rng.random_range(150..1800);
+            at += series.rng.random_range(150..MAX_STEP_MS);
         }
         let mut disruptions = series.disruptions;
         let end = Duration::from_millis(end);
@@ -151,7 +156,7 @@
     fn kill_all(&mut self, at: u64) {
         let mut kill_at = at;
         if self.rng.random_bool(0.4) {
-            kill_at += self.rng.random_range(500..2000);
+            kill_at += self.rng.random_range(500..MAX_SUSPENSION_MS);
             self.add(at, kill_at - at, self.all(), DisruptionKind::Suspend);
         }
         if self.rng.random_bool(0.4) && self.is_free(at, is_store_fault) {
--- a/lab/tests/soak_parts.rs
+++ b/lab/tests/soak_parts.rs
@@ -12,8 +12,10 @@
 use lab::soak::Addrs;
 use lab::soak::DisruptionKind;
 use lab::soak::Links;
+use lab::soak::Manner;
 use lab::soak::Ports;
 use lab::soak::Schedule;
+use lab::soak::TakenAddress;
 use lab::soak::render;
 use lab::soak::settings_text;
 use lab::soak::shrink;
@@ -21,6 +23,7 @@
 use tamaracklead::relay::RelaySettings;
 use tamaracklead_standin::Disturbance;
 use tamaracklead_standin::Gate;
+use tamaracklead_standin::free_addr;
 
 const DURATION: Duration = Duration::from_secs(45);
 /// Time in which bytes arrive on a link that isn't disturbed, even on a busy machine.
@@ -173,3 +176,24 @@
     let _stream = TcpStream::connect(gate.addr).unwrap();
     target.accept().unwrap();
 }
+
+// Guards against other programs that leave addresses free, or keep them for good. An instance's
+// listener sets the option that this listener of the standard library sets.
+#[test]
+fn other_programs_take_addresses_and_free_them() {
+    for manner in [Manner::Listener, Manner::Connection] {
+        let addr = free_addr();
+        let taken = TakenAddress::take(addr, manner).unwrap();
+        assert_eq!(taken.manner, manner);
+        assert!(TcpListener::bind(addr).is_err(), "{manner:?}");
+        drop(taken);
+        let freed = (0..200).any(|_| {
+            thread::sleep(Duration::from_millis(10));
+            TcpListener::bind(addr).is_ok()
+        });
+        assert!(freed, "{manner:?}");
+    }
+    let addr = free_addr();
+    drop(TakenAddress::take(addr, Manner::EndedConnection).unwrap());
+    assert!(TcpListener::bind(addr).is_err());
+}
