Serve without an address that another program holds

Callers saw: an instance that was started while another program held one of its ports served nobody, ended with 1 after shutdown_limit_s and 2 s, was started again and ended again. After a return of the whole fleet such instances were missing.

Cause: a start bound all three needed addresses or none, and waited for a bounded time. What holds a port often lasts longer: a connection of another program in TIME_WAIT holds it for 60 s, a listener for as long as it likes.

Change: each address is tried by itself, without an end, and served from the moment it is bound; metrics from the very start. decide::listening holds the state of each address, when it is tried again, what ends the process (an address that the machine lacks, or may not use) and the instance's role in the fleet. Readiness, log (one line a change) and relay_addresses_missing name what is missing. addresses_bound and origins_off are gone from the log.

The test an_address_that_stays_in_use_ends_the_start_with_an_error_that_names_it guarded against a start that hangs silently by demanding its end, which is the fault. It is replaced by one that demands that the process lives and names the address in log, metrics and readiness 0.7 s after the start and after the time of an earlier process, and by one that still demands the end with an error for an address that the machine doesn't have.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod engine;
 pub mod fleet;
 pub mod line_limit;
+pub mod listening;
 pub mod membership;
 pub mod ownership;
 pub mod permits;
--- a/src/decide/start_wait.rs
+++ b/src/decide/start_wait.rs
@@ -1,8 +1,7 @@
 //! Whether a step of a process's start that failed is tried again.
 //!
-//! What stands in the way of a start often goes away by itself: an earlier process that still shuts
-//! down, a connection of another process that got the port from the system, a settings file that is
-//! being replaced. A start that gives up at once would only be repeated by whoever started it.
+//! What stands in the way of a start often goes away by itself, as a settings file that is being
+//! replaced. A start that gives up at once would only be repeated by whoever started it.
 
 use std::time::Duration;
 
--- a/src/decide/traffic/peer_gossip.rs
+++ b/src/decide/traffic/peer_gossip.rs
@@ -34,7 +34,7 @@
     pub heartbeat: u64,
     /// Whether it has run long enough to know the fleet.
     pub settled: bool,
-    /// Whether it is shutting down.
+    /// Whether nobody is to rely on it: it is shutting down, or can't be called.
     pub draining: bool,
     /// Data centre that it runs in; `None` if a process that doesn't say so passed the record on.
     #[serde(default)]
@@ -89,6 +89,19 @@
     pub beats: Beats,
 }
 
+impl PeerGossip {
+    /// A message that asks for what the receiver knows and has nothing to tell.
+    pub fn without_sender(needs_all_records: bool) -> Self {
+        Self {
+            records: Vec::new(),
+            heartbeats: Vec::new(),
+            needs_all_records,
+            roster: 0,
+            beats: Beats::None,
+        }
+    }
+}
+
 /// Lowest bytes of heartbeats.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Beats {
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -25,6 +25,7 @@
 use super::owner_election::OwnerElection;
 use super::peer_gossip::Beats;
 use super::peer_gossip::advance_heartbeat;
+use crate::decide::listening::FleetRole;
 use crate::decide::reach::PassOnCandidate;
 use crate::decide::rendezvous;
 use crate::names::InstanceName;
@@ -57,6 +58,8 @@
 #[derive(Clone, Debug)]
 pub struct Peers {
     me: PeerRecord,
+    role: FleetRole,
+    is_stopping: bool,
     seeds: Vec<SocketAddr>,
     known: BTreeMap<InstanceName, KnownPeer>,
     /// Names of instances by the tags of their records.
@@ -75,6 +78,8 @@
     pub fn new(me: PeerRecord, seeds: Vec<SocketAddr>) -> Self {
         Self {
             me,
+            role: FleetRole::Full,
+            is_stopping: false,
             seeds,
             known: BTreeMap::new(),
             tags: HashMap::new(),
@@ -99,7 +104,20 @@
 
     /// Marks this instance as shutting down, for the others to know.
     pub fn set_draining(&mut self) {
-        self.me.draining = true;
+        self.is_stopping = true;
+        self.update_draining();
+    }
+
+    /// Sets what this instance does in the fleet, for the others to know.
+    pub fn set_role(&mut self, role: FleetRole) {
+        if self.role != role {
+            self.role = role;
+            self.update_draining();
+        }
+    }
+
+    fn update_draining(&mut self) {
+        self.me.draining = self.is_stopping || self.role != FleetRole::Full;
         self.live_beats.on_record_changed();
         self.candidates_checked_at = None;
     }
@@ -191,6 +209,9 @@
             full.truncate(MAX_CHANGED_RECORDS);
         }
         let records: Vec<PeerRecord> = full.iter().map(|known| known.record.clone()).collect();
+        if self.role == FleetRole::Observer {
+            return PeerGossip::without_sender(self.needs_all_records);
+        }
         let mut gossip = PeerGossip {
             records: std::iter::once(self.me.clone()).chain(records).collect(),
             heartbeats: Vec::new(),
@@ -299,7 +320,7 @@
     ///
     /// One that has just started is passed over while settled ones are there, since taking over
     /// takes time, unless it started together with them; so is one that is cut off from replicas while
-    /// others aren't. `None` if all are draining.
+    /// others aren't. `None` if all are draining, but for this instance if it only can't be called.
     pub fn preferred_owner(&mut self, now: Timestamp, replica: &str) -> Option<InstanceName> {
         if self.candidates_checked_at != Some(now) {
             self.candidates_checked_at = Some(now);
@@ -318,7 +339,9 @@
 
     /// Instances that may own replicas, sorted by name.
     fn owner_candidates(&self, now: Timestamp) -> Vec<InstanceName> {
-        owner_election::candidates(self.live(now).chain([&self.me]))
+        let names = owner_election::candidates(self.live(now).chain([&self.me]));
+        let is_only_one = names.is_empty() && self.role == FleetRole::Limited && !self.is_stopping;
+        if is_only_one { vec![self.me.name.clone()] } else { names }
     }
 
     /// Whether this instance is one of the few readers of the published state: those with the
@@ -329,8 +352,12 @@
         self.is_ranked_among(now, READER_COUNT, rank)
     }
 
-    /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`.
+    /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`. One that
+    /// can't be called leaves that to the others, which don't count it.
     pub fn is_among_first(&self, now: Timestamp, key: &str, count: usize) -> bool {
+        if self.role != FleetRole::Full && self.live(now).any(|record| !record.draining) {
+            return false;
+        }
         let ranking = rendezvous::Ranking::new(key);
         self.is_ranked_among(now, count, |record| ranking.score(record.name.as_str()))
     }
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -32,6 +32,7 @@
 use super::quotas;
 use super::stream_origins;
 use super::turns;
+use crate::decide::listening::FleetRole;
 use crate::decide::traffic::Receiver;
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::Strikes;
@@ -40,6 +41,7 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 use crate::names::InstanceName;
+use crate::names::Timestamp;
 use crate::wire::frame::decode;
 use crate::wire::frame::encode;
 use crate::wire::quota::QUOTA_PATH;
@@ -82,6 +84,7 @@
 pub async fn run(node: Arc<Node>) {
     loop {
         let now = node.now();
+        node.peers().set_role(node.addresses.fleet_role());
         let targets = node.peers().next_round(now);
         for addr in targets {
             tokio::spawn(exchange_with(Arc::clone(&node), addr));
@@ -273,10 +276,7 @@
         use_serial: node.use_serial(),
         strikes: strikes.iter().map(|s| (s.fingerprint, s.count)).collect(),
         strike_ages_ms: strikes.iter().map(|s| s.age_ms).collect(),
-        views: ViewDigests {
-            operator: node.view(PublishedTopic::Operator).digest(now),
-            replicas: node.view(PublishedTopic::Replicas).digest(now),
-        },
+        views: shared_views(node, now),
         leaving: node.replicas().recently_leaving(now),
         crash_evidence,
         sound_parts,
@@ -285,6 +285,17 @@
     }
 }
 
+/// What peers may ask this instance for: nothing unless they can call it.
+fn shared_views(node: &Node, now: Timestamp) -> ViewDigests {
+    match node.addresses.fleet_role() {
+        FleetRole::Full => ViewDigests {
+            operator: node.view(PublishedTopic::Operator).digest(now),
+            replicas: node.view(PublishedTopic::Replicas).digest(now),
+        },
+        FleetRole::Limited | FleetRole::Observer => ViewDigests::default(),
+    }
+}
+
 /// Replicas that this instance owns, and what they hold.
 fn owned_replicas(node: &Node) -> Vec<OwnedReplica> {
     let all = node.owned();
--- a/src/relay/listen_sockets.rs
+++ b/src/relay/listen_sockets.rs
@@ -1,24 +1,20 @@
-//! Binds the addresses without which a relay can't do its work.
+//! Binds the addresses that a relay listens on, each as soon as it is free.
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use nix::errno::Errno;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
 use tokio::time::sleep;
 
-use super::RelayListen;
-use super::log_event::record;
-use super::process_event::ProcessEvent;
-use crate::decide::start_wait::AfterFailure;
-use crate::decide::start_wait::StartFailure;
-use crate::decide::start_wait::StartWait;
+use super::addresses::Addresses;
+use crate::decide::listening::AfterBindFailure;
+use crate::decide::listening::BindFailure;
+use crate::decide::listening::ListenAddress;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
-use crate::names::Timestamp;
 
 /// System errors of a bind that may go away by themselves, besides those with a kind of their own.
 const TEMPORARY_ERRORS: [Errno; 4] = [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM];
@@ -26,93 +22,50 @@
 /// Length of the queue of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Listeners of a relay, all bound.
-#[derive(Debug)]
-pub struct ListenSockets {
-    /// For calls of other entry instances.
-    pub peer: TcpListener,
-    /// For readiness checks.
-    pub ready: TcpListener,
-    /// For callers' requests.
-    pub caller: TcpListener,
-}
-
-/// An address that can't be bound.
-struct BindFailure {
-    addr: SocketAddr,
-    error: io::Error,
-}
-
-impl ListenSockets {
-    /// Binds all addresses; while one is in use, tries again until `wait` is over. `on_failure` is
-    /// called at each failed try.
-    ///
-    /// # Errors
-    ///
-    /// `Internal` if an address can't be bound by then, or never can be.
-    pub async fn bind(
-        listen: &RelayListen,
-        wait: StartWait,
-        now: impl Fn() -> Timestamp,
-        on_failure: impl Fn(),
-    ) -> Result<Self> {
-        let mut logged = None;
-        loop {
-            // None is kept over a wait: connections to a listener that serves nothing would hang.
-            let failure = match Self::try_bind(listen) {
-                Ok(sockets) => {
-                    if logged.is_some() {
-                        let waited_ms = wait.waited(now()).as_millis();
-                        record(&ProcessEvent::AddressesBound { waited_ms });
-                    }
-                    return Ok(sockets);
-                }
-                Err(failure) => failure,
-            };
-            on_failure();
-            match wait.on_failure(now(), kind_of(&failure.error)) {
-                AfterFailure::GiveUp => return Err(failure.into_error(wait.waited(now()))),
-                AfterFailure::TryAgain(delay) => {
-                    if logged != Some(failure.addr) {
-                        logged = Some(failure.addr);
-                        failure.record();
-                    }
-                    sleep(delay).await;
-                }
+/// Tries `bind` with an address until it succeeds; `on_failure` is called at each failed try. Waits
+/// without an end if the settings have no such address.
+///
+/// # Errors
+///
+/// `Internal` if the process can't have the address.
+pub async fn bind_when_free<T>(
+    addresses: &Addresses,
+    address: ListenAddress,
+    bind: impl Fn(SocketAddr) -> io::Result<T>,
+    on_failure: impl Fn(),
+) -> Result<T> {
+    let Some(addr) = addresses.socket_addr(address) else { return std::future::pending().await };
+    loop {
+        let error = match bind(addr) {
+            Ok(socket) => {
+                addresses.on_bound(address);
+                return Ok(socket);
+            }
+            Err(error) => error,
+        };
+        on_failure();
+        match addresses.on_failure(address, kind_of(&error), &error.to_string()) {
+            AfterBindFailure::TryAgain { delay, .. } => sleep(delay).await,
+            AfterBindFailure::GiveUp => {
+                let waited_ms = addresses.waited().as_millis();
+                let detail =
+                    format!("address {addr} can't be bound: {error} (tried for {waited_ms} ms)");
+                return Err(Error::new(ErrorKind::Internal, detail));
             }
         }
     }
-
-    fn try_bind(listen: &RelayListen) -> std::result::Result<Self, BindFailure> {
-        let try_bind = |addr| bind(addr).map_err(|error| BindFailure { addr, error });
-        Ok(Self {
-            peer: try_bind(listen.peer)?,
-            ready: try_bind(listen.ready)?,
-            caller: try_bind(listen.caller)?,
-        })
-    }
-}
-
-impl BindFailure {
-    fn record(&self) {
-        let (addr, detail) = (&self.addr.to_string(), &self.error.to_string());
-        record(&ProcessEvent::AddressUnavailable { addr, detail });
-    }
-
-    fn into_error(self, waited: Duration) -> Error {
-        let (Self { addr, error }, waited_ms) = (self, waited.as_millis());
-        let detail = format!("address {addr} can't be bound: {error} (tried for {waited_ms} ms)");
-        Error::new(ErrorKind::Internal, detail)
-    }
 }
 
 /// Whether an address may become free by itself.
-fn kind_of(error: &io::Error) -> StartFailure {
-    let is_temporary = match error.kind() {
-        io::ErrorKind::AddrInUse | io::ErrorKind::AddrNotAvailable => true,
-        _ => TEMPORARY_ERRORS.iter().any(|known| error.raw_os_error() == Some(*known as i32)),
-    };
-    if is_temporary { StartFailure::Temporary } else { StartFailure::Permanent }
+fn kind_of(error: &io::Error) -> BindFailure {
+    let is_temporary =
+        || TEMPORARY_ERRORS.iter().any(|known| error.raw_os_error() == Some(*known as i32));
+    match error.kind() {
+        io::ErrorKind::AddrInUse => BindFailure::Taken,
+        io::ErrorKind::AddrNotAvailable => BindFailure::NotThere,
+        _ if is_temporary() => BindFailure::Taken,
+        _ => BindFailure::Permanent,
+    }
 }
 
 /// Binds an IPv4 listener with `SO_REUSEADDR`.
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::pending;
 use std::io;
+use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
@@ -71,7 +72,7 @@
 const LAST_READ_TIME: Duration = Duration::from_millis(10);
 
 /// Accepts connections until the process ends, or until callers' ones are no longer accepted.
-pub async fn run(node: Arc<Node>, listener: TcpListener, audience: Audience) {
+pub async fn run(node: Arc<Node>, listener: &TcpListener, audience: Audience) {
     let is_closing = async {
         match audience {
             Audience::Callers => node.until_callers_are_not_accepted().await,
@@ -94,13 +95,13 @@
     }
 }
 
-/// Closes the listener after the connections that wait to be accepted, which it would reset.
+/// Accepts the connections that wait to be accepted, which the end of the listener would reset.
 ///
 /// They are accepted from the system itself, as the runtime may not know of the last ones yet.
-fn accept_waiting(node: &Arc<Node>, listener: TcpListener, audience: Audience) {
+fn accept_waiting(node: &Arc<Node>, listener: &TcpListener, audience: Audience) {
     let on_failure = |e: &io::Error| record(&ProcessEvent::AcceptFailed { detail: &e.to_string() });
-    let listener = match listener.into_std() {
-        Ok(listener) => listener,
+    let listener = match listener.as_fd().try_clone_to_owned() {
+        Ok(descriptor) => std::net::TcpListener::from(descriptor),
         Err(e) => return on_failure(&e),
     };
     let to_tokio = |stream: std::net::TcpStream| {
@@ -267,7 +268,7 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
-    response(status, Bytes::new())
+    response(status, Bytes::from(node.addresses.missing_text()))
 }
 
 fn serve_metrics(node: &Node, req: &Request<Incoming>) -> Response<ResponseBody> {
--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -201,11 +201,6 @@
         /// Number of those of which it has none.
         unidentified: usize,
     },
-    /// Other instances can't be told where streams began; everything else goes on.
-    OriginsOff {
-        /// The error.
-        detail: &'a str,
-    },
     /// A stream is to resume at another replica.
     StreamResumes {
         /// Id of the request.
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -22,6 +22,7 @@
 use super::pressure::Pressure;
 use super::version_source::VersionSource;
 use crate::decide::config_freshness::ConfigTrust;
+use crate::decide::listening::ListenAddress;
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
 use crate::send_permits::PermitSource;
@@ -121,6 +122,11 @@
     }
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AddressLabels {
+    address: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TopicLabels {
     topic: &'static str,
@@ -157,6 +163,7 @@
     value_failures: Counter,
     config_lag: Gauge,
     bind_failures: Counter,
+    addresses_missing: Family<AddressLabels, Gauge>,
     task_failures: Counter,
     panics: Gauge,
 }
@@ -192,6 +199,7 @@
             value_failures: Counter::default(),
             config_lag: Gauge::default(),
             bind_failures: Counter::default(),
+            addresses_missing: Family::default(),
             task_failures: Counter::default(),
             panics: Gauge::default(),
         };
@@ -252,8 +260,10 @@
         r.register("config_lag_ms", help, self.config_lag.clone());
         let help = "Log lines that were dropped";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
-        let help = "Failed tries to bind an address at the start";
+        let help = "Failed tries to bind an address";
         r.register("bind_failures", help, self.bind_failures.clone());
+        let help = "Whether an address isn't bound: 1 if it is missing, 0 if not";
+        r.register("addresses_missing", help, self.addresses_missing.clone());
         let help = "Background tasks that failed and were started again";
         r.register("task_failures", help, self.task_failures.clone());
         r.register("panics", "Panics since the start", self.panics.clone());
@@ -382,6 +392,11 @@
             ConfigTrust::Known => 1,
             ConfigTrust::Current => 2,
         });
+        for address in ListenAddress::ALL {
+            let labels = AddressLabels { address: address.name() };
+            let is_missing = node.addresses.is_missing(address);
+            self.addresses_missing.get_or_create(&labels).set(i64::from(is_missing));
+        }
         self.accounts.set_balances(&node.quotas.balances().summary(now));
         let mut text = String::new();
         encode(&mut text, &self.registry)?;
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod account_metrics;
 mod active_request_guard;
 mod adapter_use;
+mod addresses;
 mod attempt;
 mod attempt_failure;
 mod attempt_race;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -20,6 +20,7 @@
 use super::Protocol;
 use super::PublishedTopic;
 use super::RelaySettings;
+use super::addresses::Addresses;
 use super::connection_pool::ConnectionPool;
 use super::freshness_tracker::FreshnessTracker;
 use super::log_event::LogEvent;
@@ -33,6 +34,7 @@
 use crate::daemon::Clock;
 use crate::decide::config_freshness::ConfigProof;
 use crate::decide::config_freshness::ConfigTrust;
+use crate::decide::listening::ListenAddress;
 use crate::decide::reach::PassOnPeers;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
@@ -72,6 +74,8 @@
 /// that instances draw different ones.
 const FENCES_PER_MS: u64 = 1024;
 
+/// Time by which an earlier process of this instance may outlast its shutdown.
+const PREDECESSOR_MARGIN: Duration = Duration::from_secs(2);
 /// Time by which the clock of another instance is ahead at most, in ms.
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
 
@@ -79,6 +83,8 @@
 pub struct Node {
     /// Settings as read at the start.
     pub settings: RelaySettings,
+    /// Addresses that it listens on.
+    pub addresses: Addresses,
     /// Header names, body formats and control calls of the deployment.
     pub protocol: Arc<dyn Protocol>,
     /// Client for peers, the published state, and the replicas' reports and orders.
@@ -176,8 +182,14 @@
         let first_serial = serial_at_start(started_ms);
         let history = HistoryKnowledge::new(settings.published_history());
         let pressure = Pressure::new(clock, settings.resource_limits());
-        let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
+        let predecessor_limit = settings.shutdown_limit() + PREDECESSOR_MARGIN;
+        let addresses = Addresses::new(settings.listen.clone(), clock, predecessor_limit);
+        let name = settings.instance.clone();
+        let permits = SendPermits::new(name, http.clone(), clock, first_serial);
+        let mut peers = Peers::new(me, settings.seeds.clone());
+        peers.set_role(addresses.fleet_role());
         Self {
+            addresses,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
             config_item: watch::Sender::new(None),
@@ -208,7 +220,7 @@
             use_serial: AtomicU64::new(first_serial),
             replicas: Mutex::default(),
             versions: Mutex::default(),
-            peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
+            peers: Mutex::new(peers),
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             prompt_guard: Mutex::default(),
@@ -415,6 +427,7 @@
     pub fn is_ready(&self) -> bool {
         let knows_replicas = self.view(PublishedTopic::Replicas).is_usable(self.now());
         !self.is_draining()
+            && self.addresses.is_bound(ListenAddress::Caller)
             && self.is_joined()
             && self.config.borrow().is_some()
             && !self.config_lag().is_too_long(self.settings.freshness_limits().propagation)
--- a/src/relay/origin_datagrams.rs
+++ b/src/relay/origin_datagrams.rs
@@ -19,10 +19,10 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::log_event::LogEvent;
-use super::log_event::record;
+use super::listen_sockets::bind_when_free;
 use super::node::Node;
 use super::run::keep_running;
+use crate::decide::listening::ListenAddress;
 use crate::wire::stream_origin::OriginNotice;
 use crate::wire::stream_origin::decode_notices;
 use crate::wire::stream_origin::encode_notices;
@@ -33,8 +33,6 @@
 const MAX_WAITING: usize = 4096;
 /// Largest datagram that is read; of a longer one the rest is lost.
 const MAX_READ_BYTES: usize = 2048;
-/// Interval at which the address is tried again while it is in use.
-const BIND_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Delay after a failed read.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -65,11 +63,15 @@
         self.wake.notify_one();
     }
 
-    fn bind(&self, addr: SocketAddr) -> io::Result<&UdpSocket> {
+    fn bind(&self, addr: SocketAddr) -> io::Result<()> {
+        if self.socket.get().is_some() {
+            return Ok(());
+        }
         let socket = std::net::UdpSocket::bind(addr)?;
         socket.set_nonblocking(true)?;
         let socket = UdpSocket::from_std(socket)?;
-        Ok(self.socket.get_or_init(|| socket))
+        self.socket.get_or_init(|| socket);
+        Ok(())
     }
 
     fn waiting(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Vec<OriginNotice>>> {
@@ -80,14 +82,12 @@
 /// Binds the socket and starts the tasks that send and receive. Without a socket everything else
 /// goes on: the instance tells nobody, and knows the origins of its own streams only.
 pub async fn start(node: Arc<Node>) {
-    let addr = node.settings.listen.peer;
-    let mut is_logged = false;
-    while let Err(e) = node.origin_datagrams.bind(addr) {
-        if !is_logged {
-            is_logged = true;
-            record(&LogEvent::OriginsOff { detail: &format!("{addr}: {e}") });
-        }
-        sleep(BIND_RETRY_INTERVAL).await;
+    let bind = |addr| node.origin_datagrams.bind(addr);
+    let on_failure = || node.metrics.on_bind_failed();
+    let bound = bind_when_free(&node.addresses, ListenAddress::Datagrams, bind, on_failure).await;
+    if let Err(e) = bound {
+        log::debug!("datagrams of other instances can't be received: {e}");
+        return;
     }
     keep_running(&node, "origin notices out", send_batches);
     keep_running(&node, "origin notices in", receive);
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -20,15 +20,22 @@
         /// The error.
         detail: &'a str,
     },
-    /// An address that the process listens on can't be bound yet; it is tried again.
+    /// An address that the process listens on can't be bound; it is tried again, and the process does
+    /// what it can without it.
     AddressUnavailable {
+        /// What the address is for.
+        purpose: &'a str,
         /// The address.
         addr: &'a str,
         /// The error.
         detail: &'a str,
     },
-    /// All addresses are bound after one wasn't available at first.
-    AddressesBound {
+    /// An address that wasn't available is bound.
+    AddressBound {
+        /// What the address is for.
+        purpose: &'a str,
+        /// The address.
+        addr: &'a str,
         /// Time since the first try, in ms.
         waited_ms: u128,
     },
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -4,12 +4,12 @@
 //! relay take new seeds.
 
 use std::future::Future;
-use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::OnceCell;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::Protocol;
@@ -18,7 +18,7 @@
 use super::audience::Audience;
 use super::exchange;
 use super::listen_sockets;
-use super::listen_sockets::ListenSockets;
+use super::listen_sockets::bind_when_free;
 use super::listener;
 use super::log_event::record;
 use super::node::Node;
@@ -33,7 +33,8 @@
 use super::reach;
 use super::settings_file::SettingsFile;
 use super::task_restarts::restart_after_panics;
-use crate::decide::start_wait::StartWait;
+use crate::decide::listening::ListenAddress;
+use crate::error::Error;
 use crate::error::Result;
 
 /// Time after the start at which an instance counts as joined even if no peer has replied.
@@ -41,12 +42,8 @@
 /// Time after that at which an instance counts as settled: it may own replicas even if others
 /// have run for longer.
 const SETTLE_TIME: Duration = Duration::from_millis(2000);
-/// Time by which a start waits for its addresses longer than the shutdown of an earlier process takes.
-const ADDRESS_WAIT_MARGIN: Duration = Duration::from_secs(2);
 /// Time after which a background task that failed is started again.
 const TASK_RESTART_DELAY: Duration = Duration::from_millis(500);
-/// Interval at which the address for metrics is tried again while it is in use.
-const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which a shutdown checks for requests in progress.
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which it checks for requests that arrived before connections were no longer accepted.
@@ -71,49 +68,55 @@
     protocol: Arc<dyn Protocol>,
     dropped_lines: DroppedLineCount,
 ) -> Result<()> {
-    let metrics_addr = settings.listen.metrics;
     let node = Arc::new(Node::new(settings, protocol));
-    let Some(bound) = bind_or_terminate(&node, &mut signals).await else { return Ok(()) };
-    let sockets = bound?;
-    for (listener, audience) in [
-        (sockets.peer, Audience::Peers),
-        (sockets.ready, Audience::Ready),
-        (sockets.caller, Audience::Callers),
+    let (failed, mut failures) = mpsc::channel(1);
+    for (address, audience) in [
+        (ListenAddress::Metrics, Audience::Metrics),
+        (ListenAddress::Peer, Audience::Peers),
+        (ListenAddress::Ready, Audience::Ready),
+        (ListenAddress::Caller, Audience::Callers),
     ] {
-        tokio::spawn(listener::run(Arc::clone(&node), listener, audience));
-    }
-    if let Some(addr) = metrics_addr {
-        tokio::spawn(serve_metrics(Arc::clone(&node), addr));
+        keep_listening(&node, address, audience, &failed);
     }
     start_tasks(&node, dropped_lines);
     let instance = node.settings.instance.as_str();
     record(&ProcessEvent::Started { instance, version: env!("CARGO_PKG_VERSION") });
-    wait_for_termination(&node, &mut file, &mut signals).await;
+    let ended = tokio::select! {
+        () = wait_for_termination(&node, &mut file, &mut signals) => Ok(()),
+        Some(error) = failures.recv() => Err(error),
+    };
     shut_down(&node).await;
-    Ok(())
+    ended
 }
 
-/// Binds the listeners; `None` if a signal asks for the end of the process first.
-async fn bind_or_terminate(
-    node: &Node,
-    signals: &mut ProcessSignals,
-) -> Option<Result<ListenSockets>> {
-    // By then an earlier process has ended whatever it was still doing.
-    let limit = node.settings.shutdown_limit() + ADDRESS_WAIT_MARGIN;
-    let wait = StartWait::new(node.now(), limit);
-    let on_failure = || node.metrics.on_bind_failed();
-    let bind = ListenSockets::bind(&node.settings.listen, wait, || node.now(), on_failure);
-    let mut bind = pin!(bind);
-    loop {
-        tokio::select! {
-            bound = &mut bind => return Some(bound),
-            signal = signals.next() => match signal {
-                ProcessSignal::Terminate => return None,
-                // Once started, the process looks for changes of the file by itself.
-                ProcessSignal::Reload => {}
+/// Listens on an address as soon as it is free, until the process ends; an error that no wait mends is
+/// sent to `failed`.
+fn keep_listening(
+    node: &Arc<Node>,
+    address: ListenAddress,
+    audience: Audience,
+    failed: &mpsc::Sender<Error>,
+) {
+    // Outlives a panic of the task that accepts connections.
+    let listener = Arc::new(OnceCell::new());
+    let failed = failed.clone();
+    keep_running(node, address.name(), move |node| {
+        let (listener, failed) = (Arc::clone(&listener), failed.clone());
+        async move {
+            let on_failure = || node.metrics.on_bind_failed();
+            let bind =
+                || bind_when_free(&node.addresses, address, listen_sockets::bind, on_failure);
+            let bound = tokio::select! {
+                bound = listener.get_or_try_init(bind) => bound,
+                // An instance that shuts down takes no further address.
+                _ = node.until_shutdown(), if !listener.initialized() => return,
+            };
+            match bound {
+                Ok(listener) => listener::run(Arc::clone(&node), listener, audience).await,
+                Err(e) => drop(failed.send(e).await),
             }
         }
-    }
+    });
 }
 
 /// Runs a background task until it ends; after a panic it is started again.
@@ -148,23 +151,6 @@
     keep_running(node, "join", join_and_settle);
 }
 
-/// Serves metrics. Nothing else depends on them, so the relay goes on while the address is in use.
-async fn serve_metrics(node: Arc<Node>, addr: SocketAddr) {
-    let mut is_logged = false;
-    let listener = loop {
-        match listen_sockets::bind(addr) {
-            Ok(listener) => break listener,
-            Err(e) if !is_logged => {
-                is_logged = true;
-                record(&ProcessEvent::MetricsOff { detail: &format!("{addr}: {e}") });
-            }
-            Err(_) => {}
-        }
-        sleep(METRICS_RETRY_INTERVAL).await;
-    };
-    listener::run(node, listener, Audience::Metrics).await;
-}
-
 /// Exports the number of dropped log lines as a metric and logs each rise.
 async fn report_dropped_lines(node: Arc<Node>, dropped_lines: DroppedLineCount) {
     let mut reported = 0;
