--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -54,7 +54,7 @@
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Returns how many log lines were dropped since the process started.
-pub type DroppedLineCount = Box<dyn Fn() -> usize + Send>;
+pub type DroppedLineCount = Box<dyn Fn() -> usize + Send + Sync>;
 
 /// Runs a relay with these settings until it has shut down.
 ///
@@ -136,8 +136,11 @@
 }
 
 fn start_tasks(node: &Arc<Node>, dropped_lines: DroppedLineCount) {
-    tokio::spawn(origin_datagrams::start(Arc::clone(node)));
-    tokio::spawn(report_dropped_lines(Arc::clone(node), dropped_lines));
+    let dropped_lines: Arc<DroppedLineCount> = Arc::new(dropped_lines);
+    keep_running(node, "origin notices", origin_datagrams::start);
+    keep_running(node, "dropped lines", move |node| {
+        report_dropped_lines(node, Arc::clone(&dropped_lines))
+    });
     keep_running(node, "operator's items", |node| {
         published::follow(node, PublishedTopic::Operator)
     });
@@ -152,7 +155,7 @@
 }
 
 /// Exports the number of dropped log lines as a metric and logs each rise.
-async fn report_dropped_lines(node: Arc<Node>, dropped_lines: DroppedLineCount) {
+async fn report_dropped_lines(node: Arc<Node>, dropped_lines: Arc<DroppedLineCount>) {
     let mut reported = 0;
     loop {
         sleep(DROPPED_LINES_CHECK_INTERVAL).await;
