--- a/src/decide/readiness.rs
+++ b/src/decide/readiness.rs
@@ -20,6 +20,8 @@
     Replicas,
     /// Neither peers nor the published state can be reached.
     Contact,
+    /// The address for callers isn't bound.
+    CallerAddress,
     /// The instance shuts down.
     Service,
 }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -20,6 +20,7 @@
 use super::Protocol;
 use super::PublishedTopic;
 use super::RelaySettings;
+use super::addresses::Addresses;
 use super::connection_pool::ConnectionPool;
 use super::freshness_tracker::FreshnessTracker;
 use super::log_event::LogEvent;
@@ -33,6 +34,7 @@
 use crate::daemon::Clock;
 use crate::decide::config_freshness::ConfigProof;
 use crate::decide::config_freshness::ConfigTrust;
+use crate::decide::listening::ListenAddress;
 use crate::decide::reach::PassOnPeers;
 use crate::decide::readiness::Missing;
 use crate::decide::rendezvous;
@@ -73,6 +75,8 @@
 /// that instances draw different ones.
 const FENCES_PER_MS: u64 = 1024;
 
+/// Time by which an earlier process of this instance may outlast its shutdown.
+const PREDECESSOR_MARGIN: Duration = Duration::from_secs(2);
 /// Time by which the clock of another instance is ahead at most, in ms.
 const MAX_CLOCK_LEAD_MS: u64 = 24 * 60 * 60 * 1000;
 
@@ -80,6 +84,8 @@
 pub struct Node {
     /// Settings as read at the start.
     pub settings: RelaySettings,
+    /// Addresses that it listens on.
+    pub addresses: Addresses,
     /// Header names, body formats and control calls of the deployment.
     pub protocol: Arc<dyn Protocol>,
     /// Client for peers, the published state, and the replicas' reports and orders.
@@ -177,8 +183,14 @@
         let first_serial = serial_at_start(started_ms);
         let history = HistoryKnowledge::new(settings.published_history());
         let pressure = Pressure::new(clock, settings.resource_limits());
-        let permits = SendPermits::new(me.name.clone(), http.clone(), clock, first_serial);
+        let predecessor_limit = settings.shutdown_limit() + PREDECESSOR_MARGIN;
+        let addresses = Addresses::new(settings.listen.clone(), clock, predecessor_limit);
+        let name = settings.instance.clone();
+        let permits = SendPermits::new(name, http.clone(), clock, first_serial);
+        let mut peers = Peers::new(me, settings.seeds.clone());
+        peers.set_role(addresses.fleet_role());
         Self {
+            addresses,
             connection_pool: ConnectionPool::default(),
             config: watch::Sender::new(None),
             config_item: watch::Sender::new(None),
@@ -209,7 +221,7 @@
             use_serial: AtomicU64::new(first_serial),
             replicas: Mutex::default(),
             versions: Mutex::default(),
-            peers: Mutex::new(Peers::new(me, settings.seeds.clone())),
+            peers: Mutex::new(peers),
             retry_share: Mutex::new(retry_share),
             crash_guard: Mutex::default(),
             prompt_guard: Mutex::default(),
@@ -427,6 +439,7 @@
             (Missing::NewerConfig, self.config_lag().is_too_long(propagation)),
             (Missing::Replicas, !knows_replicas),
             (Missing::Contact, self.is_isolated()),
+            (Missing::CallerAddress, !self.addresses.is_bound(ListenAddress::Caller)),
             (Missing::Service, self.is_draining()),
         ];
         all.into_iter().filter_map(|(missing, is_missing)| is_missing.then_some(missing)).collect()
