--- a/src/decide/traffic/adapter_uses.rs
+++ b/src/decide/traffic/adapter_uses.rs
@@ -83,7 +83,8 @@
 
     /// Requests at the replica, as far as is known.
     pub fn total(&self, now: Timestamp) -> u32 {
-        self.users.values().map(|users| fresh_count(now, users)).sum()
+        let counts = self.users.values().map(|users| fresh_count(now, users));
+        counts.fold(0, u32::saturating_add)
     }
 
     /// Whether any instance uses an adapter, as far as is known.
@@ -95,5 +96,5 @@
 
 fn fresh_count(now: Timestamp, users: &HashMap<InstanceName, UseCount>) -> u32 {
     let fresh = users.values().filter(|known| known.is_fresh(now));
-    fresh.map(|known| known.count).sum()
+    fresh.map(|known| known.count).fold(0, u32::saturating_add)
 }
--- a/src/decide/traffic/cache_answer.rs
+++ b/src/decide/traffic/cache_answer.rs
@@ -31,7 +31,7 @@
     /// turns of the same session leave a shorter or a longer part.
     pub fn has_read(&self, part: &PromptPart, output_tokens: u64) -> bool {
         let tokens = self.holding.map_or(0, |holding| holding.tokens);
-        let is_whole = tokens > 0 && tokens + BLOCK_TOKENS > part.tokens;
-        is_whole && tokens <= part.tokens + output_tokens
+        let is_whole = tokens > 0 && part.tokens.saturating_sub(tokens) < BLOCK_TOKENS;
+        is_whole && tokens.saturating_sub(part.tokens) <= output_tokens
     }
 }
--- a/src/decide/traffic/crash_guard.rs
+++ b/src/decide/traffic/crash_guard.rs
@@ -34,7 +34,7 @@
 impl CrashGuard {
     /// Adds a strike; returns how many there are now.
     pub fn strike(&mut self, now: Timestamp, fingerprint: u64) -> u32 {
-        let count = self.count(now, fingerprint) + 1;
+        let count = self.count(now, fingerprint).saturating_add(1);
         self.set(now, fingerprint, count, STRIKE_TTL);
         count
     }
--- a/src/decide/traffic/order_lease.rs
+++ b/src/decide/traffic/order_lease.rs
@@ -165,7 +165,7 @@
     /// Records that the replica accepted and counted an order of this instance.
     pub fn on_accepted(&mut self, now: Timestamp) {
         if let State::Holding { count, last_checked, last_ordered, .. } = &mut self.state {
-            *count += 1;
+            *count = count.saturating_add(1);
             *last_checked = now;
             *last_ordered = now;
         }
--- a/src/decide/traffic/peer_gossip.rs
+++ b/src/decide/traffic/peer_gossip.rs
@@ -138,8 +138,9 @@
     }
 }
 
-/// The heartbeat that a lowest byte stands for, next to the known one; `None` if it is no later.
+/// The heartbeat that a lowest byte stands for, next to the known one; `None` if it is no later, or more
+/// than a heartbeat can be.
 pub fn advance_heartbeat(known: u64, lowest: u8) -> Option<u64> {
     let step = lowest.wrapping_sub(known as u8);
-    (step > 0 && step < 128).then(|| known + u64::from(step))
+    if step > 0 && step < 128 { known.checked_add(u64::from(step)) } else { None }
 }
--- a/src/decide/traffic/prefix_tracker.rs
+++ b/src/decide/traffic/prefix_tracker.rs
@@ -44,7 +44,8 @@
     /// Tokens of the longest prefix of a prompt whose parts the replica has all read before.
     pub fn cached_prefix_tokens(&self, key: &AdapterKey, parts: &[PromptPart]) -> u64 {
         let Some(known) = self.read.get(key) else { return 0 };
-        parts.iter().take_while(|part| known.contains_key(&part.id)).map(|part| part.tokens).sum()
+        let read = parts.iter().take_while(|part| known.contains_key(&part.id));
+        read.map(|part| part.tokens).fold(0, u64::saturating_add)
     }
 
     /// Forgets what was read for a key that the replica no longer holds.
--- a/src/decide/traffic/prompt_turns.rs
+++ b/src/decide/traffic/prompt_turns.rs
@@ -63,8 +63,8 @@
         if !self.waiting.iter().any(|waiting| waiting.id == *id) {
             self.waiting.push_back(Turn { id: id.clone(), tokens, since: now });
         }
-        let read: u64 = self.reading.iter().map(|turn| turn.tokens).sum();
-        let fits = self.reading.is_empty() || read + tokens <= MAX_TOKENS_READ_AT_ONCE;
+        let at_once = sum_of_tokens(self.reading.iter()).saturating_add(tokens);
+        let fits = self.reading.is_empty() || at_once <= MAX_TOKENS_READ_AT_ONCE;
         if !fits || self.waiting.front().is_none_or(|first| first.id != *id) {
             return false;
         }
@@ -77,7 +77,7 @@
     pub fn backlog_tokens(&self, now: Timestamp) -> u64 {
         let reading = self.reading.iter().filter(|turn| is_read(now, turn));
         let waiting = self.waiting.iter().filter(|turn| is_waited_for(now, turn));
-        reading.chain(waiting).map(|turn| turn.tokens).sum()
+        sum_of_tokens(reading.chain(waiting))
     }
 
     /// Ends a turn, or gives up waiting for it.
@@ -87,6 +87,10 @@
     }
 }
 
+fn sum_of_tokens<'a>(turns: impl Iterator<Item = &'a Turn>) -> u64 {
+    turns.map(|turn| turn.tokens).fold(0, u64::saturating_add)
+}
+
 fn is_read(now: Timestamp, turn: &Turn) -> bool {
     now.since(turn.since) < TURN_TIMEOUT
 }
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -262,7 +262,7 @@
         let mut events: Vec<PublishedEvent> = removed
             .map(|item| PublishedEvent::Removed {
                 key: item.key.clone(),
-                rev: as_of.max(item.rev + 1),
+                rev: as_of.max(item.rev.saturating_add(1)),
             })
             .collect();
         events.extend(listed.into_iter().map(PublishedEvent::Written));
--- a/src/decide/traffic/replica.rs
+++ b/src/decide/traffic/replica.rs
@@ -298,7 +298,7 @@
         let fresh =
             self.peer_work.values().filter(|work| now.since(work.updated_at) < PEER_WORK_TTL);
         let peer_work = fresh.flat_map(|work| &work.in_use).filter(|(used, _)| used == key);
-        own + peer_work.map(|(_, count)| count).sum::<u32>()
+        peer_work.map(|(_, count)| *count).fold(own, u32::saturating_add)
     }
 
     /// Whether an adapter has so large a share of the replica's requests that another replica
@@ -414,8 +414,8 @@
         let since = self.last_byte_at.max(self.unanswered_since);
         let (backlog, told_at) = self.owner_backlog;
         let backlog = if now.since(told_at) < BACKLOG_TTL { backlog } else { 0 };
-        let unread =
-            self.workload(now).unread_tokens.max(backlog + self.own_workload.unread_tokens);
+        let as_told = backlog.saturating_add(self.own_workload.unread_tokens);
+        let unread = self.workload(now).unread_tokens.max(as_told);
         let unread = u32::try_from(unread).unwrap_or(u32::MAX);
         now.since(since) >= UNRESPONSIVE_AFTER + UNRESPONSIVE_PER_TOKEN * unread
     }
--- a/src/decide/traffic/replica_ranking.rs
+++ b/src/decide/traffic/replica_ranking.rs
@@ -67,12 +67,11 @@
 ) -> f64 {
     let workload = replica.workload(now);
     let cached_tokens = replica.prefixes.cached_prefix_tokens(key, &needs.parts);
-    let unread = workload.unread_tokens + needs.prompt_tokens.saturating_sub(cached_tokens);
-    let kv_tokens_needed =
-        (workload.held_tokens + needs.workload(cached_tokens).held_tokens) as f64;
-    let fill = kv_tokens_needed / engine.kv_tokens.max(1) as f64;
+    let mut with_request = workload;
+    with_request.add(needs.workload(cached_tokens));
+    let fill = with_request.held_tokens as f64 / engine.kv_tokens.max(1) as f64;
     let overfull = (fill - FULL_KV_SHARE).max(0.0) + if fill > FULL_KV_SHARE { 0.2 } else { 0.0 };
-    unread as f64 / PREFILL_TOKENS_PER_MS
+    with_request.unread_tokens as f64 / PREFILL_TOKENS_PER_MS
         + f64::from(workload.requests) * DELAY_PER_REQUEST_MS
         + overfull * FULL_KV_DELAY_MS
         + replica.failure_score(now) * DELAY_PER_FAILURE_MS
--- a/src/decide/traffic/request_needs.rs
+++ b/src/decide/traffic/request_needs.rs
@@ -39,10 +39,11 @@
 
     /// Work of this request at a replica that has read the first `cached_tokens` of its prompt.
     pub fn workload(&self, cached_tokens: u64) -> Workload {
+        let unread_tokens = self.prompt_tokens.saturating_sub(cached_tokens);
         Workload {
             requests: 1,
-            unread_tokens: self.prompt_tokens.saturating_sub(cached_tokens),
-            held_tokens: self.prompt_tokens.saturating_sub(cached_tokens) + self.output_tokens,
+            unread_tokens,
+            held_tokens: unread_tokens.saturating_add(self.output_tokens),
         }
     }
 }
--- a/src/decide/traffic/workload.rs
+++ b/src/decide/traffic/workload.rs
@@ -15,11 +15,11 @@
 }
 
 impl Workload {
-    /// Adds work that begins.
+    /// Adds work that begins, or that another instance tells of.
     pub fn add(&mut self, other: Self) {
-        self.requests += other.requests;
-        self.unread_tokens += other.unread_tokens;
-        self.held_tokens += other.held_tokens;
+        self.requests = self.requests.saturating_add(other.requests);
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
     }
 
     /// Subtracts work that ended, but not below 0.
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -8,6 +8,7 @@
 mod order_lease;
 mod order_turns;
 mod overlapping_calls;
+mod peer_numbers;
 mod peers;
 mod prompt_evidence;
 mod prompt_guard;
