Double the largest width of an adapter without an overflow

The number of replicas that should hold an adapter comes from other instances too, uncut. One of 2^63 wrapped to 0 when it was doubled in the release build, and the remainder by it panicked: each request whose homes were all busy with that adapter ended without an answer. In the debug build the product itself panicked.

--- a/src/decide/traffic/adapter_homes.rs
+++ b/src/decide/traffic/adapter_homes.rs
@@ -77,7 +77,7 @@
     /// the rank of a home that is new, or of any if the width can't grow.
     pub fn widen(&mut self, now: Timestamp, key: &AdapterKey, replicas: usize, pick: u64) -> usize {
         let width = self.width(now, key);
-        let wider = (width * 2).min(replicas.max(1));
+        let wider = width.saturating_mul(2).min(replicas.max(1));
         self.set(now, key, wider);
         if wider > width { width + pick as usize % (wider - width) } else { pick as usize % wider }
     }
--- a/tests/traffic/peer_numbers.rs
+++ b/tests/traffic/peer_numbers.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use tamaracklead::decide::traffic::AdapterHomes;
 use tamaracklead::decide::traffic::AdapterUses;
 use tamaracklead::decide::traffic::Beats;
 use tamaracklead::decide::traffic::CacheAnswer;
@@ -149,6 +150,17 @@
     assert_eq!(prefixes.cached_prefix_tokens(&key("a"), &parts), u64::MAX);
 }
 
+// Guards against a panic, or a division by zero in the release build, by `LoadRequest::width`.
+#[test]
+fn the_largest_widths_of_peers_can_be_widened() {
+    for width in [usize::MAX, 1 << (usize::BITS - 1)] {
+        let mut homes = AdapterHomes::default();
+        homes.on_peer_width(at(0), &key("a"), width);
+        assert!(homes.widen(at(0), &key("a"), 90, 12_345) < 90);
+        assert_eq!(homes.width(at(0), &key("a")), 90);
+    }
+}
+
 // Guards against a panic by a report, or a handover, with the largest number of orders.
 #[test]
 fn an_order_after_the_largest_count_of_orders_is_accepted() {
