Reset flags of calls whose task panics or is aborted

A call for an order, a group of asks for quotas and a fetch from a peer each mark that they are in progress, and cleared the mark in their last line only. After a panic in one, that replica got no further orders, that group no loans, that topic nothing from peers, until the process ended.

No input is known that makes such a task panic, so there was no test to fail before.

--- a/src/decide/transfer/fetch_turn.rs
+++ b/src/decide/transfer/fetch_turn.rs
@@ -28,4 +28,10 @@
         self.is_taken = next.is_some();
         next.map(|(_, addr)| addr)
     }
+
+    /// Ends the turn of a task that has ended before its work was done; whoever has newer changes says so
+    /// again.
+    pub fn on_task_lost(&mut self) {
+        *self = Self::default();
+    }
 }
--- a/src/relay/orders.rs
+++ b/src/relay/orders.rs
@@ -24,6 +24,7 @@
 use super::replica_call::REPLICA_CALL_TIMEOUT;
 use super::replica_call::call_replica;
 use super::replica_ownership::ReplicaOwnership;
+use super::reset_guard::ResetGuard;
 use crate::decide::traffic::EngineSpec;
 use crate::decide::traffic::GivingUp;
 use crate::decide::traffic::LeaseStep;
@@ -215,14 +216,16 @@
     drop(all);
     let (node, replica) = (Arc::clone(node), replica.clone());
     tokio::spawn(async move {
+        let _call_end = ResetGuard::new(|| {
+            if let Some(owned) = node.owned().get_mut(&replica) {
+                owned.has_pending_call = false;
+            }
+            node.order_wake.notify_one();
+        });
         match order {
             Some(order) => give_order(&node, &replica, &order, tick_time).await,
             None => ask_report(&node, &replica).await,
         }
-        if let Some(owned) = node.owned().get_mut(&replica) {
-            owned.has_pending_call = false;
-        }
-        node.order_wake.notify_one();
     });
 }
 
--- a/src/relay/published_exchange.rs
+++ b/src/relay/published_exchange.rs
@@ -16,6 +16,7 @@
 use super::node::Node;
 use super::operator_items;
 use super::published;
+use super::reset_guard::ResetGuard;
 use super::store_event::StoreEvent;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::ViewChanges;
@@ -69,6 +70,7 @@
         PublishedTopic::Operator => PublishedPart::Operator,
         PublishedTopic::Replicas => PublishedPart::Replicas,
     };
+    let unfinished = ResetGuard::new(|| node.fetch_turn(topic).on_task_lost());
     let mut next = Some(addr);
     while let Some(addr) = next {
         let (after, era) = {
@@ -92,6 +94,7 @@
             node.fetch_turn(topic).end(held)
         });
     }
+    unfinished.disarm();
 }
 
 /// Why changes that a peer has weren't taken.
--- a/src/relay/quotas/asks.rs
+++ b/src/relay/quotas/asks.rs
@@ -20,6 +20,7 @@
 use crate::relay::log_event::LogEvent;
 use crate::relay::log_event::record;
 use crate::relay::node::Node;
+use crate::relay::reset_guard::ResetGuard;
 use crate::send_permits::CountingInstance;
 use crate::wire::quota::QUOTA_PATH;
 use crate::wire::quota::QuotaReply;
@@ -64,6 +65,11 @@
         known.is_sending = count > 0;
         known.asks.drain(..count).collect()
     }
+
+    /// Records that the task of a group has ended before its asks were sent; the next ask starts another.
+    fn on_task_lost(&mut self, group: QuotaGroup) {
+        self.0.entry(group).or_default().is_sending = false;
+    }
 }
 
 /// Sends an ask together with the others of its group, without waiting for the reply.
@@ -88,12 +94,13 @@
 }
 
 async fn send_due(node: Arc<Node>, group: QuotaGroup) {
+    let unfinished = ResetGuard::new(|| node.quotas.due().on_task_lost(group));
     loop {
         // Lets the asks of other requests that have arrived join the call.
         yield_now().await;
         let mut due = node.quotas.due().take(group);
         if due.is_empty() {
-            return;
+            return unfinished.disarm();
         }
         add_asks_that_join(&node, group, &mut due);
         let (times, asks): (Vec<Timestamp>, Vec<LoanAsk>) =
--- a/tests/transfer/decisions.rs
+++ b/tests/transfer/decisions.rs
@@ -220,6 +220,17 @@
     assert!(turn.take(10, addr(5)));
 }
 
+// Guards against a topic whose changes are never asked for again, as the task that did so has panicked.
+#[test]
+fn a_turn_of_a_lost_task_can_be_taken_again() {
+    let mut turn = FetchTurn::default();
+    assert!(turn.take(5, addr(1)));
+    assert!(!turn.take(9, addr(2)));
+    turn.on_task_lost();
+    assert!(turn.take(7, addr(3)));
+    assert_eq!(turn.end(7), None, "what was heard of before is heard of again");
+}
+
 // Guards against former values that fill the memory.
 #[test]
 fn former_values_are_kept_up_to_a_bound() {
