Log and count failed accepts once a second

No metric told of it.

One line a second has the number of the others, and relay_accept_failures_total counts them.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -87,7 +87,7 @@
         match accepted {
             Ok((stream, _)) => on_accepted(&node, stream, audience),
             Err(e) => {
-                record(&ProcessEvent::AcceptFailed { detail: &e.to_string() });
+                node.pressure.on_accept_failed(&e);
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -98,7 +98,7 @@
 ///
 /// They are accepted from the system itself, as the runtime may not know of the last ones yet.
 fn accept_waiting(node: &Arc<Node>, listener: TcpListener, audience: Audience) {
-    let on_failure = |e: &io::Error| record(&ProcessEvent::AcceptFailed { detail: &e.to_string() });
+    let on_failure = |e: &io::Error| node.pressure.on_accept_failed(e);
     let listener = match listener.into_std() {
         Ok(listener) => listener,
         Err(e) => return on_failure(&e),
--- a/src/relay/pressure.rs
+++ b/src/relay/pressure.rs
@@ -1,5 +1,6 @@
 //! What callers, replicas and other instances make this process keep, and what it turned away for it.
 
+use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -38,8 +39,10 @@
     clock: Clock,
     closed_lines: Mutex<LineLimit>,
     refused_lines: Mutex<LineLimit>,
+    accept_lines: Mutex<LineLimit>,
     closed: Family<EndLabels, Counter>,
     refused: Counter,
+    accept_failures: Counter,
     open: Gauge,
     buffer_bytes: Gauge,
     memory: Gauge,
@@ -59,8 +62,10 @@
             clock,
             closed_lines: Mutex::default(),
             refused_lines: Mutex::default(),
+            accept_lines: Mutex::default(),
             closed: Family::default(),
             refused: Counter::default(),
+            accept_failures: Counter::default(),
             open: Gauge::default(),
             buffer_bytes: Gauge::default(),
             memory: Gauge::default(),
@@ -85,6 +90,8 @@
         r.register("connections_closed", help, self.closed.clone());
         let help = "Bodies and events that there was no room for";
         r.register("rooms_refused", help, self.refused.clone());
+        let help = "Failed tries to accept a connection";
+        r.register("accept_failures", help, self.accept_failures.clone());
         r.register("connections", "Open connections of callers", self.open.clone());
         r.register("buffer_bytes", "Bytes of bodies that are kept", self.buffer_bytes.clone());
         let help = "Resident memory of the process, in bytes; -1 if it isn't known";
@@ -111,6 +118,14 @@
         }
     }
 
+    /// Counts and logs that a connection couldn't be accepted.
+    pub fn on_accept_failed(&self, error: &io::Error) {
+        self.accept_failures.inc();
+        if let Some(unlogged) = self.due_line(&self.accept_lines) {
+            record(&ProcessEvent::AcceptFailed { detail: &error.to_string(), unlogged });
+        }
+    }
+
     /// Counts and logs that there was no room for what belongs to the request `id`.
     pub fn on_room_refused(&self, id: &str) {
         self.refused.inc();
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -109,9 +109,11 @@
         /// Number of refusals since the last such line that have none.
         unlogged: u64,
     },
-    /// A connection couldn't be accepted.
+    /// A connection couldn't be accepted, as for want of descriptors; it is tried again. One line a second.
     AcceptFailed {
         /// The error.
         detail: &'a str,
+        /// Number of failures since the last such line that have none.
+        unlogged: u64,
     },
 }
