--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::future::pending;
 use std::io;
-use std::os::fd::AsFd;
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
@@ -23,6 +22,8 @@
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::Socket;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -88,7 +89,7 @@
         match accepted {
             Ok((stream, _)) => on_accepted(&node, stream, audience),
             Err(e) => {
-                record(&ProcessEvent::AcceptFailed { detail: &e.to_string() });
+                node.pressure.on_accept_failed(&e);
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
@@ -99,17 +100,14 @@
 ///
 /// They are accepted from the system itself, as the runtime may not know of the last ones yet.
 fn accept_waiting(node: &Arc<Node>, listener: &TcpListener, audience: Audience) {
-    let on_failure = |e: &io::Error| record(&ProcessEvent::AcceptFailed { detail: &e.to_string() });
-    let listener = match listener.as_fd().try_clone_to_owned() {
-        Ok(descriptor) => std::net::TcpListener::from(descriptor),
-        Err(e) => return on_failure(&e),
-    };
-    let to_tokio = |stream: std::net::TcpStream| {
-        stream.set_nonblocking(true)?;
-        TcpStream::from_std(stream)
+    let on_failure = |e: &io::Error| node.pressure.on_accept_failed(e);
+    let listener = SockRef::from(listener);
+    let to_tokio = |socket: Socket| {
+        socket.set_nonblocking(true)?;
+        TcpStream::from_std(socket.into())
     };
     loop {
-        match listener.accept().and_then(|(stream, _)| to_tokio(stream)) {
+        match listener.accept().and_then(|(socket, _)| to_tokio(socket)) {
             Ok(stream) => on_accepted(node, stream, audience),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
             // One connection has failed; others may wait behind it.
