Let callers outlast a store that is silent when all instances return

Callers saw: streams that a loss of all instances cut are lost, although the replicas that ran them live, while the store is silent for three seconds.

Cause: a process without a configuration refused at once and named 1 s, however long its store had been silent, so that a client's three tries were over after 2 s. The class is a decision on less than it needs: that a store which doesn't answer at once will answer within a second isn't known, and the start itself was taken for such an outage.

Change: FirstListing decides. For the first 400 ms requests await the listing; after that they are refused at once with the time that the outage has lasted, 3 to 10 s, spread by a quarter. NotReady carries that time to callers and to instances that pass requests on; earlier versions read the name as before. The price: after an outage of less than 3 s callers come back later than they could.

--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -1,7 +1,7 @@
 //! Admission of callers' requests: parses the head, finds the route and reads the body.
 //!
 //! A request is refused here, before any replica gets it, if its head can't be parsed, while the
-//! relay shuts down or has no configuration, if no route matches, if it needs an API key and has no
+//! relay shuts down or has had no configuration for a while, if no route matches, if it needs an API key and has no
 //! valid one, if its body can't be read or is too large, if its account is over its quota, and if it is
 //! suspected of crashing replicas.
 
@@ -27,6 +27,7 @@
 use super::caller_account::CallerAccount;
 use super::caller_account::RefusedKey;
 use super::connection_activity::ConnectionActivity;
+use super::first_config;
 use super::forwarded_request::ForwardedRequest;
 use super::forwarded_request::host_of;
 use super::log_event::LogEvent;
@@ -122,7 +123,7 @@
     if !node.accepts_requests() {
         return Err(LocalResponse::NotRun);
     }
-    let config = node.current_config().ok_or(LocalResponse::NotReady)?;
+    let config = first_config::get(&node.config, || node.now(), &head.id).await?;
     let route = config.route(host_of(&parts), parts.uri.path());
     let propagation = node.settings.freshness_limits().propagation;
     if let LagVerdict::Refuse(retry_after) = node.config_lag().verdict(route.is_some(), propagation)
@@ -304,7 +305,8 @@
     if before.account().is_none() {
         return Ok(before);
     }
-    let config = node.current_config().ok_or(LocalResponse::NotReady)?;
+    let config =
+        node.current_config().ok_or_else(|| first_config::not_ready(node.now(), &head.id))?;
     match CallerAccount::check(node, &config, route, &head.credential)? {
         // The key must not go to a replica, even if the deployment has just given up its accounts.
         CallerAccount::Unused => Ok(before),
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -25,6 +25,7 @@
 mod counting;
 mod event_room;
 mod exchange;
+mod first_config;
 mod fleet_event;
 mod forward;
 mod forwarded_request;
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -261,7 +261,7 @@
             | LocalResponse::NoRoute
             | LocalResponse::TooLarge
             | LocalResponse::OutOfRoom
-            | LocalResponse::NotReady
+            | LocalResponse::NotReady(_)
             | LocalResponse::OutOfReach,
         ) => {
             passing.on_unfit();
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -16,6 +16,7 @@
 
 use super::RequestHead;
 use super::caller_account::CallerAccount;
+use super::first_config;
 use super::fleet_event::FleetEvent;
 use super::forward;
 use super::forward::Admission;
@@ -87,7 +88,8 @@
     if !node.accepts_requests() {
         return Err(LocalResponse::OutOfReach);
     }
-    let config = node.current_config().ok_or(LocalResponse::NotReady)?;
+    let config =
+        node.current_config().ok_or_else(|| first_config::not_ready(node.now(), &head.id))?;
     let route = config.route(host_of(&parts), parts.uri.path()).ok_or(LocalResponse::NoRoute)?;
     let service = config.service_or_former(&service).ok_or(LocalResponse::NoRoute)?;
     let utilisation = message.account.as_ref().map_or(0.0, PassedOnAccount::utilisation);
--- a/src/relay/response.rs
+++ b/src/relay/response.rs
@@ -69,8 +69,8 @@
     /// The request didn't run and never will, since this process had no room to keep its body; the
     /// caller may retry.
     OutOfRoom,
-    /// No configuration is known yet.
-    NotReady,
+    /// No configuration is known yet; the caller may retry after this time.
+    NotReady(Duration),
     /// The request didn't run and never will; the caller may retry.
     NotRun,
     /// The request didn't run and never will, since it can't be served before this time has passed;
@@ -107,7 +107,7 @@
             Self::Undecided => "Undecided",
             Self::TooLarge => "TooLarge",
             Self::OutOfRoom => "OutOfRoom",
-            Self::NotReady => "NotReady",
+            Self::NotReady(_) => "NotReady",
             Self::NotRun => "NotRun",
             Self::NotYet(_) => "NotYet",
             Self::OverQuota(_) => "OverQuota",
@@ -128,7 +128,7 @@
             | Self::Undecided
             | Self::TooLarge
             | Self::OutOfRoom
-            | Self::NotReady
+            | Self::NotReady(_)
             | Self::NotRun
             | Self::OutOfReach
             | Self::NotYet(_)
@@ -142,7 +142,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::NotReady
+            Self::NotReady(_)
             | Self::OutOfRoom
             | Self::Undecided
             | Self::NotRun
@@ -156,9 +156,9 @@
 
     fn retry_after(self) -> Option<Duration> {
         match self {
-            Self::NotReady | Self::NotRun | Self::OutOfReach | Self::OutOfRoom => Some(RETRY_AFTER),
+            Self::NotRun | Self::OutOfReach | Self::OutOfRoom => Some(RETRY_AFTER),
             Self::Undecided => Some(UNDECIDED_RETRY_AFTER),
-            Self::NotYet(left) | Self::OverQuota(left) => Some(left),
+            Self::NotReady(left) | Self::NotYet(left) | Self::OverQuota(left) => Some(left),
             Self::Malformed
             | Self::NoRoute
             | Self::Unauthorized
@@ -171,7 +171,7 @@
     /// The reason as another instance reads it: the name, and the time if there is one, in ms.
     pub fn to_reason(self) -> String {
         match self {
-            Self::NotYet(left) | Self::OverQuota(left) => {
+            Self::NotReady(left) | Self::NotYet(left) | Self::OverQuota(left) => {
                 format!("{} {}", self.name(), left.as_millis())
             }
             other => other.name().to_owned(),
@@ -189,7 +189,7 @@
             Self::Undecided,
             Self::TooLarge,
             Self::OutOfRoom,
-            Self::NotReady,
+            Self::NotReady(left),
             Self::NotRun,
             Self::NotYet(left),
             Self::OverQuota(left),
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -3,6 +3,7 @@
 mod adapter_homes;
 mod attempts;
 mod config;
+mod first_listing;
 mod holder_history;
 mod home_choice;
 mod order_lease;
