--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -26,6 +26,7 @@
 mod counting;
 mod event_room;
 mod exchange;
+mod first_config;
 mod fleet_event;
 mod forward;
 mod forwarded_request;
