--- a/lab/src/soak/outcome.rs
+++ b/lab/src/soak/outcome.rs
@@ -19,6 +19,8 @@
     pub early_hangups: Vec<Duration>,
     /// Times from the end of a disruption to readiness.
     pub ready_times: Vec<Duration>,
+    /// Times from the start of a process to readiness.
+    pub start_times: Vec<Duration>,
     /// Shares of requests that were served: in the calm beginning, and in the first seconds after each
     /// return of all instances.
     pub shares: Vec<ServedShare>,
@@ -36,14 +38,20 @@
 
     /// One line.
     pub fn summary(&self) -> String {
+        let mut times = self.start_times.clone();
+        times.sort_unstable();
+        let middle = times.get(times.len() / 2).copied().unwrap_or_default();
+        let worst_start = times.last().copied().unwrap_or_default();
         let worst = self.ready_times.iter().max().copied().unwrap_or_default();
         format!(
-            "{} findings; {} starts, {} ended by SIGHUP while loaded {:.0?}; ready again {} times, \
-             at the latest after {worst:.3?}",
+            "{} findings; {} starts, {} ended by SIGHUP while loaded {:.0?}; {} became ready, in the \
+             middle {middle:.3?} and at the latest {worst_start:.3?} after the start; {} recovered, at \
+             the latest after {worst:.3?}",
             self.findings.len(),
             self.starts,
             self.early_hangups.len(),
             self.early_hangups,
+            times.len(),
             self.ready_times.len(),
         )
     }
--- a/lab/src/soak/recovery.rs
+++ b/lab/src/soak/recovery.rs
@@ -21,6 +21,8 @@
     pub findings: Vec<Finding>,
     /// Times from the end of a disruption to readiness, where a pause followed that was long enough.
     pub times: Vec<Duration>,
+    /// Times from the start of a process to readiness, of those that became ready.
+    pub start_times: Vec<Duration>,
 }
 
 impl Recovery {
@@ -37,6 +39,13 @@
             let detail = format!("instance {index}");
             recovery.add(change.at, FindingKind::ReadyButRefuses, detail);
         }
+        let own = troubles.iter().filter(|one| one.instance == index && one.from == one.until);
+        let mut starts: Vec<Duration> = own.map(|one| one.from).collect();
+        starts.push(duration);
+        for pair in starts.windows(2) {
+            let ready_at = first_ready(changes, pair[0], pair[1]);
+            recovery.start_times.extend(ready_at.map(|at| at - pair[0]));
+        }
         for (from, until) in pauses(index, disruptions, troubles, duration) {
             recovery.check_pause(index, changes, from, until);
         }
@@ -79,6 +88,11 @@
     if before.is_some_and(|change| change.answer == Answer::Ready) {
         return Some(from);
     }
+    first_ready(changes, from, until)
+}
+
+/// First time between these at which the instance became ready.
+fn first_ready(changes: &[Change], from: Duration, until: Duration) -> Option<Duration> {
     let mut inside = changes.iter().filter(|change| change.at > from && change.at < until);
     inside.find(|change| change.answer == Answer::Ready).map(|change| change.at)
 }
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -138,6 +138,7 @@
         let recovery = Recovery::check(index, &changes, &disruptions, &fleet.troubles, duration);
         outcome.findings.extend(recovery.findings);
         outcome.ready_times.extend(recovery.times);
+        outcome.start_times.extend(recovery.start_times);
     }
     let violations = check(&record, &disruptions).into_iter();
     outcome.findings.extend(violations.map(|Violation { rule, at, detail }| Finding {
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -23,6 +23,8 @@
 const MAX_STEP_MS: u64 = 1800;
 /// Longest suspension before a kill of all, in ms.
 const MAX_SUSPENSION_MS: u64 = 2000;
+/// Time after a return within which settings change, in ms.
+const RELOAD_WITHIN_MS: u64 = 60;
 /// Time between a return and the next kill of all, in ms.
 const AGAIN_MS: u64 = 2000;
 /// Time after a kill at which addresses are taken, in ms.
@@ -134,7 +136,9 @@
     }
 
     fn kill_some(&mut self, at: u64) {
-        let (ms, some) = (self.rng.random_range(100..3000), self.some());
+        let is_long = self.rng.random_bool(0.15);
+        let range = if is_long { 8000..15_000 } else { 100..3000 };
+        let (ms, some) = (self.rng.random_range(range), self.some());
         self.add(at, ms, some.clone(), DisruptionKind::Kill);
         if self.rng.random_bool(0.5) {
             self.take_addresses(at, ms, some);
@@ -152,7 +156,7 @@
     }
 
     /// Kills all processes, which return together; sometimes suspended first, with a silent store,
-    /// with taken addresses, and once more soon after the return.
+    /// with taken addresses, with new settings during the return, and once more soon after it.
     fn kill_all(&mut self, at: u64) {
         let mut kill_at = at;
         if self.rng.random_bool(0.4) {
@@ -168,6 +172,10 @@
             let some = self.some();
             self.take_addresses(kill_at, RETURN_MS, some);
         }
+        if self.rng.random_bool(0.4) {
+            let reload_at = kill_at + RETURN_MS + self.rng.random_range(0..RELOAD_WITHIN_MS);
+            self.add(reload_at, 0, self.all(), DisruptionKind::Reload);
+        }
         if self.rng.random_bool(0.4) {
             self.add(kill_at + RETURN_MS + AGAIN_MS, RETURN_MS, self.all(), DisruptionKind::Kill);
         }
--- a/lab/tests/soak_recovery.rs
+++ b/lab/tests/soak_recovery.rs
@@ -88,3 +88,13 @@
     let of_another = Trouble { instance: 1, ..taken };
     assert_eq!(findings(&late, &[], &[of_another]), [FindingKind::ReadyLate]);
 }
+
+// Guards against start times that count a process that was killed before it was ready.
+#[test]
+fn times_to_readiness_are_those_of_each_process() {
+    let changes = [(2, Answer::Ready), (5, Answer::Nothing), (9, Answer::Ready)];
+    let changes = changes.map(|(seconds, answer)| Change { at: at(seconds), answer });
+    let starts = [1, 6, 8].map(|s| Trouble { instance: 0, from: at(s), until: at(s) });
+    let recovery = Recovery::check(0, &changes, &[], &starts, DURATION);
+    assert_eq!(recovery.start_times, [at(1), at(1)]);
+}
