--- a/lab/src/soak/disruption.rs
+++ b/lab/src/soak/disruption.rs
@@ -26,7 +26,7 @@
     Suspend,
     /// Settings files are replaced, with a SIGHUP.
     Reload,
-    /// Links of instances are disturbed.
+    /// Links of instances are disturbed; of replicas, if it names no instances.
     Link(LinkFault),
     /// Addresses of processes that were killed are taken by another program until it is over.
     TakenAddress,
