--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -43,6 +44,9 @@
 const DESKS: usize = 3;
 const ADAPTERS: u32 = 24;
 
+/// Runs of this process, which name their directories.
+static RUNS: AtomicUsize = AtomicUsize::new(0);
+
 /// What a soak is run with, beside its schedule.
 #[derive(Clone, Debug)]
 pub struct SoakOptions {
@@ -67,7 +71,8 @@
     seed: u64,
     schedule: &Schedule,
 ) -> Result<Outcome, String> {
-    let dir = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("soak-{}-{run}", std::process::id()));
     fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let outcome = run_in(bin_dir, &dir, options, seed, schedule);
     if let Some(kept) = &options.keep_logs {
