--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -46,6 +46,7 @@
                 .help("Looks for the shortest schedule that still fails")
                 .action(ArgAction::SetTrue),
         )
+        .arg(number("shrink-minutes", "Time for which it looks", "15"))
 }
 
 /// Runs the seeds that the command line names; the programs are expected in `bin_dir`.
@@ -66,16 +67,19 @@
     if duration <= CALM_TIME {
         return Err(format!("a soak has to last longer than {CALM_TIME:?}"));
     }
+    let is_shrunk = args.get_flag("shrink");
+    let shrink_limit = is_shrunk.then(|| Duration::from_secs(60 * number("shrink-minutes")));
     let mut failed = Vec::new();
     for seed in number("seed")..number("seed") + number("seeds") {
-        if !run_seed(bin_dir, &options, seed, duration, args.get_flag("shrink"))? {
+        if !run_seed(bin_dir, &options, seed, duration, shrink_limit)? {
             failed.push(seed);
         }
     }
     if failed.is_empty() { Ok(()) } else { Err(format!("seeds with findings: {failed:?}")) }
 }
 
-/// Runs one seed; returns whether nothing was found.
+/// Runs one seed, and looks for a shorter schedule for up to `shrink_limit` if it fails; returns
+/// whether nothing was found.
 ///
 /// # Errors
 ///
@@ -85,7 +89,7 @@
     options: &SoakOptions,
     seed: u64,
     duration: Duration,
-    shrinks: bool,
+    shrink_limit: Option<Duration>,
 ) -> Result<bool, String> {
     let schedule = Schedule::generate(seed, duration, options.instances, options.ports);
     println!("seed {seed}, {} instances, ports {}:", options.instances, options.ports.name());
@@ -97,9 +101,9 @@
     print!("{}", outcome.describe_shares());
     println!("seed {seed}: {}", outcome.summary());
     if let Some(first) = outcome.findings.first()
-        && shrinks
+        && let Some(limit) = shrink_limit
     {
-        let short = shrink(schedule, |candidate| {
+        let short = shrink(schedule, limit, |candidate| {
             let again = run_schedule(bin_dir, options, seed, candidate)?;
             Ok(again.findings.iter().any(|finding| finding.kind == first.kind))
         })?;
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -69,11 +69,13 @@
         Self { disruptions, duration }
     }
 
-    /// The same without the disruptions of these positions.
+    /// The same without the disruptions of these positions, and without the time that they add.
     pub fn without(&self, positions: std::ops::Range<usize>) -> Self {
         let kept = self.disruptions.iter().enumerate();
         let kept = kept.filter(|(index, _)| !positions.contains(index));
-        Self { disruptions: kept.map(|(_, one)| one.clone()).collect(), duration: self.duration }
+        let disruptions: Vec<Disruption> = kept.map(|(_, one)| one.clone()).collect();
+        let last = disruptions.iter().map(|one| one.until).max().unwrap_or(START_TIME);
+        Self { disruptions, duration: self.duration.min(last + CALM_TIME) }
     }
 
     /// One line a disruption.
--- a/lab/src/soak/shrink.rs
+++ b/lab/src/soak/shrink.rs
@@ -5,16 +5,15 @@
 
 use super::schedule::Schedule;
 
-/// Time after which no further schedule is tried.
-const TIME_LIMIT: Duration = Duration::from_secs(15 * 60);
-
-/// Leaves out halves, quarters and so on, and at last single disruptions while `fails` holds.
+/// Leaves out halves, quarters and so on, and at last single disruptions while `fails` holds; tries
+/// no further schedule after `limit`.
 ///
 /// # Errors
 ///
 /// Why a schedule couldn't be run.
 pub fn shrink(
     mut schedule: Schedule,
+    limit: Duration,
     mut fails: impl FnMut(&Schedule) -> Result<bool, String>,
 ) -> Result<Schedule, String> {
     let start = Instant::now();
@@ -22,7 +21,7 @@
     while size > 0 {
         let mut position = 0;
         while position < schedule.disruptions.len() {
-            if start.elapsed() > TIME_LIMIT {
+            if start.elapsed() > limit {
                 return Ok(schedule);
             }
             let end = (position + size).min(schedule.disruptions.len());
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -16,5 +16,5 @@
     let lab = Path::new(env!("CARGO_BIN_EXE_lab"));
     let options =
         SoakOptions { instances: 6, ports: Ports::Low, is_beside_load: false, keep_logs: None };
-    assert!(soak::run_seed(lab.parent().unwrap(), &options, SEED, DURATION, false).unwrap());
+    assert!(soak::run_seed(lab.parent().unwrap(), &options, SEED, DURATION, None).unwrap());
 }
--- a/lab/tests/soak_parts.rs
+++ b/lab/tests/soak_parts.rs
@@ -64,7 +64,7 @@
         has(DisruptionKind::Kill) && has(DisruptionKind::TakenAddress)
     };
     let failing = (0..).map(schedule).find(has_cause).unwrap();
-    let shortest = shrink(failing, |candidate| Ok(has_cause(candidate))).unwrap();
+    let shortest = shrink(failing, DURATION, |candidate| Ok(has_cause(candidate))).unwrap();
     assert_eq!(shortest.disruptions.len(), 2);
     assert!(has_cause(&shortest));
 }
