Soak: planned work in the calm time, and a calm beginning without cuts

Overlapping disruptions excuse nearly all of DRAIN and VERSION, so backend servers now also leave, and a configuration and new versions come, in the calm time. Half of the servers that leave serve on for 4.5 s. A change declares new versions of a quarter of the adapters.

--- a/lab/src/soak/checks/mod.rs
+++ b/lab/src/soak/checks/mod.rs
@@ -70,13 +70,14 @@
     }
 }
 
-/// All that the record shows against the promises, by time.
-pub fn check(record: &Record, disruptions: &[Disruption]) -> Vec<Violation> {
+/// All that the record shows against the promises, by time. Service must be back in the time between
+/// the last disruption and `calm_until`.
+pub fn check(record: &Record, disruptions: &[Disruption], calm_until: Duration) -> Vec<Violation> {
     let seen = record.seen();
     let mut violations = runs::check(&seen, disruptions);
     violations.extend(answers::check(&seen));
     violations.extend(servers::check(&seen, disruptions));
-    violations.extend(service::check(&seen, disruptions));
+    violations.extend(service::check(&seen, disruptions, calm_until));
     if seen.omitted > 0 {
         let detail = format!("{} entries were not kept", seen.omitted);
         violations.push(Violation::new(Rule::Record, Duration::ZERO, detail));
--- a/lab/src/soak/checks/service.rs
+++ b/lab/src/soak/checks/service.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::super::Disruption;
-use super::super::DisruptionKind;
 use super::super::record::RequestOutcome;
 use super::super::record::Seen;
 use super::Rule;
@@ -11,6 +10,8 @@
 
 /// Time after the last disruption from which service must be as before.
 const RECOVERY_TIME: Duration = Duration::from_secs(2);
+/// Time from the first request until the adapters are loaded.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// Share of the calm beginning's service that must be there again.
 const RECOVERED_PART: f64 = 0.95;
 /// Requests below which a share says nothing.
@@ -41,6 +42,14 @@
         Self { from, to, requests: sent.len(), served }
     }
 
+    /// The time from [`WARM_UP`] after the first request to the first disruption.
+    fn calm_beginning(outcomes: &[RequestOutcome], first_disruption: Duration) -> Self {
+        let first_sent = outcomes.iter().map(|outcome| outcome.sent).min().unwrap_or_default();
+        let is_uncut = |outcome: &&RequestOutcome| outcome.ended < first_disruption;
+        let uncut: Vec<RequestOutcome> = outcomes.iter().filter(is_uncut).copied().collect();
+        Self::new(&uncut, first_sent + WARM_UP, first_disruption)
+    }
+
     /// The share, 0 to 1; `None` if there are too few requests.
     pub fn share(&self) -> Option<f64> {
         let is_enough = self.requests >= MIN_REQUESTS;
@@ -48,13 +57,14 @@
     }
 }
 
-/// Checks that service is back after the last disruption.
-pub fn check(seen: &Seen, disruptions: &[Disruption]) -> Option<Violation> {
+/// Checks that service is back after the last disruption, from the requests sent before `until`. The
+/// calm beginning counts once adapters are loaded, with the requests that no disruption cut.
+pub fn check(seen: &Seen, disruptions: &[Disruption], until: Duration) -> Option<Violation> {
     let first = disruptions.iter().map(|disruption| disruption.at).min()?;
     let last = disruptions.iter().map(|disruption| disruption.until).max()?;
-    let before = ServedShare::new(&seen.outcomes, Duration::ZERO, first);
+    let before = ServedShare::calm_beginning(&seen.outcomes, first);
     let from = last + RECOVERY_TIME;
-    let after = ServedShare::new(&seen.outcomes, from, Duration::MAX);
+    let after = ServedShare::new(&seen.outcomes, from, until);
     let (share_before, share_after) = (before.share()?, after.share()?);
     if share_after >= share_before * RECOVERED_PART {
         return None;
@@ -66,12 +76,15 @@
     Some(Violation::new(Rule::Recover, from, detail))
 }
 
-/// Shares of the calm beginning and of the first seconds after each return of instances.
-pub fn served_shares(seen: &Seen, disruptions: &[Disruption]) -> Vec<ServedShare> {
+/// Shares of the calm beginning and of the first seconds after each of these returns of instances.
+pub fn served_shares(
+    seen: &Seen,
+    disruptions: &[Disruption],
+    returns: &[Disruption],
+) -> Vec<ServedShare> {
     let first = disruptions.iter().map(|disruption| disruption.at).min().unwrap_or(Duration::MAX);
-    let mut shares = vec![ServedShare::new(&seen.outcomes, Duration::ZERO, first)];
-    let is_return = |kind| matches!(kind, DisruptionKind::Kill | DisruptionKind::Suspend);
-    for disruption in disruptions.iter().filter(|disruption| is_return(disruption.kind)) {
+    let mut shares = vec![ServedShare::calm_beginning(&seen.outcomes, first)];
+    for disruption in returns {
         shares.extend((0..WINDOWS_AFTER_RETURN).map(|number| {
             let from = disruption.until + WINDOW * number;
             ServedShare::new(&seen.outcomes, from, from + WINDOW)
--- a/lab/src/soak/outside.rs
+++ b/lab/src/soak/outside.rs
@@ -40,12 +40,14 @@
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Heartbeats after which the entry of a silent server is removed.
 const MISSED_HEARTBEATS: u32 = 3;
-/// Time for which a server that leaves goes on serving.
-const DRAIN: Duration = Duration::from_millis(2500);
+/// Times for which servers that leave go on serving, in turn.
+const DRAINS: [Duration; 2] = [Duration::from_millis(2500), Duration::from_millis(4500)];
 /// Time from the end of a server that left to its next start.
 const REPLACE_AFTER: Duration = Duration::from_millis(500);
 /// Interval at which tasks that are due are carried out.
 const TICK: Duration = Duration::from_millis(20);
+/// Part of the adapters of which a change declares new versions: one in this many.
+const ADAPTER_STEP: u64 = 4;
 /// Part of the backend servers that a fault befalls: one in this many.
 const BEFALLEN_ONE_IN: usize = 3;
 
@@ -212,7 +214,7 @@
         self.store.put(&format!("op/version/base.{adapter}"), &entry);
     }
 
-    /// Publishes the next configuration, and the next version of one adapter.
+    /// Publishes the next configuration, and the next versions of some adapters.
     fn change_config(&self) {
         let number = {
             let mut state = self.state();
@@ -220,13 +222,19 @@
             state.config_version
         };
         self.publish_config();
-        let adapter = format!("a{}", number % u64::from(self.plan.adapters) + 1);
+        let first = (number % ADAPTER_STEP) as usize;
+        for adapter in (1..=self.plan.adapters).skip(first).step_by(ADAPTER_STEP as usize) {
+            self.declare_next_version(&format!("a{adapter}"));
+        }
+    }
+
+    fn declare_next_version(&self, adapter: &str) {
         let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let version = versions.entry(adapter.clone()).or_insert(1);
+        let version = versions.entry(adapter.to_owned()).or_insert(1);
         *version += 1;
         let version = *version;
         drop(versions);
-        self.publish_version(&adapter, version);
+        self.publish_version(adapter, version);
         let at = self.record.time_of(Instant::now());
         self.record.add_version(DeclaredVersion { at, adapter: adapter.into(), version });
     }
@@ -314,9 +322,10 @@
             server: backend.name().into(),
             born: backend.born(),
         });
+        let ends_at = now + DRAINS[index % DRAINS.len()];
         let tasks = &mut self.state().tasks;
-        tasks.push((now + DRAIN, Task::End(index)));
-        tasks.push((now + DRAIN + REPLACE_AFTER, Task::Restart(index)));
+        tasks.push((ends_at, Task::End(index)));
+        tasks.push((ends_at + REPLACE_AFTER, Task::Restart(index)));
     }
 
     fn tick_until_stopped(&self) {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -111,7 +111,8 @@
         |one: &Instance| ReadinessProbe::start(one.addrs, Arc::clone(&one.incarnation), start);
     let probes: Vec<ReadinessProbe> = fleet.instances.iter().map(probe).collect();
     let mut outcome = Outcome::default();
-    let mut events = Events::new(schedule);
+    let planned = schedule.planned_work();
+    let mut events = Events::new(schedule.disruptions.iter().chain(&planned));
     let mut callers = None;
     while start.elapsed() < schedule.duration {
         let now = Instant::now();
@@ -145,15 +146,18 @@
         outcome.ready_times.extend(recovery.times);
         outcome.start_times.extend(recovery.start_times);
     }
-    let violations = check(&record, &disruptions).into_iter();
+    let violations = check(&record, &disruptions, schedule.planned_work_at()).into_iter();
     outcome.findings.extend(violations.map(|Violation { rule, at, detail }| Finding {
         at,
         kind: FindingKind::Broken(rule),
         detail,
     }));
-    let is_of_all = |one: &Disruption| one.instances.len() == count;
-    let returns: Vec<Disruption> = disruptions.into_iter().filter(is_of_all).collect();
-    outcome.shares = served_shares(&record.seen(), &returns);
+    let is_return = |one: &&Disruption| {
+        let is_kind = matches!(one.kind, DisruptionKind::Kill | DisruptionKind::Suspend);
+        is_kind && one.instances.len() == count
+    };
+    let returns: Vec<Disruption> = disruptions.iter().filter(is_return).cloned().collect();
+    outcome.shares = served_shares(&record.seen(), &disruptions, &returns);
     outcome.starts = fleet.instances.iter().map(|one| one.starts).sum();
     outcome.findings.sort_by_key(|finding| finding.at);
     Ok(outcome)
@@ -208,9 +212,9 @@
 }
 
 impl<'a> Events<'a> {
-    fn new(schedule: &'a Schedule) -> Self {
+    fn new(disruptions: impl Iterator<Item = &'a Disruption>) -> Self {
         let both = |one: &'a Disruption| [(one.at, one, true), (one.until, one, false)];
-        let mut events: Vec<_> = schedule.disruptions.iter().flat_map(both).collect();
+        let mut events: Vec<_> = disruptions.flat_map(both).collect();
         events.sort_by_key(|(at, ..)| *at);
         Self { events, next: 0 }
     }
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -17,6 +17,8 @@
 const START_TIME: Duration = Duration::from_secs(6);
 /// Time without disruptions at the end, in which service has to come back.
 pub const CALM_TIME: Duration = Duration::from_secs(16);
+/// Time in the calm time after which planned work of the platform begins.
+const PLANNED_WORK_AFTER: Duration = Duration::from_secs(7);
 /// Time for which all processes are away when all are killed, in ms.
 const RETURN_MS: u64 = 700;
 /// Longest time between two disruptions, in ms.
@@ -69,6 +71,20 @@
         Self { disruptions, duration }
     }
 
+    /// When the planned work begins.
+    pub fn planned_work_at(&self) -> Duration {
+        self.duration.saturating_sub(CALM_TIME) + PLANNED_WORK_AFTER
+    }
+
+    /// Work of the platform in the calm time, which excuses nothing: backend servers leave, and a new
+    /// configuration and new versions of adapters are published.
+    pub fn planned_work(&self) -> Vec<Disruption> {
+        let at = self.planned_work_at();
+        let kinds = [DisruptionKind::Replicas(ReplicaFault::Leave), DisruptionKind::ConfigChange];
+        let to_work = |kind| Disruption { at, until: at, instances: Vec::new(), kind };
+        kinds.map(to_work).into()
+    }
+
     /// The same without the disruptions of these positions.
     pub fn without(&self, positions: std::ops::Range<usize>) -> Self {
         let kept = self.disruptions.iter().enumerate();
--- a/lab/tests/soak_callers.rs
+++ b/lab/tests/soak_callers.rs
@@ -109,7 +109,10 @@
         run: Ok(first_piece(attempt)),
     };
     seen.arrivals = seen.attempts.iter().map(to_run).collect();
-    check(&Record::of(Instant::now(), seen), &[]).into_iter().map(|found| found.rule).collect()
+    check(&Record::of(Instant::now(), seen), &[], Duration::MAX)
+        .into_iter()
+        .map(|found| found.rule)
+        .collect()
 }
 
 // Guards against callers that open a connection for each request, and count served ones as failed.
--- a/lab/tests/soak_checks.rs
+++ b/lab/tests/soak_checks.rs
@@ -33,7 +33,7 @@
 }
 
 fn rules(seen: Seen, disruptions: &[Disruption]) -> Vec<Rule> {
-    let violations = check(&Record::of(Instant::now(), seen), disruptions);
+    let violations = check(&Record::of(Instant::now(), seen), disruptions, Duration::MAX);
     violations.iter().map(|violation| violation.rule).collect()
 }
 
@@ -403,6 +403,9 @@
     let kill = [disruption(DisruptionKind::Kill, 6_000, 8_000)];
     assert_eq!(rules(outcomes(94), &kill), [Rule::Recover]);
     assert_eq!(rules(outcomes(95), &kill), []);
+    let early = Record::of(Instant::now(), outcomes(0));
+    assert!(check(&early, &kill, ms(10_500)).is_empty(), "too few requests until then");
+    assert!(!check(&early, &kill, ms(11_500)).is_empty());
     let later = [disruption(DisruptionKind::Kill, 6_000, 19_500)];
     assert_eq!(rules(outcomes(0), &later), [], "no request was sent late enough");
     assert_eq!(rules(outcomes(0), &[]), [], "nothing was disrupted");
@@ -412,12 +415,12 @@
 #[test]
 fn the_seconds_after_a_return_are_reported() {
     let kill = [disruption(DisruptionKind::Kill, 6_000, 8_000)];
-    let shares = served_shares(&outcomes(50), &kill);
+    let shares = served_shares(&outcomes(50), &kill, &kill);
     let figures: Vec<(Duration, usize, usize)> =
         shares.iter().map(|share| (share.from, share.requests, share.served)).collect();
     let second = |from_ms, served| (ms(from_ms), 20, served);
     let expected = [
-        (Duration::ZERO, 120, 120),
+        (ms(2_000), 80, 80),
         second(8_000, 20),
         second(9_000, 20),
         second(10_000, 20),
