--- a/src/decide/traffic/owner_election.rs
+++ b/src/decide/traffic/owner_election.rs
@@ -49,8 +49,8 @@
     }
 }
 
-/// Names of the instances that may own replicas, sorted: none that shuts down, that has just started
-/// while settled ones are there, or that is cut off from replicas while others aren't.
+/// Names of the instances that may own replicas, sorted: none that shuts down or can't be called, that
+/// has just started while settled ones are there, or that is cut off from replicas while others aren't.
 pub fn candidates<'a>(all: impl Iterator<Item = &'a PeerRecord>) -> Vec<InstanceName> {
     let all: Vec<&PeerRecord> = all.filter(|record| !record.draining).collect();
     let settled = all.iter().filter(|record| record.settled);
--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -320,7 +320,8 @@
     ///
     /// One that has just started is passed over while settled ones are there, since taking over
     /// takes time, unless it started together with them; so is one that is cut off from replicas while
-    /// others aren't. `None` if all are draining, but for this instance if it only can't be called.
+    /// others aren't. `None` if all are draining, unless this one counts as such only since it can't be
+    /// called.
     pub fn preferred_owner(&mut self, now: Timestamp, replica: &str) -> Option<InstanceName> {
         if self.candidates_checked_at != Some(now) {
             self.candidates_checked_at = Some(now);
