--- a/src/relay/listen_sockets.rs
+++ b/src/relay/listen_sockets.rs
@@ -24,7 +24,7 @@
 const TEMPORARY_ERRORS: [Errno; 4] = [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM];
 
 /// Length of the queue of connections that wait to be accepted.
-const BACKLOG: u32 = 1024;
+pub const BACKLOG: u32 = 1024;
 
 /// Listeners of a relay, all bound.
 #[derive(Debug)]
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -36,6 +36,7 @@
 use super::connection_end::ConnectionEnd;
 use super::exchange;
 use super::forward;
+use super::listen_sockets::BACKLOG;
 use super::log_event::LogEvent;
 use super::log_event::record;
 use super::node::Node;
@@ -96,7 +97,8 @@
 
 /// Closes the listener after the connections that wait to be accepted, which it would reset.
 ///
-/// They are accepted from the system itself, as the runtime may not know of the last ones yet.
+/// No more are accepted than can wait, however fast others come. They are accepted from the system itself,
+/// as the runtime may not know of the last ones yet.
 fn accept_waiting(node: &Arc<Node>, listener: TcpListener, audience: Audience) {
     let on_failure = |e: &io::Error| node.pressure.on_accept_failed(e);
     let listener = match listener.into_std() {
@@ -107,7 +109,8 @@
         stream.set_nonblocking(true)?;
         TcpStream::from_std(stream)
     };
-    loop {
+    // The queue holds one connection more than its length says; later ones come after the end.
+    for _ in 0..=BACKLOG {
         match listener.accept().and_then(|(stream, _)| to_tokio(stream)) {
             Ok(stream) => on_accepted(node, stream, audience),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
