Ask owners again that don't know yet what their replicas hold

Callers saw: right after a return with a store that speaks, 12 of 31 cut streams and a new request were refused with 3.5 to 4.2 s although replicas held their adapters (trace in docs/incidents/addresses-and-returns.md).

Cause: an owner that hadn't read a replica's report said that it doesn't hold the adapter and may be ordered only after the lease, and the shortest such time was taken also if another owner couldn't say anything yet. Absence in a report that isn't there was taken for absence at the replica.

Change: FirstReport has such an owner asked again after 60 ms, for 400 ms since it took the replica over. WaitBudget::orders_wait does the same, for 400 ms of the request's waits, while not every owner that was asked knows. No message changes.

--- a/src/decide/traffic/wait_budget.rs
+++ b/src/decide/traffic/wait_budget.rs
@@ -12,6 +12,10 @@
 const MAX_REPLICA_WAIT: Duration = Duration::from_millis(600);
 /// Longest total wait of a request for its adapter to be loaded.
 const MAX_LOAD_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait of a request for owners that don't know yet what their replicas hold.
+const MAX_HOLDER_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which such owners are asked again.
+const HOLDER_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 /// Time after which the caller of a refused request may retry.
 pub const RETRY_AFTER: Duration = Duration::from_millis(1000);
 
@@ -51,6 +55,15 @@
         (!limit.is_zero()).then_some(limit)
     }
 
+    /// Time to wait for orders that may be given in `wait`. As long as not `all_known` of the replicas
+    /// that were asked for, one may turn out to hold the adapter, so that it is shorter for a while.
+    pub fn orders_wait(&self, wait: Duration, all_known: bool) -> Duration {
+        if all_known || self.waited_for_load >= MAX_HOLDER_WAIT {
+            return wait;
+        }
+        wait.min(HOLDER_CHECK_INTERVAL)
+    }
+
     /// Charges a wait for a load; returns the pause before the replicas are looked at again.
     ///
     /// The first look follows at once. If the replica that is said to hold the adapter isn't chosen
--- a/src/relay/loads.rs
+++ b/src/relay/loads.rs
@@ -42,8 +42,13 @@
     Loaded,
     /// None does yet.
     NotLoaded,
-    /// No home can load it before this time has passed.
-    NoOrdersFor(Duration),
+    /// No home can load it, or is known to hold it, before this time has passed.
+    NoOrdersFor {
+        /// The time.
+        wait: Duration,
+        /// Whether it is known of each home that it doesn't hold it.
+        all_known: bool,
+    },
 }
 
 /// Has `key` loaded at one of `targets`, best first; returns when it is, or after `limit`.
@@ -65,7 +70,8 @@
             return LoadOutcome::Loaded;
         }
         if let Some(wait) = time_until_orders(&homes) {
-            return LoadOutcome::NoOrdersFor(wait);
+            let all_known = homes.iter().all(|home| home.reply.orders_in_ms.is_some());
+            return LoadOutcome::NoOrdersFor { wait, all_known };
         }
         let states: Vec<HomeState> = homes.iter().map(|home| home.state(node)).collect();
         let ranked: Vec<&Home> = preferred_homes(&states, prompt_tokens)
@@ -213,7 +219,7 @@
     let Some(owned) = all.get(&request.replica) else { return LoadReply::unavailable() };
     if !owned.lease.is_held() {
         // Nobody gives orders while the lease is waited for, so what the last report showed holds.
-        let orders_in = owned.lease.orders_in(now);
+        let orders_in = owned.orders_in(now);
         return LoadReply {
             version: owned.plan.held_version(now, key),
             requests: owned.plan.requests(now),
--- a/src/relay/replica_ownership.rs
+++ b/src/relay/replica_ownership.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::decide::traffic::FirstReport;
 use crate::decide::traffic::OrderLease;
 use crate::decide::traffic::PrefixTracker;
 use crate::decide::traffic::PromptTurns;
@@ -47,4 +48,14 @@
             taken_over_at: now,
         }
     }
+
+    /// Time until orders may be given, or until a first report may show what the replica holds; `None`
+    /// if another instance should give orders.
+    pub fn orders_in(&self, now: Timestamp) -> Option<Duration> {
+        let report = match self.started_ms {
+            0 => FirstReport::Missing { since: self.taken_over_at },
+            _ => FirstReport::Read,
+        };
+        report.ask_again_in(now, self.lease.orders_in(now))
+    }
 }
--- a/src/relay/replica_search.rs
+++ b/src/relay/replica_search.rs
@@ -187,7 +187,8 @@
         let pick = shared.unwrap_or_else(|| xxh3_64(head.id.as_bytes()));
         let outcome =
             loads::load_at_any(node, key, targets, limit, pick, head.needs.prompt_tokens).await;
-        if let LoadOutcome::NoOrdersFor(wait) = outcome {
+        if let LoadOutcome::NoOrdersFor { wait, all_known } = outcome {
+            let wait = self.wait_budget.orders_wait(wait, all_known);
             if wait > limit {
                 return Err(self.request.not_yet(wait));
             }
--- a/src/wire/relay.rs
+++ b/src/wire/relay.rs
@@ -176,7 +176,7 @@
     /// Number of adapters that requests wait for there.
     #[serde(default)]
     pub waiting_loads: u32,
-    /// Time until the owner may order loads, in ms; `None` if it isn't known.
+    /// Time until the owner may order loads, or should be asked again, in ms; `None` if it isn't known.
     #[serde(default)]
     pub orders_in_ms: Option<u64>,
     /// Decayed count of recent failures at the replica.
--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod config;
 mod first_listing;
+mod first_report;
 mod holder_history;
 mod home_choice;
 mod order_lease;
--- a/tests/traffic/small.rs
+++ b/tests/traffic/small.rs
@@ -179,3 +179,21 @@
     let waited: Duration = pauses.take(1000).sum();
     assert!(waited <= Duration::from_millis(600), "{waited:?}");
 }
+
+/// Guards against callers that are sent away for a whole lease, as one owner can't say yet that its
+/// replica holds their adapter.
+#[test]
+fn the_time_until_orders_counts_only_once_all_owners_know_what_their_replicas_hold() {
+    let lease = Duration::from_millis(3500);
+    let mut budget = WaitBudget::default();
+    assert_eq!(budget.orders_wait(lease, true), lease);
+    let mut waited = Duration::ZERO;
+    while budget.orders_wait(lease, false) < lease {
+        let wait = budget.orders_wait(lease, false);
+        waited += wait + budget.charge_load_wait(wait);
+        assert!(waited < Duration::from_secs(1), "no end");
+    }
+    assert!(waited >= Duration::from_millis(300), "{waited:?}");
+    let short = Duration::from_millis(10);
+    assert_eq!(WaitBudget::default().orders_wait(short, false), short);
+}
