--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -18,6 +18,7 @@
 mod other_program;
 mod outcome;
 mod outside;
+mod platform_store;
 mod readiness;
 pub mod record;
 mod recovery;
--- a/lab/src/soak/outside.rs
+++ b/lab/src/soak/outside.rs
@@ -17,21 +17,16 @@
 use rand_chacha::ChaCha8Rng;
 use tamaracklead_standin::Backend;
 use tamaracklead_standin::Condition;
-use tamaracklead_standin::DeclaredVersions;
 use tamaracklead_standin::Observed;
 use tamaracklead_standin::Observer;
 use tamaracklead_standin::Service;
-use tamaracklead_standin::Store;
-use tamaracklead_standin::StoreFront;
-use tamaracklead_standin::StoreTrouble;
-use tamaracklead_standin::soak_config;
 
 use super::disruption::Disruption;
 use super::disruption::DisruptionKind;
 use super::disruption::ReplicaFault;
 use super::disruption::StoreFault;
+use super::platform_store::PlatformStore;
 use super::record::Arrival;
-use super::record::DeclaredVersion;
 use super::record::Leaving;
 use super::record::OrderArrival;
 use super::record::Record;
@@ -46,8 +41,6 @@
 const REPLACE_AFTER: Duration = Duration::from_millis(500);
 /// Interval at which tasks that are due are carried out.
 const TICK: Duration = Duration::from_millis(20);
-/// Part of the adapters of which a change declares new versions: one in this many.
-const ADAPTER_STEP: u64 = 4;
 /// Part of the backend servers that a fault befalls: one in this many.
 const BEFALLEN_ONE_IN: usize = 3;
 
@@ -88,16 +81,14 @@
     tasks: Vec<(Instant, Task)>,
     /// Entries that a restored store lists although they are gone.
     stale: Vec<(Instant, String)>,
+    /// Number of starts after the first ones.
     starts: usize,
-    config_version: u64,
 }
 
 struct Shared {
     plan: OutsidePlan,
-    store: Store,
-    front: StoreFront,
+    store: PlatformStore,
     backends: Vec<Backend>,
-    versions: DeclaredVersions,
     record: Arc<Record>,
     state: Mutex<State>,
     is_stopping: AtomicBool,
@@ -112,13 +103,12 @@
 impl Outside {
     /// Starts the store and all backend servers, and publishes them and a configuration.
     pub fn start(plan: &OutsidePlan, record: Arc<Record>) -> Self {
-        let store = Store::start();
-        let versions = DeclaredVersions::default();
+        let store = PlatformStore::start(plan.adapters, Arc::clone(&record));
         let start_backend = |index: usize| {
             let service = if index < plan.engines { Service::Engine } else { Service::Desk };
             let observer = observer(Arc::clone(&record), service);
             let name = format!("i-{index}-0");
-            Backend::start(service, &name, "v1", Arc::clone(&versions), observer)
+            Backend::start(service, &name, "v1", store.versions(), observer)
         };
         let backends: Vec<Backend> = (0..plan.engines + plan.desks).map(start_backend).collect();
         let now = Instant::now();
@@ -128,20 +118,15 @@
             tasks: Vec::new(),
             stale: Vec::new(),
             starts: 0,
-            config_version: 1,
         });
-        let front = StoreFront::start(store.addr);
         let shared = Arc::new(Shared {
             plan: plan.clone(),
             store,
-            front,
             backends,
-            versions,
             record,
             state,
             is_stopping: AtomicBool::new(false),
         });
-        shared.publish_config();
         shared.publish_all();
         let ticking = Arc::clone(&shared);
         let thread = Some(thread::spawn(move || ticking.tick_until_stopped()));
@@ -150,7 +135,7 @@
 
     /// Where instances reach the store.
     pub fn store_addr(&self) -> SocketAddr {
-        self.shared.front.addr
+        self.shared.store.addr()
     }
 
     /// Where the backend servers listen.
@@ -176,7 +161,7 @@
                     shared.apply_to_backend(fault, index, begins);
                 }
             }
-            DisruptionKind::ConfigChange if begins => shared.change_config(),
+            DisruptionKind::ConfigChange if begins => shared.store.change_config(),
             _ => {}
         }
     }
@@ -197,79 +182,28 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn publish_config(&self) {
-        let version = self.state().config_version;
-        self.store.put("op/config", &soak_config(version, self.plan.adapters));
-    }
-
-    fn publish_versions(&self) {
-        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        for (adapter, version) in versions {
-            self.publish_version(&adapter, version);
-        }
-    }
-
-    fn publish_version(&self, adapter: &str, version: u64) {
-        let entry = serde_json::json!({"model": "base", "adapter": adapter, "version": version});
-        self.store.put(&format!("op/version/base.{adapter}"), &entry);
-    }
-
-    /// Publishes the next configuration, and the next versions of some adapters.
-    fn change_config(&self) {
-        let number = {
-            let mut state = self.state();
-            state.config_version += 1;
-            state.config_version
-        };
-        self.publish_config();
-        let first = (number % ADAPTER_STEP) as usize;
-        for adapter in (1..=self.plan.adapters).skip(first).step_by(ADAPTER_STEP as usize) {
-            self.declare_next_version(&format!("a{adapter}"));
-        }
-    }
-
-    fn declare_next_version(&self, adapter: &str) {
-        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
-        let version = versions.entry(adapter.to_owned()).or_insert(1);
-        *version += 1;
-        let version = *version;
-        drop(versions);
-        self.publish_version(adapter, version);
-        let at = self.record.time_of(Instant::now());
-        self.record.add_version(DeclaredVersion { at, adapter: adapter.into(), version });
-    }
-
     fn apply_to_store(&self, fault: StoreFault, begins: bool) {
         match (fault, begins) {
-            (StoreFault::Silent, true) => self.front.begin(StoreTrouble::Silent),
-            (StoreFault::Away, true) => self.front.begin(StoreTrouble::Away),
-            (StoreFault::Slow, true) => self.front.begin(StoreTrouble::Slow),
-            (StoreFault::TurnsAway, true) => self.front.begin(StoreTrouble::TurnsAway),
             (StoreFault::ForgetsHistory, true) => {
-                self.front.forget_before(self.store.revision() + 1);
+                self.store.forget_history();
                 self.publish_all();
             }
-            (StoreFault::Restored, true) => self.store.take_copy(),
-            (StoreFault::Restored, false) => self.restore_store(),
-            (StoreFault::ForgetsHistory, false) => {}
-            (_, false) => self.front.end(),
+            (StoreFault::Restored, false) => {
+                let names = self.all_names();
+                let gone_at = Instant::now() + HEARTBEAT * MISSED_HEARTBEATS;
+                self.state().stale.extend(names.into_iter().map(|name| (gone_at, name)));
+                self.store.restore(|| self.publish_all());
+            }
+            (fault, true) => self.store.begin(fault),
+            (_, false) => self.store.end(),
         }
     }
 
-    fn restore_store(&self) {
-        self.front.begin(StoreTrouble::Away);
-        self.front.forget_before(0);
-        self.store.restore();
-        let gone_at = Instant::now() + HEARTBEAT * MISSED_HEARTBEATS;
+    /// Ids that any server has had.
+    fn all_names(&self) -> Vec<String> {
         let starts = self.state().starts;
-        let names = (0..self.backends.len()).flat_map(|index| {
-            (0..=starts).map(move |start| (gone_at, format!("i-{index}-{start}")))
-        });
-        self.state().stale.extend(names);
-        self.publish_config();
-        self.publish_versions();
-        self.publish_all();
-        self.front.end();
+        let of_backend = |index| (0..=starts).map(move |start| format!("i-{index}-{start}"));
+        (0..self.backends.len()).flat_map(of_backend).collect()
     }
 
     /// The backend servers that a fault befalls.
@@ -396,7 +330,7 @@
         match backend.next_entry(listed.addr) {
             Some(entry) => {
                 let name = backend.name();
-                self.store.put(&format!("servers/{name}"), &entry);
+                self.store.put_entry(&name, &entry);
                 *listed = Listed { name: Some(name), at: now, addr: listed.addr };
             }
             None if now >= listed.at + HEARTBEAT * MISSED_HEARTBEATS => {
@@ -409,7 +343,7 @@
 
     fn remove_entry(&self, index: usize) {
         if let Some(name) = self.state().listed[index].name.take() {
-            self.store.remove(&format!("servers/{name}"));
+            self.store.remove_entry(&name);
         }
     }
 
@@ -419,7 +353,7 @@
             state.stale.extract_if(.., |(at, _)| *at <= now).collect();
         let is_listed = |name: &String| state.listed.iter().any(|l| l.name.as_ref() == Some(name));
         for (_, name) in stale.iter().filter(|(_, name)| !is_listed(name)) {
-            self.store.remove(&format!("servers/{name}"));
+            self.store.remove_entry(name);
         }
     }
 }
