Close the oldest of young connections, whatever they do

When all places of callers' connections were taken by young ones, the one that had sent least was closed first: an ordinary caller's, accepted a moment ago, before those of a crowd that had begun to send bodies that don't end. What the ordinary caller wrote then met a closed connection.

So this is one way in which a sound caller's connection is reset; the users' play isn't known to be this one.

Of young connections the one that has been waited for longest is closed now, closing ones first.

--- a/src/decide/connections/caller_places.rs
+++ b/src/decide/connections/caller_places.rs
@@ -3,7 +3,8 @@
 //! A new connection always gets a place while another one can be closed for it, since it may be that of
 //! an ordinary caller. Closed is the one that has been waited for longest, of those whose end costs
 //! their callers least and that aren't young; so callers that open many connections and send little close those of each
-//! other. A connection on which a response is awaited stays.
+//! other. If all are young, it is the one that has been waited for longest, since what the others will
+//! send may be on its way. A connection on which a response is awaited stays.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -111,7 +112,10 @@
             })
             .min_by_key(|(id, connection)| {
                 let is_young = now.since(connection.since) < YOUNG_TIME;
-                (is_young, connection.phase, connection.since, **id)
+                // What a young one hasn't sent yet may be on its way.
+                let phase = connection.phase;
+                let rank = if is_young { phase.min(ConnectionPhase::Idle) } else { phase };
+                (is_young, rank, connection.since, **id)
             })
             .map(|(id, _)| *id)
     }
--- a/tests/caller_places.rs
+++ b/tests/caller_places.rs
@@ -109,3 +109,33 @@
         assert!(matches!(places.enter(at(9_000 + n)), Place::Free(_)));
     }
 }
+
+// Guards against an ordinary caller whose connection is closed before its request has arrived, as a crowd
+// that came before it has begun to send bodies and goes on to open connections.
+#[test]
+fn of_young_connections_the_oldest_is_closed_whatever_it_does() {
+    for phase in [ConnectionPhase::Idle, ConnectionPhase::Head, ConnectionPhase::Body] {
+        let mut places = CallerPlaces::new(50);
+        let crowd: Vec<_> = (0..49).map(|n| enter(&mut places, n, phase).unwrap().0).collect();
+        let Place::Free(ordinary) = places.enter(at(100)) else { panic!("a place is free") };
+        for (n, oldest) in crowd.into_iter().enumerate() {
+            let (_, closed) = enter(&mut places, 101 + n as u64, phase).unwrap();
+            assert_eq!(closed, Some(oldest), "{phase:?}");
+            assert!(places.confirm_eviction(oldest));
+            places.leave(oldest);
+        }
+        places.set_phase(at(160), ordinary, ConnectionPhase::Response);
+        let (_, closed) = enter(&mut places, 161, phase).unwrap();
+        assert_ne!(closed, Some(ordinary));
+    }
+}
+
+// Guards against callers that lose their connections while others have sent all that they will.
+#[test]
+fn of_young_connections_those_that_are_closing_go_first() {
+    let mut places = CallerPlaces::new(2);
+    enter(&mut places, 0, ConnectionPhase::Idle).unwrap();
+    let (closing, _) = enter(&mut places, 10, ConnectionPhase::Closing).unwrap();
+    let (_, closed) = enter(&mut places, 20, ConnectionPhase::Idle).unwrap();
+    assert_eq!(closed, Some(closing));
+}
