Keep the adapter uses of instances that nobody has told of yet

Cause: not known was taken for gone. Now only instances that were known and are live no more lose their uses and permits; those of others end by their own time.

--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -292,6 +292,11 @@
         self.known.get(name).is_some_and(|known| known.is_live(now))
     }
 
+    /// Whether another instance was known and is live no more. One that nobody has told of isn't gone.
+    pub fn is_gone(&self, now: Timestamp, name: &InstanceName) -> bool {
+        self.known.get(name).is_some_and(|known| !known.is_live(now))
+    }
+
     /// Records of the live instances besides this one.
     pub fn live(&self, now: Timestamp) -> impl Iterator<Item = &PeerRecord> {
         self.known.values().filter(move |known| known.is_live(now)).map(|known| &known.record)
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -223,7 +223,7 @@
     let now = node.now();
     let peers = node.peers();
     for owned in node.owned().values_mut() {
-        owned.plan.retain_users(|user| *user == peers.me().name || peers.is_live(now, user));
+        owned.plan.retain_users(|user| !peers.is_gone(now, user));
     }
 }
 
--- a/src/relay/permits.rs
+++ b/src/relay/permits.rs
@@ -116,8 +116,7 @@
     let now = node.now();
     {
         let peers = node.peers();
-        let is_there = |user: &_| *user == peers.me().name || peers.is_live(now, user);
-        node.permits.retain_users(is_there);
+        node.permits.retain_users(|user| !peers.is_gone(now, user));
     }
     let replicas = node.replicas();
     let is_limited = |known: &Replica| known.limits.needs_permit();
