Leave reading for all to instances that can be called

docs/design/listening.md says that an instance without its address for peers reads the published state for nobody; of its roles this one wasn't decided by it, so that a further instance read what nobody could ask it for. Found by the review; the new test in peer_roles.rs failed before ("entry-1 reads") and passes now.

--- a/src/decide/traffic/peers.rs
+++ b/src/decide/traffic/peers.rs
@@ -355,17 +355,20 @@
     pub fn reads_published(&self, now: Timestamp) -> bool {
         let ranking = rendezvous::Ranking::new(READER_KEY);
         let rank = |record: &PeerRecord| (record.link_class(), ranking.score(record.name.as_str()));
-        self.is_ranked_among(now, READER_COUNT, rank)
+        !self.leaves_to_others(now) && self.is_ranked_among(now, READER_COUNT, rank)
+    }
+
+    /// Whether this instance can't be called while another one can.
+    fn leaves_to_others(&self, now: Timestamp) -> bool {
+        self.role != FleetRole::Full && self.live(now).any(|record| !record.draining)
     }
 
     /// Whether this instance is one of the first `count` in the rendezvous ranking of `key`. One that
     /// can't be called leaves that to the others, which don't count it.
     pub fn is_among_first(&self, now: Timestamp, key: &str, count: usize) -> bool {
-        if self.role != FleetRole::Full && self.live(now).any(|record| !record.draining) {
-            return false;
-        }
         let ranking = rendezvous::Ranking::new(key);
-        self.is_ranked_among(now, count, |record| ranking.score(record.name.as_str()))
+        let rank = |record: &PeerRecord| ranking.score(record.name.as_str());
+        !self.leaves_to_others(now) && self.is_ranked_among(now, count, rank)
     }
 
     /// Whether fewer than `count` other instances rank above this one.
--- a/tests/traffic/peer_roles.rs
+++ b/tests/traffic/peer_roles.rs
@@ -143,3 +143,16 @@
     all[0].set_role(FleetRole::Full);
     assert!(all[0].me().draining);
 }
+
+/// Guards against a further instance that reads the published state for all, which nobody can ask for it.
+#[test]
+fn an_instance_that_can_not_be_called_does_not_read_the_published_state_for_all() {
+    let mut all = fleet(8);
+    for index in 0..8 {
+        all[index].set_role(FleetRole::Limited);
+        exchange(&mut all, 1000 + 10_000 * index as u64);
+        let now = at(2100 + 10_000 * index as u64);
+        assert!(!all[index].reads_published(now), "entry-{index} reads");
+        all[index].set_role(FleetRole::Full);
+    }
+}
