--- a/src/relay/forwarded_request.rs
+++ b/src/relay/forwarded_request.rs
@@ -18,11 +18,13 @@
 use hyper::http::request;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::PublishedTopic;
 use super::RequestHead;
 use super::attempt::ReplicaBody;
 use super::attempt::ReplicaResponse;
 use super::attempt_race::AttemptRace;
 use super::caller_account::CallerAccount;
+use super::first_config;
 use super::forward::CallerRequestGuard;
 use super::log_event::LogEvent;
 use super::log_event::record;
@@ -247,6 +249,16 @@
         }
     }
 
+    /// Response if no replica is there: also while none is known yet, as the store is in trouble.
+    pub fn response_without_replicas(&self) -> LocalResponse {
+        let now = self.node.now();
+        let is_listed = self.node.view(PublishedTopic::Replicas).is_usable(now);
+        match self.final_response() {
+            LocalResponse::NotRun if !is_listed => first_config::not_ready(now, &self.head.id),
+            other => other,
+        }
+    }
+
     /// Time since its arrival, in ms.
     pub fn waited_ms(&self) -> u128 {
         self.node.now().since(self.arrived).as_millis()
--- a/src/relay/replica_search.rs
+++ b/src/relay/replica_search.rs
@@ -157,7 +157,7 @@
     async fn wait_for_replica(&mut self) -> Result<(), LocalResponse> {
         let left = self.request.time_until_deadline();
         let pause = self.wait_budget.charge_replica_wait(left);
-        sleep(pause.ok_or_else(|| self.request.final_response())?).await;
+        sleep(pause.ok_or_else(|| self.request.response_without_replicas())?).await;
         Ok(())
     }
 
