Don't count as ready while callers' connections can't be accepted

A process without descriptors said 200 to a readiness check on a kept connection for as long as it accepted nobody. AcceptHealth decides: accepts that have failed for a second, and go on failing.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -91,6 +91,9 @@
             Ok((stream, _)) => on_accepted(&node, stream, audience),
             Err(e) => {
                 node.pressure.on_accept_failed(&e);
+                if audience == Audience::Callers {
+                    node.on_caller_accept_failed();
+                }
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -36,6 +36,7 @@
 use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::listening::ListenAddress;
 use crate::decide::reach::PassOnPeers;
+use crate::decide::readiness::AcceptHealth;
 use crate::decide::readiness::Missing;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
@@ -133,6 +134,7 @@
     shutdown: watch::Sender<Option<Shutdown>>,
     accepts_callers: watch::Sender<bool>,
     last_accepted: Mutex<Timestamp>,
+    accept_health: Mutex<AcceptHealth>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
     use_serial: AtomicU64,
@@ -216,6 +218,7 @@
             shutdown: watch::Sender::new(None),
             accepts_callers: watch::Sender::new(true),
             last_accepted: Mutex::new(Timestamp::ZERO),
+            accept_health: Mutex::default(),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
             use_serial: AtomicU64::new(first_serial),
@@ -394,6 +397,12 @@
     /// Notes that a caller's connection is accepted.
     pub fn on_caller_accepted(&self) {
         *lock(&self.last_accepted) = self.now();
+        lock(&self.accept_health).on_accepted();
+    }
+
+    /// Notes that no caller's connection can be accepted.
+    pub fn on_caller_accept_failed(&self) {
+        lock(&self.accept_health).on_failed(self.now());
     }
 
     /// When a caller's connection was accepted last; zero before the first one.
@@ -440,6 +449,7 @@
             (Missing::Replicas, !knows_replicas),
             (Missing::Contact, self.is_isolated()),
             (Missing::CallerAddress, !self.addresses.is_bound(ListenAddress::Caller)),
+            (Missing::Accepts, lock(&self.accept_health).is_failing(self.now())),
             (Missing::Service, self.is_draining()),
         ];
         all.into_iter().filter_map(|(missing, is_missing)| is_missing.then_some(missing)).collect()
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tamaracklead::decide::readiness::AcceptHealth;
 use tamaracklead::decide::readiness::Missing;
 use tamaracklead::decide::readiness::Readiness;
 use tamaracklead::names::Timestamp;
@@ -35,3 +36,29 @@
     let ready = readiness.on_check(at(50), Vec::new()).unwrap();
     assert_eq!(ready.lasted, Duration::from_millis(20));
 }
+
+/// Guards against an instance that counts as ready while it accepts nobody.
+#[test]
+fn accepts_that_fail_for_a_second_send_callers_elsewhere() {
+    let mut health = AcceptHealth::default();
+    for ms in (100..1100).step_by(20) {
+        health.on_failed(at(ms));
+        assert!(!health.is_failing(at(ms)), "{ms}");
+    }
+    health.on_failed(at(1100));
+    assert!(health.is_failing(at(1100)));
+    health.on_accepted();
+    assert!(!health.is_failing(at(1101)));
+}
+
+/// Guards against an instance that never counts as ready again, as callers keep away and so none is accepted.
+#[test]
+fn an_instance_is_ready_again_once_no_connection_waits() {
+    let mut health = AcceptHealth::default();
+    for ms in (100..3000).step_by(20) {
+        health.on_failed(at(ms));
+    }
+    assert!(!health.is_failing(at(4000)));
+    health.on_failed(at(5000));
+    assert!(!health.is_failing(at(5000)));
+}
