Wait for a settings file that isn't there yet

A settings file that couldn't be read for 2 s, as on a file system that comes late, ended the process, which was started and ended again; so did a system without a thread for the read. That isn't a wrong file, it is one that isn't there: the process now waits for it, says so once in the log (settings_refused) and ends at SIGTERM. Text that stays invalid for 2 s still ends the start with an error.

--- a/src/decide/start_wait.rs
+++ b/src/decide/start_wait.rs
@@ -13,6 +13,8 @@
 /// What stands in the way of a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StartFailure {
+    /// What the step needs isn't there yet; it may come at any time.
+    NotThere,
     /// Something that may go away by itself.
     Temporary,
     /// Something that only a change from outside can remove.
@@ -28,7 +30,7 @@
     GiveUp,
 }
 
-/// Time since the first attempt at a step, and its limit.
+/// Time since the first attempt at a step for which all was there, and its limit.
 #[derive(Clone, Copy, Debug)]
 pub struct StartWait {
     began: Timestamp,
@@ -42,8 +44,12 @@
     }
 
     /// What follows a failure of the step.
-    pub fn on_failure(&self, now: Timestamp, failure: StartFailure) -> AfterFailure {
+    pub fn on_failure(&mut self, now: Timestamp, failure: StartFailure) -> AfterFailure {
         match failure {
+            StartFailure::NotThere => {
+                self.began = now;
+                AfterFailure::TryAgain(RETRY_DELAY)
+            }
             StartFailure::Temporary if now.since(self.began) < self.limit => {
                 AfterFailure::TryAgain(RETRY_DELAY)
             }
@@ -51,7 +57,7 @@
         }
     }
 
-    /// Time since the first attempt.
+    /// Time since the first attempt for which all was there.
     pub fn waited(&self, now: Timestamp) -> Duration {
         now.since(self.began)
     }
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -16,6 +16,7 @@
 use super::process_event::ProcessEvent;
 use super::process_signal::ProcessSignals;
 use super::run;
+use super::settings_file::SettingsFailure;
 use super::settings_file::SettingsFile;
 use crate::daemon::Clock;
 use crate::decide::start_wait::AfterFailure;
@@ -25,8 +26,8 @@
 use crate::error::ErrorKind;
 use crate::error::Result;
 
-/// Time for which settings that can't be read are read again at the start; far longer than it takes to
-/// replace a file.
+/// Time for which invalid settings are read again at the start; far longer than it takes to replace a
+/// file.
 const SETTINGS_WAIT: Duration = Duration::from_secs(2);
 
 /// A process that handles signals and hasn't started its relay yet.
@@ -88,18 +89,19 @@
     }
 }
 
-/// Reads the settings, again while the file is being replaced.
+/// Reads the settings, again while the file isn't there or is being replaced.
 async fn read_settings(path: &Path) -> Result<(RelaySettings, SettingsFile)> {
-    let mut file = SettingsFile::new(path)?;
+    let mut file = SettingsFile::new(path);
     let clock = Clock::start();
-    let wait = StartWait::new(clock.now(), SETTINGS_WAIT);
+    let mut wait = StartWait::new(clock.now(), SETTINGS_WAIT);
     let mut is_logged = false;
     loop {
-        let error = match file.read().await {
+        let (failure, error) = match file.read().await {
             Ok(settings) => return Ok((settings, file)),
-            Err(error) => error,
+            Err(SettingsFailure::Unreadable(error)) => (StartFailure::NotThere, error),
+            Err(SettingsFailure::Invalid(error)) => (StartFailure::Temporary, error),
         };
-        match wait.on_failure(clock.now(), StartFailure::Temporary) {
+        match wait.on_failure(clock.now(), failure) {
             AfterFailure::GiveUp => return Err(error),
             AfterFailure::TryAgain(delay) => {
                 if !is_logged {
--- a/src/relay/settings_file.rs
+++ b/src/relay/settings_file.rs
@@ -1,44 +1,61 @@
 //! The settings file, which may be replaced while the process runs.
 
 use std::path::Path;
+use std::path::PathBuf;
 
 use super::RelaySettings;
 use super::log_event::record;
 use super::process_event::ProcessEvent;
 use super::settings_reader::SettingsReader;
+use crate::error::Error;
 use crate::error::Result;
 
 /// A settings file and the text that was read from it last.
 #[derive(Debug)]
 pub struct SettingsFile {
-    reader: SettingsReader,
+    path: PathBuf,
+    /// `None` until it is read for the first time.
+    reader: Option<SettingsReader>,
     text: String,
 }
 
+/// Why there are no settings.
+#[derive(Debug)]
+pub enum SettingsFailure {
+    /// The file, or a thread that reads it, isn't there.
+    Unreadable(Error),
+    /// The file's text is no valid settings.
+    Invalid(Error),
+}
+
 impl SettingsFile {
     /// The file at `path`, which is not read yet.
-    ///
-    /// # Errors
-    ///
-    /// `Internal` if the system has no thread that reads it.
-    pub fn new(path: &Path) -> Result<Self> {
-        Ok(Self { reader: SettingsReader::start(path)?, text: String::new() })
+    pub fn new(path: &Path) -> Self {
+        Self { path: path.to_owned(), reader: None, text: String::new() }
     }
 
     /// Reads and checks the settings.
     ///
     /// # Errors
     ///
-    /// `Malformed` if the file can't be read or its settings are invalid.
-    pub async fn read(&mut self) -> Result<RelaySettings> {
-        self.text = self.reader.read().await?;
-        RelaySettings::parse(&self.text)
+    /// The file can't be read, or its settings are invalid.
+    pub async fn read(&mut self) -> std::result::Result<RelaySettings, SettingsFailure> {
+        self.text = self.read_text().await.map_err(SettingsFailure::Unreadable)?;
+        RelaySettings::parse(&self.text).map_err(SettingsFailure::Invalid)
+    }
+
+    async fn read_text(&mut self) -> Result<String> {
+        let reader = match &mut self.reader {
+            Some(reader) => reader,
+            None => self.reader.insert(SettingsReader::start(&self.path)?),
+        };
+        reader.read().await
     }
 
     /// The settings, if the file has changed since it was read last; invalid ones are logged once.
     /// May be dropped and called again.
     pub async fn changed(&mut self) -> Option<RelaySettings> {
-        let read = self.reader.read().await;
+        let read = self.read_text().await;
         let text = read.map_err(|e| log_refused(&e.to_string())).ok()?;
         if text == self.text {
             return None;
