--- a/src/relay/listen_sockets.rs
+++ b/src/relay/listen_sockets.rs
@@ -17,7 +17,8 @@
 use crate::error::Result;
 
 /// System errors of a bind that may go away by themselves, besides those with a kind of their own.
-const TEMPORARY_ERRORS: [Errno; 4] = [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM];
+const TEMPORARY_ERRORS: [Errno; 5] =
+    [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM, Errno::ENOSPC];
 
 /// Length of the queue of connections that wait to be accepted.
 pub const BACKLOG: u32 = 1024;
