--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -64,7 +64,7 @@
 ///
 /// # Errors
 ///
-/// `Internal` if one of its addresses can't be bound.
+/// `Internal` if it can't have one of its addresses, however long it waits.
 pub async fn serve(
     settings: RelaySettings,
     mut file: SettingsFile,
