End the callers' listener at once after its last connection

Since a listener outlives a panic of its task, and so its socket was closed only when that task had been joined: connections made between the last accept and then are reset.

--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::future::pending;
 use std::io;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
@@ -100,7 +101,8 @@
     }
 }
 
-/// Accepts the connections that wait to be accepted, which the end of the listener would reset.
+/// Accepts the connections that wait to be accepted, which the end of the listener would reset, and ends
+/// the listener.
 ///
 /// No more are accepted than can wait, however fast others come. They are accepted from the system itself,
 /// as the runtime may not know of the last ones yet.
@@ -115,12 +117,19 @@
     for _ in 0..=BACKLOG {
         match listener.accept().and_then(|(socket, _)| to_tokio(socket)) {
             Ok(stream) => on_accepted(node, stream, audience),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
             // One connection has failed; others may wait behind it.
             Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => on_failure(&e),
-            Err(e) => return on_failure(&e),
+            Err(e) => {
+                on_failure(&e);
+                break;
+            }
         }
     }
+    // The socket is closed only when its task has ended; connections made until then would be reset.
+    if let Err(e) = listener.shutdown(Shutdown::Both) {
+        on_failure(&e);
+    }
 }
 
 fn on_accepted(node: &Arc<Node>, stream: TcpStream, audience: Audience) {
