Count log lines that the output doesn't take

A log that its output refused (a file at its limit, a full device, a reader that has gone) lost lines without a trace, and kept the rest of a line in a buffer that was written later. Without a thread for the log the process ended with a panic.

--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -26,6 +26,7 @@
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
 use crate::send_permits::PermitSource;
+use crate::telemetry::LostLines;
 
 /// Bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_S: [f64; 12] =
@@ -159,6 +160,7 @@
     config_proof_age: Gauge,
     config_trust: Gauge,
     log_lines_dropped: Gauge,
+    log_lines_unwritten: Gauge,
     value_bytes: Counter,
     value_failures: Counter,
     config_lag: Gauge,
@@ -195,6 +197,7 @@
             config_proof_age: Gauge::default(),
             config_trust: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            log_lines_unwritten: Gauge::default(),
             value_bytes: Counter::default(),
             value_failures: Counter::default(),
             config_lag: Gauge::default(),
@@ -258,8 +261,10 @@
         r.register("value_failures", help, self.value_failures.clone());
         let help = "Time for which changes by the operator are lacking that a peer has, in ms; -1 if none is";
         r.register("config_lag_ms", help, self.config_lag.clone());
-        let help = "Log lines that were dropped";
+        let help = "Log lines that were lost";
         r.register("log_lines_dropped", help, self.log_lines_dropped.clone());
+        let help = "Those of the lost log lines that the output didn't take";
+        r.register("log_lines_unwritten", help, self.log_lines_unwritten.clone());
         let help = "Failed tries to bind an address";
         r.register("bind_failures", help, self.bind_failures.clone());
         let help = "Whether an address isn't bound: 1 if it is missing, 0 if not";
@@ -353,9 +358,10 @@
         }
     }
 
-    /// Sets the number of log lines that were dropped so far.
-    pub fn on_lines_dropped(&self, count: usize) {
-        self.log_lines_dropped.set(gauge_value(count));
+    /// Sets the number of log lines that were lost so far.
+    pub fn on_lines_lost(&self, lost: LostLines) {
+        self.log_lines_dropped.set(gauge_value(lost.total()));
+        self.log_lines_unwritten.set(gauge_value(lost.unwritten));
     }
 
     /// All metrics as text; the gauges take the present values of `node` first.
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -104,7 +104,7 @@
 pub use protocol::RequestHead;
 pub use protocol::ResponseHead;
 pub use reset_guard::ResetGuard;
-pub use run::DroppedLineCount;
+pub use run::LostLineCount;
 pub use settings::RelayListen;
 pub use settings::RelaySettings;
 pub use task_restarts::restart_after_panics;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -8,7 +8,7 @@
 use tokio::runtime::Runtime;
 use tokio::time::sleep;
 
-use super::DroppedLineCount;
+use super::LostLineCount;
 use super::Protocol;
 use super::RelaySettings;
 use super::log_event::record;
@@ -63,14 +63,14 @@
         self,
         path: &Path,
         protocol: Arc<dyn Protocol>,
-        dropped_lines: DroppedLineCount,
+        lost_lines: LostLineCount,
     ) -> Result<()> {
         panic_log::start();
         let Self { runtime, mut signals } = self;
         let ended = runtime.block_on(async {
             let Some(read) = read_or_terminate(path, &mut signals).await else { return Ok(()) };
             let (settings, file) = read?;
-            run::serve(settings, file, signals, protocol, dropped_lines).await
+            run::serve(settings, file, signals, protocol, lost_lines).await
         });
         if let Err(e) = &ended {
             record(&ProcessEvent::StartFailed { detail: &e.to_string() });
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -95,7 +95,7 @@
         /// Length of the pause, in ms.
         pause_ms: u128,
     },
-    /// Log lines were dropped, as they couldn't be written fast enough.
+    /// Log lines were lost: they couldn't be written fast enough, or not at all.
     LogLinesDropped {
         /// Lines dropped since the process started.
         total: usize,
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -38,6 +38,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::names::Timestamp;
+use crate::telemetry::LostLines;
 
 /// Time after the start at which an instance counts as joined even if no peer has replied.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -50,15 +51,15 @@
 const SHUTDOWN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which it checks for requests that arrived before connections were no longer accepted.
 const LAST_READ_INTERVAL: Duration = Duration::from_millis(10);
-/// Interval at which the number of dropped log lines is checked.
-const DROPPED_LINES_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Interval at which the number of lost log lines is checked.
+const LOST_LINES_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval at which a change of the readiness is looked for, to be logged.
 const READINESS_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is checked for changes.
 const SETTINGS_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Returns how many log lines were dropped since the process started.
-pub type DroppedLineCount = Box<dyn Fn() -> usize + Send + Sync>;
+/// Returns which log lines were lost since the process started.
+pub type LostLineCount = Box<dyn Fn() -> LostLines + Send + Sync>;
 
 /// Runs a relay with these settings until it has shut down.
 ///
@@ -70,7 +71,7 @@
     mut file: SettingsFile,
     mut signals: ProcessSignals,
     protocol: Arc<dyn Protocol>,
-    dropped_lines: DroppedLineCount,
+    lost_lines: LostLineCount,
 ) -> Result<()> {
     let node = Arc::new(Node::new(settings, protocol));
     let (failed, mut failures) = mpsc::channel(1);
@@ -82,7 +83,7 @@
     ] {
         keep_listening(&node, address, audience, &failed);
     }
-    start_tasks(&node, dropped_lines);
+    start_tasks(&node, lost_lines);
     let instance = node.settings.instance.as_str();
     record(&ProcessEvent::Started { instance, version: env!("CARGO_PKG_VERSION") });
     let ended = tokio::select! {
@@ -139,12 +140,10 @@
     });
 }
 
-fn start_tasks(node: &Arc<Node>, dropped_lines: DroppedLineCount) {
-    let dropped_lines: Arc<DroppedLineCount> = Arc::new(dropped_lines);
+fn start_tasks(node: &Arc<Node>, lost_lines: LostLineCount) {
+    let lost_lines: Arc<LostLineCount> = Arc::new(lost_lines);
     keep_running(node, "origin notices", origin_datagrams::start);
-    keep_running(node, "dropped lines", move |node| {
-        report_dropped_lines(node, Arc::clone(&dropped_lines))
-    });
+    keep_running(node, "lost lines", move |node| report_lost_lines(node, Arc::clone(&lost_lines)));
     keep_running(node, "operator's items", |node| {
         published::follow(node, PublishedTopic::Operator)
     });
@@ -159,16 +158,17 @@
     keep_running(node, "readiness", watch_readiness);
 }
 
-/// Exports the number of dropped log lines as a metric and logs each rise.
-async fn report_dropped_lines(node: Arc<Node>, dropped_lines: Arc<DroppedLineCount>) {
+/// Exports the number of lost log lines as a metric and logs each rise.
+async fn report_lost_lines(node: Arc<Node>, lost_lines: Arc<LostLineCount>) {
     let mut reported = 0;
     loop {
-        sleep(DROPPED_LINES_CHECK_INTERVAL).await;
-        let total = dropped_lines();
-        node.metrics.on_lines_dropped(total);
+        sleep(LOST_LINES_CHECK_INTERVAL).await;
+        let lost = lost_lines();
+        node.metrics.on_lines_lost(lost);
+        let total = lost.total();
         if total > reported {
             reported = total;
-            record(&ProcessEvent::LogLinesDropped { total });
+            record(&ProcessEvent::LogLinesDropped { total, unwritten: lost.unwritten });
         }
     }
 }
