Wait for descriptors and do without threads at a start

A process for which the system had 4 to 8 descriptors ended with 1, or with a panic of the runtime (101), and did so again at each start. With one thread allowed in all it ended with a panic, with two it waited for the thread that reads the settings.

Cause: what a start lacks for a moment was taken for what it can't have. Now it tries the runtime and the handlers again without an end, saying so on standard error, and reads a settings file that can't block by itself if there is no thread for it.

--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -1,7 +1,11 @@
 //! The process that runs a relay: signal handlers, runtime, settings.
 
+use std::io;
+use std::io::Write;
+use std::panic;
 use std::path::Path;
 use std::sync::Arc;
+use std::thread;
 use std::time::Duration;
 
 use tokio::runtime::Builder;
@@ -23,14 +27,17 @@
 use crate::decide::start_wait::AfterFailure;
 use crate::decide::start_wait::StartFailure;
 use crate::decide::start_wait::StartWait;
-use crate::error::Error;
-use crate::error::ErrorKind;
 use crate::error::Result;
 
 /// Time for which invalid settings are read again at the start; far longer than it takes to replace a
 /// file.
 const SETTINGS_WAIT: Duration = Duration::from_secs(2);
 
+/// Delay after a first failure to set the process up.
+const FIRST_SETUP_DELAY: Duration = Duration::from_millis(250);
+/// Longest such delay.
+const MAX_SETUP_DELAY: Duration = Duration::from_secs(4);
+
 /// A process that handles signals and hasn't started its relay yet.
 #[derive(Debug)]
 pub struct Process {
@@ -39,18 +46,28 @@
 }
 
 impl Process {
-    /// Sets the signal handlers; until then SIGHUP ends the process, so this comes first.
-    ///
-    /// # Errors
-    ///
-    /// `Internal` if the system has no room for the runtime or refuses a handler.
-    pub fn new() -> Result<Self> {
+    /// Sets the signal handlers; until then SIGHUP ends the process, so this comes first. Waits while the
+    /// system has no descriptors for that, and says so on standard error.
+    pub fn start() -> Self {
         process_signal::block_others();
-        let failed = |e: std::io::Error| {
-            Error::new(ErrorKind::Internal, format!("the process can't be set up: {e}"))
-        };
-        let runtime = Builder::new_current_thread().enable_all().build().map_err(failed)?;
-        let signals = runtime.block_on(async { ProcessSignals::set() }).map_err(failed)?;
+        let mut delay = FIRST_SETUP_DELAY;
+        loop {
+            // The runtime panics where some descriptors are there and others aren't.
+            match panic::catch_unwind(Self::new) {
+                Ok(Ok(process)) => return process,
+                Ok(Err(e)) => {
+                    let _ = writeln!(io::stderr(), "the process can't be set up yet: {e}");
+                }
+                Err(_) => {}
+            }
+            thread::sleep(delay);
+            delay = (delay * 2).min(MAX_SETUP_DELAY);
+        }
+    }
+
+    fn new() -> io::Result<Self> {
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let signals = runtime.block_on(async { ProcessSignals::set() })?;
         Ok(Self { runtime, signals })
     }
 
@@ -67,7 +84,7 @@
     ) -> Result<()> {
         panic_log::start();
         let Self { runtime, mut signals } = self;
-        let ended = runtime.block_on(async {
+        let ended: Result<()> = runtime.block_on(async {
             let Some(read) = read_or_terminate(path, &mut signals).await else { return Ok(()) };
             let (settings, file) = read?;
             run::serve(settings, file, signals, protocol, lost_lines).await
--- a/src/relay/settings_file.rs
+++ b/src/relay/settings_file.rs
@@ -47,7 +47,12 @@
     async fn read_text(&mut self) -> Result<String> {
         let reader = match &mut self.reader {
             Some(reader) => reader,
-            None => self.reader.insert(SettingsReader::start(&self.path)?),
+            None => match SettingsReader::start(&self.path) {
+                Ok(reader) => self.reader.insert(reader),
+                // Without a thread, what can't block is read by this one.
+                Err(_) if self.path.is_file() => return RelaySettings::read_text(&self.path),
+                Err(e) => return Err(e),
+            },
         };
         reader.read().await
     }
