Do without settings that can't be used or aren't there

The process ended with 1 after 2 s, at each start and on every machine at once, where a whole number was written as a fraction, a hint was 0 or of another type, a time for changes was below 1.5 s, or the deployment had no such bound; the template then made a file that isn't JSON.

Cause: every value was needed, in one form. Now only who and where the process is, its addresses and the store's are needed; numbers have any form; the rest has a default or is left out, with one line (setting_unusable) that names it. A limit on revoked keys is never left out or raised: a wrong one still ends the start.

--- a/lab/src/soak/template.rs
+++ b/lab/src/soak/template.rs
@@ -1,6 +1,6 @@
 //! Renderer of the platform's settings templates.
 //!
-//! `{{a.b}}` is a value, `{{a|json}}` the same as JSON. A section `{{#a}} .. {{/a}}` is rendered once
+//! `{{a.b}}` is a value, `{{a|json}}` the same as JSON, and nothing where there is none. A section `{{#a}} .. {{/a}}` is rendered once
 //! for each entry of a list or table, and once for any other value but null and false; `{{^a}} ..
 //! {{/a}}` is rendered if there is no such value. In a section, `{{.}}` is the entry, `{{@}}` its key
 //! or index, and `{{,}}` a comma after each entry but the last.
@@ -92,7 +92,10 @@
         "@" => innermost.map(|entry| entry.key.clone()).unwrap_or_default(),
         "," => if innermost.is_none_or(|entry| entry.is_last) { "" } else { "," }.to_owned(),
         _ => match tag.strip_suffix("|json") {
-            Some(name) => resolve(name, scopes).unwrap_or(&Value::Null).to_string(),
+            Some(name) => {
+                let value = resolve(name, scopes).filter(|value| !value.is_null());
+                value.map(Value::to_string).unwrap_or_default()
+            }
             None => resolve(tag, scopes).map(plain_text).unwrap_or_default(),
         },
     }
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -85,6 +85,13 @@
         /// The error.
         detail: &'a str,
     },
+    /// A value of the settings isn't used as it stands; the process goes on without it or with another one.
+    SettingUnusable {
+        /// Name of the setting.
+        name: &'a str,
+        /// What is wrong, and what is used.
+        detail: &'a str,
+    },
     /// The settings file is being read and blocks; everything else goes on.
     SettingsBlocked {
         /// Time since the read began, in ms.
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -5,8 +5,11 @@
 use std::path::Path;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde_json::Value;
 
+use super::settings_fields::Bounds;
+use super::settings_fields::SettingFault;
+use super::settings_fields::SettingsFields;
 use crate::decide::config_freshness::FreshnessLimits;
 use crate::decide::resource_limits::ResourceLimits;
 use crate::error::Error;
@@ -17,6 +20,19 @@
 
 /// Time within which a new configuration is known everywhere, in ms, unless the settings say.
 const DEFAULT_CONFIG_PROPAGATION_MS: u64 = 3000;
+/// Lease on a replica's orders, in ms, unless the settings say: longer than a report of the replica takes to
+/// show what an earlier holder ordered.
+const DEFAULT_ORDER_LEASE_MS: u64 = 3000;
+/// Time between SIGTERM and SIGKILL, in seconds, unless the settings say; no longer than supervisors
+/// commonly wait, so that nothing is cut off by a kill.
+const DEFAULT_SHUTDOWN_S: f64 = 8.0;
+/// Retry budget unless the settings say: enough for a replica in ten to fail, and far too little to double
+/// the load of a service that fails as a whole.
+const DEFAULT_RETRY_RATIO: f64 = 0.2;
+/// Retries on top of that share, unless the settings say; for services with few requests.
+const DEFAULT_RETRY_ALLOWANCE: f64 = 10.0;
+/// Window in which retries are counted, in seconds, unless the settings say.
+const DEFAULT_RETRY_WINDOW_S: f64 = 10.0;
 /// Least limit on the age of the configuration, in ms. Proofs are renewed by polls of 500 ms and
 /// exchanges each 350 ms, so that a shorter limit would refuse requests all the time.
 const MIN_FRESHNESS_LIMIT_MS: u64 = 1500;
@@ -26,8 +42,7 @@
 const MAX_TIME_S: f64 = 86_400.0;
 
 /// Listen addresses, one for each kind of client.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RelayListen {
     /// For callers' requests.
     pub caller: SocketAddr,
@@ -36,15 +51,27 @@
     /// For calls of other entry instances.
     pub peer: SocketAddr,
     /// Address under which other instances reach that listener; `None` if it is the same.
-    #[serde(default)]
     pub advertised_peer: Option<SocketAddr>,
     /// For metrics; `None` serves none.
     pub metrics: Option<SocketAddr>,
 }
 
+impl RelayListen {
+    fn parse(value: Value) -> Result<(Self, Vec<SettingFault>)> {
+        let mut fields = SettingsFields::new("listen.", value)?;
+        let listen = Self {
+            caller: fields.needed("caller")?,
+            ready: fields.needed("ready")?,
+            peer: fields.needed("peer")?,
+            advertised_peer: fields.optional("advertised_peer"),
+            metrics: fields.optional("metrics"),
+        };
+        Ok((listen, fields.into_faults()))
+    }
+}
+
 /// Settings of a relay; while it runs, only changed `seeds` take effect.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
     /// Name of the instance; unique in the fleet.
     pub instance: InstanceName,
@@ -56,7 +83,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the store that holds the published state.
     pub published: SocketAddr,
-    /// Length of the lease on a replica's orders, in ms; only its holder may give any.
+    /// Length of the lease on a replica's orders, in whole ms; only its holder may give any.
     pub order_lease_ms: u64,
     /// Time between SIGTERM and SIGKILL, in seconds.
     pub shutdown_limit_s: f64,
@@ -68,26 +95,19 @@
     pub retry_window_s: f64,
     /// Time after which no request with a revoked key may run, in ms; `None` if keys may be used
     /// for longer.
-    #[serde(default)]
     pub key_revocation_ms: Option<u64>,
     /// Time within which a new configuration is in effect at every instance that is in touch, in ms.
-    #[serde(default)]
     pub config_propagation_ms: Option<u64>,
     /// Time for which the store of the published state keeps its changes, in seconds; `None` if that
     /// isn't known.
-    #[serde(default)]
     pub published_history_s: Option<f64>,
     /// Time between two heartbeats of a replica, in ms; `None` if that isn't known.
-    #[serde(default)]
     pub replica_heartbeat_ms: Option<f64>,
     /// Bandwidth of this instance's link, in Mbit/s; `None` if it isn't known.
-    #[serde(default)]
     pub link_mbps: Option<f64>,
     /// Memory that the process may use, in MiB; `None` if it isn't known.
-    #[serde(default)]
     pub memory_mb: Option<f64>,
     /// Descriptors that the process may have open; `None` if it isn't known.
-    #[serde(default)]
     pub max_descriptors: Option<usize>,
 }
 
@@ -112,63 +132,80 @@
         })
     }
 
-    /// Parses and checks settings given as JSON text.
+    /// Parses settings given as JSON text, in which every value must be right.
     ///
     /// # Errors
     ///
     /// `Malformed` if a value is missing, unknown or out of bounds.
     pub fn parse(text: &str) -> Result<Self> {
-        let settings: Self =
+        let (settings, faults) = Self::parse_usable(text)?;
+        faults.into_iter().next().map_or(Ok(settings), |fault| Err(fault.into_error()))
+    }
+
+    /// Parses settings given as JSON text; a value that the process can do without is left out if it can't
+    /// be used, and a limit that can't be kept is replaced by the nearest that can.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` if a value is missing or wrong without which the process can't work, or with another
+    /// one would break what it promises.
+    pub fn parse_usable(text: &str) -> Result<(Self, Vec<SettingFault>)> {
+        let value: Value =
             serde_json::from_str(text).map_err(|e| settings_error(format!("settings: {e}")))?;
-        let positive = [
-            ("shutdown_limit_s", settings.shutdown_limit_s),
-            ("retry_window_s", settings.retry_window_s),
-        ];
-        for (name, value) in positive {
-            if !(value > 0.0 && value <= MAX_TIME_S) {
-                return Err(settings_error(format!(
-                    "settings: {name} must be above 0 and at most {MAX_TIME_S} s, found {value}"
-                )));
-            }
-        }
-        for (name, value) in
-            [("retry_ratio", settings.retry_ratio), ("retry_allowance", settings.retry_allowance)]
-        {
-            if !(value.is_finite() && value >= 0.0) {
-                return Err(settings_error(format!(
-                    "settings: {name} must not be negative, found {value}"
-                )));
-            }
-        }
-        let optional = [
-            ("link_mbps", settings.link_mbps),
-            ("published_history_s", settings.published_history_s),
-            ("replica_heartbeat_ms", settings.replica_heartbeat_ms),
-            ("memory_mb", settings.memory_mb),
-        ];
-        for (name, value) in optional {
-            if let Some(value) = value
-                && !(value.is_finite() && value > 0.0)
-            {
-                return Err(settings_error(format!(
-                    "settings: {name} must be above 0, found {value}"
-                )));
-            }
-        }
-        let limits = [
-            ("key_revocation_ms", settings.key_revocation_ms),
-            ("config_propagation_ms", settings.config_propagation_ms),
-        ];
-        for (name, value) in limits {
-            if let Some(value) = value
-                && value < MIN_FRESHNESS_LIMIT_MS
-            {
-                return Err(settings_error(format!(
-                    "settings: {name} must be at least {MIN_FRESHNESS_LIMIT_MS} ms, found {value}"
-                )));
-            }
+        let mut fields = SettingsFields::new("", value)?;
+        let (listen, listen_faults) = RelayListen::parse(fields.needed("listen")?)?;
+        let time = Bounds::Positive(MAX_TIME_S);
+        let time_ms = Bounds::Positive(MAX_TIME_S * 1e3);
+        let hint = Bounds::Positive(f64::MAX);
+        let number = |value: Option<f64>, default| value.unwrap_or(default);
+        let settings = Self {
+            instance: fields.needed("instance")?,
+            data_centre: fields.needed("data_centre")?,
+            listen,
+            seeds: fields.list("seeds"),
+            published: fields.needed("published")?,
+            order_lease_ms: fields
+                .number("order_lease_ms", Bounds::NotNegative)
+                .map_or(DEFAULT_ORDER_LEASE_MS, |ms| ms.ceil() as u64),
+            shutdown_limit_s: number(fields.number("shutdown_limit_s", time), DEFAULT_SHUTDOWN_S),
+            retry_ratio: number(
+                fields.number("retry_ratio", Bounds::NotNegative),
+                DEFAULT_RETRY_RATIO,
+            ),
+            retry_allowance: number(
+                fields.number("retry_allowance", Bounds::NotNegative),
+                DEFAULT_RETRY_ALLOWANCE,
+            ),
+            retry_window_s: number(fields.number("retry_window_s", time), DEFAULT_RETRY_WINDOW_S),
+            key_revocation_ms: Self::key_revocation(&mut fields)?,
+            config_propagation_ms: fields
+                .number("config_propagation_ms", time_ms)
+                .map(|ms| raised_propagation(&mut fields, ms as u64)),
+            published_history_s: fields.number("published_history_s", hint),
+            replica_heartbeat_ms: fields.number("replica_heartbeat_ms", hint),
+            link_mbps: fields.number("link_mbps", hint),
+            memory_mb: fields.number("memory_mb", hint),
+            max_descriptors: fields.number("max_descriptors", hint).map(|count| count as usize),
+        };
+        let mut faults = fields.into_faults();
+        faults.extend(listen_faults);
+        Ok((settings, faults))
+    }
+
+    /// A limit on the use of revoked keys is never left out or raised: a wrong one ends the start, and one
+    /// that no proof keeps for long has requests with keys refused meanwhile.
+    fn key_revocation(fields: &mut SettingsFields) -> Result<Option<u64>> {
+        let name = "key_revocation_ms";
+        let limit = fields.number_or_error(name, Bounds::Positive(MAX_TIME_S * 1e3))?;
+        let limit = limit.map(|ms| ms as u64);
+        if limit.is_some_and(|ms| ms < MIN_FRESHNESS_LIMIT_MS) {
+            let detail = format!(
+                "must be at least {MIN_FRESHNESS_LIMIT_MS} ms, found {}; with it, requests with keys are refused whenever the configuration is older",
+                limit.unwrap_or_default()
+            );
+            fields.note(name, detail);
         }
-        Ok(settings)
+        Ok(limit)
     }
 
     /// Time for which the store of the published state keeps its changes; `None` if that isn't known.
@@ -217,6 +254,17 @@
     }
 }
 
+/// The time within which changes are in effect, raised to what proofs can keep.
+fn raised_propagation(fields: &mut SettingsFields, ms: u64) -> u64 {
+    if ms < MIN_FRESHNESS_LIMIT_MS {
+        let detail = format!(
+            "must be at least {MIN_FRESHNESS_LIMIT_MS} ms, found {ms}; {MIN_FRESHNESS_LIMIT_MS} ms is used"
+        );
+        fields.note("config_propagation_ms", detail);
+    }
+    ms.max(MIN_FRESHNESS_LIMIT_MS)
+}
+
 fn settings_error(detail: String) -> Error {
     Error::new(ErrorKind::Malformed, detail)
 }
--- a/src/relay/settings_file.rs
+++ b/src/relay/settings_file.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use super::RelaySettings;
+use super::SettingFault;
 use super::log_event::record;
 use super::process_event::ProcessEvent;
 use super::settings_reader::SettingsReader;
@@ -41,7 +42,7 @@
     /// The file can't be read, or its settings are invalid.
     pub async fn read(&mut self) -> std::result::Result<RelaySettings, SettingsFailure> {
         self.text = self.read_text().await.map_err(SettingsFailure::Unreadable)?;
-        RelaySettings::parse(&self.text).map_err(SettingsFailure::Invalid)
+        parse(&self.text).map_err(SettingsFailure::Invalid)
     }
 
     async fn read_text(&mut self) -> Result<String> {
@@ -65,12 +66,21 @@
         if text == self.text {
             return None;
         }
-        let parsed = RelaySettings::parse(&text);
+        let parsed = parse(&text);
         self.text = text;
         parsed.map_err(|e| log_refused(&e.to_string())).ok()
     }
 }
 
+/// Parses settings, and logs values that aren't used as they stand.
+fn parse(text: &str) -> Result<RelaySettings> {
+    let (settings, faults) = RelaySettings::parse_usable(text)?;
+    for SettingFault { name, detail } in &faults {
+        record(&ProcessEvent::SettingUnusable { name, detail });
+    }
+    Ok(settings)
+}
+
 fn log_refused(detail: &str) {
     record(&ProcessEvent::SettingsRefused { detail });
 }
