Wait for an address that the machine doesn't have

An address that the machine lacked, as its interface comes later, ended the process after shutdown_limit_s and 2 s, at each start; one that it may not use ended it at once, although callers are served without that for peers.

Cause: such an address was taken for one that never comes. Ending helps no caller: a restart doesn't bring the address, and where only one is missing callers are served on the others. Now no address ends a process; readiness, log and metrics name it.

--- a/src/decide/listening/bind_failure.rs
+++ b/src/decide/listening/bind_failure.rs
@@ -7,6 +7,6 @@
     Taken,
     /// The machine doesn't have the address; it may still get it.
     NotThere,
-    /// Only a change from outside can help: the process may not use the address.
+    /// The process may not use the address, which only a change from outside mends.
     Permanent,
 }
--- a/src/decide/listening/listen_address.rs
+++ b/src/decide/listening/listen_address.rs
@@ -30,12 +30,4 @@
             Self::Metrics => "metrics",
         }
     }
-
-    /// Whether a process that can never have the address ends.
-    pub fn is_needed(self) -> bool {
-        match self {
-            Self::Caller | Self::Ready | Self::Peer => true,
-            Self::Datagrams | Self::Metrics => false,
-        }
-    }
 }
--- a/src/decide/listening/process_addresses.rs
+++ b/src/decide/listening/process_addresses.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::AfterBindFailure;
 use super::BindFailure;
+use super::BindRetry;
 use super::FleetRole;
 use super::ListenAddress;
 use super::address_state::AddressState;
@@ -37,26 +37,18 @@
         Self { began: now, predecessor_limit, states: states.collect() }
     }
 
-    /// Records a failed try; returns what follows.
+    /// Records a failed try; returns when the next one follows.
     pub fn on_failure(
         &mut self,
         now: Timestamp,
         address: ListenAddress,
         failure: BindFailure,
-    ) -> AfterBindFailure {
-        let may_come = match failure {
-            BindFailure::Taken => true,
-            BindFailure::NotThere => self.may_have_predecessor(now),
-            BindFailure::Permanent => false,
-        };
-        if address.is_needed() && !may_come {
-            return AfterBindFailure::GiveUp;
-        }
+    ) -> BindRetry {
         let state = AddressState::Missing(failure);
         let is_news = self.states.insert(address, state) != Some(state);
         let is_first_time = self.waited(now) < FIRST_RETRY_TIME;
         let delay = if is_first_time { FIRST_RETRY_DELAY } else { LATER_RETRY_DELAY };
-        AfterBindFailure::TryAgain { delay, is_news }
+        BindRetry { delay, is_news }
     }
 
     /// Records that an address is bound; returns for how long it was missing, `None` if it was there at
--- a/src/relay/addresses.rs
+++ b/src/relay/addresses.rs
@@ -11,8 +11,8 @@
 use super::log_event::record;
 use super::process_event::ProcessEvent;
 use crate::daemon::Clock;
-use crate::decide::listening::AfterBindFailure;
 use crate::decide::listening::BindFailure;
+use crate::decide::listening::BindRetry;
 use crate::decide::listening::FleetRole;
 use crate::decide::listening::ListenAddress;
 use crate::decide::listening::Listening;
@@ -48,15 +48,16 @@
         }
     }
 
-    /// Records that an address couldn't be bound; logs it unless that is known. Returns what follows.
+    /// Records that an address couldn't be bound; logs it unless that is known. Returns when it is tried
+    /// again.
     pub fn on_failure(
         &self,
         address: ListenAddress,
         failure: BindFailure,
         detail: &str,
-    ) -> AfterBindFailure {
+    ) -> BindRetry {
         let next = self.listening().on_failure(self.clock.now(), address, failure);
-        if let AfterBindFailure::TryAgain { is_news: true, .. } = next {
+        if next.is_news {
             let (purpose, addr) = (address.name(), &self.text_of(address));
             record(&ProcessEvent::AddressUnavailable { purpose, addr, detail });
         }
--- a/src/relay/listen_sockets.rs
+++ b/src/relay/listen_sockets.rs
@@ -9,12 +9,8 @@
 use tokio::time::sleep;
 
 use super::addresses::Addresses;
-use crate::decide::listening::AfterBindFailure;
 use crate::decide::listening::BindFailure;
 use crate::decide::listening::ListenAddress;
-use crate::error::Error;
-use crate::error::ErrorKind;
-use crate::error::Result;
 
 /// System errors of a bind that may go away by themselves, besides those with a kind of their own.
 const TEMPORARY_ERRORS: [Errno; 5] =
@@ -25,35 +21,24 @@
 
 /// Tries `bind` with an address until it succeeds; `on_failure` is called at each failed try. Waits
 /// without an end if the settings have no such address.
-///
-/// # Errors
-///
-/// `Internal` if the process can't have the address.
 pub async fn bind_when_free<T>(
     addresses: &Addresses,
     address: ListenAddress,
     bind: impl Fn(SocketAddr) -> io::Result<T>,
     on_failure: impl Fn(),
-) -> Result<T> {
+) -> T {
     let Some(addr) = addresses.socket_addr(address) else { return std::future::pending().await };
     loop {
         let error = match bind(addr) {
             Ok(socket) => {
                 addresses.on_bound(address);
-                return Ok(socket);
+                return socket;
             }
             Err(error) => error,
         };
         on_failure();
-        match addresses.on_failure(address, kind_of(&error), &error.to_string()) {
-            AfterBindFailure::TryAgain { delay, .. } => sleep(delay).await,
-            AfterBindFailure::GiveUp => {
-                let waited_ms = addresses.waited().as_millis();
-                let detail =
-                    format!("address {addr} can't be bound: {error} (tried for {waited_ms} ms)");
-                return Err(Error::new(ErrorKind::Internal, detail));
-            }
-        }
+        let retry = addresses.on_failure(address, kind_of(&error), &error.to_string());
+        sleep(retry.delay).await;
     }
 }
 
--- a/src/relay/origin_datagrams.rs
+++ b/src/relay/origin_datagrams.rs
@@ -84,11 +84,7 @@
 pub async fn start(node: Arc<Node>) {
     let bind = |addr| node.origin_datagrams.bind(addr);
     let on_failure = || node.metrics.on_bind_failed();
-    let bound = bind_when_free(&node.addresses, ListenAddress::Datagrams, bind, on_failure).await;
-    if let Err(e) = bound {
-        log::debug!("datagrams of other instances can't be received: {e}");
-        return;
-    }
+    bind_when_free(&node.addresses, ListenAddress::Datagrams, bind, on_failure).await;
     keep_running(&node, "origin notices out", send_batches);
     keep_running(&node, "origin notices in", receive);
 }
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -75,7 +75,7 @@
     ///
     /// # Errors
     ///
-    /// `Malformed` if the settings stay invalid, `Internal` if the relay can't be started.
+    /// `Malformed` if the settings stay invalid.
     pub fn run(
         self,
         path: &Path,
@@ -87,7 +87,8 @@
         let ended: Result<()> = runtime.block_on(async {
             let Some(read) = read_or_terminate(path, &mut signals).await else { return Ok(()) };
             let (settings, file) = read?;
-            run::serve(settings, file, signals, protocol, lost_lines).await
+            run::serve(settings, file, signals, protocol, lost_lines).await;
+            Ok(())
         });
         if let Err(e) = &ended {
             record(&ProcessEvent::StartFailed { detail: &e.to_string() });
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use tokio::sync::OnceCell;
-use tokio::sync::mpsc;
 use tokio::time::sleep;
 
 use super::Protocol;
@@ -35,8 +34,6 @@
 use super::task_restarts::restart_after_panics;
 use crate::decide::listening::ListenAddress;
 use crate::decide::readiness::Readiness;
-use crate::error::Error;
-use crate::error::Result;
 use crate::names::Timestamp;
 use crate::telemetry::LostLines;
 
@@ -62,64 +59,45 @@
 pub type LostLineCount = Box<dyn Fn() -> LostLines + Send + Sync>;
 
 /// Runs a relay with these settings until it has shut down.
-///
-/// # Errors
-///
-/// `Internal` if it can't have one of its addresses, however long it waits.
 pub async fn serve(
     settings: RelaySettings,
     mut file: SettingsFile,
     mut signals: ProcessSignals,
     protocol: Arc<dyn Protocol>,
     lost_lines: LostLineCount,
-) -> Result<()> {
+) {
     let node = Arc::new(Node::new(settings, protocol));
-    let (failed, mut failures) = mpsc::channel(1);
     for (address, audience) in [
         (ListenAddress::Metrics, Audience::Metrics),
         (ListenAddress::Peer, Audience::Peers),
         (ListenAddress::Ready, Audience::Ready),
         (ListenAddress::Caller, Audience::Callers),
     ] {
-        keep_listening(&node, address, audience, &failed);
+        keep_listening(&node, address, audience);
     }
     start_tasks(&node, lost_lines);
     let instance = node.settings.instance.as_str();
     record(&ProcessEvent::Started { instance, version: env!("CARGO_PKG_VERSION") });
-    let ended = tokio::select! {
-        () = wait_for_termination(&node, &mut file, &mut signals) => Ok(()),
-        Some(error) = failures.recv() => Err(error),
-    };
+    wait_for_termination(&node, &mut file, &mut signals).await;
     shut_down(&node).await;
-    ended
 }
 
-/// Listens on an address as soon as it is free, until the process ends; an error that no wait mends is
-/// sent to `failed`.
-fn keep_listening(
-    node: &Arc<Node>,
-    address: ListenAddress,
-    audience: Audience,
-    failed: &mpsc::Sender<Error>,
-) {
+/// Listens on an address as soon as it is free, until the process ends.
+fn keep_listening(node: &Arc<Node>, address: ListenAddress, audience: Audience) {
     // Outlives a panic of the task that accepts connections.
     let listener = Arc::new(OnceCell::new());
-    let failed = failed.clone();
     keep_running(node, address.name(), move |node| {
-        let (listener, failed) = (Arc::clone(&listener), failed.clone());
+        let listener = Arc::clone(&listener);
         async move {
             let on_failure = || node.metrics.on_bind_failed();
             let bind =
                 || bind_when_free(&node.addresses, address, listen_sockets::bind, on_failure);
             let bound = tokio::select! {
-                bound = listener.get_or_try_init(bind) => bound,
+                bound = listener.get_or_init(bind) => bound,
                 // An instance that shuts down takes no further address.
                 _ = node.until_shutdown(), if !listener.initialized() => return,
             };
-            match bound {
-                Ok(listener) => listener::run(Arc::clone(&node), listener, audience).await,
-                Err(e) => drop(failed.send(e).await),
-            }
+            listener::run(Arc::clone(&node), bound, audience).await;
         }
     });
 }
