Leave metrics out where their address is needed for something else

Metrics at the address for callers, peers or readiness held it since, where all addresses are bound by tasks of their own and that of metrics came first: the instance was never ready. bound needed ones first.

--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -68,10 +68,10 @@
 ) {
     let node = Arc::new(Node::new(settings, protocol));
     for (address, audience) in [
-        (ListenAddress::Metrics, Audience::Metrics),
-        (ListenAddress::Peer, Audience::Peers),
-        (ListenAddress::Ready, Audience::Ready),
         (ListenAddress::Caller, Audience::Callers),
+        (ListenAddress::Ready, Audience::Ready),
+        (ListenAddress::Peer, Audience::Peers),
+        (ListenAddress::Metrics, Audience::Metrics),
     ] {
         keep_listening(&node, address, audience);
     }
--- a/src/relay/settings.rs
+++ b/src/relay/settings.rs
@@ -59,13 +59,20 @@
 impl RelayListen {
     fn parse(value: Value) -> Result<(Self, Vec<SettingFault>)> {
         let mut fields = SettingsFields::new("listen.", value)?;
-        let listen = Self {
+        let mut listen = Self {
             caller: fields.needed("caller")?,
             ready: fields.needed("ready")?,
             peer: fields.needed("peer")?,
             advertised_peer: fields.optional("advertised_peer"),
             metrics: fields.optional("metrics"),
         };
+        let needed = [("caller", listen.caller), ("ready", listen.ready), ("peer", listen.peer)];
+        let taken_by = |addr: SocketAddr| needed.iter().find(|(_, other)| is_shared(addr, *other));
+        if let Some((purpose, _)) = listen.metrics.and_then(taken_by) {
+            let detail = format!("is also the address for {purpose}; metrics aren't served");
+            fields.note("metrics", detail);
+            listen.metrics = None;
+        }
         Ok((listen, fields.into_faults()))
     }
 }
@@ -254,6 +261,12 @@
     }
 }
 
+/// Whether one socket only can listen on both.
+fn is_shared(one: SocketAddr, other: SocketAddr) -> bool {
+    let is_any = one.ip().is_unspecified() || other.ip().is_unspecified();
+    one.port() == other.port() && (is_any || one.ip() == other.ip())
+}
+
 /// The time within which changes are in effect, raised to what proofs can keep.
 fn raised_propagation(fields: &mut SettingsFields, ms: u64) -> u64 {
     if ms < MIN_FRESHNESS_LIMIT_MS {
--- a/tests/relay_settings.rs
+++ b/tests/relay_settings.rs
@@ -177,6 +177,19 @@
     }
 }
 
+/// Guards against metrics that hold an address which is needed.
+#[test]
+fn metrics_at_an_address_that_is_needed_are_left_out() {
+    for (metrics, is_left) in [("127.0.0.1:1", true), ("0.0.0.0:3", true), ("127.0.0.2:1", false)] {
+        let listen = json!({
+            "caller": "127.0.0.1:1", "ready": "127.0.0.1:2", "peer": "127.0.0.1:3", "metrics": metrics
+        });
+        let (settings, faults) = parse_usable(&[("listen", listen)]);
+        assert_eq!(settings.listen.metrics.is_none(), is_left, "{metrics}");
+        assert_eq!(faults.len(), usize::from(is_left), "{faults:?}");
+    }
+}
+
 /// Guards against a process that panics at its start or when it shuts down, since a time in its
 /// settings is longer than any clock can hold.
 #[test]
