Read connections slowly that bring no content

A store, a seed or a replica that answered with interim responses without an end, or a caller whose chunk length never ended, took a whole core for as long as it went on. Other tasks had their turns, so nothing stalled, but the processor wasn't handed back.

Cause: a parser that drops what it reads is done with it as fast as it comes, so the sender decided how much of the processor it took. Calls keep their own time limits. The client of the store and of instances reads at most 128 KiB at a time, so that what is counted lies within that.

--- a/src/edge/fair_stream.rs
+++ b/src/edge/fair_stream.rs
@@ -1,8 +1,9 @@
-//! TCP stream that lets other tasks run after some bytes, however quickly more arrive.
+//! TCP stream that lets other tasks run after some bytes, however quickly more arrive, and that is read
+//! slowly while it brings no content.
 //!
 //! A parser that skips what it reads, such as interim responses or the zeros before a chunk's
 //! length, goes on for as long as its peer sends. Without a pause nothing else on the same thread
-//! would run, not even the timeout of the call.
+//! would run, not even the timeout of the call, and the peer would decide how much of the processor it takes.
 
 use std::future::Future;
 use std::io;
@@ -10,6 +11,7 @@
 use std::pin::pin;
 use std::task::Context;
 use std::task::Poll;
+use std::task::ready;
 
 use hyper_util::client::legacy::connect::Connected;
 use hyper_util::client::legacy::connect::Connection;
@@ -18,6 +20,10 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+use super::ContentMeter;
 
 /// Bytes read after which other tasks run.
 const BYTES_PER_TURN: usize = 64 * 1024;
@@ -27,18 +33,39 @@
 pub struct FairStream {
     stream: TcpStream,
     read_in_turn: usize,
+    meter: ContentMeter,
+    /// Set while nothing is read.
+    pause: Option<Pin<Box<Sleep>>>,
 }
 
 impl FairStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, read_in_turn: 0 }
+        Self { stream, read_in_turn: 0, meter: ContentMeter::default(), pause: None }
+    }
+
+    /// Meter of the content that is read from it.
+    pub fn meter(&self) -> &ContentMeter {
+        &self.meter
     }
 
     /// The wrapped stream.
     pub fn stream(&self) -> &TcpStream {
         &self.stream
     }
+
+    /// Ready when the connection may be read.
+    fn poll_pause(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if let Some(pause) = &mut self.pause {
+                ready!(pause.as_mut().poll(cx));
+            }
+            self.pause = self.meter.pause().map(|time| Box::pin(sleep(time)));
+            if self.pause.is_none() {
+                return Poll::Ready(());
+            }
+        }
+    }
 }
 
 /// Continues only after other tasks, timers and sockets have had their turn.
@@ -53,6 +80,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        ready!(self.poll_pause(cx));
         if self.read_in_turn >= BYTES_PER_TURN {
             self.read_in_turn = 0;
             return yield_turn(cx);
@@ -60,7 +88,11 @@
         let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
         match read {
-            Poll::Ready(_) => self.read_in_turn += buf.filled().len() - before,
+            Poll::Ready(_) => {
+                let count = buf.filled().len() - before;
+                self.read_in_turn += count;
+                self.meter.on_read(count);
+            }
             Poll::Pending => self.read_in_turn = 0,
         }
         read
@@ -99,6 +131,6 @@
 
 impl Connection for FairStream {
     fn connected(&self) -> Connected {
-        self.stream.connected()
+        self.stream.connected().extra(self.meter.clone())
     }
 }
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -14,7 +14,6 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -22,6 +21,8 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use super::ContentMeter;
+use super::MeteredBody;
 use super::fair_connector::FairConnector;
 use crate::decide::dispatch_failure::DispatchFailure;
 use crate::decide::transfer::ProgressLimit;
@@ -33,6 +34,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an idle pooled connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bytes that are read at a time, and the longest head of a response.
+const MAX_BUF_BYTES: usize = 128 * 1024;
 /// Largest response body that is collected in memory, in bytes.
 const MAX_REPLY_BYTES: usize = 8 * 1024 * 1024;
 /// Largest one whose time is limited as a whole, in bytes: reports, cache listings, single items.
@@ -60,7 +63,7 @@
     /// HTTP status code.
     pub status: StatusCode,
     headers: HeaderMap,
-    body: Incoming,
+    body: MeteredBody,
 }
 
 impl HttpReply {
@@ -227,12 +230,14 @@
         let pooled = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(idle_timeout)
             .pool_timer(TokioTimer::new())
+            .http1_max_buf_size(MAX_BUF_BYTES)
             .build(connector.clone());
         // A call that must not be repeated gets a connection of its own, so that the
         // client doesn't resend it when a pooled connection turns out to be closed.
         let unpooled = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
+            .http1_max_buf_size(MAX_BUF_BYTES)
             .build(connector);
         Self { pooled, unpooled }
     }
@@ -275,7 +280,9 @@
         })?;
         match timeout(wait, client.request(req)).await {
             Ok(Ok(response)) => {
-                let (parts, body) = response.into_parts();
+                let (mut parts, body) = response.into_parts();
+                let meter = parts.extensions.remove::<ContentMeter>().unwrap_or_default();
+                let body = MeteredBody::new(body, meter);
                 Ok(HttpReply { status: parts.status, headers: parts.headers, body })
             }
             Ok(Err(e)) if e.is_connect() => Err(CallFailure {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,6 +9,7 @@
 
 mod config_client;
 mod connect;
+mod content_meter;
 mod desk_client;
 mod engine_client;
 mod fair_connector;
@@ -16,6 +17,7 @@
 mod http_client;
 mod http_server;
 mod listing_client;
+mod metered_body;
 mod peer_call;
 mod peer_client;
 mod peer_path;
@@ -25,6 +27,7 @@
 
 pub use config_client::ConfigClient;
 pub use connect::connect;
+pub use content_meter::ContentMeter;
 pub use desk_client::DeskClient;
 pub use desk_client::DeskConnection;
 pub use engine_client::EngineClient;
@@ -40,6 +43,7 @@
 pub use http_server::HttpServer;
 pub use http_server::StopServer;
 pub use listing_client::ListingClient;
+pub use metered_body::MeteredBody;
 pub use peer_call::call_peer;
 pub use peer_call::call_peer_in_progress;
 pub use peer_client::PeerClient;
--- a/src/relay/attempt.rs
+++ b/src/relay/attempt.rs
@@ -11,7 +11,6 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::body::Incoming;
 use hyper::http::response;
 use tokio::time::timeout;
 
@@ -42,6 +41,7 @@
 use crate::decide::traffic::Replica;
 use crate::decide::traffic::ReplicaEntry;
 use crate::decide::traffic::ResponseProgress;
+use crate::edge::MeteredBody;
 use crate::names::BackendName;
 use crate::send_permits::SendPermit;
 
@@ -288,10 +288,10 @@
     replica: &BackendName,
     mut connection: Connection,
     resume_after: Option<&str>,
-) -> Result<(Connection, Response<Incoming>), AttemptEnd> {
+) -> Result<(Connection, Response<MeteredBody>), AttemptEnd> {
     let req = replica_request::build(request, replica, resume_after);
     connection.on_send(&request.head.id);
-    match connection.sender.try_send_request(req).await {
+    match connection.send(req).await {
         Ok(response) => Ok((connection, response)),
         Err(mut failed) => {
             let unsent = failed.take_message().is_some();
@@ -340,7 +340,7 @@
     replica: &BackendName,
     addr: SocketAddr,
     connection: Connection,
-    source: Incoming,
+    source: MeteredBody,
     head: &response::Parts,
 ) {
     let Some(limit) = keep_alive_time(head) else { return };
--- a/src/relay/body_reader.rs
+++ b/src/relay/body_reader.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::body::Incoming;
 
 use super::buffers::Buffer;
 use super::buffers::Buffers;
 use super::buffers::OutOfRoom;
 use crate::decide::buffers::BufferKind;
+use crate::edge::MeteredBody;
 
 /// Why there is no whole body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,7 +36,7 @@
 ///
 /// Why there is no whole body.
 pub async fn read(
-    mut source: Incoming,
+    mut source: MeteredBody,
     kind: BufferKind,
     max: usize,
     buffers: &Arc<Buffers>,
--- a/src/relay/connection_pool.rs
+++ b/src/relay/connection_pool.rs
@@ -14,6 +14,9 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -23,7 +26,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::edge;
+use crate::edge::ContentMeter;
 use crate::edge::FairStream;
+use crate::edge::MeteredBody;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
@@ -47,6 +52,7 @@
     /// Sends requests on it.
     pub sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    meter: ContentMeter,
     /// Hashes of the ids of the requests that were sent on it.
     sent_ids: Vec<u64>,
 }
@@ -57,6 +63,19 @@
         self.sent_ids.push(xxh3_64(id.as_bytes()));
     }
 
+    /// Sends a request and waits for the head of its response.
+    ///
+    /// # Errors
+    ///
+    /// There is none; the error holds the request if nothing of it was sent.
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<MeteredBody>, TrySendError<Request<Full<Bytes>>>> {
+        let response = self.sender.try_send_request(req).await?;
+        Ok(response.map(|body| MeteredBody::new(body, self.meter.clone())))
+    }
+
     fn has_sent(&self, id: &str) -> bool {
         self.sent_ids.contains(&xxh3_64(id.as_bytes()))
     }
@@ -106,9 +125,11 @@
         let stream = timeout(CONNECT_TIMEOUT, edge::connect(addr)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+        let stream = FairStream::new(stream);
+        let meter = stream.meter().clone();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUF_BYTES)
-            .handshake(TokioIo::new(FairStream::new(stream)))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -116,7 +137,7 @@
                 log::debug!("connection to {addr} ended: {e}");
             }
         });
-        Ok(Connection { sender, driver: driver.abort_handle(), sent_ids: Vec::new() })
+        Ok(Connection { sender, driver: driver.abort_handle(), meter, sent_ids: Vec::new() })
     }
 
     /// Keeps a connection whose response was read to its end; `limit` is the time for which the
--- a/src/relay/forward.rs
+++ b/src/relay/forward.rs
@@ -16,7 +16,6 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::Uri;
-use hyper::body::Incoming;
 use hyper::header;
 use hyper::http::request;
 use tokio::time::timeout;
@@ -49,6 +48,7 @@
 use crate::decide::traffic::TrafficConfig;
 use crate::decide::traffic::WaitBudget;
 use crate::decide::transfer::LagVerdict;
+use crate::edge::MeteredBody;
 use crate::names::BackendName;
 use crate::names::Timestamp;
 
@@ -73,7 +73,7 @@
 }
 
 /// Serves one request of a caller; refusals are logged and counted.
-pub async fn serve(node: Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn serve(node: Arc<Node>, req: Request<MeteredBody>) -> Response<ResponseBody> {
     let counted = CallerRequestGuard::new(&node);
     let arrived = node.now();
     let (parts, body) = req.into_parts();
@@ -116,7 +116,7 @@
     node: Arc<Node>,
     head: RequestHead,
     mut parts: request::Parts,
-    body: Incoming,
+    body: MeteredBody,
     arrived: Timestamp,
     counted: CallerRequestGuard,
 ) -> Result<ForwardedRequest, LocalResponse> {
@@ -280,7 +280,7 @@
 
 /// Reads the body of a refused request to its end if that comes soon. Closing a connection on which
 /// data is still arriving resets it, and the caller may then lose the response.
-async fn discard_body(parts: &request::Parts, body: Incoming, max_bytes: usize) {
+async fn discard_body(parts: &request::Parts, body: MeteredBody, max_bytes: usize) {
     // Such a caller sends its body only once it is told to.
     if parts.headers.contains_key(header::EXPECT) {
         return;
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -51,6 +51,7 @@
 use crate::decide::buffers::BufferKind;
 use crate::decide::transfer::ProgressLimit;
 use crate::edge::FairStream;
+use crate::edge::MeteredBody;
 use crate::error::ErrorKind;
 use crate::wire::frame::MAX_FRAME_BYTES;
 use crate::wire::frame::decode;
@@ -156,10 +157,13 @@
             "connection of {audience:?}: TCP_NODELAY can't be set, going on without it: {e}"
         );
     }
+    let stream = FairStream::new(stream);
     let service = {
         let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
-        service_fn(move |mut req: Request<Incoming>| {
+        let meter = stream.meter().clone();
+        service_fn(move |req: Request<Incoming>| {
             let (node, activity) = (Arc::clone(&node), Arc::clone(&activity));
+            let mut req = req.map(|body| MeteredBody::new(body, meter.clone()));
             async move {
                 activity.on_request(req.version(), !req.body().is_end_stream());
                 req.extensions_mut().insert(Arc::clone(&activity));
@@ -171,7 +175,7 @@
             }
         })
     };
-    let io = TokioIo::new(AcceptedStream::new(FairStream::new(stream), Arc::clone(&activity)));
+    let io = TokioIo::new(AcceptedStream::new(stream, Arc::clone(&activity)));
     let mut connection = audience.connection_builder().serve_connection(io, service);
     let mut is_found_idle = false;
     loop {
@@ -227,7 +231,7 @@
 
 /// Whether a shutdown waits for the response: to a caller, or to an instance that passes a caller's
 /// request on.
-fn has_response_to_finish(audience: Audience, req: &Request<Incoming>) -> bool {
+fn has_response_to_finish(audience: Audience, req: &Request<MeteredBody>) -> bool {
     match audience {
         Audience::Callers => true,
         Audience::Peers => req.uri().path() == PASS_ON_PATH,
@@ -258,7 +262,7 @@
 
 async fn serve(
     node: &Arc<Node>,
-    req: Request<Incoming>,
+    req: Request<MeteredBody>,
     audience: Audience,
 ) -> Response<ResponseBody> {
     let mut response = match audience {
@@ -273,7 +277,7 @@
     response
 }
 
-fn serve_ready(node: &Node, req: &Request<Incoming>) -> Response<ResponseBody> {
+fn serve_ready(node: &Node, req: &Request<MeteredBody>) -> Response<ResponseBody> {
     let status = if !node.protocol.is_ready_path(req.uri().path()) {
         StatusCode::NOT_FOUND
     } else if node.is_ready() {
@@ -284,7 +288,7 @@
     response(status, Bytes::from(node.addresses.missing_text()))
 }
 
-fn serve_metrics(node: &Node, req: &Request<Incoming>) -> Response<ResponseBody> {
+fn serve_metrics(node: &Node, req: &Request<MeteredBody>) -> Response<ResponseBody> {
     if req.uri().path() != METRICS_PATH {
         return response(StatusCode::NOT_FOUND, Bytes::new());
     }
@@ -303,7 +307,7 @@
     response
 }
 
-async fn serve_peer(node: &Arc<Node>, req: Request<Incoming>) -> Response<ResponseBody> {
+async fn serve_peer(node: &Arc<Node>, req: Request<MeteredBody>) -> Response<ResponseBody> {
     let path = req.uri().path().to_owned();
     let activity = req.extensions().get::<Arc<ConnectionActivity>>().map(Arc::clone);
     let body = match read_peer_body(node, req).await {
@@ -342,7 +346,7 @@
     })
 }
 
-async fn read_peer_body(node: &Node, req: Request<Incoming>) -> Result<Bytes, String> {
+async fn read_peer_body(node: &Node, req: Request<MeteredBody>) -> Result<Bytes, String> {
     let clock = Clock::start();
     let mut limit = ProgressLimit::new(clock.now());
     let mut body = Limited::new(req.into_body(), MAX_FRAME_BYTES);
--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -36,6 +36,7 @@
 use crate::decide::reach::PassOnCandidate;
 use crate::decide::traffic::AttemptEnd;
 use crate::decide::traffic::ResponseProgress;
+use crate::edge::MeteredBody;
 use crate::error::Result;
 use crate::names::BackendName;
 use crate::names::SoftwareVersion;
@@ -167,7 +168,7 @@
     request: &ForwardedRequest,
     passing: &Passing,
     resume_after: Option<&str>,
-) -> std::result::Result<(Connection, hyper::Response<hyper::body::Incoming>), AttemptEnd> {
+) -> std::result::Result<(Connection, hyper::Response<MeteredBody>), AttemptEnd> {
     let name = passing.name();
     let fail = |reason, detail: &str| {
         attempt::record_failed_attempt(request, &name, reason, detail);
@@ -186,7 +187,7 @@
             return Err(AttemptEnd::NotSent);
         }
     };
-    match connection.sender.try_send_request(req).await {
+    match connection.send(req).await {
         Ok(response) => Ok((connection, response)),
         Err(mut failed) => {
             let unsent = failed.take_message().is_some();
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -104,8 +104,10 @@
     },
     /// Log lines were lost: they couldn't be written fast enough, or not at all.
     LogLinesDropped {
-        /// Lines dropped since the process started.
+        /// Lines lost since the process started.
         total: usize,
+        /// Those of them that the output didn't take.
+        unwritten: usize,
     },
     /// Metrics can't be served; everything else goes on.
     MetricsOff {
