Run the relay on a stack of its own where the limit is low

Cause: the main thread's stack is as large as whoever starts the process allows. Below 2 MiB the relay runs on a thread of its own with that much, or, without a thread, as before. With a common limit nothing changes.

--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -31,6 +31,7 @@
 mod forward;
 mod forwarded_request;
 mod freshness_tracker;
+mod large_stack;
 mod listen_sockets;
 mod listener;
 mod listing;
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -15,6 +15,7 @@
 use super::LostLineCount;
 use super::Protocol;
 use super::RelaySettings;
+use super::large_stack;
 use super::log_event::record;
 use super::panic_log;
 use super::process_event::ProcessEvent;
@@ -81,6 +82,16 @@
         path: &Path,
         protocol: Arc<dyn Protocol>,
         lost_lines: LostLineCount,
+    ) -> Result<()> {
+        let path = path.to_owned();
+        large_stack::run(move || self.run_here(&path, protocol, lost_lines))
+    }
+
+    fn run_here(
+        self,
+        path: &Path,
+        protocol: Arc<dyn Protocol>,
+        lost_lines: LostLineCount,
     ) -> Result<()> {
         panic_log::start();
         let Self { runtime, mut signals } = self;
