Soak: draw what surrounds each process

Each start draws limits (size of files, descriptors, processor time, address space, stack, threads) and where the log goes (a file, a slow reader, a full pipe, a reader that has gone, a full device); settings are drawn in the forms that the platform allows; other programs send signals that ask for nothing; some seeds answer without an end; a process that uses most of a processor in the calm time is a finding.

--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -10,6 +10,7 @@
 use clap::Command;
 use clap::value_parser;
 
+use super::environment::Surroundings;
 use super::run::SoakOptions;
 use super::run::run_schedule;
 use super::schedule::CALM_TIME;
@@ -33,6 +34,11 @@
         .arg(number("seconds", "Length of the run of a seed", "45"))
         .arg(number("instances", "Number of processes", "6"))
         .arg(choice("ports", "Where the instances listen", ["low", "ephemeral"]))
+        .arg(choice(
+            "environment",
+            "Whether limits, logs and settings are drawn",
+            ["drawn", "generous"],
+        ))
         .arg(choice("load", "Whether busy threads compete with the fleet", ["none", "beside"]))
         .arg(
             Arg::new("keep-logs")
@@ -60,6 +66,7 @@
     let options = SoakOptions {
         instances: number("instances").max(1) as usize,
         ports: Ports::named(text("ports")).ok_or("unknown ports")?,
+        surroundings: Surroundings::named(text("environment")).ok_or("unknown environment")?,
         is_beside_load: text("load") == "beside",
         keep_logs: args.get_one::<PathBuf>("keep-logs").cloned(),
     };
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use nix::sys::signal::Signal;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -12,6 +13,10 @@
 
 use super::Disruption;
 use super::DisruptionKind;
+use super::cpu_time::CpuTime;
+use super::endless_server;
+use super::environment::Environment;
+use super::environment::Surroundings;
 use super::instance::End;
 use super::instance::Instance;
 use super::link::LinkSet;
@@ -27,6 +32,25 @@
 /// Time within which all processes are started.
 const START_SPREAD_MS: u64 = 300;
 
+/// Share of settings files that name a seed which answers without an end.
+const ENDLESS_SEED_SHARE: f64 = 0.2;
+/// Signals that ask a process for nothing.
+const STRAY_SIGNALS: [Signal; 8] = [
+    Signal::SIGUSR1,
+    Signal::SIGUSR2,
+    Signal::SIGALRM,
+    Signal::SIGVTALRM,
+    Signal::SIGPROF,
+    Signal::SIGIO,
+    Signal::SIGXCPU,
+    Signal::SIGXFSZ,
+];
+/// Chance that a process gets one at a tick.
+const STRAY_SIGNAL_SHARE: f64 = 2e-4;
+/// Age of a process from which on it gets them; one that is being loaded can't handle any.
+const STRAY_SIGNAL_AGE: Duration = Duration::from_secs(1);
+/// Share of a processor that no process uses while there is little to do.
+const BUSY_SHARE: f64 = 0.8;
 /// Position of an instance's link to the store in its links.
 const STORE_LINK: usize = 0;
 /// Position of the link of others to an instance.
@@ -59,10 +83,26 @@
     links: Vec<LinkSet>,
     taken: Vec<Taken>,
     ports: Ports,
+    surroundings: Surroundings,
+    /// A seed that answers without an end.
+    endless_seed: SocketAddr,
     rng: ChaCha8Rng,
     start: Instant,
 }
 
+/// What a fleet is started with.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetPlan {
+    /// Number of instances.
+    pub count: usize,
+    /// Where they listen.
+    pub ports: Ports,
+    /// What surrounds them.
+    pub surroundings: Surroundings,
+    /// What all that is random follows from.
+    pub seed: u64,
+}
+
 impl Fleet {
     /// Instances that start soon; the program is expected in `bin_dir`, files are kept in `dir`.
     ///
@@ -72,12 +112,11 @@
     pub fn new(
         bin_dir: &Path,
         dir: &Path,
-        count: usize,
-        ports: Ports,
+        plan: FleetPlan,
         store: SocketAddr,
-        seed: u64,
         start: Instant,
     ) -> Result<Self, String> {
+        let FleetPlan { count, ports, surroundings, seed } = plan;
         let program = bin_dir.join(PROGRAM);
         if !program.is_file() {
             return Err(format!(
@@ -98,7 +137,18 @@
             links.push(LinkSet::new(vec![Gate::start(store), peer]));
         }
         let (troubles, taken) = (Vec::new(), Vec::new());
-        let mut fleet = Self { instances, troubles, links, taken, ports, rng, start };
+        let endless_seed = endless_server::start().map_err(|e| e.to_string())?;
+        let mut fleet = Self {
+            instances,
+            troubles,
+            links,
+            taken,
+            ports,
+            surroundings,
+            endless_seed,
+            rng,
+            start,
+        };
         for index in 0..count {
             fleet.write_settings(index)?;
         }
@@ -112,6 +162,9 @@
             stale if stale == count => Addrs::claim(self.ports).peer,
             other => self.links[other].addr(PEER_LINK),
         };
+        let is_drawn = self.surroundings == Surroundings::Drawn;
+        let is_endless = is_drawn && self.rng.random_bool(ENDLESS_SEED_SHARE);
+        let third = if is_endless { self.endless_seed } else { third };
         let links = Links {
             store: self.links[index].addr(STORE_LINK),
             advertised_peer: self.links[index].addr(PEER_LINK),
@@ -122,7 +175,8 @@
             ],
         };
         let instance = &self.instances[index];
-        let text = settings_text(&instance.name, &instance.addrs, &links)?;
+        let forms = is_drawn.then_some(&mut self.rng);
+        let text = settings_text(&instance.name, &instance.addrs, &links, forms)?;
         instance.write_settings(&text).map_err(|e| format!("{}: settings: {e}", instance.name))
     }
 
@@ -196,6 +250,35 @@
         }
     }
 
+    /// Sends processes that have begun to work signals that ask them for nothing.
+    fn send_stray_signals(&mut self, now: Instant) {
+        if self.surroundings == Surroundings::Generous {
+            return;
+        }
+        for instance in &self.instances {
+            let is_due = self.rng.random_bool(STRAY_SIGNAL_SHARE);
+            let signal = STRAY_SIGNALS[self.rng.random_range(0..STRAY_SIGNALS.len())];
+            if is_due && instance.has_run_for(STRAY_SIGNAL_AGE, now) {
+                instance.send(signal);
+            }
+        }
+    }
+
+    /// Processor time of each instance's process.
+    pub fn cpu_times(&self) -> Vec<Option<CpuTime>> {
+        self.instances.iter().map(Instance::cpu_time).collect()
+    }
+
+    /// Instances whose process used most of a processor for `time`, at the beginning of which `before` was
+    /// taken, with the share that they used.
+    pub fn busy_since(&self, time: Duration, before: &[Option<CpuTime>]) -> Vec<(usize, f64)> {
+        let times = before.iter().zip(self.cpu_times()).enumerate();
+        let shares = times.filter_map(|(index, (before, after))| {
+            Some((index, after?.share_since((*before)?, time)?))
+        });
+        shares.filter(|(_, share)| *share > BUSY_SHARE).collect()
+    }
+
     fn take_address(&mut self, index: usize, disruption: &Disruption) {
         let instance = &self.instances[index];
         if instance.is_running() {
@@ -229,7 +312,11 @@
     /// The program can't be started.
     pub fn tick(&mut self, now: Instant) -> Result<Vec<(usize, End)>, String> {
         let mut ends = Vec::new();
+        self.send_stray_signals(now);
         for (index, instance) in self.instances.iter_mut().enumerate() {
+            if !instance.is_running() && self.surroundings == Surroundings::Drawn {
+                instance.environment = Environment::draw(&mut self.rng);
+            }
             let started_before = instance.started_at;
             if let Some(end) = instance.tick(now)? {
                 ends.push((index, end));
--- a/lab/src/soak/instance.rs
+++ b/lab/src/soak/instance.rs
@@ -3,11 +3,11 @@
 use std::fs;
 use std::fs::OpenOptions;
 use std::io;
+use std::os::unix::net::UnixStream;
 use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
-use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::Arc;
@@ -22,6 +22,8 @@
 use nix::unistd::Pid;
 use tamaracklead_standin::STARTING;
 
+use super::cpu_time::CpuTime;
+use super::environment::Environment;
 use super::settings::Addrs;
 
 /// Time after which a process that has ended is started again.
@@ -59,7 +61,7 @@
     pub status: ExitStatus,
     /// Why it ended.
     pub cause: EndCause,
-    /// Last lines of its log.
+    /// What surrounded it, and the last lines of its log.
     pub log_tail: String,
 }
 
@@ -76,9 +78,13 @@
     pub started_at: Option<Instant>,
     /// Number of starts.
     pub starts: usize,
+    /// What surrounds the next process.
+    pub environment: Environment,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// The other end of its log, if that is to stay open.
+    log_end: Option<UnixStream>,
     child: Option<Child>,
     /// Length of the log when the process was started, in bytes.
     log_start: u64,
@@ -108,6 +114,8 @@
             incarnation: Arc::default(),
             started_at: None,
             starts: 0,
+            environment: Environment::generous(),
+            log_end: None,
             program,
             child: None,
             log_start: 0,
@@ -212,7 +220,8 @@
         self.child = None;
         let age = self.started_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
         let cause = self.cause_of(status, age);
-        Ok(Some(End { at: now, age, status, cause, log_tail: self.log_tail() }))
+        let log_tail = format!("{:?}\n{}", self.environment, self.log_tail());
+        Ok(Some(End { at: now, age, status, cause, log_tail }))
     }
 
     fn cause_of(&self, status: ExitStatus, age: Duration) -> EndCause {
@@ -235,12 +244,10 @@
         let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
         self.log_start = log.metadata()?.len();
         let _starting = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
-        let child = Command::new(&self.program)
-            .arg(&self.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
+        let (output, log_end) = self.environment.log_output(&self.log)?;
+        self.log_end = log_end;
+        let mut command = self.environment.command(&self.program, &self.settings);
+        let child = command.stdin(Stdio::null()).stdout(output).stderr(log).spawn()?;
         self.child = Some(child);
         self.started_at = Some(now);
         self.starts += 1;
@@ -252,6 +259,22 @@
         Ok(())
     }
 
+    /// Sends the process a signal.
+    pub fn send(&self, signal: Signal) {
+        self.signal(signal);
+    }
+
+    /// Whether a process runs that was started this long ago.
+    pub fn has_run_for(&self, time: Duration, now: Instant) -> bool {
+        let is_old = |at| now.saturating_duration_since(at) >= time;
+        self.child.is_some() && self.started_at.is_some_and(is_old)
+    }
+
+    /// Processor time of the process; `None` without one.
+    pub fn cpu_time(&self) -> Option<CpuTime> {
+        CpuTime::of(self.child.as_ref()?.id())
+    }
+
     /// Whether a process runs.
     pub fn is_running(&self) -> bool {
         self.child.is_some()
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -22,9 +22,11 @@
 use super::Record;
 use super::Violation;
 use super::check;
+use super::environment::Surroundings;
 use super::finding::Finding;
 use super::finding::FindingKind;
 use super::fleet::Fleet;
+use super::fleet::FleetPlan;
 use super::instance::Instance;
 use super::link::LinkSet;
 use super::outcome::Outcome;
@@ -39,6 +41,8 @@
 const BUSY_THREADS: usize = 6;
 /// Time after which callers send requests; all instances run by then.
 const CALLERS_AFTER: Duration = Duration::from_secs(2);
+/// Last time of a soak, over which the processor time of each process is counted.
+const CPU_CHECK_TIME: Duration = Duration::from_secs(5);
 const REQUESTS_PER_S: f64 = 30.0;
 const ENGINES: usize = 6;
 const DESKS: usize = 3;
@@ -54,6 +58,8 @@
     pub instances: usize,
     /// Where they listen.
     pub ports: Ports,
+    /// What surrounds them.
+    pub surroundings: Surroundings,
     /// Whether busy threads compete with them.
     pub is_beside_load: bool,
     /// Where logs are kept; `None` removes them.
@@ -106,7 +112,8 @@
     let mut replica_links = ReplicaLinks::start(&outside);
     let busy = options.is_beside_load.then(BusyThreads::start);
     let (count, ports) = (options.instances, options.ports);
-    let mut fleet = Fleet::new(bin_dir, dir, count, ports, outside.store_addr(), seed, start)?;
+    let fleet_plan = FleetPlan { count, ports, surroundings: options.surroundings, seed };
+    let mut fleet = Fleet::new(bin_dir, dir, fleet_plan, outside.store_addr(), start)?;
     let probe =
         |one: &Instance| ReadinessProbe::start(one.addrs, Arc::clone(&one.incarnation), start);
     let probes: Vec<ReadinessProbe> = fleet.instances.iter().map(probe).collect();
@@ -114,6 +121,7 @@
     let planned = schedule.planned_work();
     let mut events = Events::new(schedule.disruptions.iter().chain(&planned));
     let mut callers = None;
+    let mut cpu_before = None;
     while start.elapsed() < schedule.duration {
         let now = Instant::now();
         if callers.is_none() && start.elapsed() >= CALLERS_AFTER {
@@ -131,8 +139,19 @@
         for (index, end) in fleet.tick(now)? {
             outcome.add_end(index, &end, end.at.saturating_duration_since(start));
         }
+        if cpu_before.is_none() && start.elapsed() + CPU_CHECK_TIME >= schedule.duration {
+            cpu_before = Some((now, fleet.cpu_times()));
+        }
         thread::sleep(TICK_INTERVAL);
     }
+    if let Some((since, before)) = cpu_before {
+        let busy = fleet.busy_since(since.elapsed(), &before);
+        outcome.findings.extend(busy.into_iter().map(|(index, share)| Finding {
+            at: start.elapsed(),
+            kind: FindingKind::Busy,
+            detail: format!("instance {index} used {share:.2} of a processor in the calm time"),
+        }));
+    }
     if let Some(callers) = callers {
         callers.stop();
     }
--- a/lab/src/soak/settings.rs
+++ b/lab/src/soak/settings.rs
@@ -6,6 +6,8 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
 
@@ -97,19 +99,57 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Settings file of an instance, as the platform renders it from the template.
+/// Settings file of an instance, as the platform renders it from the template, in forms drawn from `forms`.
 ///
 /// # Errors
 ///
 /// The template can't be rendered, or the result isn't JSON.
-pub fn settings_text(name: &str, addrs: &Addrs, links: &Links) -> Result<String, String> {
-    let rendered = render(TEMPLATE, &fields(name, addrs, links))?;
+pub fn settings_text(
+    name: &str,
+    addrs: &Addrs,
+    links: &Links,
+    forms: Option<&mut ChaCha8Rng>,
+) -> Result<String, String> {
+    let mut fields = fields(name, addrs, links);
+    if let Some(rng) = forms {
+        vary(&mut fields, rng);
+    }
+    let rendered = render(TEMPLATE, &fields)?;
     let mut settings: Value =
         serde_json::from_str(&rendered).map_err(|e| format!("rendered settings: {e}"))?;
     settings["listen"]["advertised_peer"] = json!(links.advertised_peer);
     Ok(settings.to_string())
 }
 
+/// Leaves out some of the fields that a deployment may not name, and gives others in another form, or as
+/// what can't be used where that is only a hint.
+fn vary(fields: &mut Value, rng: &mut ChaCha8Rng) {
+    let bounds = [
+        ("grace_s", json!(8.0)),
+        ("config_ms", json!(1200.5)),
+        ("retry_ratio", json!(0)),
+        ("budget_window_s", json!(10.5)),
+        ("budget_slack", json!(58.5)),
+        ("lease_ms", json!(3000.5)),
+    ];
+    let limits = ["memory_mb", "max_fds", "link_mbps"].map(|name| (name, json!(0)));
+    let provider = [("history_s", json!("x"))];
+    for (table, names) in
+        [("bounds", &bounds[..]), ("limits", &limits[..]), ("provider", &provider[..])]
+    {
+        for (name, other_form) in names {
+            match rng.random_range(0..6) {
+                0 => fields[table][name] = Value::Null,
+                1 => fields[table][name] = other_form.clone(),
+                _ => {}
+            }
+        }
+    }
+    if rng.random_bool(0.2) {
+        fields["heartbeat_ms"] = Value::Null;
+    }
+}
+
 fn fields(name: &str, addrs: &Addrs, links: &Links) -> Value {
     json!({
         "node_name": name,
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -6,6 +6,7 @@
 use lab::soak;
 use lab::soak::Ports;
 use lab::soak::SoakOptions;
+use lab::soak::Surroundings;
 
 const SEED: u64 = 1;
 const DURATION: Duration = Duration::from_secs(50);
@@ -14,7 +15,12 @@
 #[test]
 fn a_fleet_survives_random_faults() {
     let lab = Path::new(env!("CARGO_BIN_EXE_lab"));
-    let options =
-        SoakOptions { instances: 6, ports: Ports::Low, is_beside_load: false, keep_logs: None };
+    let options = SoakOptions {
+        instances: 6,
+        ports: Ports::Low,
+        surroundings: Surroundings::Drawn,
+        is_beside_load: false,
+        keep_logs: None,
+    };
     assert!(soak::run_seed(lab.parent().unwrap(), &options, SEED, DURATION, None).unwrap());
 }
--- a/lab/tests/soak_parts.rs
+++ b/lab/tests/soak_parts.rs
@@ -96,7 +96,7 @@
         let addrs = Addrs::claim(ports);
         let other: SocketAddr = "127.0.0.1:9".parse().unwrap();
         let links = Links { store: other, advertised_peer: other, seeds: vec![other; 3] };
-        let text = settings_text("entry-3", &addrs, &links).unwrap();
+        let text = settings_text("entry-3", &addrs, &links, None).unwrap();
         let settings = RelaySettings::parse(&text).unwrap();
         assert_eq!(settings.listen.caller, addrs.caller);
         assert_eq!(settings.listen.advertised_peer, Some(other));
--- a/lab/tests/soak_supervision.rs
+++ b/lab/tests/soak_supervision.rs
@@ -13,6 +13,7 @@
 use lab::soak::Ports;
 use lab::soak::Schedule;
 use lab::soak::SoakOptions;
+use lab::soak::Surroundings;
 use lab::soak::run_schedule;
 use tamaracklead_standin::STARTING;
 
@@ -47,8 +48,13 @@
         kind: *kind,
     };
     let disruptions = kinds.iter().map(to_disruption).collect();
-    let options =
-        SoakOptions { instances: 1, ports: Ports::Low, is_beside_load: false, keep_logs: None };
+    let options = SoakOptions {
+        instances: 1,
+        ports: Ports::Low,
+        surroundings: Surroundings::Generous,
+        is_beside_load: false,
+        keep_logs: None,
+    };
     let dir = bin_dir(name, script);
     let outcome = run_schedule(&dir, &options, 1, &Schedule { disruptions, duration }).unwrap();
     fs::remove_dir_all(dir).unwrap();
@@ -109,3 +115,11 @@
     let findings = findings("hangup", "exec sleep 60", &reloaded, Duration::from_secs(2));
     assert_eq!(kinds(&findings), [FindingKind::EndedByItself]);
 }
+
+// Guards against a process that doesn't hand back the processor, unseen.
+#[test]
+fn a_process_that_uses_a_processor_for_nothing_is_found() {
+    let findings = findings("busy", "while :; do :; done", &[], Duration::from_secs(6));
+    let busy = findings.iter().find(|finding| finding.kind == FindingKind::Busy);
+    assert!(busy.is_some_and(|finding| finding.detail.contains("instance 0")), "{findings:?}");
+}
