--- a/src/relay/accepted_stream.rs
+++ b/src/relay/accepted_stream.rs
@@ -14,7 +14,7 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
-use tokio::task::yield_now;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use super::connection_activity::ConnectionActivity;
@@ -23,6 +23,10 @@
 /// Time for which input is still read after the last response.
 const LINGER_TIME: Duration = Duration::from_secs(2);
 const DISCARD_BUF_BYTES: usize = 4096;
+/// Bytes that are discarded before a pause, and its length; a client that sends without an end takes little
+/// of the processor so.
+const DISCARDED_IN_TURN: usize = 64 * 1024;
+const DISCARD_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepted stream with the activity of its connection.
 pub struct AcceptedStream {
@@ -70,11 +74,18 @@
 async fn discard_input(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).shutdown(Shutdown::Write)?;
     let mut buf = [0; DISCARD_BUF_BYTES];
+    let mut discarded = 0;
     loop {
         stream.readable().await?;
         match stream.try_read(&mut buf) {
             Ok(0) => return Ok(()),
-            Ok(_) => yield_now().await,
+            Ok(count) => {
+                discarded += count;
+                if discarded >= DISCARDED_IN_TURN {
+                    discarded = 0;
+                    sleep(DISCARD_PAUSE).await;
+                }
+            }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             Err(e) => return Err(e),
         }
