--- a/src/decide/connections/content_allowance.rs
+++ b/src/decide/connections/content_allowance.rs
@@ -51,10 +51,6 @@
         self.overhead > self.free_bytes()
     }
 
-    fn free_bytes(&self) -> u64 {
-        if self.has_head { FREE_BYTES } else { FREE_HEAD_BYTES }
-    }
-
     /// Time until the connection may be read again; `None` if that is now.
     pub fn pause(&mut self, now: Timestamp) -> Option<Duration> {
         if !self.is_used_up() {
@@ -68,4 +64,8 @@
         let pause = Duration::from_secs_f64(excess as f64 / OVERHEAD_BYTES_PER_S as f64);
         (excess > 0).then_some(pause.min(MAX_PAUSE))
     }
+
+    fn free_bytes(&self) -> u64 {
+        if self.has_head { FREE_BYTES } else { FREE_HEAD_BYTES }
+    }
 }
--- a/src/relay/process_signal.rs
+++ b/src/relay/process_signal.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 
 use nix::sys::signal::SigSet;
-use nix::sys::signal::Signal as BlockedSignal;
+use nix::sys::signal::Signal as SystemSignal;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -12,23 +12,23 @@
 /// Signals that ask for nothing here, and whose default is to end or stop the process: of limits on files
 /// and processor time, where the system call or a later signal tells what matters; of timers and of input
 /// and output, which nobody sets; of terminals; and those left to programs.
-const UNUSED: [BlockedSignal; 12] = [
-    BlockedSignal::SIGXFSZ,
-    BlockedSignal::SIGXCPU,
-    BlockedSignal::SIGALRM,
-    BlockedSignal::SIGVTALRM,
-    BlockedSignal::SIGPROF,
-    BlockedSignal::SIGIO,
-    BlockedSignal::SIGPWR,
-    BlockedSignal::SIGSTKFLT,
-    BlockedSignal::SIGUSR1,
-    BlockedSignal::SIGUSR2,
-    BlockedSignal::SIGTTIN,
-    BlockedSignal::SIGTTOU,
+const UNUSED: [SystemSignal; 12] = [
+    SystemSignal::SIGXFSZ,
+    SystemSignal::SIGXCPU,
+    SystemSignal::SIGALRM,
+    SystemSignal::SIGVTALRM,
+    SystemSignal::SIGPROF,
+    SystemSignal::SIGIO,
+    SystemSignal::SIGPWR,
+    SystemSignal::SIGSTKFLT,
+    SystemSignal::SIGUSR1,
+    SystemSignal::SIGUSR2,
+    SystemSignal::SIGTTIN,
+    SystemSignal::SIGTTOU,
 ];
 /// Signals that are handled, whatever a parent process has blocked.
-const HANDLED: [BlockedSignal; 4] =
-    [BlockedSignal::SIGTERM, BlockedSignal::SIGINT, BlockedSignal::SIGQUIT, BlockedSignal::SIGHUP];
+const HANDLED: [SystemSignal; 4] =
+    [SystemSignal::SIGTERM, SystemSignal::SIGINT, SystemSignal::SIGQUIT, SystemSignal::SIGHUP];
 
 /// Blocks signals that ask for nothing, for this thread and all that it starts, and lets those through
 /// that are handled.
--- a/src/telemetry/log_queue.rs
+++ b/src/telemetry/log_queue.rs
@@ -31,8 +31,8 @@
 
 enum Item {
     Line(Vec<u8>),
-    /// All lines before it were written; it is dropped to tell so.
-    End(#[allow(dead_code, reason = "its drop is the message")] Sender<()>),
+    /// Answered once all lines before it are written or lost.
+    Flush(Sender<()>),
 }
 
 /// A queue of log lines; its clones share it. Written text becomes a line with its `\n`.
@@ -94,7 +94,7 @@
             return;
         }
         let (tx, rx) = mpsc::channel();
-        if self.items.send(Item::End(tx)).is_ok() {
+        if self.items.send(Item::Flush(tx)).is_ok() {
             let _ = rx.recv();
         }
     }
@@ -150,18 +150,21 @@
     let mut lines = Vec::new();
     while let Ok(first) = waiting.recv() {
         let mut next = Some(first);
-        let mut end = None;
+        let mut flushed = None;
         while let Some(item) = next.take() {
             match item {
                 Item::Line(line) => lines.extend_from_slice(&line),
-                Item::End(tx) => end = Some(tx),
+                Item::Flush(tx) => flushed = Some(tx),
             }
-            if end.is_none() && lines.len() < MAX_WRITE_BYTES {
+            if flushed.is_none() && lines.len() < MAX_WRITE_BYTES {
                 next = waiting.try_recv().ok();
             }
         }
         unwritten.fetch_add(output.write(&lines), Ordering::Relaxed);
         lines.clear();
-        drop(end);
+        if let Some(tx) = flushed {
+            // Whoever asked may have given up.
+            let _ = tx.send(());
+        }
     }
 }
