Name what broke a connection in the text of a failed call

Cause: the client's errors show only the outermost one, so that 'client error (SendRequest)' stood for a connection that was closed, a reset, and a response that can't be parsed.

--- a/src/edge/desk_client.rs
+++ b/src/edge/desk_client.rs
@@ -25,6 +25,7 @@
 use super::FairStream;
 use super::connect;
 use crate::decide::dispatch_failure::DispatchFailure;
+use crate::error::WithCauses;
 use crate::wire::desk::DeskReceipt;
 use crate::wire::desk::DeskSubmission;
 
@@ -104,7 +105,7 @@
         let addr = self.addr;
         let response = self.sender.send_request(req).await.map_err(|e| CallFailure {
             end: DispatchFailure::ResetAfterSend,
-            detail: format!("connection to {addr} broke: {e}"),
+            detail: format!("connection to {addr} broke: {}", WithCauses(&e)),
         })?;
         read_body(response).await
     }
@@ -119,7 +120,7 @@
     let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
     let body = body.collect().await.map_err(|e| CallFailure {
         end: DispatchFailure::AnswerCut,
-        detail: format!("desk's response broke off: {e}"),
+        detail: format!("desk's response broke off: {}", WithCauses(&*e)),
     })?;
     Ok(body.to_bytes())
 }
--- a/src/edge/http_client.rs
+++ b/src/edge/http_client.rs
@@ -28,6 +28,7 @@
 use crate::decide::transfer::ProgressLimit;
 use crate::error::Error;
 use crate::error::ErrorKind;
+use crate::error::WithCauses;
 use crate::names::Timestamp;
 
 /// Time limit for opening a connection.
@@ -87,7 +88,7 @@
             let Some(frame) = self.body.frame().await else { return Ok(None) };
             let frame = frame.map_err(|e| CallFailure {
                 end: DispatchFailure::ResetAfterSend,
-                detail: format!("response broke off: {e}"),
+                detail: format!("response broke off: {}", WithCauses(&e)),
             })?;
             if let Ok(data) = frame.into_data() {
                 return Ok(Some(data));
@@ -287,11 +288,11 @@
             }
             Ok(Err(e)) if e.is_connect() => Err(CallFailure {
                 end: DispatchFailure::ConnectRefused,
-                detail: format!("no connection to {}", call.addr),
+                detail: format!("no connection to {}: {}", call.addr, WithCauses(&e)),
             }),
             Ok(Err(e)) => Err(CallFailure {
                 end: DispatchFailure::ResetAfterSend,
-                detail: format!("connection to {} broke: {e}", call.addr),
+                detail: format!("connection to {} broke: {}", call.addr, WithCauses(&e)),
             }),
             Err(_) => Err(CallFailure {
                 end: DispatchFailure::TimedOut,
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -4,6 +4,7 @@
 //! a kind from the closed list [`ErrorKind`], which determines the response, and
 //! a sentence that says what failed on which object.
 
+mod causes;
 mod error_response;
 mod kind;
 mod problem;
@@ -11,6 +12,7 @@
 use std::fmt;
 use std::time::Duration;
 
+pub use causes::WithCauses;
 pub use error_response::ErrorResponse;
 pub use kind::ErrorKind;
 pub use problem::Problem;
