Keep the files of a soak in memory

Cause: the thread that carries out a soak's schedule writes settings files and opens logs. On a busy disk such a change waits for the file system: on this machine, beside builds, a file of 2,000 bytes was written in up to 26 s (15.7 s, 21.8 s and 26.4 s within three minutes, measured by a loop beside this run). Change: the files are in a file system in memory where there is one, and a schedule that stands still for more than 2 s says so in the output.

--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -43,6 +43,10 @@
 const CALLERS_AFTER: Duration = Duration::from_secs(2);
 /// Last time of a soak, over which the processor time of each process is counted.
 const CPU_CHECK_TIME: Duration = Duration::from_secs(5);
+/// Time for which the schedule may be late.
+const MAX_DELAY: Duration = Duration::from_secs(2);
+/// Folder of a file system in memory.
+const MEMORY_DIR: &str = "/dev/shm";
 const REQUESTS_PER_S: f64 = 30.0;
 const ENGINES: usize = 6;
 const DESKS: usize = 3;
@@ -78,7 +82,7 @@
     schedule: &Schedule,
 ) -> Result<Outcome, String> {
     let run = RUNS.fetch_add(1, Ordering::Relaxed);
-    let dir = std::env::temp_dir().join(format!("soak-{}-{run}", std::process::id()));
+    let dir = files_dir().join(format!("soak-{}-{run}", std::process::id()));
     fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let outcome = run_in(bin_dir, &dir, options, seed, schedule);
     if let Some(kept) = &options.keep_logs {
@@ -88,6 +92,13 @@
     outcome
 }
 
+/// Where the files of a run are. Changes of files on a busy disk may take many seconds, in which the
+/// schedule would stand still.
+fn files_dir() -> PathBuf {
+    let in_memory = Path::new(MEMORY_DIR);
+    if in_memory.is_dir() { in_memory.to_owned() } else { std::env::temp_dir() }
+}
+
 fn keep_logs(dir: &Path, kept: &Path, seed: u64) -> std::io::Result<()> {
     let kept = kept.join(format!("seed-{seed}"));
     fs::create_dir_all(&kept)?;
@@ -142,6 +153,7 @@
         if cpu_before.is_none() && start.elapsed() + CPU_CHECK_TIME >= schedule.duration {
             cpu_before = Some((now, fleet.cpu_times()));
         }
+        print_delay(now.saturating_duration_since(start), now.elapsed());
         thread::sleep(TICK_INTERVAL);
     }
     if let Some((since, before)) = cpu_before {
@@ -182,6 +194,14 @@
     Ok(outcome)
 }
 
+/// Tells a reader of the findings that some may follow from the soak itself.
+fn print_delay(at: Duration, late_by: Duration) {
+    if late_by >= MAX_DELAY {
+        let (at, late_by) = (at.as_secs_f64(), late_by.as_secs_f64());
+        println!("  {at:7.3} s: the schedule stood still for {late_by:.3} s");
+    }
+}
+
 fn start_callers(fleet: &Fleet, seed: u64, record: &Arc<Record>) -> Callers {
     let entries = fleet.instances.iter().map(|one| one.addrs.caller).collect();
     let readiness = fleet.instances.iter().map(|one| one.addrs.ready).collect();
