--- a/lab/src/soak/platform_store.rs
+++ b/lab/src/soak/platform_store.rs
@@ -103,7 +103,7 @@
 
     /// Discards the history up to now, and that of the next change.
     pub fn forget_history(&self) {
-        self.front.forget_before(self.store.revision() + 1);
+        self.store.forget_before(self.store.revision() + 1);
     }
 
     /// Comes back from the copy in a new era; the operator and, by `republish`, the backend servers
@@ -111,7 +111,6 @@
     pub fn restore(&self, republish: impl FnOnce()) {
         let writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
         self.front.begin(StoreTrouble::Away);
-        self.front.forget_before(0);
         self.store.restore();
         self.publish_config();
         let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner).clone();
