Tell why an instance isn't ready

An instance whose reading of a topic failed for ever logged published_lost once and readiness_changed with what was missing; its readiness answered 503 without a body, and the only metric was an age of -1.

Reads that fail are a state now (decide::reads): since when, for which cause, how often. A line is due at the first failure, for a new cause and at growing intervals, all within a budget; published_regained tells how long it lasted. What is missing has its beginning (decide::readiness), and not_ready repeats it while it lasts and at the end of the process. The readiness check's body is JSON with the same content, empty as before if there is nothing to tell. New metrics: relay_ready, relay_missing, relay_published_failing_ms, relay_published_failures_total. When an instance is ready hasn't changed.

--- a/src/cli/relay_logs.rs
+++ b/src/cli/relay_logs.rs
@@ -24,12 +24,15 @@
     "orders_handed_over",
 ];
 /// Events of an instance that can affect the requests in progress there.
-const INSTANCE_EVENTS: [&str; 13] = [
+const INSTANCE_EVENTS: [&str; 16] = [
     "started",
     "stopping",
     "stopped",
     "paused",
+    "readiness_changed",
+    "not_ready",
     "published_lost",
+    "published_failing",
     "published_regained",
     "history_lost",
     "changes_lacked",
--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -23,6 +23,9 @@
 use super::PublishedItem;
 use super::ViewChanges;
 use super::ViewDigest;
+use crate::decide::reads::FailingRead;
+use crate::decide::reads::PendingRead;
+use crate::decide::reads::ReadHealth;
 use crate::names::Timestamp;
 
 /// Most tombstones that are kept for peers.
@@ -61,6 +64,8 @@
     pub last_failure: Option<Timestamp>,
     /// When a call to the published state succeeded last.
     pub last_success: Option<Timestamp>,
+    /// Whether calls to the published state fail, and what of that is logged.
+    pub reads: ReadHealth,
     /// What the store's history tells of the changes before those that are followed.
     pub history: HistoryKnowledge,
     items: BTreeMap<String, KnownItem>,
@@ -307,6 +312,19 @@
         self.current_at.is_some_and(|at| now.since(at) < CURRENT_MAX_AGE)
     }
 
+    /// The failure of its reads, under this name of the topic; `None` if they don't fail.
+    pub fn failing_read(&self, now: Timestamp, topic: &'static str) -> Option<FailingRead> {
+        let failure = self.reads.failure(now)?;
+        let last_read_ms = self.last_success.map(|at| as_millis(now.since(at)));
+        Some(FailingRead { topic, failure, last_read_ms })
+    }
+
+    /// The read that has had no answer for long, under this name of the topic; `None` if there is none.
+    pub fn pending_read(&self, now: Timestamp, topic: &'static str) -> Option<PendingRead> {
+        let pending = self.reads.pending(now)?;
+        Some(PendingRead { topic, pending_ms: as_millis(pending) })
+    }
+
     /// Summary of this view, for peers.
     pub fn digest(&self, now: Timestamp) -> ViewDigest {
         ViewDigest {
--- a/src/relay/addresses.rs
+++ b/src/relay/addresses.rs
@@ -1,6 +1,5 @@
 //! Which addresses a relay listens on, shared by the tasks that bind them and by all that depend on it.
 
-use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,6 +15,7 @@
 use crate::decide::listening::FleetRole;
 use crate::decide::listening::ListenAddress;
 use crate::decide::listening::Listening;
+use crate::decide::readiness::UnboundAddress;
 
 /// Addresses of a relay, and which of them are bound.
 #[derive(Debug)]
@@ -84,13 +84,13 @@
         self.listening().fleet_role(self.clock.now())
     }
 
-    /// A line for each missing address; empty if there is none.
-    pub fn missing_text(&self) -> String {
-        let missing: Vec<ListenAddress> = self.listening().missing().collect();
-        missing.into_iter().fold(String::new(), |mut text, address| {
-            let _ = writeln!(text, "missing address: {} {}", address.name(), self.text_of(address));
-            text
-        })
+    /// The addresses of the settings that aren't bound.
+    pub fn unbound(&self) -> Vec<UnboundAddress> {
+        let unbound = |address: ListenAddress| UnboundAddress {
+            purpose: address.name(),
+            addr: self.socket_addr(address),
+        };
+        self.listening().missing().map(unbound).collect()
     }
 
     fn text_of(&self, address: ListenAddress) -> String {
--- a/src/relay/listener.rs
+++ b/src/relay/listener.rs
@@ -67,6 +67,7 @@
 const HEAD_TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
 const METRICS_PATH: &str = "/metrics";
 const METRICS_CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+const JSON_CONTENT_TYPE: &str = "application/json";
 /// Number of idle times for which a caller may take nothing of a response. The system keeps much for a
 /// slow caller, so that it is long before its progress shows.
 const UNREAD_FACTOR: u32 = 4;
@@ -278,14 +279,20 @@
 }
 
 fn serve_ready(node: &Node, req: &Request<MeteredBody>) -> Response<ResponseBody> {
-    let status = if !node.protocol.is_ready_path(req.uri().path()) {
-        StatusCode::NOT_FOUND
-    } else if node.is_ready() {
-        StatusCode::OK
-    } else {
-        StatusCode::SERVICE_UNAVAILABLE
-    };
-    response(status, Bytes::from(node.addresses.missing_text()))
+    if !node.protocol.is_ready_path(req.uri().path()) {
+        return response(StatusCode::NOT_FOUND, Bytes::new());
+    }
+    let report = node.readiness_report();
+    let status = if report.ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    if report.is_plain() {
+        return response(status, Bytes::new());
+    }
+    let body = serde_json::to_vec(&report).unwrap_or_default();
+    let mut response = response(status, Bytes::from(body));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static(JSON_CONTENT_TYPE));
+    response
 }
 
 fn serve_metrics(node: &Node, req: &Request<MeteredBody>) -> Response<ResponseBody> {
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -23,6 +23,7 @@
 use super::version_source::VersionSource;
 use crate::decide::config_freshness::ConfigTrust;
 use crate::decide::listening::ListenAddress;
+use crate::decide::readiness::Missing;
 use crate::decide::traffic::RouteKind;
 use crate::names::BackendName;
 use crate::send_permits::PermitSource;
@@ -128,6 +129,11 @@
     address: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct MissingLabels {
+    what: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct TopicLabels {
     topic: &'static str,
@@ -157,6 +163,10 @@
     config_version: Gauge,
     quarantined_parts: Gauge,
     published_age: Family<TopicLabels, Gauge>,
+    published_failing: Family<TopicLabels, Gauge>,
+    published_failures: Family<TopicLabels, Counter>,
+    ready: Gauge,
+    missing: Family<MissingLabels, Gauge>,
     config_proof_age: Gauge,
     config_trust: Gauge,
     log_lines_dropped: Gauge,
@@ -194,6 +204,10 @@
             config_version: Gauge::default(),
             quarantined_parts: Gauge::default(),
             published_age: Family::default(),
+            published_failing: Family::default(),
+            published_failures: Family::default(),
+            ready: Gauge::default(),
+            missing: Family::default(),
             config_proof_age: Gauge::default(),
             config_trust: Gauge::default(),
             log_lines_dropped: Gauge::default(),
@@ -251,6 +265,15 @@
         r.register("quarantined_prompt_parts", help, self.quarantined_parts.clone());
         let help = "Age of the view of the published state, in ms; -1 if nothing was read";
         r.register("published_age_ms", help, self.published_age.clone());
+        let help =
+            "Time for which reads of the published state have failed, in ms; 0 if they don't";
+        r.register("published_failing_ms", help, self.published_failing.clone());
+        let help = "Failed reads of the published state";
+        r.register("published_failures", help, self.published_failures.clone());
+        let help = "Whether callers may send requests here: 1 if so, 0 if not";
+        r.register("ready", help, self.ready.clone());
+        let help = "What is missing for that: 1 if it is missing, 0 if not";
+        r.register("missing", help, self.missing.clone());
         let help = "Age of the proof that the configuration is the newest, in ms; -1 without one";
         r.register("config_proof_age_ms", help, self.config_proof_age.clone());
         let help = "Trust in the configuration: 0 stale, 1 known, 2 current";
@@ -339,6 +362,11 @@
         self.undecodable_datagrams.inc();
     }
 
+    /// Counts a failed read of a topic.
+    pub fn on_published_failed(&self, topic: PublishedTopic) {
+        self.published_failures.get_or_create(&TopicLabels { topic: topic.name() }).inc();
+    }
+
     /// Counts a failed try to bind an address.
     pub fn on_bind_failed(&self) {
         self.bind_failures.inc();
@@ -381,11 +409,19 @@
         let version = node.current_config().map_or(0, |config| config.version);
         self.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.quarantined_parts.set(gauge_value(node.prompt_guard().quarantined_count()));
-        for topic in [PublishedTopic::Operator, PublishedTopic::Replicas] {
+        for topic in PublishedTopic::ALL {
+            let labels = TopicLabels { topic: topic.name() };
             let age = node.view(topic).digest(now).age_ms;
             let age = age.map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
-            self.published_age.get_or_create(&TopicLabels { topic: topic.name() }).set(age);
+            self.published_age.get_or_create(&labels).set(age);
+            let failure = node.view(topic).reads.failure(now);
+            let failing_ms = failure.map_or(0, |failure| failure.failing_ms);
+            let failing_ms = i64::try_from(failing_ms).unwrap_or(i64::MAX);
+            self.published_failing.get_or_create(&labels).set(failing_ms);
+            // A series that isn't there can't be told from one that doesn't rise.
+            drop(self.published_failures.get_or_create(&labels));
         }
+        self.update_readiness(&node.missing());
         let age = node.config_age_ms().map_or(-1, |age| i64::try_from(age).unwrap_or(i64::MAX));
         self.config_proof_age.set(age);
         let lag = node
@@ -408,6 +444,15 @@
         encode(&mut text, &self.registry)?;
         Ok(text)
     }
+
+    fn update_readiness(&self, missing: &[Missing]) {
+        self.ready.set(i64::from(missing.is_empty()));
+        for what in Missing::ALL {
+            let is_missing = missing.contains(&what);
+            let labels = MissingLabels { what: what.name() };
+            self.missing.get_or_create(&labels).set(i64::from(is_missing));
+        }
+    }
 }
 
 fn gauge_value(count: usize) -> i64 {
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -38,6 +38,8 @@
 use crate::decide::reach::PassOnPeers;
 use crate::decide::readiness::AcceptHealth;
 use crate::decide::readiness::Missing;
+use crate::decide::readiness::Readiness;
+use crate::decide::readiness::ReadinessReport;
 use crate::decide::rendezvous;
 use crate::decide::traffic::AdapterHomes;
 use crate::decide::traffic::CacheListings;
@@ -135,6 +137,7 @@
     accepts_callers: watch::Sender<bool>,
     last_accepted: Mutex<Timestamp>,
     accept_health: Mutex<AcceptHealth>,
+    readiness: Mutex<Readiness>,
     joined: AtomicBool,
     highest_fence: AtomicU64,
     use_serial: AtomicU64,
@@ -219,6 +222,7 @@
             accepts_callers: watch::Sender::new(true),
             last_accepted: Mutex::new(Timestamp::ZERO),
             accept_health: Mutex::default(),
+            readiness: Mutex::new(Readiness::new(Timestamp::ZERO)),
             joined: AtomicBool::new(false),
             highest_fence: AtomicU64::new(0),
             use_serial: AtomicU64::new(first_serial),
@@ -433,12 +437,7 @@
         self.joined.load(Ordering::Relaxed)
     }
 
-    /// Whether callers should send requests here; decides the readiness check.
-    pub fn is_ready(&self) -> bool {
-        self.missing().is_empty()
-    }
-
-    /// What is missing for callers to send requests here.
+    /// What is missing for callers to send requests here; nothing if the instance is ready.
     pub fn missing(&self) -> Vec<Missing> {
         let knows_replicas = self.view(PublishedTopic::Replicas).is_usable(self.now());
         let propagation = self.settings.freshness_limits().propagation;
@@ -455,6 +454,34 @@
         all.into_iter().filter_map(|(missing, is_missing)| is_missing.then_some(missing)).collect()
     }
 
+    /// What was missing at the last check, and since when.
+    pub fn readiness(&self) -> MutexGuard<'_, Readiness> {
+        lock(&self.readiness)
+    }
+
+    /// What is missing now, since when, and what this instance waits for.
+    pub fn readiness_report(&self) -> ReadinessReport {
+        let missing = self.missing();
+        let now = self.now();
+        let is_ready = missing.is_empty();
+        let topics = PublishedTopic::ALL;
+        let failing = |topic| self.view(topic).failing_read(now, topic.name());
+        let pending = |topic| self.view(topic).pending_read(now, topic.name());
+        let readiness = self.readiness();
+        let unready = readiness.unready_for(now).unwrap_or_default();
+        ReadinessReport {
+            ready: is_ready,
+            unready_ms: (!is_ready).then_some(unready.as_millis() as u64),
+            missing: readiness.describe(now, &missing),
+            failing_reads: topics.into_iter().filter_map(failing).collect(),
+            pending_reads: topics.into_iter().filter_map(pending).collect(),
+            unbound: self.addresses.unbound(),
+            store: self.settings.published,
+            seeds: self.settings.seeds.len(),
+            peers: self.peers().live(now).count(),
+        }
+    }
+
     /// Whether there were peers, but now neither they nor the published state can be reached.
     fn is_isolated(&self) -> bool {
         let now = self.now();
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -4,6 +4,7 @@
 
 use super::connection_end::ConnectionEnd;
 use crate::decide::readiness::Missing;
+use crate::decide::readiness::ReadinessReport;
 
 /// One log event; its name and fields are those of the JSON line.
 #[derive(Clone, Debug, Serialize)]
@@ -51,6 +52,12 @@
         /// Time since the change before, or since the process started, in ms.
         lasted_ms: u128,
     },
+    /// Callers still can't send requests here; comes at growing intervals, and at the end of the process.
+    NotReady {
+        /// What is missing, since when, and what this instance waits for.
+        #[serde(flatten)]
+        report: &'a ReadinessReport,
+    },
     /// A background task failed and is started again.
     TaskFailed {
         /// What the task does.
@@ -69,11 +76,15 @@
     Stopping {
         /// Requests in progress.
         in_flight: usize,
+        /// Whether callers could send requests here until now.
+        ready: bool,
     },
     /// The shutdown is over and the process ends.
     Stopped {
         /// Requests that are cut off.
         cut_off: usize,
+        /// Whether the process was ever ready.
+        was_ready: bool,
     },
     /// The settings file changed, and its seeds were applied.
     SettingsTaken {
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -191,6 +191,9 @@
 }
 
 impl PublishedTopic {
+    /// All of them.
+    pub const ALL: [Self; 2] = [Self::Operator, Self::Replicas];
+
     /// Its name in log lines and metric labels.
     pub fn name(self) -> &'static str {
         match self {
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -22,7 +22,9 @@
 use super::operator_items;
 use super::store_call;
 use super::store_call::StoreResponse;
+use super::store_event::PublishedSource;
 use super::store_event::StoreEvent;
+use crate::decide::reads::ReadLine;
 use crate::decide::rendezvous;
 use crate::decide::traffic::EraCheck;
 use crate::decide::traffic::PublishedEvent;
@@ -61,10 +63,11 @@
     let mut pace = ReadPace::default();
     loop {
         if !must_read(&node, topic) {
+            on_unneeded(&node, topic);
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let as_of = node.view(topic).as_of();
+        let as_of = begin_read(&node, topic);
         let step = match (as_of, pace.next()) {
             (None, _) => list(&node, topic, &mut pace).await,
             (Some(_), NextRead::List(pause)) => {
@@ -93,6 +96,13 @@
     }
 }
 
+/// Begins a read; returns the revision up to which the view is complete.
+fn begin_read(node: &Node, topic: PublishedTopic) -> Option<u64> {
+    let mut view = node.view(topic);
+    view.reads.on_begin(node.now());
+    view.as_of()
+}
+
 /// Whether this instance reads a topic itself: it is one of the readers, or its view is
 /// incomplete or out of date.
 fn must_read(node: &Node, topic: PublishedTopic) -> bool {
@@ -397,16 +407,57 @@
 
 fn on_success(node: &Node, topic: PublishedTopic, now: Timestamp) {
     let mut view = node.view(topic);
-    if view.last_failure > view.last_success {
-        record(&StoreEvent::PublishedRegained { topic: topic.name() });
-    }
     view.last_success = Some(now);
+    let line = view.reads.on_end(now);
+    drop(view);
+    record_read_line(topic, line, PublishedSource::Store);
 }
 
 fn on_failure(node: &Node, topic: PublishedTopic, now: Timestamp, reason: &str) {
+    node.metrics.on_published_failed(topic);
     let mut view = node.view(topic);
-    if view.last_failure <= view.last_success {
-        record(&StoreEvent::PublishedLost { topic: topic.name(), detail: reason });
-    }
     view.last_failure = Some(now);
+    let line = view.reads.on_failure(now, reason);
+    drop(view);
+    record_read_line(topic, line, PublishedSource::Store);
+}
+
+/// Ends the failure of a topic that this instance needn't read any more, as its peers have it.
+fn on_unneeded(node: &Node, topic: PublishedTopic) {
+    let now = node.now();
+    let mut view = node.view(topic);
+    if !view.is_current(now) {
+        return;
+    }
+    let line = view.reads.on_end(now);
+    drop(view);
+    record_read_line(topic, line, PublishedSource::Peers);
+}
+
+fn record_read_line(topic: PublishedTopic, line: Option<ReadLine>, by: PublishedSource) {
+    let topic = topic.name();
+    match line {
+        None => {}
+        Some(ReadLine::Lost { failure, unlogged }) => record(&StoreEvent::PublishedLost {
+            topic,
+            detail: &failure.cause,
+            failing_ms: failure.failing_ms,
+            failures: failure.failures,
+            unlogged,
+        }),
+        Some(ReadLine::Failing { failure }) => record(&StoreEvent::PublishedFailing {
+            topic,
+            detail: &failure.cause,
+            since_ms: failure.cause_ms,
+            count: failure.cause_count,
+            failing_ms: failure.failing_ms,
+            failures: failure.failures,
+        }),
+        Some(ReadLine::Regained { lasted, failures }) => record(&StoreEvent::PublishedRegained {
+            topic,
+            by,
+            lasted_ms: lasted.as_millis(),
+            failures,
+        }),
+    }
 }
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -33,8 +33,6 @@
 use super::settings_file::SettingsFile;
 use super::task_restarts::restart_after_panics;
 use crate::decide::listening::ListenAddress;
-use crate::decide::readiness::Readiness;
-use crate::names::Timestamp;
 use crate::telemetry::LostLines;
 
 /// Time after the start at which an instance counts as joined even if no peer has replied.
@@ -151,11 +149,14 @@
     }
 }
 
-/// Logs what is missing for callers to send requests here, whenever that changes.
+/// Logs what is missing for callers to send requests here, whenever that changes, and at growing
+/// intervals while anything is.
 async fn watch_readiness(node: Arc<Node>) {
-    let mut readiness = Readiness::new(Timestamp::ZERO);
     loop {
-        if let Some(change) = readiness.on_check(node.now(), node.missing()) {
+        let now = node.now();
+        let missing = node.missing();
+        let change = node.readiness().on_check(now, missing);
+        if let Some(change) = change {
             record(&ProcessEvent::ReadinessChanged {
                 ready: change.missing.is_empty(),
                 missing: &change.missing,
@@ -163,6 +164,10 @@
                 lasted_ms: change.lasted.as_millis(),
             });
         }
+        let is_due = node.readiness().take_due_line(now);
+        if is_due {
+            record(&ProcessEvent::NotReady { report: &node.readiness_report() });
+        }
         sleep(READINESS_CHECK_INTERVAL).await;
     }
 }
@@ -199,8 +204,13 @@
 }
 
 async fn shut_down(node: &Node) {
+    let report = node.readiness_report();
+    if !report.ready {
+        record(&ProcessEvent::NotReady { report: &report });
+    }
     let shutdown = node.shut_down();
-    record(&ProcessEvent::Stopping { in_flight: node.in_flight.load(Ordering::Relaxed) });
+    let in_flight = node.in_flight.load(Ordering::Relaxed);
+    record(&ProcessEvent::Stopping { in_flight, ready: report.ready });
     while !shutdown.is_closing(node.now(), node.unfinished_responses.get()) {
         sleep(SHUTDOWN_CHECK_INTERVAL).await;
     }
@@ -212,7 +222,8 @@
         let unfinished = node.unfinished_responses.get();
         let (last_accepted, heads) = (node.last_accepted(), node.arriving_heads.get());
         if shutdown.may_end(node.now(), closed_at, last_accepted, unfinished, heads) {
-            record(&ProcessEvent::Stopped { cut_off: unfinished });
+            let was_ready = node.readiness().was_ready();
+            record(&ProcessEvent::Stopped { cut_off: unfinished, was_ready });
             return;
         }
     }
--- a/src/relay/store_event.rs
+++ b/src/relay/store_event.rs
@@ -4,6 +4,16 @@
 
 use crate::decide::config_freshness::ConfigTrust;
 
+/// Where a part of the published state is had from.
+#[derive(Clone, Copy, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PublishedSource {
+    /// Its store.
+    Store,
+    /// Other instances.
+    Peers,
+}
+
 /// One log event; its name and fields are those of the JSON line.
 #[derive(Clone, Debug, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -23,11 +33,38 @@
         topic: &'a str,
         /// The error.
         detail: &'a str,
+        /// Time since the first failure, in ms; above 0 if there was no line for it.
+        failing_ms: u64,
+        /// Failures since then.
+        failures: u64,
+        /// Number of earlier outages without a line since the last such line.
+        unlogged: u64,
+    },
+    /// A part of the published state still can't be read; comes at growing intervals, and for a new error.
+    PublishedFailing {
+        /// Part of the published state.
+        topic: &'a str,
+        /// The last error.
+        detail: &'a str,
+        /// Time since that error came first, in ms.
+        since_ms: u64,
+        /// How often it came.
+        count: u64,
+        /// Time since the first failure, in ms.
+        failing_ms: u64,
+        /// Failures since then, of all kinds.
+        failures: u64,
     },
-    /// A part of the published state can be read again.
+    /// A part of the published state can be read again, or is had from other instances.
     PublishedRegained {
         /// Part of the published state.
         topic: &'a str,
+        /// Where it is had from.
+        by: PublishedSource,
+        /// Time since the first failure, in ms.
+        lasted_ms: u128,
+        /// Failures in that time.
+        failures: u64,
     },
     /// The changes after a revision are no longer kept; everything is listed anew.
     HistoryLost {
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -37,6 +37,52 @@
     assert_eq!(ready.lasted, Duration::from_millis(20));
 }
 
+/// Guards against a log whose only line on an instance that isn't ready is the first one.
+#[test]
+fn what_is_missing_is_logged_again_at_growing_intervals() {
+    let mut readiness = Readiness::new(at(0));
+    let mut lines = Vec::new();
+    for tenth in 0..7000 {
+        let now = at(tenth * 100);
+        readiness.on_check(now, vec![if tenth < 50 { Missing::Config } else { Missing::Replicas }]);
+        if readiness.take_due_line(now) {
+            lines.push(tenth);
+        }
+    }
+    assert_eq!(lines, [30, 130, 730, 6730]);
+    assert!(!readiness.was_ready());
+    readiness.on_check(at(800_000), Vec::new());
+    assert!(!readiness.take_due_line(at(9_000_000)));
+    assert!(readiness.was_ready());
+    readiness.on_check(at(9_000_000), vec![Missing::Contact]);
+    assert!(!readiness.take_due_line(at(9_002_900)));
+    assert!(readiness.take_due_line(at(9_003_000)));
+}
+
+/// Guards against an answer that tells since when something else was missing.
+#[test]
+fn each_lack_has_its_own_beginning() {
+    let mut readiness = Readiness::new(at(0));
+    readiness.on_check(at(100), vec![Missing::Join, Missing::Replicas]);
+    readiness.on_check(at(1500), vec![Missing::Config, Missing::Replicas]);
+    let missing = [Missing::Config, Missing::Replicas, Missing::Contact];
+    let described = readiness.describe(at(2000), &missing);
+    let times: Vec<(Missing, u64)> = described.iter().map(|m| (m.what, m.missing_ms)).collect();
+    let expected = [(Missing::Config, 500), (Missing::Replicas, 1900), (Missing::Contact, 0)];
+    assert_eq!(times, expected);
+    assert_eq!(readiness.unready_for(at(2000)), Some(Duration::from_millis(2000)));
+    readiness.on_check(at(2100), Vec::new());
+    assert_eq!(readiness.unready_for(at(2200)), None);
+}
+
+/// Guards against a metric that names a lack in another way than the log does.
+#[test]
+fn a_lack_has_one_name_everywhere() {
+    for what in Missing::ALL {
+        assert_eq!(serde_json::to_value(what).unwrap(), what.name());
+    }
+}
+
 /// Guards against an instance that counts as ready while it accepts nobody.
 #[test]
 fn accepts_that_fail_for_a_second_send_callers_elsewhere() {
