Find orders in timelines by the whole name of their adapter

`explain` read an order's adapter up to the first `@`, so that an adapter `a1@x` was shown as `a1` and its own orders were missing. The order is now compared with each adapter of the request, up to a version at its end.

--- a/src/cli/relay_logs.rs
+++ b/src/cli/relay_logs.rs
@@ -169,13 +169,14 @@
         instances: &BTreeSet<&str>,
     ) -> Option<Subject> {
         let event = self.event.as_str();
-        let adapter = match event {
-            "load_late" => self.str_field("adapter"),
-            // The text of an order is `KIND ADAPTER@VERSION`.
-            "order_given" => self.str_field("order").and_then(ordered_adapter),
-            _ => None,
+        let is_of_adapter = |adapter: &str| match event {
+            "load_late" => self.str_field("adapter") == Some(adapter),
+            "order_given" => {
+                self.str_field("order").is_some_and(|order| is_order_for(order, adapter))
+            }
+            _ => false,
         };
-        if adapter.is_some_and(|adapter| adapters.contains(adapter)) {
+        if adapters.iter().any(|adapter| is_of_adapter(adapter)) {
             return Some(Subject::Adapter);
         }
         let of_replica =
@@ -203,7 +204,13 @@
     }
 }
 
-fn ordered_adapter(order: &str) -> Option<&str> {
-    let (_, adapter_at_version) = order.split_once(' ')?;
-    adapter_at_version.split('@').next()
+/// Whether an order, `KIND ADAPTER` or `KIND ADAPTER@VERSION`, is for this adapter, whose name may have
+/// `@` and blanks.
+fn is_order_for(order: &str, adapter: &str) -> bool {
+    let Some((_, ordered)) = order.split_once(' ') else { return false };
+    match ordered.strip_prefix(adapter) {
+        Some("") => true,
+        Some(rest) => rest.strip_prefix('@').is_some_and(|version| version.parse::<u64>().is_ok()),
+        None => false,
+    }
 }
--- a/tests/log_story.rs
+++ b/tests/log_story.rs
@@ -9,6 +9,7 @@
 use std::process::Output;
 use std::process::Stdio;
 
+use serde_json::json;
 use tamaracklead::cli::RelayLogs;
 use tamaracklead::cli::Subject;
 
@@ -54,6 +55,34 @@
     path.display().to_string()
 }
 
+// Guards against loads that are missing in a timeline, or of another adapter, as a name holds what
+// separates it from its version.
+#[test]
+fn orders_are_found_by_the_whole_name_of_their_adapter() {
+    for adapter in ["base/a1", "base/a@b", "base/a b", "base/a@b@c"] {
+        let waited =
+            json!({"at_ms": 9000, "event": "request_waited", "id": "r1", "adapter": adapter});
+        let given = |order: String| json!({"at_ms": 9100, "event": "order_given", "order": order});
+        let own = ["load", "unload"].map(|op| given(format!("{op} {adapter}")));
+        let versioned = given(format!("load {adapter}@12"));
+        let others =
+            ["", "x", "@x", " x", "@1x"].map(|tail| given(format!("load {adapter}{tail}z@1")));
+        let lines = [waited].into_iter().chain(own).chain([versioned]).chain(others);
+        let text: Vec<String> = lines.map(|line| line.to_string()).collect();
+        let mut relay_logs = RelayLogs::default();
+        relay_logs.add_log("one", &text.join("\n"));
+        let steps = relay_logs.timeline("r1");
+        let found = steps.iter().filter(|step| step.about == Subject::Adapter);
+        let found: Vec<&str> = found.map(|step| step.detail.as_str()).collect();
+        let expected = [
+            format!("order=load {adapter}"),
+            format!("order=unload {adapter}"),
+            format!("order=load {adapter}@12"),
+        ];
+        assert_eq!(found, expected);
+    }
+}
+
 #[test]
 fn a_timeline_joins_the_request_with_its_adapter_replicas_and_instances() {
     let mut relay_logs = RelayLogs::default();
