Bound the bytes of log lines that wait

Up to 4,096 lines may wait for an output that takes nothing. Lines hold callers' paths, which may have 128 KiB, so that they could take half a gigabyte. Lines beyond 4 MiB are dropped and counted as before.

--- a/src/telemetry/log_queue.rs
+++ b/src/telemetry/log_queue.rs
@@ -24,6 +24,8 @@
 
 /// Lines that may wait; further ones are dropped.
 const MAX_QUEUED_LINES: usize = 4096;
+/// Bytes of lines that may wait; lines hold paths and names of others, which may be long.
+const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 /// Bytes of lines that are written at once, if that many wait.
 const MAX_WRITE_BYTES: usize = 16 * 1024;
 /// Time after which it is tried again to start the thread.
@@ -42,6 +44,8 @@
     /// Text of a line that hasn't ended.
     text: Vec<u8>,
     thread: Arc<Mutex<Thread>>,
+    /// Bytes of the lines that wait.
+    queued_bytes: Arc<AtomicUsize>,
     dropped: Arc<AtomicUsize>,
     unwritten: Arc<AtomicUsize>,
 }
@@ -63,19 +67,22 @@
         let unwritten = Arc::new(AtomicUsize::new(0));
         // Both stay here while the system has no thread for them.
         let parts = Arc::new(Mutex::new(Some((waiting, LineOutput::new(output)))));
-        let lost = Arc::clone(&unwritten);
+        let queued_bytes: Arc<AtomicUsize> = Arc::default();
+        let (queued, lost) = (Arc::clone(&queued_bytes), Arc::clone(&unwritten));
         let start = move || {
-            let (parts, lost) = (Arc::clone(&parts), Arc::clone(&lost));
+            let (parts, queued, lost) =
+                (Arc::clone(&parts), Arc::clone(&queued), Arc::clone(&lost));
             let run = move || {
                 let parts = parts.lock().unwrap_or_else(PoisonError::into_inner).take();
                 if let Some((waiting, mut output)) = parts {
-                    write_all(&waiting, &mut output, &lost);
+                    write_all(&waiting, &mut output, &queued, &lost);
                 }
             };
             builder().name("log".to_owned()).spawn(run).map(drop)
         };
         let thread = Arc::new(Mutex::new(Thread::Due(Instant::now(), Box::new(start))));
-        let queue = Self { items, text: Vec::new(), thread, dropped: Arc::default(), unwritten };
+        let dropped = Arc::default();
+        let queue = Self { items, text: Vec::new(), thread, queued_bytes, dropped, unwritten };
         queue.ensure_thread(Instant::now());
         queue
     }
@@ -101,7 +108,11 @@
 
     fn push(&self, line: Vec<u8>) {
         self.ensure_thread(Instant::now());
-        if self.items.try_send(Item::Line(line)).is_err() {
+        let length = line.len();
+        let queued = self.queued_bytes.fetch_add(length, Ordering::Relaxed);
+        let has_room = queued + length <= MAX_QUEUED_BYTES;
+        if !has_room || self.items.try_send(Item::Line(line)).is_err() {
+            self.queued_bytes.fetch_sub(length, Ordering::Relaxed);
             self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -145,6 +156,7 @@
 fn write_all<W: Write>(
     waiting: &Receiver<Item>,
     output: &mut LineOutput<W>,
+    queued_bytes: &AtomicUsize,
     unwritten: &AtomicUsize,
 ) {
     let mut lines = Vec::new();
@@ -161,6 +173,7 @@
             }
         }
         unwritten.fetch_add(output.write(&lines), Ordering::Relaxed);
+        queued_bytes.fetch_sub(lines.len(), Ordering::Relaxed);
         lines.clear();
         if let Some(tx) = flushed {
             // Whoever asked may have given up.
--- a/tests/log_output.rs
+++ b/tests/log_output.rs
@@ -4,12 +4,18 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread;
 use std::thread::Builder;
 
 use tamaracklead::telemetry::LineOutput;
 use tamaracklead::telemetry::LogQueue;
 use tamaracklead::telemetry::LostLines;
 
+/// Length of a line with the longest path of a caller.
+const LONG_LINE_BYTES: usize = 128 * 1024;
+const LONG_LINES: usize = 200;
+/// Bytes of lines that may wait, far below what a process may take.
+const MAX_WAITING_BYTES: usize = 4 * 1024 * 1024;
 /// More lines than may wait.
 const MANY_LINES: usize = 10_000;
 
@@ -133,8 +139,50 @@
     };
     let mut queue = LogQueue::start(room.clone(), builder);
     queue.write_all(b"before\n").unwrap();
-    std::thread::sleep(std::time::Duration::from_millis(1100));
+    thread::sleep(std::time::Duration::from_millis(1100));
     queue.write_all(b"after\n").unwrap();
     queue.flush_all();
     assert_eq!(room.text(), "before\nafter\n");
 }
+
+/// Output that takes nothing and never returns.
+struct Stuck;
+
+impl Write for Stuck {
+    fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+        loop {
+            thread::park();
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against memory that lines with the long paths and names of others take while nobody reads the log.
+#[test]
+fn long_lines_that_wait_take_bounded_memory() {
+    let mut queue = LogQueue::start(Stuck, Builder::new);
+    let line = format!("{}\n", "x".repeat(LONG_LINE_BYTES));
+    for _ in 0..LONG_LINES {
+        queue.write_all(line.as_bytes()).unwrap();
+    }
+    let waiting = LONG_LINES - queue.lost_lines().dropped;
+    assert!(waiting * line.len() <= MAX_WAITING_BYTES, "{waiting} lines");
+    assert!(waiting > 1);
+}
+
+/// Guards against room that lines keep after they were written.
+#[test]
+fn written_long_lines_make_room_for_others() {
+    let room = Room::new(usize::MAX);
+    let mut queue = LogQueue::start(room.clone(), Builder::new);
+    let line = format!("{}\n", "x".repeat(LONG_LINE_BYTES));
+    for _ in 0..LONG_LINES {
+        queue.write_all(line.as_bytes()).unwrap();
+        queue.flush_all();
+    }
+    assert_eq!(queue.lost_lines(), unwritten(0));
+    assert_eq!(room.taken.lock().unwrap().len(), LONG_LINES * line.len());
+}
