Encode names of pages in paths of the configuration service

A page's name stood in the path as it was: one with a blank made no valid URI, one with `?` or `#` named another page, so that the configuration was never taken. PathSegment encodes it.

--- a/src/edge/config_client.rs
+++ b/src/edge/config_client.rs
@@ -8,6 +8,7 @@
 
 use super::HttpCall;
 use super::HttpClient;
+use super::path_segment::PathSegment;
 use crate::error::Error;
 use crate::error::ErrorKind;
 use crate::error::Result;
@@ -64,7 +65,7 @@
     ///
     /// As for [`Self::root`].
     pub async fn page(&self, name: &PageName) -> Result<Bytes> {
-        self.read(format!("/v1/pages/{name}"), READ_TIMEOUT).await
+        self.read(format!("/v1/pages/{}", PathSegment(name.as_str())), READ_TIMEOUT).await
     }
 
     async fn read(&self, path: String, wait: Duration) -> Result<Bytes> {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -18,6 +18,7 @@
 mod http_server;
 mod listing_client;
 mod metered_body;
+mod path_segment;
 mod peer_call;
 mod peer_client;
 mod peer_path;
