Bound the length of log lines

A refused request is logged with its path (up to 64 KiB) and id (up to the 128 KiB of a head), an item that can't be decoded with an error that quotes its value. In lines above 16 KiB texts are now cut to 512 characters and lists to 16 entries; the line stays one of JSON.

The test failed before (a line of 60,111 bytes) and passes.

--- a/src/relay/log_event.rs
+++ b/src/relay/log_event.rs
@@ -7,6 +7,7 @@
 
 use super::attempt_failure::AttemptFailure;
 use super::caller_account::RefusedKey;
+use super::log_line;
 use super::node::unix_ms;
 use super::version_source::VersionSource;
 
@@ -359,9 +360,9 @@
     event: &'a E,
 }
 
-/// Writes a [`LogEvent`], or an event of another such list, to the log as one JSON line.
+/// Writes a [`LogEvent`], or an event of another such list, to the log as one JSON line of bounded length.
 pub fn record<E: Serialize>(event: &E) {
-    match serde_json::to_string(&LogLine { at_ms: unix_ms(), event }) {
+    match log_line::encode(&LogLine { at_ms: unix_ms(), event }) {
         Ok(line) => log::info!("{line}"),
         Err(e) => log::error!("log event can't be encoded as JSON and is dropped: {e}"),
     }
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -37,6 +37,7 @@
 mod listing;
 mod loads;
 mod log_event;
+mod log_line;
 mod metrics;
 mod node;
 mod notices;
--- a/tests/log_output.rs
+++ b/tests/log_output.rs
@@ -11,7 +11,7 @@
 use tamaracklead::telemetry::LogQueue;
 use tamaracklead::telemetry::LostLines;
 
-/// Length of a line with the longest path of a caller.
+/// Length of a line with the longest id of a caller.
 const LONG_LINE_BYTES: usize = 128 * 1024;
 const LONG_LINES: usize = 200;
 /// Bytes of lines that may wait, far below what a process may take.
