Keep what a view has when the store's history is lost

What callers saw: once a store had discarded its history and couldn't be listed anew, each instance that started afterwards was never ready though all others were ready and served; where it was the operator's topic, all running instances turned away every request within seconds. Cause: 'complete up to which revision' and 'changes can be followed from there' were one field, which a lost history cleared. A view without a revision has nothing for a peer that starts, and takes whatever a peer has for changes that it lacks itself. Change: the revision stays; a gap is a fact of its own, which only decides whether the store is polled or listed. A listing after a gap is sent whole to peers from before it, as what was written and removed in between isn't known.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -76,6 +76,8 @@
     /// Revision after which there's a tombstone of every removal.
     tombstones_complete_after: u64,
     as_of: Option<u64>,
+    /// Whether changes after `as_of` were missed, so that nothing can be followed from there.
+    has_gap: bool,
     newest_shared: u64,
     current_at: Option<Timestamp>,
     last_requested: Option<Timestamp>,
@@ -99,11 +101,16 @@
     }
 
     /// Revision up to which the view is complete; `None` until everything was read once, and again
-    /// after changes were missed or the store was restored.
+    /// after the store was restored.
     pub fn as_of(&self) -> Option<u64> {
         self.as_of.filter(|_| self.highest_era <= self.era)
     }
 
+    /// Revision after which changes can be followed; `None` if everything has to be listed first.
+    pub fn followed_to(&self) -> Option<u64> {
+        self.as_of().filter(|_| !self.has_gap)
+    }
+
     /// Era of the revisions; 0 until it is known.
     pub fn era(&self) -> u64 {
         self.era
@@ -186,6 +193,7 @@
         self.tombstones.clear();
         self.newest_shared = 0;
         self.as_of = None;
+        self.has_gap = false;
         self.lacked = None;
         self.outage_ended = Some(now);
         true
@@ -292,11 +300,23 @@
             self.old_until = None;
         }
         self.on_contact(at);
+        self.has_gap &= self.as_of >= Some(as_of);
         self.as_of = self.as_of.max(Some(as_of));
         self.lacked = self.lacked.filter(|lacked| Some(lacked.rev) > self.as_of);
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Records that a listing of revision `as_of` is applied, which was current at `at`. What was written
+    /// and removed again in a gap before it isn't known.
+    pub fn on_listed(&mut self, as_of: u64, at: Timestamp) {
+        if self.has_gap {
+            self.has_gap = false;
+            self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
+            self.newest_shared = self.newest_shared.max(as_of);
+        }
+        self.on_complete(as_of, at);
+    }
+
     /// Records that the listing which was just applied may be old, so that the view isn't current.
     pub fn on_old_listing(&mut self, now: Timestamp) {
         self.old_until = Some(now + OLD_LISTING_WAIT);
@@ -304,9 +324,10 @@
         self.followed_since = None;
     }
 
-    /// Records that changes were missed, so that everything has to be read again.
+    /// Records that changes were missed, so that everything has to be read again. What the view has
+    /// still holds as of its revision.
     pub fn on_history_lost(&mut self) {
-        self.as_of = None;
+        self.has_gap = true;
         self.followed_since = None;
     }
 
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -95,11 +95,11 @@
     }
 }
 
-/// Begins a read; returns the revision up to which the view is complete.
+/// Begins a read; returns the revision after which changes can be followed.
 fn begin_read(node: &Node, topic: PublishedTopic) -> Option<u64> {
     let mut view = node.view(topic);
     view.reads.on_begin(node.now());
-    view.as_of()
+    view.followed_to()
 }
 
 /// Whether this instance reads a topic itself: it is one of the readers, or its view is
@@ -316,7 +316,7 @@
     let source = Source { is_restored, outage_ended, peer: None };
     let has_changes = apply_events(node, topic, &events, source);
     let mut view = node.view(topic);
-    view.on_complete(as_of, now);
+    view.on_listed(as_of, now);
     view.on_store_read();
     has_changes
 }
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -247,3 +247,46 @@
     other.on_complete(7, at(30));
     assert_eq!(other.lacks_for(at(40)), None);
 }
+
+// Guards against instances that can't list anew after a loss of history and then have nothing for one that
+// starts, and that take what they all have for changes which they lack.
+#[test]
+fn a_view_whose_history_is_lost_still_has_what_it_had_for_peers() {
+    let (mut one, mut two, mut new) =
+        (PublishedView::default(), PublishedView::default(), PublishedView::default());
+    for view in [&mut one, &mut two] {
+        view.on_listed(8, at(0));
+        apply(view, &written("a", 9));
+        view.on_complete(9, at(10));
+        view.on_history_lost();
+        assert_eq!((view.as_of(), view.followed_to()), (Some(9), None));
+    }
+    assert!(!two.on_peer_digest(at(20), &one.digest(at(20)), false));
+    assert_eq!(two.lacks_for(at(9000)), None);
+    assert!(new.on_peer_digest(at(20), &one.digest(at(20)), true));
+    let changes = one.changes_after(at(20), 0, new.as_of());
+    catch_up(20, &mut new, changes);
+    assert_eq!(keys(&new), [("a".to_owned(), 9)]);
+    assert!(new.is_usable(at(20)));
+}
+
+// Guards against an item that stays at a peer, as it was written and removed while this view had lost the
+// history: a peer from before the listing is sent all items.
+#[test]
+fn a_listing_after_a_loss_of_history_is_sent_whole_to_peers_from_before_it() {
+    let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+    reader.on_listed(5, at(0));
+    other.on_listed(5, at(0));
+    apply(&mut other, &written("x", 7));
+    other.on_complete(7, at(10));
+    reader.on_history_lost();
+    for event in reader.changes_to(vec![item("a", 4)], 9) {
+        apply(&mut reader, &event);
+    }
+    reader.on_listed(9, at(20));
+    assert!(other.on_peer_digest(at(30), &reader.digest(at(30)), false));
+    let changes = reader.changes_after(at(30), 0, other.as_of());
+    assert!(changes.whole);
+    catch_up(30, &mut other, changes);
+    assert_eq!(keys(&other), [("a".to_owned(), 4)]);
+}
