List in another way where listings fail again and again

An instance that couldn't read a listing asked for the same one for ever: a start never got ready, and an instance that had lost the history took no configuration any more, while it said that it was ready.

ListingPlan decides on the next way after two listings that can't be read (eight that break off): one that may be old, a current one, the configuration alone for the operator's topic, and then what there is of a listing that breaks off. A part is taken without taking anything for removed; changes are followed from its revision on, and the whole is tried again after 10 s, doubling to 300 s. A view of a part tells peers of no complete revision, asks them for everything also as a reader, and proves the configuration only if it has it. Once all ways have failed there are pauses of 1 to 5 s. A store that gives no answer, or 429 or 5xx, is asked as before; a listing without an end isn't taken. `listing_changed`, `part_taken` and `listed_whole` say in the log which way an instance reads.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -71,6 +71,10 @@
     /// Revision after which there's a tombstone of every removal.
     tombstones_complete_after: u64,
     as_of: Option<u64>,
+    /// Revision up to which changes are followed although the view is incomplete.
+    followed_to: Option<u64>,
+    /// Whether the part that was listed has what matters most.
+    has_main_part: bool,
     newest_shared: u64,
     current_at: Option<Timestamp>,
     last_requested: Option<Timestamp>,
@@ -99,6 +103,17 @@
         self.as_of.filter(|_| self.highest_era <= self.era)
     }
 
+    /// Revision from which changes can be followed: that of a complete view, or that of the part which
+    /// was listed.
+    pub fn followed_to(&self) -> Option<u64> {
+        self.as_of().or(self.followed_to.filter(|_| self.highest_era <= self.era))
+    }
+
+    /// Whether the view has what the topic matters most for, up to the revision that is followed.
+    pub fn has_main_part(&self) -> bool {
+        self.as_of().is_some() || self.followed_to().is_some() && self.has_main_part
+    }
+
     /// Era of the revisions; 0 until it is known.
     pub fn era(&self) -> u64 {
         self.era
@@ -179,6 +194,7 @@
             known.shared_rev = 0;
         }
         self.tombstones.clear();
+        self.followed_to = None;
         self.newest_shared = 0;
         self.as_of = None;
         self.lacked = None;
@@ -288,10 +304,33 @@
         }
         self.on_contact(at);
         self.as_of = self.as_of.max(Some(as_of));
+        self.followed_to = None;
         self.lacked = self.lacked.filter(|lacked| Some(lacked.rev) > self.as_of);
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Records that a part of the items of revision `as_of` is applied, so that changes can be followed
+    /// from there on, but nothing of the others is known.
+    /// `has_main_part` is whether it has what the topic matters most for.
+    pub fn on_part(&mut self, as_of: u64, at: Timestamp, has_main_part: bool) {
+        self.has_main_part = has_main_part;
+        self.as_of = None;
+        self.followed_since = None;
+        self.followed_to = Some(as_of);
+        self.was_listed = true;
+        self.old_until = None;
+        self.on_contact(at);
+        self.current_at = self.current_at.max(Some(at));
+    }
+
+    /// Records that the changes up to `as_of` that follow on the view were applied.
+    pub fn on_followed(&mut self, as_of: u64, at: Timestamp) {
+        match self.as_of() {
+            Some(_) => self.on_complete(as_of, at),
+            None => self.on_part(as_of, at, self.has_main_part),
+        }
+    }
+
     /// Records that the listing which was just applied may be old, so that the view isn't current.
     pub fn on_old_listing(&mut self, now: Timestamp) {
         self.old_until = Some(now + OLD_LISTING_WAIT);
@@ -302,6 +341,7 @@
     /// Records that changes were missed, so that everything has to be read again.
     pub fn on_history_lost(&mut self) {
         self.as_of = None;
+        self.followed_to = None;
         self.followed_since = None;
     }
 
@@ -330,7 +370,8 @@
         if peer.era < self.era {
             return false;
         }
-        let relies_on_peers = !is_reader || self.are_reads_failing(now);
+        let is_part = self.followed_to.is_some();
+        let relies_on_peers = !is_reader || is_part || self.are_reads_failing(now);
         if !is_newer_era && self.as_of().is_some_and(|as_of| as_of >= peer.newest) {
             if self.as_of().is_some_and(|as_of| as_of < peer.removals_after) {
                 // An item may have been removed in between that the peer never knew. All of its items
--- a/src/relay/listing.rs
+++ b/src/relay/listing.rs
@@ -13,12 +13,15 @@
 use tokio::time::timeout;
 
 use super::OddItem;
+use super::PublishedPage;
 use super::PublishedTopic;
 use super::node::Node;
 use super::store_call;
 use super::store_call::StoreFailure;
 use super::store_call::StoreResponse;
 use crate::decide::traffic::EraCheck;
+use crate::decide::traffic::ListingFailure;
+use crate::decide::traffic::ListingWay;
 use crate::decide::traffic::OverlappingCalls;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
@@ -31,85 +34,133 @@
 /// Largest size of all pages together, in bytes.
 const MAX_LISTING_BYTES: usize = 16 * 1024 * 1024;
 
-/// All items of a topic.
+/// Items of a topic.
+#[derive(Default)]
 pub struct Listing {
     /// The items, by key.
     pub items: Vec<PublishedItem>,
     /// Items that can't be read, or not in full.
     pub odd: Vec<OddItem>,
-    /// Revision of the published state that the first page reflects.
-    pub as_of: u64,
-    /// Era of that revision; 0 if the store names none.
-    pub era: u64,
+    /// Revision of the published state that the first page reflects; `None` before there is one.
+    pub as_of: Option<u64>,
+    /// Era of that revision; `None` if the store names none.
+    pub era: Option<u64>,
     /// When the call for the first page was sent, by the clock that counts suspended time; `None`
     /// if it can't be read.
     pub asked_at: Option<Timestamp>,
     /// Time in which the bodies of the pages arrived.
     pub body_time: Duration,
+    size: usize,
 }
 
-/// Lists a topic; with `may_be_old` the listing may be some seconds old.
+/// Why a listing isn't complete.
+pub struct ListingFault {
+    /// Kind of the failure.
+    pub kind: ListingFailure,
+    /// What was observed.
+    pub detail: String,
+    /// What was listed before.
+    pub read: Listing,
+}
+
+/// Lists a topic.
 ///
 /// # Errors
 ///
 /// Why the listing isn't complete.
-pub async fn read(node: &Node, topic: PublishedTopic, may_be_old: bool) -> Result<Listing, String> {
-    let pages = read_pages(node, topic, may_be_old);
-    let late = || Err(format!("the listing isn't complete in {} s", LISTING_TIMEOUT.as_secs()));
-    timeout(LISTING_TIMEOUT, pages).await.unwrap_or_else(|_| late())
+pub async fn read(
+    node: &Node,
+    topic: PublishedTopic,
+    way: ListingWay,
+) -> Result<Listing, ListingFault> {
+    let mut listing = Listing::default();
+    let pages = read_pages(node, topic, way, &mut listing);
+    let late = || {
+        let detail = format!("the listing isn't complete in {} s", LISTING_TIMEOUT.as_secs());
+        Err((ListingFailure::Endless, detail))
+    };
+    match timeout(LISTING_TIMEOUT, pages).await.unwrap_or_else(|_| late()) {
+        Ok(()) => Ok(listing),
+        Err((ListingFailure::Unanswered, detail)) if listing.as_of.is_some() => {
+            Err(ListingFault { kind: ListingFailure::CutOff, detail, read: listing })
+        }
+        Err((kind, detail)) => Err(ListingFault { kind, detail, read: listing }),
+    }
 }
 
 async fn read_pages(
     node: &Node,
     topic: PublishedTopic,
-    may_be_old: bool,
-) -> Result<Listing, String> {
-    let mut items: Vec<PublishedItem> = Vec::new();
-    let mut odd = Vec::new();
+    way: ListingWay,
+    listing: &mut Listing,
+) -> Result<(), (ListingFailure, String)> {
+    let part_path =
+        (way == ListingWay::Part).then(|| node.protocol.list_part_path(topic)).flatten();
     let mut after: Option<Vec<u8>> = None;
     let mut followed = HashSet::new();
-    let mut as_of = None;
-    let mut listed_era = None;
-    let mut first_asked_at = None;
-    let mut size = 0;
-    let mut body_time = Duration::ZERO;
     loop {
-        let path = node.protocol.list_path(topic, after.as_deref(), may_be_old);
-        let response = if may_be_old {
-            read_page_by_overlapping_calls(node, &path).await?
+        let whole_path = || node.protocol.list_path(topic, after.as_deref(), way.may_be_old());
+        let path = part_path.clone().unwrap_or_else(whole_path);
+        let response = if way.may_be_old() {
+            read_page_by_overlapping_calls(node, &path).await
         } else {
-            store_call::get(node, path, PAGE_TIMEOUT).await?
+            store_call::get(node, path, PAGE_TIMEOUT).await
         };
-        let StoreResponse { status, era, body, body_time: page_time, asked_at } = response;
-        body_time += page_time;
-        if status != 200 {
-            return Err(format!("listing returned status {status}"));
-        }
-        if node.view(topic).on_store_era(era) == EraCheck::Older
-            || *listed_era.get_or_insert(era) != era
-        {
-            return Err("the store was restored during the listing".to_owned());
-        }
-        first_asked_at.get_or_insert(asked_at);
-        size += body.len();
-        if size > MAX_LISTING_BYTES {
-            return Err(format!("the listing exceeds {MAX_LISTING_BYTES} bytes"));
-        }
-        let page = node.protocol.decode_list(&body).map_err(|e| e.to_string())?;
-        as_of.get_or_insert(page.as_of);
-        items.extend(page.events.into_iter().filter_map(written_item));
-        odd.extend(page.odd);
-        if !page.has_more {
-            break;
+        let response = response.map_err(|e| (ListingFailure::Unanswered, e.detail))?;
+        let page = take_page(node, topic, response, listing)?;
+        if !page.has_more || part_path.is_some() {
+            return Ok(());
         }
         let Some(last_key) = page.last_key.filter(|key| followed.insert(key.clone())) else {
-            return Err("the keys of the listing don't advance".to_owned());
+            let detail = "the keys of the listing don't advance".to_owned();
+            return Err((ListingFailure::Unreadable, detail));
         };
         after = Some(last_key);
     }
-    let era = listed_era.flatten().unwrap_or_default();
-    let asked_at = first_asked_at.flatten();
-    Ok(Listing { items, odd, as_of: as_of.unwrap_or_default(), era, asked_at, body_time })
+}
+
+/// Adds the items of a page to the listing; returns the page without them.
+fn take_page(
+    node: &Node,
+    topic: PublishedTopic,
+    response: StoreResponse,
+    listing: &mut Listing,
+) -> Result<PublishedPage, (ListingFailure, String)> {
+    let StoreResponse { status, era, body, body_time, asked_at } = response;
+    listing.body_time += body_time;
+    if status != 200 {
+        return Err((failure_of_status(status), format!("listing returned status {status}")));
+    }
+    if node.view(topic).on_store_era(era) == EraCheck::Older
+        || listing.as_of.is_some() && listing.era != era
+    {
+        let detail = "the store was restored during the listing".to_owned();
+        return Err((ListingFailure::Unanswered, detail));
+    }
+    listing.size += body.len();
+    if listing.size > MAX_LISTING_BYTES {
+        let detail = format!("the listing exceeds {MAX_LISTING_BYTES} bytes");
+        return Err((ListingFailure::Endless, detail));
+    }
+    let page = node.protocol.decode_list(&body);
+    let mut page = page.map_err(|e| (ListingFailure::Unreadable, e.to_string()))?;
+    if listing.as_of.is_none() {
+        listing.as_of = Some(page.as_of);
+        listing.era = era;
+        listing.asked_at = asked_at;
+    }
+    let events = std::mem::take(&mut page.events);
+    listing.items.extend(events.into_iter().filter_map(written_item));
+    listing.odd.append(&mut page.odd);
+    Ok(page)
+}
+
+/// A store that is in trouble refuses for the time being.
+fn failure_of_status(status: u16) -> ListingFailure {
+    match status {
+        429 | 500..=599 => ListingFailure::Unanswered,
+        _ => ListingFailure::Unreadable,
+    }
 }
 
 /// Calls for a page until the answer to a call begins, or one fails while no other one is pending. A page that may
--- a/src/relay/protocol.rs
+++ b/src/relay/protocol.rs
@@ -275,6 +275,10 @@
     /// text. With `may_be_old` the listing may be some seconds old, which costs the store less.
     fn list_path(&self, topic: PublishedTopic, after: Option<&[u8]>, may_be_old: bool) -> String;
 
+    /// Path that lists the part of a topic without which nothing can be served, on one page; `None` if
+    /// the topic has no such part.
+    fn list_part_path(&self, topic: PublishedTopic) -> Option<String>;
+
     /// Path of a long poll of up to `wait` for changes of a topic after revision `after`.
     fn watch_path(&self, topic: PublishedTopic, after: u64, wait: Duration) -> String;
 
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -15,6 +15,7 @@
 use super::PublishedTopic;
 use super::listing;
 use super::listing::Listing;
+use super::listing::ListingFault;
 use super::listing::written_item;
 use super::log_event::LogEvent;
 use super::log_event::record;
@@ -25,6 +26,9 @@
 use super::store_event::StoreEvent;
 use crate::decide::rendezvous;
 use crate::decide::traffic::EraCheck;
+use crate::decide::traffic::ListingFailure;
+use crate::decide::traffic::ListingPlan;
+use crate::decide::traffic::ListingWay;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::ViewChanges;
 use crate::decide::transfer::NextRead;
@@ -58,17 +62,24 @@
 /// Reads one topic, whenever this instance has to, until the process ends.
 pub async fn follow(node: Arc<Node>, topic: PublishedTopic) {
     let mut pace = ReadPace::default();
+    let mut plan = ListingPlan::new(node.protocol.list_part_path(topic).is_some());
     loop {
         if !must_read(&node, topic) {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let as_of = node.view(topic).as_of();
-        let step = match (as_of, pace.next()) {
-            (None, _) => list(&node, topic, &mut pace).await,
+        let followed_to = node.view(topic).followed_to();
+        let step = match (followed_to, pace.next()) {
+            (None, _) => {
+                plan.on_part_lost();
+                list(&node, topic, &mut pace, &mut plan).await
+            }
+            (Some(_), _) if is_whole_due(&node, topic, &plan) => {
+                list(&node, topic, &mut pace, &mut plan).await
+            }
             (Some(_), NextRead::List(pause)) => {
                 sleep(pause).await;
-                list(&node, topic, &mut pace).await
+                list(&node, topic, &mut pace, &mut plan).await
             }
             (Some(as_of), NextRead::Poll) => watch(&node, topic, as_of, &mut pace).await,
         };
@@ -92,6 +103,11 @@
     }
 }
 
+/// Whether the whole of a topic is to be listed of which only a part was taken.
+fn is_whole_due(node: &Node, topic: PublishedTopic, plan: &ListingPlan) -> bool {
+    node.view(topic).as_of().is_none() && plan.is_whole_due(node.now())
+}
+
 /// Whether this instance reads a topic itself: it is one of the readers, or its view is
 /// incomplete or out of date.
 fn must_read(node: &Node, topic: PublishedTopic) -> bool {
@@ -208,11 +224,30 @@
     is_restored
 }
 
-async fn list(node: &Node, topic: PublishedTopic, pace: &mut ReadPace) -> Result<bool, String> {
+async fn list(
+    node: &Node,
+    topic: PublishedTopic,
+    pace: &mut ReadPace,
+    plan: &mut ListingPlan,
+) -> Result<bool, String> {
     // The watch that follows brings an old listing up to date.
-    let may_be_old = !node.view(topic).was_listed();
-    let listing = listing::read(node, topic, may_be_old).await?;
-    let (era, asked_at, body_time) = (listing.era, listing.asked_at, listing.body_time);
+    let was_listed = node.view(topic).was_listed();
+    let way = plan.way(was_listed);
+    let listing = match listing::read(node, topic, way).await {
+        Ok(part) if way == ListingWay::Part => {
+            take_part(node, topic, way, part, "the whole can't be listed");
+            plan.on_part(node.now());
+            return Ok(false);
+        }
+        Ok(listing) => listing,
+        Err(fault) => return on_listing_fault(node, topic, plan, way, fault).await,
+    };
+    if plan.on_whole() {
+        record(&StoreEvent::ListedWhole { topic: topic.name(), way: way.name() });
+    }
+    let may_be_old = way.may_be_old();
+    let (asked_at, body_time) = (listing.asked_at, listing.body_time);
+    let era = listing.era.unwrap_or_default();
     let has_changes = apply_listing(node, topic, listing);
     pace.on_answer(body_time, has_changes && !may_be_old);
     if may_be_old {
@@ -263,6 +298,52 @@
     Ok(changed)
 }
 
+/// Takes what there is of a listing if there's no other way, or has the next one made in another way.
+async fn on_listing_fault(
+    node: &Node,
+    topic: PublishedTopic,
+    plan: &mut ListingPlan,
+    way: ListingWay,
+    fault: ListingFault,
+) -> Result<bool, String> {
+    let ListingFault { kind, detail, read } = fault;
+    let is_usable = read.as_of.is_some() && kind != ListingFailure::Endless;
+    if way == ListingWay::Incomplete && is_usable {
+        take_part(node, topic, way, read, &detail);
+        plan.on_part(node.now());
+        return Ok(false);
+    }
+    let was_listed = node.view(topic).was_listed();
+    if plan.on_failure(node.now(), kind, was_listed) {
+        let way = plan.way(was_listed).name();
+        record(&StoreEvent::ListingChanged { topic: topic.name(), way, detail: &detail });
+    }
+    if node.view(topic).followed_to().is_some() {
+        // Changes are followed all the same.
+        return Ok(false);
+    }
+    sleep(plan.pause()).await;
+    Err(detail)
+}
+
+/// Applies a part of a listing, of which nothing shows what was removed.
+fn take_part(node: &Node, topic: PublishedTopic, way: ListingWay, part: Listing, detail: &str) {
+    let as_of = part.as_of.unwrap_or_default();
+    let (topic_name, way, items) = (topic.name(), way.name(), part.items.len());
+    record(&StoreEvent::PartTaken { topic: topic_name, way, as_of, items, detail });
+    let now = node.now();
+    node.view(topic).on_contact(now);
+    let is_restored = begin_era(node, topic, now, part.era.unwrap_or_default());
+    let is_config = |item| matches!(node.protocol.decode_config(item), Ok(Some(_)));
+    let has_config = part.items.iter().any(is_config);
+    part.odd.iter().for_each(|item| record_odd(node, topic, item));
+    let events: Vec<PublishedEvent> = part.items.into_iter().map(PublishedEvent::Written).collect();
+    let outage_ended = node.view(topic).outage_ended();
+    let source = Source { is_restored, outage_ended, peer: None };
+    apply_events(node, topic, &events, source);
+    node.view(topic).on_part(as_of, now, has_config);
+}
+
 /// Longest time for which the next poll of a topic waits.
 fn watch_wait(node: &Node, topic: PublishedTopic) -> Duration {
     if !node.view(topic).is_current(node.now()) || is_proof_due(node, topic) {
@@ -277,8 +358,11 @@
 /// Records that a whole and current answer of the store was applied: it proves the configuration
 /// unless it is of another era than the view.
 fn on_proof(node: &Node, topic: PublishedTopic, era: Option<u64>, asked_at: Option<Timestamp>) {
-    let is_same_era = era.unwrap_or_default() == node.view(topic).era();
-    if topic == PublishedTopic::Operator && is_same_era {
+    let view = node.view(topic);
+    let is_same_era = era.unwrap_or_default() == view.era();
+    let has_config = view.has_main_part();
+    drop(view);
+    if topic == PublishedTopic::Operator && is_same_era && has_config {
         node.freshness.on_read(asked_at);
     }
 }
@@ -292,6 +376,7 @@
 /// Applies a listing; returns whether anything has changed.
 fn apply_listing(node: &Node, topic: PublishedTopic, listing: Listing) -> bool {
     let Listing { items, odd, as_of, era, .. } = listing;
+    let (as_of, era) = (as_of.unwrap_or_default(), era.unwrap_or_default());
     let now = node.now();
     node.view(topic).on_contact(now);
     let is_restored = begin_era(node, topic, now, era);
@@ -319,7 +404,7 @@
     page.odd.iter().for_each(|item| record_odd(node, topic, item));
     apply_events(node, topic, &page.events, source);
     let mut view = node.view(topic);
-    view.on_complete(page.as_of, now);
+    view.on_followed(page.as_of, now);
     view.on_store_read();
     drop(view);
     !page.events.is_empty()
--- a/src/relay/store_event.rs
+++ b/src/relay/store_event.rs
@@ -29,6 +29,35 @@
         /// Part of the published state.
         topic: &'a str,
     },
+    /// Listings of a part of the published state fail, so the next one is made in another way.
+    ListingChanged {
+        /// Part of the published state.
+        topic: &'a str,
+        /// The next way.
+        way: &'a str,
+        /// Why the last listing failed.
+        detail: &'a str,
+    },
+    /// The whole of a part of the published state was listed after listings had failed.
+    ListedWhole {
+        /// Part of the published state.
+        topic: &'a str,
+        /// Way in which it was listed.
+        way: &'a str,
+    },
+    /// What could be read of a listing was taken; nothing counts as removed, and changes are followed.
+    PartTaken {
+        /// Part of the published state.
+        topic: &'a str,
+        /// Way in which it was listed.
+        way: &'a str,
+        /// Revision from which changes are followed.
+        as_of: u64,
+        /// Number of items.
+        items: usize,
+        /// Why there is no more.
+        detail: &'a str,
+    },
     /// The changes after a revision are no longer kept; everything is listed anew.
     HistoryLost {
         /// Part of the published state.
