Take the items of a peer that lost the history too

A peer's items counted only together with the revision up to which they are complete. If all instances lost the history at once and the store's listings couldn't be read, those that ran went on with their items, and one that started got none of them and never got ready. It now takes what such a peer has, as long as it has nothing itself; nothing counts as removed, and it goes on listing.

Before this change an_instance_that_cannot_list_takes_the_items_of_a_peer_that_lost_the_history failed ("not in time: ready"); it passed with it.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -331,6 +331,11 @@
         }
     }
 
+    /// Records that the items of a peer were applied which has no complete view either.
+    pub fn on_peer_part(&mut self) {
+        self.was_listed = true;
+    }
+
     /// Records that the listing which was just applied may be old, so that the view isn't current.
     pub fn on_old_listing(&mut self, now: Timestamp) {
         self.old_until = Some(now + OLD_LISTING_WAIT);
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -160,7 +160,10 @@
     changes: ViewChanges,
     peer: SocketAddr,
 ) {
-    let Some(as_of) = changes.as_of else { return };
+    let Some(as_of) = changes.as_of else {
+        take_peer_part(node, topic, changes, peer);
+        return;
+    };
     let now = node.now();
     let known_era = node.view(topic).era();
     let is_other_era = changes.era != known_era;
@@ -191,6 +194,24 @@
     node.view(topic).on_complete(as_of, now - age);
 }
 
+/// Takes the items of a peer that has no complete view itself, where this instance has none at all.
+fn take_peer_part(node: &Node, topic: PublishedTopic, changes: ViewChanges, peer: SocketAddr) {
+    let now = node.now();
+    if !changes.whole || node.view(topic).was_listed() || changes.era < node.view(topic).era() {
+        return;
+    }
+    let events = changes.events;
+    if events.is_empty() {
+        return;
+    }
+    let (topic_name, count) = (topic.name(), events.len());
+    record(&StoreEvent::TakenFromPeer { topic: topic_name, as_of: 0, whole: false, count });
+    begin_era(node, topic, now, changes.era);
+    let source = Source { is_restored: false, outage_ended: None, peer: Some(peer) };
+    apply_events(node, topic, &events, source);
+    node.view(topic).on_peer_part();
+}
+
 /// Whether an outage of the published state ended so recently that a removed item may have
 /// expired because of it.
 pub fn is_after_outage(now: Timestamp, outage_ended: Option<Timestamp>) -> bool {
