Merge the ways to list a topic whose listings fail

A part that is listed after a loss keeps what was complete before it: its digest tells peers only of that, and without an age.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -76,8 +76,10 @@
     /// Revision after which there's a tombstone of every removal.
     tombstones_complete_after: u64,
     as_of: Option<u64>,
-    /// Whether changes after `as_of` were missed, so that nothing can be followed from there.
-    has_gap: bool,
+    /// Revision after which changes can be followed; that of a part that was listed is above `as_of`.
+    followed_to: Option<u64>,
+    /// Whether the part that was listed has what matters most.
+    has_main_part: bool,
     newest_shared: u64,
     current_at: Option<Timestamp>,
     last_requested: Option<Timestamp>,
@@ -106,9 +108,20 @@
         self.as_of.filter(|_| self.highest_era <= self.era)
     }
 
-    /// Revision after which changes can be followed; `None` if everything has to be listed first.
+    /// Revision after which changes can be followed, that of a complete view or of a part that was
+    /// listed; `None` if something has to be listed first.
     pub fn followed_to(&self) -> Option<u64> {
-        self.as_of().filter(|_| !self.has_gap)
+        self.followed_to.filter(|_| self.highest_era <= self.era)
+    }
+
+    /// Whether changes are followed from a part on that was listed, since the whole can't be.
+    pub fn is_part(&self) -> bool {
+        self.followed_to() > self.as_of()
+    }
+
+    /// Whether the view has what the topic matters most for, up to the revision that is followed.
+    pub fn has_main_part(&self) -> bool {
+        self.followed_to().is_some() && (!self.is_part() || self.has_main_part)
     }
 
     /// Era of the revisions; 0 until it is known.
@@ -191,9 +204,9 @@
             known.shared_rev = 0;
         }
         self.tombstones.clear();
+        self.followed_to = None;
         self.newest_shared = 0;
         self.as_of = None;
-        self.has_gap = false;
         self.lacked = None;
         self.outage_ended = Some(now);
         true
@@ -300,8 +313,10 @@
             self.old_until = None;
         }
         self.on_contact(at);
-        self.has_gap &= self.as_of >= Some(as_of);
-        self.as_of = self.as_of.max(Some(as_of));
+        if self.as_of < Some(as_of) {
+            self.as_of = Some(as_of);
+            self.followed_to = self.followed_to.max(self.as_of);
+        }
         self.lacked = self.lacked.filter(|lacked| Some(lacked.rev) > self.as_of);
         self.current_at = self.current_at.max(Some(at));
     }
@@ -309,12 +324,36 @@
     /// Records that a listing of revision `as_of` is applied, which was current at `at`. What was written
     /// and removed again in a gap before it isn't known.
     pub fn on_listed(&mut self, as_of: u64, at: Timestamp) {
-        if self.has_gap {
-            self.has_gap = false;
+        let has_gap = self.as_of.is_some() && self.followed_to != self.as_of;
+        if has_gap {
             self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
             self.newest_shared = self.newest_shared.max(as_of);
         }
         self.on_complete(as_of, at);
+        self.followed_to = self.as_of;
+    }
+
+    /// Records that a part of the items of revision `as_of` is applied, so that changes can be followed
+    /// from there on, but nothing of the others is known.
+    /// `has_main_part` is whether it has what the topic matters most for.
+    pub fn on_part(&mut self, as_of: u64, at: Timestamp, has_main_part: bool) {
+        self.has_main_part = has_main_part;
+        self.followed_since = None;
+        self.followed_to = Some(as_of);
+        self.was_listed = true;
+        self.old_until = None;
+        self.lacked = self.lacked.filter(|lacked| lacked.rev > as_of);
+        self.on_contact(at);
+        self.current_at = self.current_at.max(Some(at));
+    }
+
+    /// Records that the changes up to `as_of` that follow on the view were applied.
+    pub fn on_followed(&mut self, as_of: u64, at: Timestamp) {
+        if self.is_part() {
+            self.on_part(as_of, at, self.has_main_part);
+        } else {
+            self.on_complete(as_of, at);
+        }
     }
 
     /// Records that the listing which was just applied may be old, so that the view isn't current.
@@ -327,7 +366,7 @@
     /// Records that changes were missed, so that everything has to be read again. What the view has
     /// still holds as of its revision.
     pub fn on_history_lost(&mut self) {
-        self.has_gap = true;
+        self.followed_to = None;
         self.followed_since = None;
     }
 
@@ -349,10 +388,11 @@
         Some(PendingRead { topic, pending_ms: as_millis(pending) })
     }
 
-    /// Summary of this view, for peers.
+    /// Summary of this view, for peers: of what it has beyond a complete view they needn't know.
     pub fn digest(&self, now: Timestamp) -> ViewDigest {
+        let most = if self.is_part() { self.as_of.unwrap_or_default() } else { u64::MAX };
         ViewDigest {
-            newest: self.newest_shared,
+            newest: self.newest_shared.min(most),
             as_of: self.as_of,
             age_ms: self.age_ms(now),
             era: self.era,
@@ -369,7 +409,12 @@
         if peer.era < self.era {
             return false;
         }
-        let relies_on_peers = !is_reader || self.are_reads_failing(now);
+        let is_part = self.is_part();
+        let relies_on_peers = !is_reader || is_part || self.are_reads_failing(now);
+        if is_part && !is_newer_era && self.followed_to() >= Some(peer.newest) {
+            let has_more = peer.as_of > self.as_of();
+            return has_more && self.try_request(now);
+        }
         if !is_newer_era && self.as_of().is_some_and(|as_of| as_of >= peer.newest) {
             if self.as_of().is_some_and(|as_of| as_of < peer.removals_after) {
                 // An item may have been removed in between that the peer never knew. All of its items
@@ -431,8 +476,10 @@
         }
     }
 
+    /// Age of what is complete, in ms; `None` if it isn't known.
     fn age_ms(&self, now: Timestamp) -> Option<u64> {
-        Some(as_millis(now.since(self.current_at?)))
+        let current_at = self.current_at.filter(|_| !self.is_part())?;
+        Some(as_millis(now.since(current_at)))
     }
 
     fn are_reads_failing(&self, now: Timestamp) -> bool {
