Encode the software version of a stream that is passed on

An instance that reaches no replica passes requests on; the other one names the software version of a stream's replica in a header. A version beyond ASCII, or with a control character, was left out, so that the first instance took it for the empty one and refused the caller who came back for the rest.

--- a/src/relay/pass_on.rs
+++ b/src/relay/pass_on.rs
@@ -44,7 +44,8 @@
 use crate::wire::pass_on::PASS_ON_PATH;
 use crate::wire::pass_on::PassedOnRequest;
 use crate::wire::pass_on::REASON_HEADER;
-use crate::wire::pass_on::SOFTWARE_HEADER;
+use crate::wire::software_header::SOFTWARE_HEADER;
+use crate::wire::software_header::decode_software;
 
 /// Counts a request as passed on to an instance until this guard is dropped.
 pub struct Passing {
@@ -111,15 +112,14 @@
         attempt::record_failed_attempt(request, &name, AttemptFailure::Foreign, "");
         return AttemptOutcome::NoResponse(AttemptEnd::MaybeRan);
     }
-    let software = head.headers.remove(SOFTWARE_HEADER);
-    let software = software.as_ref().and_then(|value| value.to_str().ok()).unwrap_or_default();
+    let software = head.headers.remove(SOFTWARE_HEADER).as_ref().map(decode_software);
     let progress = ResponseProgress::new(node.now());
     if request.route.kind.is_stream() && head.status == StatusCode::OK {
         let origin = Origin {
             replica: name.clone(),
             addr: passing.peer.addr,
             started_ms: 0,
-            software: SoftwareVersion::new(software),
+            software: software.unwrap_or_else(|| SoftwareVersion::new("")),
             keep_alive: None,
             is_remote: true,
         };
--- a/src/relay/passed_on.rs
+++ b/src/relay/passed_on.rs
@@ -36,7 +36,8 @@
 use crate::wire::pass_on::PassedOnAccount;
 use crate::wire::pass_on::PassedOnRequest;
 use crate::wire::pass_on::REASON_HEADER;
-use crate::wire::pass_on::SOFTWARE_HEADER;
+use crate::wire::software_header::SOFTWARE_HEADER;
+use crate::wire::software_header::encode_software;
 
 /// Counts a request of another instance as in progress until this guard is dropped.
 pub struct TakenRequestGuard(Arc<Node>);
@@ -68,8 +69,7 @@
         response.headers_mut().insert(REASON_HEADER, reason);
     }
     let software = response.extensions().get::<SoftwareVersion>();
-    let software = software.and_then(|software| HeaderValue::from_str(software.as_str()).ok());
-    if let Some(software) = software {
+    if let Some(software) = software.map(encode_software) {
         response.headers_mut().insert(SOFTWARE_HEADER, software);
     }
     Ok(response)
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -18,6 +18,7 @@
 pub mod quota;
 pub mod relay;
 pub mod send_permit;
+pub mod software_header;
 pub mod sse;
 pub mod stream_origin;
 pub mod transfer;
--- a/src/wire/pass_on.rs
+++ b/src/wire/pass_on.rs
@@ -17,8 +17,6 @@
 pub const PASS_ON_PATH: &str = "/relay/v1/pass-on";
 /// Header with the reason why the other instance generated the response itself.
 pub const REASON_HEADER: &str = "relay-reason";
-/// Header with the software version of the replica that sends a stream.
-pub const SOFTWARE_HEADER: &str = "relay-software";
 
 /// Account that a request which is passed on runs for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
