--- a/src/relay/addresses.rs
+++ b/src/relay/addresses.rs
@@ -86,11 +86,11 @@
 
     /// The addresses of the settings that aren't bound.
     pub fn unbound(&self) -> Vec<UnboundAddress> {
-        let unbound = |address: ListenAddress| UnboundAddress {
-            purpose: address.name(),
-            addr: self.socket_addr(address),
+        let unbound = |address: ListenAddress| {
+            let addr = self.socket_addr(address)?;
+            Some(UnboundAddress { purpose: address.name(), addr })
         };
-        self.listening().missing().map(unbound).collect()
+        self.listening().missing().filter_map(unbound).collect()
     }
 
     fn text_of(&self, address: ListenAddress) -> String {
