Log a start's time line

Of a start the log told what was missing and when that changed, at steps of 0.1 s, but not from whom each thing came: nobody could tell a start that a peer helped from one that read the store. start_step logs each thing that a start waits for once, with ms since the settings were read: addresses bound, joined (by whom, or that nobody answered), each topic listed (from whom, and whether it may be old), configured, ready. started has the time in which the settings were read.

--- a/src/relay/addresses.rs
+++ b/src/relay/addresses.rs
@@ -9,6 +9,7 @@
 use super::RelayListen;
 use super::log_event::record;
 use super::process_event::ProcessEvent;
+use super::start_step::StartStep;
 use crate::daemon::Clock;
 use crate::decide::listening::BindFailure;
 use crate::decide::listening::BindRetry;
@@ -46,6 +47,9 @@
             let (purpose, addr) = (address.name(), &self.text_of(address));
             record(&ProcessEvent::AddressBound { purpose, addr, waited_ms: waited.as_millis() });
         }
+        if self.listening().missing().next().is_none() {
+            StartStep::AddressesBound.record(self.clock.now());
+        }
     }
 
     /// Records that an address couldn't be bound; logs it unless that is known. Returns when it is tried
--- a/src/relay/exchange.rs
+++ b/src/relay/exchange.rs
@@ -236,7 +236,7 @@
     match reply {
         Ok(received) => {
             node.freshness.on_peer_proof(asked_at, received.config_proof);
-            node.set_joined();
+            node.set_joined(Some(addr));
             let version = received.config_proof.map(|proof| proof.version);
             apply_exchange(&node, received, Some(addr));
             if version > node.freshness.version() {
--- a/src/relay/mod.rs
+++ b/src/relay/mod.rs
@@ -79,6 +79,7 @@
 mod settings_file;
 mod settings_reader;
 mod silence;
+mod start_step;
 mod store_call;
 mod store_event;
 mod stream_item;
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of one relay share; each part has its own lock.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -30,6 +31,7 @@
 use super::pressure::Pressure;
 use super::quotas::Quotas;
 use super::replica_ownership::ReplicaOwnership;
+use super::start_step::StartStep;
 use super::usage_count::UsageCount;
 use crate::daemon::Clock;
 use crate::decide::config_freshness::ConfigProof;
@@ -427,9 +429,12 @@
         }
     }
 
-    /// Notes that a peer has replied, or that the time to wait for one is over.
-    pub fn set_joined(&self) {
-        self.joined.store(true, Ordering::Relaxed);
+    /// Notes that the peer `by` has replied, or if it is `None` that the time to wait for one is over.
+    pub fn set_joined(&self, by: Option<SocketAddr>) {
+        let was_joined = self.joined.swap(true, Ordering::Relaxed);
+        if !was_joined {
+            StartStep::Joined { by }.record(self.now());
+        }
     }
 
     /// Whether a peer has replied, or the time to wait for one is over.
--- a/src/relay/operator_items.rs
+++ b/src/relay/operator_items.rs
@@ -8,6 +8,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::published::record_undecodable;
+use super::start_step::StartStep;
 use crate::decide::traffic::PublishedEvent;
 use crate::decide::traffic::PublishedItem;
 
@@ -44,6 +45,7 @@
                 let lacked_ms = lacks_for.map(|time| time.as_millis());
                 let from = from.as_deref();
                 record(&LogEvent::ConfigTaken { version, before, rev, size, from, lacked_ms });
+                let is_first = current.is_none();
                 let config = match current {
                     Some(current) => config.after(&current),
                     None => config,
@@ -51,6 +53,9 @@
                 node.config.send_replace(Some(Arc::new(config)));
                 node.config_item.send_replace(Some(item.clone()));
                 node.freshness.on_applied(version);
+                if is_first {
+                    StartStep::Configured { version }.record(node.now());
+                }
             }
         }
         Ok(None) => {}
--- a/src/relay/process.rs
+++ b/src/relay/process.rs
@@ -29,6 +29,7 @@
 use crate::decide::start_wait::StartFailure;
 use crate::decide::start_wait::StartWait;
 use crate::error::Result;
+use crate::names::Timestamp;
 
 /// Time for which invalid settings are read again at the start; far longer than it takes to replace a
 /// file.
@@ -95,10 +96,12 @@
     ) -> Result<()> {
         panic_log::start();
         let Self { runtime, mut signals } = self;
+        let clock = Clock::start();
         let ended: Result<()> = runtime.block_on(async {
             let Some(read) = read_or_terminate(path, &mut signals).await else { return Ok(()) };
             let (settings, file) = read?;
-            run::serve(settings, file, signals, protocol, lost_lines).await;
+            let settings_time = clock.now().since(Timestamp::ZERO);
+            run::serve(settings, file, signals, protocol, lost_lines, settings_time).await;
             Ok(())
         });
         if let Err(e) = &ended {
--- a/src/relay/process_event.rs
+++ b/src/relay/process_event.rs
@@ -3,6 +3,7 @@
 use serde::Serialize;
 
 use super::connection_end::ConnectionEnd;
+use super::start_step::StartStep;
 use crate::decide::readiness::Missing;
 use crate::decide::readiness::ReadinessReport;
 
@@ -16,6 +17,16 @@
         instance: &'a str,
         /// Version of the program.
         version: &'a str,
+        /// Time in which its settings were read, in ms.
+        settings_ms: u128,
+    },
+    /// Something that the start waited for has come; each comes once.
+    StartStep {
+        /// Time since the settings were read, in ms.
+        after_ms: u64,
+        /// What it is.
+        #[serde(flatten)]
+        step: StartStep,
     },
     /// The process ends, as it can't be started.
     StartFailed {
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -20,6 +20,7 @@
 use super::log_event::record;
 use super::node::Node;
 use super::operator_items;
+use super::start_step::StartStep;
 use super::store_call;
 use super::store_call::StoreResponse;
 use super::store_event::PublishedSource;
@@ -169,6 +170,7 @@
     }
     let count = changes.events.len();
     record(&StoreEvent::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
+    let was_listed = node.view(topic).was_listed();
     let is_restored = begin_era(node, topic, now, changes.era);
     let events = if changes.whole {
         let items = changes.events.into_iter().filter_map(written_item);
@@ -184,6 +186,10 @@
     apply_events(node, topic, &events, source);
     let age = changes.age_ms.map_or(Duration::MAX, Duration::from_millis);
     node.view(topic).on_complete(as_of, now - age);
+    if !was_listed {
+        let (topic, may_be_old) = (topic.name(), !node.view(topic).is_current(now));
+        StartStep::Listed { topic, from: Some(peer), may_be_old }.record(node.now());
+    }
 }
 
 /// Whether an outage of the published state ended so recently that a removed item may have
@@ -305,6 +311,7 @@
     let Listing { items, as_of, era, .. } = listing;
     let now = node.now();
     node.view(topic).on_contact(now);
+    let was_listed = node.view(topic).was_listed();
     let is_restored = begin_era(node, topic, now, era);
     let events = node.view(topic).changes_to(items, as_of);
     let outage_ended = node.view(topic).outage_ended();
@@ -313,6 +320,11 @@
     let mut view = node.view(topic);
     view.on_complete(as_of, now);
     view.on_store_read();
+    drop(view);
+    if !was_listed {
+        // The first listing is asked for as one that may be old.
+        StartStep::Listed { topic: topic.name(), from: None, may_be_old: true }.record(node.now());
+    }
     has_changes
 }
 
--- a/src/relay/run.rs
+++ b/src/relay/run.rs
@@ -31,6 +31,7 @@
 use super::quotas;
 use super::reach;
 use super::settings_file::SettingsFile;
+use super::start_step::StartStep;
 use super::task_restarts::restart_after_panics;
 use crate::decide::listening::ListenAddress;
 use crate::telemetry::LostLines;
@@ -56,13 +57,14 @@
 /// Returns which log lines were lost since the process started.
 pub type LostLineCount = Box<dyn Fn() -> LostLines + Send + Sync>;
 
-/// Runs a relay with these settings until it has shut down.
+/// Runs a relay with these settings, which were read in `settings_time`, until it has shut down.
 pub async fn serve(
     settings: RelaySettings,
     mut file: SettingsFile,
     mut signals: ProcessSignals,
     protocol: Arc<dyn Protocol>,
     lost_lines: LostLineCount,
+    settings_time: Duration,
 ) {
     let node = Arc::new(Node::new(settings, protocol));
     for (address, audience) in [
@@ -75,7 +77,8 @@
     }
     start_tasks(&node, lost_lines);
     let instance = node.settings.instance.as_str();
-    record(&ProcessEvent::Started { instance, version: env!("CARGO_PKG_VERSION") });
+    let (version, settings_ms) = (env!("CARGO_PKG_VERSION"), settings_time.as_millis());
+    record(&ProcessEvent::Started { instance, version, settings_ms });
     wait_for_termination(&node, &mut file, &mut signals).await;
     shut_down(&node).await;
 }
@@ -155,7 +158,12 @@
     loop {
         let now = node.now();
         let missing = node.missing();
+        let was_ready = node.readiness().was_ready();
         let change = node.readiness().on_check(now, missing);
+        if !was_ready && node.readiness().was_ready() {
+            let are_replicas_current = node.view(PublishedTopic::Replicas).is_current(now);
+            StartStep::Ready { are_replicas_current }.record(node.now());
+        }
         if let Some(change) = change {
             record(&ProcessEvent::ReadinessChanged {
                 ready: change.missing.is_empty(),
@@ -174,7 +182,7 @@
 
 async fn join_and_settle(node: Arc<Node>) {
     sleep(JOIN_TIMEOUT).await;
-    node.set_joined();
+    node.set_joined(None);
     node.freshness.stop_awaiting_peer();
     sleep(SETTLE_TIME).await;
     node.peers().set_settled();
