--- a/src/relay/addresses.rs
+++ b/src/relay/addresses.rs
@@ -9,6 +9,7 @@
 use super::RelayListen;
 use super::log_event::record;
 use super::process_event::ProcessEvent;
+use super::start_step::StartStep;
 use crate::daemon::Clock;
 use crate::decide::listening::BindFailure;
 use crate::decide::listening::BindRetry;
@@ -46,6 +47,9 @@
             let (purpose, addr) = (address.name(), &self.text_of(address));
             record(&ProcessEvent::AddressBound { purpose, addr, waited_ms: waited.as_millis() });
         }
+        if self.listening().missing().next().is_none() {
+            StartStep::AddressesBound.record(self.clock.now());
+        }
     }
 
     /// Records that an address couldn't be bound; logs it unless that is known. Returns when it is tried
@@ -86,11 +90,11 @@
 
     /// The addresses of the settings that aren't bound.
     pub fn unbound(&self) -> Vec<UnboundAddress> {
-        let unbound = |address: ListenAddress| UnboundAddress {
-            purpose: address.name(),
-            addr: self.socket_addr(address),
+        let unbound = |address: ListenAddress| {
+            let addr = self.socket_addr(address)?;
+            Some(UnboundAddress { purpose: address.name(), addr })
         };
-        self.listening().missing().map(unbound).collect()
+        self.listening().missing().filter_map(unbound).collect()
     }
 
     fn text_of(&self, address: ListenAddress) -> String {
