Soak: another writer's odd items, pages of any size, configurations in force

`lab soak` wrote only what its own operator and backend servers write, on one page, and never asked whether a configuration came into force at an instance that said ready. It draws the size of pages (1, 2, 3, 5 or 500 items); another writer puts awkward keys and items that can't be read among entries and declared versions, at times with the history forgotten at once. Mostly they stand until the end, often with a last return of all processes, else they are removed later. They excuse nothing. After the planned work of the calm time each ready instance is asked for the new version's route, which must be there 2 s after the store's acknowledgement.

--- a/lab/src/soak/checks/calm.rs
+++ b/lab/src/soak/checks/calm.rs
@@ -18,9 +18,10 @@
         | DisruptionKind::Link(_)
         | DisruptionKind::TakenAddress
         | DisruptionKind::Store(_) => true,
-        DisruptionKind::Reload | DisruptionKind::Replicas(_) | DisruptionKind::ConfigChange => {
-            false
-        }
+        DisruptionKind::Reload
+        | DisruptionKind::Replicas(_)
+        | DisruptionKind::ConfigChange
+        | DisruptionKind::OddItems => false,
     };
     !disruptions.iter().any(|d| excuses(d.kind) && d.at <= to && d.until + CONTACT >= from)
 }
--- a/lab/src/soak/disruption.rs
+++ b/lab/src/soak/disruption.rs
@@ -36,6 +36,8 @@
     Replicas(ReplicaFault),
     /// A new configuration is published.
     ConfigChange,
+    /// Another writer's awkward keys and odd items stand in the store.
+    OddItems,
 }
 
 /// What a link between instances and others does.
--- a/lab/src/soak/finding.rs
+++ b/lab/src/soak/finding.rs
@@ -31,6 +31,8 @@
     Unready,
     /// An instance said that it was ready and refused callers' connections.
     ReadyButRefuses,
+    /// A new configuration didn't come into force in time.
+    ConfigLate,
     /// A process used most of a processor while there was little to do.
     Busy,
     /// A promise was broken at a caller or a backend server.
--- a/lab/src/soak/fleet.rs
+++ b/lab/src/soak/fleet.rs
@@ -224,7 +224,8 @@
                 DisruptionKind::TakenAddress => self.take_address(index, disruption),
                 DisruptionKind::Store(_)
                 | DisruptionKind::Replicas(_)
-                | DisruptionKind::ConfigChange => {}
+                | DisruptionKind::ConfigChange
+                | DisruptionKind::OddItems => {}
             }
         }
         Ok(())
@@ -245,7 +246,8 @@
                 | DisruptionKind::Reload
                 | DisruptionKind::Store(_)
                 | DisruptionKind::Replicas(_)
-                | DisruptionKind::ConfigChange => {}
+                | DisruptionKind::ConfigChange
+                | DisruptionKind::OddItems => {}
             }
         }
     }
--- a/lab/src/soak/mod.rs
+++ b/lab/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod checks;
 mod command;
+mod config_probe;
 mod connection;
 mod cpu_time;
 mod disruption;
@@ -41,6 +42,7 @@
 pub use command::command;
 pub use command::run;
 pub use command::run_seed;
+pub use config_probe::ConfigProbe;
 pub use disruption::Disruption;
 pub use disruption::DisruptionKind;
 pub use disruption::LinkFault;
--- a/lab/src/soak/outside.rs
+++ b/lab/src/soak/outside.rs
@@ -103,7 +103,7 @@
 impl Outside {
     /// Starts the store and all backend servers, and publishes them and a configuration.
     pub fn start(plan: &OutsidePlan, record: Arc<Record>) -> Self {
-        let store = PlatformStore::start(plan.adapters, Arc::clone(&record));
+        let store = PlatformStore::start(plan.adapters, plan.seed, Arc::clone(&record));
         let start_backend = |index: usize| {
             let service = if index < plan.engines { Service::Engine } else { Service::Desk };
             let observer = observer(Arc::clone(&record), service);
@@ -151,6 +151,11 @@
         self.shared.publish_all();
     }
 
+    /// Version of the present configuration.
+    pub fn config_version(&self) -> u64 {
+        self.shared.store.config_version()
+    }
+
     /// Begins or ends what a disruption does to the store and the backend servers.
     pub fn apply(&self, disruption: &Disruption, begins: bool) {
         let shared = &self.shared;
@@ -162,6 +167,10 @@
                 }
             }
             DisruptionKind::ConfigChange if begins => shared.store.change_config(),
+            DisruptionKind::OddItems if begins => {
+                shared.store.put_odd_items(&mut shared.rng_of(disruption))
+            }
+            DisruptionKind::OddItems => shared.store.remove_odd_items(),
             _ => {}
         }
     }
@@ -206,10 +215,14 @@
         (0..self.backends.len()).flat_map(of_backend).collect()
     }
 
+    fn rng_of(&self, disruption: &Disruption) -> ChaCha8Rng {
+        let at = u64::try_from(disruption.at.as_micros()).unwrap_or(u64::MAX);
+        ChaCha8Rng::seed_from_u64(self.plan.seed ^ at)
+    }
+
     /// The backend servers that a fault befalls.
     fn befallen(&self, disruption: &Disruption) -> Vec<usize> {
-        let at = u64::try_from(disruption.at.as_micros()).unwrap_or(u64::MAX);
-        let mut rng = ChaCha8Rng::seed_from_u64(self.plan.seed ^ at);
+        let mut rng = self.rng_of(disruption);
         let count = self.backends.len().div_ceil(BEFALLEN_ONE_IN);
         let first = rng.random_range(0..self.backends.len());
         // Desks and engines in turn, so that a fault doesn't befall all of one service.
--- a/lab/src/soak/platform_store.rs
+++ b/lab/src/soak/platform_store.rs
@@ -8,12 +8,18 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use serde_json::json;
+use tamaracklead_standin::AWKWARD_KEYS;
 use tamaracklead_standin::DeclaredVersions;
 use tamaracklead_standin::Store;
 use tamaracklead_standin::StoreFront;
 use tamaracklead_standin::StoreTrouble;
+use tamaracklead_standin::awkward_items;
 use tamaracklead_standin::soak_config;
 
 use super::disruption::StoreFault;
@@ -22,6 +28,10 @@
 
 /// Part of the adapters of which a change declares new versions: one in this many.
 const ADAPTER_STEP: usize = 4;
+/// Numbers of items on a page, of which a soak has one.
+const PAGE_ITEMS: [usize; 5] = [1, 2, 3, 5, 500];
+/// Topics that other writers write to.
+const ODD_PREFIXES: [&str; 2] = ["servers/", "op/version/"];
 
 /// The store and what the operator has published.
 pub struct PlatformStore {
@@ -33,12 +43,18 @@
     record: Arc<Record>,
     /// Held while the operator writes.
     writing: Mutex<()>,
+    /// Keys of another writer.
+    odd_keys: Mutex<Vec<String>>,
 }
 
 impl PlatformStore {
-    /// Starts a store with a first configuration for so many adapters.
-    pub fn start(adapters: u32, record: Arc<Record>) -> Self {
+    /// Starts a store with a first configuration for so many adapters, and pages drawn from a seed.
+    pub fn start(adapters: u32, seed: u64, record: Arc<Record>) -> Self {
         let store = Store::start();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let page_items = PAGE_ITEMS[rng.random_range(0..PAGE_ITEMS.len())];
+        println!("  listings in pages of {page_items}");
+        store.set_page_items(page_items);
         let front = StoreFront::start(store.addr);
         let started = Self {
             store,
@@ -48,6 +64,7 @@
             versions: DeclaredVersions::default(),
             record,
             writing: Mutex::default(),
+            odd_keys: Mutex::default(),
         };
         started.publish_config();
         started
@@ -84,6 +101,39 @@
         }
     }
 
+    /// Version of the present configuration.
+    pub fn config_version(&self) -> u64 {
+        self.config_version.load(Ordering::Relaxed)
+    }
+
+    /// Writes awkward keys and odd items of another writer; sometimes forgets history at once, so that all
+    /// instances list them.
+    pub fn put_odd_items(&self, rng: &mut ChaCha8Rng) {
+        let mut keys = self.odd_keys.lock().unwrap_or_else(PoisonError::into_inner);
+        for prefix in ODD_PREFIXES {
+            for tail in AWKWARD_KEYS.choose_multiple(rng, AWKWARD_KEYS.len() / 2) {
+                let key = format!("{prefix}{tail}");
+                self.store.put(&key, &json!({"service": "another", "adapter": tail, "version": 1}));
+                keys.push(key);
+            }
+            let items = awkward_items(&format!("{prefix}b-odd"));
+            for (number, item) in items.iter().enumerate().filter(|_| rng.random_bool(0.5)) {
+                let key = format!("{prefix}b-odd-{number}");
+                self.store.put_raw_item_bytes(&key, item);
+                keys.push(key);
+            }
+        }
+        if rng.random_bool(0.5) {
+            self.forget_history();
+        }
+    }
+
+    /// Removes what [`Self::put_odd_items`] wrote.
+    pub fn remove_odd_items(&self) {
+        let mut keys = self.odd_keys.lock().unwrap_or_else(PoisonError::into_inner);
+        keys.drain(..).for_each(|key| self.store.remove(&key));
+    }
+
     /// Begins a fault.
     pub fn begin(&self, fault: StoreFault) {
         match fault {
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -13,7 +13,9 @@
 
 use tamaracklead_standin::Gate;
 
+use super::Answer;
 use super::Callers;
+use super::Change;
 use super::Disruption;
 use super::DisruptionKind;
 use super::Load;
@@ -22,6 +24,8 @@
 use super::Record;
 use super::Violation;
 use super::check;
+use super::config_probe::ConfigAnswers;
+use super::config_probe::ConfigProbe;
 use super::environment::Surroundings;
 use super::finding::Finding;
 use super::finding::FindingKind;
@@ -119,9 +123,10 @@
     let probes: Vec<ReadinessProbe> = fleet.instances.iter().map(probe).collect();
     let mut outcome = Outcome::default();
     let planned = schedule.planned_work();
-    let mut events = Events::new(schedule.disruptions.iter().chain(&planned));
+    let mut events = Events::new(schedule.disruptions.iter().chain(&schedule.odd).chain(&planned));
     let mut callers = None;
     let mut cpu_before = None;
+    let mut config_probe = None;
     while start.elapsed() < schedule.duration {
         let now = Instant::now();
         if callers.is_none() && start.elapsed() >= CALLERS_AFTER {
@@ -135,6 +140,10 @@
             }
             replica_links.apply(disruption, begins);
             outside.apply(disruption, begins);
+            if is_planned_config(schedule, disruption) && begins {
+                let entries = fleet.instances.iter().map(|one| one.addrs.caller).collect();
+                config_probe = Some(ConfigProbe::start(entries, outside.config_version()));
+            }
         }
         for (index, end) in fleet.tick(now)? {
             outcome.add_end(index, &end, end.at.saturating_duration_since(start));
@@ -156,12 +165,26 @@
         callers.stop();
     }
     drop(busy);
+    let config_answers = config_probe.map(ConfigProbe::stop).unwrap_or_default();
     let disruptions = fleet.actual(&schedule.disruptions);
     for (index, probe) in probes.into_iter().enumerate() {
         let changes = probe.stop();
         let duration = schedule.duration;
         let recovery = Recovery::check(index, &changes, &disruptions, &fleet.troubles, duration);
         outcome.findings.extend(recovery.findings);
+        let planned_at = schedule.planned_work_at();
+        // An instance that isn't ready needn't take callers' requests.
+        let is_ready = |one: &Change| one.answer == Answer::Ready && one.at < planned_at;
+        if changes.last().is_some_and(is_ready)
+            && let Some(fault) = config_answers.get(index).and_then(ConfigAnswers::fault)
+        {
+            let detail = format!("instance {index}: {fault}");
+            outcome.findings.push(Finding {
+                at: planned_at,
+                kind: FindingKind::ConfigLate,
+                detail,
+            });
+        }
         outcome.ready_times.extend(recovery.times);
         outcome.start_times.extend(recovery.start_times);
     }
@@ -182,6 +205,10 @@
     Ok(outcome)
 }
 
+fn is_planned_config(schedule: &Schedule, disruption: &Disruption) -> bool {
+    disruption.kind == DisruptionKind::ConfigChange && disruption.at == schedule.planned_work_at()
+}
+
 fn start_callers(fleet: &Fleet, seed: u64, record: &Arc<Record>) -> Callers {
     let entries = fleet.instances.iter().map(|one| one.addrs.caller).collect();
     let readiness = fleet.instances.iter().map(|one| one.addrs.ready).collect();
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -29,6 +29,14 @@
 const RELOAD_WITHIN_MS: u64 = 60;
 /// Time between a return and the next kill of all, in ms.
 const AGAIN_MS: u64 = 2000;
+/// Time before the end of all disruptions at which all processes are killed while odd items stand, in ms.
+const LAST_RETURN_MS: u64 = 6000;
+/// Least time from the writing of odd items to their removal, and to the calm time, in ms.
+const MIN_ODD_MS: u64 = 8000;
+/// Share of soaks in which odd items stand until the end.
+const STAYING_SHARE: f64 = 0.8;
+/// Share of these soaks in which all processes are killed shortly before the calm time.
+const LAST_RETURN_SHARE: f64 = 0.7;
 /// Time after a kill at which addresses are taken, in ms.
 const TAKE_AFTER_MS: u64 = 30;
 
@@ -37,6 +45,8 @@
 pub struct Schedule {
     /// Disruptions in the order of their begin.
     pub disruptions: Vec<Disruption>,
+    /// What another writer does, which excuses nothing.
+    pub odd: Vec<Disruption>,
     /// When the soak is over.
     pub duration: Duration,
 }
@@ -61,6 +71,7 @@
             }
             at += series.rng.random_range(150..MAX_STEP_MS);
         }
+        let odd = series.odd_items(start, end, duration);
         let mut disruptions = series.disruptions;
         let end = Duration::from_millis(end);
         disruptions.retain(|one| one.at <= end);
@@ -68,7 +79,7 @@
             one.until = one.until.min(end);
         }
         disruptions.sort_by_key(|one| (one.at, one.until));
-        Self { disruptions, duration }
+        Self { disruptions, odd, duration }
     }
 
     /// When the planned work begins.
@@ -91,7 +102,8 @@
         let kept = kept.filter(|(index, _)| !positions.contains(index));
         let disruptions: Vec<Disruption> = kept.map(|(_, one)| one.clone()).collect();
         let last = disruptions.iter().map(|one| one.until).max().unwrap_or(START_TIME);
-        Self { disruptions, duration: self.duration.min(last + CALM_TIME) }
+        let duration = self.duration.min(last + CALM_TIME);
+        Self { disruptions, odd: self.odd.clone(), duration }
     }
 
     /// One line a disruption.
@@ -100,7 +112,7 @@
             let (at, until) = (one.at.as_secs_f64(), one.until.as_secs_f64());
             format!("  {at:7.3} to {until:7.3} s: {:?} {:?}\n", one.kind, one.instances)
         };
-        self.disruptions.iter().map(line).collect()
+        self.disruptions.iter().chain(&self.odd).map(line).collect()
     }
 }
 
@@ -199,6 +211,26 @@
         }
     }
 
+    /// Odd items for a while: mostly until the end of the soak, often with a last return of all processes,
+    /// else with one among other disruptions.
+    fn odd_items(&mut self, start: u64, end: u64, duration: Duration) -> Vec<Disruption> {
+        let last = end.saturating_sub(MIN_ODD_MS).max(start + 1);
+        let at = self.rng.random_range(start..last);
+        let mut until = duration;
+        if self.rng.random_bool(STAYING_SHARE) {
+            if self.rng.random_bool(LAST_RETURN_SHARE) {
+                self.kill_all(end.saturating_sub(LAST_RETURN_MS).max(at));
+            }
+        } else {
+            let until_ms = at + self.rng.random_range(MIN_ODD_MS..3 * MIN_ODD_MS);
+            until = duration.min(Duration::from_millis(until_ms));
+            let kill_at = at + self.rng.random_range(0..MIN_ODD_MS);
+            self.kill_all(kill_at);
+        }
+        let at = Duration::from_millis(at);
+        vec![Disruption { at, until, instances: Vec::new(), kind: DisruptionKind::OddItems }]
+    }
+
     fn link_fault(&mut self, at: u64) {
         let (ms, some) = (self.rng.random_range(300..3500), self.some());
         let befalls_replicas = self.rng.random_bool(0.3);
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -9,11 +9,11 @@
 use lab::soak::Surroundings;
 
 const SEED: u64 = 1;
+/// Odd items stand until the end, and all processes are killed shortly before the calm time.
+const ODD_ITEMS_SEED: u64 = 2;
 const DURATION: Duration = Duration::from_secs(50);
 
-// Guards against processes that end by themselves and instances that aren't ready after faults.
-#[test]
-fn a_fleet_survives_random_faults() {
+fn survives(seed: u64) -> bool {
     let lab = Path::new(env!("CARGO_BIN_EXE_lab"));
     let options = SoakOptions {
         instances: 6,
@@ -22,5 +22,18 @@
         is_beside_load: false,
         keep_logs: None,
     };
-    assert!(soak::run_seed(lab.parent().unwrap(), &options, SEED, DURATION, None).unwrap());
+    soak::run_seed(lab.parent().unwrap(), &options, seed, DURATION, None).unwrap()
+}
+
+// Guards against processes that end by themselves and instances that aren't ready after faults.
+#[test]
+fn a_fleet_survives_random_faults() {
+    assert!(survives(SEED));
+}
+
+// Guards against instances that never get ready, or never take a configuration again, since the key or the
+// fields of an item that another writer left in the store can't be read.
+#[test]
+fn a_fleet_returns_while_odd_items_stand_in_the_store() {
+    assert!(survives(ODD_ITEMS_SEED));
 }
--- a/lab/tests/soak_parts.rs
+++ b/lab/tests/soak_parts.rs
@@ -10,6 +10,7 @@
 use std::time::Instant;
 
 use lab::soak::Addrs;
+use lab::soak::ConfigProbe;
 use lab::soak::DisruptionKind;
 use lab::soak::Links;
 use lab::soak::Manner;
@@ -24,6 +25,7 @@
 use tamaracklead::relay::RelaySettings;
 use tamaracklead_standin::Disturbance;
 use tamaracklead_standin::Gate;
+use tamaracklead_standin::Replica;
 use tamaracklead_standin::free_addr;
 
 /// The platform's template.
@@ -59,6 +61,44 @@
     }
 }
 
+// Guards against soaks in which no start lists another writer's items, or none that were removed again.
+#[test]
+fn odd_items_stand_while_all_are_killed_and_in_the_calm_time() {
+    let schedules: Vec<Schedule> = (0..50).map(schedule).collect();
+    let meets_return = |schedule: &&Schedule| {
+        let (odd, ones) = (&schedule.odd[0], &schedule.disruptions);
+        let is_return = |kind, count| (kind, count) == (DisruptionKind::Kill, 6);
+        let mut returns = ones.iter().filter(|one| is_return(one.kind, one.instances.len()));
+        returns.any(|one| odd.at < one.until && one.until < odd.until)
+    };
+    let stays = |schedule: &&Schedule| schedule.odd[0].until == DURATION;
+    assert!(schedules.iter().all(|one| one.odd[0].kind == DisruptionKind::OddItems));
+    assert!(schedules.iter().filter(meets_return).count() > 25);
+    assert!((25..50).contains(&schedules.iter().filter(stays).count()));
+}
+
+// Guards against an instance that never takes a configuration, or takes it late, unseen.
+#[test]
+fn a_configuration_that_is_not_in_force_in_time_is_found() {
+    let start = Instant::now();
+    let entry = |status: fn(Duration) -> u16| {
+        Replica::start("entry", move |_, stream| {
+            let status = status(start.elapsed());
+            let response = format!("HTTP/1.1 {status} X\r\ncontent-length: 0\r\n\r\n");
+            stream.write_all(response.as_bytes()).is_ok()
+        })
+    };
+    let in_time = |at: Duration| if at < Duration::from_millis(600) { 404 } else { 413 };
+    let late = |at: Duration| if at < Duration::from_secs(4) { 404 } else { 413 };
+    let entries = [entry(|_| 413), entry(in_time), entry(late), entry(|_| 404), entry(|_| 503)];
+    let probe = ConfigProbe::start(entries.iter().map(|one| one.addr).collect(), 2);
+    thread::sleep(Duration::from_secs(6));
+    let faults: Vec<Option<String>> = probe.stop().iter().map(|one| one.fault()).collect();
+    assert_eq!(faults[..2], [None, None]);
+    assert!(faults[2].as_ref().unwrap().starts_with("an older one in force after"));
+    assert_eq!(faults[3..], [Some("never in force".to_owned()), Some("never in force".to_owned())]);
+}
+
 // Guards against a search that stops early or loses the failing disruptions.
 #[test]
 fn shrinking_keeps_the_disruptions_that_fail() {
--- a/lab/tests/soak_supervision.rs
+++ b/lab/tests/soak_supervision.rs
@@ -56,7 +56,9 @@
         keep_logs: None,
     };
     let dir = bin_dir(name, script);
-    let outcome = run_schedule(&dir, &options, 1, &Schedule { disruptions, duration }).unwrap();
+    let outcome =
+        run_schedule(&dir, &options, 1, &Schedule { disruptions, odd: Vec::new(), duration })
+            .unwrap();
     fs::remove_dir_all(dir).unwrap();
     assert!(outcome.starts > 0);
     outcome.findings
