Stand-in store: text keys as before, bytes apart

`remove` and `put_raw_item_bytes` take text again, so that their callers stay as they are under clippy (`needless_borrows_for_generic_args` failed in the lab); `remove_bytes` and `put_awkward_item` take bytes.

--- a/lab/src/soak/platform_store.rs
+++ b/lab/src/soak/platform_store.rs
@@ -120,9 +120,9 @@
                 self.store.put(&key, &json!({"service": "another", "adapter": tail, "version": 1}));
                 keys.push(key.into());
             }
-            for AwkwardItem { key, text } in self.odd_items(prefix, rng) {
-                self.store.put_raw_item_bytes(&key, &text);
-                keys.push(key);
+            for item in self.odd_items(prefix, rng) {
+                self.store.put_awkward_item(&item);
+                keys.push(item.key);
             }
         }
         if rng.random_bool(0.5) {
@@ -148,7 +148,7 @@
     /// Removes what [`Self::put_odd_items`] wrote.
     pub fn remove_odd_items(&self) {
         let mut keys = self.odd_keys.lock().unwrap_or_else(PoisonError::into_inner);
-        keys.drain(..).for_each(|key| self.store.remove(key));
+        keys.drain(..).for_each(|key| self.store.remove_bytes(&key));
     }
 
     /// Begins a fault.
