--- a/lab/src/soak/connection.rs
+++ b/lab/src/soak/connection.rs
@@ -48,7 +48,6 @@
 /// Open connection.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
     reader: BufReader<TcpStream>,
 }
 
@@ -57,15 +56,15 @@
     pub fn open(addr: SocketAddr) -> Option<Self> {
         let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT).ok()?;
         stream.set_nodelay(true).ok()?;
-        let reader = BufReader::new(stream.try_clone().ok()?);
-        Some(Self { stream, reader })
+        Some(Self { reader: BufReader::new(stream) })
     }
 
     /// Whether nothing has arrived since the last response, and the connection isn't closed.
     pub fn is_idle(&self) -> bool {
-        let peeked = self.stream.set_nonblocking(true).and_then(|()| self.stream.peek(&mut [0]));
+        let stream = self.reader.get_ref();
+        let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
         let is_open = peeked.is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
-        self.stream.set_nonblocking(false).is_ok() && is_open && self.reader.buffer().is_empty()
+        stream.set_nonblocking(false).is_ok() && is_open && self.reader.buffer().is_empty()
     }
 
     /// Sends a request and receives its response, in which no pause may be longer than `max_gap`;
@@ -76,8 +75,9 @@
         max_gap: Duration,
         time_of: impl Fn(Instant) -> Duration,
     ) -> Received {
-        let is_sent = self.stream.set_read_timeout(Some(max_gap)).is_ok()
-            && self.stream.write_all(req.as_bytes()).is_ok();
+        let stream = self.reader.get_mut();
+        let is_sent = stream.set_read_timeout(Some(max_gap)).is_ok()
+            && stream.write_all(req.as_bytes()).is_ok();
         let first = self.reader.fill_buf().map(<[u8]>::is_empty);
         let is_reset = first.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset);
         let head = Message::read_head(&mut self.reader).filter(|_| is_sent);
