Leave a further way to list too if the store doesn't answer

An instance whose first way of listing couldn't be read went on with a current listing, and stayed there as long as the store refused that one (429, 5xx) or gave no answer. Eight failures of this kind now lead on from any way but the first, so that the round ends and begins anew. The test of listing_plan asserts it; it was not run without the change.

--- a/src/decide/traffic/listing_plan.rs
+++ b/src/decide/traffic/listing_plan.rs
@@ -4,7 +4,7 @@
 //! failed a few times in a row: a listing that may be old, a current one, a small part of it, and at last
 //! what there is of a listing that breaks off. In the last two cases nothing counts as removed, changes
 //! are followed from there on, and the whole is tried again now and then. A store that gives no answer, or
-//! refuses for the time being, is asked again in the same way.
+//! refuses for the time being, is asked again in the first way.
 
 use std::time::Duration;
 
@@ -135,8 +135,8 @@
             return false;
         }
         let most = match failure {
-            ListingFailure::Unanswered => return false,
-            ListingFailure::CutOff => MAX_CUT_OFF,
+            ListingFailure::Unanswered if self.way == ListingWay::Old => return false,
+            ListingFailure::Unanswered | ListingFailure::CutOff => MAX_CUT_OFF,
             ListingFailure::Unreadable | ListingFailure::Endless => MAX_UNREADABLE,
         };
         self.failures += 1;
--- a/tests/traffic/listing_plan.rs
+++ b/tests/traffic/listing_plan.rs
@@ -10,7 +10,7 @@
 const NOW: Timestamp = Timestamp::ZERO;
 
 /// The ways of this many listings that fail.
-fn ways(plan: &mut ListingPlan, failure: ListingFailure, count: usize) -> Vec<&'static str> {
+fn ways_of(plan: &mut ListingPlan, failure: ListingFailure, count: usize) -> Vec<&'static str> {
     let mut ways = Vec::new();
     for _ in 0..count {
         ways.push(plan.way(false).name());
@@ -24,10 +24,10 @@
 fn each_way_is_tried_twice_and_then_the_first_one_again() {
     let mut plan = ListingPlan::new(true);
     let expected = ["old", "old", "current", "current", "part", "part", "incomplete", "incomplete"];
-    assert_eq!(ways(&mut plan, ListingFailure::Unreadable, 8), expected);
+    assert_eq!(ways_of(&mut plan, ListingFailure::Unreadable, 8), expected);
     assert_eq!(plan.way(false), ListingWay::Old);
     let mut plan = ListingPlan::new(false);
-    assert_eq!(ways(&mut plan, ListingFailure::Endless, 5)[4], "incomplete");
+    assert_eq!(ways_of(&mut plan, ListingFailure::Endless, 5)[4], "incomplete");
     assert_eq!(plan.way(true), ListingWay::Incomplete);
 }
 
@@ -35,10 +35,14 @@
 #[test]
 fn a_store_that_gives_no_answer_is_asked_in_the_same_way() {
     let mut plan = ListingPlan::new(true);
-    assert_eq!(ways(&mut plan, ListingFailure::Unanswered, 1000), ["old"; 1000]);
+    assert_eq!(ways_of(&mut plan, ListingFailure::Unanswered, 1000), ["old"; 1000]);
     assert_eq!(plan.pause(), Duration::ZERO);
-    let ways = ways(&mut plan, ListingFailure::CutOff, 9);
+    let ways = ways_of(&mut plan, ListingFailure::CutOff, 9);
     assert_eq!((ways[7], ways[8]), ("old", "current"));
+    let mut plan = ListingPlan::new(true);
+    ways_of(&mut plan, ListingFailure::Unreadable, 2);
+    let ways = ways_of(&mut plan, ListingFailure::Unanswered, 25);
+    assert_eq!((ways[7], ways[8], ways[16], ways[24]), ("current", "part", "incomplete", "old"));
 }
 
 // Guards against a store that is pressed by instances which can't read its listings.
@@ -48,7 +52,7 @@
     let mut pauses = Vec::new();
     for _ in 0..5 {
         pauses.push(plan.pause().as_secs());
-        ways(&mut plan, ListingFailure::Unreadable, 6);
+        ways_of(&mut plan, ListingFailure::Unreadable, 6);
     }
     assert_eq!(pauses, [0, 1, 2, 4, 5]);
     plan.on_whole();
