Tell of topics that are listed in part, and of reads that are in progress only

Since listings that fail are made in other ways, an instance may be ready with a part of a topic, and its reads count as successful: neither the readiness answer nor a metric told that. The answer has partial_topics now, also while the instance is ready, and relay_published_partial is 1.

--- a/src/decide/readiness/readiness_report.rs
+++ b/src/decide/readiness/readiness_report.rs
@@ -22,6 +22,8 @@
     pub failing_reads: Vec<FailingRead>,
     /// Topics whose read has had no answer for long.
     pub pending_reads: Vec<PendingRead>,
+    /// Topics of which only a part could be listed, so that entries may be lacking.
+    pub partial_topics: Vec<&'static str>,
     /// Addresses that aren't bound.
     pub unbound: Vec<UnboundAddress>,
     /// Address of the store of the published state.
@@ -35,7 +37,9 @@
 impl ReadinessReport {
     /// Whether it tells nothing but that the instance is ready.
     pub fn is_plain(&self) -> bool {
-        let reads = self.failing_reads.is_empty() && self.pending_reads.is_empty();
-        self.ready && reads && self.unbound.is_empty()
+        let reads_well = self.failing_reads.is_empty()
+            && self.pending_reads.is_empty()
+            && self.partial_topics.is_empty();
+        self.ready && reads_well && self.unbound.is_empty()
     }
 }
--- a/src/decide/reads/read_health.rs
+++ b/src/decide/reads/read_health.rs
@@ -42,9 +42,13 @@
         self.begun = Some(now);
     }
 
+    /// Records that the read in progress has an answer, or was given up.
+    pub fn on_answer(&mut self) {
+        self.begun = None;
+    }
+
     /// Records that a read failed; returns the line that is due.
     pub fn on_failure(&mut self, now: Timestamp, cause: &str) -> Option<ReadLine> {
-        self.begun = None;
         let failing = self.failing.get_or_insert_with(|| Failing::new(now));
         failing.failures += 1;
         let is_new_cause = failing.causes.on_cause(now, cause);
@@ -73,7 +77,6 @@
 
     /// Records that a read succeeded, or that none is needed any more; returns the line that is due.
     pub fn on_end(&mut self, now: Timestamp) -> Option<ReadLine> {
-        self.begun = None;
         let failing = self.failing.take()?;
         if failing.repeat.is_none() {
             self.unlogged += 1;
--- a/src/relay/metrics.rs
+++ b/src/relay/metrics.rs
@@ -166,6 +166,7 @@
     published_age: Family<TopicLabels, Gauge>,
     published_failing: Family<TopicLabels, Gauge>,
     published_failures: Family<TopicLabels, Counter>,
+    published_partial: Family<TopicLabels, Gauge>,
     ready: Gauge,
     missing: Family<MissingLabels, Gauge>,
     config_proof_age: Gauge,
@@ -208,6 +209,7 @@
             published_age: Family::default(),
             published_failing: Family::default(),
             published_failures: Family::default(),
+            published_partial: Family::default(),
             ready: Gauge::default(),
             missing: Family::default(),
             config_proof_age: Gauge::default(),
@@ -274,6 +276,8 @@
         r.register("published_failing_ms", help, self.published_failing.clone());
         let help = "Failed reads of the published state";
         r.register("published_failures", help, self.published_failures.clone());
+        let help = "Whether only a part of the published state could be listed: 1 if so, 0 if not";
+        r.register("published_partial", help, self.published_partial.clone());
         let help = "Whether callers may send requests here: 1 if so, 0 if not";
         r.register("ready", help, self.ready.clone());
         let help = "What is missing for that: 1 if it is missing, 0 if not";
@@ -427,6 +431,8 @@
             let failing_ms = failure.map_or(0, |failure| failure.failing_ms);
             let failing_ms = i64::try_from(failing_ms).unwrap_or(i64::MAX);
             self.published_failing.get_or_create(&labels).set(failing_ms);
+            let is_part = i64::from(node.view(topic).is_part());
+            self.published_partial.get_or_create(&labels).set(is_part);
             // A series that isn't there can't be told from one that doesn't rise.
             drop(self.published_failures.get_or_create(&labels));
         }
--- a/src/relay/node.rs
+++ b/src/relay/node.rs
@@ -472,6 +472,8 @@
         let topics = PublishedTopic::ALL;
         let failing = |topic| self.view(topic).failing_read(now, topic.name());
         let pending = |topic| self.view(topic).pending_read(now, topic.name());
+        let partial = topics.into_iter().filter(|topic| self.view(*topic).is_part());
+        let partial_topics = partial.map(PublishedTopic::name).collect();
         let readiness = self.readiness();
         let unready = readiness.unready_for(now).unwrap_or_default();
         ReadinessReport {
@@ -480,6 +482,7 @@
             missing: readiness.describe(now, &missing),
             failing_reads: topics.into_iter().filter_map(failing).collect(),
             pending_reads: topics.into_iter().filter_map(pending).collect(),
+            partial_topics,
             unbound: self.addresses.unbound(),
             store: self.settings.published,
             seeds: self.settings.seeds.len(),
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -72,7 +72,7 @@
             sleep(READER_CHECK_INTERVAL).await;
             continue;
         }
-        let followed_to = begin_read(&node, topic);
+        let followed_to = node.view(topic).followed_to();
         let step = match (followed_to, pace.next()) {
             (None, _) => {
                 plan.on_part_lost();
@@ -107,13 +107,6 @@
     }
 }
 
-/// Begins a read; returns the revision after which changes can be followed.
-fn begin_read(node: &Node, topic: PublishedTopic) -> Option<u64> {
-    let mut view = node.view(topic);
-    view.reads.on_begin(node.now());
-    view.followed_to()
-}
-
 /// Whether the whole of a topic is to be listed of which only a part was taken.
 fn is_whole_due(node: &Node, topic: PublishedTopic, plan: &ListingPlan) -> bool {
     node.view(topic).is_part() && plan.is_whole_due(node.now())
@@ -249,7 +242,10 @@
     // The watch that follows brings an old listing up to date.
     let was_listed = node.view(topic).was_listed();
     let way = plan.way(was_listed);
-    let listing = match listing::read(node, topic, way).await {
+    node.view(topic).reads.on_begin(node.now());
+    let read = listing::read(node, topic, way).await;
+    node.view(topic).reads.on_answer();
+    let listing = match read {
         Ok(part) if way == ListingWay::Part => {
             take_part(node, topic, way, part, "the whole can't be listed");
             plan.on_part(node.now());
@@ -282,7 +278,9 @@
 ) -> Result<bool, String> {
     let wait = watch_wait(node, topic);
     let path = node.protocol.watch_path(topic, after, wait);
+    node.view(topic).reads.on_begin(node.now());
     let response = store_call::get(node, path, wait + WATCH_MARGIN).await;
+    node.view(topic).reads.on_answer();
     if response.as_ref().is_err_and(|failure| failure.has_begun) {
         pace.on_broken_answer();
     }
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -139,11 +139,10 @@
     health.on_begin(at(1000));
     assert_eq!(health.pending(at(2999)), None);
     assert_eq!(health.pending(at(9000)), Some(Duration::from_secs(8)));
-    health.on_failure(at(9000), "late");
+    health.on_answer();
     assert_eq!(health.pending(at(19_000)), None);
     health.on_begin(at(20_000));
-    health.on_end(at(20_100));
-    assert_eq!(health.pending(at(29_000)), None);
+    assert_eq!(health.pending(at(22_000)), Some(Duration::from_secs(2)));
 }
 
 /// Guards against a store's text of any length in the log and in each readiness answer.
