--- a/lab/src/soak/platform_store.rs
+++ b/lab/src/soak/platform_store.rs
@@ -117,7 +117,9 @@
         for prefix in ODD_PREFIXES {
             for tail in AWKWARD_KEYS.choose_multiple(rng, AWKWARD_KEYS.len() / 2) {
                 let key = format!("{prefix}{tail}");
-                self.store.put(&key, &json!({"service": "another", "adapter": tail, "version": 1}));
+                let entry =
+                    json!({"service": "another", "model": "base", "adapter": tail, "version": 1});
+                self.store.put(&key, &entry);
                 keys.push(key.into());
             }
             for item in self.odd_items(prefix, rng) {
