--- a/lab/src/soak/command.rs
+++ b/lab/src/soak/command.rs
@@ -46,6 +46,12 @@
                 .help("Keeps the instances' logs in this directory")
                 .value_parser(value_parser!(PathBuf)),
         )
+        .arg(
+            Arg::new("files")
+                .long("files")
+                .help("Keeps the files of running instances in this directory; best in memory")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(
             Arg::new("shrink")
                 .long("shrink")
@@ -68,6 +74,7 @@
         ports: Ports::named(text("ports")).ok_or("unknown ports")?,
         surroundings: Surroundings::named(text("environment")).ok_or("unknown environment")?,
         is_beside_load: text("load") == "beside",
+        files: args.get_one::<PathBuf>("files").cloned().unwrap_or_else(std::env::temp_dir),
         keep_logs: args.get_one::<PathBuf>("keep-logs").cloned(),
     };
     let duration = Duration::from_secs(number("seconds"));
--- a/lab/src/soak/run.rs
+++ b/lab/src/soak/run.rs
@@ -49,8 +49,6 @@
 const CPU_CHECK_TIME: Duration = Duration::from_secs(5);
 /// Time for which the schedule may be late.
 const MAX_DELAY: Duration = Duration::from_secs(2);
-/// Folder of a file system in memory.
-const MEMORY_DIR: &str = "/dev/shm";
 const REQUESTS_PER_S: f64 = 30.0;
 const ENGINES: usize = 6;
 const DESKS: usize = 3;
@@ -70,6 +68,8 @@
     pub surroundings: Surroundings,
     /// Whether busy threads compete with them.
     pub is_beside_load: bool,
+    /// Where settings and logs are while it runs; the schedule waits for each change of them.
+    pub files: PathBuf,
     /// Where logs are kept; `None` removes them.
     pub keep_logs: Option<PathBuf>,
 }
@@ -86,7 +86,7 @@
     schedule: &Schedule,
 ) -> Result<Outcome, String> {
     let run = RUNS.fetch_add(1, Ordering::Relaxed);
-    let dir = files_dir().join(format!("soak-{}-{run}", std::process::id()));
+    let dir = options.files.join(format!("soak-{}-{run}", std::process::id()));
     fs::create_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let outcome = run_in(bin_dir, &dir, options, seed, schedule);
     if let Some(kept) = &options.keep_logs {
@@ -96,13 +96,6 @@
     outcome
 }
 
-/// Where the files of a run are. Changes of files on a busy disk may take many seconds, in which the
-/// schedule would stand still.
-fn files_dir() -> PathBuf {
-    let in_memory = Path::new(MEMORY_DIR);
-    if in_memory.is_dir() { in_memory.to_owned() } else { std::env::temp_dir() }
-}
-
 fn keep_logs(dir: &Path, kept: &Path, seed: u64) -> std::io::Result<()> {
     let kept = kept.join(format!("seed-{seed}"));
     fs::create_dir_all(&kept)?;
--- a/lab/tests/soak.rs
+++ b/lab/tests/soak.rs
@@ -1,6 +1,7 @@
 //! A short soak with a fixed seed; longer ones are started by hand with `lab soak`.
 
 use std::path::Path;
+use std::path::PathBuf;
 use std::time::Duration;
 
 use lab::soak;
@@ -13,6 +14,13 @@
 const ODD_ITEMS_SEED: u64 = 2;
 const DURATION: Duration = Duration::from_secs(50);
 
+/// A folder in memory if there is one: a change of a file on a busy disk may take many seconds, in which
+/// the schedule would stand still.
+fn files_dir() -> PathBuf {
+    let in_memory = Path::new("/dev/shm");
+    if in_memory.is_dir() { in_memory.to_owned() } else { std::env::temp_dir() }
+}
+
 fn survives(seed: u64) -> bool {
     let lab = Path::new(env!("CARGO_BIN_EXE_lab"));
     let options = SoakOptions {
@@ -20,6 +28,7 @@
         ports: Ports::Low,
         surroundings: Surroundings::Drawn,
         is_beside_load: false,
+        files: files_dir(),
         keep_logs: None,
     };
     soak::run_seed(lab.parent().unwrap(), &options, seed, DURATION, None).unwrap()
--- a/lab/tests/soak_supervision.rs
+++ b/lab/tests/soak_supervision.rs
@@ -53,6 +53,7 @@
         ports: Ports::Low,
         surroundings: Surroundings::Generous,
         is_beside_load: false,
+        files: std::env::temp_dir(),
         keep_logs: None,
     };
     let dir = bin_dir(name, script);
