Read little of a server whose last connection brought no head

Traced: both topics are listed by overlapping calls, 44 new connections in 5 s (8.8 a second, each open for 1.2 s). Each was read up to 98,223 bytes at once (reads of 8,192, 16,384, 32,768 and 40,879 bytes), since the 64 KiB that are free before a head were looked at only between reads; then it was paused until its call timed out. All of the time is hyper's parser, next to none the reads.

A connection to a server whose last one used up its allowance without a head now has 4 KiB free instead of 64, until a head is complete there, and before a head no read goes beyond what is left of the allowance. Servers are told apart by address; callers' connections and those to replicas are as before but for the size of a read.

The new tests of the model don't compile without the change.

--- a/src/decide/connections/content_allowance.rs
+++ b/src/decide/connections/content_allowance.rs
@@ -6,6 +6,10 @@
 
 /// Bytes that a connection may bring before its first head is complete; ordinary heads have far less.
 const FREE_HEAD_BYTES: u64 = 64 * 1024;
+/// The same on a connection to a server whose last one used that up without a head.
+const FREE_REPEATED_HEAD_BYTES: u64 = 4 * 1024;
+/// Fewest bytes that are read at a time.
+const MIN_READ_BYTES: u64 = 4 * 1024;
 /// Bytes that it may bring from then on before they turn out to be content: what a parser and the reader
 /// of a body hold at a time.
 const FREE_BYTES: u64 = 256 * 1024;
@@ -25,11 +29,18 @@
 pub struct ContentAllowance {
     overhead: u64,
     has_head: bool,
+    is_repeated: bool,
     /// When the overhead was last reduced by what a time allows.
     reduced_at: Timestamp,
 }
 
 impl ContentAllowance {
+    /// That of a connection to a server whose last one brought no head: a caller that calls again and
+    /// again would otherwise read as much of each.
+    pub fn repeated() -> Self {
+        Self { is_repeated: true, ..Self::default() }
+    }
+
     /// Records bytes that have arrived.
     pub fn on_read(&mut self, bytes: usize) {
         self.overhead = self.overhead.saturating_add(bytes as u64);
@@ -51,6 +62,17 @@
         self.overhead > self.free_bytes()
     }
 
+    /// Whether it was used up before a head was complete.
+    pub fn lacks_head(&self) -> bool {
+        self.is_used_up() && !self.has_head
+    }
+
+    /// Bytes that may be read at a time before the first head is complete; `None` after it.
+    pub fn room(&self) -> Option<u64> {
+        let left = self.free_bytes().saturating_sub(self.overhead);
+        (!self.has_head).then_some(left.max(MIN_READ_BYTES))
+    }
+
     /// Time until the connection may be read again; `None` if that is now.
     pub fn pause(&mut self, now: Timestamp) -> Option<Duration> {
         if !self.is_used_up() {
@@ -66,6 +88,10 @@
     }
 
     fn free_bytes(&self) -> u64 {
-        if self.has_head { FREE_BYTES } else { FREE_HEAD_BYTES }
+        match (self.has_head, self.is_repeated) {
+            (true, _) => FREE_BYTES,
+            (false, false) => FREE_HEAD_BYTES,
+            (false, true) => FREE_REPEATED_HEAD_BYTES,
+        }
     }
 }
--- a/src/edge/fair_connector.rs
+++ b/src/edge/fair_connector.rs
@@ -12,6 +12,7 @@
 use tower_service::Service;
 
 use super::FairStream;
+use super::server_meters::ServerMeters;
 
 type ConnectResult = Result<TokioIo<FairStream>, Box<dyn Error + Send + Sync>>;
 
@@ -19,12 +20,13 @@
 #[derive(Clone, Debug)]
 pub struct FairConnector {
     http: HttpConnector,
+    meters: ServerMeters,
 }
 
 impl FairConnector {
     /// Connects as `http` does.
     pub fn new(http: HttpConnector) -> Self {
-        Self { http }
+        Self { http, meters: ServerMeters::default() }
     }
 }
 
@@ -38,7 +40,11 @@
     }
 
     fn call(&mut self, target: Uri) -> Self::Future {
+        let meter = self.meters.meter(&target);
         let connecting = self.http.call(target);
-        Box::pin(async move { Ok(TokioIo::new(FairStream::new(connecting.await?.into_inner()))) })
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(FairStream::with_meter(stream, meter)))
+        })
     }
 }
--- a/src/edge/fair_stream.rs
+++ b/src/edge/fair_stream.rs
@@ -41,7 +41,12 @@
 impl FairStream {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, read_in_turn: 0, meter: ContentMeter::default(), pause: None }
+        Self::with_meter(stream, ContentMeter::default())
+    }
+
+    /// Wraps a connected stream whose content this meter counts.
+    pub fn with_meter(stream: TcpStream, meter: ContentMeter) -> Self {
+        Self { stream, read_in_turn: 0, meter, pause: None }
     }
 
     /// Meter of the content that is read from it.
@@ -68,6 +73,23 @@
     }
 }
 
+/// Reads at most `max` bytes.
+fn poll_read_up_to(
+    stream: Pin<&mut TcpStream>,
+    max: usize,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    if max >= buf.remaining() {
+        return stream.poll_read(cx, buf);
+    }
+    let mut part = ReadBuf::new(buf.initialize_unfilled_to(max));
+    ready!(stream.poll_read(cx, &mut part))?;
+    let count = part.filled().len();
+    buf.advance(count);
+    Poll::Ready(Ok(()))
+}
+
 /// Continues only after other tasks, timers and sockets have had their turn.
 fn yield_turn<T>(cx: &mut Context<'_>) -> Poll<T> {
     let _ = pin!(yield_now()).poll(cx);
@@ -86,7 +108,8 @@
             return yield_turn(cx);
         }
         let before = buf.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let max = self.meter.room().unwrap_or(usize::MAX);
+        let read = poll_read_up_to(Pin::new(&mut self.stream), max, cx, buf);
         match read {
             Poll::Ready(_) => {
                 let count = buf.filled().len() - before;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -24,6 +24,7 @@
 mod peer_target;
 mod reply;
 mod request;
+mod server_meters;
 
 pub use config_client::ConfigClient;
 pub use connect::connect;
--- a/tests/content_allowance.rs
+++ b/tests/content_allowance.rs
@@ -16,8 +16,17 @@
 const MAX_PAUSE: Duration = Duration::from_secs(1);
 
 /// Reads as fast as allowed for `time`, of which `take` says how much is content; returns the bytes.
-fn read_for(time: Duration, mut take: impl FnMut(&mut ContentAllowance, usize)) -> u64 {
-    let mut allowance = ContentAllowance::default();
+fn read_for(time: Duration, take: impl FnMut(&mut ContentAllowance, usize)) -> u64 {
+    read_by(ContentAllowance::default(), time, |_| READ_BYTES, take)
+}
+
+/// The same by this allowance, of which `size` says how much is read at a time.
+fn read_by(
+    mut allowance: ContentAllowance,
+    time: Duration,
+    size: impl Fn(&ContentAllowance) -> usize,
+    mut take: impl FnMut(&mut ContentAllowance, usize),
+) -> u64 {
     let (mut now, mut bytes) = (Duration::ZERO, 0);
     while now < time {
         let at = Timestamp::from_micros(now.as_micros() as u64);
@@ -28,9 +37,10 @@
         }
         // As fast as 640 MB a second.
         now += Duration::from_micros(100);
-        allowance.on_read(READ_BYTES);
-        bytes += READ_BYTES as u64;
-        take(&mut allowance, READ_BYTES);
+        let read = size(&allowance);
+        allowance.on_read(read);
+        bytes += read as u64;
+        take(&mut allowance, read);
     }
     bytes
 }
@@ -97,3 +107,25 @@
     allowance.on_content(100 * READ_BYTES);
     assert_eq!(allowance.pause(Timestamp::from_millis(2)), None);
 }
+
+/// Guards against calls that follow each other, each of which reads as much of a server that brings nothing
+/// as the first one.
+#[test]
+fn a_connection_to_a_server_that_brought_no_head_is_read_slowly_from_the_start() {
+    let call_time = Duration::from_millis(1200);
+    let (first, next) = (ContentAllowance::default(), ContentAllowance::repeated());
+    let size = |allowance: &ContentAllowance| allowance.room().unwrap() as usize;
+    let read = |allowance| read_by(allowance, call_time, size, |_, _| {});
+    assert!(read(first) <= 100_000, "{}", read(first));
+    assert!(read(next) <= 30_000, "{}", read(next));
+}
+
+/// Guards against a server that is read slowly for good once its heads end again.
+#[test]
+fn a_head_that_is_complete_gives_a_connection_all_that_others_have() {
+    let mut allowance = ContentAllowance::repeated();
+    allowance.on_head();
+    allowance.on_read(3 * READ_BYTES);
+    assert!(!allowance.is_used_up());
+    assert_eq!(allowance.room(), None);
+}
