Mask what a view has of a part after the history is lost again

A view that had taken a part at a revision above its complete one and then lost the history again named the newest revision of the part, and the part's age, in its digest. Peers took that for changes which they lack (newer_config for good where they can't read the store), and got an answer up to the complete revision with a fresh age. While a part is taken, between its items and its end, the digest had the same fault.

The view keeps the newest revision of a part (part_to) until a complete revision reaches it; digest and age are masked as long.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -78,6 +78,8 @@
     as_of: Option<u64>,
     /// Revision after which changes can be followed; that of a part that was listed is above `as_of`.
     followed_to: Option<u64>,
+    /// Revision of the newest part that was listed or followed; what is above `as_of` has gaps.
+    part_to: Option<u64>,
     /// Whether the part that was listed has what matters most.
     has_main_part: bool,
     newest_shared: u64,
@@ -205,6 +207,7 @@
         }
         self.tombstones.clear();
         self.followed_to = None;
+        self.part_to = None;
         self.newest_shared = 0;
         self.as_of = None;
         self.lacked = None;
@@ -340,6 +343,7 @@
         self.has_main_part = has_main_part;
         self.followed_since = None;
         self.followed_to = Some(as_of);
+        self.begin_part(as_of);
         self.was_listed = true;
         self.old_until = None;
         self.lacked = self.lacked.filter(|lacked| lacked.rev > as_of);
@@ -347,6 +351,11 @@
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Prepares the view for a part of the items of revision `as_of`.
+    pub fn begin_part(&mut self, as_of: u64) {
+        self.part_to = self.part_to.max(Some(as_of));
+    }
+
     /// Records that the changes up to `as_of` that follow on the view were applied.
     pub fn on_followed(&mut self, as_of: u64, at: Timestamp) {
         if self.is_part() {
@@ -390,7 +399,7 @@
 
     /// Summary of this view, for peers: of what it has beyond a complete view they needn't know.
     pub fn digest(&self, now: Timestamp) -> ViewDigest {
-        let most = if self.is_part() { self.as_of.unwrap_or_default() } else { u64::MAX };
+        let most = if self.has_part_beyond() { self.as_of.unwrap_or_default() } else { u64::MAX };
         ViewDigest {
             newest: self.newest_shared.min(most),
             as_of: self.as_of,
@@ -478,10 +487,16 @@
 
     /// Age of what is complete, in ms; `None` if it isn't known.
     fn age_ms(&self, now: Timestamp) -> Option<u64> {
-        let current_at = self.current_at.filter(|_| !self.is_part())?;
+        let current_at = self.current_at.filter(|_| !self.has_part_beyond())?;
         Some(as_millis(now.since(current_at)))
     }
 
+    /// Whether the view has a part of what came after its complete revision, even one that can't be
+    /// followed any more.
+    fn has_part_beyond(&self) -> bool {
+        self.part_to > self.as_of
+    }
+
     fn are_reads_failing(&self, now: Timestamp) -> bool {
         let Some(last_success) = self.last_success else { return true };
         self.last_failure > self.last_success || now.since(last_success) >= READS_FAILING_AFTER
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -350,6 +350,7 @@
     let now = node.now();
     node.view(topic).on_contact(now);
     let is_restored = begin_era(node, topic, now, part.era.unwrap_or_default());
+    node.view(topic).begin_part(as_of);
     let is_config = |item| matches!(node.protocol.decode_config(item), Ok(Some(_)));
     let has_config = part.items.iter().any(is_config);
     part.odd.iter().for_each(|item| record_odd(node, topic, item));
--- a/tests/traffic/part_views.rs
+++ b/tests/traffic/part_views.rs
@@ -108,3 +108,26 @@
     assert_eq!((view.as_of(), view.followed_to()), (Some(12), Some(12)));
     assert_eq!(view.digest(now).removals_after, 12);
 }
+
+// Guards against an instance that is never ready since a peer, which lost the history again after it took a
+// part, names a revision of that part for what it has, and counts it as current.
+#[test]
+fn a_part_whose_history_is_lost_is_still_no_more_than_what_was_complete() {
+    let now = NOW + Duration::from_secs(9);
+    let mut view = PublishedView::default();
+    view.on_listed(5, now);
+    view.on_history_lost();
+    view.apply(&written("a", 8));
+    view.mark_for_sharing("a");
+    view.on_part(9, now, true);
+    view.on_history_lost();
+    let digest = view.digest(now);
+    assert_eq!((digest.as_of, digest.newest, digest.age_ms), (Some(5), 5, None));
+    let mut other = PublishedView::default();
+    other.on_listed(6, now);
+    assert!(!other.on_peer_digest(now, &digest, false));
+    assert_eq!(other.lacks_for(now), None);
+    view.on_listed(12, now);
+    let digest = view.digest(now);
+    assert_eq!((digest.as_of, digest.newest, digest.age_ms), (Some(12), 12, Some(0)));
+}
