Pause after a listing that fails while changes are followed

Once a watch broke off, or its body took long, the whole is listed. A listing that failed then counted as a success, since changes could be followed: no pause followed, the next step was a listing again, the reads counted as regained, and a reader with failing reads took nothing of its peers. The same after a part was taken, for good, as the pace was never reset and no watch came.

A failed listing is a success only for a part whose whole is tried now and then, and only if the store answered; a part resets the pace, so that a watch comes next.

--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -253,10 +253,18 @@
         Ok(part) if way == ListingWay::Part => {
             take_part(node, topic, way, part, "the whole can't be listed");
             plan.on_part(node.now());
+            *pace = ReadPace::default();
             return Ok(false);
         }
         Ok(listing) => listing,
-        Err(fault) => return on_listing_fault(node, topic, plan, way, fault).await,
+        Err(fault) => {
+            let result = on_listing_fault(node, topic, plan, way, fault).await;
+            if node.view(topic).is_part() {
+                // The whole is tried again later.
+                *pace = ReadPace::default();
+            }
+            return result;
+        }
     };
     if plan.on_whole() {
         record(&StoreEvent::ListedWhole { topic: topic.name(), way: way.name() });
@@ -334,7 +342,7 @@
         let way = plan.way(was_listed).name();
         record(&StoreEvent::ListingChanged { topic: topic.name(), way, detail: &detail });
     }
-    if node.view(topic).followed_to().is_some() {
+    if node.view(topic).is_part() && kind != ListingFailure::Unanswered {
         // Changes are followed all the same.
         return Ok(false);
     }
