--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -4,6 +4,7 @@
 //! by long polls. The others take its changes from them in exchanges. An instance reads for
 //! itself if its view is incomplete or out of date.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -409,9 +410,9 @@
     odd.iter().for_each(|item| record_odd(node, topic, item));
     let mut events = node.view(topic).changes_to(items, as_of);
     // An item that can't be read isn't removed.
+    let odd_keys: HashSet<&str> = odd.iter().filter_map(|item| item.key.as_deref()).collect();
     events.retain(|event| {
-        let is_odd = || odd.iter().any(|item| item.key.as_deref() == Some(event.key()));
-        matches!(event, PublishedEvent::Written(_)) || !is_odd()
+        matches!(event, PublishedEvent::Written(_)) || !odd_keys.contains(event.key())
     });
     let outage_ended = node.view(topic).outage_ended();
     let source = Source { is_restored, outage_ended, peer: None };
