Keep items that were removed in a gap from coming back or staying

An item that was removed stayed known for good at an instance that doesn't read the store, in three ways, all by a gap in what a view was told that it doesn't remember: - A listing of the store from before a removal that a peer told meanwhile put the item back, and changes are followed from after the removal. A view now refuses a write from before a removal that it knows, whoever tells it (before: only from peers). - A view that had taken all items of a peer told others that there is a tombstone of every removal before; those from before the gap took themselves for complete by its digest. - A view that lost the history and was told some of it by peers counted the listing that followed as free of gaps.

The three tests failed before: k back at revision 5; complete to 9 in place of 7; changes in place of all items.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -78,6 +78,8 @@
     as_of: Option<u64>,
     /// Revision after which changes can be followed; that of a part that was listed is above `as_of`.
     followed_to: Option<u64>,
+    /// Whether changes were missed that only a listing can make up for.
+    has_gap: bool,
     /// Revision of the newest part that was listed or followed; what is above `as_of` has gaps.
     part_to: Option<u64>,
     /// Whether the part that was listed has what matters most.
@@ -236,6 +238,9 @@
                 if known.is_some_and(|known| known.item.rev >= item.rev) {
                     return false;
                 }
+                if known.is_none() && self.was_removed_after(item) {
+                    return false;
+                }
                 if let Some(known) = self.items.get_mut(&item.key)
                     && known.item.rev == 0
                     && known.item.value == item.value
@@ -267,12 +272,10 @@
         true
     }
 
-    /// Whether a change writes an item of which a later removal is known: a peer that sends it may not
-    /// know of that yet.
-    pub fn was_removed_after(&self, event: &PublishedEvent) -> bool {
-        let PublishedEvent::Written(item) = event else { return false };
-        !self.items.contains_key(&item.key)
-            && self.tombstones.iter().any(|(rev, key)| *key == item.key && *rev > item.rev)
+    /// Whether a later removal of an item is known than it was written: whoever told of it, a peer or a
+    /// listing, may be from before that.
+    fn was_removed_after(&self, item: &PublishedItem) -> bool {
+        self.tombstones.iter().any(|(rev, key)| *key == item.key && *rev > item.rev)
     }
 
     /// Marks the last change of `key` as one that peers need.
@@ -327,15 +330,24 @@
     /// Records that a listing of revision `as_of` is applied, which was current at `at`. What was written
     /// and removed again in a gap before it isn't known.
     pub fn on_listed(&mut self, as_of: u64, at: Timestamp) {
-        let has_gap = self.as_of.is_some() && self.followed_to != self.as_of;
-        if has_gap {
+        if self.has_gap && self.as_of.is_some() {
             self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
             self.newest_shared = self.newest_shared.max(as_of);
         }
         self.on_complete(as_of, at);
+        self.has_gap = false;
         self.followed_to = self.as_of;
     }
 
+    /// Records that all items that a peer has are applied, complete up to `as_of` and current at `at`. What
+    /// was written and removed again before isn't known.
+    pub fn on_peers_items(&mut self, as_of: u64, at: Timestamp) {
+        if self.as_of.is_some() {
+            self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
+        }
+        self.on_complete(as_of, at);
+    }
+
     /// Records that a part of the items of revision `as_of` is applied, so that changes can be followed
     /// from there on, but nothing of the others is known.
     /// `has_main_part` is whether it has what the topic matters most for.
@@ -354,6 +366,7 @@
     /// Prepares the view for a part of the items of revision `as_of`.
     pub fn begin_part(&mut self, as_of: u64) {
         self.part_to = self.part_to.max(Some(as_of));
+        self.has_gap = true;
     }
 
     /// Records that the changes up to `as_of` that follow on the view were applied.
@@ -362,6 +375,7 @@
             self.on_part(as_of, at, self.has_main_part);
         } else {
             self.on_complete(as_of, at);
+            self.has_gap = false;
         }
     }
 
@@ -377,6 +391,7 @@
     pub fn on_history_lost(&mut self) {
         self.followed_to = None;
         self.followed_since = None;
+        self.has_gap = true;
     }
 
     /// Whether the view was current lately, by this instance's own reads or a peer's.
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -188,7 +188,8 @@
     record(&StoreEvent::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
     let was_listed = node.view(topic).was_listed();
     let is_restored = begin_era(node, topic, now, changes.era);
-    let events = if changes.whole {
+    let is_whole = changes.whole;
+    let events = if is_whole {
         let items = changes.events.into_iter().filter_map(written_item);
         node.view(topic).changes_to(items.collect(), as_of)
     } else {
@@ -201,7 +202,12 @@
     let source = Source { is_restored, outage_ended, peer: Some(peer) };
     apply_events(node, topic, &events, source);
     let age = changes.age_ms.map_or(Duration::MAX, Duration::from_millis);
-    node.view(topic).on_complete(as_of, now - age);
+    let at = now - age;
+    if is_whole {
+        node.view(topic).on_peers_items(as_of, at);
+    } else {
+        node.view(topic).on_complete(as_of, at);
+    }
     if !was_listed {
         let (topic, may_be_old) = (topic.name(), !node.view(topic).is_current(now));
         StartStep::Listed { topic, from: Some(peer), may_be_old }.record(node.now());
@@ -453,8 +459,7 @@
     let mut any_new = false;
     for event in events {
         let mut view = node.view(topic);
-        let is_undone = source.peer.is_some() && view.was_removed_after(event);
-        if is_undone || !view.apply(event) {
+        if !view.apply(event) {
             continue;
         }
         drop(view);
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -33,7 +33,7 @@
 
 /// Applies a peer's changes to a view, as the relay does.
 fn catch_up(now: u64, view: &mut PublishedView, changes: ViewChanges) {
-    let as_of = changes.as_of.unwrap();
+    let (as_of, is_whole) = (changes.as_of.unwrap(), changes.whole);
     let events = if changes.whole {
         let items = changes.events.into_iter().map(|event| match event {
             PublishedEvent::Written(item) => item,
@@ -44,11 +44,13 @@
         changes.events
     };
     for event in &events {
-        if !view.was_removed_after(event) {
-            apply(view, event);
-        }
+        apply(view, event);
+    }
+    if is_whole {
+        view.on_peers_items(as_of, at(now));
+    } else {
+        view.on_complete(as_of, at(now));
     }
-    view.on_complete(as_of, at(now));
 }
 
 fn keys(view: &PublishedView) -> Vec<(String, u64)> {
@@ -290,3 +292,60 @@
     catch_up(30, &mut other, changes);
     assert_eq!(keys(&other), [("a".to_owned(), 4)]);
 }
+
+// Guards against an item that is back for good since a listing from before its removal, which a peer told
+// meanwhile, is applied after it.
+#[test]
+fn a_listing_of_the_store_from_before_a_removal_does_not_undo_it() {
+    let mut view = PublishedView::default();
+    apply(&mut view, &written("k", 5));
+    view.on_listed(9, at(0));
+    view.on_history_lost();
+    apply(&mut view, &removed("k", 14));
+    view.on_complete(15, at(100));
+    for event in view.changes_to(vec![item("k", 5)], 12) {
+        apply(&mut view, &event);
+    }
+    view.on_listed(12, at(200));
+    assert_eq!((keys(&view), view.followed_to()), (vec![], Some(15)));
+    apply(&mut view, &written("k", 16));
+    assert_eq!(keys(&view), [("k".to_owned(), 16)], "it was written again");
+}
+
+// Guards against an item that stays at a peer for good, as it was written and removed in a gap that the
+// instance which tells it of nothing else has bridged by all items of a third one.
+#[test]
+fn a_view_that_took_all_items_of_a_peer_completes_none_from_before() {
+    let (mut reader, mut two, mut three) =
+        (PublishedView::default(), PublishedView::default(), PublishedView::default());
+    for view in [&mut reader, &mut two, &mut three] {
+        view.on_listed(5, at(0));
+    }
+    apply(&mut three, &written("x", 7));
+    three.on_complete(7, at(10));
+    reader.on_history_lost();
+    reader.on_listed(9, at(20));
+    assert!(two.on_peer_digest(at(30), &reader.digest(at(30)), false));
+    let changes = reader.changes_after(at(30), 0, two.as_of());
+    assert!(changes.whole);
+    catch_up(30, &mut two, changes);
+    three.on_peer_digest(at(40), &two.digest(at(40)), false);
+    assert_eq!(three.as_of(), Some(7), "it can't know of the removal");
+    assert!(two.changes_after(at(50), 0, three.as_of()).whole);
+}
+
+// Guards against the same after a gap that peers narrowed before the listing.
+#[test]
+fn a_listing_after_a_loss_of_history_is_sent_whole_although_peers_told_some_of_it() {
+    let (mut reader, mut other) = (PublishedView::default(), PublishedView::default());
+    reader.on_listed(5, at(0));
+    other.on_listed(5, at(0));
+    reader.on_history_lost();
+    reader.on_complete(6, at(10));
+    apply(&mut other, &written("x", 7));
+    other.on_complete(7, at(10));
+    reader.on_listed(9, at(20));
+    assert!(reader.changes_after(at(30), 0, other.as_of()).whole);
+    other.on_peer_digest(at(30), &reader.digest(at(30)), false);
+    assert_eq!(other.as_of(), Some(7), "it can't know of the removal");
+}
