--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -78,6 +78,10 @@
     as_of: Option<u64>,
     /// Revision after which changes can be followed; that of a part that was listed is above `as_of`.
     followed_to: Option<u64>,
+    /// Whether changes were missed that only a listing can make up for.
+    has_gap: bool,
+    /// Revision of the newest part that was listed or followed; what is above `as_of` has gaps.
+    part_to: Option<u64>,
     /// Whether the part that was listed has what matters most.
     has_main_part: bool,
     newest_shared: u64,
@@ -205,6 +209,7 @@
         }
         self.tombstones.clear();
         self.followed_to = None;
+        self.part_to = None;
         self.newest_shared = 0;
         self.as_of = None;
         self.lacked = None;
@@ -233,6 +238,9 @@
                 if known.is_some_and(|known| known.item.rev >= item.rev) {
                     return false;
                 }
+                if known.is_none() && self.was_removed_after(item) {
+                    return false;
+                }
                 if let Some(known) = self.items.get_mut(&item.key)
                     && known.item.rev == 0
                     && known.item.value == item.value
@@ -264,12 +272,10 @@
         true
     }
 
-    /// Whether a change writes an item of which a later removal is known: a peer that sends it may not
-    /// know of that yet.
-    pub fn was_removed_after(&self, event: &PublishedEvent) -> bool {
-        let PublishedEvent::Written(item) = event else { return false };
-        !self.items.contains_key(&item.key)
-            && self.tombstones.iter().any(|(rev, key)| *key == item.key && *rev > item.rev)
+    /// Whether a later removal of an item is known than it was written: whoever told of it, a peer or a
+    /// listing, may be from before that.
+    fn was_removed_after(&self, item: &PublishedItem) -> bool {
+        self.tombstones.iter().any(|(rev, key)| *key == item.key && *rev > item.rev)
     }
 
     /// Marks the last change of `key` as one that peers need.
@@ -324,15 +330,24 @@
     /// Records that a listing of revision `as_of` is applied, which was current at `at`. What was written
     /// and removed again in a gap before it isn't known.
     pub fn on_listed(&mut self, as_of: u64, at: Timestamp) {
-        let has_gap = self.as_of.is_some() && self.followed_to != self.as_of;
-        if has_gap {
+        if self.has_gap && self.as_of.is_some() {
             self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
             self.newest_shared = self.newest_shared.max(as_of);
         }
         self.on_complete(as_of, at);
+        self.has_gap = false;
         self.followed_to = self.as_of;
     }
 
+    /// Records that all items that a peer has are applied, complete up to `as_of` and current at `at`. What
+    /// was written and removed again before isn't known.
+    pub fn on_peers_items(&mut self, as_of: u64, at: Timestamp) {
+        if self.as_of.is_some() {
+            self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
+        }
+        self.on_complete(as_of, at);
+    }
+
     /// Records that a part of the items of revision `as_of` is applied, so that changes can be followed
     /// from there on, but nothing of the others is known.
     /// `has_main_part` is whether it has what the topic matters most for.
@@ -340,6 +355,7 @@
         self.has_main_part = has_main_part;
         self.followed_since = None;
         self.followed_to = Some(as_of);
+        self.begin_part(as_of);
         self.was_listed = true;
         self.old_until = None;
         self.lacked = self.lacked.filter(|lacked| lacked.rev > as_of);
@@ -347,12 +363,19 @@
         self.current_at = self.current_at.max(Some(at));
     }
 
+    /// Prepares the view for a part of the items of revision `as_of`.
+    pub fn begin_part(&mut self, as_of: u64) {
+        self.part_to = self.part_to.max(Some(as_of));
+        self.has_gap = true;
+    }
+
     /// Records that the changes up to `as_of` that follow on the view were applied.
     pub fn on_followed(&mut self, as_of: u64, at: Timestamp) {
         if self.is_part() {
             self.on_part(as_of, at, self.has_main_part);
         } else {
             self.on_complete(as_of, at);
+            self.has_gap = false;
         }
     }
 
@@ -368,6 +391,7 @@
     pub fn on_history_lost(&mut self) {
         self.followed_to = None;
         self.followed_since = None;
+        self.has_gap = true;
     }
 
     /// Whether the view was current lately, by this instance's own reads or a peer's.
@@ -390,7 +414,7 @@
 
     /// Summary of this view, for peers: of what it has beyond a complete view they needn't know.
     pub fn digest(&self, now: Timestamp) -> ViewDigest {
-        let most = if self.is_part() { self.as_of.unwrap_or_default() } else { u64::MAX };
+        let most = if self.has_part_beyond() { self.as_of.unwrap_or_default() } else { u64::MAX };
         ViewDigest {
             newest: self.newest_shared.min(most),
             as_of: self.as_of,
@@ -478,10 +502,16 @@
 
     /// Age of what is complete, in ms; `None` if it isn't known.
     fn age_ms(&self, now: Timestamp) -> Option<u64> {
-        let current_at = self.current_at.filter(|_| !self.is_part())?;
+        let current_at = self.current_at.filter(|_| !self.has_part_beyond())?;
         Some(as_millis(now.since(current_at)))
     }
 
+    /// Whether the view has a part of what came after its complete revision, even one that can't be
+    /// followed any more.
+    fn has_part_beyond(&self) -> bool {
+        self.part_to > self.as_of
+    }
+
     fn are_reads_failing(&self, now: Timestamp) -> bool {
         let Some(last_success) = self.last_success else { return true };
         self.last_failure > self.last_success || now.since(last_success) >= READS_FAILING_AFTER
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -4,6 +4,7 @@
 //! by long polls. The others take its changes from them in exchanges. An instance reads for
 //! itself if its view is incomplete or out of date.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -180,7 +181,8 @@
     record(&StoreEvent::TakenFromPeer { topic: topic.name(), as_of, whole: changes.whole, count });
     let was_listed = node.view(topic).was_listed();
     let is_restored = begin_era(node, topic, now, changes.era);
-    let events = if changes.whole {
+    let is_whole = changes.whole;
+    let events = if is_whole {
         let items = changes.events.into_iter().filter_map(written_item);
         node.view(topic).changes_to(items.collect(), as_of)
     } else {
@@ -193,7 +195,12 @@
     let source = Source { is_restored, outage_ended, peer: Some(peer) };
     apply_events(node, topic, &events, source);
     let age = changes.age_ms.map_or(Duration::MAX, Duration::from_millis);
-    node.view(topic).on_complete(as_of, now - age);
+    let at = now - age;
+    if is_whole {
+        node.view(topic).on_peers_items(as_of, at);
+    } else {
+        node.view(topic).on_complete(as_of, at);
+    }
     if !was_listed {
         let (topic, may_be_old) = (topic.name(), !node.view(topic).is_current(now));
         StartStep::Listed { topic, from: Some(peer), may_be_old }.record(node.now());
@@ -249,10 +256,18 @@
         Ok(part) if way == ListingWay::Part => {
             take_part(node, topic, way, part, "the whole can't be listed");
             plan.on_part(node.now());
+            *pace = ReadPace::default();
             return Ok(false);
         }
         Ok(listing) => listing,
-        Err(fault) => return on_listing_fault(node, topic, plan, way, fault).await,
+        Err(fault) => {
+            let result = on_listing_fault(node, topic, plan, way, fault).await;
+            if node.view(topic).is_part() {
+                // The whole is tried again later.
+                *pace = ReadPace::default();
+            }
+            return result;
+        }
     };
     if plan.on_whole() {
         record(&StoreEvent::ListedWhole { topic: topic.name(), way: way.name() });
@@ -332,7 +347,7 @@
         let way = plan.way(was_listed).name();
         record(&StoreEvent::ListingChanged { topic: topic.name(), way, detail: &detail });
     }
-    if node.view(topic).followed_to().is_some() {
+    if node.view(topic).is_part() && kind != ListingFailure::Unanswered {
         // Changes are followed all the same.
         return Ok(false);
     }
@@ -348,6 +363,7 @@
     let now = node.now();
     node.view(topic).on_contact(now);
     let is_restored = begin_era(node, topic, now, part.era.unwrap_or_default());
+    node.view(topic).begin_part(as_of);
     let is_config = |item| matches!(node.protocol.decode_config(item), Ok(Some(_)));
     let has_config = part.items.iter().any(is_config);
     part.odd.iter().for_each(|item| record_odd(node, topic, item));
@@ -398,9 +414,9 @@
     odd.iter().for_each(|item| record_odd(node, topic, item));
     let mut events = node.view(topic).changes_to(items, as_of);
     // An item that can't be read isn't removed.
+    let odd_keys: HashSet<&str> = odd.iter().filter_map(|item| item.key.as_deref()).collect();
     events.retain(|event| {
-        let is_odd = || odd.iter().any(|item| item.key.as_deref() == Some(event.key()));
-        matches!(event, PublishedEvent::Written(_)) || !is_odd()
+        matches!(event, PublishedEvent::Written(_)) || !odd_keys.contains(event.key())
     });
     let outage_ended = node.view(topic).outage_ended();
     let source = Source { is_restored, outage_ended, peer: None };
@@ -441,8 +457,7 @@
     let mut any_new = false;
     for event in events {
         let mut view = node.view(topic);
-        let is_undone = source.peer.is_some() && view.was_removed_after(event);
-        if is_undone || !view.apply(event) {
+        if !view.apply(event) {
             continue;
         }
         drop(view);
