Take a peer's view that is complete and empty where nothing is known

What was seen: an instance whose store was out of reach, beside a peer that knew that there are no replicas, wasn't ready for want of 'replicas' for 20 s (seen by hand). Cause: a peer whose newest shared change is 0 was taken for one that knows nothing. Change: where nothing is known, a peer's complete view counts whether it has items or not.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -459,7 +459,9 @@
             let since = self.lacked.map_or(now, |lacked| lacked.since);
             self.lacked = Some(LackedChange { rev: peer.newest, since });
         }
-        let has_nothing = peer.newest == 0 && !(is_newer_era && peer.as_of.is_some());
+        // That a topic has no items is worth to be known where nothing is.
+        let lacks_all = is_newer_era || !self.was_listed;
+        let has_nothing = peer.newest == 0 && !(lacks_all && peer.as_of.is_some());
         !has_nothing && relies_on_peers && self.try_request(now)
     }
 
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -349,3 +349,17 @@
     other.on_peer_digest(at(30), &reader.digest(at(30)), false);
     assert_eq!(other.as_of(), Some(7), "it can't know of the removal");
 }
+
+// Guards against an instance that can't read the store and never gets ready, as its peers know that a topic
+// has no items.
+#[test]
+fn a_view_without_anything_takes_a_peers_view_that_is_complete_and_empty() {
+    let (mut peer, mut new) = (PublishedView::default(), PublishedView::default());
+    assert!(!new.on_peer_digest(at(5), &peer.digest(at(5)), true), "neither knows anything");
+    peer.on_listed(7, at(10));
+    assert!(new.on_peer_digest(at(20), &peer.digest(at(20)), true));
+    let changes = peer.changes_after(at(20), 0, new.as_of());
+    catch_up(20, &mut new, changes);
+    assert!(new.is_usable(at(20)));
+    assert!(!new.on_peer_digest(at(2000), &peer.digest(at(2000)), true), "it is asked once");
+}
