Drop an answer of a peer that is older than the view

Changes that a peer sent before this instance listed, and that came after it, put an item back that was gone from the listing: it was never known here, so that nothing told of its removal, and the view stayed complete as of the listing. All items of a peer were dropped then already, changes weren't. What an answer has for a view is now decided in the view.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -286,6 +286,16 @@
         }
     }
 
+    /// Whether an answer of a peer, which may have taken long, has anything for this view.
+    pub fn takes(&self, changes: &ViewChanges) -> bool {
+        if changes.era != self.era {
+            // An older one is from before the store was restored, changes are for a request from before.
+            return changes.as_of.is_some() && changes.era > self.era && changes.whole;
+        }
+        // What was removed since isn't known here, if this view never had it.
+        changes.as_of.is_some() && self.as_of() <= changes.as_of
+    }
+
     /// The changes that lead from this view to a whole listing.
     pub fn changes_to(&self, listed: Vec<PublishedItem>, as_of: u64) -> Vec<PublishedEvent> {
         let keys: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -174,14 +174,7 @@
 ) {
     let Some(as_of) = changes.as_of else { return };
     let now = node.now();
-    let known_era = node.view(topic).era();
-    let is_other_era = changes.era != known_era;
-    if is_other_era && (changes.era < known_era || !changes.whole) {
-        // The answer is from before the store was restored, or to a request from before.
-        return;
-    }
-    if changes.whole && !is_other_era && node.view(topic).as_of() > Some(as_of) {
-        // What was removed since isn't known here, if this view never had it.
+    if !node.view(topic).takes(&changes) {
         return;
     }
     let count = changes.events.len();
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -349,3 +349,24 @@
     other.on_peer_digest(at(30), &reader.digest(at(30)), false);
     assert_eq!(other.as_of(), Some(7), "it can't know of the removal");
 }
+
+// Guards against an item that is back for good since an answer of a peer that hasn't heard of its removal
+// comes after a listing from which it was gone.
+#[test]
+fn an_answer_from_before_a_listing_is_not_taken() {
+    let (mut view, mut peer) = (PublishedView::default(), PublishedView::default());
+    for view in [&mut view, &mut peer] {
+        view.on_listed(5, at(0));
+    }
+    apply(&mut peer, &written("x", 7));
+    peer.on_complete(7, at(10));
+    let changes = peer.changes_after(at(20), 0, view.as_of());
+    assert!(!changes.whole && view.takes(&changes));
+    view.on_history_lost();
+    view.on_listed(9, at(30));
+    assert!(!view.takes(&changes));
+    let whole = peer.changes_after(at(40), 0, None);
+    assert!(whole.whole && !view.takes(&whole));
+    peer.on_complete(9, at(50));
+    assert!(view.takes(&peer.changes_after(at(60), 0, view.as_of())));
+}
