--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -362,4 +362,24 @@
     catch_up(20, &mut new, changes);
     assert!(new.is_usable(at(20)));
     assert!(!new.on_peer_digest(at(2000), &peer.digest(at(2000)), true), "it is asked once");
+
+// Guards against an item that is back for good since an answer of a peer that hasn't heard of its removal
+// comes after a listing from which it was gone.
+#[test]
+fn an_answer_from_before_a_listing_is_not_taken() {
+    let (mut view, mut peer) = (PublishedView::default(), PublishedView::default());
+    for view in [&mut view, &mut peer] {
+        view.on_listed(5, at(0));
+    }
+    apply(&mut peer, &written("x", 7));
+    peer.on_complete(7, at(10));
+    let changes = peer.changes_after(at(20), 0, view.as_of());
+    assert!(!changes.whole && view.takes(&changes));
+    view.on_history_lost();
+    view.on_listed(9, at(30));
+    assert!(!view.takes(&changes));
+    let whole = peer.changes_after(at(40), 0, None);
+    assert!(whole.whole && !view.takes(&whole));
+    peer.on_complete(9, at(50));
+    assert!(view.takes(&peer.changes_after(at(60), 0, view.as_of())));
 }
