--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -362,6 +362,7 @@
     catch_up(20, &mut new, changes);
     assert!(new.is_usable(at(20)));
     assert!(!new.on_peer_digest(at(2000), &peer.digest(at(2000)), true), "it is asked once");
+}
 
 // Guards against an item that is back for good since an answer of a peer that hasn't heard of its removal
 // comes after a listing from which it was gone.
