Count a listing that was begun before a peer's items came as one with a gap

An instance that starts takes all items of a peer while its own listing is under way. What was written and removed between the two isn't known to it, but it told peers from before the listing that it knows every removal, so that they kept such an item for good.

The new test failed before.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -355,6 +355,8 @@
         if self.as_of.is_some() {
             self.tombstones_complete_after = self.tombstones_complete_after.max(as_of);
         }
+        // A listing that was begun before doesn't follow on it.
+        self.has_gap = true;
         self.on_complete(as_of, at);
     }
 
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -370,3 +370,16 @@
     peer.on_complete(9, at(50));
     assert!(view.takes(&peer.changes_after(at(60), 0, view.as_of())));
 }
+
+// Guards against an item that stays at a peer, as it was written and removed between the items that an
+// instance took at its start and the listing that it had begun before.
+#[test]
+fn a_listing_after_a_start_by_a_peer_is_sent_whole_to_peers_from_before_it() {
+    let (mut peer, mut new) = (PublishedView::default(), PublishedView::default());
+    peer.on_listed(5, at(0));
+    catch_up(10, &mut new, peer.changes_after(at(10), 0, None));
+    apply(&mut peer, &written("x", 7));
+    peer.on_complete(7, at(20));
+    new.on_listed(9, at(30));
+    assert!(new.changes_after(at(40), 0, peer.as_of()).whole);
+}
