Add a model of views with lost histories, parts, cuts and restores

Five views, two of them readers, of a store that discards its history, can't be listed at times, gives parts and is restored; answers of peers and listings arrive late. After a quiet time all views hold the store's keys, are whole and current and lack nothing.

--- a/tests/traffic/main.rs
+++ b/tests/traffic/main.rs
@@ -38,3 +38,4 @@
 mod stream_versions;
 mod support;
 mod use_serials;
+mod view_fleets;
