--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -467,13 +467,17 @@
             }
             return false;
         }
+        // One whose view isn't complete has nothing to give.
+        if peer.as_of.is_none() {
+            return false;
+        }
         if self.was_listed && !is_newer_era {
             let since = self.lacked.map_or(now, |lacked| lacked.since);
             self.lacked = Some(LackedChange { rev: peer.newest, since });
         }
         // That a topic has no items is worth to be known where nothing is.
         let lacks_all = is_newer_era || !self.was_listed;
-        let has_nothing = peer.newest == 0 && !(lacks_all && peer.as_of.is_some());
+        let has_nothing = peer.newest == 0 && !lacks_all;
         !has_nothing && relies_on_peers && self.try_request(now)
     }
 
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -8,6 +8,7 @@
 use tamaracklead::decide::traffic::PublishedItem;
 use tamaracklead::decide::traffic::PublishedView;
 use tamaracklead::decide::traffic::ViewChanges;
+use tamaracklead::decide::traffic::ViewDigest;
 
 use crate::support::at;
 
@@ -397,3 +398,16 @@
     new.on_listed(9, at(30));
     assert!(new.changes_after(at(40), 0, peer.as_of()).whole);
 }
+
+// Guards against instances that turn callers away during an upgrade, as a peer of an earlier version that
+// lost the history names changes which it can't give.
+#[test]
+fn changes_of_a_peer_whose_view_is_not_complete_are_not_lacked() {
+    let mut view = PublishedView::default();
+    view.on_listed(5, at(0));
+    let digest = ViewDigest { newest: 9, as_of: None, age_ms: Some(1), era: 0, removals_after: 0 };
+    assert!(!view.on_peer_digest(at(10), &digest, false));
+    assert_eq!(view.lacks_for(at(9000)), None);
+    assert!(view.on_peer_digest(at(300), &ViewDigest { as_of: Some(9), ..digest }, false));
+    assert!(view.lacks_for(at(400)).is_some());
+}
