Take no listing that is older than what peers told meanwhile

What could be seen: an item that was removed stays in use at an instance that believes its view complete, and at those that take its items: a replica that had left. Cause: an instance that starts lists the store and asks peers at once. A peer's whole answer of revision 95, after a removal at 95, came first; the listing of 94 then put the item back, of which nothing told any more. Change: a listing of a lower revision, or of an earlier era, isn't applied; changes are followed from what the peer told, or everything is listed again after a pause.

--- a/src/decide/traffic/published_view.rs
+++ b/src/decide/traffic/published_view.rs
@@ -296,6 +296,12 @@
         changes.as_of.is_some() && self.as_of() <= changes.as_of
     }
 
+    /// Whether a listing, which may have taken long, is no older than what peers told meanwhile. What was
+    /// removed since isn't known here, if this view never had it.
+    pub fn takes_listing(&self, era: u64, as_of: u64) -> bool {
+        era > self.era || era == self.era && self.as_of() <= Some(as_of)
+    }
+
     /// The changes that lead from this view to a whole listing.
     pub fn changes_to(&self, listed: Vec<PublishedItem>, as_of: u64) -> Vec<PublishedEvent> {
         let keys: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
--- a/src/relay/published.rs
+++ b/src/relay/published.rs
@@ -262,12 +262,17 @@
             return result;
         }
     };
+    let (as_of, era) = (listing.as_of.unwrap_or_default(), listing.era.unwrap_or_default());
+    let is_taken = node.view(topic).takes_listing(era, as_of);
+    if !is_taken {
+        *pace = ReadPace::default();
+        return on_outdated_listing(node, topic);
+    }
     if plan.on_whole() {
         record(&StoreEvent::ListedWhole { topic: topic.name(), way: way.name() });
     }
     let may_be_old = way.may_be_old();
     let (asked_at, body_time) = (listing.asked_at, listing.body_time);
-    let era = listing.era.unwrap_or_default();
     let has_changes = apply_listing(node, topic, listing);
     pace.on_answer(body_time, has_changes && !may_be_old);
     if may_be_old {
@@ -278,6 +283,14 @@
     Ok(false)
 }
 
+/// Goes on from what peers told while a listing was under way, or lists again if that can't be followed.
+fn on_outdated_listing(node: &Node, topic: PublishedTopic) -> Result<bool, String> {
+    match node.view(topic).followed_to() {
+        Some(_) => Ok(false),
+        None => Err("the listing is older than what is known".to_owned()),
+    }
+}
+
 async fn watch(
     node: &Node,
     topic: PublishedTopic,
--- a/tests/traffic/published_view.rs
+++ b/tests/traffic/published_view.rs
@@ -411,3 +411,21 @@
     assert!(view.on_peer_digest(at(300), &ViewDigest { as_of: Some(9), ..digest }, false));
     assert!(view.lacks_for(at(400)).is_some());
 }
+
+// Guards against an item that is back for good, as an instance that starts ends a listing which it began
+// before it took all items of a peer that knew of the removal.
+#[test]
+fn a_listing_from_before_what_a_peer_told_is_not_taken() {
+    let (mut view, mut peer) = (PublishedView::default(), PublishedView::default());
+    assert!(view.takes_listing(0, 94));
+    peer.on_listed(95, at(0));
+    let changes = peer.changes_after(at(10), 0, view.as_of());
+    catch_up(10, &mut view, changes);
+    assert!(!view.takes_listing(0, 94), "it may have items that were removed at 95");
+    assert!(view.takes_listing(0, 95));
+    view.on_history_lost();
+    assert!(!view.takes_listing(0, 94) && view.takes_listing(0, 96));
+    assert!(view.takes_listing(1, 3), "a restored store counts anew");
+    view.begin_era(at(20), 1);
+    assert!(!view.takes_listing(0, 99));
+}
--- a/tests/traffic/view_fleets.rs
+++ b/tests/traffic/view_fleets.rs
@@ -142,6 +142,9 @@
 
     fn end_listing(&mut self, now: Timestamp) {
         let Some((items, as_of, era)) = self.listing.take() else { return };
+        if !self.view.takes_listing(era, as_of) {
+            return;
+        }
         self.view.on_contact(now);
         self.view.begin_era(now, era);
         let events = self.view.changes_to(items, as_of);
